--- /dev/null
+++ b/fleet/job.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+)
+
+type (
+	// JobID is derived from the team and the caller's idempotency id.
+	JobID string
+	// AttemptID is unique for each start of a task.
+	AttemptID string
+)
+
+// Step is one task of a job. Steps run in order.
+type Step struct {
+	Command string `cbor:"1,keyasint" json:"command"`
+	Payload []byte `cbor:"2,keyasint,omitempty" json:"payload,omitempty"`
+}
+
+// Job is work that a team has submitted.
+type Job struct {
+	ID         JobID         `cbor:"1,keyasint" json:"id"`
+	Team       TeamName      `cbor:"2,keyasint" json:"team"`
+	Queue      QueueName     `cbor:"3,keyasint" json:"queue"`
+	Class      Class         `cbor:"4,keyasint" json:"class"`
+	Steps      []Step        `cbor:"5,keyasint" json:"steps"`
+	Declared   Resources     `cbor:"6,keyasint" json:"declared"`
+	RunTime    time.Duration `cbor:"7,keyasint" json:"runTime"` // declared, for each step
+	Submitted  time.Time     `cbor:"8,keyasint" json:"submitted"`
+	Deadline   time.Time     `cbor:"9,keyasint" json:"deadline"` // zero means none
+	Idempotent bool          `cbor:"10,keyasint" json:"idempotent"`
+}
+
+// Outcome is the final word on a job or request.
+type Outcome string
+
+const (
+	OutcomeCompleted Outcome = "completed"
+	OutcomeFailed    Outcome = "failed"
+	OutcomeNotRun    Outcome = "not_run" // proved: nothing was started
+	OutcomeUnknown   Outcome = "unknown" // may have run; never retried unless idempotent
+)
+
+// Reason explains a refusal or failure in one word that programs can test.
+type Reason string
+
+const (
+	ReasonInvalid          Reason = "invalid_request"
+	ReasonUnauthorized     Reason = "unauthorized"
+	ReasonNoQueue          Reason = "no_such_queue"
+	ReasonStaleView        Reason = "view_not_current"
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonDeadline         Reason = "deadline_unreachable"
+	ReasonTooLarge         Reason = "no_vm_can_hold"
+	ReasonTeamLimit        Reason = "team_limit"
+	ReasonNoCapacity       Reason = "no_capacity"
+	ReasonDataCentreOut    Reason = "data_centre_out"
+	ReasonStoreUnavailable Reason = "store_unavailable"
+	ReasonStopping         Reason = "stopping"
+	ReasonCanceled         Reason = "canceled"
+	ReasonVMLost           Reason = "vm_lost"
+	ReasonTaskFailed       Reason = "task_failed"
+	ReasonRetryBudget      Reason = "retry_budget_spent"
+)
+
+// Result is the answer to a job or request.
+type Result struct {
+	Job        JobID         `cbor:"1,keyasint" json:"job"`
+	Attempt    AttemptID     `cbor:"2,keyasint,omitempty" json:"attempt,omitempty"`
+	Outcome    Outcome       `cbor:"3,keyasint" json:"outcome"`
+	Reason     Reason        `cbor:"4,keyasint,omitempty" json:"reason,omitempty"`
+	Detail     string        `cbor:"5,keyasint,omitempty" json:"detail,omitempty"`
+	RetryAfter time.Duration `cbor:"6,keyasint,omitempty" json:"retryAfter,omitempty"`
+	Body       []byte        `cbor:"7,keyasint,omitempty" json:"body,omitempty"`
+	Unrecorded bool          `cbor:"8,keyasint,omitempty" json:"unrecorded,omitempty"` // ran while the store was unavailable
+}
+
+// Refusal is the error of work that was proved not to have run.
+type Refusal struct {
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration // zero means that trying again is of no use
+}
+
+// Error returns the reason and detail.
+func (r *Refusal) Error() string {
+	if r.Detail == "" {
+		return string(r.Reason)
+	}
+	return fmt.Sprintf("%s: %s", r.Reason, r.Detail)
+}
