--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry assembles the libraries into the entry process that stands
+// between callers and endpoints.
+package entry
