--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,312 @@
+package config
+
+import (
+	"time"
+
+	"amaranthfork.example/fleet"
+)
+
+// Values of fields that no file gives.
+const (
+	defaultMaxQueued         = 1000
+	defaultPeriod            = 14 * 24 * time.Hour
+	defaultDrainTimeout      = 20 * time.Minute
+	defaultRebootTimeout     = 10 * time.Minute
+	defaultMaxPerRack        = 1
+	defaultMaxPerDataCentre  = 2
+	defaultStopAfterFailures = 2
+	defaultWeight            = 1.0
+)
+
+// assembler turns merged objects into a snapshot and checks them against each
+// other.
+type assembler struct {
+	*merged
+	snapshot *Snapshot
+}
+
+// assemble returns the snapshot of merged objects and all findings.
+func assemble(m *merged, revision fleet.Revision) (*Snapshot, Findings) {
+	a := &assembler{merged: m, snapshot: &Snapshot{Revision: revision}}
+	a.checkRequired()
+	a.dataCentres()
+	a.pools()
+	a.teams()
+	a.keys()
+	a.queues()
+	a.workspaces()
+	a.maintenance()
+	a.profile()
+	a.checkShares()
+	return a.snapshot, a.findings
+}
+
+// report adds a finding.
+func (a *assembler) report(at position, format string, args ...any) {
+	a.findings = append(a.findings, at.finding(format, args...))
+}
+
+// reference returns the name in a field and reports it if no object of the kind
+// has that name.
+func (a *assembler) reference(o *object, fieldName string, target *kind) string {
+	ref, ok := value[nameRef](o, fieldName)
+	if ok {
+		a.checkReference(ref, target)
+	}
+	return ref.name
+}
+
+// checkReference reports a name that no object of the kind has.
+func (a *assembler) checkReference(ref nameRef, target *kind) {
+	if _, exists := a.objects[target][ref.name]; !exists {
+		a.report(ref.at, "there is no %s", target.describe(ref.name))
+	}
+}
+
+func (a *assembler) dataCentres() {
+	objects := a.sorted(kindDataCentre)
+	a.snapshot.DataCentres = make(map[fleet.DataCentreName]fleet.DataCentre, len(objects))
+	if len(objects) == 0 {
+		a.report(position{}, "the folder declares no data centre")
+	}
+	for _, o := range objects {
+		region, _ := value[nameRef](o, "region")
+		name := fleet.DataCentreName(o.name)
+		a.snapshot.DataCentres[name] = fleet.DataCentre{
+			Name:   name,
+			Region: fleet.RegionName(region.name),
+			State:  fleet.DataCentreState(valueOr(o, "state", string(fleet.DataCentreIn))),
+		}
+	}
+}
+
+func (a *assembler) pools() {
+	objects := a.sorted(kindPool)
+	a.snapshot.Pools = make(map[fleet.PoolName]fleet.Pool, len(objects))
+	owners := map[fleet.VMID]vmOwner{}
+	for _, o := range objects {
+		refs, _ := value[[]vmRef](o, "vms")
+		name := fleet.PoolName(o.name)
+		a.checkOwners(name, refs, owners)
+		a.snapshot.Pools[name] = fleet.Pool{
+			Name:           name,
+			Spare:          valueOr(o, "spare", false),
+			VMs:            vmIDs(refs),
+			MaxUnavailable: a.budget(o, len(refs)),
+		}
+	}
+}
+
+// vmOwner is the pool that names a VM, and where.
+type vmOwner struct {
+	pool fleet.PoolName
+	at   position
+}
+
+// checkOwners reports VMs that an earlier pool has, once for each pair of places.
+func (a *assembler) checkOwners(pool fleet.PoolName, refs []vmRef, owners map[fleet.VMID]vmOwner) {
+	type places struct{ here, there position }
+	reported := map[places]bool{}
+	for _, ref := range refs {
+		owner, taken := owners[ref.id]
+		if !taken {
+			owners[ref.id] = vmOwner{pool, ref.at}
+			continue
+		}
+		here, there, other := ref.at, owner.at, owner.pool
+		if there.later(here) {
+			here, there, other = there, here, pool
+		}
+		if !reported[places{here, there}] {
+			reported[places{here, there}] = true
+			a.report(here, "VM %s is also in pool %s (%s); a VM is in exactly one pool", ref.id, other, there)
+		}
+	}
+}
+
+// vmIDs returns the VMs of references.
+func vmIDs(refs []vmRef) []fleet.VMID {
+	ids := make([]fleet.VMID, len(refs))
+	for i, ref := range refs {
+		ids[i] = ref.id
+	}
+	return ids
+}
+
+// budget returns the availability budget of a pool and reports one that is
+// larger than the pool.
+func (a *assembler) budget(o *object, vms int) int {
+	f, _ := o.field("maxUnavailable")
+	q, ok := f.value.(quantity)
+	if !ok {
+		return 0
+	}
+	budget := q.of(vms)
+	if _, known := value[[]vmRef](o, "vms"); known && vms > 0 && budget > vms {
+		a.report(f.at, "maxUnavailable %d is larger than the %d VMs of %s", budget, vms, o.kind.describe(o.name))
+	}
+	return budget
+}
+
+func (a *assembler) teams() {
+	objects := a.sorted(kindTeam)
+	a.snapshot.Teams = make(map[fleet.TeamName]fleet.Team, len(objects))
+	for _, o := range objects {
+		name := fleet.TeamName(o.name)
+		a.snapshot.Teams[name] = fleet.Team{
+			Name:  name,
+			Share: valueOr(o, "share", 0),
+			Limit: valueOr(o, "limit", 0),
+		}
+	}
+}
+
+// checkShares checks the sum of the shares, and each limit against its share.
+func (a *assembler) checkShares() {
+	sum := 0
+	var last position
+	for _, o := range a.objects[kindTeam] {
+		f, _ := o.field("share")
+		sum += valueOr(o, "share", 0)
+		if f.at.later(last) {
+			last = f.at
+		}
+		a.checkLimit(o)
+	}
+	if sum > 1000 {
+		a.report(last, "the shares of all teams add up to %s, more than 100%%", FormatThousandths(sum))
+	}
+}
+
+// checkLimit reports a limit that is lower than the team's share of the fleet.
+// A VM has at least one slot, so a share of n VMs is at least n tasks.
+func (a *assembler) checkLimit(o *object) {
+	limit, hasLimit := value[int](o, "limit")
+	share, hasShare := value[int](o, "share")
+	if !hasLimit || !hasShare {
+		return
+	}
+	tasks := share * a.countVMs() / 1000
+	if limit < tasks {
+		f, _ := o.field("limit")
+		a.report(f.at, "limit %d of %s is lower than its share: %s of %d VMs are at least %d tasks",
+			limit, o.kind.describe(o.name), FormatThousandths(share), a.countVMs(), tasks)
+	}
+}
+
+// countVMs returns the number of VMs in all pools.
+func (a *assembler) countVMs() int {
+	count := 0
+	for _, pool := range a.snapshot.Pools {
+		count += len(pool.VMs)
+	}
+	return count
+}
+
+func (a *assembler) keys() {
+	objects := a.sorted(kindKey)
+	a.snapshot.Keys = make(map[fleet.KeyID]fleet.Key, len(objects))
+	for _, o := range objects {
+		id := fleet.KeyID(o.name)
+		a.snapshot.Keys[id] = fleet.Key{
+			ID:        id,
+			Team:      fleet.TeamName(a.reference(o, "team", kindTeam)),
+			Salt:      valueOr(o, "salt", ""),
+			Hash:      valueOr(o, "hash", ""),
+			Withdrawn: valueOr(o, "withdrawn", false),
+		}
+	}
+}
+
+func (a *assembler) queues() {
+	objects := a.sorted(kindQueue)
+	a.snapshot.Queues = make(map[fleet.QueueName]fleet.Queue, len(objects))
+	for _, o := range objects {
+		name := fleet.QueueName(o.name)
+		queue := fleet.Queue{
+			Name:      name,
+			Pool:      fleet.PoolName(a.reference(o, "pool", kindPool)),
+			Open:      valueOr(o, "open", false),
+			Teams:     a.teamList(o),
+			MaxQueued: valueOr(o, "maxQueued", defaultMaxQueued),
+		}
+		a.checkAccess(o, "teams", queue.Open, len(queue.Teams) > 0)
+		a.snapshot.Queues[name] = queue
+	}
+}
+
+// teamList returns the teams that may use a queue and reports unknown ones.
+func (a *assembler) teamList(o *object) []fleet.TeamName {
+	refs, _ := value[[]nameRef](o, "teams")
+	names := make([]fleet.TeamName, len(refs))
+	for i, ref := range refs {
+		a.checkReference(ref, kindTeam)
+		names[i] = fleet.TeamName(ref.name)
+	}
+	return names
+}
+
+// checkAccess reports an object that is neither open nor restricted, or both.
+func (a *assembler) checkAccess(o *object, fieldName string, open, restricted bool) {
+	f, given := o.field(fieldName)
+	faulty := o.faulty || given && f.value == nil
+	switch {
+	case faulty:
+		// The value has a finding of its own.
+	case open && restricted:
+		a.report(f.at, "%s is open to all and also has %s", o.kind.describe(o.name), fieldName)
+	case !open && !restricted:
+		a.report(o.at, "%s is neither open nor has %s", o.kind.describe(o.name), fieldName)
+	}
+}
+
+func (a *assembler) workspaces() {
+	objects := a.sorted(kindWorkspace)
+	a.snapshot.Workspaces = make(map[fleet.WorkspaceName]fleet.Workspace, len(objects))
+	for _, o := range objects {
+		name := fleet.WorkspaceName(o.name)
+		workspace := fleet.Workspace{
+			Name: name,
+			Pool: fleet.PoolName(a.reference(o, "pool", kindPool)),
+			Open: valueOr(o, "open", false),
+			Team: fleet.TeamName(a.reference(o, "team", kindTeam)),
+		}
+		a.checkAccess(o, "team", workspace.Open, workspace.Team != "")
+		a.snapshot.Workspaces[name] = workspace
+	}
+}
+
+// single returns the object of a kind that has only one, empty if not declared.
+func (a *assembler) single(kind *kind) *object {
+	if o, exists := a.objects[kind][""]; exists {
+		return o
+	}
+	return &object{kind: kind}
+}
+
+func (a *assembler) maintenance() {
+	o := a.single(kindMaintenance)
+	a.snapshot.Maintenance = fleet.MaintenancePlan{
+		Period:              valueOr(o, "period", defaultPeriod),
+		DrainTimeout:        valueOr(o, "drainTimeout", defaultDrainTimeout),
+		RebootTimeout:       valueOr(o, "rebootTimeout", defaultRebootTimeout),
+		MaxPerRack:          valueOr(o, "maxPerRack", defaultMaxPerRack),
+		MaxPerDataCentre:    valueOr(o, "maxPerDataCentre", defaultMaxPerDataCentre),
+		StopAfterFailures:   valueOr(o, "stopAfterFailures", defaultStopAfterFailures),
+		Paused:              valueOr(o, "paused", false),
+		AvoidDataCentresOut: valueOr(o, "avoidDataCentresOut", true),
+	}
+	plan := a.snapshot.Maintenance
+	if plan.DrainTimeout+plan.RebootTimeout >= plan.Period {
+		a.report(o.at, "drainTimeout and rebootTimeout together are not shorter than the period %s", FormatDuration(plan.Period))
+	}
+}
+
+func (a *assembler) profile() {
+	o := a.single(kindProfile)
+	a.snapshot.Profile = fleet.Profile{
+		IdleWeight:  valueOr(o, "idleWeight", defaultWeight),
+		MoveWeight:  valueOr(o, "moveWeight", defaultWeight),
+		ShareWeight: valueOr(o, "shareWeight", defaultWeight),
+	}
+}
--- /dev/null
+++ b/config/findings_test.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// readInput reads a folder from one file with "-- name --" lines before the
+// content of each file. The base file is added unless the input replaces it.
+func readInput(t testing.TB, path string) Folder {
+	t.Helper()
+	base, err := os.ReadFile(filepath.Join("testdata", "findings", "base.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	input, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := Folder{"000001-base.yaml": base}
+	for part := range strings.SplitSeq(strings.TrimPrefix(string(input), "-- "), "\n-- ") {
+		name, content, _ := strings.Cut(part, " --\n")
+		folder[name] = []byte(content)
+	}
+	return folder
+}
+
+// Guards against faults that are not found, that stop the search for others, or
+// whose place or wording changes unnoticed.
+func TestFindings(t *testing.T) {
+	inputs, err := filepath.Glob(filepath.Join("testdata", "findings", "*.input"))
+	if err != nil || len(inputs) == 0 {
+		t.Fatalf("no inputs: %v", err)
+	}
+	golden := goldie.New(t, goldie.WithFixtureDir(filepath.Join("testdata", "findings")))
+	for _, input := range inputs {
+		name := strings.TrimSuffix(filepath.Base(input), ".input")
+		t.Run(name, func(t *testing.T) {
+			folder := readInput(t, input)
+			snapshot, findings := Build(folder, 1)
+			if snapshot != nil {
+				t.Error("a faulty folder yielded a snapshot")
+			}
+			for range 5 { // map order must not show
+				_, again := Build(folder, 1)
+				if again.Error() != findings.Error() {
+					t.Fatalf("findings differ between runs:\n%s\n\n%s", findings.Error(), again.Error())
+				}
+			}
+			golden.Assert(t, name, []byte(findings.Error()+"\n"))
+		})
+	}
+}
