--- /dev/null
+++ b/policy/placement/plugins.go
@@ -0,0 +1,154 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// StandardFilters returns the standard filters in the order in which their
+// causes are reported: the first cause that holds is counted.
+func StandardFilters() []Filter {
+	return []Filter{
+		FilterFunc(filterDataCentre),
+		FilterFunc(filterState),
+		FilterFunc(filterLeaving),
+		FilterFunc(filterLease),
+		FilterFunc(filterQuarantine),
+		FilterFunc(filterAvoid),
+		FilterFunc(filterMaintenance),
+		FilterFunc(filterSlots),
+		FilterFunc(filterResources),
+	}
+}
+
+func filterDataCentre(vm *VM, req *Request, _ time.Time) Cause {
+	if req.DataCentre != "" && vm.DataCentre != req.DataCentre {
+		return CauseDataCentre
+	}
+	return ""
+}
+
+func filterState(vm *VM, _ *Request, _ time.Time) Cause {
+	if vm.State != Active {
+		return CauseState
+	}
+	return ""
+}
+
+func filterLeaving(vm *VM, _ *Request, _ time.Time) Cause {
+	if vm.Leaving {
+		return CauseLeaving
+	}
+	return ""
+}
+
+func filterLease(vm *VM, _ *Request, _ time.Time) Cause {
+	if !vm.Usable {
+		return CauseLease
+	}
+	return ""
+}
+
+func filterQuarantine(vm *VM, _ *Request, _ time.Time) Cause {
+	if vm.Health == Quarantined || vm.Health == Probation && vm.Used > 0 {
+		return CauseQuarantine
+	}
+	return ""
+}
+
+func filterAvoid(vm *VM, req *Request, _ time.Time) Cause {
+	if slices.Contains(req.Avoid, vm.ID) {
+		return CauseAvoid
+	}
+	return ""
+}
+
+func filterMaintenance(vm *VM, req *Request, now time.Time) Cause {
+	if !vm.MaintenanceAt.IsZero() && !now.Add(req.RunTime).Before(vm.MaintenanceAt) {
+		return CauseMaintenance
+	}
+	return ""
+}
+
+func filterSlots(vm *VM, _ *Request, _ time.Time) Cause {
+	if vm.FreeSlots() == 0 {
+		return CauseSlots
+	}
+	return ""
+}
+
+func filterResources(vm *VM, req *Request, _ time.Time) Cause {
+	switch {
+	case req.Need.MemoryMB > vm.Free.MemoryMB:
+		return CauseMemory
+	case req.Need.MilliCPU > vm.Free.MilliCPU:
+		return CauseCPU
+	case req.Need.Accelerators > vm.Free.Accelerators:
+		return CauseAccelerator
+	}
+	return ""
+}
+
+func standardScorers(s Settings) []Scorer {
+	return []Scorer{
+		packing{s.Packing},
+		rackSpread{s.RackSpread},
+		dataCentreSpread{s.DataCentreSpread},
+		acceleratorSaving{},
+	}
+}
+
+type packing struct{ weight float64 }
+
+// Score rates the part of the VM in use after the placement, by the scarcest
+// of slots, processors and memory.
+func (p packing) Score(_ *Snapshot, vm *VM, req *Request) float64 {
+	use := part(int64(vm.Used+1), int64(vm.Slots))
+	use = max(use, part(vm.Capacity.MilliCPU-vm.Free.MilliCPU+req.Need.MilliCPU, vm.Capacity.MilliCPU))
+	use = max(use, part(vm.Capacity.MemoryMB-vm.Free.MemoryMB+req.Need.MemoryMB, vm.Capacity.MemoryMB))
+	return p.weight * use
+}
+
+func part(used, total int64) float64 {
+	if total == 0 {
+		return 0
+	}
+	return float64(used) / float64(total)
+}
+
+type rackSpread struct{ weight float64 }
+
+// Score rates the free part of the VM's rack.
+func (r rackSpread) Score(s *Snapshot, vm *VM, _ *Request) float64 {
+	return r.weight * (1 - s.racks[vm.Rack].part())
+}
+
+type dataCentreSpread struct{ weight float64 }
+
+// Score rates the free part of the VM's data centre.
+func (d dataCentreSpread) Score(s *Snapshot, vm *VM, _ *Request) float64 {
+	return d.weight * (1 - s.dataCentres[vm.DataCentre].part())
+}
+
+// acceleratorPenalty is above the largest sum of the other scores at weight 1,
+// so that tasks without accelerators use such a VM only as the last choice.
+const acceleratorPenalty = 4
+
+type acceleratorSaving struct{}
+
+// Score keeps VMs with free accelerators for tasks that need them.
+func (acceleratorSaving) Score(_ *Snapshot, vm *VM, req *Request) float64 {
+	if req.Need.Accelerators == 0 && vm.Free.Accelerators > 0 {
+		return -acceleratorPenalty
+	}
+	return 0
+}
+
+type slotReserver struct{}
+
+// Reserve takes one slot and the needed resources.
+func (slotReserver) Reserve(vm VM, req *Request) VM {
+	vm.Used++
+	vm.Free = vm.Free.Sub(req.Need)
+	return vm
+}
