Let a job name its key and its status say that it is not recorded

A caller whose job was accepted during a store outage must learn that it was not recorded, before the result. Change: fleet.Job.Key and control.JobStatus.Unrecorded, both optional. Conclusion: existing encodings stay readable; the fields are omitted when empty.

--- a/control/control.go
+++ b/control/control.go
@@ -174,4 +174,7 @@
 	State  JobState       `cbor:"3,keyasint" json:"state"`
 	Step   int            `cbor:"4,keyasint" json:"step"`
 	Result *fleet.Result  `cbor:"5,keyasint,omitempty" json:"result,omitempty"`
+	// Unrecorded is set while the job is not durable: it was accepted during a
+	// store outage and is lost if its owner fails before the store returns.
+	Unrecorded bool `cbor:"6,keyasint,omitempty" json:"unrecorded,omitempty"`
 }
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -30,6 +30,9 @@
 	Submitted  time.Time     `cbor:"8,keyasint" json:"submitted"`
 	Deadline   time.Time     `cbor:"9,keyasint" json:"deadline"` // zero means none
 	Idempotent bool          `cbor:"10,keyasint" json:"idempotent"`
+	// Key is the key that the job was submitted with, empty on open queues. It
+	// is checked again before each start.
+	Key KeyID `cbor:"11,keyasint,omitempty" json:"key,omitempty"`
 }
 
 // Outcome is the final word on a job or request.
