--- /dev/null
+++ b/policy/capacity/books.go
@@ -0,0 +1,202 @@
+package capacity
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"amaranthfork.example/fleet"
+)
+
+// poolBook is the policy's account of one pool.
+type poolBook struct {
+	Pool
+	have         int     // VMs that serve and are not moving away
+	incoming     int     // VMs that are moving here
+	slots        float64 // of the VMs in have, with the ramp of returned data centres
+	slotsPerVM   float64
+	wanted       float64 // demand in slots
+	busy         int     // running tasks
+	urgentQueued int
+	outlook      Outlook
+	need         int // VMs for the demand
+	keep         int // VMs that do not go back to the spare pool
+	floor        int // VMs that never leave
+	byDC         map[fleet.DataCentreName]int
+	byRack       map[fleet.RackName]int
+}
+
+// deficit returns how many VMs the pool lacks.
+func (p *poolBook) deficit() int { return p.need - p.have - p.incoming }
+
+// surplus returns how many VMs the pool can give back.
+func (p *poolBook) surplus() int { return p.have + p.incoming - max(p.keep, p.floor) }
+
+// books is the working state of one decision.
+type books struct {
+	s          Snapshot
+	set        Settings
+	pools      map[fleet.PoolName]*poolBook
+	order      []*poolBook // as in the snapshot
+	spare      *poolBook   // nil when no pool is a spare
+	fleetSlots float64
+	full       bool // the demand exceeds the fleet
+	ramp       map[fleet.DataCentreName]float64
+	candidates []*VM
+	taken      map[fleet.VMID]bool
+	budget     int // moves that may still begin
+	moves      []Move
+	memory     Memory
+}
+
+func newBooks(s Snapshot, set Settings) *books {
+	b := &books{
+		s: s, set: set,
+		pools: make(map[fleet.PoolName]*poolBook, len(s.Pools)),
+		ramp:  make(map[fleet.DataCentreName]float64, len(s.DataCentres)),
+		taken: make(map[fleet.VMID]bool, len(s.Moves)),
+	}
+	b.openPools()
+	for _, dc := range s.DataCentres {
+		b.ramp[dc.Name] = RampUp(dc, s.Now, set.Ramp)
+	}
+	b.countMoves()
+	b.countVMs()
+	return b
+}
+
+func (b *books) openPools() {
+	for _, p := range b.s.Pools {
+		book := &poolBook{
+			Pool:   p,
+			byDC:   make(map[fleet.DataCentreName]int),
+			byRack: make(map[fleet.RackName]int),
+		}
+		b.pools[p.Name] = book
+		b.order = append(b.order, book)
+		if p.Spare && b.spare == nil {
+			b.spare = book
+		}
+	}
+}
+
+func (b *books) countMoves() {
+	for _, m := range b.s.Moves {
+		b.taken[m.VM] = true
+		if p := b.pools[m.To]; p != nil {
+			p.incoming++
+		}
+	}
+	b.budget = max(1, int(b.set.MaxMoves*float64(len(b.s.VMs)))) - len(b.s.Moves)
+}
+
+func (b *books) countVMs() {
+	totalSlots := 0
+	for i := range b.s.VMs {
+		vm := &b.s.VMs[i]
+		totalSlots += vm.Slots
+		p := b.pools[vm.Pool]
+		if p == nil || !vm.Available || b.taken[vm.ID] {
+			continue
+		}
+		part := b.rampOf(vm.DataCentre)
+		p.have++
+		p.slots += part * float64(vm.Slots)
+		b.fleetSlots += part * float64(vm.Slots)
+		p.byDC[vm.DataCentre]++
+		p.byRack[vm.Rack]++
+		if !vm.Maintained {
+			b.candidates = append(b.candidates, vm)
+		}
+	}
+	mean := 1.0
+	if len(b.s.VMs) > 0 && totalSlots > 0 {
+		mean = float64(totalSlots) / float64(len(b.s.VMs))
+	}
+	for _, p := range b.order {
+		p.slotsPerVM = mean
+		if p.have > 0 && p.slots > 0 {
+			p.slotsPerVM = p.slots / float64(p.have)
+		}
+	}
+}
+
+func (b *books) rampOf(dc fleet.DataCentreName) float64 {
+	if r, ok := b.ramp[dc]; ok {
+		return r
+	}
+	return 1
+}
+
+// remember carries over since when each pool has had a surplus or a deficit.
+func (b *books) remember(m Memory) {
+	b.memory = Memory{
+		SurplusSince: make(map[fleet.PoolName]time.Time),
+		DeficitSince: make(map[fleet.PoolName]time.Time),
+	}
+	for _, p := range b.order {
+		if !p.Spare && p.surplus() > 0 {
+			b.memory.SurplusSince[p.Name] = earlier(m.SurplusSince, p.Name, b.s.Now)
+		}
+		if p.deficit() > 0 {
+			b.memory.DeficitSince[p.Name] = earlier(m.DeficitSince, p.Name, b.s.Now)
+		}
+	}
+}
+
+func earlier(since map[fleet.PoolName]time.Time, p fleet.PoolName, now time.Time) time.Time {
+	if t, ok := since[p]; ok {
+		return t
+	}
+	return now
+}
+
+func (b *books) needs() map[fleet.PoolName]int {
+	needs := make(map[fleet.PoolName]int, len(b.order))
+	for _, p := range b.order {
+		needs[p.Name] = p.need
+	}
+	return needs
+}
+
+// begin books a move and appends it to the decision.
+func (b *books) begin(vm *VM, from, to *poolBook, reason Reason) {
+	from.have--
+	from.byDC[vm.DataCentre]--
+	from.byRack[vm.Rack]--
+	to.incoming++
+	to.byDC[vm.DataCentre]++
+	to.byRack[vm.Rack]++
+	b.taken[vm.ID] = true
+	b.budget--
+	b.moves = append(b.moves, Move{
+		VM: vm.ID, From: from.Name, To: to.Name, Reason: reason,
+		Explains: explain(from, to, reason),
+	})
+}
+
+func explain(from, to *poolBook, reason Reason) string {
+	if reason == ReasonReturn {
+		return fmt.Sprintf("pool %s has %d VMs and keeps %d", from.Name, from.have+1, max(from.keep, from.floor))
+	}
+	return fmt.Sprintf("pool %s needs %d VMs and has %d; pool %s needs %d and has %d",
+		to.Name, to.need, to.have+to.incoming-1, from.Name, from.need, from.have+1)
+}
+
+// inOrderOfDeficit returns the pools that lack VMs, the one with waiting
+// urgent work and then the one with the larger deficit first.
+func (b *books) inOrderOfDeficit() []*poolBook {
+	var lacking []*poolBook
+	for _, p := range b.order {
+		if !p.Spare && p.deficit() > 0 {
+			lacking = append(lacking, p)
+		}
+	}
+	sort.SliceStable(lacking, func(i, j int) bool {
+		if (lacking[i].urgentQueued > 0) != (lacking[j].urgentQueued > 0) {
+			return lacking[i].urgentQueued > 0
+		}
+		return lacking[i].deficit() > lacking[j].deficit()
+	})
+	return lacking
+}
--- /dev/null
+++ b/policy/capacity/moves.go
@@ -0,0 +1,162 @@
+package capacity
+
+import "time"
+
+// minDataCentres is the number of data centres that a pool keeps VMs in, so
+// that the loss of one leaves the pool able to work.
+const minDataCentres = 2
+
+// fillDeficits moves VMs to the pools that lack them, one VM at a time to the
+// pool in the greatest need.
+func (b *books) fillDeficits() {
+	for _, p := range b.inOrderOfDeficit() {
+		if !b.worthMoving(p) {
+			continue
+		}
+		for p.deficit() > 0 && b.budget > 0 {
+			vm := b.bestDonor(p)
+			if vm == nil {
+				break
+			}
+			b.begin(vm, b.pools[vm.Pool], p, ReasonDemand)
+		}
+	}
+}
+
+// worthMoving weighs what the moved VMs can serve before the demand ends
+// against the cost of the moves.
+func (b *books) worthMoving(p *poolBook) bool {
+	if b.s.Now.Sub(b.memory.DeficitSince[p.Name]) < b.set.DeficitHold {
+		return false
+	}
+	if p.urgentQueued > 0 || !p.outlook.Bursting {
+		return true
+	}
+	return p.slotsPerVM*p.outlook.Ends.Seconds() >= b.set.MoveCost
+}
+
+// bestDonor returns the VM that costs least to move to p, nil when there is none.
+func (b *books) bestDonor(p *poolBook) *VM {
+	var best *VM
+	var bestCost float64
+	for _, vm := range b.candidates {
+		from := b.pools[vm.Pool]
+		if from == p || !b.mayLeave(vm, from, p) {
+			continue
+		}
+		cost := b.costOfMove(vm, from, p)
+		if best == nil || cost < bestCost {
+			best, bestCost = vm, cost
+		}
+	}
+	return best
+}
+
+// mayLeave reports whether the donor can do without the VM.
+func (b *books) mayLeave(vm *VM, from, to *poolBook) bool {
+	if b.taken[vm.ID] || b.rampOf(vm.DataCentre) < 1 {
+		return false
+	}
+	if b.tooSoon(vm, from) {
+		return false
+	}
+	if from.Spare {
+		return from.have > from.floor || to.urgentQueued > 0
+	}
+	if from.have-1 < max(from.floor, from.need+b.set.GiveMargin) {
+		return false
+	}
+	return keepsSpread(vm, from)
+}
+
+func (b *books) tooSoon(vm *VM, from *poolBook) bool {
+	stay := b.set.MinStay
+	if from.Spare {
+		stay = b.set.SpareStay
+	}
+	return !vm.Moved.IsZero() && b.s.Now.Sub(vm.Moved) < stay
+}
+
+// keepsSpread reports whether the donor still has VMs in enough data centres
+// without the VM.
+func keepsSpread(vm *VM, from *poolBook) bool {
+	if from.byDC[vm.DataCentre] > 1 {
+		return true
+	}
+	return dataCentres(from) > minDataCentres
+}
+
+func dataCentres(p *poolBook) int {
+	n := 0
+	for _, vms := range p.byDC {
+		if vms > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// costOfMove prefers idle VMs, then the spare pool, then donors with more to
+// spare, then the move that evens out racks and data centres.
+func (b *books) costOfMove(vm *VM, from, to *poolBook) float64 {
+	const (
+		perRunning   = 1.0 // a running task delays the move
+		perSecond    = 0.5
+		fromWorking  = 0.8
+		perSurplus   = 0.1
+		perNeighbour = 0.2
+	)
+	cost := perRunning*float64(vm.Running) + perSecond*min(vm.Remaining, 10*time.Second).Seconds()
+	if !from.Spare {
+		cost += fromWorking - perSurplus*float64(from.have-from.need)
+	}
+	cost += perNeighbour * float64(to.byDC[vm.DataCentre]+to.byRack[vm.Rack])
+	cost -= perNeighbour * float64(from.byDC[vm.DataCentre]+from.byRack[vm.Rack]) / 2
+	return cost
+}
+
+// returnSurplus moves idle VMs back to the spare pool from pools that have had
+// more than they keep for long enough.
+func (b *books) returnSurplus() {
+	if b.spare == nil {
+		return
+	}
+	for _, p := range b.order {
+		since, ok := b.memory.SurplusSince[p.Name]
+		if !ok || b.s.Now.Sub(since) < b.set.Hold {
+			continue
+		}
+		b.returnFrom(p)
+	}
+}
+
+func (b *books) returnFrom(p *poolBook) {
+	for p.surplus() > 0 && b.budget > 0 {
+		vm := b.idleVM(p)
+		if vm == nil {
+			return
+		}
+		b.begin(vm, p, b.spare, ReasonReturn)
+	}
+}
+
+// idleVM returns an idle VM of the data centre in which the pool has most VMs.
+func (b *books) idleVM(p *poolBook) *VM {
+	var best *VM
+	for _, vm := range b.candidates {
+		if vm.Pool != p.Name || vm.Running > 0 || b.taken[vm.ID] || b.tooSoon(vm, p) {
+			continue
+		}
+		if p.have-1 < p.floor || !keepsSpread(vm, p) {
+			continue
+		}
+		if best == nil || crowding(p, vm) > crowding(p, best) {
+			best = vm
+		}
+	}
+	return best
+}
+
+func crowding(p *poolBook, vm *VM) int {
+	return p.byDC[vm.DataCentre] + p.byRack[vm.Rack]
+}
