--- /dev/null
+++ b/cmd/internal/measure/meter.go
@@ -0,0 +1,132 @@
+package measure
+
+import (
+	"time"
+
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/policy/capacity"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// meter collects the measures of one run.
+type meter struct {
+	s        *Scenario
+	moves    int
+	rollOut  int // ticks, -1 while the wave has not ended
+	held     int // idle VM-ticks in pools other than the spare
+	idle     int // idle VM-ticks in the whole fleet
+	below    float64
+	worst    []float64 // by team: shortfall against its entitlement
+	entitled []float64
+	full     int // ticks in which the fleet was full
+	work     int // slot-ticks done in the window of the data centre change
+	offered  int // slot-ticks offered in that window
+	delays   []*hdrhistogram.Histogram
+	decide   *hdrhistogram.Histogram
+	change   window
+}
+
+func newMeter(s *Scenario) *meter {
+	m := &meter{
+		s: s, rollOut: -1,
+		worst: make([]float64, len(s.Teams)), entitled: make([]float64, len(s.Teams)),
+		decide: hdrhistogram.New(1, int64(time.Minute), 3),
+		change: window{s.out.from, s.out.to + ticks(s.ramp)},
+	}
+	for range classes {
+		m.delays = append(m.delays, hdrhistogram.New(1, int64(s.length)+1, 3))
+	}
+	return m
+}
+
+func (m *meter) decided(d time.Duration) { _ = m.decide.RecordValue(int64(d)) }
+
+// started records the start delay of a job; a start in the tick of arrival
+// counts as one tick.
+func (m *meter) started(j *job, now int) {
+	_ = m.delays[j.class].RecordValue(int64(now-j.arrived) + 1)
+}
+
+// observe adds one tick.
+func (m *meter) observe(w *world) {
+	usable, busy := 0, 0
+	for i := range w.vms {
+		v := &w.vms[i]
+		usable += w.usable(i)
+		busy += len(v.tasks)
+		if len(v.tasks) > 0 || v.phase == failed || v.phase == rebooting || w.out[v.dc] {
+			continue
+		}
+		m.idle++
+		if !w.s.Pools[v.pool].Spare || v.phase == moving || v.phase == draining {
+			m.held++
+		}
+	}
+	m.observeChange(w, busy)
+	if w.s.flood.has(w.now) {
+		m.observeShares(w, usable)
+	}
+}
+
+// observeChange counts work done against the work there was: what waited or
+// ran at the begin of the change and what arrived in it.
+func (m *meter) observeChange(w *world, busy int) {
+	if !m.change.has(w.now) {
+		return
+	}
+	m.work += busy
+	if w.now == m.change.from {
+		m.offered += w.outstanding()
+		return
+	}
+	for _, j := range w.d.arrivals[w.now] {
+		m.offered += j.left
+	}
+}
+
+// outstanding returns the slot-ticks of work that waits or runs.
+func (w *world) outstanding() int {
+	sum := 0
+	for _, lanes := range w.lanes {
+		for _, l := range lanes {
+			for _, j := range l.jobs[l.head:] {
+				sum += j.left
+			}
+		}
+	}
+	for i := range w.vms {
+		for _, t := range w.vms[i].tasks {
+			sum += t.end - w.now
+		}
+	}
+	return sum
+}
+
+// observeShares compares what each team runs with its entitlement while the
+// demand exceeds the fleet.
+func (m *meter) observeShares(w *world, usable int) {
+	demand := make(map[fleet.TeamName]float64)
+	asked := append([]int(nil), w.running...)
+	for _, lanes := range w.lanes {
+		for _, l := range lanes {
+			asked[l.team] += l.len()
+		}
+	}
+	total := 0.0
+	for i, t := range w.s.Teams {
+		d := float64(min(asked[i], t.Limit))
+		demand[t.Name] = d
+		total += d
+	}
+	if usable == 0 || total < float64(usable) {
+		return
+	}
+	m.full++
+	entitled := capacity.Entitlements(w.s.Teams, demand, float64(usable))
+	for i, t := range w.s.Teams {
+		short := max(0, entitled[t.Name]-float64(w.running[i]))
+		m.below += short / float64(usable)
+		m.worst[i] += short
+		m.entitled[i] += entitled[t.Name]
+	}
+}
--- /dev/null
+++ b/cmd/internal/measure/report.go
@@ -0,0 +1,158 @@
+package measure
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+)
+
+// column is one measure of the report.
+type column struct {
+	title string
+	value func(Result) float64
+	timed bool // depends on the machine, not on the seed alone
+}
+
+func delayColumn(class int, title string, p99 bool) column {
+	return column{title: title, value: func(r Result) float64 {
+		if p99 {
+			return r.Delay[class].P99
+		}
+		return r.Delay[class].P50
+	}}
+}
+
+var columns = []column{
+	{title: "held idle VMh", value: func(r Result) float64 { return r.HeldIdle }},
+	{title: "idle VMh", value: func(r Result) float64 { return r.Idle }},
+	{title: "roll-out s", value: func(r Result) float64 { return r.RollOut }},
+	{title: "moves", value: func(r Result) float64 { return r.Moves }},
+	{title: "below share %", value: func(r Result) float64 { return r.BelowShare }},
+	{title: "worst team %", value: func(r Result) float64 { return r.WorstTeam }},
+	{title: "undone %", value: func(r Result) float64 { return r.Undone }},
+	delayColumn(0, "urgent p50 s", false), delayColumn(0, "urgent p99 s", true),
+	delayColumn(1, "standard p50 s", false), delayColumn(1, "standard p99 s", true),
+	delayColumn(2, "batch p50 s", false), delayColumn(2, "batch p99 s", true),
+	{title: "violations", value: func(r Result) float64 { return float64(r.Violations) }},
+	{title: "decide ms", value: func(r Result) float64 { return r.DecideMean }, timed: true},
+	{title: "decide max ms", value: func(r Result) float64 { return r.DecideMax }, timed: true},
+}
+
+// Format selects what a report contains.
+type Format struct {
+	Kind   string // "table", "csv" or "json"
+	Timing bool   // with the decision times, which differ between runs
+}
+
+// Write writes the results.
+func Write(w io.Writer, results []Result, f Format) error {
+	switch f.Kind {
+	case "table":
+		return writeTable(w, results, f)
+	case "csv":
+		return writeCSV(w, results, f)
+	case "json":
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(results)
+	}
+	return fmt.Errorf("format %q is none of table, csv and json", f.Kind)
+}
+
+func (f Format) columns() []column {
+	var chosen []column
+	for _, c := range columns {
+		if f.Timing || !c.timed {
+			chosen = append(chosen, c)
+		}
+	}
+	return chosen
+}
+
+// writeTable prints the mean over the seeds and, with several seeds, the
+// smallest and largest value.
+func writeTable(w io.Writer, results []Result, f Format) error {
+	for _, scenario := range groupBy(results, func(r Result) string { return r.Scenario }) {
+		fmt.Fprintf(w, "%s\n", scenario[0].Scenario)
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		byPolicy := groupBy(scenario, func(r Result) string { return r.Policy })
+		fmt.Fprint(t, "measure")
+		for _, p := range byPolicy {
+			fmt.Fprintf(t, "\t%s", p[0].Policy)
+		}
+		fmt.Fprintln(t)
+		for _, c := range f.columns() {
+			fmt.Fprint(t, c.title)
+			for _, p := range byPolicy {
+				fmt.Fprintf(t, "\t%s", spread(p, c))
+			}
+			fmt.Fprintln(t)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+		fmt.Fprintln(w)
+	}
+	return nil
+}
+
+func spread(results []Result, c column) string {
+	sum, low, high := 0.0, math.Inf(1), math.Inf(-1)
+	for _, r := range results {
+		v := c.value(r)
+		sum += v
+		low, high = min(low, v), max(high, v)
+	}
+	mean := sum / float64(len(results))
+	if len(results) == 1 || low == high {
+		return number(mean)
+	}
+	return fmt.Sprintf("%s (%s-%s)", number(mean), number(low), number(high))
+}
+
+func number(v float64) string {
+	if v == math.Trunc(v) || v >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.2f", v)
+}
+
+func groupBy(results []Result, key func(Result) string) [][]Result {
+	var groups [][]Result
+	index := make(map[string]int)
+	for _, r := range results {
+		i, ok := index[key(r)]
+		if !ok {
+			i = len(groups)
+			index[key(r)] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], r)
+	}
+	return groups
+}
+
+func writeCSV(w io.Writer, results []Result, f Format) error {
+	c := csv.NewWriter(w)
+	header := []string{"scenario", "policy", "seed"}
+	for _, col := range f.columns() {
+		header = append(header, col.title)
+	}
+	if err := c.Write(header); err != nil {
+		return err
+	}
+	for _, r := range results {
+		row := []string{r.Scenario, r.Policy, fmt.Sprint(r.Seed)}
+		for _, col := range f.columns() {
+			row = append(row, fmt.Sprintf("%g", col.value(r)))
+		}
+		if err := c.Write(row); err != nil {
+			return err
+		}
+	}
+	c.Flush()
+	return c.Error()
+}
--- /dev/null
+++ b/cmd/internal/measure/versions.go
@@ -0,0 +1,87 @@
+package measure
+
+import (
+	"time"
+
+	"amaranthfork.example/policy/capacity"
+	"amaranthfork.example/policy/forecast"
+)
+
+// policy is a named combination of mover, order and maintenance planner.
+type policy struct {
+	name    string
+	about   string
+	mover   func(s *Scenario, d *demand) mover
+	order   order
+	planner planner
+	pooled  bool // all VMs form one pool
+}
+
+// horizon is the time that a decided move takes until its VM serves.
+const horizon = 2 * time.Second
+
+// version is the settings of one version of the own policy.
+type version struct {
+	name     string
+	about    string
+	settings func(s *Scenario) capacity.Settings
+	forecast forecast.Options
+}
+
+// versions lists the versions of the own policy, the newest last. Earlier
+// versions keep their settings so that a run compares them.
+var versions = []version{
+	{
+		name: "v1", about: "need from load and backlog, forecast of turns",
+		settings: func(s *Scenario) capacity.Settings { return capacity.SettingsFor(s.Profile) },
+		forecast: forecast.DefaultOptions(),
+	},
+}
+
+// policies returns the baselines, the versions and the bounds in the order of
+// the report.
+func policies() []*policy {
+	none := func(*Scenario, *demand) mover { return static{} }
+	list := []*policy{
+		{name: "static", about: "no moves, fair shares", mover: none, order: fairOrder{}, planner: listOrder{}},
+		{name: "reactive", about: "spare VMs lent above 90% use and taken back below 50%, fair shares",
+			mover: func(*Scenario, *demand) mover { return reactive{high: 0.9, low: 0.5} },
+			order: fairOrder{}, planner: listOrder{}},
+		{name: "fcfs", about: "no moves, first come first served", mover: none, order: arrivalOrder{}, planner: listOrder{}},
+	}
+	for _, v := range versions {
+		list = append(list, &policy{name: v.name, about: v.about, order: fairOrder{}, planner: idleFirst{},
+			mover: func(s *Scenario, _ *demand) mover {
+				return newOwn(s, v.settings(s), v.forecast, horizon)
+			}})
+	}
+	newest := versions[len(versions)-1]
+	return append(list,
+		&policy{name: "oracle", about: "newest version with the true demand of the next seconds instead of a forecast and without waits",
+			order: fairOrder{}, planner: idleFirst{},
+			mover: func(s *Scenario, d *demand) mover { return newOracle(s, d, newest.settings(s), horizon) }},
+		&policy{name: "pooled", about: "bound: every VM serves every pool, moves are free and take no time",
+			order: fairOrder{}, planner: idleFirst{}, mover: none, pooled: true},
+	)
+}
+
+// asOnePool returns the scenario with all VMs in one pool, the relaxation
+// behind the pooled bound.
+func asOnePool(s *Scenario) *Scenario {
+	one := *s
+	all := s.Pools[0]
+	all.VMs, all.MaxUnavailable = nil, 0
+	for _, p := range s.Pools {
+		all.VMs = append(all.VMs, p.VMs...)
+		all.MaxUnavailable += p.MaxUnavailable
+	}
+	spare := s.Pools[len(s.Pools)-1]
+	spare.VMs = nil
+	one.Pools = append(one.Pools[:0:0], all, spare)
+	one.home = make([]int, len(s.VMs))
+	one.queues = append([]queue(nil), s.queues...)
+	for i := range one.queues {
+		one.queues[i].pool = 0
+	}
+	return &one
+}
