--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -14,7 +14,6 @@
 	"github.com/labstack/echo/v5"
 	"go.uber.org/zap"
 
-	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/entry/metrics"
 	"amaranthfork.example/fleet"
@@ -29,18 +28,13 @@
 	defaultWait = 30 * time.Second
 )
 
-// Authenticate checks a presented key against a configuration and returns the
-// team that it acts for.
-type Authenticate func(snapshot *config.Snapshot, key string) (fleet.TeamName, error)
-
 // Options configures a Server.
 type Options struct {
-	View         control.View
-	Jobs         control.Jobs
-	Operator     Operator
-	Direct       http.Handler // direct requests; nil answers 404
-	Authenticate Authenticate
-	JobID        func(team fleet.TeamName, id string) fleet.JobID
+	View     control.View
+	Jobs     control.Jobs
+	Operator Operator
+	Direct   http.Handler // direct requests; nil answers 404
+	JobID    func(team fleet.TeamName, id string) fleet.JobID
 	// OperatorToken is the bearer token of operators; empty refuses them all.
 	OperatorToken string
 	Clock         fleet.Clock
--- a/entry/api/api_test.go
+++ b/entry/api/api_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -63,19 +65,13 @@
 		}), Clock: fleet.SystemClock{}, OperatorToken: "operator-secret",
 		Metrics: metrics.New(fleet.SystemClock{}), Log: zap.NewNop(),
 		JobID: func(team fleet.TeamName, id string) fleet.JobID { return fleet.JobID(string(team) + "-" + id) },
-		Authenticate: func(_ *config.Snapshot, key string) (fleet.TeamName, error) {
-			team, _, ok := strings.Cut(key, ".")
-			if !ok || team == "withdrawn" {
-				return "", fmt.Errorf("key is not valid")
-			}
-			return fleet.TeamName(team), nil
-		},
 	})
 }
 
 func testSnapshot() *config.Snapshot {
 	return &config.Snapshot{
 		Revision: 7,
+		Keys:     testKeys(),
 		Queues: map[fleet.QueueName]fleet.Queue{
 			"quotes": {Name: "quotes", Pool: "fast", Teams: []fleet.TeamName{"booking"}},
 			"lobby":  {Name: "lobby", Pool: "fast", Open: true},
@@ -86,6 +82,16 @@
 	}
 }
 
+// testKeys returns a key for each team, with the secret "x", and a withdrawn one.
+func testKeys() map[fleet.KeyID]fleet.Key {
+	keys := map[fleet.KeyID]fleet.Key{}
+	for _, id := range []fleet.KeyID{"booking", "payroll", "withdrawn"} {
+		sum := sha256.Sum256([]byte("x"))
+		keys[id] = fleet.Key{ID: id, Team: fleet.TeamName(id), Hash: hex.EncodeToString(sum[:]), Withdrawn: id == "withdrawn"}
+	}
+	return keys
+}
+
 type request struct {
 	name, method, path, key, token, body string
 }
--- a/entry/api/caller.go
+++ b/entry/api/caller.go
@@ -100,11 +100,15 @@
 	if !ok {
 		return &fleet.Refusal{Reason: fleet.ReasonNoQueue, Detail: fmt.Sprintf("queue %q does not exist", c.Param("queue"))}
 	}
-	team, err := s.authorizeQueue(snapshot, queue, c.Request().Header.Get(keyHeader))
+	key := c.Request().Header.Get(keyHeader)
+	team, err := s.authorizeQueue(snapshot, queue, key)
 	if err != nil {
 		return err
 	}
 	job := req.job(s.JobID(team, req.scopedID(team)), team, queue.Name, s.Clock.Now())
+	if team != "" {
+		job.Key, _, _ = config.ParseKey(key) // authorizeQueue has parsed it before
+	}
 	status, err := s.Jobs.Submit(c.Request().Context(), job)
 	if err != nil {
 		return err
@@ -136,11 +140,11 @@
 	if key == "" {
 		return "", unauthorized("header " + keyHeader + " is missing")
 	}
-	team, err := s.Authenticate(snapshot, key)
+	id, secret, err := config.ParseKey(key)
 	if err != nil {
-		return "", unauthorized(err.Error())
+		return "", err
 	}
-	return team, nil
+	return snapshot.Authenticate(id, secret)
 }
 
 func (s *Server) jobStatus(c *echo.Context) error {
