--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,220 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"amaranthfork.example/fleet"
+)
+
+// answer is what the transport does with one try.
+type answer struct {
+	status int    // 0 for no answer
+	body   string // of the answer
+	dialed bool   // without an answer: whether a connection was made
+	cut    bool   // the body ends early
+}
+
+// script is a transport that follows a list of answers.
+type script struct {
+	answers []answer
+	bodies  [][]byte
+	headers []http.Header
+	paths   []string
+}
+
+func (s *script) RoundTrip(request *http.Request) (*http.Response, error) {
+	if err := request.Context().Err(); err != nil {
+		return nil, err
+	}
+	next := s.answers[min(len(s.bodies), len(s.answers)-1)]
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	s.bodies = append(s.bodies, body)
+	s.headers = append(s.headers, request.Header)
+	s.paths = append(s.paths, request.URL.RequestURI())
+	if next.status != 0 || next.dialed {
+		httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{})
+	}
+	if next.status == 0 {
+		return nil, errors.New("connection reset")
+	}
+	var content io.Reader = strings.NewReader(next.body)
+	if next.cut {
+		content = io.MultiReader(strings.NewReader(next.body[:len(next.body)/2]), iotest.ErrReader(io.ErrUnexpectedEOF))
+	}
+	return &http.Response{StatusCode: next.status, Body: io.NopCloser(content), Request: request}, nil
+}
+
+var (
+	refused  = answer{} // no connection
+	lost     = answer{dialed: true}
+	accepted = answer{status: 202, body: `{"id":"j1","team":"booking","state":"queued","step":0}`}
+	cut      = answer{status: 202, body: accepted.body, cut: true}
+	busy     = answer{status: 503, body: `{"outcome":"not_run","reason":"view_not_current","retryAfterMS":700}`}
+	full     = answer{status: 429, body: `{"outcome":"not_run","reason":"queue_full"}`}
+	gateway  = answer{status: 502, body: `<html>bad gateway</html>`}
+	lbBusy   = answer{status: 503, body: `{"error":"no healthy upstream"}`}
+	denied   = answer{status: 401, body: `{"outcome":"not_run","reason":"unauthorized","detail":"the key has been withdrawn"}`}
+	conflict = answer{status: 409, body: `{"reason":"conflict","detail":"base 4 is not 5","revision":5}`}
+)
+
+// Guards against reporting "not run" for a request that may have run (C8),
+// against work that is submitted twice (C9) and against tries that ignore the
+// time to wait.
+func TestTries(t *testing.T) {
+	const (
+		done        = "done"
+		unknown     = "unknown"
+		unavailable = "unavailable"
+		refusal     = "refusal"
+	)
+	cases := []struct {
+		name    string
+		answers []answer
+		submit  string // outcome of a call that changes something
+		read    string // outcome of a call that does not
+		tries   int
+	}{
+		{"accepted at once", []answer{accepted}, done, done, 1},
+		{"never connected", []answer{refused}, unavailable, unavailable, 5},
+		{"connected at last", []answer{refused, refused, accepted}, done, done, 3},
+		{"answer lost once", []answer{lost, accepted}, done, done, 2},
+		{"answer cut once", []answer{cut, accepted}, done, done, 2},
+		{"all answers lost", []answer{lost}, unknown, unavailable, 5},
+		{"lost, then refused connections", []answer{lost, refused}, unknown, unavailable, 5},
+		{"lost, then a refusal", []answer{lost, denied}, unknown, refusal, 2},
+		{"lost, then not run", []answer{lost, full}, unknown, refusal, 2},
+		{"lost, then conflict", []answer{lost, conflict}, refusal, refusal, 2},
+		{"refused once, with a time to wait", []answer{busy, accepted}, done, done, 2},
+		{"refused until the end", []answer{busy}, refusal, refusal, 5},
+		{"refused without a time to wait", []answer{full}, refusal, refusal, 1},
+		{"load balancer without an entry", []answer{gateway}, unknown, unavailable, 5},
+		{"status 503, but not from an entry", []answer{lbBusy}, unknown, unavailable, 5},
+		{"wrong key", []answer{denied}, refusal, refusal, 1},
+	}
+	outcome := func(err error) string {
+		var u *UnknownError
+		var n *UnavailableError
+		var r *Error
+		switch {
+		case err == nil:
+			return done
+		case errors.As(err, &u):
+			return unknown
+		case errors.As(err, &n):
+			return unavailable
+		case errors.As(err, &r):
+			return refusal
+		}
+		return err.Error()
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{answers: c.answers}
+				client := newClient(t, s)
+				start := time.Now()
+				_, err := client.Submit(t.Context(), "quotes", SubmitRequest{})
+				if got := outcome(err); got != c.submit || len(s.bodies) != c.tries {
+					t.Errorf("submit: %s after %d tries: %v", got, len(s.bodies), err)
+				}
+				if c.answers[0].status == 503 && c.submit != unknown && time.Since(start) < time.Duration(c.tries-1)*700*time.Millisecond {
+					t.Errorf("waited only %v", time.Since(start))
+				}
+				checkSameID(t, s.bodies)
+				s = &script{answers: c.answers}
+				_, err = newClient(t, s).Job(t.Context(), "j1")
+				if got := outcome(err); got != c.read || len(s.bodies) != c.tries {
+					t.Errorf("read: %s after %d tries: %v", got, len(s.bodies), err)
+				}
+			})
+		})
+	}
+}
+
+func newClient(t *testing.T, s *script) *Client {
+	t.Helper()
+	client, err := New(Options{BaseURL: "http://entry.example/fleet/", Transport: s, Key: "k.s", Token: "op"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
+// checkSameID checks that all tries carry one idempotency id.
+func checkSameID(t *testing.T, bodies [][]byte) {
+	t.Helper()
+	for _, body := range bodies {
+		var request SubmitRequest
+		if err := json.Unmarshal(body, &request); err != nil || request.ID == "" || !bytes.Equal(body, bodies[0]) {
+			t.Fatalf("tries differ or lack an id: %s and %s", bodies[0], body)
+		}
+	}
+}
+
+// Guards against credentials and paths that entries would not understand, and
+// ids that lead to another path.
+func TestRequests(t *testing.T) {
+	s := &script{answers: []answer{accepted}}
+	client := newClient(t, s)
+	if _, err := client.Job(t.Context(), "team/a b?c"); err != nil {
+		t.Fatal(err)
+	}
+	if s.paths[0] != "/fleet/v1/jobs/team%2Fa%20b%3Fc" {
+		t.Errorf("path %s", s.paths[0])
+	}
+	if s.headers[0].Get(KeyHeader) != "k.s" || s.headers[0].Get("Authorization") != "Bearer op" {
+		t.Errorf("headers %v", s.headers[0])
+	}
+	for _, id := range []string{"", ".", ".."} {
+		if _, err := client.Job(t.Context(), fleet.JobID(id)); err == nil {
+			t.Errorf("job id %q was sent", id)
+		}
+	}
+	if _, err := client.Apply(t.Context(), Change{}); err == nil || len(s.paths) != 1 {
+		t.Errorf("a change without an id was sent: %v", err)
+	}
+}
+
+// Guards against a wait that ends early or never.
+func TestWatch(t *testing.T) {
+	running := answer{status: 200, body: `{"id":"j1","state":"running","step":1}`}
+	ended := answer{status: 200, body: `{"id":"j1","state":"ended","step":1,"result":{"outcome":"completed","body":"aGk="}}`}
+	s := &script{answers: []answer{accepted, running, running, ended}}
+	var states []JobState
+	job, err := newClient(t, s).Watch(t.Context(), "j1", func(job Job) { states = append(states, job.State) })
+	if err != nil || job.Result == nil || string(job.Result.Body) != "hi" || len(states) != 4 {
+		t.Errorf("job %+v after states %v: %v", job, states, err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		s := &script{answers: []answer{running, running, lost}}
+		job, err := newClient(t, s).Wait(ctx, "j1")
+		if !errors.Is(err, context.DeadlineExceeded) || job.State != JobRunning {
+			t.Errorf("job %+v: %v", job, err)
+		}
+	})
+}
+
+// Guards against settings that fail only at the first request.
+func TestOptions(t *testing.T) {
+	for _, o := range []Options{{}, {BaseURL: "entry:8080"}, {BaseURL: "ftp://entry"}, {BaseURL: "http://"}, {BaseURL: "https://entry", CAFile: "missing.pem"}, {BaseURL: "https://entry", CAFile: "client_test.go"}} {
+		if _, err := New(o); err == nil {
+			t.Errorf("options %+v were accepted", o)
+		}
+	}
+}
