--- /dev/null
+++ b/cmd/amaranth-platform/main.go
@@ -0,0 +1,160 @@
+// Command amaranth-platform serves a stand-in for the platform over HTTP: the
+// table service, the object store, the VM list, the workers and their
+// endpoints. It keeps everything in memory and is meant for tests and trials.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"amaranthfork.example/platform/httpapi"
+	"amaranthfork.example/platform/memory"
+)
+
+const (
+	envPrefix    = "AMARANTH_PLATFORM_"
+	shutdownTime = 5 * time.Second
+)
+
+type settings struct {
+	listen  string
+	fleet   string
+	options memory.Options
+	limit   memory.RateLimit
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "amaranth-platform:", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	s := settings{limit: memory.DefaultRateLimit, options: memory.Options{Runner: memory.CommandRunner}}
+	cmd := &cobra.Command{
+		Use:           "amaranth-platform",
+		Short:         "Serve a stand-in for the platform over HTTP",
+		Long:          "Serve a stand-in for the platform over HTTP.\n\nEach flag can be set by the environment variable " + envPrefix + "<FLAG>.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PreRunE:       func(cmd *cobra.Command, _ []string) error { return errors.Join(fromEnv(cmd.Flags()), s.check()) },
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), s) },
+	}
+	f := cmd.Flags()
+	f.StringVar(&s.listen, "listen", "127.0.0.1:7070", "address of the HTTP server")
+	f.StringVar(&s.fleet, "fleet", "", "JSON file of the VMs and entry VMs to add at the start")
+	f.DurationVar(&s.options.ListLag, "list-lag", time.Second, "lag of the VM list")
+	f.DurationVar(&s.options.UsageLag, "usage-lag", 2*time.Second, "lag of the reported usage of tasks")
+	f.DurationVar(&s.options.RebootTime, "reboot-time", 2*time.Minute, "time that a reboot takes")
+	f.Float64Var(&s.limit.WritesPerSecond, "writes", s.limit.WritesPerSecond, "writes/s of the table and of the object store, 0 for no limit")
+	f.Float64Var(&s.limit.ReadsPerSecond, "reads", s.limit.ReadsPerSecond, "reads/s of the table and of the object store, 0 for no limit")
+	f.DurationVar(&s.limit.QueueTime, "queue-time", s.limit.QueueTime, "longest wait of a call over the rate limit")
+	return cmd
+}
+
+// fromEnv sets the flags that the command line does not set.
+func fromEnv(flags *pflag.FlagSet) error {
+	var errs []error
+	flags.VisitAll(func(f *pflag.Flag) {
+		name := envPrefix + strings.ToUpper(strings.ReplaceAll(f.Name, "-", "_"))
+		value, ok := os.LookupEnv(name)
+		if !ok || f.Changed {
+			return
+		}
+		if err := flags.Set(f.Name, value); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", name, err))
+		}
+	})
+	return errors.Join(errs...)
+}
+
+// check returns all faults of the settings.
+func (s *settings) check() error {
+	var errs []error
+	durations := map[string]time.Duration{
+		"list-lag": s.options.ListLag, "usage-lag": s.options.UsageLag,
+		"reboot-time": s.options.RebootTime, "queue-time": s.limit.QueueTime,
+	}
+	for name, d := range durations {
+		if d < 0 {
+			errs = append(errs, fmt.Errorf("--%s: %v is negative", name, d))
+		}
+	}
+	if s.limit.ReadsPerSecond < 0 || s.limit.WritesPerSecond < 0 {
+		errs = append(errs, errors.New("--reads and --writes must not be negative"))
+	}
+	return errors.Join(errs...)
+}
+
+func run(ctx context.Context, s settings) error {
+	log := newLogger()
+	p := memory.New(s.options)
+	p.Service.Table.SetRateLimit(s.limit)
+	p.Service.Objects.SetRateLimit(s.limit)
+	endpoints := httpapi.NewEndpoints(httpapi.EndpointOptions{Reachable: p.VMReachable})
+	defer endpoints.Close()
+	api := httpapi.NewServer(p, endpoints)
+	if err := loadFleet(api, s.fleet); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log.Info("serving", zap.String("address", listener.Addr().String()))
+	return serve(ctx, &http.Server{Handler: api, ReadHeaderTimeout: shutdownTime}, listener)
+}
+
+func loadFleet(api *httpapi.Server, name string) error {
+	if name == "" {
+		return nil
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if err := api.LoadFleet(file); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+// serve returns once ctx is done and the open calls have ended.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTime)
+	defer cancel()
+	return server.Shutdown(end)
+}
+
+func newLogger() *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), zapcore.InfoLevel)
+	return zap.New(core)
+}
