--- /dev/null
+++ b/control/apply/apply_test.go
@@ -0,0 +1,319 @@
+package apply_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control/apply"
+	"amaranthfork.example/fleet"
+)
+
+func TestMain(m *testing.M) {
+	set := map[string]bool{}
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	if !set["rapid.seed"] {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// expect fails unless exactly the nodes in the set act.
+func expect(t *testing.T, c *cluster, when string, acts func(*node) bool) {
+	t.Helper()
+	fresh := c.fresh()
+	for _, n := range c.nodes {
+		if want := !n.off && !n.paused && acts(n); fresh[n.vm] != want {
+			t.Errorf("%s: %s in %s acts: %v, want %v", when, n.vm, n.dc, fresh[n.vm], want)
+		}
+	}
+}
+
+func not(f func(*node) bool) func(*node) bool { return func(n *node) bool { return !f(n) } }
+
+// Guards against a store outage that stops the fleet although all entries reach
+// each other, and against applies or evidence that outlive it wrongly.
+func TestStoreOutageWithTheNetworkWhole(t *testing.T) {
+	c := start(t, 9, 4)
+	c.storeDown(true, all)
+	for range 120 {
+		c.advance(250 * time.Millisecond)
+		expect(t, c, "during the outage", all)
+	}
+	if err := c.nodes[1].change("during", 1); err == nil {
+		t.Error("an apply succeeded without the store")
+	}
+	c.storeDown(false, all)
+	c.advance(10 * time.Second)
+	expect(t, c, "after the outage", all)
+	if got := len(c.nodes[0].members.Members().List); got != 9 || c.sessions != 9 {
+		t.Errorf("%d members and %d sessions after the outage, want 9 and 9", got, c.sessions)
+	}
+}
+
+// Guards against keyed work in a data centre that is cut off (C4, C6) and
+// against changes elsewhere that wait for it (C12).
+func TestDataCentreCutOff(t *testing.T) {
+	c := start(t, 9, 4)
+	cutAt := c.now
+	c.partition(true, in("b"))
+	c.storeDown(true, in("b"))
+	if err := c.nodes[0].change("withdraw-key", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(4 * time.Second)
+	expect(t, c, "4 s after the cut", not(in("b")))
+	if at, ok := c.accepted[2]; !ok || at-cutAt > 4*time.Second {
+		t.Errorf("the change was accepted: %v, %v after the cut", ok, at-cutAt)
+	}
+	c.advance(20 * time.Second)
+	c.partition(false, in("b"))
+	c.storeDown(false, all)
+	c.advance(3 * time.Second)
+	expect(t, c, "after the cut", all)
+}
+
+// Guards against sessions and views that lapse where peers could vouch for them.
+func TestPartialOutage(t *testing.T) {
+	c := start(t, 9, 4)
+	c.storeDown(true, func(n *node) bool { return n != c.nodes[4] })
+	c.advance(15 * time.Second)
+	expect(t, c, "partial outage", all)
+	if c.sessions != 9 {
+		t.Errorf("%d sessions were started, want 9: some were fenced", c.sessions)
+	}
+	if err := c.nodes[4].change("by-the-one", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(time.Second)
+	if _, ok := c.accepted[2]; !ok {
+		t.Error("a change that all members confirmed was not accepted")
+	}
+}
+
+// Guards against a change accepted on the strength of the members that confirmed
+// it while one with an agreement still acts on the old revision.
+func TestApplyAfterAgreementWaitsForTheAskers(t *testing.T) {
+	c := start(t, 9, 4)
+	c.storeDown(true, all)
+	c.advance(5 * time.Second)
+	c.partition(true, func(n *node) bool { return n == c.nodes[3] })
+	c.nodes[0].faults.SetDown(false)
+	c.advance(500 * time.Millisecond)
+	if err := c.nodes[0].change("after", 1); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := c.accepted[2]; ok {
+		t.Fatal("accepted before the evidence of the cut entry ended")
+	}
+	c.advance(3500 * time.Millisecond)
+	if _, ok := c.accepted[2]; !ok {
+		t.Error("not accepted within 4 s")
+	}
+	expect(t, c, "after the change", func(n *node) bool { return n != c.nodes[3] })
+}
+
+// Guards against an entry whose death stops the rest during an outage, and
+// against the agreement of the rest before the platform shows its VM as gone.
+func TestDeadMemberDuringOutage(t *testing.T) {
+	c := start(t, 9, 4)
+	c.storeDown(true, all)
+	c.advance(3 * time.Second)
+	c.nodes[2].kill(false)
+	c.advance(4 * time.Second)
+	expect(t, c, "silent member", func(*node) bool { return false })
+	c.gone[c.nodes[2].vm] = true
+	c.advance(4 * time.Second)
+	// The sessions have lapsed meanwhile, so a coordinator may have fenced them.
+	expect(t, c, "lapsed sessions", func(*node) bool { return false })
+	c.storeDown(false, all)
+	c.advance(10 * time.Second)
+	expect(t, c, "store back", all)
+	c.storeDown(true, all)
+	c.advance(3 * time.Second)
+	c.nodes[5].kill(true)
+	c.advance(4 * time.Second)
+	expect(t, c, "member gone", all)
+	// A planned stop during an outage must not stop the rest (C11).
+	c.nodes[6].view.SayGoodbye(t.Context())
+	c.nodes[6].kill(false)
+	for range 20 {
+		c.advance(250 * time.Millisecond)
+		expect(t, c, "planned stop", all)
+	}
+}
+
+// Guards against a paused entry that acts on what it knew before the pause.
+func TestPausedEntry(t *testing.T) {
+	c := start(t, 5, 2)
+	n := c.nodes[3]
+	session := n.members.Session()
+	n.paused = true
+	c.advance(time.Second)
+	if err := c.nodes[0].change("meanwhile", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(9 * time.Second)
+	if at := c.accepted[2]; at == 0 {
+		t.Fatal("the change was not accepted without the paused entry")
+	}
+	n.paused = false
+	if n.view.Fresh() == nil || n.members.Valid() == nil {
+		t.Error("the entry acts right after the pause")
+	}
+	c.advance(3 * time.Second)
+	expect(t, c, "after the pause", all)
+	if n.members.Session() == session {
+		t.Error("the fenced session goes on")
+	}
+}
+
+// Guards against a change that is lost, doubled or stuck when its coordinator
+// dies at any point, or when answers are lost.
+func TestRetryAfterDeathAndLostAnswers(t *testing.T) {
+	c := start(t, 6, 3)
+	c.nodes[0].faults.LoseAnswers(1)
+	if err := c.nodes[0].change("lost-answer", 1); err != nil {
+		t.Fatalf("the lost answer was not read back: %v", err)
+	}
+	op, err := c.nodes[1].apply.Begin(t.Context(), change("orphan", 2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = op // its coordinator dies before the first step
+	c.nodes[1].kill(true)
+	c.advance(time.Second)
+	if err := c.nodes[2].change("orphan", 2); err != nil {
+		t.Fatalf("retry at another entry: %v", err)
+	}
+	c.advance(4 * time.Second)
+	if c.changes["orphan"] != 3 || c.accepted[3] == 0 {
+		t.Errorf("the retry made revision %d, accepted at %v; want 3", c.changes["orphan"], c.accepted[3])
+	}
+	if err := c.nodes[3].change("orphan", 2); err != nil || c.nodes[3].view.Revision() != 3 {
+		t.Errorf("the second retry gave %v at revision %d", err, c.nodes[3].view.Revision())
+	}
+}
+
+func change(id string, base fleet.Revision) config.Change {
+	return config.Change{ID: id, Base: base, Put: []config.File{{Name: id + ".yaml", Content: []byte(id)}}}
+}
+
+// Guards against two changes on one base, against a faulty folder, and against a
+// loser that is not told who won.
+func TestRacingOperators(t *testing.T) {
+	c := start(t, 6, 3)
+	if err := c.nodes[0].change("one", 1); err != nil {
+		t.Fatal(err)
+	}
+	var conflict *apply.ConflictError
+	err := c.nodes[4].change("two", 1)
+	if !errors.As(err, &conflict) || conflict.Winner != 2 || conflict.Change != "one" {
+		t.Errorf("the loser got %v", err)
+	}
+	bad := change("bad", 2)
+	bad.Put[0].Content = []byte("bad")
+	var invalid *apply.InvalidError
+	if _, err := c.nodes[2].apply.Begin(t.Context(), bad); !errors.As(err, &invalid) {
+		t.Errorf("the faulty folder got %v", err)
+	}
+	if got := c.nodes[2].view.Revision(); got != 2 {
+		t.Errorf("revision %d after the refused changes, want 2", got)
+	}
+}
+
+// Guards against a newcomer that coordinates a change unknown to entries that go
+// on by an agreement, and against one that cannot hand the change on.
+func TestNewEntryDuringOutage(t *testing.T) {
+	c := start(t, 6, 3)
+	c.storeDown(true, all)
+	c.advance(3 * time.Second)
+	newcomer := c.add("d", 1)
+	c.partition(true, func(n *node) bool { return n == newcomer })
+	if err := newcomer.join(); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(time.Second)
+	if err := newcomer.change("alone", 1); !errors.Is(err, apply.ErrNoCoordinator) {
+		t.Fatalf("an isolated newcomer applied a change: %v", err)
+	}
+	c.advance(20 * time.Second) // it fences the silent members meanwhile
+	if err := newcomer.change("alone", 1); !errors.Is(err, apply.ErrNoCoordinator) {
+		t.Fatalf("an isolated newcomer applied a change after fencing: %v", err)
+	}
+	c.partition(false, all)
+	c.partition(false, func(n *node) bool { return n == newcomer })
+	c.storeDown(false, all)
+	c.advance(12 * time.Second)
+	expect(t, c, "store back", all)
+	if err := newcomer.change("together", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(2 * time.Second)
+	if c.accepted[2] == 0 {
+		t.Error("the change was not accepted")
+	}
+}
+
+// Guards against a newcomer's change that is refused where a settled member is
+// in reach.
+func TestNewEntryForwards(t *testing.T) {
+	c := start(t, 4, 2)
+	newcomer := c.add("c", 1)
+	if err := newcomer.join(); err != nil {
+		t.Fatal(err)
+	}
+	if newcomer.members.MayCoordinate() {
+		t.Fatal("a newcomer may coordinate at once")
+	}
+	if err := newcomer.change("forwarded", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(time.Second)
+	if c.accepted[2] == 0 || newcomer.view.Fresh() != nil {
+		t.Errorf("accepted at %v, newcomer fresh: %v", c.accepted[2], newcomer.view.Fresh())
+	}
+	c.advance(5 * time.Second)
+	if !newcomer.members.MayCoordinate() {
+		t.Error("the newcomer does not become settled")
+	}
+}
+
+// Guards against old sessions that block a new fleet, and against a view that
+// starts below what was accepted.
+func TestWholeFleetReplaced(t *testing.T) {
+	c := start(t, 9, 4)
+	for i := range 70 {
+		if err := c.nodes[0].change(fmt.Sprint("c", i), fleet.Revision(i+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range c.nodes {
+		n.kill(true)
+	}
+	for i := range 9 {
+		n := c.add(string(rune('a'+i%4)), 1)
+		if err := n.join(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.advance(10 * time.Second)
+	expect(t, c, "new fleet", all)
+	n := c.nodes[10]
+	if got := len(n.members.Members().List); got != 9 || n.view.Revision() != 71 {
+		t.Errorf("%d members at revision %d, want 9 at 71", got, n.view.Revision())
+	}
+	if err := n.change("new", 71); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(time.Second)
+	if c.accepted[72] == 0 {
+		t.Error("the new fleet did not accept a change")
+	}
+}
