--- /dev/null
+++ b/control/jobs/forward.go
@@ -0,0 +1,299 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/control/shards"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+)
+
+// Methods of the peer link.
+const (
+	methodSubmit = "jobs.submit"
+	methodStatus = "jobs.status"
+	methodWait   = "jobs.wait"
+	methodCancel = "jobs.cancel"
+	methodEnded  = "jobs.ended"
+	methodUnit   = "jobs.unit"
+)
+
+// retryPause is the time between tries of a forwarded call; the owner of a
+// shard is known again within a few of them after a move.
+const retryPause = 50 * time.Millisecond
+
+// answerCode says what a reply means besides its status.
+type answerCode string
+
+const (
+	answerOK       answerCode = ""
+	answerRefused  answerCode = "refused"
+	answerNotOwner answerCode = "not_owner"
+	answerNotFound answerCode = "not_found"
+	answerNotDone  answerCode = "not_done"
+	answerUnknown  answerCode = "unknown"
+	answerFailed   answerCode = "failed"
+)
+
+type idRequest struct {
+	ID  fleet.JobID   `cbor:"1,keyasint"`
+	For time.Duration `cbor:"2,keyasint,omitempty"` // bound of a wait
+}
+
+type reply struct {
+	Status  control.JobStatus `cbor:"1,keyasint"`
+	Code    answerCode        `cbor:"2,keyasint,omitempty"`
+	Refusal *fleet.Refusal    `cbor:"3,keyasint,omitempty"`
+	Detail  string            `cbor:"4,keyasint,omitempty"`
+}
+
+// Register adds the handlers of forwarded calls to a router.
+func (m *Manager) Register(r *rpc.Router) {
+	rpc.Handle(r, methodSubmit, func(ctx context.Context, _ string, job fleet.Job) (reply, error) {
+		return answer(m.submit(ctx, job)), nil
+	})
+	rpc.Handle(r, methodStatus, func(_ context.Context, _ string, q idRequest) (reply, error) {
+		return answer(m.status(q.ID)), nil
+	})
+	rpc.Handle(r, methodWait, func(ctx context.Context, _ string, q idRequest) (reply, error) {
+		ctx, cancel := context.WithTimeout(ctx, min(q.For, m.options.WaitFor))
+		defer cancel()
+		return answer(m.wait(ctx, q.ID)), nil
+	})
+	rpc.Handle(r, methodCancel, func(ctx context.Context, _ string, q idRequest) (reply, error) {
+		return answer(m.cancel(ctx, q.ID)), nil
+	})
+	rpc.Handle(r, methodEnded, func(ctx context.Context, _ string, end control.TaskEnd) (reply, error) {
+		return answer(control.JobStatus{}, m.taskEnded(ctx, end)), nil
+	})
+	rpc.Handle(r, methodUnit, func(_ context.Context, _ string, u unitReturn) (reply, error) {
+		m.unitReturned(u)
+		return reply{}, nil
+	})
+}
+
+// answer encodes the outcome of a call on an own shard.
+func answer(status control.JobStatus, err error) reply {
+	var refusal *fleet.Refusal
+	switch {
+	case err == nil:
+		return reply{Status: status}
+	case errors.As(err, &refusal):
+		return reply{Code: answerRefused, Refusal: refusal}
+	case errors.Is(err, shards.ErrNotOwner):
+		return reply{Code: answerNotOwner, Detail: err.Error()}
+	case errors.Is(err, platform.ErrNotFound):
+		return reply{Code: answerNotFound, Detail: err.Error()}
+	case errors.Is(err, errNotDone):
+		return reply{Status: status, Code: answerNotDone}
+	case errors.Is(err, platform.ErrUnknown):
+		return reply{Code: answerUnknown, Detail: err.Error()}
+	default:
+		return reply{Code: answerFailed, Detail: err.Error()}
+	}
+}
+
+// Submit accepts a job at its owner. It returns a *fleet.Refusal only if the
+// job is proved not to have been accepted, and an error that matches
+// platform.ErrUnknown if it may have been; submitting again with the same id
+// is safe.
+func (m *Manager) Submit(ctx context.Context, job fleet.Job) (control.JobStatus, error) {
+	if refusal := check(&job); refusal != nil {
+		return control.JobStatus{}, refusal
+	}
+	return m.call(ctx, job.ID, methodSubmit, job, func(ctx context.Context) (control.JobStatus, error) {
+		return m.submit(ctx, job)
+	})
+}
+
+// Status returns the present status of a job, or an error that matches
+// platform.ErrNotFound.
+func (m *Manager) Status(ctx context.Context, id fleet.JobID) (control.JobStatus, error) {
+	return m.call(ctx, id, methodStatus, idRequest{ID: id}, func(context.Context) (control.JobStatus, error) {
+		return m.status(id)
+	})
+}
+
+// Wait returns the status of a job once it has ended, or the error of ctx.
+// It follows the job when its shard moves.
+func (m *Manager) Wait(ctx context.Context, id fleet.JobID) (control.JobStatus, error) {
+	for {
+		status, err := m.call(ctx, id, methodWait, idRequest{ID: id, For: m.options.WaitFor}, func(ctx context.Context) (control.JobStatus, error) {
+			return m.wait(ctx, id)
+		})
+		switch {
+		case err == nil || errors.Is(err, platform.ErrNotFound):
+			return status, err
+		case ctx.Err() != nil:
+			return status, ctx.Err()
+		case errors.Is(err, errNotDone):
+			continue
+		}
+		if err := m.options.Sleep(ctx, retryPause); err != nil {
+			return status, err
+		}
+	}
+}
+
+// Cancel marks a job as canceled. The job has ended when the returned status
+// says so; otherwise its end follows.
+func (m *Manager) Cancel(ctx context.Context, id fleet.JobID) (control.JobStatus, error) {
+	return m.call(ctx, id, methodCancel, idRequest{ID: id}, func(ctx context.Context) (control.JobStatus, error) {
+		return m.cancel(ctx, id)
+	})
+}
+
+// TaskEnded passes the report of a task's end to the owner of its job. After an
+// error the report has to be repeated; repetitions do no harm.
+func (m *Manager) TaskEnded(ctx context.Context, end control.TaskEnd) error {
+	_, err := m.call(ctx, end.Job, methodEnded, end, func(ctx context.Context) (control.JobStatus, error) {
+		return control.JobStatus{}, m.taskEnded(ctx, end)
+	})
+	return err
+}
+
+type localCall func(ctx context.Context) (control.JobStatus, error)
+
+// call handles a request on an own shard or forwards it to the owner, again
+// while the owner is not known or does not answer. Every request is safe to
+// repeat: submissions by their id, ends by their attempt.
+func (m *Manager) call(ctx context.Context, id fleet.JobID, method string, req any, local localCall) (control.JobStatus, error) {
+	unsure := false // an earlier try may have been handled, or may still be
+	var last error
+	for try := range m.options.CallTries {
+		if try > 0 {
+			if err := m.options.Sleep(ctx, retryPause); err != nil {
+				last = err
+				break
+			}
+		}
+		status, err := m.try(ctx, id, method, req, local)
+		if err == nil || !again(err) {
+			return status, settle(err, unsure)
+		}
+		unsure = unsure || errors.Is(err, platform.ErrUnknown)
+		last = err
+	}
+	if unsure {
+		return control.JobStatus{}, fmt.Errorf("%w: %s for job %s: %w", platform.ErrUnknown, method, id, last)
+	}
+	return control.JobStatus{}, &fleet.Refusal{
+		Reason: fleet.ReasonStaleView, Detail: fmt.Sprintf("the owner of the job cannot be reached: %v", last), RetryAfter: viewRetryAfter,
+	}
+}
+
+// again reports whether a call may have a better answer soon.
+func again(err error) bool {
+	return errors.Is(err, shards.ErrNotOwner) || errors.Is(err, platform.ErrUnknown) || errors.Is(err, rpc.ErrUnreachable)
+}
+
+// settle turns a refusal that follows a try without an answer into an unknown
+// outcome: the earlier message may still arrive and be accepted.
+func settle(err error, unsure bool) error {
+	var refusal *fleet.Refusal
+	if unsure && errors.As(err, &refusal) {
+		return fmt.Errorf("%w: an earlier try had no answer; now: %s", platform.ErrUnknown, refusal.Error())
+	}
+	return err
+}
+
+func (m *Manager) try(ctx context.Context, id fleet.JobID, method string, req any, local localCall) (control.JobStatus, error) {
+	owner := m.options.Shards.Owner(m.shardOf(id))
+	switch owner {
+	case "":
+		return control.JobStatus{}, fmt.Errorf("no shard map yet: %w", shards.ErrNotOwner)
+	case m.self():
+		return local(ctx)
+	}
+	var r reply
+	err := m.options.Caller.Call(ctx, owner, method, req, &r)
+	switch {
+	case err == nil:
+		return r.Status, r.err()
+	case errors.Is(err, rpc.ErrUnreachable):
+		return control.JobStatus{}, err
+	default:
+		return control.JobStatus{}, fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+}
+
+// err decodes the outcome of a forwarded call.
+func (r reply) err() error {
+	switch r.Code {
+	case answerOK:
+		return nil
+	case answerRefused:
+		if r.Refusal == nil {
+			return fmt.Errorf("%w: refusal without a reason", platform.ErrUnknown)
+		}
+		return r.Refusal
+	case answerNotOwner:
+		return fmt.Errorf("%w: %s", shards.ErrNotOwner, r.Detail)
+	case answerNotFound:
+		return fmt.Errorf("%w: %s", platform.ErrNotFound, r.Detail)
+	case answerNotDone:
+		return errNotDone
+	case answerUnknown:
+		return fmt.Errorf("%w: %s", platform.ErrUnknown, r.Detail)
+	default:
+		return fmt.Errorf("owner of the job: %s", r.Detail)
+	}
+}
+
+// status returns the status of a job of an own shard.
+func (m *Manager) status(id fleet.JobID) (control.JobStatus, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, err := m.acting(m.shardOf(id))
+	if err != nil {
+		return control.JobStatus{}, err
+	}
+	e := s.entries[id]
+	if e == nil || e.phase == phaseSubmitting {
+		return control.JobStatus{}, fmt.Errorf("job %s: %w", id, platform.ErrNotFound)
+	}
+	return e.status(), nil
+}
+
+// wait returns when a job of an own shard has ended. It returns errNotDone when
+// ctx is done first, and shards.ErrNotOwner when the shard moves.
+func (m *Manager) wait(ctx context.Context, id fleet.JobID) (control.JobStatus, error) {
+	for {
+		done, status, err := m.watch(id)
+		if err != nil || done == nil {
+			return status, err
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return status, errNotDone
+		}
+	}
+}
+
+// watch returns a channel that is closed when the job has ended or moved, nil
+// if it has ended.
+func (m *Manager) watch(id fleet.JobID) (<-chan struct{}, control.JobStatus, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, err := m.acting(m.shardOf(id))
+	if err != nil {
+		return nil, control.JobStatus{}, err
+	}
+	e := s.entries[id]
+	if e == nil {
+		return nil, control.JobStatus{}, fmt.Errorf("job %s: %w", id, platform.ErrNotFound)
+	}
+	if e.visible() {
+		return nil, e.status(), nil
+	}
+	if e.done == nil {
+		e.done = make(chan struct{})
+	}
+	return e.done, e.status(), nil
+}
--- /dev/null
+++ b/control/jobs/manager.go
@@ -0,0 +1,336 @@
+// Package jobs owns the lifecycle of jobs: submission, deduplication, order,
+// claims, starts, results, retries and takeover. Each job belongs to a shard,
+// and the owner of the shard acts on it; other entries forward to the owner.
+//
+// A claim is durable before its start is sent, and the claim of an owner that
+// has failed is resolved through the VM's present owner, whose higher epoch
+// keeps a delayed start from taking effect. Therefore a non-idempotent step
+// starts at most once, and a job that is reported as not run never started.
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/journal"
+	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/control/shards"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/policy/admission"
+	"amaranthfork.example/policy/retry"
+)
+
+// Journal is what the lifecycle needs of a journal with checkpoints.
+type Journal interface {
+	control.Journal
+	Position() uint64
+	Checkpoint(ctx context.Context, shard int, position uint64, state []byte) error
+	Trim(ctx context.Context, position uint64) (int, error)
+	Recover(ctx context.Context, session string, shards []int) (journal.Recovery, error)
+	Stats() journal.Stats
+}
+
+// ShardMap tells who owns which shard.
+type ShardMap interface {
+	Count() int
+	Owned() int
+	Owner(shard int) string
+	Acting(shard int) error
+}
+
+// Options of a Manager. Zero numbers and nil functions take defaults.
+type Options struct {
+	Clock      fleet.Clock
+	Membership control.Membership
+	View       control.View
+	Limits     control.Limits
+	Dispatcher control.Dispatcher
+	Journal    Journal
+	Shards     ShardMap
+	Caller     rpc.Caller
+	Admission  admission.Settings
+	Retry      retry.Settings
+
+	// Estimate returns the need and run time of each step of a job; the
+	// declaration by default.
+	Estimate func(job *fleet.Job) (fleet.Resources, time.Duration)
+	// OnStart and OnEnd tell of starts, with the delay since the step was
+	// queued, and of final results. They must not block or call the manager.
+	OnStart func(job *fleet.Job, delay time.Duration)
+	OnEnd   func(job *fleet.Job, result fleet.Result)
+	// Sleep pauses between tries of a forwarded call.
+	Sleep func(ctx context.Context, d time.Duration) error
+	// AttemptID returns unique ids.
+	AttemptID func(job fleet.JobID) fleet.AttemptID
+
+	DispatchBatch   int           // jobs started by one Dispatch
+	Parallel        int           // calls to VM owners at a time
+	MaxQueued       int           // for queues that set no bound
+	Retention       time.Duration // of results, for deduplication
+	MaxRetained     int           // results kept, the newest
+	MaxBodies       int           // bytes of the bodies of kept results
+	LookupEvery     time.Duration // between lookups of a running task
+	UnknownAfter    time.Duration // without any word of an attempt until it counts as lost; longer than a task's lease
+	CallTries       int           // tries of a forwarded call
+	WaitFor         time.Duration // bound of one forwarded wait
+	MaintainEvery   time.Duration // between lookups, demand and retention
+	CheckpointBytes int           // of journal pages between checkpoints
+	CheckpointEvery time.Duration // between checkpoints at a low load
+}
+
+func (o Options) withDefaults() Options {
+	if o.Estimate == nil {
+		o.Estimate = func(job *fleet.Job) (fleet.Resources, time.Duration) { return job.Declared, job.RunTime }
+	}
+	if o.OnStart == nil {
+		o.OnStart = func(*fleet.Job, time.Duration) {}
+	}
+	if o.OnEnd == nil {
+		o.OnEnd = func(*fleet.Job, fleet.Result) {}
+	}
+	if o.Sleep == nil {
+		o.Sleep = sleep
+	}
+	if o.AttemptID == nil {
+		o.AttemptID = func(job fleet.JobID) fleet.AttemptID {
+			return fleet.AttemptID(string(job) + "." + uuid.NewString())
+		}
+	}
+	defaultInt(&o.DispatchBatch, 256)
+	defaultInt(&o.Parallel, 32)
+	defaultInt(&o.MaxQueued, 10_000)
+	defaultInt(&o.MaxRetained, 20_000)
+	defaultInt(&o.MaxBodies, 8<<20)
+	defaultInt(&o.CallTries, 5)
+	defaultInt(&o.CheckpointBytes, 4<<20)
+	defaultDuration(&o.Retention, time.Hour)
+	defaultDuration(&o.LookupEvery, 15*time.Second)
+	defaultDuration(&o.UnknownAfter, 2*time.Minute)
+	defaultDuration(&o.WaitFor, 10*time.Second)
+	defaultDuration(&o.MaintainEvery, 250*time.Millisecond)
+	defaultDuration(&o.CheckpointEvery, time.Minute)
+	return o
+}
+
+func defaultInt(v *int, d int) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func defaultDuration(v *time.Duration, d time.Duration) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Stats counts events and present numbers of one owner.
+type Stats struct {
+	Submitted   uint64 // accepted
+	Duplicates  uint64 // submits of a known job
+	Refused     uint64 // submits refused
+	Claims      uint64 // made durable or run unrecorded
+	Starts      uint64 // sent
+	NotStarted  uint64 // proofs that an attempt did not start
+	LateEnds    uint64 // task ends of attempts that are not current, dropped
+	Retries     uint64
+	Lookups     uint64
+	Ended       uint64
+	TakenOver   uint64 // jobs rebuilt from other sessions
+	Incomplete  uint64 // rebuilt records without their job, dropped
+	UnitsAbroad uint64 // units given back to the session that holds them
+	Queued      int
+	Open        int
+	Retained    int
+}
+
+// Manager is the owner of the jobs of the own shards and the way to the others.
+// It is safe for concurrent use.
+type Manager struct {
+	options Options
+	ready   chan struct{}
+
+	// gate is held for reading from the submission of a job to the decision
+	// about it, and for writing while a checkpoint is encoded, so that no
+	// checkpoint contains or misses a job that is not decided.
+	gate       sync.RWMutex
+	dispatchMu sync.Mutex // one Dispatch at a time
+
+	mu         sync.Mutex
+	shards     map[int]*shard
+	lanes      map[fleet.PoolName]*admission.Queue
+	queued     map[queueKey]int
+	running    map[fleet.TeamName]int
+	open       map[fleet.JobID]*entry
+	dirty      map[fleet.JobID]*entry
+	delayed    delayHeap
+	ended      []*entry // in the order of their ends
+	bodies     int      // bytes of the bodies in ended
+	retry      *retry.Policy
+	rates      map[fleet.PoolName]*rateCounter
+	revision   fleet.Revision // whose queues the lanes follow
+	lent       map[fleet.AttemptID]fleet.TeamName
+	returns    []unitReturn
+	demanded   map[fleet.TeamName]bool
+	maintained time.Time
+	ckpt       checkpointRound
+	stats      Stats
+}
+
+// shard is the state of one shard that the own session acts on.
+type shard struct {
+	session string // own session that has loaded it
+	entries map[fleet.JobID]*entry
+	touched bool // has records that its last checkpoint does not contain
+	copied  bool // a checkpoint under the own session contains what was taken over
+}
+
+var (
+	_ control.Jobs   = (*Manager)(nil)
+	_ shards.Handoff = (*Manager)(nil)
+)
+
+// New returns a manager that acts on no shard yet.
+func New(options Options) *Manager {
+	options = options.withDefaults()
+	return &Manager{
+		options:  options,
+		ready:    make(chan struct{}, 1),
+		shards:   map[int]*shard{},
+		lanes:    map[fleet.PoolName]*admission.Queue{},
+		queued:   map[queueKey]int{},
+		running:  map[fleet.TeamName]int{},
+		open:     map[fleet.JobID]*entry{},
+		dirty:    map[fleet.JobID]*entry{},
+		retry:    retry.New(options.Retry),
+		rates:    map[fleet.PoolName]*rateCounter{},
+		lent:     map[fleet.AttemptID]fleet.TeamName{},
+		demanded: map[fleet.TeamName]bool{},
+	}
+}
+
+// Ready receives a value when a job may be able to start; the caller then calls
+// Dispatch without waiting for the next Tick.
+func (m *Manager) Ready() <-chan struct{} { return m.ready }
+
+// Stats returns the counters and present numbers.
+func (m *Manager) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stats
+	for _, lane := range m.lanes {
+		s.Queued += lane.Len()
+	}
+	s.Queued += len(m.delayed)
+	s.Open = len(m.open)
+	s.Retained = len(m.ended)
+	return s
+}
+
+// Tick starts what can start, journals what has changed, and does the periodic
+// work: lookups of open claims, demand for units, retention and checkpoints.
+func (m *Manager) Tick(ctx context.Context) error {
+	err := m.Dispatch(ctx)
+	err = errors.Join(err, m.Flush(ctx))
+	if !m.maintenanceDue() {
+		return err
+	}
+	m.Resolve(ctx)
+	m.returnUnits(ctx)
+	m.reportDemand()
+	m.expireResults()
+	return errors.Join(err, m.checkpointIfDue(ctx))
+}
+
+func (m *Manager) maintenanceDue() bool {
+	now := m.options.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.maintained) < m.options.MaintainEvery {
+		return false
+	}
+	m.maintained = now
+	return true
+}
+
+func (m *Manager) signal() {
+	select {
+	case m.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) self() string { return m.options.Membership.Self().ID }
+
+func (m *Manager) shardOf(id fleet.JobID) int { return shards.Of(id, m.options.Shards.Count()) }
+
+// acting returns the state of a shard that the own entry may act on now. The
+// caller holds mu.
+func (m *Manager) acting(number int) (*shard, error) {
+	if err := m.options.Shards.Acting(number); err != nil {
+		return nil, err
+	}
+	s := m.shards[number]
+	if s == nil || s.session != m.self() {
+		return nil, fmt.Errorf("shard %d is being taken over: %w", number, shards.ErrNotOwner)
+	}
+	return s, nil
+}
+
+// share returns a team's share in thousandths.
+func share(snapshot *config.Snapshot) func(fleet.TeamName) int {
+	return func(team fleet.TeamName) int { return snapshot.Teams[team].Share }
+}
+
+// authorize checks that a job's queue exists and that its team and key may
+// still use it.
+func authorize(snapshot *config.Snapshot, job *fleet.Job) *fleet.Refusal {
+	queue, ok := snapshot.Queues[job.Queue]
+	if !ok {
+		return &fleet.Refusal{Reason: fleet.ReasonNoQueue, Detail: fmt.Sprintf("queue %q does not exist", job.Queue)}
+	}
+	if queue.Open {
+		return nil
+	}
+	for _, team := range queue.Teams {
+		if team == job.Team {
+			return authorizeKey(snapshot, job)
+		}
+	}
+	return &fleet.Refusal{Reason: fleet.ReasonUnauthorized, Detail: fmt.Sprintf("team %q may not use queue %q", job.Team, job.Queue)}
+}
+
+func authorizeKey(snapshot *config.Snapshot, job *fleet.Job) *fleet.Refusal {
+	if job.Key == "" {
+		return nil
+	}
+	key, ok := snapshot.Keys[job.Key]
+	if !ok || key.Withdrawn || key.Team != job.Team {
+		return &fleet.Refusal{Reason: fleet.ReasonUnauthorized, Detail: fmt.Sprintf("key %q is not valid for team %q", job.Key, job.Team)}
+	}
+	return nil
+}
+
+// touch notes a change of a job that has to be journaled. The caller holds mu.
+func (m *Manager) touch(e *entry) {
+	e.sequence++
+	m.dirty[e.job.ID] = e
+}
--- /dev/null
+++ b/control/jobs/submit.go
@@ -0,0 +1,273 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/shards"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/policy/admission"
+)
+
+// storeRetryAfter is the advice to callers whose job needs the store.
+const storeRetryAfter = 2 * time.Second
+
+// viewRetryAfter is the advice to callers that reach an owner which may not act.
+const viewRetryAfter = time.Second
+
+// check refuses jobs that no owner could handle.
+func check(job *fleet.Job) *fleet.Refusal {
+	detail := ""
+	switch {
+	case job.ID == "":
+		detail = "the job has no id"
+	case len(job.Steps) == 0:
+		detail = "the job has no steps"
+	case job.Class != fleet.ClassUrgent && job.Class != fleet.ClassStandard && job.Class != fleet.ClassBatch:
+		detail = fmt.Sprintf("class %q does not exist", job.Class)
+	default:
+		return nil
+	}
+	return &fleet.Refusal{Reason: fleet.ReasonInvalid, Detail: detail}
+}
+
+// submit accepts a job of an own shard. It returns once the job is durable, or
+// accepted without a record during an outage.
+func (m *Manager) submit(ctx context.Context, job fleet.Job) (control.JobStatus, error) {
+	m.gate.RLock()
+	e, known, err := m.insert(job)
+	if err != nil {
+		m.gate.RUnlock()
+		return control.JobStatus{}, err
+	}
+	if known {
+		m.gate.RUnlock()
+		return m.join(ctx, e)
+	}
+	defer m.gate.RUnlock()
+	return m.decide(ctx, e, m.persist(ctx, e))
+}
+
+// insert enters a job as submitting, or returns the known one with its id.
+func (m *Manager) insert(job fleet.Job) (e *entry, known bool, err error) {
+	now := m.options.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	number := m.shardOf(job.ID)
+	s, err := m.acting(number)
+	if err != nil {
+		return nil, false, err
+	}
+	if e := s.entries[job.ID]; e != nil {
+		m.stats.Duplicates++
+		return e, true, nil
+	}
+	snapshot, err := m.admit(now, &job)
+	if err != nil {
+		m.stats.Refused++
+		return nil, false, err
+	}
+	if job.Submitted.IsZero() {
+		job.Submitted = now
+	}
+	e = &entry{job: job, shard: number, phase: phaseSubmitting, ready: make(chan struct{}), queuedAt: now}
+	e.pool = snapshot.Queues[job.Queue].Pool
+	s.entries[job.ID] = e
+	m.count(e)
+	m.touch(e)
+	return e, false, nil
+}
+
+// admit checks the evidence, the configuration, the store and the load.
+func (m *Manager) admit(now time.Time, job *fleet.Job) (*config.Snapshot, error) {
+	if err := m.options.View.Fresh(); err != nil {
+		return nil, err
+	}
+	snapshot := m.options.View.Snapshot()
+	if snapshot == nil {
+		return nil, &fleet.Refusal{Reason: fleet.ReasonStaleView, Detail: "no configuration yet", RetryAfter: viewRetryAfter}
+	}
+	if refusal := authorize(snapshot, job); refusal != nil {
+		return nil, refusal
+	}
+	if !job.Idempotent && !m.options.View.StoreReachable() {
+		return nil, storeRefusal()
+	}
+	if refusal := admission.Admit(m.request(now, snapshot, job)); refusal != nil {
+		return nil, refusal
+	}
+	return snapshot, nil
+}
+
+func storeRefusal() *fleet.Refusal {
+	return &fleet.Refusal{
+		Reason:     fleet.ReasonStoreUnavailable,
+		Detail:     "a job that is not idempotent needs the store",
+		RetryAfter: storeRetryAfter,
+	}
+}
+
+// request describes a job and the load of its pool to the admission policy.
+func (m *Manager) request(now time.Time, snapshot *config.Snapshot, job *fleet.Job) admission.Request {
+	queue := snapshot.Queues[job.Queue]
+	need, runTime := m.options.Estimate(job)
+	r := admission.Request{
+		Now: now, Need: need, RunTime: runTime * time.Duration(len(job.Steps)), Deadline: job.Deadline,
+		Queued:    m.queued[queueKey{job.Queue, job.Team, job.Class}],
+		MaxQueued: m.bound(queue),
+	}
+	for _, c := range m.options.Dispatcher.Capacity(queue.Pool) {
+		r.Largest = append(r.Largest, c.LargestVM)
+		if snapshot.DataCentres[c.DataCentre].State == fleet.DataCentreIn {
+			r.Load.FreeSlots += c.FreeSlots
+		}
+	}
+	if lane := m.lanes[queue.Pool]; lane != nil {
+		r.Load.TeamAhead, r.Load.TotalAhead = lane.Ahead(job.Team, job.Class)
+		r.Load.TeamPortion = lane.Portion(job.Team, job.Class, share(snapshot))
+	}
+	if rate := m.rates[queue.Pool]; rate != nil {
+		r.Load.Rate = rate.perSecond(now)
+	}
+	return r
+}
+
+// bound returns the own part of a queue's bound, in proportion to the shards.
+func (m *Manager) bound(queue fleet.Queue) int {
+	bound := queue.MaxQueued
+	if bound <= 0 {
+		bound = m.options.MaxQueued
+	}
+	total := m.options.Shards.Count()
+	return max(1, (bound*m.options.Shards.Owned()+total-1)/total)
+}
+
+// decide ends a submission after its record was journaled or not.
+func (m *Manager) decide(ctx context.Context, e *entry, err error) (control.JobStatus, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer close(e.ready)
+	if err != nil && !errors.Is(err, platform.ErrUnknown) {
+		outage := errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil
+		if !outage || !e.job.Idempotent {
+			m.forget(e)
+			return control.JobStatus{}, submitRefusal(err)
+		}
+		err = nil
+	}
+	if !m.holds(e) {
+		if err == nil && e.recorded {
+			return e.status(), nil
+		}
+		return control.JobStatus{}, fmt.Errorf("%w: shard of job %s has moved", platform.ErrUnknown, e.job.ID)
+	}
+	m.stats.Submitted++
+	m.enqueue(e)
+	return e.status(), err
+}
+
+func submitRefusal(err error) error {
+	if errors.Is(err, platform.ErrFenced) {
+		return &fleet.Refusal{Reason: fleet.ReasonStaleView, Detail: "the session of the job's owner has ended", RetryAfter: viewRetryAfter}
+	}
+	return storeRefusal()
+}
+
+// join answers a repeated submission like the first one, once that is decided.
+func (m *Manager) join(ctx context.Context, e *entry) (control.JobStatus, error) {
+	select {
+	case <-e.ready:
+	case <-ctx.Done():
+		return control.JobStatus{}, fmt.Errorf("%w: submission of job %s is not decided", platform.ErrUnknown, e.job.ID)
+	}
+	m.mu.Lock()
+	held, recorded := m.holds(e), e.recorded
+	m.mu.Unlock()
+	if !held {
+		return control.JobStatus{}, fmt.Errorf("first submission was not accepted: %w", shards.ErrNotOwner)
+	}
+	if !recorded {
+		if err := m.persist(ctx, e); err != nil && !errors.Is(err, platform.ErrUnavailable) {
+			return control.JobStatus{}, err
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !e.recorded && !e.job.Idempotent {
+		return control.JobStatus{}, fmt.Errorf("%w: record of job %s", platform.ErrUnknown, e.job.ID)
+	}
+	return e.status(), nil
+}
+
+// holds reports whether an entry is still part of an own shard. The caller
+// holds mu.
+func (m *Manager) holds(e *entry) bool {
+	s := m.shards[e.shard]
+	return s != nil && s.entries[e.job.ID] == e
+}
+
+// forget removes a job that was not accepted. The caller holds mu.
+func (m *Manager) forget(e *entry) {
+	m.uncount(e)
+	if m.dirty[e.job.ID] == e {
+		delete(m.dirty, e.job.ID)
+	}
+	if m.holds(e) {
+		delete(m.shards[e.shard].entries, e.job.ID)
+	}
+}
+
+// count and uncount keep the number of waiting jobs. The caller holds mu.
+func (m *Manager) count(e *entry) {
+	if !e.queueCount {
+		e.queueCount = true
+		m.queued[e.key()]++
+	}
+}
+
+func (m *Manager) uncount(e *entry) {
+	if !e.queueCount {
+		return
+	}
+	e.queueCount = false
+	m.queued[e.key()]--
+	if m.queued[e.key()] == 0 {
+		delete(m.queued, e.key())
+	}
+}
+
+// enqueue lets a job wait for its start. The caller holds mu.
+func (m *Manager) enqueue(e *entry) {
+	e.phase = phaseQueued
+	e.queuedAt = m.options.Clock.Now()
+	m.count(e)
+	m.lane(e.pool).Push(admission.Item{
+		ID: e.job.ID, Team: e.job.Team, Class: e.job.Class, Deadline: e.job.Deadline, Submitted: e.job.Submitted,
+	})
+	m.signal()
+}
+
+// dequeue takes a waiting job out. The caller holds mu.
+func (m *Manager) dequeue(e *entry) {
+	switch e.phase {
+	case phaseQueued:
+		m.lane(e.pool).Remove(e.job.ID)
+	case phaseDelayed:
+		m.delayed.remove(e)
+	}
+	m.uncount(e)
+}
+
+func (m *Manager) lane(pool fleet.PoolName) *admission.Queue {
+	lane := m.lanes[pool]
+	if lane == nil {
+		lane = admission.NewQueue(m.options.Admission)
+		m.lanes[pool] = lane
+	}
+	return lane
+}
--- /dev/null
+++ b/control/jobs/takeover.go
@@ -0,0 +1,380 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthfork.example/control/shards"
+	"amaranthfork.example/fleet"
+)
+
+// checkpointRound remembers the last round of checkpoints.
+type checkpointRound struct {
+	at    time.Time
+	bytes uint64 // of the journal at that time
+}
+
+// Takeover rebuilds shards from the journals and checkpoints of their sources
+// and starts to act on them at once. A shard counts as copied when a checkpoint
+// under the own session contains it.
+func (m *Manager) Takeover(ctx context.Context, takes []shards.Take) ([]int, error) {
+	missing := m.missing(takes)
+	if err := m.load(ctx, missing); err != nil {
+		return nil, err
+	}
+	var copied []int
+	for _, take := range takes {
+		if len(take.Sources) == 0 {
+			continue
+		}
+		if err := m.copyShard(ctx, take.Shard); err != nil {
+			return copied, err
+		}
+		copied = append(copied, take.Shard)
+	}
+	return copied, nil
+}
+
+func (m *Manager) missing(takes []shards.Take) []shards.Take {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var missing []shards.Take
+	for _, take := range takes {
+		if s := m.shards[take.Shard]; s == nil || s.session != m.self() {
+			missing = append(missing, take)
+		}
+	}
+	return missing
+}
+
+// load reads each source once for all its shards. The own session is always a
+// source too: this owner may have released the shard before.
+func (m *Manager) load(ctx context.Context, takes []shards.Take) error {
+	if len(takes) == 0 {
+		return nil
+	}
+	bySource := map[string][]int{}
+	for _, take := range takes {
+		for _, source := range append(slices.Clone(take.Sources), m.self()) {
+			if !slices.Contains(bySource[source], take.Shard) {
+				bySource[source] = append(bySource[source], take.Shard)
+			}
+		}
+	}
+	rebuilt := newMerger()
+	for source, numbers := range bySource {
+		if err := m.readSource(ctx, rebuilt, source, numbers); err != nil {
+			return err
+		}
+	}
+	m.activate(takes, rebuilt)
+	return nil
+}
+
+func (m *Manager) readSource(ctx context.Context, rebuilt *merger, source string, numbers []int) error {
+	recovery, err := m.options.Journal.Recover(ctx, source, numbers)
+	if err != nil {
+		return err
+	}
+	for number, state := range recovery.States {
+		if err := rebuilt.addState(number, state); err != nil {
+			return err
+		}
+	}
+	for _, r := range recovery.Records {
+		if err := rebuilt.addBody(r.Shard, r.Body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// activate enters rebuilt jobs: results for deduplication, open claims for
+// lookups, the others into their lanes.
+func (m *Manager) activate(takes []shards.Take, rebuilt *merger) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, take := range takes {
+		m.dropShard(take.Shard)
+		m.shards[take.Shard] = &shard{session: m.self(), entries: map[fleet.JobID]*entry{}, touched: true}
+	}
+	jobs := make([]*merged, 0, len(rebuilt.jobs))
+	for _, job := range rebuilt.jobs {
+		jobs = append(jobs, job)
+	}
+	sort.Slice(jobs, func(i, k int) bool {
+		if jobs[i].Progress.Ended != jobs[k].Progress.Ended {
+			return jobs[i].Progress.Ended < jobs[k].Progress.Ended
+		}
+		return jobs[i].ID < jobs[k].ID
+	})
+	for _, job := range jobs {
+		m.enter(job)
+	}
+	slices.SortStableFunc(m.ended, func(a, b *entry) int { return int(a.Ended - b.Ended) })
+	m.signal()
+}
+
+func (m *Manager) enter(job *merged) {
+	if job.Job == nil {
+		m.stats.Incomplete++
+		return
+	}
+	now := m.options.Clock.Now()
+	decided := make(chan struct{})
+	close(decided)
+	e := &entry{
+		job: *job.Job, shard: job.shard, progress: job.Progress,
+		sequence: job.Sequence, durable: job.Sequence, recorded: true, ready: decided, queuedAt: now,
+	}
+	if snapshot := m.options.View.Snapshot(); snapshot != nil {
+		e.pool = snapshot.Queues[e.job.Queue].Pool
+	}
+	m.shards[job.shard].entries[e.job.ID] = e
+	m.stats.TakenOver++
+	switch {
+	case e.Result != nil:
+		e.phase = phaseEnded
+		m.retain(e)
+	case e.Claim != nil:
+		m.running[e.job.Team]++
+		m.setOpen(e)
+		e.lookupAt = now
+		m.adoptUnit(e, m.options.Membership.Members())
+	case e.Canceled:
+		m.endCanceled(e)
+	default:
+		m.enqueue(e)
+		m.refuseTakenOver(e)
+	}
+}
+
+// refuseTakenOver ends a waiting job whose queue or key went away while it had
+// no owner. The caller holds mu.
+func (m *Manager) refuseTakenOver(e *entry) {
+	if snapshot := m.options.View.Snapshot(); snapshot != nil {
+		m.refuseUnauthorized(snapshot, e)
+	}
+}
+
+// copyShard makes sure that the own session has a checkpoint of a shard that
+// contains what was taken over.
+func (m *Manager) copyShard(ctx context.Context, number int) error {
+	m.mu.Lock()
+	s := m.shards[number]
+	done := s != nil && s.copied
+	m.mu.Unlock()
+	if done {
+		return nil
+	}
+	return m.checkpointShard(ctx, number)
+}
+
+// Release stores the state of a shard in a checkpoint and forgets it. Units of
+// its running tasks stay with this session until their ends are reported.
+func (m *Manager) Release(ctx context.Context, number int) error {
+	m.dispatchMu.Lock()
+	defer m.dispatchMu.Unlock()
+	m.mu.Lock()
+	s := m.shards[number]
+	loaded := s != nil && s.session == m.self()
+	m.mu.Unlock()
+	if !loaded {
+		return nil // never taken over here: the sources still hold all of it
+	}
+	m.gate.Lock()
+	defer m.gate.Unlock()
+	if err := m.putCheckpoint(ctx, number); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.shards[number].entries {
+		if e.Claim != nil && e.Claim.Holder == m.self() {
+			m.lent[e.Claim.Attempt] = e.job.Team
+		}
+	}
+	m.dropShard(number)
+	return nil
+}
+
+// Drop forgets the shards that the own entry does not own any more, such as
+// after its session was fenced.
+func (m *Manager) Drop(keep func(shard int) bool) {
+	self := m.self()
+	m.mu.Lock()
+	numbers := make([]int, 0, len(m.shards))
+	for number, s := range m.shards {
+		numbers = append(numbers, number)
+		if s.session != self {
+			m.lent = map[fleet.AttemptID]fleet.TeamName{}
+		}
+	}
+	m.mu.Unlock()
+	for _, number := range numbers {
+		kept := keep(number)
+		m.mu.Lock()
+		if s := m.shards[number]; s != nil && (!kept || s.session != self) {
+			m.dropShard(number)
+		}
+		m.mu.Unlock()
+	}
+}
+
+// dropShard forgets a shard and wakes its waiting callers, who then ask its new
+// owner. The caller holds mu.
+func (m *Manager) dropShard(number int) {
+	s := m.shards[number]
+	if s == nil {
+		return
+	}
+	for _, e := range s.entries {
+		m.dropEntry(e)
+	}
+	m.ended = slices.DeleteFunc(m.ended, func(e *entry) bool {
+		if e.shard == number {
+			m.bodies -= len(e.Result.Body)
+		}
+		return e.shard == number
+	})
+	delete(m.shards, number)
+}
+
+func (m *Manager) dropEntry(e *entry) {
+	m.dequeue(e)
+	if m.dirty[e.job.ID] == e {
+		delete(m.dirty, e.job.ID)
+	}
+	if e.Claim != nil {
+		m.running[e.job.Team]--
+		if m.running[e.job.Team] <= 0 {
+			delete(m.running, e.job.Team)
+		}
+		delete(m.open, e.job.ID)
+	}
+	if e.done != nil {
+		close(e.done)
+		e.done = nil
+	}
+}
+
+// checkpointIfDue makes a round of checkpoints when the journal has grown or
+// some time has passed.
+func (m *Manager) checkpointIfDue(ctx context.Context) error {
+	now := m.options.Clock.Now()
+	bytes := m.options.Journal.Stats().Bytes
+	m.mu.Lock()
+	if m.ckpt.at.IsZero() {
+		m.ckpt.at = now
+	}
+	grown := bytes-m.ckpt.bytes >= uint64(m.options.CheckpointBytes)
+	due := grown || now.Sub(m.ckpt.at) >= m.options.CheckpointEvery
+	m.mu.Unlock()
+	if !due || m.options.Membership.Valid() != nil || !m.options.View.StoreReachable() {
+		return nil
+	}
+	return m.Checkpoint(ctx)
+}
+
+// Checkpoint stores the state of all own shards that have changed and deletes
+// the journal pages that are then not needed any more.
+func (m *Manager) Checkpoint(ctx context.Context) error {
+	position := m.options.Journal.Position()
+	bytes := m.options.Journal.Stats().Bytes
+	for _, number := range m.touchedShards() {
+		if err := m.checkpointShard(ctx, number); err != nil {
+			return err
+		}
+	}
+	if _, err := m.options.Journal.Trim(ctx, position); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ckpt = checkpointRound{at: m.options.Clock.Now(), bytes: bytes}
+	return nil
+}
+
+func (m *Manager) touchedShards() []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var numbers []int
+	for number, s := range m.shards {
+		if s.touched && s.session == m.self() {
+			numbers = append(numbers, number)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+func (m *Manager) checkpointShard(ctx context.Context, number int) error {
+	state, position, err := m.encodeGated(number)
+	if err != nil || state == nil {
+		return err
+	}
+	return m.storeCheckpoint(ctx, number, position, state)
+}
+
+func (m *Manager) encodeGated(number int) ([]byte, uint64, error) {
+	m.gate.Lock()
+	defer m.gate.Unlock()
+	return m.encodeShard(number)
+}
+
+// putCheckpoint stores a checkpoint while the caller holds gate.
+func (m *Manager) putCheckpoint(ctx context.Context, number int) error {
+	state, position, err := m.encodeShard(number)
+	if err != nil {
+		return err
+	}
+	return m.storeCheckpoint(ctx, number, position, state)
+}
+
+func (m *Manager) storeCheckpoint(ctx context.Context, number int, position uint64, state []byte) error {
+	err := m.options.Journal.Checkpoint(ctx, number, position, state)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.shards[number]
+	if s == nil {
+		return err
+	}
+	if err != nil {
+		s.touched = true
+		return err
+	}
+	s.copied = true
+	return nil
+}
+
+// encodeShard returns the state of a shard and the position that it covers. The
+// caller holds gate.
+func (m *Manager) encodeShard(number int) ([]byte, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.shards[number]
+	if s == nil {
+		return nil, 0, nil
+	}
+	records := make([]record, 0, len(s.entries))
+	for _, e := range s.entries {
+		r := e.record()
+		r.Job = &e.job
+		records = append(records, r)
+	}
+	state, err := cbor.Marshal(records)
+	if err != nil {
+		return nil, 0, fmt.Errorf("encode shard %d: %w", number, err)
+	}
+	s.touched = false
+	return state, m.options.Journal.Position(), nil
+}
+
+// errNotDone tells a forwarded wait that its time is over.
+var errNotDone = errors.New("job has not ended")
--- /dev/null
+++ b/control/journal/recover.go
@@ -0,0 +1,264 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthfork.example/control"
+	"amaranthfork.example/platform"
+)
+
+// rangeRows is the number of rows read or deleted by one call of the table.
+const rangeRows = 64
+
+// maxReread bounds the reads of a checkpoint that newer ones replace meanwhile.
+const maxReread = 5
+
+// Checkpoint stores the state of a shard. The state must contain the effect of
+// every record of the shard in pages below position, which is a value that
+// Position has returned. Older checkpoints of the shard are deleted.
+func (j *Journal) Checkpoint(ctx context.Context, shard int, position uint64, state []byte) error {
+	session := j.options.Membership.Self().ID
+	key := checkpointKey(session, shard, position)
+	older, err := j.options.Objects.List(ctx, shardPrefix(session, shard))
+	if err != nil {
+		return fmt.Errorf("list checkpoints of shard %d: %w", shard, err)
+	}
+	if err := j.options.Objects.Put(ctx, key, state); err != nil {
+		return fmt.Errorf("write checkpoint of shard %d: %w", shard, err)
+	}
+	for _, old := range older {
+		if old < key {
+			_ = j.options.Objects.Delete(ctx, old) // a leftover is ignored, and deleted with the next checkpoint
+		}
+	}
+	return nil
+}
+
+// Trim deletes the own pages below a position, which must all be covered by
+// checkpoints. It writes as the rate allows and returns the number of pages
+// that it has deleted; the rest remains for the next call.
+func (j *Journal) Trim(ctx context.Context, position uint64) (int, error) {
+	deleted := 0
+	session := j.options.Membership.Self().ID
+	end := pageKey(session, position)
+	for {
+		rows, err := j.options.Table.Range(ctx, pagePrefix(session), "", rangeRows)
+		if err != nil {
+			return deleted, fmt.Errorf("list journal pages: %w", err)
+		}
+		keys := rowKeys(rows, end)
+		if len(keys) == 0 || !j.allow() {
+			return deleted, nil
+		}
+		if err := deleteRows(ctx, j.options.Table, keys, j.options.TxnID(), j.options.Membership.Session()); err != nil {
+			return deleted, fmt.Errorf("delete journal pages: %w", err)
+		}
+		deleted += len(keys)
+	}
+}
+
+func (j *Journal) allow() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.options.Clock.Now()
+	j.setRate(now)
+	return j.limiter.AllowN(now, 1)
+}
+
+// rowKeys returns the keys of rows below end; an empty end means all.
+func rowKeys(rows []platform.Row, end string) []string {
+	var keys []string
+	for _, row := range rows {
+		if end == "" || row.Key < end {
+			keys = append(keys, row.Key)
+		}
+	}
+	return keys
+}
+
+func deleteRows(ctx context.Context, table platform.Table, keys []string, id string, conditions ...platform.Condition) error {
+	txn := platform.Txn{ID: id, Conditions: conditions}
+	for _, key := range keys {
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
+	}
+	_, err := table.Commit(ctx, txn)
+	return err
+}
+
+// Recovery is what a session has left behind.
+type Recovery struct {
+	States  map[int][]byte   // newest checkpoint by shard
+	Records []control.Record // of the requested shards, in the order of the pages
+	Pages   int              // read
+	Objects []string         // keys of the checkpoints read
+}
+
+// Recover reads what a session has left behind through the journal's stores.
+func (j *Journal) Recover(ctx context.Context, session string, shards []int) (Recovery, error) {
+	return Recover(ctx, j.options.Table, j.options.Objects, session, shards)
+}
+
+// Recover reads all pages of a session and the newest checkpoints of the given
+// shards. The session must be fenced, or have released the shards. Pages that
+// are deleted meanwhile are covered by the checkpoints, which are read last.
+func Recover(ctx context.Context, table platform.Table, objects platform.Objects, session string, shards []int) (Recovery, error) {
+	r := Recovery{States: map[int][]byte{}}
+	if err := r.readPages(ctx, table, session, shards); err != nil {
+		return Recovery{}, fmt.Errorf("read journal of session %s: %w", session, err)
+	}
+	for _, shard := range shards {
+		if err := r.readCheckpoint(ctx, objects, session, shard); err != nil {
+			return Recovery{}, fmt.Errorf("read checkpoint of session %s, shard %d: %w", session, shard, err)
+		}
+	}
+	return r, nil
+}
+
+func (r *Recovery) readPages(ctx context.Context, table platform.Table, session string, shards []int) error {
+	after := ""
+	for {
+		rows, err := table.Range(ctx, pagePrefix(session), after, rangeRows)
+		if err != nil {
+			return err
+		}
+		if len(rows) == 0 {
+			return nil
+		}
+		for _, row := range rows {
+			if err := r.addPage(row, shards); err != nil {
+				return err
+			}
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (r *Recovery) addPage(row platform.Row, shards []int) error {
+	var body pageBody
+	if err := cbor.Unmarshal(row.Value, &body); err != nil {
+		return fmt.Errorf("decode page %s: %w", row.Key, err)
+	}
+	r.Pages++
+	for _, record := range body.Records {
+		if slices.Contains(shards, record.Shard) {
+			r.Records = append(r.Records, record)
+		}
+	}
+	return nil
+}
+
+// readCheckpoint reads the newest checkpoint. It lists again when the newest is
+// replaced between the list and the read.
+func (r *Recovery) readCheckpoint(ctx context.Context, objects platform.Objects, session string, shard int) error {
+	for range maxReread {
+		keys, err := objects.List(ctx, shardPrefix(session, shard))
+		if err != nil {
+			return err
+		}
+		if len(keys) == 0 {
+			return nil
+		}
+		state, err := objects.Get(ctx, slices.Max(keys))
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		r.States[shard] = state
+		r.Objects = append(r.Objects, keys...)
+		return nil
+	}
+	return fmt.Errorf("%w: checkpoint is replaced faster than it can be read", platform.ErrUnavailable)
+}
+
+// Sweeper deletes what sessions have left behind that nobody needs any more.
+type Sweeper struct {
+	Table   platform.Table
+	Objects platform.Objects
+	// Referenced reads the sessions whose pages and checkpoints are needed from
+	// the store: the owners of shards and the sources of takeovers.
+	Referenced func(ctx context.Context) (map[string]bool, error)
+	TxnID      func() string
+}
+
+// Sweep deletes up to one batch of pages and checkpoints of each session that
+// is not referenced. It lists first and reads the references afterwards: a
+// session writes only after the shard map names it, so whatever was listed and
+// is not referenced later has been taken over by another session.
+func (s Sweeper) Sweep(ctx context.Context) (deleted int, err error) {
+	pages, err := s.pages(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("list journal pages: %w", err)
+	}
+	objects, err := s.Objects.List(ctx, "checkpoint/")
+	if err != nil {
+		return 0, fmt.Errorf("list checkpoints: %w", err)
+	}
+	referenced, err := s.Referenced(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("read referenced sessions: %w", err)
+	}
+	for session, keys := range pages {
+		if referenced[session] {
+			continue
+		}
+		if err := deleteRows(ctx, s.Table, keys, s.TxnID()); err != nil {
+			return deleted, fmt.Errorf("delete journal of session %s: %w", session, err)
+		}
+		deleted += len(keys)
+	}
+	for _, key := range objects {
+		if referenced[sessionOf(key)] {
+			continue
+		}
+		if err := s.Objects.Delete(ctx, key); err != nil {
+			return deleted, fmt.Errorf("delete %s: %w", key, err)
+		}
+		deleted++
+	}
+	return deleted, nil
+}
+
+// pages returns the first page keys of each session with one read per session.
+func (s Sweeper) pages(ctx context.Context) (map[string][]string, error) {
+	found := map[string][]string{}
+	after := "journal/"
+	for {
+		rows, err := s.Table.Range(ctx, "journal/", after, 1)
+		if err != nil || len(rows) == 0 {
+			return found, err
+		}
+		session := sessionOf(rows[0].Key)
+		rows, err = s.Table.Range(ctx, pagePrefix(session), "", rangeRows)
+		if err != nil {
+			return nil, err
+		}
+		found[session] = rowKeys(rows, "")
+		after = pagePrefix(session) + "~" // greater than every sequence
+	}
+}
+
+// sessionOf returns the second part of a page or checkpoint key.
+func sessionOf(key string) string {
+	parts := strings.SplitN(key, "/", 3)
+	if len(parts) < 2 {
+		return ""
+	}
+	return parts[1]
+}
+
+func shardPrefix(session string, shard int) string {
+	return "checkpoint/" + session + "/" + strconv.Itoa(shard) + "/"
+}
+
+func checkpointKey(session string, shard int, position uint64) string {
+	return fmt.Sprintf("%s%016d", shardPrefix(session, shard), position)
+}
