--- /dev/null
+++ b/control/pools/poolstest/entry.go
@@ -0,0 +1,159 @@
+package poolstest
+
+import (
+	"context"
+
+	"amaranthfork.example/control"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/platform/memory"
+)
+
+// Entry is one entry process as seen by its controllers: it is their table,
+// membership, VM list and control of VMs.
+type Entry struct {
+	World  *World
+	ID     string
+	Faults *memory.Faults
+	// Dead makes every call fail; the process has ended.
+	Dead bool
+	// Expired makes the own lease invalid by the own clock.
+	Expired bool
+	// LoseAnswers makes the next calls to the VMs take effect and return
+	// platform.ErrUnknown.
+	LoseAnswers int
+
+	table   *memory.Table
+	session platform.Condition
+}
+
+// Join starts an entry with a new session.
+func (w *World) Join(id string) *Entry {
+	e := &Entry{World: w, ID: id, Faults: &memory.Faults{}}
+	e.table = w.Table.Via(e.Faults)
+	key := "session/" + id
+	versions, err := w.Table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(id)}}})
+	if err != nil {
+		panic(err) // the base table has no faults
+	}
+	e.session = platform.Condition{Key: key, Version: versions[0]}
+	w.members.Version++
+	w.members.List = append(w.members.List[:len(w.members.List):len(w.members.List)], e.Self())
+	return e
+}
+
+// Fence ends the session of an entry and removes it from the member list.
+func (w *World) Fence(e *Entry) {
+	e.Expired = true
+	_, err := w.Table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: e.session.Key, Delete: true}}})
+	if err != nil {
+		panic(err) // the base table has no faults
+	}
+	var left []control.Member
+	for _, m := range w.members.List {
+		if m.ID != e.ID {
+			left = append(left, m)
+		}
+	}
+	w.members = control.Members{Version: w.members.Version + 1, List: left}
+}
+
+// Self returns the own member record.
+func (e *Entry) Self() control.Member { return control.Member{ID: e.ID} }
+
+// Members returns the present member list.
+func (e *Entry) Members() control.Members { return e.World.members }
+
+// Valid returns a refusal after the session has expired.
+func (e *Entry) Valid() error {
+	if e.Expired {
+		return &fleet.Refusal{Reason: fleet.ReasonStaleView, Detail: "session expired"}
+	}
+	return nil
+}
+
+// Session returns the condition that fences the session's writes.
+func (e *Entry) Session() platform.Condition { return e.session }
+
+func (e *Entry) pass(ctx context.Context, op string) error {
+	if e.Dead || ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	if e.World.Hook == nil {
+		return nil
+	}
+	if err := e.World.Hook(e, op); err != nil {
+		return err
+	}
+	if e.Dead {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// Get reads a row.
+func (e *Entry) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := e.pass(ctx, "get"); err != nil {
+		return platform.Row{}, err
+	}
+	return e.table.Get(ctx, key)
+}
+
+// Range reads rows.
+func (e *Entry) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := e.pass(ctx, "range"); err != nil {
+		return nil, err
+	}
+	return e.table.Range(ctx, prefix, after, limit)
+}
+
+// Commit applies a transaction and audits the rows after it.
+func (e *Entry) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	if err := e.pass(ctx, "commit"); err != nil {
+		return nil, err
+	}
+	versions, err := e.table.Commit(ctx, txn)
+	e.World.audit()
+	return versions, err
+}
+
+// List returns the lagging VM list.
+func (e *Entry) List(ctx context.Context) (platform.VMListing, error) {
+	if err := e.pass(ctx, "list"); err != nil {
+		return platform.VMListing{}, err
+	}
+	return e.World.history[0], nil
+}
+
+// Drain tells the worker of a VM to refuse work.
+func (e *Entry) Drain(ctx context.Context, vm fleet.VMID) error {
+	return e.control(ctx, "drain", vm, func(m *machine) error { m.drained = true; return nil })
+}
+
+// Release ends the drain.
+func (e *Entry) Release(ctx context.Context, vm fleet.VMID) error {
+	return e.control(ctx, "release", vm, func(m *machine) error { m.drained = false; return nil })
+}
+
+// Reboot restarts a VM; tasks that still run are recorded as a violation.
+func (e *Entry) Reboot(ctx context.Context, vm fleet.VMID) error {
+	return e.control(ctx, "reboot", vm, func(*machine) error { return e.World.reboot(vm) })
+}
+
+func (e *Entry) control(ctx context.Context, op string, vm fleet.VMID, fn func(*machine) error) error {
+	if err := e.pass(ctx, op); err != nil {
+		return err
+	}
+	m, ok := e.World.vms[vm]
+	if !ok || m.vm.State == fleet.VMGone {
+		return platform.ErrNotFound
+	}
+	if err := fn(m); err != nil {
+		return err
+	}
+	if e.LoseAnswers > 0 {
+		e.LoseAnswers--
+		return platform.ErrUnknown
+	}
+	return nil
+}
--- /dev/null
+++ b/control/role/role_test.go
@@ -0,0 +1,186 @@
+package role_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/pools/poolstest"
+	"amaranthfork.example/control/role"
+	"amaranthfork.example/platform"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+type actor struct {
+	entry *poolstest.Entry
+	role  *role.Role
+	// acted is the epoch of the last action.
+	acted uint64
+}
+
+func join(w *poolstest.World, n int) *actor {
+	e := w.Join(fmt.Sprintf("entry-%02d", n))
+	return &actor{entry: e, role: role.New(role.Options{Name: "test", Table: e, Membership: e})}
+}
+
+// act writes the actor's epoch to a row; pause runs between the check of the
+// role and the commit.
+func (a *actor) act(pause func()) error {
+	conditions, err := a.role.Conditions()
+	if err != nil {
+		return err
+	}
+	epoch := a.role.Epoch()
+	pause()
+	_, err = a.entry.Commit(context.Background(), platform.Txn{
+		Conditions: conditions,
+		Writes:     []platform.Write{{Key: "work", Value: []byte(fmt.Sprint(epoch))}},
+	})
+	if err == nil {
+		a.acted = epoch
+	}
+	return err
+}
+
+// TestPausedHolderCannotAct guards against a holder that is paused, loses the
+// role and writes after the pause.
+func TestPausedHolderCannotAct(t *testing.T) {
+	w, ctx := poolstest.NewWorld(&config.Snapshot{}), context.Background()
+	a := join(w, 1)
+	if err := a.role.Tick(ctx); err != nil || a.role.Held() != nil {
+		t.Fatalf("the only member did not take the role: %v, %v", err, a.role.Held())
+	}
+	b := join(w, 2)
+	if _ = b.role.Tick(ctx); b.role.Held() == nil {
+		t.Fatal("role taken from a live holder")
+	}
+	err := a.act(func() {
+		w.Fence(a.entry)
+		if err := b.role.Tick(ctx); err != nil || b.role.Held() != nil {
+			t.Fatalf("role not taken over after fencing: %v, %v", err, b.role.Held())
+		}
+	})
+	if !errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("paused holder's commit returned %v", err)
+	}
+	if a.role.Held() == nil {
+		t.Fatal("a fenced session still holds the role")
+	}
+	if err := b.role.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	c := join(w, 3)
+	_, _ = b.role.Tick(ctx), c.role.Tick(ctx)
+	if (b.role.Held() == nil) == (c.role.Held() == nil) {
+		t.Fatal("a released role was not taken by exactly one member")
+	}
+}
+
+// TestOneHolderAtATime guards against two holders whose actions interleave, and
+// against a role that nobody takes, under fencing, lost answers and outages.
+func TestOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, ctx := poolstest.NewWorld(&config.Snapshot{}), context.Background()
+		actors, joined, latest := []*actor{}, 0, uint64(0)
+		add := func() { joined++; actors = append(actors, join(w, joined)) }
+		add()
+		pick := func() *actor { return actors[rapid.IntRange(0, len(actors)-1).Draw(t, "actor")] }
+		fence := func(a *actor) { w.Fence(a.entry); add() }
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			a := pick()
+			switch rapid.IntRange(0, 6).Draw(t, "do") {
+			case 0:
+				add()
+			case 1:
+				fence(a)
+			case 2:
+				a.entry.Faults.LoseAnswers(1)
+			case 3:
+				a.entry.Faults.SetDown(rapid.Bool().Draw(t, "down"))
+			case 4:
+				_ = a.role.Tick(ctx)
+			default:
+				_ = a.role.Tick(ctx)
+				successor := pick()
+				err := a.act(func() {
+					if rapid.Bool().Draw(t, "pause") && successor != a {
+						fence(a)
+						_ = successor.role.Tick(ctx)
+					}
+				})
+				if err == nil && a.acted < latest {
+					t.Fatalf("epoch %d acted after epoch %d", a.acted, latest)
+				}
+				latest = max(latest, a.acted)
+				if successor != a && successor.act(func() {}) == nil {
+					latest = max(latest, successor.acted)
+				}
+			}
+		}
+		holders := 0
+		for _, a := range actors {
+			a.entry.Faults.SetDown(false)
+			a.entry.Faults.LoseAnswers(0)
+		}
+		fence(actors[0])
+		for range 2 {
+			for _, a := range actors {
+				_ = a.role.Tick(ctx)
+			}
+		}
+		for _, a := range actors {
+			if a.act(func() {}) == nil {
+				holders++
+			}
+		}
+		if holders != 1 {
+			t.Fatalf("%d members could act", holders)
+		}
+	})
+}
+
+// TestLaggingMemberList guards against taking the role from a holder that the
+// own, older member list does not contain yet.
+func TestLaggingMemberList(t *testing.T) {
+	w, ctx := poolstest.NewWorld(&config.Snapshot{}), context.Background()
+	old := join(w, 1)
+	lagging := old.entry.Members()
+	var holder *actor
+	for n := 2; holder == nil || holder.role.Held() != nil; n++ {
+		holder = join(w, n) // until one is the candidate of its list
+		if err := holder.role.Tick(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stale := role.New(role.Options{Name: "test", Table: old.entry, Membership: staleList{old.entry, lagging}})
+	if err := stale.Tick(ctx); err != nil || stale.Held() == nil {
+		t.Fatalf("role taken on an old member list: %v", err)
+	}
+	if err := holder.act(func() {}); err != nil {
+		t.Fatalf("holder lost the role: %v", err)
+	}
+}
+
+type staleList struct {
+	*poolstest.Entry
+	list control.Members
+}
+
+func (s staleList) Members() control.Members { return s.list }
