Keep reading the role row after a lost answer

A holder whose take-over was answered by a lost answer and whose read back failed did not know that it held the role and, once another entry was the first candidate, never read the row again. It now reads until it knows.

--- a/control/role/role.go
+++ b/control/role/role.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	version uint64 // of the role row while the role is held, otherwise 0
 	epoch   uint64
+	unsure  bool // a commit may have changed who holds the role
 }
 
 // holder is the value of a role row.
@@ -120,7 +121,7 @@
 	if err != nil {
 		return fmt.Errorf("encode role %q: %w", r.options.Name, err)
 	}
-	r.set(0, 0)
+	r.doubt()
 	_, err = r.commit(ctx, conditions, value)
 	return err
 }
@@ -141,6 +142,7 @@
 	case errors.Is(err, platform.ErrConflict):
 		return nil // another entry was faster
 	case errors.Is(err, platform.ErrUnknown):
+		r.doubt()
 		return r.readBack(ctx)
 	}
 	return err
@@ -178,10 +180,13 @@
 	return row, current, nil
 }
 
-// concerned reports whether this entry holds the role or is the one that takes
-// it over. A candidate that cannot act is fenced itself, and the next follows.
+// concerned reports whether this entry holds the role, may hold it after a lost
+// answer, or is the one that takes it over. A candidate that cannot act is fenced itself, and the next follows.
 func (r *Role) concerned(members control.Members) bool {
-	if r.Epoch() != 0 {
+	r.mu.Lock()
+	known := r.epoch != 0 || r.unsure
+	r.mu.Unlock()
+	if known {
 		return true
 	}
 	ids := make([]string, len(members.List))
@@ -194,7 +199,13 @@
 func (r *Role) set(version, epoch uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version, r.epoch = version, epoch
+	r.version, r.epoch, r.unsure = version, epoch, false
+}
+
+func (r *Role) doubt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.epoch, r.unsure = 0, 0, true
 }
 
 func (r *Role) self() string { return r.options.Membership.Self().ID }
--- a/control/role/role_test.go
+++ b/control/role/role_test.go
@@ -103,13 +103,40 @@
 		add()
 		pick := func() *actor { return actors[rapid.IntRange(0, len(actors)-1).Draw(t, "actor")] }
 		fence := func(a *actor) { w.Fence(a.entry); add() }
+		actedBy := map[uint64]*actor{}
+		acted := func(a *actor) {
+			if by := actedBy[a.acted]; a.acted < latest || by != nil && by != a {
+				t.Fatalf("epoch %d of %s acted after epoch %d", a.acted, a.entry.ID, latest)
+			}
+			latest, actedBy[a.acted] = a.acted, a
+		}
+		nested := false
+		w.Hook = func(e *poolstest.Entry, op string) error {
+			if nested || op != "commit" || rapid.IntRange(0, 3).Draw(t, "interleave") > 0 {
+				return nil
+			}
+			nested = true
+			defer func() { nested = false }()
+			if rapid.Bool().Draw(t, "fenced") && !e.Expired {
+				w.Fence(e)
+				add()
+			}
+			for _, other := range actors {
+				if other.entry != e && other.role.Tick(ctx) == nil && other.act(func() {}) == nil {
+					acted(other)
+				}
+			}
+			return nil
+		}
 		for range rapid.IntRange(10, 60).Draw(t, "steps") {
 			a := pick()
 			switch rapid.IntRange(0, 6).Draw(t, "do") {
 			case 0:
 				add()
 			case 1:
-				fence(a)
+				if !a.entry.Expired {
+					fence(a)
+				}
 			case 2:
 				a.entry.Faults.LoseAnswers(1)
 			case 3:
@@ -118,28 +145,17 @@
 				_ = a.role.Tick(ctx)
 			default:
 				_ = a.role.Tick(ctx)
-				successor := pick()
-				err := a.act(func() {
-					if rapid.Bool().Draw(t, "pause") && successor != a {
-						fence(a)
-						_ = successor.role.Tick(ctx)
-					}
-				})
-				if err == nil && a.acted < latest {
-					t.Fatalf("epoch %d acted after epoch %d", a.acted, latest)
-				}
-				latest = max(latest, a.acted)
-				if successor != a && successor.act(func() {}) == nil {
-					latest = max(latest, successor.acted)
+				if a.act(func() {}) == nil {
+					acted(a)
 				}
 			}
 		}
+		w.Hook = nil
 		holders := 0
 		for _, a := range actors {
 			a.entry.Faults.SetDown(false)
 			a.entry.Faults.LoseAnswers(0)
 		}
-		fence(actors[0])
 		for range 2 {
 			for _, a := range actors {
 				_ = a.role.Tick(ctx)
