--- a/control/role/role_test.go
+++ b/control/role/role_test.go
@@ -93,6 +93,42 @@
 	}
 }
 
+// TestTakeInDoubt guards against a session that is fenced while it takes the
+// role, and against a holder that never learns that it took the role because
+// the answer was lost, reading back failed and another candidate has joined.
+func TestTakeInDoubt(t *testing.T) {
+	w, ctx := poolstest.NewWorld(&config.Snapshot{}), context.Background()
+	fenced := join(w, 1)
+	w.Hook = func(e *poolstest.Entry, op string) error {
+		if op == "commit" {
+			w.Fence(e)
+		}
+		return nil
+	}
+	_ = fenced.role.Tick(ctx)
+	if row, err := w.Table.Get(ctx, role.Prefix+"test"); err != nil || row.Version != 0 {
+		t.Fatalf("a fenced session took the role: %+v, %v", row, err)
+	}
+	a, committed := join(w, 2), false
+	w.Hook = func(_ *poolstest.Entry, op string) error {
+		if committed = committed || op == "commit"; committed && op == "get" {
+			return platform.ErrUnavailable
+		}
+		return nil
+	}
+	a.entry.Faults.LoseAnswers(1)
+	if err := a.role.Tick(ctx); !errors.Is(err, platform.ErrUnavailable) || a.role.Held() == nil {
+		t.Fatalf("role in doubt counts as held: %v", err)
+	}
+	w.Hook = nil
+	for n := 3; n < 20; n++ {
+		join(w, n)
+	}
+	if err := a.role.Tick(ctx); err != nil || a.role.Held() != nil {
+		t.Fatalf("the holder does not know that it holds the role: %v, %v", err, a.role.Held())
+	}
+}
+
 // TestOneHolderAtATime guards against two holders whose actions interleave, and
 // against a role that nobody takes, under fencing, lost answers and outages.
 func TestOneHolderAtATime(t *testing.T) {
@@ -117,9 +153,9 @@
 			}
 			nested = true
 			defer func() { nested = false }()
+			add()
 			if rapid.Bool().Draw(t, "fenced") && !e.Expired {
 				w.Fence(e)
-				add()
 			}
 			for _, other := range actors {
 				if other.entry != e && other.role.Tick(ctx) == nil && other.act(func() {}) == nil {
