--- /dev/null
+++ b/control/pools/pools_test.go
@@ -0,0 +1,481 @@
+package pools_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control/pools"
+	"amaranthfork.example/control/pools/poolstest"
+	"amaranthfork.example/control/role"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var ctx = context.Background()
+
+// snapshot declares pools a and b, which name six VMs each of the twelve that
+// have racks r0 to r3 in data centres d0 and d1, and a spare pool.
+func snapshot() *config.Snapshot {
+	s := &config.Snapshot{
+		Pools: map[fleet.PoolName]fleet.Pool{
+			"a": {Name: "a", MaxUnavailable: 2}, "b": {Name: "b", MaxUnavailable: 2},
+			"spare": {Name: "spare", Spare: true, MaxUnavailable: 1},
+		},
+		DataCentres: map[fleet.DataCentreName]fleet.DataCentre{
+			"d0": {Name: "d0", State: fleet.DataCentreIn}, "d1": {Name: "d1", State: fleet.DataCentreIn},
+		},
+		Maintenance: fleet.MaintenancePlan{
+			Period: 14 * 24 * time.Hour, DrainTimeout: 10 * time.Minute, RebootTimeout: 10 * time.Minute,
+			MaxPerRack: 2, MaxPerDataCentre: 3, StopAfterFailures: 2, AvoidDataCentresOut: true,
+		},
+	}
+	for i := range 12 {
+		name := fleet.PoolName("a")
+		if i%2 == 1 {
+			name = "b"
+		}
+		p := s.Pools[name]
+		p.VMs = append(p.VMs, vmID(i))
+		s.Pools[name] = p
+	}
+	return s
+}
+
+func vmID(i int) fleet.VMID { return fleet.VMID(fmt.Sprintf("vm-%02d", i)) }
+
+func vm(i int) fleet.VM {
+	rack := i / 3 % 4
+	return fleet.VM{
+		ID: vmID(i), DataCentre: fleet.DataCentreName(fmt.Sprintf("d%d", rack/2)),
+		Rack: fleet.RackName(fmt.Sprintf("r%d", rack)),
+	}
+}
+
+// node is one entry with its controller.
+type node struct {
+	*poolstest.Entry
+	ledger     *pools.Ledger
+	controller *pools.Controller
+}
+
+func join(w *poolstest.World, n int) *node {
+	e := w.Join(fmt.Sprintf("entry-%03d", n))
+	ledger := pools.NewLedger(pools.LedgerOptions{Table: e, View: w, Clock: w})
+	return &node{e, ledger, pools.NewController(pools.Options{
+		Ledger: ledger, View: w, VMList: e, VMs: e, Dispatch: w, Clock: w,
+		Role: role.New(role.Options{Name: pools.Name, Table: e, Membership: e}),
+	})}
+}
+
+// settled returns a world whose 13 VMs are assigned; vm-12 is a spare one.
+func settled(t interface{ Fatal(...any) }) (*poolstest.World, *node) {
+	w := poolstest.NewWorld(snapshot())
+	for i := range 13 {
+		w.Add(vm(i))
+	}
+	n := join(w, 0)
+	w.Step(time.Second)
+	if err := errors.Join(n.controller.Tick(ctx), w.Work.Tick(ctx)); err != nil {
+		t.Fatal(err)
+	}
+	return w, n
+}
+
+// round ticks a controller and the dispatcher's cache after some time.
+func round(w *poolstest.World, n *node) error {
+	w.Step(20 * time.Second)
+	return errors.Join(n.controller.Tick(ctx), w.Work.Tick(ctx))
+}
+
+// TestMove guards the steps of a move: it waits for running work, a timed-out or
+// aborted one goes back, and the budget is returned in each case.
+func TestMove(t *testing.T) {
+	cases := map[string]struct {
+		during func(w *poolstest.World, n *node) error
+		taskS  int // running time of the task in seconds
+		pool   fleet.PoolName
+	}{
+		"idle":            {nil, 0, "b"},
+		"task ends":       {nil, 120, "b"},
+		"timed out":       {nil, 7200, "a"},
+		"aborted":         {func(_ *poolstest.World, n *node) error { return n.ledger.Abort(ctx, vmID(0)) }, 120, "a"},
+		"failed":          {func(w *poolstest.World, _ *node) error { w.Kill(vmID(0), fleet.VMLeaving); return nil }, 120, "a"},
+		"answers lost":    {func(_ *poolstest.World, n *node) error { n.Faults.LoseAnswers(3); n.LoseAnswers = 3; return nil }, 120, "b"},
+		"asked for twice": {func(_ *poolstest.World, n *node) error { return n.ledger.Move(ctx, vmID(0), "b") }, 120, "b"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w, n := settled(t)
+			if tc.taskS > 0 && !w.Start(vmID(0), "task", poolstest.Task{End: w.Time.Add(time.Duration(tc.taskS) * time.Second)}) {
+				t.Fatal("task not started")
+			}
+			if err := n.ledger.Move(ctx, vmID(0), "b"); err != nil {
+				t.Fatal(err)
+			}
+			_ = round(w, n)
+			if tc.during != nil {
+				if err := tc.during(w, n); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for i := range 60 {
+				if i == 40 && name == "failed" {
+					w.Kill(vmID(0), fleet.VMLive)
+				}
+				_ = round(w, n)
+			}
+			checkPlace(t, w, vmID(0), tc.pool, pools.StateActive)
+			checkNoRecords(t, w)
+			if _, drained := w.VM(vmID(0)); drained {
+				t.Error("VM was not released")
+			}
+			checkViolations(t, w)
+		})
+	}
+}
+
+// TestDraw guards each limit of the budgets at the moment of a draw.
+func TestDraw(t *testing.T) {
+	out := func(dc fleet.DataCentreName) func(*config.Snapshot) {
+		return func(s *config.Snapshot) {
+			s.DataCentres[dc] = fleet.DataCentre{Name: dc, State: fleet.DataCentreOut}
+		}
+	}
+	cases := map[string]struct {
+		change func(*config.Snapshot)
+		drawn  []int // VMs drawn before: failures
+		vm     int
+		cause  pools.Cause
+		bound  pools.Bound // "" when the draw is accepted
+	}{
+		"first":                     {nil, nil, 0, pools.CausePlanned, ""},
+		"pool":                      {nil, []int{0, 6}, 2, pools.CausePlanned, pools.BoundPool},
+		"other pool":                {nil, []int{0, 6}, 1, pools.CausePlanned, ""},
+		"failure above pool":        {nil, []int{0, 6}, 2, pools.CauseFailed, ""},
+		"rack":                      {nil, []int{0, 1}, 2, pools.CauseOperator, pools.BoundRack},
+		"data centre":               {nil, []int{1, 2, 5}, 4, pools.CauseMove, pools.BoundDataCentre},
+		"spare moves freely":        {func(s *config.Snapshot) { setMax(s, "spare", 0) }, nil, 12, pools.CauseMove, ""},
+		"spare is maintained":       {func(s *config.Snapshot) { setMax(s, "spare", 0) }, nil, 12, pools.CausePlanned, pools.BoundPool},
+		"unavailable":               {nil, []int{0}, 0, pools.CausePlanned, pools.BoundUnavailable},
+		"other out, avoided":        {out("d1"), nil, 0, pools.CausePlanned, pools.BoundDataCentreOut},
+		"other out counts for pool": {out("d1"), nil, 0, pools.CauseOperator, pools.BoundPool},
+		"own out":                   {out("d0"), nil, 0, pools.CausePlanned, ""},
+		"own out, budget on return": {out("d0"), []int{6, 8}, 0, pools.CausePlanned, pools.BoundPool},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w, n := settled(t)
+			for _, i := range tc.drawn {
+				if err := n.ledger.Draw(ctx, vm(i).DataCentre, vmID(i), pools.CauseFailed, ""); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if tc.change != nil {
+				tc.change(w.Config)
+			}
+			err := n.ledger.Draw(ctx, vm(tc.vm).DataCentre, vmID(tc.vm), tc.cause, "")
+			var refused *pools.BudgetError
+			switch {
+			case tc.bound == "" && err != nil:
+				t.Fatalf("refused: %v", err)
+			case tc.bound != "" && !errors.As(err, &refused):
+				t.Fatalf("not refused: %v", err)
+			case tc.bound != "" && refused.Bound != tc.bound:
+				t.Fatalf("refused by the wrong bound: %v", err)
+			}
+		})
+	}
+}
+
+func setMax(s *config.Snapshot, name fleet.PoolName, n int) {
+	p := s.Pools[name]
+	p.MaxUnavailable = n
+	s.Pools[name] = p
+}
+
+// TestGoneVM guards against a budget that forgets a lost VM before another has
+// taken its place, and against removing VMs that a listing only omits.
+func TestGoneVM(t *testing.T) {
+	w, n := settled(t)
+	w.Kill(vmID(0), fleet.VMGone)
+	for range 60 {
+		if err := round(w, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := n.ledger.Locate(ctx, vmID(0)); !errors.Is(err, pools.ErrUnassigned) {
+		t.Fatalf("gone VM is still assigned: %v", err)
+	}
+	if byPool, _, err := n.ledger.Budgets(ctx); err != nil || byPool["a"].Lost() != 1 {
+		t.Fatalf("pool has %d lost VMs, want 1; %v", byPool["a"].Lost(), err)
+	}
+	if err := n.ledger.Move(ctx, vmID(12), "a"); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		if err := round(w, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	checkPlace(t, w, vmID(12), "a", pools.StateActive)
+	checkNoRecords(t, w)
+	w.Kill(vmID(1), fleet.VMLeaving)
+	for range 60 {
+		if err := round(w, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	checkPlace(t, w, vmID(1), "b", pools.StateActive)
+	delete(w.Config.Pools, "b")
+	w.Kill(vmID(1), fleet.VMLive)
+	for range 200 {
+		if err := round(w, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	checkPlace(t, w, vmID(1), "spare", pools.StateActive)
+	checkViolations(t, w)
+}
+
+// TestRaces guards C1 and C2 (checked after every commit by the audit of the
+// world) and the end of every move, under races of entries and operators, ends
+// and pauses of entries between any two calls, lost answers, outages, failing
+// VMs and racks, and data centres that are taken out.
+func TestRaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, first := settled(t)
+		w.Lag = time.Duration(rapid.IntRange(0, 120).Draw(t, "lag")) * time.Second
+		c := &chaos{t: t, w: w, nodes: []*node{first}, joined: 1}
+		c.add()
+		w.Hook = c.hook
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			c.step()
+			if len(w.Violations) > 0 {
+				t.Fatal(w.Violations)
+			}
+		}
+		c.heal()
+	})
+}
+
+type chaos struct {
+	t      *rapid.T
+	w      *poolstest.World
+	nodes  []*node
+	joined int
+	tasks  int
+	nested bool
+}
+
+func (c *chaos) int(label string, n int) int { return rapid.IntRange(0, n-1).Draw(c.t, label) }
+func (c *chaos) vm() fleet.VMID              { return vmID(c.int("vm", 13)) }
+func (c *chaos) node() *node                 { return c.nodes[c.int("node", len(c.nodes))] }
+
+func (c *chaos) add() {
+	c.joined++
+	c.nodes = append(c.nodes, join(c.w, c.joined))
+}
+
+// fence ends the session of an entry and starts another in its place. The old
+// entry stays among the nodes when it is only paused.
+func (c *chaos) fence(e *poolstest.Entry) {
+	if e.Expired {
+		return
+	}
+	c.w.Fence(e)
+	c.add()
+}
+
+func (c *chaos) hook(e *poolstest.Entry, op string) error {
+	if c.nested {
+		return nil
+	}
+	c.nested = true
+	defer func() { c.nested = false }()
+	switch c.int("fault", 24) {
+	case 0:
+		e.Dead = true
+		c.fence(e)
+	case 1, 2: // others act while the entry waits
+		c.step()
+	case 3: // paused for longer than its session
+		c.fence(e)
+		for range 4 {
+			c.step()
+		}
+		if op == "drain" || op == "release" {
+			return platform.ErrUnavailable // the call's time has run out
+		}
+	case 4:
+		e.Faults.LoseAnswers(1)
+		e.LoseAnswers = 1
+	}
+	return nil
+}
+
+func (c *chaos) step() {
+	w, n := c.w, c.node()
+	pool := []fleet.PoolName{"a", "b", "spare"}
+	switch c.int("do", 16) {
+	case 0, 1, 2, 3:
+		_ = n.controller.Tick(ctx)
+	case 4, 5:
+		_ = n.ledger.Move(ctx, c.vm(), pool[c.int("pool", 3)])
+	case 6:
+		_ = n.ledger.Abort(ctx, c.vm())
+	case 7:
+		id := c.vm()
+		_ = n.ledger.Draw(ctx, vm(0).DataCentre, id, pools.CauseFailed, "reported by the dispatcher")
+	case 8:
+		states := []fleet.VMState{fleet.VMLive, fleet.VMLeaving, fleet.VMGone}
+		w.Kill(c.vm(), states[c.int("state", 3)])
+	case 9:
+		for i, rack := 0, c.int("rack", 4); i < 3; i++ {
+			w.Kill(vmID(rack*3+i), fleet.VMLeaving)
+		}
+	case 10, 11:
+		c.tasks++
+		w.Start(c.vm(), fleet.AttemptID(fmt.Sprint(c.tasks)), poolstest.Task{End: w.Time.Add(time.Duration(c.int("minutes", 20)) * time.Minute)})
+	case 12:
+		_ = w.Work.Tick(ctx)
+	case 13:
+		w.Step(time.Duration(c.int("seconds", 400)) * time.Second)
+	case 14:
+		n.Faults.SetDown(rapid.Bool().Draw(c.t, "down"))
+	case 15:
+		if !c.nested { // a draw that has passed its check may commit after the change
+			dc := fleet.DataCentreName(fmt.Sprintf("d%d", c.int("dc", 2)))
+			states := []fleet.DataCentreState{fleet.DataCentreIn, fleet.DataCentreOut}
+			w.Config.DataCentres[dc] = fleet.DataCentre{Name: dc, State: states[c.int("dcState", 2)]}
+		}
+	}
+}
+
+// heal ends all faults and checks that every move ends and every VM serves.
+func (c *chaos) heal() {
+	w := c.w
+	w.Hook = nil
+	for _, id := range w.IDs() {
+		w.Kill(id, fleet.VMLive)
+	}
+	for _, n := range c.nodes {
+		n.Faults.SetDown(false)
+		n.Faults.LoseAnswers(0)
+		n.LoseAnswers = 0
+	}
+	var errs error
+	for range 80 {
+		errs = nil
+		for _, n := range c.nodes {
+			if !n.Expired {
+				errs = errors.Join(errs, round(w, n))
+			}
+		}
+	}
+	if errs != nil || len(w.Violations) > 0 {
+		c.t.Fatal(errs, w.Violations)
+	}
+	for _, id := range w.IDs() {
+		if pool, state := w.Work.Pool(id); state != pools.StateActive || pool == "" {
+			c.t.Fatalf("VM %s is %s in pool %q", id, state, pool)
+		}
+		if _, drained := w.VM(id); drained {
+			c.t.Fatalf("VM %s is still drained", id)
+		}
+	}
+	byPool, byDC, err := c.nodes[len(c.nodes)-1].ledger.Budgets(ctx)
+	for dc, b := range byDC {
+		if len(b.VMs) > 0 || err != nil {
+			c.t.Fatal(dc, b, err)
+		}
+	}
+	for pool, b := range byPool {
+		if len(b.VMs) != b.Lost() {
+			c.t.Fatal(pool, b)
+		}
+	}
+}
+
+// TestCacheReads guards the cost of polling: one read for each data centre, and
+// no more than 4 KB for 115 VMs.
+func TestCacheReads(t *testing.T) {
+	s := snapshot()
+	w := poolstest.NewWorld(s)
+	for i := range 115 {
+		w.Add(fleet.VM{ID: fleet.VMID(fmt.Sprintf("worker-%04d", i)), DataCentre: "d0", Rack: fleet.RackName(fmt.Sprintf("rack-%02d", i/4))})
+	}
+	n := join(w, 0)
+	w.Step(time.Second)
+	if err := n.controller.Tick(ctx); err != nil {
+		t.Fatal(err)
+	}
+	cache := pools.NewCache(pools.CacheOptions{Table: n, Clock: w, DataCentre: "d0"})
+	before, _ := n.Faults.Counts()
+	if err := cache.Tick(ctx); err != nil {
+		t.Fatal(err)
+	}
+	after, _ := n.Faults.Counts()
+	row, err := w.Table.Get(ctx, pools.AssignmentPrefix+"d0")
+	if err != nil || after-before != 1 || len(row.Value) > 4096 || len(cache.Members("spare")) != 115 {
+		t.Fatalf("%d reads, %d bytes, %d members, %v", after-before, len(row.Value), len(cache.Members("spare")), err)
+	}
+	t.Logf("115 VMs: 1 read of %d bytes", len(row.Value))
+	n.Faults.SetDown(true)
+	if err := cache.Tick(ctx); err == nil {
+		t.Fatal("outage not reported")
+	}
+	if pool, state := cache.Pool("worker-0003"); pool != "spare" || state != pools.StateActive {
+		t.Fatalf("outage lost the assignment: %q %s", pool, state)
+	}
+}
+
+func checkPlace(t *testing.T, w *poolstest.World, id fleet.VMID, pool fleet.PoolName, state pools.State) {
+	t.Helper()
+	if p, s := w.Work.Pool(id); p != pool || s != state {
+		t.Fatalf("VM %s is %s in pool %q, want %s in %q", id, s, p, state, pool)
+	}
+}
+
+func checkNoRecords(t *testing.T, w *poolstest.World) {
+	t.Helper()
+	byPool, byDC, err := pools.NewLedger(pools.LedgerOptions{Table: w.Table, View: w, Clock: w}).Budgets(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, b := range byPool {
+		if len(b.VMs) > 0 {
+			t.Fatalf("pool %s: %+v", name, b)
+		}
+	}
+	for name, b := range byDC {
+		if len(b.VMs) > 0 {
+			t.Fatalf("data centre %s: %+v", name, b)
+		}
+	}
+}
+
+func checkViolations(t *testing.T, w *poolstest.World) {
+	t.Helper()
+	if len(w.Violations) > 0 {
+		t.Fatal(w.Violations)
+	}
+}
