Measure undone work against an unlimited fleet

The measure now counts of each job only what fits before the end, and takes work back that is done again after an interruption. The policy gets the settings BatchSteady and SpareFirst; their defaults keep the behaviour.

--- a/cmd/internal/measure/meter.go
+++ b/cmd/internal/measure/meter.go
@@ -39,6 +39,13 @@
 	return m
 }
 
+// redo takes back work that has to be done again after an interruption.
+func (m *meter) redo(now, ticks int) {
+	if m.change.has(now) {
+		m.work -= ticks
+	}
+}
+
 func (m *meter) decided(d time.Duration) { _ = m.decide.RecordValue(int64(d)) }
 
 // started records the start delay of a job; a start in the tick of arrival
@@ -68,35 +75,36 @@
 	}
 }
 
-// observeChange counts work done against the work there was: what waited or
-// ran at the begin of the change and what arrived in it.
+// observeChange counts work done against what an unlimited fleet would have
+// done: of each job, no more than fits before the end of the change.
 func (m *meter) observeChange(w *world, busy int) {
 	if !m.change.has(w.now) {
 		return
 	}
 	m.work += busy
 	if w.now == m.change.from {
-		m.offered += w.outstanding()
+		m.offered += w.outstanding(m.change.to - w.now)
 		return
 	}
 	for _, j := range w.d.arrivals[w.now] {
-		m.offered += j.left
+		m.offered += min(j.left, m.change.to-w.now)
 	}
 }
 
-// outstanding returns the slot-ticks of work that waits or runs.
-func (w *world) outstanding() int {
+// outstanding returns the slot-ticks of work that waits or runs, at most limit
+// of each job.
+func (w *world) outstanding(limit int) int {
 	sum := 0
 	for _, lanes := range w.lanes {
 		for _, l := range lanes {
 			for _, j := range l.jobs[l.head:] {
-				sum += j.left
+				sum += min(j.left, limit)
 			}
 		}
 	}
 	for i := range w.vms {
 		for _, t := range w.vms[i].tasks {
-			sum += t.end - w.now
+			sum += min(t.end-w.now, limit)
 		}
 	}
 	return sum
--- a/cmd/internal/measure/world.go
+++ b/cmd/internal/measure/world.go
@@ -167,6 +167,7 @@
 	t.gone = true
 	w.running[t.job.team]--
 	w.check.ended(t)
+	w.m.redo(w.now, left-(t.end-w.now))
 	t.job.left = max(1, left)
 	w.byKey[[3]int{t.job.queue, t.job.class, t.job.team}].pushFront(t.job)
 }
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -102,13 +102,12 @@
 	const (
 		perRunning   = 1.0 // a running task delays the move
 		perSecond    = 0.5
-		fromWorking  = 0.8
 		perSurplus   = 0.1
 		perNeighbour = 0.2
 	)
 	cost := perRunning*float64(vm.Running) + perSecond*min(vm.Remaining, 10*time.Second).Seconds()
 	if !from.Spare {
-		cost += fromWorking - perSurplus*float64(from.have-from.need)
+		cost += b.set.SpareFirst - perSurplus*float64(from.have-from.need)
 	}
 	cost += perNeighbour * float64(to.byDC[vm.DataCentre]+to.byRack[vm.Rack])
 	cost -= perNeighbour * float64(from.byDC[vm.DataCentre]+from.byRack[vm.Rack]) / 2
--- a/policy/capacity/need.go
+++ b/policy/capacity/need.go
@@ -43,13 +43,32 @@
 	wants := make([]want, 0, len(b.s.Work))
 	for _, w := range b.s.Work {
 		run := w.RunTime.Seconds()
-		steady := max(float64(w.Running), w.Arrivals*run)
+		steady := max(float64(w.Running), b.set.offered(w))
 		backlog := float64(w.Queued) * min(1, run/b.set.clearWithin(w.Class).Seconds())
 		wants = append(wants, want{work: w, slots: steady + backlog})
 	}
 	return wants
 }
 
+// offered returns the slots that the arrivals of a row take if none waits.
+func (s Settings) offered(w Work) float64 {
+	slots := w.Arrivals * w.RunTime.Seconds()
+	if w.Class == fleet.ClassBatch {
+		return slots * s.BatchSteady
+	}
+	return slots
+}
+
+// OfferedSlots returns the slots that the arrivals in each pool take if none
+// waits. It is the figure to feed to a forecast of Outlook.Slots and Peak.
+func OfferedSlots(work []Work, set Settings) map[fleet.PoolName]float64 {
+	offered := make(map[fleet.PoolName]float64)
+	for _, w := range work {
+		offered[w.Pool] += set.offered(w)
+	}
+	return offered
+}
+
 func (s Settings) clearWithin(c fleet.Class) time.Duration {
 	switch c {
 	case fleet.ClassUrgent:
--- a/policy/capacity/settings.go
+++ b/policy/capacity/settings.go
@@ -11,6 +11,7 @@
 	ClearUrgent   time.Duration // queued urgent work is to start within this time
 	ClearStandard time.Duration // queued standard work is to start within this time
 	ClearBatch    time.Duration // queued batch work is to start within this time
+	BatchSteady   float64       // part of the arriving batch work that counts before it queues
 	Headroom      float64       // part of the demand kept free on top of it
 	Ready         float64       // part of a pool's usual burst for which it keeps VMs between bursts
 	ShareBlend    float64       // 1 divides a full fleet by shares only, 0 by demand only
@@ -21,6 +22,7 @@
 	Hold          time.Duration // a surplus must last this long before VMs go back
 	DeficitHold   time.Duration // a deficit must last this long before VMs come
 	GiveMargin    int           // VMs above its need that a donor other than the spare pool keeps
+	SpareFirst    float64       // preference of the spare pool over other donors, in running tasks
 	SpareReserve  int           // VMs that stay in the spare pool unless urgent work waits
 	Ramp          time.Duration // a returned data centre reaches its full capacity after this time
 }
@@ -31,6 +33,7 @@
 		ClearUrgent:   500 * time.Millisecond,
 		ClearStandard: 3 * time.Second,
 		ClearBatch:    time.Minute,
+		BatchSteady:   1,
 		Headroom:      0.1,
 		Ready:         0.5,
 		ShareBlend:    0.5,
@@ -41,6 +44,7 @@
 		Hold:          4 * time.Second,
 		DeficitHold:   0,
 		GiveMargin:    1,
+		SpareFirst:    0.8,
 		Ramp:          20 * time.Second,
 	}
 }
