--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -33,11 +33,31 @@
 var versions = []version{
 	{
 		name: "v1", about: "need from load and backlog, forecast of turns",
+		settings: settingsV1,
+		forecast: forecast.DefaultOptions(),
+	},
+	{
+		name: "v2", about: "VMs go from pool to pool, and back only when no pool needed them for 30 s",
 		settings: func(s *Scenario) capacity.Settings { return capacity.SettingsFor(s.Profile) },
 		forecast: forecast.DefaultOptions(),
 	},
 }
 
+// settingsV1 are the settings of the first version.
+func settingsV1(s *Scenario) capacity.Settings {
+	p := s.Profile
+	hold := p.MoveWeight / p.IdleWeight
+	return capacity.Settings{
+		ClearUrgent: 500 * time.Millisecond, ClearStandard: 3 * time.Second, ClearBatch: time.Minute,
+		BatchSteady: 1, Headroom: 0.1, Ready: min(1, 0.5/p.IdleWeight),
+		ShareBlend: p.ShareWeight / (1 + p.ShareWeight),
+		MoveCost:   16 * p.MoveWeight, MaxMoves: 0.2, MinStay: seconds(8 * p.MoveWeight), SpareStay: time.Second,
+		Hold: seconds(4 * hold), GiveMargin: 1, SpareFirst: 0.8, Ramp: 20 * time.Second,
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // policies returns the baselines, the versions and the bounds in the order of
 // the report.
 func policies() []*policy {
--- a/policy/capacity/books.go
+++ b/policy/capacity/books.go
@@ -142,6 +142,38 @@
 			b.memory.DeficitSince[p.Name] = earlier(m.DeficitSince, p.Name, b.s.Now)
 		}
 	}
+	b.memory.Window = m.Window.advance(b.totalSurplus(), b.s.Now, b.set.ParkAfter)
+}
+
+// totalSurplus returns the VMs that all pools together do not need now.
+func (b *books) totalSurplus() int {
+	sum := 0
+	for _, p := range b.order {
+		if !p.Spare {
+			sum += p.surplus()
+		}
+	}
+	return max(0, sum)
+}
+
+// advance takes one more observation of the surplus.
+func (w Window) advance(surplus int, now time.Time, span time.Duration) Window {
+	switch {
+	case w.Began.IsZero():
+		return Window{Began: now, Least: surplus}
+	case now.Sub(w.Began) >= span:
+		return Window{Began: now, Least: surplus, LeastLast: w.Least, Complete: true}
+	}
+	w.Least = min(w.Least, surplus)
+	return w
+}
+
+// unused returns the VMs that no pool needed in the whole window.
+func (w Window) unused() int {
+	if !w.Complete {
+		return 0
+	}
+	return min(w.Least, w.LeastLast)
 }
 
 func earlier(since map[fleet.PoolName]time.Time, p fleet.PoolName, now time.Time) time.Time {
--- a/policy/capacity/capacity.go
+++ b/policy/capacity/capacity.go
@@ -98,6 +98,16 @@
 type Memory struct {
 	SurplusSince map[fleet.PoolName]time.Time // pools that have more VMs than they need
 	DeficitSince map[fleet.PoolName]time.Time // pools that need more VMs than they have
+	Window       Window                       // surplus of all pools together
+}
+
+// Window remembers the least surplus of all pools together in the present and
+// the previous span of Settings.ParkAfter.
+type Window struct {
+	Began     time.Time
+	Least     int  // VMs, since Began
+	LeastLast int  // VMs, in the span before
+	Complete  bool // a span came before
 }
 
 // Decision is the result of Decide.
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -63,12 +63,21 @@
 	if from.Spare {
 		return from.have > from.floor || to.urgentQueued > 0
 	}
-	if from.have-1 < max(from.floor, from.need+b.set.GiveMargin) {
+	if from.have-1 < b.retained(from, to) {
 		return false
 	}
 	return keepsSpread(vm, from)
 }
 
+// retained returns how many VMs a donor retains when to asks for one.
+func (b *books) retained(from, to *poolBook) int {
+	n := max(from.floor, from.need+b.set.GiveMargin)
+	if b.set.DonorsKeep && !b.full && to.urgentQueued == 0 {
+		n = max(n, from.keep)
+	}
+	return n
+}
+
 func (b *books) tooSoon(vm *VM, from *poolBook) bool {
 	stay := b.set.MinStay
 	if from.Spare {
@@ -114,29 +123,68 @@
 	return cost
 }
 
-// returnSurplus moves idle VMs back to the spare pool from pools that have had
-// more than they keep for long enough.
+// returnSurplus moves idle VMs back to the spare pool.
 func (b *books) returnSurplus() {
 	if b.spare == nil {
 		return
 	}
+	if b.set.Hold > 0 {
+		b.returnHeld()
+	}
+	if b.set.ParkAfter > 0 {
+		b.park()
+	}
+}
+
+// returnHeld returns the VMs of pools that have had a surplus for long enough.
+func (b *books) returnHeld() {
 	for _, p := range b.order {
 		since, ok := b.memory.SurplusSince[p.Name]
 		if !ok || b.s.Now.Sub(since) < b.set.Hold {
 			continue
 		}
-		b.returnFrom(p)
+		for p.surplus() > 0 && b.budget > 0 && b.returnOne(p) {
+			continue
+		}
 	}
 }
 
-func (b *books) returnFrom(p *poolBook) {
-	for p.surplus() > 0 && b.budget > 0 {
-		vm := b.idleVM(p)
-		if vm == nil {
+// park returns the VMs that no pool has needed in the whole window. VMs that
+// one pool or another needs in its turn stay, because moving them to the
+// spare pool and out again costs two moves instead of one.
+func (b *books) park() {
+	for b.memory.Window.unused() > 0 && b.budget > 0 {
+		p := b.richest()
+		if p == nil || !b.returnOne(p) {
 			return
 		}
-		b.begin(vm, p, b.spare, ReasonReturn)
+		b.memory.Window.Least--
+		b.memory.Window.LeastLast--
+	}
+}
+
+// richest returns the pool with the largest surplus that has a VM to return.
+func (b *books) richest() *poolBook {
+	var best *poolBook
+	for _, p := range b.order {
+		if p.Spare || p.surplus() <= 0 || b.idleVM(p) == nil {
+			continue
+		}
+		if best == nil || p.surplus() > best.surplus() {
+			best = p
+		}
+	}
+	return best
+}
+
+// returnOne begins the return of one VM and reports whether it found one.
+func (b *books) returnOne(p *poolBook) bool {
+	vm := b.idleVM(p)
+	if vm == nil {
+		return false
 	}
+	b.begin(vm, p, b.spare, ReasonReturn)
+	return true
 }
 
 // idleVM returns an idle VM of the data centre in which the pool has most VMs.
--- a/policy/capacity/settings.go
+++ b/policy/capacity/settings.go
@@ -19,7 +19,9 @@
 	MaxMoves      float64       // moves at a time, as a part of the fleet's VMs
 	MinStay       time.Duration // a moved VM stays in its new pool for this time
 	SpareStay     time.Duration // MinStay of VMs in the spare pool
-	Hold          time.Duration // a surplus must last this long before VMs go back
+	Hold          time.Duration // a pool's surplus must last this long before its VMs go back; 0 means never
+	ParkAfter     time.Duration // VMs that all pools together did not need for this long go back; 0 means never
+	DonorsKeep    bool          // donors other than the spare pool keep the VMs that Ready asks for
 	DeficitHold   time.Duration // a deficit must last this long before VMs come
 	GiveMargin    int           // VMs above its need that a donor other than the spare pool keeps
 	SpareFirst    float64       // preference of the spare pool over other donors, in running tasks
@@ -33,18 +35,19 @@
 		ClearUrgent:   500 * time.Millisecond,
 		ClearStandard: 3 * time.Second,
 		ClearBatch:    time.Minute,
-		BatchSteady:   1,
-		Headroom:      0.1,
+		BatchSteady:   0,
+		Headroom:      0,
 		Ready:         0.5,
 		ShareBlend:    0.5,
 		MoveCost:      16,
 		MaxMoves:      0.2,
 		MinStay:       8 * time.Second,
 		SpareStay:     time.Second,
-		Hold:          4 * time.Second,
+		ParkAfter:     30 * time.Second,
+		DonorsKeep:    true,
 		DeficitHold:   0,
 		GiveMargin:    1,
-		SpareFirst:    0.8,
+		SpareFirst:    -1,
 		Ramp:          20 * time.Second,
 	}
 }
@@ -55,9 +58,7 @@
 	s := DefaultSettings()
 	idle, move, share := weight(p.IdleWeight), weight(p.MoveWeight), weight(p.ShareWeight)
 	s.MoveCost *= move
-	s.MinStay = scale(s.MinStay, move)
-	s.Hold = scale(s.Hold, move/idle)
-	s.Ready = min(1, s.Ready/idle)
+	s.ParkAfter = scale(s.ParkAfter, move/idle)
 	s.ShareBlend = share / (1 + share)
 	return s
 }
