Let controllers inspect the tasks of a VM through its owner

Cause: moves and maintenance need to know when a VM is idle and which tasks run on it until when; only the owner of the VM knows. Change: slots.Inspect and slots.Checkpoint, forwarded to the owner; a reservation carries the job's deadline, so that maintenance can keep to it. The assignment is read before the slots, so a start that was checked against an older assignment still shows as a reservation.

--- a/control/control.go
+++ b/control/control.go
@@ -87,6 +87,8 @@
 	Need    fleet.Resources `cbor:"6,keyasint"` // already estimated
 	Avoid   []fleet.VMID    `cbor:"7,keyasint,omitempty"`
 	RunTime time.Duration   `cbor:"8,keyasint"` // estimated
+	// Deadline of the job; zero means none. Maintenance keeps to it.
+	Deadline time.Time `cbor:"9,keyasint"`
 }
 
 // Reservation is a slot held in the VM owner's memory until it expires.
--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -239,6 +239,7 @@
 		request: control.ReserveRequest{
 			Job: e.job.ID, Attempt: attempt, Team: e.job.Team, Class: e.job.Class, Pool: e.pool,
 			Need: need, Avoid: slices.Clone(e.Avoid), RunTime: runTime,
+			Deadline: e.job.Deadline,
 		},
 	}
 	slices.SortStableFunc(free, func(a, b control.Capacity) int { return cmp.Compare(b.FreeSlots, a.FreeSlots) })
--- a/control/slots/dispatcher.go
+++ b/control/slots/dispatcher.go
@@ -95,6 +95,7 @@
 }
 
 func (s *Slots) register(router *rpc.Router) {
+	s.registerInspect(router)
 	rpc.Handle(router, methodReserve, func(ctx context.Context, _ string, req reserveRequest) (reserveResponse, error) {
 		res, err := s.reserveIn(ctx, req.DataCentre, req.Request, req.Forward)
 		return reserveResponse{Reservation: res, Fault: faultOf(err)}, nil
--- /dev/null
+++ b/control/slots/inspect.go
@@ -0,0 +1,125 @@
+package slots
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/policy/placement"
+)
+
+const (
+	methodInspect    = "slots.inspect"
+	methodCheckpoint = "slots.checkpoint"
+)
+
+// RunningTask is a task that runs on a VM.
+type RunningTask struct {
+	Attempt fleet.AttemptID `cbor:"1,keyasint"`
+	Class   fleet.Class     `cbor:"2,keyasint,omitempty"` // empty if taken over from another owner
+	Ends    time.Time       `cbor:"3,keyasint,omitempty"` // estimated, zero if not known
+	Due     time.Time       `cbor:"4,keyasint,omitempty"` // the job's deadline, zero if none or not known
+}
+
+// Inspection is what the owner of a VM tells the pool and maintenance
+// controllers.
+type Inspection struct {
+	VMStatus
+	// Active is set while the owner may start tasks on the VM. Once it is not,
+	// the owner starts none until it has read a newer assignment.
+	Active bool          `cbor:"5,keyasint"`
+	Tasks  []RunningTask `cbor:"6,keyasint,omitempty"`
+}
+
+func (s *Slots) registerInspect(router *rpc.Router) {
+	rpc.Handle(router, methodInspect, func(_ context.Context, _ string, req attemptRequest) (Inspection, error) {
+		inspection, ok := s.inspectLocal(req.VM)
+		if !ok {
+			return Inspection{}, &rpc.RemoteError{Code: "not_owner", Message: errNotOwner.Error()}
+		}
+		return inspection, nil
+	})
+	rpc.Handle(router, methodCheckpoint, func(ctx context.Context, _ string, req attemptRequest) (fault, error) {
+		return faultOf(s.checkpointLocal(ctx, req.VM, req.Attempt)), nil
+	})
+}
+
+// Inspect asks the owner of a VM for its state and tasks.
+func (s *Slots) Inspect(ctx context.Context, vm fleet.VMID) (Inspection, error) {
+	owner := s.ownerOf(vm)
+	if owner == s.self {
+		if inspection, ok := s.inspectLocal(vm); ok {
+			return inspection, nil
+		}
+	}
+	if owner == s.self || owner == "" {
+		return Inspection{}, errNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var inspection Inspection
+	err := s.o.Caller.Call(ctx, owner, methodInspect, attemptRequest{VM: vm}, &inspection)
+	return inspection, err
+}
+
+// inspectLocal reads the assignment before the slots: a start that was checked
+// against an older assignment still shows as a reservation.
+func (s *Slots) inspectLocal(vm fleet.VMID) (Inspection, bool) {
+	assigned, known := s.o.Pools.Assignment(vm)
+	status, ok := s.Status(vm)
+	if !ok {
+		return Inspection{}, false
+	}
+	inspection := Inspection{VMStatus: status, Active: !known || assigned.State == placement.Active}
+	s.mu.Lock()
+	defer s.unlock()
+	if v := s.vms[vm]; v != nil {
+		for id, sl := range v.slots {
+			if sl.phase == running {
+				inspection.Tasks = append(inspection.Tasks, RunningTask{Attempt: id, Class: sl.class, Ends: sl.ends, Due: sl.due})
+			}
+		}
+	}
+	sort.Slice(inspection.Tasks, func(i, j int) bool { return inspection.Tasks[i].Attempt < inspection.Tasks[j].Attempt })
+	return inspection, true
+}
+
+// Checkpoint asks the worker, through the owner of the VM, to checkpoint a task
+// and stop it. Errors are platform.ErrNotFound and those of the call.
+func (s *Slots) Checkpoint(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) error {
+	owner := s.ownerOf(vm)
+	if owner == s.self {
+		return s.checkpointLocal(ctx, vm, attempt)
+	}
+	if owner == "" {
+		return errNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	var f fault
+	if err := s.o.Caller.Call(ctx, owner, methodCheckpoint, attemptRequest{VM: vm, Attempt: attempt}, &f); err != nil {
+		return err
+	}
+	return f.err()
+}
+
+func (s *Slots) checkpointLocal(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) error {
+	s.mu.Lock()
+	v := s.vms[vm]
+	if v == nil {
+		s.unlock()
+		return errNotOwner
+	}
+	sl := v.slots[attempt]
+	lease := platform.Lease{Holder: s.self, Epoch: v.epoch}
+	s.unlock()
+	if sl == nil {
+		return platform.ErrNotFound
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.o.Workers.Checkpoint(ctx, vm, lease, attempt)
+}
--- a/control/slots/lease.go
+++ b/control/slots/lease.go
@@ -28,10 +28,13 @@
 	pool      fleet.PoolName
 	class     fleet.Class // empty if taken over from another owner
 	need      fleet.Resources
-	expires   time.Time // of a reservation
-	epoch     uint64    // with which the start was sent
-	settled   uint64    // sequence number of the start's outcome
-	cancelled bool      // stop as soon as it runs
+	expires   time.Time     // of a reservation
+	runTime   time.Duration // estimated
+	ends      time.Time     // estimated, zero until it runs
+	due       time.Time     // deadline of the job, zero if none
+	epoch     uint64        // with which the start was sent
+	settled   uint64        // sequence number of the start's outcome
+	cancelled bool          // stop as soon as it runs
 	usage     fleet.Resources
 	throttled time.Time // zero if not
 	usageAt   time.Time
--- a/control/slots/owner.go
+++ b/control/slots/owner.go
@@ -70,7 +70,7 @@
 	v := s.vms[decision.VM]
 	sl := &slot{
 		phase: reserved, job: req.Job, pool: req.Pool, class: req.Class, need: req.Need,
-		expires: now.Add(ReservationTTL),
+		expires: now.Add(ReservationTTL), runTime: req.RunTime, due: req.Deadline,
 	}
 	v.slots[req.Attempt] = sl
 	return s.reservation(v, req.Attempt), nil
@@ -253,6 +253,7 @@
 	switch {
 	case err == nil:
 		sl.phase = running
+		sl.ends = now.Add(sl.runTime)
 		s.stats.Started++
 		return nil
 	case errors.Is(err, platform.ErrRefused):
