Collect the load of all entries and carry out the capacity policy

Cause: nothing called the capacity policy; its input is spread over the entries. Change: control/load asks every member for its work, start delays and VM loads in one call; control/balance decides under the role capacity, begins moves through the ledger and writes the warnings in force to a row. Moves are decided only when every member answered, because the work of a silent entry would look like a surplus.

--- /dev/null
+++ b/control/balance/balance.go
@@ -0,0 +1,305 @@
+// Package balance carries out the capacity policy: the holder of the role Name
+// watches the work of the whole fleet, moves VMs between pools and warns
+// operators of capacity problems.
+package balance
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/load"
+	"amaranthfork.example/control/pools"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/policy/capacity"
+	"amaranthfork.example/policy/forecast"
+	"amaranthfork.example/policy/headroom"
+)
+
+const (
+	// Name is the name of the controller role.
+	Name = "capacity"
+	// WarningsKey is the key of the row with the warnings in force.
+	WarningsKey = "capacity/warnings"
+	// moveTime is the usual time from the decision to move a VM until it serves
+	// its new pool; forecasts look that far ahead.
+	moveTime = 20 * time.Second
+)
+
+// Role is what the controller needs of its role.
+type Role interface {
+	Conditions() ([]platform.Condition, error)
+	Held() error
+}
+
+// Options configures a Controller.
+type Options struct {
+	Table  platform.Table
+	VMList platform.VMList
+	Ledger *pools.Ledger
+	Role   Role
+	View   control.View
+	Load   *load.Collector
+	Clock  fleet.Clock
+	// OnMove is told of each move that was begun; it may be nil.
+	OnMove func(capacity.Move)
+}
+
+// Controller decides and begins moves. Tick is called by one goroutine.
+type Controller struct {
+	o        Options
+	memory   capacity.Memory
+	forecast *forecast.Forecaster
+	monitor  *headroom.Monitor
+	moved    map[fleet.VMID]time.Time
+	changed  map[fleet.DataCentreName]capacity.DataCentre
+	written  []byte // warnings as last written
+}
+
+// New returns a controller without memory of demand.
+func New(o Options) *Controller {
+	return &Controller{
+		o:        o,
+		forecast: forecast.New(forecast.DefaultOptions()),
+		monitor:  headroom.NewMonitor(headroom.DefaultSettings()),
+		moved:    map[fleet.VMID]time.Time{},
+		changed:  map[fleet.DataCentreName]capacity.DataCentre{},
+	}
+}
+
+// Tick does one round while the role is held: it collects the load, decides,
+// begins moves and updates the warnings. A move that is refused is decided
+// again in a later round.
+func (c *Controller) Tick(ctx context.Context) error {
+	if c.o.Role.Held() != nil {
+		return nil
+	}
+	snapshot := c.o.View.Snapshot()
+	if snapshot == nil || c.o.View.Fresh() != nil {
+		return nil
+	}
+	work := c.o.Load.Collect(ctx)
+	state, err := c.observe(ctx, snapshot, work)
+	if err != nil {
+		return err
+	}
+	var faults error
+	if work.Silent == 0 {
+		// Moves are decided only on complete figures: a silent entry's work
+		// would look like a surplus.
+		faults = c.move(ctx, state, capacity.SettingsFor(snapshot.Profile))
+	}
+	return errors.Join(faults, c.warn(ctx, snapshot, state, work))
+}
+
+func (c *Controller) move(ctx context.Context, state capacity.Snapshot, settings capacity.Settings) error {
+	decision := capacity.Decide(state, settings, c.memory)
+	c.memory = decision.Memory
+	var faults error
+	for _, m := range decision.Moves {
+		if err := c.o.Role.Held(); err != nil {
+			return errors.Join(faults, err)
+		}
+		err := c.o.Ledger.Move(ctx, m.VM, m.To)
+		var budget *pools.BudgetError
+		switch {
+		case errors.As(err, &budget), errors.Is(err, pools.ErrBusy):
+		case err != nil:
+			faults = errors.Join(faults, fmt.Errorf("move %s to pool %s: %w", m.VM, m.To, err))
+		default:
+			c.moved[m.VM] = state.Now
+			if c.o.OnMove != nil {
+				c.o.OnMove(m)
+			}
+		}
+	}
+	return faults
+}
+
+// observe builds the snapshot that the policy decides on.
+func (c *Controller) observe(ctx context.Context, snapshot *config.Snapshot, work load.Fleet) (capacity.Snapshot, error) {
+	listing, err := c.o.VMList.List(ctx)
+	if err != nil {
+		return capacity.Snapshot{}, fmt.Errorf("list VMs: %w", err)
+	}
+	assignments, err := c.o.Ledger.Assignments(ctx)
+	if err != nil {
+		return capacity.Snapshot{}, fmt.Errorf("read assignments: %w", err)
+	}
+	state := capacity.Snapshot{Now: c.o.Clock.Now()}
+	for _, p := range snapshot.Pools {
+		state.Pools = append(state.Pools, capacity.Pool{Name: p.Name, Spare: p.Spare, MaxUnavailable: p.MaxUnavailable, Home: len(p.VMs)})
+	}
+	slices.SortFunc(state.Pools, func(a, b capacity.Pool) int { return compare(a.Name, b.Name) })
+	for _, t := range snapshot.Teams {
+		state.Teams = append(state.Teams, t)
+	}
+	slices.SortFunc(state.Teams, func(a, b fleet.Team) int { return compare(a.Name, b.Name) })
+	state.DataCentres = c.dataCentres(snapshot, state.Now)
+	state.Work = workOf(work)
+	c.addVMs(&state, snapshot, work, listing, assignments)
+	c.addOutlooks(&state, snapshot)
+	return state, nil
+}
+
+func compare[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// dataCentres remembers when each data centre changed its state, so that a
+// returned one gets its work back gradually.
+func (c *Controller) dataCentres(snapshot *config.Snapshot, now time.Time) []capacity.DataCentre {
+	var list []capacity.DataCentre
+	for name, dc := range snapshot.DataCentres {
+		known, seen := c.changed[name]
+		if !seen {
+			known = capacity.DataCentre{Name: name, State: dc.State}
+		}
+		if known.State != dc.State {
+			known.State, known.Since = dc.State, now
+		}
+		c.changed[name] = known
+		list = append(list, known)
+	}
+	slices.SortFunc(list, func(a, b capacity.DataCentre) int { return compare(a.Name, b.Name) })
+	return list
+}
+
+func workOf(work load.Fleet) []capacity.Work {
+	list := make([]capacity.Work, 0, len(work.Work))
+	for _, w := range work.Work {
+		list = append(list, capacity.Work{
+			Pool: w.Pool, Team: w.Team, Class: w.Class, Running: w.Running, Queued: w.Queued,
+			RunTime: w.RunTime, Arrivals: w.Arrivals,
+		})
+	}
+	return list
+}
+
+// addVMs describes the assigned VMs.
+func (c *Controller) addVMs(state *capacity.Snapshot, snapshot *config.Snapshot, work load.Fleet, listing platform.VMListing, assignments map[fleet.DataCentreName]map[fleet.VMID]pools.Assignment) {
+	for _, vm := range listing.VMs {
+		a, ok := assignments[vm.DataCentre][vm.ID]
+		if !ok {
+			continue
+		}
+		dc := snapshot.DataCentres[vm.DataCentre]
+		described := capacity.VM{
+			ID: vm.ID, Pool: a.Pool, DataCentre: vm.DataCentre, Rack: vm.Rack, Slots: vm.Slots,
+			Available: vm.State == fleet.VMLive && a.State == pools.StateActive && dc.State != fleet.DataCentreOut,
+			// Only VMs in active service may be moved; the others are taken.
+			Maintained: a.State != pools.StateActive,
+			Moved:      c.moved[vm.ID],
+		}
+		if described.Available {
+			addTasks(&described, work, state.Now)
+		}
+		state.VMs = append(state.VMs, described)
+		if a.State == pools.StateDraining && a.Target != "" {
+			state.Moves = append(state.Moves, capacity.MoveInProgress{VM: vm.ID, From: a.Pool, To: a.Target})
+		}
+	}
+}
+
+// addTasks adds the load of a VM. A VM that no entry reports must not look idle.
+func addTasks(vm *capacity.VM, work load.Fleet, now time.Time) {
+	l, known := work.VMs[vm.ID]
+	if !known {
+		vm.Running, vm.Remaining = vm.Slots, time.Hour
+		return
+	}
+	vm.Running = l.Tasks
+	vm.Remaining = max(0, l.Ends.Sub(now))
+}
+
+func (c *Controller) addOutlooks(state *capacity.Snapshot, snapshot *config.Snapshot) {
+	offered := capacity.OfferedSlots(state.Work, capacity.SettingsFor(snapshot.Profile))
+	for _, p := range state.Pools {
+		c.forecast.Observe(string(p.Name), state.Now, offered[p.Name])
+		o := c.forecast.Outlook(string(p.Name), state.Now, moveTime)
+		state.Outlooks = append(state.Outlooks, capacity.Outlook{
+			Pool: p.Name, Slots: o.Expected, Peak: o.Peak, Bursting: o.Bursting || o.Imminent, Ends: o.Ends,
+		})
+	}
+}
+
+// warn updates the row of warnings when they changed.
+func (c *Controller) warn(ctx context.Context, snapshot *config.Snapshot, state capacity.Snapshot, work load.Fleet) error {
+	warnings := c.monitor.Check(headroomOf(snapshot, state, work))
+	value, err := json.Marshal(warnings)
+	if err != nil {
+		return fmt.Errorf("encode warnings: %w", err)
+	}
+	if string(value) == string(c.written) {
+		return nil
+	}
+	conditions, err := c.o.Role.Conditions()
+	if err != nil {
+		return nil // another session has the role now
+	}
+	txn := platform.Txn{Conditions: conditions, Writes: []platform.Write{{Key: WarningsKey, Value: value}}}
+	if _, err := c.o.Table.Commit(ctx, txn); err != nil {
+		return fmt.Errorf("write warnings: %w", err)
+	}
+	c.written = value
+	return nil
+}
+
+// Warnings reads the warnings in force; any entry may call it.
+func Warnings(ctx context.Context, table platform.Table) ([]headroom.Warning, error) {
+	row, err := table.Get(ctx, WarningsKey)
+	if err != nil || row.Version == 0 {
+		return nil, err
+	}
+	var list []headroom.Warning
+	if err := json.Unmarshal(row.Value, &list); err != nil {
+		return nil, fmt.Errorf("decode warnings: %w", err)
+	}
+	return list, nil
+}
+
+func headroomOf(snapshot *config.Snapshot, state capacity.Snapshot, work load.Fleet) headroom.Snapshot {
+	h := headroom.Snapshot{Now: state.Now}
+	for _, d := range work.Delays {
+		h.Delays = append(h.Delays, headroom.Delay{Team: d.Team, Class: d.Class, P99: d.P99, Samples: d.Samples})
+	}
+	running, queued := work.ByTeam()
+	for _, t := range state.Teams {
+		h.Teams = append(h.Teams, headroom.TeamDemand{
+			Team: t.Name, Share: t.Share, Limit: t.Limit, Running: running[t.Name],
+			Demand: float64(running[t.Name] + queued[t.Name]),
+		})
+	}
+	serving := map[fleet.PoolName]int{}
+	domains := map[string]int{}
+	for _, vm := range state.VMs {
+		if vm.Available {
+			serving[vm.Pool] += vm.Slots
+			domains["data centre "+string(vm.DataCentre)] += vm.Slots
+			domains["rack "+string(vm.Rack)] += vm.Slots
+			h.Slots += vm.Slots
+		}
+	}
+	offered := capacity.OfferedSlots(state.Work, capacity.SettingsFor(snapshot.Profile))
+	for _, p := range state.Pools {
+		h.Pools = append(h.Pools, headroom.PoolLoad{Pool: p.Name, Slots: serving[p.Name], Load: offered[p.Name]})
+		h.Load += offered[p.Name]
+	}
+	for name, slotCount := range domains {
+		h.Domains = append(h.Domains, headroom.Domain{Name: name, Slots: slotCount})
+	}
+	slices.SortFunc(h.Domains, func(a, b headroom.Domain) int { return compare(a.Name, b.Name) })
+	return h
+}
--- a/control/jobs/manager.go
+++ b/control/jobs/manager.go
@@ -190,6 +190,7 @@
 	lent       map[fleet.AttemptID]fleet.TeamName
 	returns    []unitReturn
 	demanded   map[fleet.TeamName]bool
+	arrived    map[LoadKey]uint64 // jobs accepted
 	maintained time.Time
 	ckpt       checkpointRound
 	stats      Stats
@@ -224,6 +225,7 @@
 		rates:    map[fleet.PoolName]*rateCounter{},
 		lent:     map[fleet.AttemptID]fleet.TeamName{},
 		demanded: map[fleet.TeamName]bool{},
+		arrived:  map[LoadKey]uint64{},
 	}
 }
 
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -167,6 +167,7 @@
 		return control.JobStatus{}, fmt.Errorf("%w: shard of job %s has moved", platform.ErrUnknown, e.job.ID)
 	}
 	m.stats.Submitted++
+	m.arrived[m.loadKey(e)]++
 	m.enqueue(e)
 	return e.status(), err
 }
--- a/control/slots/inspect.go
+++ b/control/slots/inspect.go
@@ -123,3 +123,28 @@
 	defer cancel()
 	return s.o.Workers.Checkpoint(ctx, vm, lease, attempt)
 }
+
+// VMLoad is the load of one VM.
+type VMLoad struct {
+	VM    fleet.VMID `cbor:"1,keyasint"`
+	Tasks int        `cbor:"2,keyasint"`           // that run or hold a reservation
+	Ends  time.Time  `cbor:"3,keyasint,omitempty"` // estimated end of the last one
+}
+
+// Loads returns the load of the VMs that this entry owns, ordered by VM.
+func (s *Slots) Loads() []VMLoad {
+	s.mu.Lock()
+	defer s.unlock()
+	loads := make([]VMLoad, 0, len(s.vms))
+	for id, v := range s.vms {
+		l := VMLoad{VM: id, Tasks: len(v.slots)}
+		for _, sl := range v.slots {
+			if sl.ends.After(l.Ends) {
+				l.Ends = sl.ends
+			}
+		}
+		loads = append(loads, l)
+	}
+	sort.Slice(loads, func(i, j int) bool { return loads[i].VM < loads[j].VM })
+	return loads
+}
