Add amaranthctl

Operators check, compare and apply configuration folders, take data centres out, grant and withdraw keys, follow maintenance and submit jobs. Exit codes tell not run from unknown. Golden files record whole sessions against a stand-in of the HTTP API.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -191,6 +191,10 @@
 
 // Guards against a wait that ends early or never.
 func TestWatch(t *testing.T) {
+	synctest.Test(t, testWatch)
+}
+
+func testWatch(t *testing.T) {
 	running := answer{status: 200, body: `{"id":"j1","state":"running","step":1}`}
 	ended := answer{status: 200, body: `{"id":"j1","state":"ended","step":1,"result":{"outcome":"completed","body":"aGk="}}`}
 	s := &script{answers: []answer{accepted, running, running, ended}}
@@ -199,15 +203,13 @@
 	if err != nil || job.Result == nil || string(job.Result.Body) != "hi" || len(states) != 4 {
 		t.Errorf("job %+v after states %v: %v", job, states, err)
 	}
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
-		s := &script{answers: []answer{running, running, lost}}
-		job, err := newClient(t, s).Wait(ctx, "j1")
-		if !errors.Is(err, context.DeadlineExceeded) || job.State != JobRunning {
-			t.Errorf("job %+v: %v", job, err)
-		}
-	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	s = &script{answers: []answer{running, running, lost}}
+	job, err = newClient(t, s).Wait(ctx, "j1")
+	if !errors.Is(err, context.DeadlineExceeded) || job.State != JobRunning {
+		t.Errorf("job %+v: %v", job, err)
+	}
 }
 
 // Guards against settings that fail only at the first request.
--- /dev/null
+++ b/cmd/internal/ctl/change.go
@@ -0,0 +1,219 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"amaranthfork.example/client"
+	"amaranthfork.example/config"
+	"amaranthfork.example/fleet"
+)
+
+// maxRebases bounds how often a change of one new file is made again because
+// another change was accepted in between.
+const maxRebases = 10
+
+// smallChange is a change that consists of one new file. It means the same on
+// every base, so it is made again when another change was accepted first.
+type smallChange struct {
+	label   string // part of the file's name
+	content []byte
+	// check returns an error if the change cannot be made on the accepted
+	// configuration, and errAlready if nothing is left to do.
+	check func(s *config.Snapshot) error
+}
+
+// errAlready means that the accepted configuration already says so.
+var errAlready = errors.New("the accepted configuration already says so")
+
+// applySmall writes the file of a change into the folder and applies it. The
+// file is removed again if the change was certainly not accepted.
+func (a *app) applySmall(ctx context.Context, c *client.Client, change smallChange) (client.Applied, error) {
+	local, err := a.loadFolder()
+	if err != nil {
+		return client.Applied{}, err
+	}
+	id := a.NewID()
+	for rebase := 0; ; rebase++ {
+		applied, err := a.applyFile(ctx, c, local, id, change)
+		if err == nil || exitCode(err) != ExitConflict || rebase == maxRebases {
+			return applied, err
+		}
+		a.progress("another change was accepted first, trying again")
+	}
+}
+
+// applyFile makes a small change on the configuration that is accepted now.
+func (a *app) applyFile(ctx context.Context, c *client.Client, local config.Folder, id string, small smallChange) (client.Applied, error) {
+	server, err := fetch(ctx, c)
+	if err != nil {
+		return client.Applied{}, err
+	}
+	if server.snapshot != nil {
+		if err := small.check(server.snapshot); err != nil {
+			return client.Applied{Revision: server.revision}, err
+		}
+	}
+	all := maps.Clone(local)
+	maps.Copy(all, server.folder)
+	name, err := all.NextFileName(small.label)
+	if err != nil {
+		return client.Applied{}, err
+	}
+	if err := a.writeFile(name, small.content); err != nil {
+		return client.Applied{}, err
+	}
+	a.progress("wrote %s", name)
+	change := config.Change{ID: id, Base: server.revision, Put: []config.File{{Name: name, Content: small.content}}}
+	applied, err := a.push(ctx, c, change)
+	if err != nil && exitCode(err) != ExitUnknown {
+		err = errors.Join(err, a.removeFile(name))
+	}
+	return applied, err
+}
+
+// finishSmall prints the result of a small change.
+func (a *app) finishSmall(applied client.Applied, err error, done string) error {
+	if errors.Is(err, errAlready) {
+		return a.print(appliedOutput{Revision: applied.Revision}, func() { a.say("nothing to do: %s in revision %d", done, applied.Revision) })
+	}
+	if err != nil {
+		return err
+	}
+	return a.print(appliedOutput{Revision: applied.Revision, InForceAfterMS: applied.InForceAfterMS}, func() {
+		a.say("%s: revision %d is in force everywhere after %d ms", done, applied.Revision, applied.InForceAfterMS)
+	})
+}
+
+func (a *app) dataCentreCommand() *cobra.Command {
+	return group("dc", "Take a data centre out of service or bring it back",
+		a.dataCentreStateCommand(fleet.DataCentreOut, "Take a data centre out of service: no task starts there"),
+		a.dataCentreStateCommand(fleet.DataCentreIn, "Bring a data centre back into service"),
+	)
+}
+
+// dataCentreStateCommand returns the command that sets the state.
+func (a *app) dataCentreStateCommand(state fleet.DataCentreState, short string) *cobra.Command {
+	return &cobra.Command{
+		Use:   string(state) + " NAME",
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: a.remote(func(ctx context.Context, c *client.Client, args []string) error {
+			name := fleet.DataCentreName(args[0])
+			applied, err := a.applySmall(ctx, c, smallChange{
+				label:   fmt.Sprintf("dc-%s-%s", state, name),
+				content: config.DataCentreFile(name, state),
+				check: func(s *config.Snapshot) error {
+					dc, exists := s.DataCentres[name]
+					switch {
+					case !exists:
+						return fmt.Errorf("there is no data centre %s", name)
+					case dc.State == state:
+						return errAlready
+					}
+					return nil
+				},
+			})
+			return a.finishSmall(applied, err, fmt.Sprintf("data centre %s is %s", name, state))
+		}),
+	}
+}
+
+func (a *app) keyCommand() *cobra.Command {
+	return group("key", "Grant or withdraw a key of a team", a.keyNewCommand(), a.keyWithdrawCommand())
+}
+
+func (a *app) keyNewCommand() *cobra.Command {
+	var id string
+	cmd := &cobra.Command{
+		Use:   "new TEAM",
+		Short: "Make a key for a team and grant it; the secret is shown once",
+		Args:  cobra.ExactArgs(1),
+		RunE: a.remote(func(ctx context.Context, c *client.Client, args []string) error {
+			return a.newKey(ctx, c, fleet.TeamName(args[0]), fleet.KeyID(id))
+		}),
+	}
+	cmd.Flags().StringVar(&id, "id", "", "id of the key; chosen at random if not given")
+	return cmd
+}
+
+// newKeyOutput is the result of a new key.
+type newKeyOutput struct {
+	Key      string         `json:"key"` // keyid.secret
+	Team     fleet.TeamName `json:"team"`
+	Revision fleet.Revision `json:"revision"`
+}
+
+// newKey grants a new key. It also shows the key if the outcome is unknown,
+// because its secret is nowhere else.
+func (a *app) newKey(ctx context.Context, c *client.Client, team fleet.TeamName, id fleet.KeyID) error {
+	key, presented, err := config.NewKey(a.Random, id, team)
+	if err != nil {
+		return &usageError{err}
+	}
+	applied, err := a.applySmall(ctx, c, smallChange{
+		label:   fmt.Sprintf("key-%s", key.ID),
+		content: config.KeyFile(key),
+		check: func(s *config.Snapshot) error {
+			if _, exists := s.Teams[team]; !exists {
+				return fmt.Errorf("there is no team %s", team)
+			}
+			if old, exists := s.Keys[key.ID]; exists {
+				return fmt.Errorf("key %s exists already, for team %s", key.ID, old.Team)
+			}
+			return nil
+		},
+	})
+	if err != nil && exitCode(err) != ExitUnknown {
+		return err
+	}
+	return errors.Join(err, a.print(newKeyOutput{presented, team, applied.Revision}, func() {
+		a.say("key %s of team %s, shown only here: %s", key.ID, team, presented)
+		if err == nil {
+			a.say("revision %d is in force everywhere after %d ms", applied.Revision, applied.InForceAfterMS)
+		}
+	}))
+}
+
+func (a *app) keyWithdrawCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "withdraw KEYID",
+		Short: "Withdraw a key",
+		Args:  cobra.ExactArgs(1),
+		RunE: a.remote(func(ctx context.Context, c *client.Client, args []string) error {
+			id := fleet.KeyID(args[0])
+			applied, err := a.applySmall(ctx, c, smallChange{
+				label:   fmt.Sprintf("key-%s-withdrawn", id),
+				content: config.KeyWithdrawnFile(id),
+				check: func(s *config.Snapshot) error {
+					key, exists := s.Keys[id]
+					switch {
+					case !exists:
+						return fmt.Errorf("there is no key %s", id)
+					case key.Withdrawn:
+						return errAlready
+					}
+					return nil
+				},
+			})
+			return a.finishSmall(applied, err, fmt.Sprintf("key %s is withdrawn", id))
+		}),
+	}
+}
+
+// pause waits and reports whether ctx is still valid afterwards.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cmd/internal/ctl/ctl.go
@@ -0,0 +1,320 @@
+// Package ctl implements the commands of amaranthctl.
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"amaranthfork.example/client"
+	"amaranthfork.example/config"
+	"amaranthfork.example/fleet"
+)
+
+// Exit codes of amaranthctl.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the folder has findings, or the work failed
+	ExitUsage    = 2 // the command line or the environment is wrong
+	ExitConflict = 3 // another operator's change was accepted first
+	ExitNotRun   = 4 // refused or no entry answered: nothing was done
+	ExitUnknown  = 5 // the request may have taken effect
+)
+
+const exitCodeHelp = `Exit codes:
+  0  done
+  1  the folder has findings, or the work failed
+  2  wrong command line or environment
+  3  conflict: another change was accepted first
+  4  not run: the request was refused or no entry answered
+  5  unknown: the request may have taken effect`
+
+const (
+	defaultPollInterval = 500 * time.Millisecond
+	defaultTimeout      = time.Minute
+)
+
+// Env is what a command gets from the process.
+type Env struct {
+	Args         []string // without the name of the program
+	Stdin        io.Reader
+	Stdout       io.Writer
+	Stderr       io.Writer
+	Getenv       func(string) string
+	Random       io.Reader         // source of key secrets, normally crypto/rand.Reader
+	NewID        func() string     // makes ids of changes and jobs
+	Transport    http.RoundTripper // nil for the network
+	PollInterval time.Duration     // between questions whether a change is in force; 500 ms if 0
+	RetryWait    time.Duration     // before a request is sent again; the client's default if 0
+}
+
+// Run runs one command and returns the exit code.
+func Run(ctx context.Context, env Env) int {
+	env.PollInterval = cmp.Or(env.PollInterval, defaultPollInterval)
+	a := &app{Env: env}
+	root := a.root()
+	root.SetArgs(env.Args)
+	root.SetIn(env.Stdin)
+	root.SetOut(env.Stdout)
+	root.SetErr(env.Stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	var failure *runError
+	if !errors.As(err, &failure) {
+		err = &usageError{err}
+	} else {
+		err = failure.err
+	}
+	a.printError(err)
+	return exitCode(err)
+}
+
+// app holds the global flags of a command.
+type app struct {
+	Env
+	server, key, token, caFile string
+	folder, output             string
+	timeout                    time.Duration
+}
+
+// root returns the command tree.
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "amaranthctl",
+		Short:         "Operate a fleet of amaranthd entries",
+		Long:          "Operate a fleet of amaranthd entries: check and apply configuration folders, show the state of the fleet and submit jobs.\n\n" + exitCodeHelp,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return cmd.Help()
+		},
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			return a.checkFlags()
+		},
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	flags := root.PersistentFlags()
+	flags.StringVar(&a.server, "server", a.Getenv("AMARANTH_SERVER"), "base URL of the entries (AMARANTH_SERVER)")
+	flags.StringVar(&a.key, "key", "", "key of a team, keyid.secret (AMARANTH_KEY, which other users of the host cannot see)")
+	flags.StringVar(&a.token, "token", "", "operator token (AMARANTH_TOKEN, which other users of the host cannot see)")
+	flags.StringVar(&a.caFile, "ca-file", a.Getenv("AMARANTH_CA_FILE"), "PEM certificates to trust instead of the system's (AMARANTH_CA_FILE)")
+	flags.StringVar(&a.folder, "folder", cmp.Or(a.Getenv("AMARANTH_FOLDER"), "."), "configuration folder (AMARANTH_FOLDER)")
+	flags.StringVarP(&a.output, "output", "o", "table", "output: table or json")
+	flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "time limit of the command, 0 for none; without this flag, submit and watch have none")
+	root.AddCommand(
+		a.validateCommand(), a.diffCommand(), a.applyCommand(), a.pullCommand(), a.compactCommand(),
+		a.dataCentreCommand(), a.keyCommand(),
+		a.statusCommand(), a.poolsCommand(), a.teamsCommand(), a.drainCommand(), a.undrainCommand(), a.maintenanceCommand(),
+		a.submitCommand(), a.watchCommand(), a.cancelCommand(),
+	)
+	return root
+}
+
+// checkFlags checks the global flags.
+func (a *app) checkFlags() error {
+	if a.output != "table" && a.output != "json" {
+		return fmt.Errorf("--output must be table or json, not %q", a.output)
+	}
+	if a.timeout < 0 {
+		return errors.New("--timeout must not be negative")
+	}
+	return nil
+}
+
+// client returns a client for the flags and the environment.
+func (a *app) client() (*client.Client, error) {
+	if a.server == "" {
+		return nil, &usageError{errors.New("no server: pass --server or set AMARANTH_SERVER")}
+	}
+	c, err := client.New(client.Options{
+		BaseURL:   a.server,
+		Key:       cmp.Or(a.key, a.Getenv("AMARANTH_KEY")),
+		Token:     cmp.Or(a.token, a.Getenv("AMARANTH_TOKEN")),
+		CAFile:    a.caFile,
+		Transport: a.Transport,
+		MinWait:   a.RetryWait,
+	})
+	if err != nil {
+		return nil, &usageError{err}
+	}
+	return c, nil
+}
+
+// local returns the function of a command that needs no server.
+func (a *app) local(run func(args []string) error) func(*cobra.Command, []string) error {
+	return func(_ *cobra.Command, args []string) error {
+		return wrapRun(run(args))
+	}
+}
+
+// remote returns the function of a command that calls the server, within the
+// time limit.
+func (a *app) remote(run func(ctx context.Context, c *client.Client, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		c, err := a.client()
+		if err != nil {
+			return wrapRun(err)
+		}
+		ctx, cancel := cmd.Context(), context.CancelFunc(func() {})
+		if a.timeout > 0 {
+			ctx, cancel = context.WithTimeout(ctx, a.timeout)
+		}
+		defer cancel()
+		return wrapRun(run(ctx, c, args))
+	}
+}
+
+// waiting is remote without a time limit, unless --timeout is given.
+func (a *app) waiting(run func(ctx context.Context, c *client.Client, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		if !cmd.Flags().Changed("timeout") {
+			a.timeout = 0
+		}
+		return a.remote(run)(cmd, args)
+	}
+}
+
+// group returns a command that only has sub-commands.
+func group(use, short string, commands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return fmt.Errorf("%q needs a sub-command", cmd.CommandPath())
+		},
+	}
+	cmd.AddCommand(commands...)
+	return cmd
+}
+
+// runError is an error of a command that has started. All other errors that
+// cobra returns are faults of the command line.
+type runError struct{ err error }
+
+func (e *runError) Error() string { return e.err.Error() }
+
+func wrapRun(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &runError{err}
+}
+
+// usageError is a fault of the command line or environment.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+// outcomeError is the end of a job that did not complete.
+type outcomeError struct{ result fleet.Result }
+
+func (e *outcomeError) Error() string {
+	text := fmt.Sprintf("job %s: %s", e.result.Job, e.result.Outcome)
+	if e.result.Reason != "" {
+		text += fmt.Sprintf(" (%s)", e.result.Reason)
+	}
+	if e.result.Detail != "" {
+		text += ": " + e.result.Detail
+	}
+	return text
+}
+
+// pendingError means that the command ended before what it waited for.
+type pendingError struct{ text string }
+
+func (e *pendingError) Error() string { return e.text }
+
+// conflictError means that the folder is not made from the accepted revision.
+type conflictError struct {
+	text     string
+	accepted fleet.Revision
+}
+
+func (e *conflictError) Error() string { return e.text }
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	var (
+		usage       *usageError
+		outcome     *outcomeError
+		pending     *pendingError
+		conflict    *conflictError
+		refusal     *client.Error
+		unknown     *client.UnknownError
+		unavailable *client.UnavailableError
+	)
+	switch {
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &outcome):
+		return outcomeCode(outcome.result.Outcome)
+	case errors.As(err, &pending), errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &unavailable):
+		return ExitNotRun
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &refusal):
+		return refusalCode(refusal)
+	default:
+		return ExitFailed
+	}
+}
+
+// refusalCode returns the exit code for an entry's refusal.
+func refusalCode(refusal *client.Error) int {
+	switch refusal.Status {
+	case http.StatusConflict:
+		return ExitConflict
+	case http.StatusUnprocessableEntity:
+		return ExitFailed
+	default:
+		return ExitNotRun
+	}
+}
+
+// outcomeCode returns the exit code for the outcome of a job.
+func outcomeCode(outcome fleet.Outcome) int {
+	switch outcome {
+	case fleet.OutcomeCompleted:
+		return ExitOK
+	case fleet.OutcomeFailed:
+		return ExitFailed
+	case fleet.OutcomeNotRun:
+		return ExitNotRun
+	default:
+		return ExitUnknown
+	}
+}
+
+// findingsOf returns the findings that an error carries.
+func findingsOf(err error) config.Findings {
+	var findings config.Findings
+	if errors.As(err, &findings) {
+		return findings
+	}
+	var refusal *client.Error
+	if errors.As(err, &refusal) {
+		return convertFindings(refusal.Findings)
+	}
+	return nil
+}
+
+// convertFindings returns findings of the API as those of package config.
+func convertFindings(list []client.Finding) config.Findings {
+	findings := make(config.Findings, len(list))
+	for i, f := range list {
+		findings[i] = config.Finding(f)
+	}
+	return findings
+}
--- /dev/null
+++ b/cmd/internal/ctl/folder.go
@@ -0,0 +1,417 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"amaranthfork.example/client"
+	"amaranthfork.example/config"
+	"amaranthfork.example/fleet"
+)
+
+const folderFileMode = 0o644
+
+// loadFolder reads the configuration folder. A folder without files is a usage
+// error, because it is most likely the wrong directory.
+func (a *app) loadFolder() (config.Folder, error) {
+	folder, err := config.Load(a.folder)
+	if err != nil {
+		return nil, &usageError{err}
+	}
+	if len(folder) == 0 {
+		return nil, &usageError{fmt.Errorf("folder %q has no *.yaml files; pass --folder or set AMARANTH_FOLDER", a.folder)}
+	}
+	return folder, nil
+}
+
+// loadValid reads and checks the configuration folder.
+func (a *app) loadValid() (config.Folder, *config.Snapshot, error) {
+	folder, err := a.loadFolder()
+	if err != nil {
+		return nil, nil, err
+	}
+	snapshot, findings := config.Build(folder, 0)
+	return folder, snapshot, findings.Err()
+}
+
+// accepted is the configuration that the server has accepted.
+type accepted struct {
+	revision fleet.Revision
+	folder   config.Folder
+	snapshot *config.Snapshot // nil if this version of amaranthctl finds faults
+}
+
+// fetch reads the accepted configuration.
+func fetch(ctx context.Context, c *client.Client) (accepted, error) {
+	answer, err := c.Configuration(ctx)
+	if err != nil {
+		return accepted{}, err
+	}
+	folder := make(config.Folder, len(answer.Files))
+	for _, file := range answer.Files {
+		folder[file.Name] = file.Content
+	}
+	snapshot, _ := config.Build(folder, answer.Revision)
+	return accepted{answer.Revision, folder, snapshot}, nil
+}
+
+// apiFiles returns files as the API carries them.
+func apiFiles(files []config.File) []client.File {
+	list := make([]client.File, len(files))
+	for i, file := range files {
+		list[i] = client.File(file)
+	}
+	return list
+}
+
+func (a *app) validateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "validate",
+		Short: "Check the configuration folder; needs no server",
+		Args:  cobra.NoArgs,
+		RunE: a.local(func([]string) error {
+			folder, _, err := a.loadValid()
+			if err != nil {
+				return err
+			}
+			result := struct {
+				Files    int             `json:"files"`
+				Findings config.Findings `json:"findings"`
+			}{len(folder), config.Findings{}}
+			return a.print(result, func() { a.say("%s, no findings", count(len(folder), "file")) })
+		}),
+	}
+}
+
+// folderChange is the difference between the accepted configuration and the
+// folder.
+type folderChange struct {
+	Base        fleet.Revision      `json:"base"`
+	Put         []string            `json:"put"`
+	Removed     []string            `json:"removed"`
+	Differences []config.Difference `json:"differences"`
+
+	change config.Change
+}
+
+// compare checks the folder and compares it with the accepted configuration.
+func (a *app) compare(ctx context.Context, c *client.Client) (folderChange, error) {
+	folder, snapshot, err := a.loadValid()
+	if err != nil {
+		return folderChange{}, err
+	}
+	server, err := fetch(ctx, c)
+	if err != nil {
+		return folderChange{}, err
+	}
+	change := config.Diff(server.folder, folder)
+	result := folderChange{
+		Base:        server.revision,
+		Put:         []string{},
+		Removed:     append([]string{}, change.Removed...),
+		Differences: append([]config.Difference{}, config.Describe(server.snapshot, snapshot)...),
+		change:      change,
+	}
+	for _, file := range change.Put {
+		result.Put = append(result.Put, file.Name)
+	}
+	return result, nil
+}
+
+// show writes a difference for people.
+func (a *app) show(d folderChange) {
+	for _, name := range d.Put {
+		a.say("put     %s", name)
+	}
+	for _, name := range d.Removed {
+		a.say("remove  %s", name)
+	}
+	for _, difference := range d.Differences {
+		a.say("  %s", difference)
+	}
+	if len(d.Differences) == 0 {
+		a.say("  (the merged configuration stays the same)")
+	}
+}
+
+func (a *app) diffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff",
+		Short: "Show what apply would change",
+		Args:  cobra.NoArgs,
+		RunE: a.remote(func(ctx context.Context, c *client.Client, _ []string) error {
+			difference, err := a.compare(ctx, c)
+			if err != nil {
+				return err
+			}
+			return a.print(difference, func() {
+				if difference.change.Empty() {
+					a.say("no difference from revision %d", difference.Base)
+					return
+				}
+				a.say("changes to revision %d:", difference.Base)
+				a.show(difference)
+			})
+		}),
+	}
+}
+
+// applyOptions are the flags of apply.
+type applyOptions struct {
+	id    string
+	base  uint64
+	prune bool
+}
+
+func (a *app) applyCommand() *cobra.Command {
+	var o applyOptions
+	cmd := &cobra.Command{
+		Use:   "apply",
+		Short: "Apply the configuration folder and wait until it is in force everywhere",
+		Long: `Apply the configuration folder and wait until it is in force everywhere.
+
+A folder that lacks files of the accepted configuration is refused without
+--prune, because another operator may have added them. After exit code 5, apply
+again with the --id that was shown: the same change is not applied twice.`,
+		Args: cobra.NoArgs,
+		RunE: a.remote(func(ctx context.Context, c *client.Client, _ []string) error {
+			return a.applyFolder(ctx, c, o)
+		}),
+	}
+	cmd.Flags().StringVar(&o.id, "id", "", "id of the change; the same id is not applied twice")
+	cmd.Flags().Uint64Var(&o.base, "base", 0, "refuse the change unless this is the accepted revision")
+	cmd.Flags().BoolVar(&o.prune, "prune", false, "remove accepted files that the folder does not have")
+	return cmd
+}
+
+// applyFolder applies the difference between the folder and the server.
+func (a *app) applyFolder(ctx context.Context, c *client.Client, o applyOptions) error {
+	difference, err := a.compare(ctx, c)
+	if err != nil {
+		return err
+	}
+	base := fleet.Revision(o.base)
+	if base != 0 && base != difference.Base {
+		return &conflictError{fmt.Sprintf("revision %d is not the accepted one", base), difference.Base}
+	}
+	if len(difference.Removed) > 0 && !o.prune {
+		text := fmt.Sprintf("the folder lacks accepted files, which --prune would remove: %s", joinNames(difference.Removed))
+		return &conflictError{text, difference.Base}
+	}
+	// With an id from the command line, the server may know the change already.
+	if difference.change.Empty() && o.id == "" {
+		return a.print(appliedOutput{Revision: difference.Base}, func() { a.say("nothing to apply, the folder is revision %d", difference.Base) })
+	}
+	change := difference.change
+	change.ID, change.Base = o.id, difference.Base
+	if change.ID == "" {
+		change.ID = a.NewID()
+	}
+	if !a.isJSON() {
+		a.show(difference)
+	}
+	if err := a.applyChange(ctx, c, change); err != nil || o.id == "" {
+		return err
+	}
+	return a.checkApplied(ctx, c, o.id)
+}
+
+// checkApplied reports differences that are left after a change with an id from
+// the command line. The server does not look at a change whose id it knows, so
+// the folder may hold edits that were made after the first apply with the id.
+func (a *app) checkApplied(ctx context.Context, c *client.Client, id string) error {
+	left, err := a.compare(ctx, c)
+	if err != nil || left.change.Empty() {
+		return err
+	}
+	text := fmt.Sprintf("change %s was accepted earlier, and the folder has been edited since; apply again without --id", id)
+	return &conflictError{text, left.Base}
+}
+
+// joinNames joins the first names of a list.
+func joinNames(names []string) string {
+	const shown = 5
+	text := ""
+	for i, name := range names[:min(len(names), shown)] {
+		if i > 0 {
+			text += ", "
+		}
+		text += name
+	}
+	if len(names) > shown {
+		text += fmt.Sprintf(" and %d more", len(names)-shown)
+	}
+	return text
+}
+
+// appliedOutput is the result of a change.
+type appliedOutput struct {
+	ID             string         `json:"id,omitempty"`
+	Revision       fleet.Revision `json:"revision"`
+	InForceAfterMS int64          `json:"inForceAfterMS"`
+}
+
+// applyChange applies a change and waits until it is in force everywhere.
+func (a *app) applyChange(ctx context.Context, c *client.Client, change config.Change) error {
+	applied, err := a.push(ctx, c, change)
+	if err != nil {
+		return err
+	}
+	result := appliedOutput{change.ID, applied.Revision, applied.InForceAfterMS}
+	return a.print(result, func() {
+		a.say("revision %d is in force everywhere after %d ms", applied.Revision, applied.InForceAfterMS)
+	})
+}
+
+// push sends a change until the server confirms that it is in force everywhere.
+func (a *app) push(ctx context.Context, c *client.Client, change config.Change) (client.Applied, error) {
+	a.progress("applying change %s to revision %d", change.ID, change.Base)
+	request := client.Change{ID: change.ID, Base: change.Base, Put: apiFiles(change.Put), Removed: change.Removed}
+	applied, err := c.Apply(ctx, request)
+	if err != nil {
+		return applied, a.explainUnknown(err, change.ID)
+	}
+	return a.confirm(ctx, c, request, applied)
+}
+
+// explainUnknown tells how to find out whether a change was accepted.
+func (a *app) explainUnknown(err error, id string) error {
+	var unknown *client.UnknownError
+	if errors.As(err, &unknown) {
+		return fmt.Errorf("%w; apply again with --id %s to find out", err, id)
+	}
+	return err
+}
+
+// confirm asks with the same change id until an accepted change is in force.
+func (a *app) confirm(ctx context.Context, c *client.Client, request client.Change, applied client.Applied) (client.Applied, error) {
+	detail := ""
+	for applied.Pending {
+		if applied.Detail != detail || detail == "" {
+			detail = applied.Detail
+			a.progress("revision %d is accepted, waiting until every entry has it: %s", applied.Revision, detail)
+		}
+		pending := &pendingError{fmt.Sprintf("revision %d is accepted, but not every entry is known to have it; apply again with --id %s to wait for it", applied.Revision, request.ID)}
+		if !pause(ctx, a.PollInterval) {
+			return applied, pending
+		}
+		next, err := c.Apply(ctx, request)
+		switch {
+		case ctx.Err() != nil:
+			return applied, pending
+		case err != nil:
+			return applied, fmt.Errorf("%w (%w)", pending, err)
+		}
+		applied = next
+	}
+	return applied, nil
+}
+
+func (a *app) pullCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "pull",
+		Short: "Write the files of the accepted configuration into the folder",
+		Args:  cobra.NoArgs,
+		RunE: a.remote(func(ctx context.Context, c *client.Client, _ []string) error {
+			return a.pull(ctx, c)
+		}),
+	}
+}
+
+// pull writes the accepted files that the folder lacks or has with other
+// content. Files that only the folder has are kept.
+func (a *app) pull(ctx context.Context, c *client.Client) error {
+	folder, err := config.Load(a.folder)
+	if err != nil {
+		return &usageError{err}
+	}
+	server, err := fetch(ctx, c)
+	if err != nil {
+		return err
+	}
+	change := config.Diff(folder, server.folder)
+	if findings := change.Check(); len(findings) > 0 {
+		return findings // names that would lead out of the folder
+	}
+	for _, file := range change.Put {
+		if err := a.writeFile(file.Name, file.Content); err != nil {
+			return err
+		}
+	}
+	result := struct {
+		Revision fleet.Revision `json:"revision"`
+		Written  int            `json:"written"`
+		Kept     []string       `json:"kept"` // files that only the folder has
+	}{server.revision, len(change.Put), append([]string{}, change.Removed...)}
+	return a.print(result, func() {
+		a.say("wrote %s of revision %d", count(len(change.Put), "file"), server.revision)
+		for _, name := range change.Removed {
+			a.say("kept %s, which is not accepted", name)
+		}
+	})
+}
+
+// writeFile writes a file of the folder.
+func (a *app) writeFile(name string, content []byte) error {
+	if err := os.WriteFile(filepath.Join(a.folder, name), content, folderFileMode); err != nil {
+		return fmt.Errorf("write configuration file: %w", err)
+	}
+	return nil
+}
+
+// removeFile removes a file of the folder.
+func (a *app) removeFile(name string) error {
+	if err := os.Remove(filepath.Join(a.folder, name)); err != nil {
+		return fmt.Errorf("remove configuration file: %w", err)
+	}
+	return nil
+}
+
+func (a *app) compactCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "compact",
+		Short: "Fold the files of the folder into one; needs no server",
+		Long: `Fold the files of the configuration folder into one, or a few large ones, with
+the same meaning. Comments are lost. Afterwards, look at the result and run
+"amaranthctl apply --prune".`,
+		Args: cobra.NoArgs,
+		RunE: a.local(func([]string) error { return a.compact() }),
+	}
+}
+
+// compact replaces the files of the folder. It writes the new files first and
+// then removes the others, the oldest first: if it is interrupted, the rest
+// cannot bring back an object that a later file had removed.
+func (a *app) compact() error {
+	folder, err := a.loadFolder()
+	if err != nil {
+		return err
+	}
+	compacted, findings := config.Compact(folder)
+	if len(findings) > 0 {
+		return findings
+	}
+	change := config.Diff(folder, compacted)
+	for _, file := range change.Put {
+		if err := a.writeFile(file.Name, file.Content); err != nil {
+			return err
+		}
+	}
+	for _, name := range change.Removed {
+		if err := a.removeFile(name); err != nil {
+			return err
+		}
+	}
+	result := struct {
+		Before int `json:"before"`
+		After  int `json:"after"`
+	}{len(folder), len(compacted)}
+	return a.print(result, func() {
+		a.say("folded %s into %d; look at the result and run \"amaranthctl apply --prune\"", count(len(folder), "file"), len(compacted))
+	})
+}
--- /dev/null
+++ b/cmd/internal/ctl/standin_test.go
@@ -0,0 +1,178 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"amaranthfork.example/client"
+	"amaranthfork.example/config"
+	"amaranthfork.example/fleet"
+)
+
+// standIn is a small stand-in for the HTTP API of an entry. Its switches make
+// the next requests fail.
+type standIn struct {
+	revision fleet.Revision
+	folder   config.Folder
+	applied  map[string]fleet.Revision // by change id
+	jobs     map[string][]client.Job   // the answers to come, the last one repeats
+
+	mu        sync.Mutex
+	cancel    func()        // ends the command that runs
+	pending   int           // answers of apply that are not confirmed
+	interrupt bool          // the operator stops waiting at the last of them
+	race      config.Folder // files that another operator applies before the next apply
+	lost      int           // applies whose answer is lost after they took effect
+	refusing  bool          // refuses all changes
+	refusal   string        // answer to submits
+	requests  []string
+}
+
+func newStandIn(t *testing.T, folder config.Folder) (*standIn, string) {
+	t.Helper()
+	s := &standIn{revision: 41, folder: folder, applied: map[string]fleet.Revision{}, jobs: map[string][]client.Job{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/config", s.config)
+	mux.HandleFunc("POST /v1/config/apply", s.apply)
+	mux.HandleFunc("GET /v1/status", answerWith(`{"revision":41,"fresh":true,"storeReachable":false,
+		"members":[{"id":"e-1","dataCentre":"dc-a","address":"10.0.0.1:7000"},{"id":"e-2","dataCentre":"dc-b","address":"10.0.1.1:7000"}],
+		"dataCentres":[{"name":"dc-a","state":"in","freeSlots":12,"totalSlots":96},{"name":"dc-b","state":"out","freeSlots":0,"totalSlots":96}],
+		"warnings":[{"subject":"team booking","message":"p99 start delay of class urgent is 1.9 s","action":"raise its share or move a spare VM to pool quotes"}]}`))
+	mux.HandleFunc("GET /v1/pools", answerWith(`{"pools":[{"name":"quotes","spare":false,"vms":8,"unavailable":1,"budget":1,"freeSlots":3,"totalSlots":56},
+		{"name":"spare","spare":true,"vms":8,"unavailable":0,"budget":2,"freeSlots":64,"totalSlots":64}]}`))
+	mux.HandleFunc("GET /v1/teams", answerWith(`{"teams":[{"name":"booking","share":350,"limit":200,"running":31,"queued":4}]}`))
+	mux.HandleFunc("POST /v1/vms/{vm}/drain", s.vm)
+	mux.HandleFunc("POST /v1/vms/{vm}/undrain", s.vm)
+	mux.HandleFunc("GET /v1/maintenance", answerWith(`{"paused":false,"stopped":true,"detail":"2 VMs of the wave did not come back","due":31,"done":15,"failed":2,
+		"vms":[{"vm":"w-003","pool":"quotes","dataCentre":"dc-a","state":"draining"}]}`))
+	mux.HandleFunc("POST /v1/maintenance/pause", answerWith(`{}`))
+	mux.HandleFunc("POST /v1/maintenance/resume", answerWith(``))
+	mux.HandleFunc("POST /v1/queues/{queue}/jobs", s.submit)
+	mux.HandleFunc("GET /v1/jobs/{id}", s.job)
+	mux.HandleFunc("GET /v1/jobs/{id}/wait", s.job)
+	mux.HandleFunc("DELETE /v1/jobs/{id}", s.job)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.requests = append(s.requests, r.Method+" "+r.URL.Path+" "+r.Header.Get("Authorization")+r.Header.Get(client.KeyHeader))
+		mux.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
+func answerWith(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func refuse(w http.ResponseWriter, status int, reason, detail string) {
+	answer(w, status, map[string]any{"outcome": "not_run", "reason": reason, "detail": detail})
+}
+
+func (s *standIn) config(w http.ResponseWriter, _ *http.Request) {
+	out := client.Configuration{Revision: s.revision, Files: apiFiles(s.folder.Files())}
+	answer(w, http.StatusOK, out)
+}
+
+func (s *standIn) apply(w http.ResponseWriter, r *http.Request) {
+	var change config.Change
+	if err := json.NewDecoder(r.Body).Decode(&change); err != nil || r.Header.Get("Authorization") != "Bearer operator" {
+		refuse(w, http.StatusUnauthorized, "unauthorized", "operator token needed")
+		return
+	}
+	if s.race != nil {
+		maps.Copy(s.folder, s.race)
+		s.revision++
+		s.race = nil
+	}
+	revision, known := s.applied[change.ID]
+	folder := config.Apply(s.folder, change)
+	_, findings := config.Build(folder, s.revision+1)
+	switch {
+	case known:
+	case s.refusing:
+		refuse(w, http.StatusServiceUnavailable, "store_unavailable", "the table service does not answer")
+		return
+	case change.Base != s.revision:
+		answer(w, http.StatusConflict, map[string]any{"reason": "conflict", "detail": "the base is not the accepted revision", "revision": s.revision})
+		return
+	case len(findings) > 0:
+		answer(w, http.StatusUnprocessableEntity, map[string]any{"findings": findings})
+		return
+	default:
+		s.revision++
+		revision = s.revision
+		s.folder, s.applied[change.ID] = folder, revision
+	}
+	s.answerApplied(w, revision)
+}
+
+// answerApplied answers an accepted change, unless a switch prevents it.
+func (s *standIn) answerApplied(w http.ResponseWriter, revision fleet.Revision) {
+	switch {
+	case s.lost > 0:
+		s.lost--
+		panic(http.ErrAbortHandler)
+	case s.pending > 0:
+		s.pending--
+		if s.pending == 0 && s.interrupt {
+			s.cancel()
+		}
+		answer(w, http.StatusAccepted, client.Applied{Revision: revision, Pending: true, Detail: "1 of 9 entries has not confirmed"})
+	default:
+		answer(w, http.StatusOK, client.Applied{Revision: revision, InForceAfterMS: 812})
+	}
+}
+
+func (s *standIn) vm(w http.ResponseWriter, r *http.Request) {
+	if r.PathValue("vm") != "w-003" {
+		refuse(w, http.StatusNotFound, "invalid_request", "there is no VM "+r.PathValue("vm"))
+	}
+}
+
+func (s *standIn) submit(w http.ResponseWriter, r *http.Request) {
+	var request client.SubmitRequest
+	err := json.NewDecoder(r.Body).Decode(&request)
+	_, knownQueue := map[string]bool{"quotes": true}[r.PathValue("queue")]
+	switch {
+	case err != nil || len(request.Steps) == 0:
+		refuse(w, http.StatusBadRequest, "invalid_request", "steps: "+errors.Join(err).Error())
+	case !knownQueue:
+		refuse(w, http.StatusNotFound, "no_such_queue", "there is no queue "+r.PathValue("queue"))
+	case s.refusal != "":
+		refuse(w, http.StatusTooManyRequests, s.refusal, "")
+	default:
+		id := "booking-" + request.ID
+		s.jobs[id] = []client.Job{
+			{ID: fleet.JobID(id), Team: "booking", State: client.JobRunning},
+			{ID: fleet.JobID(id), Team: "booking", State: client.JobEnded, Result: &fleet.Result{Outcome: fleet.OutcomeCompleted, Body: request.Steps[0].Payload}},
+		}
+		answer(w, http.StatusAccepted, client.Job{ID: fleet.JobID(id), Team: "booking", State: client.JobQueued})
+	}
+}
+
+func (s *standIn) job(w http.ResponseWriter, r *http.Request) {
+	answers := s.jobs[r.PathValue("id")]
+	if len(answers) == 0 {
+		refuse(w, http.StatusNotFound, "invalid_request", "there is no job "+r.PathValue("id"))
+		return
+	}
+	if r.PathValue("id") == "slow" && strings.HasSuffix(r.URL.Path, "/wait") {
+		s.cancel() // the operator stops waiting
+	}
+	if len(answers) > 1 {
+		s.jobs[r.PathValue("id")] = answers[1:]
+	}
+	answer(w, http.StatusOK, answers[0])
+}
