--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -43,8 +43,8 @@
 	t.Helper()
 	t.Chdir(t.TempDir())
 	s := &session{t: t, token: "operator"}
-	s.write("000001-base.yaml", baseFile)
-	s.server, s.url = newStandIn(t, config.Folder{"000001-base.yaml": []byte(baseFile)})
+	s.write("00000001-base.yaml", baseFile)
+	s.server, s.url = newStandIn(t, config.Folder{"00000001-base.yaml": []byte(baseFile)})
 	s.origin = s.url
 	return s
 }
@@ -151,10 +151,10 @@
 	s.run("key withdraw k-0707070707 -o json", ExitOK)
 	s.run("dc in dc-b -o json", ExitOK)
 	s.files()
-	s.write("000006-limits.yaml", "teams:\n  booking: {limit: 0}\n  design: {share: 70%}\n")
+	s.write("00000006-limits.yaml", "teams:\n  booking: {limit: 0}\n  design: {share: 70%}\n")
 	s.run("validate", ExitFailed)
 	s.run("apply -o json", ExitFailed)
-	s.write("000006-limits.yaml", "teams:\n  booking: {limit: 20}\n  design: {share: 10%, limit: 5}\n")
+	s.write("00000006-limits.yaml", "teams:\n  booking: {limit: 20}\n  design: {share: 10%, limit: 5}\n")
 	s.run("diff", ExitOK)
 	s.run("diff -o json", ExitOK)
 	s.run("apply --base 41", ExitConflict)
@@ -175,14 +175,14 @@
 	dir := fixtures(t)
 	s := newSession(t)
 	s.set(func(server *standIn) {
-		server.race = config.Folder{"000002-other.yaml": []byte("teams: {booking: {limit: 30}}\n")}
+		server.race = config.Folder{"00000002-other.yaml": []byte("teams: {booking: {limit: 30}}\n")}
 	})
 	s.run("dc out dc-a", ExitOK)
 	s.files()
 	s.run("pull", ExitOK)
-	s.write("000004-mine.yaml", "teams: {booking: {limit: 40}}\n")
+	s.write("00000004-mine.yaml", "teams: {booking: {limit: 40}}\n")
 	s.set(func(server *standIn) {
-		server.race = config.Folder{"000004-theirs.yaml": []byte("teams: {booking: {limit: 50}}\n")}
+		server.race = config.Folder{"00000004-theirs.yaml": []byte("teams: {booking: {limit: 50}}\n")}
 	})
 	s.run("apply", ExitConflict)
 	s.run("pull", ExitOK)
@@ -198,7 +198,7 @@
 	s.set(func(server *standIn) { server.pending, server.interrupt = 3, true })
 	s.run("dc in dc-a", ExitUnknown)
 	s.run("apply --id id-6", ExitOK)
-	s.write("000009-later.yaml", "teams: {booking: {limit: 60}}\n")
+	s.write("00000009-later.yaml", "teams: {booking: {limit: 60}}\n")
 	s.run("apply --id id-6", ExitConflict)
 	s.token = "wrong"
 	s.run("dc out dc-a", ExitNotRun)
--- a/config/builder_test.go
+++ b/config/builder_test.go
@@ -34,9 +34,9 @@
 }
 
 func drawFolder(t *rapid.T, label string, base []byte) Folder {
-	folder := Folder{"000001-base.yaml": base}
+	folder := Folder{"00000001-base.yaml": base}
 	for i, piece := range rapid.SliceOfN(rapid.SampledFrom(pieces), 0, 6).Draw(t, label) {
-		folder[fmt.Sprintf("%06d-change.yaml", i+2)] = []byte(piece)
+		folder[fmt.Sprintf("%08d-change.yaml", i+2)] = []byte(piece)
 	}
 	return folder
 }
@@ -94,7 +94,11 @@
 	if !reflect.DeepEqual(got, want) {
 		t.Fatalf("compacted: %+v %v\nwant: %+v", got, findings, want)
 	}
-	later, err := folder.NextFileName("later")
+	got, findings = Build(Apply(folder, Change{Put: compacted.Files()}), 7)
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("with the folded files: %+v %v\nwant: %+v", got, findings, want)
+	}
+	later, err := compacted.NextFileName("later")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,7 +135,7 @@
 func syntheticFolder(vms, changes int) Folder {
 	folder := Folder{}
 	put := func(number int, format string, args ...any) {
-		folder[fmt.Sprintf("%06d-change.yaml", number)] = fmt.Appendf(nil, format, args...)
+		folder[fmt.Sprintf("%08d-change.yaml", number)] = fmt.Appendf(nil, format, args...)
 	}
 	for i := range 20 {
 		put(i, "dataCentres: {dc-%d: {region: r-%d}}\n", i, i%6)
@@ -167,7 +171,7 @@
 func BenchmarkChangeOneFile(b *testing.B) {
 	for _, size := range benchmarkSizes {
 		builder := NewBuilder(syntheticFolder(size.vms, size.changes))
-		change := Change{Put: []File{{Name: "900000-dc-out.yaml", Content: []byte("dataCentres: {dc-3: {state: out}}\n")}}}
+		change := Change{Put: []File{{Name: "90000000-dc-out.yaml", Content: []byte("dataCentres: {dc-3: {state: out}}\n")}}}
 		b.Run(fmt.Sprintf("vms=%d/changes=%d", size.vms, size.changes), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
--- a/config/compact.go
+++ b/config/compact.go
@@ -11,15 +11,15 @@
 
 // Compact returns a folder of one file, or a few large ones, that says the same
 // as all files of the given folder, so that the snapshots of both are equal. The
-// files take the number of the last file, so that files written later are merged
-// after them. Comments are lost. A faulty folder is not compacted: its findings
+// files take the next number: files written later are merged after them, and the
+// folded files have no effect in a folder that still holds them. Comments are lost. A faulty folder is not compacted: its findings
 // are returned.
 func Compact(folder Folder) (Folder, Findings) {
 	b := NewBuilder(folder)
 	if _, findings := b.Build(0); len(findings) > 0 {
 		return nil, findings
 	}
-	number := folder.lastNumber()
+	number := folder.lastNumber() + 1
 	compacted := Folder{}
 	for i, content := range render(merge(b.files)) {
 		name := fmt.Sprintf("%0*d-compacted-%03d.yaml", fileNumberDigits, number, i+1)
--- a/config/describe.go
+++ b/config/describe.go
@@ -12,32 +12,33 @@
 )
 
 // Difference is one difference between two snapshots. Old and New are readable
-// values; both are empty when the object was added, removed or withdrawn.
+// values; both are empty when an object was added or removed or a key withdrawn.
 type Difference struct {
 	Kind  string `json:"kind"`           // for example team
 	Name  string `json:"name,omitempty"` // empty for maintenance and profile
 	What  string `json:"what"`           // a field name, or added, removed, withdrawn
 	Old   string `json:"old,omitempty"`
 	New   string `json:"new,omitempty"`
-	Extra string `json:"extra,omitempty"` // names that were added or removed
+	Extra string `json:"extra,omitempty"` // names of a list, or the fields of an added object
 }
 
+// whatWithdrawn says that a key was withdrawn.
+const whatWithdrawn = "withdrawn"
+
 // String returns the difference in words.
 func (d Difference) String() string {
-	subject := d.Kind
+	text := d.Kind
 	if d.Name != "" {
-		subject += " " + d.Name
+		text += " " + d.Name
 	}
-	switch {
-	case d.Old == "" && d.New == "" && d.Extra == "":
-		return fmt.Sprintf("%s: %s", subject, d.What)
-	case d.Old == "" && d.New == "":
-		return fmt.Sprintf("%s: %s %s", subject, d.What, d.Extra)
-	case d.Extra == "":
-		return fmt.Sprintf("%s: %s %s -> %s", subject, d.What, d.Old, d.New)
-	default:
-		return fmt.Sprintf("%s: %s %s -> %s (%s)", subject, d.What, d.Old, d.New, d.Extra)
+	text += ": " + d.What
+	if d.Old != "" || d.New != "" {
+		text += fmt.Sprintf(" %s -> %s", d.Old, d.New)
+	}
+	if d.Extra != "" {
+		text += fmt.Sprintf(" (%s)", d.Extra)
 	}
+	return text
 }
 
 // Describe returns the differences between two snapshots, ordered by kind and
@@ -81,6 +82,22 @@
 	}
 }
 
+// values returns the new values of all fields, for an object that was added.
+func (d *describer) values() string {
+	var parts []string
+	for _, difference := range d.list {
+		switch {
+		case difference.Extra != "":
+			parts = append(parts, difference.What+" "+strings.TrimPrefix(difference.Extra, "added "))
+		case difference.New != "":
+			parts = append(parts, difference.What+" "+difference.New)
+		case difference.What == whatWithdrawn:
+			parts = append(parts, whatWithdrawn)
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
 // quoteEmpty returns a word for an empty value.
 func quoteEmpty(value string) string {
 	return cmp.Or(value, "none")
@@ -96,9 +113,10 @@
 		d.kind, d.name = kind, string(name)
 		switch {
 		case !existed:
-			d.add("added", "")
 			var empty T
-			each(d, empty, after)
+			fields := &describer{}
+			each(fields, empty, after)
+			d.add("added", fields.values())
 		case !exists:
 			d.add("removed", "")
 		default:
@@ -130,7 +148,7 @@
 	}
 	switch {
 	case new.Withdrawn && !old.Withdrawn:
-		d.add("withdrawn", "")
+		d.add(whatWithdrawn, "")
 	case old.Withdrawn && !new.Withdrawn:
 		d.add("granted again", "")
 	}
--- a/config/findings_test.go
+++ b/config/findings_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	folder := Folder{"000001-base.yaml": base}
+	folder := Folder{"00000001-base.yaml": base}
 	for part := range strings.SplitSeq(strings.TrimPrefix(string(input), "-- "), "\n-- ") {
 		name, content, _ := strings.Cut(part, " --\n")
 		folder[name] = []byte(content)
@@ -73,7 +73,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			file := parseFile(File{Name: "000001-a.yaml", Content: []byte(c.content)})
+			file := parseFile(File{Name: "00000001-a.yaml", Content: []byte(c.content)})
 			refused := strings.Contains(file.findings.Error(), "nested more than")
 			if refused != c.refused {
 				t.Errorf("findings: %s", file.findings.Error())
--- a/config/folder.go
+++ b/config/folder.go
@@ -140,15 +140,15 @@
 	return findings
 }
 
-// fileNumberDigits is the width of the number that file names start with. Six
-// digits last 600 days at 1,600 changes a day without compaction.
-const fileNumberDigits = 6
+// fileNumberDigits is the width of the number that file names start with. Eight
+// digits last 170 years at 1,600 changes a day.
+const fileNumberDigits = 8
 
 var fileNumberPattern = regexp.MustCompile(fmt.Sprintf(`^(\d{%d})[-.]`, fileNumberDigits))
 
 // NextFileName returns the name of a new file that is merged after all files of
 // the folder: the next number and the label. It fails when no such name exists,
-// because the folder has files whose names do not start with a number of six
+// because the folder has files whose names do not start with a number of eight
 // digits and sort after it.
 func (f Folder) NextFileName(label string) (string, error) {
 	names := f.names()
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -27,7 +27,7 @@
 		f.Add(content)
 	}
 	f.Fuzz(func(t *testing.T, content []byte) {
-		folder := Folder{"000001-base.yaml": base, "000002-fuzz.yaml": content}
+		folder := Folder{"00000001-base.yaml": base, "00000002-fuzz.yaml": content}
 		snapshot, findings := Build(folder, 1)
 		if (snapshot == nil) != (len(findings) > 0) {
 			t.Fatalf("snapshot %v with findings %v", snapshot, findings)
@@ -46,7 +46,7 @@
 		}
 		again, findings := Build(compacted, 1)
 		if !reflect.DeepEqual(again, snapshot) {
-			t.Fatalf("compaction changed the snapshot: %v\n%s", findings, compacted["000002-compacted-001.yaml"])
+			t.Fatalf("compaction changed the snapshot: %v\n%s", findings, compacted["0000000003-compacted-001.yaml"])
 		}
 	})
 }
--- a/config/key_test.go
+++ b/config/key_test.go
@@ -18,12 +18,12 @@
 	if err != nil || id != key.ID {
 		t.Fatalf("id %q, key id %q, error %v", id, key.ID, err)
 	}
-	base := Folder{"000001-base.yaml": readBase(t), "000002-key.yaml": KeyFile(key)}
+	base := Folder{"00000001-base.yaml": readBase(t), "00000002-key.yaml": KeyFile(key)}
 	granted, findings := Build(base, 1)
 	if findings != nil {
 		t.Fatal(findings)
 	}
-	withdrawn, findings := Build(Apply(base, Change{Put: []File{{"000003-key.yaml", KeyWithdrawnFile(id)}}}), 2)
+	withdrawn, findings := Build(Apply(base, Change{Put: []File{{"00000003-key.yaml", KeyWithdrawnFile(id)}}}), 2)
 	if findings != nil {
 		t.Fatal(findings)
 	}
