Count fenced members that may still run against acceptance

A random test found an entry that acted on an old revision: newcomers settled while older unsettled members were out of reach. Settling without settled members now needs all members, and acceptance counts fenced members whose VM is not known to be gone.

go test ./control/apply -run Random -rapid.checks=8000 -rapid.steps=60 passes.

--- a/control/apply/operation.go
+++ b/control/apply/operation.go
@@ -92,19 +92,21 @@
 // settled reports whether every member has confirmed the change or can have no
 // evidence from before it.
 func (o *Operation) settled(ctx context.Context) bool {
-	if len(o.waiting()) == 0 {
-		return true
-	}
-	if o.c.o.Clock.Now().Sub(o.known) < view.TTL {
+	silent := len(o.waiting()) > 0
+	if silent && o.c.o.Clock.Now().Sub(o.known) < view.TTL {
 		return false
 	}
-	if list, err := o.c.o.Members.Refresh(ctx); err == nil {
-		o.list = list // sessions may have been fenced meanwhile
+	if !silent && len(o.list.Fenced) == 0 {
+		return true
+	}
+	list := o.list
+	if newer, err := o.c.o.Members.Refresh(ctx); err == nil {
+		list = newer // sessions may have been fenced meanwhile
 	}
 	// Without the heartbeats the silent members are taken to know only the list
 	// version that brought them.
 	known, _ := o.c.o.Members.Known(ctx)
-	return !o.list.Outvoted(o.confirmed, known)
+	return !list.Outvoted(o.confirmed, known)
 }
 
 // waiting returns those that have not confirmed: members, and entries with an
--- a/control/member/list.go
+++ b/control/member/list.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,6 +37,8 @@
 	// SettledAt is the list version since which the member may coordinate
 	// changes, 0 while it may not.
 	SettledAt uint64 `cbor:"3,keyasint,omitempty"`
+	// Known is, for a fenced member, the list version of its last renewal.
+	Known uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // List is the content of the member list row. It is immutable.
@@ -44,7 +47,7 @@
 	Entries []Entry `cbor:"2,keyasint"` // ordered by id
 	// Fenced holds removed members that did not leave by themselves and whose
 	// VM has not been seen as gone. They may still be running out of reach.
-	Fenced []control.Member `cbor:"3,keyasint,omitempty"`
+	Fenced []Entry `cbor:"3,keyasint,omitempty"`
 	// RowVersion is the version of the row, for conditions.
 	RowVersion uint64 `cbor:"4,keyasint,omitempty"`
 }
@@ -94,12 +97,12 @@
 		reused[m.VM] = m.VM != ""
 	}
 	sort.Slice(next.Entries, func(i, j int) bool { return next.Entries[i].Member.ID < next.Entries[j].Member.ID })
-	for _, m := range l.Fenced {
-		if !reused[m.VM] {
-			next.Fenced = append(next.Fenced, m)
+	for _, e := range l.Fenced {
+		if !reused[e.Member.VM] {
+			next.Fenced = append(next.Fenced, e)
 		}
 	}
-	if len(next.Settled()) == 0 && len(next.Fenced) == 0 {
+	if len(l.Entries) == 0 && len(next.Fenced) == 0 {
 		for i := range next.Entries {
 			next.Entries[i].SettledAt = next.Version
 		}
@@ -108,8 +111,9 @@
 }
 
 // without returns the next version without the members. Those that are fenced
-// are remembered until their VM is known to be gone or runs another session.
-func (l List) without(ids map[string]bool, fenced bool) List {
+// are remembered until their VM is known to be gone or runs another session;
+// known holds the list versions that they had confirmed.
+func (l List) without(ids map[string]bool, fenced bool, known map[string]uint64) List {
 	next := List{Version: l.Version + 1, RowVersion: l.RowVersion}
 	next.Fenced = append(next.Fenced, l.Fenced...)
 	used := map[string]bool{}
@@ -121,7 +125,8 @@
 	}
 	for _, e := range l.Entries {
 		if ids[e.Member.ID] && fenced && !used[e.Member.VM] {
-			next.Fenced = append(next.Fenced, e.Member)
+			e.Known = known[e.Member.ID]
+			next.Fenced = append(next.Fenced, e)
 		}
 	}
 	return next
@@ -133,18 +138,19 @@
 // An outage agreement on an older list must be impossible once a member that
 // the list does not name coordinates a change. It is, when half of the settled
 // members, and one in each of their data centres, know of the newer list. Where
-// no settled member is left, all that were fenced must be known to be dead.
+// no settled member is left, all members must know of it, and all that were
+// fenced must be known to be dead.
 func (l List) settle(known map[string]uint64, dead func(vm string) bool) (List, bool) {
 	next := List{Version: l.Version + 1, RowVersion: l.RowVersion}
-	for _, m := range l.Fenced {
-		if !dead(m.VM) {
-			next.Fenced = append(next.Fenced, m)
+	for _, e := range l.Fenced {
+		if !dead(e.Member.VM) {
+			next.Fenced = append(next.Fenced, e)
 		}
 	}
 	changed := len(next.Fenced) != len(l.Fenced)
 	settled := l.Settled()
 	for _, e := range l.Entries {
-		if e.SettledAt == 0 && mayCoordinate(e, settled, known, len(next.Fenced)) {
+		if e.SettledAt == 0 && l.mayCoordinate(e, settled, known, len(next.Fenced)) {
 			e.SettledAt = next.Version
 			changed = true
 		}
@@ -153,9 +159,10 @@
 	return next, changed
 }
 
-func mayCoordinate(e Entry, settled []Entry, known map[string]uint64, unaccounted int) bool {
+func (l List) mayCoordinate(e Entry, settled []Entry, known map[string]uint64, unaccounted int) bool {
 	if len(settled) == 0 {
-		return unaccounted == 0
+		unaware := func(s Entry) bool { return known[s.Member.ID] < e.Joined }
+		return unaccounted == 0 && !slices.ContainsFunc(l.Entries, unaware)
 	}
 	confirmed := 0
 	byDC := map[fleet.DataCentreName]bool{}
@@ -174,41 +181,46 @@
 	return 2*confirmed >= len(settled)
 }
 
-// Outvoted reports whether the silent members of the list could still reach an
-// outage agreement without any of the confirmed ones, should the VMs of all
-// confirmed ones be lost. known holds the list version that each member is known
-// to have at least; an absent member counts as having none.
+// Outvoted reports whether silent members could still reach an outage agreement
+// without any of the confirmed ones, should the VMs of all confirmed ones be
+// lost. Such an agreement needs more than half of the members that were settled
+// in the list version on which it rests; fenced members that may still be
+// running count. known holds the list version that each member is known to have
+// at least.
 func (l List) Outvoted(confirmed map[string]bool, known map[string]uint64) bool {
+	voters := append(l.Settled(), l.Fenced...)
 	oldest := l.Version
-	for _, e := range l.Entries {
+	for _, e := range voters {
 		if !confirmed[e.Member.ID] {
-			oldest = min(oldest, max(known[e.Member.ID], e.Joined))
+			oldest = min(oldest, max(known[e.Member.ID], e.Known, e.Joined))
 		}
 	}
-	cutoffs := []uint64{oldest}
-	for _, e := range l.Settled() {
-		if e.SettledAt > oldest {
-			cutoffs = append(cutoffs, e.SettledAt)
-		}
+	if outvotedAt(oldest, voters, confirmed) {
+		return true
 	}
-	for _, version := range cutoffs {
-		voters, yes := 0, 0
-		for _, e := range l.Settled() {
-			if e.SettledAt > version {
-				continue
-			}
-			voters++
-			if confirmed[e.Member.ID] {
-				yes++
-			}
-		}
-		if 2*yes < voters {
+	for _, e := range voters {
+		if e.SettledAt > oldest && outvotedAt(e.SettledAt, voters, confirmed) {
 			return true
 		}
 	}
 	return false
 }
 
+// outvotedAt applies the rule of Outvoted to the members settled at a version.
+func outvotedAt(version uint64, voters []Entry, confirmed map[string]bool) bool {
+	all, yes := 0, 0
+	for _, e := range voters {
+		if e.SettledAt == 0 || e.SettledAt > version {
+			continue
+		}
+		all++
+		if confirmed[e.Member.ID] {
+			yes++
+		}
+	}
+	return 2*yes < all
+}
+
 func decodeList(row platform.Row) (List, error) {
 	var list List
 	if row.Version == 0 {
--- a/control/member/registry.go
+++ b/control/member/registry.go
@@ -316,15 +316,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read heartbeats: %w", err)
 	}
-	known := make(map[string]uint64, len(rows))
-	for _, row := range rows {
-		var beat heartbeat
-		if err := cbor.Unmarshal(row.Value, &beat); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", row.Key, err)
-		}
-		known[row.Key[len(heartbeatKey):]] = beat.Version
-	}
-	return known, nil
+	return listVersions(rows)
 }
 
 // Leave ends the session in one transaction with the removal from the list.
@@ -343,7 +335,7 @@
 		if err != nil {
 			return err
 		}
-		err = r.remove(ctx, list, []string{self.ID}, []platform.Condition{{Key: row.Key, Version: row.Version}}, false)
+		err = r.remove(ctx, list, []string{self.ID}, []platform.Condition{{Key: row.Key, Version: row.Version}}, nil)
 		if err != nil && !retryable(err) {
 			return fmt.Errorf("leave: %w", err)
 		}
@@ -351,15 +343,16 @@
 	return fmt.Errorf("leave: %w after %d attempts", platform.ErrConflict, joinAttempts)
 }
 
-// remove deletes sessions and takes them from the list.
-func (r *Registry) remove(ctx context.Context, list List, ids []string, conditions []platform.Condition, fenced bool) error {
+// remove deletes sessions and takes them from the list. fenced holds the list
+// versions that the members knew; it is nil for members that leave.
+func (r *Registry) remove(ctx context.Context, list List, ids []string, conditions []platform.Condition, fenced map[string]uint64) error {
 	gone := map[string]bool{}
 	var writes []platform.Write
 	for _, id := range ids {
 		gone[id] = true
 		writes = append(writes, platform.Write{Key: sessionBase + id, Delete: true}, platform.Write{Key: heartbeatKey + id, Delete: true})
 	}
-	return r.store(ctx, "remove/"+r.Self().ID, list, list.without(gone, fenced), conditions, writes)
+	return r.store(ctx, "remove/"+r.Self().ID, list, list.without(gone, fenced != nil, fenced), conditions, writes)
 }
 
 // drop forgets the session.
--- a/control/view/evidence.go
+++ b/control/view/evidence.go
@@ -43,22 +43,20 @@
 	ListVersion  uint64         `cbor:"4,keyasint"`
 	StoreDown    bool           `cbor:"5,keyasint,omitempty"`
 	Coordinating bool           `cbor:"6,keyasint,omitempty"`
-	Valid        bool           `cbor:"7,keyasint,omitempty"` // the session is
-	Gone         []string       `cbor:"8,keyasint,omitempty"` // suspects whose VM is gone
+	Gone         []string       `cbor:"7,keyasint,omitempty"` // suspects whose VM is gone
 	// Agreed is set if the peer knows of an agreement of the members of its list.
-	Agreed    bool          `cbor:"9,keyasint,omitempty"`
-	AgreedAge time.Duration `cbor:"10,keyasint,omitempty"`
+	Agreed    bool          `cbor:"8,keyasint,omitempty"`
+	AgreedAge time.Duration `cbor:"9,keyasint,omitempty"`
 	// Via is a member that reached the store lately, which may renew sessions.
-	Via string `cbor:"11,keyasint,omitempty"`
+	Via string `cbor:"10,keyasint,omitempty"`
 }
 
 func (v *View) handleProbe(_ context.Context, from string, req probe) (probeAck, error) {
 	now := v.o.Clock.Now()
 	list := v.o.Members.List()
-	valid := v.o.Members.Valid() == nil
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	ack := probeAck{Revision: v.revision, ListVersion: list.Version, Valid: valid, Via: v.o.Members.Via()}
+	ack := probeAck{Revision: v.revision, ListVersion: list.Version, Via: v.o.Members.Via()}
 	if !v.storeDown {
 		ack.Via = v.o.Members.Self().ID
 	}
@@ -235,7 +233,6 @@
 
 // agree concludes an outage agreement if every member agrees.
 func (v *View) agree(r *round) error {
-	valid := v.o.Members.Valid() == nil
 	listed := false
 	if _, ok := r.list.Find(r.self.ID); ok {
 		listed = true
@@ -251,7 +248,7 @@
 	}
 	if len(silent) > 0 {
 		v.vms.wanted = true
-		if !valid || !v.allGone(r, silent) {
+		if !v.allGone(r, silent) {
 			return fmt.Errorf("%w: %d members are silent, the first is %s", ErrNoEvidence, len(silent), silent[0])
 		}
 	}
@@ -284,10 +281,10 @@
 }
 
 // allGone reports whether the silent members can be left out: the VM list shows
-// the VM of each as gone to all that answered, and those that answered hold
-// valid sessions and are more than half of the settled members. A coordinator
-// that does not get an answer from more than half of them accepts no change, so
-// a change that the silent ones accepted is known to one that answered.
+// the VM of each as gone to all that answered, and those that answered are more
+// than half of the settled members. A coordinator that is not confirmed by half
+// of them accepts no change (member.List.Outvoted), so a change that the silent
+// ones accepted is known to one that answered.
 func (v *View) allGone(r *round, silent []string) bool {
 	for _, id := range silent {
 		e, _ := r.list.Find(id)
@@ -297,7 +294,7 @@
 	}
 	for _, ack := range r.acks {
 		for _, id := range silent {
-			if !ack.Valid || !slices.Contains(ack.Gone, id) {
+			if !slices.Contains(ack.Gone, id) {
 				return false
 			}
 		}
