--- /dev/null
+++ b/control/member/member_test.go
@@ -0,0 +1,300 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/member"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/platform/memory"
+)
+
+func TestMain(m *testing.M) {
+	set := map[string]bool{}
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	if !set["rapid.seed"] {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+type vmList struct{ gone map[string]bool }
+
+func (l *vmList) List(context.Context) (platform.VMListing, error) {
+	var listing platform.VMListing
+	for i := range 200 {
+		vm := platform.EntryVM{ID: fmt.Sprint("vm", i), State: fleet.VMLive}
+		if l.gone[vm.ID] {
+			vm.State = fleet.VMGone
+		}
+		listing.Entries = append(listing.Entries, vm)
+	}
+	return listing, nil
+}
+
+type entries struct {
+	clock  *clock
+	vms    *vmList
+	table  *memory.Table
+	faults []*memory.Faults
+	list   []*member.Registry
+	ids    int
+}
+
+func newEntries(n int) *entries {
+	e := &entries{clock: &clock{now: time.Unix(0, 0)}, vms: &vmList{gone: map[string]bool{}}, table: memory.NewTable(nil)}
+	for range n {
+		e.add()
+	}
+	return e
+}
+
+func (e *entries) add() *member.Registry {
+	faults := &memory.Faults{}
+	i := len(e.list)
+	r := member.New(member.Options{
+		Self:  control.Member{VM: fmt.Sprint("vm", i), DataCentre: fleet.DataCentreName(fmt.Sprint("dc", i%20))},
+		NewID: func() string { e.ids++; return fmt.Sprintf("s%03d", e.ids) },
+		Table: e.table.Via(faults), VMs: e.vms, Clock: e.clock,
+	})
+	e.list, e.faults = append(e.list, r), append(e.faults, faults)
+	return r
+}
+
+// run ticks the entries for a time, but those in skip.
+func (e *entries) run(t *testing.T, d time.Duration, skip ...*member.Registry) {
+	t.Helper()
+	for end := e.clock.now.Add(d); e.clock.now.Before(end); {
+		e.clock.now = e.clock.now.Add(member.TickEvery)
+		for _, r := range e.list {
+			if contains(skip, r) {
+				continue
+			}
+			if err := r.Tick(t.Context()); err != nil && !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown) {
+				t.Fatalf("tick of %s: %v", r.Self().ID, err)
+			}
+		}
+	}
+}
+
+func contains(list []*member.Registry, r *member.Registry) bool {
+	for _, other := range list {
+		if other == r {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against fencing too early or too late, against a fenced holder that
+// acts, and against its writes.
+func TestFencing(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		gone          bool
+		from, through time.Duration // when the session is fenced
+	}{
+		{"silent", false, member.TTL - member.RenewEvery, member.TTL + 2*member.RenewEvery},
+		{"vm gone", true, member.TTL/2 - member.RenewEvery, member.TTL},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntries(3)
+			for _, r := range e.list {
+				if err := r.Join(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			e.run(t, 20*time.Second)
+			silent, session := e.list[1], e.list[1].Session()
+			e.vms.gone["vm1"] = tt.gone
+			var after time.Duration
+			for ; len(e.list[0].Members().List) == 3 && after < time.Minute; after += member.TickEvery {
+				e.run(t, member.TickEvery, silent)
+			}
+			if after < tt.from || after > tt.through {
+				t.Errorf("fenced after %v, want %v to %v", after, tt.from, tt.through)
+			}
+			if !tt.gone && silent.Valid() == nil {
+				t.Error("the session is valid after it was fenced")
+			}
+			if _, err := e.table.Commit(t.Context(), platform.Txn{Conditions: []platform.Condition{session}}); !errors.Is(err, platform.ErrConflict) {
+				t.Errorf("a write of the fenced session gave %v", err)
+			}
+			if err := silent.Tick(t.Context()); !errors.Is(err, member.ErrFenced) {
+				t.Errorf("the fenced entry was told %v", err)
+			}
+			if silent.Valid() == nil {
+				t.Error("the session is valid after ErrFenced")
+			}
+			if err := silent.Join(t.Context()); err != nil || silent.Session().Key == session.Key || silent.Valid() != nil {
+				t.Errorf("join after fencing: %v, key %s", err, silent.Session().Key)
+			}
+		})
+	}
+}
+
+// Guards against a session that is used longer than 70% of its TTL, and against
+// fencing right after an outage of the observer, during which the others may
+// have extended their leases.
+func TestLeaseAndOutage(t *testing.T) {
+	e := newEntries(3)
+	for _, r := range e.list {
+		if err := r.Join(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e.run(t, 20*time.Second)
+	for _, f := range e.faults {
+		f.SetDown(true)
+	}
+	e.run(t, 8*time.Second)
+	if e.list[0].Valid() == nil {
+		t.Error("the session is valid 8 s after the last renewal")
+	}
+	e.faults[0].SetDown(false)
+	e.run(t, member.TTL-member.RenewEvery)
+	if got := len(e.list[0].Members().List); got != 3 {
+		t.Errorf("%d members before the TTL has passed since the outage, want 3", got)
+	}
+	e.run(t, 3*member.RenewEvery)
+	if got := len(e.list[0].Members().List); got != 1 {
+		t.Errorf("%d members after the TTL has passed since the outage, want 1", got)
+	}
+}
+
+// Guards against joins that starve each other, lost answers that leave a second
+// session, unclean stops, and renewals that load the table.
+func TestManyJoinAndLeave(t *testing.T) {
+	e := newEntries(100)
+	for i, r := range e.list {
+		e.faults[i].LoseAnswers(i % 3)
+		if err := r.Join(t.Context()); err != nil {
+			t.Fatalf("join %d: %v", i, err)
+		}
+	}
+	e.run(t, 30*time.Second)
+	if got := len(e.list[0].Members().List); got != 100 || e.ids != 100 {
+		t.Fatalf("%d members with %d sessions, want 100 and 100", got, e.ids)
+	}
+	for _, r := range e.list {
+		if !r.MayCoordinate() {
+			t.Errorf("%s is not settled", r.Self().ID)
+		}
+	}
+	reads, writes := e.counts()
+	e.run(t, 20*time.Second)
+	r, w := e.counts()
+	if got := (w - writes) / 20; got > 51 {
+		t.Errorf("%d writes/s of 100 idle entries, want at most 51", got)
+	}
+	if got := (r - reads) / 20; got > 110 {
+		t.Errorf("%d reads/s of 100 idle entries, want at most 110", got)
+	}
+	for i, r := range e.list[1:] {
+		e.faults[i+1].LoseAnswers(i % 2)
+		if err := r.Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if r.Valid() == nil {
+			t.Fatal("the session is valid after Leave")
+		}
+	}
+	e.run(t, 3*time.Second, e.list[1:]...)
+	rows, err := e.table.Range(t.Context(), "", "", 1000)
+	if err != nil || len(rows) != 4 || len(e.list[0].Members().List) != 1 {
+		t.Errorf("%d rows and %d members are left (%v), want 4 and 1", len(rows), len(e.list[0].Members().List), err)
+	}
+}
+
+func (e *entries) counts() (reads, writes int) {
+	for _, f := range e.faults {
+		r, w := f.Counts()
+		reads, writes = reads+r, writes+w
+	}
+	return reads, writes
+}
+
+// Guards against a fence that hits a session renewed after it was observed.
+func TestFenceLosesAgainstRenewal(t *testing.T) {
+	e := newEntries(2)
+	for _, r := range e.list {
+		if err := r.Join(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late := e.list[1]
+	racing := member.New(member.Options{NewID: func() string { return "racer" }, Clock: e.clock, VMs: e.vms,
+		Table: &hook{Table: e.table, before: func() { _ = late.Tick(t.Context()) }}})
+	if err := racing.Join(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	e.list = []*member.Registry{racing}
+	e.run(t, 20*time.Second)
+	if late.Valid() != nil || len(racing.Members().List) != 2 {
+		t.Errorf("%d members, the renewed session: %v", len(racing.Members().List), late.Valid())
+	}
+}
+
+// hook runs a function before each commit of a removal.
+type hook struct {
+	platform.Table
+	before func()
+}
+
+func (h *hook) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	for _, w := range txn.Writes {
+		if w.Delete {
+			h.before()
+			break
+		}
+	}
+	return h.Table.Commit(ctx, txn)
+}
+
+// Guards against a topology in which a member is not reached, or that differs
+// between callers.
+func TestLinksReachAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []control.Member
+		for i := range rapid.IntRange(1, 60).Draw(t, "members") {
+			dc := fleet.DataCentreName(fmt.Sprint("dc", rapid.IntRange(0, 5).Draw(t, "dc")))
+			members = append(members, control.Member{ID: fmt.Sprint("m", i), DataCentre: dc})
+		}
+		self := rapid.SampledFrom(members).Draw(t, "self")
+		links := member.Links(self, members)
+		byID := map[string]control.Member{}
+		for _, m := range members {
+			byID[m.ID] = m
+		}
+		reached := map[string]int{self.ID: 1}
+		for _, id := range links.Local {
+			reached[id]++
+		}
+		for _, id := range links.Relays {
+			reached[id]++
+			for _, next := range member.Links(byID[id], members).Local {
+				reached[next]++
+			}
+		}
+		for _, m := range members {
+			if reached[m.ID] != 1 {
+				t.Fatalf("%s is reached %d times", m.ID, reached[m.ID])
+			}
+		}
+	})
+}
