--- /dev/null
+++ b/control/limits/limits_test.go
@@ -0,0 +1,581 @@
+package limits
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/control/rpc/rpctest"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/platform/memory"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	if !set["rapid.seed"] {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// entry is one entry with fakes around its Limits.
+type entry struct {
+	id       string
+	cluster  *cluster
+	limits   *Limits
+	faults   *memory.Faults
+	snapshot *config.Snapshot
+	valid    bool
+	paused   bool
+	running  map[fleet.TeamName]int
+}
+
+func (e *entry) Snapshot() *config.Snapshot { return e.snapshot }
+func (e *entry) Fresh() error               { return nil }
+func (e *entry) StoreReachable() bool       { return true }
+func (e *entry) Self() control.Member       { return control.Member{ID: e.id} }
+func (e *entry) Members() control.Members   { return e.cluster.members }
+func (e *entry) Valid() error {
+	if !e.valid {
+		return &fleet.Refusal{Reason: fleet.ReasonStaleView}
+	}
+	return nil
+}
+func (e *entry) Session() platform.Condition {
+	return platform.Condition{Key: "session/" + e.id, Version: 1}
+}
+
+type cluster struct {
+	clock   *clock
+	table   *memory.Table
+	network *rpctest.Network
+	members control.Members
+	entries []*entry
+	config  *config.Snapshot
+	fault   string // a commit that raised a row above its limit
+}
+
+// watched checks every commit of an entry.
+type watched struct {
+	*memory.Table
+	cluster *cluster
+}
+
+// Commit notes a commit that raises the sum of units above the row's limit.
+func (w watched) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	before := map[string]int{}
+	for _, write := range txn.Writes {
+		stored, _ := w.cluster.table.Get(ctx, write.Key)
+		row, _ := decodeRow(stored.Value)
+		before[write.Key] = row.Sum()
+	}
+	versions, err := w.Table.Commit(ctx, txn)
+	for _, write := range txn.Writes {
+		if row, _ := decodeRow(write.Value); err == nil && row.Sum() > before[write.Key] && row.Sum() > row.Limit {
+			w.cluster.fault = fmt.Sprintf("%s raised from %d to %d above the limit of %d", write.Key, before[write.Key], row.Sum(), row.Limit)
+		}
+	}
+	return versions, err
+}
+
+func newCluster(n int, limits map[fleet.TeamName]int) *cluster {
+	c := &cluster{clock: &clock{time.Unix(1000, 0)}, table: memory.NewTable(nil), network: rpctest.NewNetwork()}
+	c.configure(limits)
+	for range n {
+		c.join()
+	}
+	return c
+}
+
+func (c *cluster) configure(limits map[fleet.TeamName]int) {
+	next := &config.Snapshot{Revision: 1, Teams: map[fleet.TeamName]fleet.Team{}}
+	if c.config != nil {
+		next.Revision = c.config.Revision + 1
+	}
+	for name, limit := range limits {
+		next.Teams[name] = fleet.Team{Name: name, Limit: limit}
+	}
+	c.config = next
+}
+
+func (c *cluster) join() *entry {
+	e := &entry{
+		id: fmt.Sprintf("e%d", len(c.entries)), cluster: c, faults: &memory.Faults{},
+		snapshot: c.config, valid: true, running: map[fleet.TeamName]int{},
+	}
+	_, _ = c.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: "session/" + e.id}}})
+	router := rpc.NewRouter()
+	e.limits = New(Options{
+		View: e, Membership: e, Table: watched{c.table.Via(e.faults), c}, Clock: c.clock, Caller: c.network.Join(e.id, router),
+	}, router)
+	c.entries = append(c.entries, e)
+	c.members = control.Members{Version: c.members.Version + 1, List: append(slices.Clone(c.members.List), e.Self())}
+	return e
+}
+
+// fence ends a session; its tasks stay until they are adopted or lapse.
+func (c *cluster) fence(e *entry) {
+	e.valid = false
+	_, _ = c.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: "session/" + e.id}}})
+	c.network.Leave(e.id)
+	list := slices.DeleteFunc(slices.Clone(c.members.List), func(m control.Member) bool { return m.ID == e.id })
+	c.members = control.Members{Version: c.members.Version + 1, List: list}
+}
+
+func (c *cluster) row(t testing.TB, team fleet.TeamName) Row {
+	stored, _ := c.table.Get(context.Background(), Key(team))
+	row, err := decodeRow(stored.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row
+}
+
+func (c *cluster) total(team fleet.TeamName) int {
+	sum := 0
+	for _, e := range c.entries {
+		sum += e.running[team]
+	}
+	return sum
+}
+
+func (c *cluster) tick(ctx context.Context) {
+	for _, e := range c.entries {
+		if e.valid && !e.paused {
+			_ = e.limits.Tick(ctx)
+		}
+	}
+}
+
+func (e *entry) take(team fleet.TeamName) bool {
+	if e.limits.Take(team) != nil {
+		return false
+	}
+	e.running[team]++
+	return true
+}
+
+// TestLimitHolds guards against a start above the limit that the starting
+// entry knows, and against holdings that are raised above the limit, under
+// lost answers, outages, cuts, fenced and paused entries and changed limits.
+func TestLimitHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		const team = "a"
+		c := newCluster(3, map[fleet.TeamName]int{team: 6})
+		fencedAt := map[*entry]time.Time{}
+		pick := func() *entry { return c.entries[rapid.IntRange(0, len(c.entries)-1).Draw(t, "entry")] }
+		check := func() {
+			if c.fault != "" {
+				t.Fatal(c.fault)
+			}
+			if row := c.row(nil, team); c.total(team) > row.Sum() {
+				t.Fatalf("%d running on %d units: %+v", c.total(team), row.Sum(), row)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) {
+				e := pick()
+				if e.paused || !e.take(team) {
+					return
+				}
+				if limit := e.snapshot.Teams[team].Limit; c.total(team) > limit {
+					t.Fatalf("%d running with a limit of %d: %+v", c.total(team), limit, c.row(nil, team))
+				}
+			},
+			"return": func(*rapid.T) {
+				if e := pick(); e.running[team] > 0 && fencedAt[e].IsZero() {
+					e.running[team]--
+					e.limits.Return(team)
+				}
+			},
+			"demand": func(t *rapid.T) {
+				e := pick()
+				e.limits.Demand(team, e.running[team], rapid.IntRange(0, 8).Draw(t, "queued"))
+			},
+			"tick":   func(*rapid.T) { c.clock.now = c.clock.now.Add(time.Second); c.tick(ctx) },
+			"one":    func(*rapid.T) { _ = pick().limits.Tick(ctx) },
+			"urgent": func(*rapid.T) { _ = pick().limits.Urgent(ctx) },
+			"down":   func(t *rapid.T) { pick().faults.SetDown(rapid.Bool().Draw(t, "down")) },
+			"lose":   func(*rapid.T) { pick().faults.LoseAnswers(1) },
+			"cut": func(t *rapid.T) {
+				c.network.SetCut(pick().id, pick().id, rapid.Bool().Draw(t, "cut"))
+			},
+			"loseCall": func(*rapid.T) { c.network.LoseAnswers(pick().id, pick().id, 1) },
+			"pause":    func(*rapid.T) { e := pick(); e.paused = !e.paused },
+			"limit": func(t *rapid.T) {
+				c.configure(map[fleet.TeamName]int{team: rapid.IntRange(0, 9).Draw(t, "limit")})
+			},
+			"learn": func(*rapid.T) { pick().snapshot = c.config },
+			"fence": func(*rapid.T) {
+				if e := pick(); fencedAt[e].IsZero() && len(c.members.List) > 1 {
+					c.fence(e)
+					fencedAt[e] = c.clock.now
+					c.join()
+				}
+			},
+			"adopt": func(*rapid.T) {
+				from, to := pick(), pick()
+				lapsed := c.clock.now.Sub(fencedAt[from]) >= 15*time.Second
+				if fencedAt[from].IsZero() || !to.valid || lapsed {
+					return
+				}
+				for ; from.running[team] > 0; from.running[team]-- {
+					to.limits.Adopt(team, from.id)
+					to.running[team]++
+				}
+			},
+			"lapse": func(*rapid.T) { // the leases of fenced entries' tasks lapse
+				c.clock.now = c.clock.now.Add(time.Second)
+				for e, at := range fencedAt {
+					if c.clock.now.Sub(at) >= 15*time.Second {
+						e.running[team] = 0
+					}
+				}
+			},
+			"": func(*rapid.T) {
+				for e, at := range fencedAt {
+					if c.clock.now.Sub(at) >= 15*time.Second {
+						e.running[team] = 0
+					}
+				}
+				check()
+			},
+		})
+	})
+}
+
+// TestScenarios guards single mechanisms that the property test may reach
+// rarely.
+func TestScenarios(t *testing.T) {
+	ctx := context.Background()
+	const team = "a"
+	demand := func(e *entry, queued int) { e.limits.Demand(team, e.running[team], queued) }
+	fill := func(e *entry) int {
+		for e.take(team) {
+		}
+		return e.running[team]
+	}
+	second := func(c *cluster, n int) {
+		for range n {
+			c.clock.now = c.clock.now.Add(time.Second)
+			c.tick(ctx)
+		}
+	}
+	t.Run("slack", func(t *testing.T) {
+		c := newCluster(1, map[fleet.TeamName]int{team: 100})
+		demand(c.entries[0], 20)
+		second(c, 1)
+		if units, _ := c.entries[0].limits.Held(team); units != 22 {
+			t.Errorf("held %d units for a demand of 20, want 22", units)
+		}
+		demand(c.entries[0], 0)
+		second(c, 5)
+		if units, _ := c.entries[0].limits.Held(team); units != 0 {
+			t.Errorf("held %d units without demand", units)
+		}
+	})
+	t.Run("urgent demand asks a holder at once", func(t *testing.T) {
+		c := newCluster(2, map[fleet.TeamName]int{team: 10})
+		a, b := c.entries[0], c.entries[1]
+		demand(a, 10)
+		second(c, 1)
+		demand(a, 0)
+		demand(b, 5)
+		if b.take(team) {
+			t.Fatal("took a unit that is not held")
+		}
+		select {
+		case <-b.limits.Wake():
+		default:
+			t.Fatal("no wake after a refused take")
+		}
+		if err := b.limits.Urgent(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if fill(b) < 5 {
+			t.Errorf("%d units after an urgent round, want 5: %+v", b.running[team], c.row(t, team))
+		}
+	})
+	t.Run("all entries short share evenly", func(t *testing.T) {
+		c := newCluster(4, map[fleet.TeamName]int{team: 40})
+		demand(c.entries[0], 100)
+		second(c, 1)
+		fill(c.entries[0])
+		for range 60 { // tasks end and start
+			for _, e := range c.entries {
+				if e.running[team] > 0 {
+					e.running[team]--
+					e.limits.Return(team)
+				}
+				demand(e, 100)
+				fill(e)
+			}
+			second(c, 1)
+		}
+		for _, e := range c.entries {
+			if units, _ := e.limits.Held(team); units < 8 {
+				t.Errorf("%s holds %d of 40 units: %+v", e.id, units, c.row(t, team))
+			}
+		}
+	})
+	t.Run("fenced holdings are adopted or settle", func(t *testing.T) {
+		c := newCluster(2, map[fleet.TeamName]int{team: 10})
+		a, b := c.entries[0], c.entries[1]
+		demand(a, 10)
+		second(c, 1)
+		fill(a)
+		c.fence(a)
+		for range 4 {
+			b.limits.Adopt(team, a.id)
+			b.running[team]++
+		}
+		demand(b, 20)
+		second(c, 1)
+		if row := c.row(t, team); row.Units[b.id] != 4 || row.Units[a.id] != 6 {
+			t.Errorf("after adoption: %+v", row)
+		}
+		second(c, 19)
+		if row := c.row(t, team); row.Units[a.id] != 6 {
+			t.Errorf("holding settled before the leases have lapsed: %+v", row)
+		}
+		second(c, 3)
+		if row := c.row(t, team); row.Units[b.id] != 10 {
+			t.Errorf("holding did not settle: %+v", row)
+		}
+	})
+	t.Run("recovery delays settling", func(t *testing.T) {
+		c := newCluster(2, map[fleet.TeamName]int{team: 10})
+		a, b := c.entries[0], c.entries[1]
+		b.limits.o.Recovered = func(string) bool { return false }
+		demand(a, 10)
+		second(c, 1)
+		c.fence(a)
+		demand(b, 10)
+		second(c, 60)
+		if row := c.row(t, team); row.Units[b.id] != 0 {
+			t.Errorf("holding of a session that is not recovered was given out: %+v", row)
+		}
+	})
+	t.Run("outage uses what is held", func(t *testing.T) {
+		c := newCluster(1, map[fleet.TeamName]int{team: 10})
+		e := c.entries[0]
+		demand(e, 4)
+		second(c, 1)
+		e.faults.SetDown(true)
+		second(c, 30)
+		if got := fill(e); got != 5 {
+			t.Errorf("%d started in an outage, want the 5 units held", got)
+		}
+	})
+	t.Run("lost answer is read back", func(t *testing.T) {
+		c := newCluster(1, map[fleet.TeamName]int{team: 10})
+		e := c.entries[0]
+		demand(e, 4)
+		e.faults.LoseAnswers(1)
+		second(c, 1)
+		if e.take(team) {
+			t.Error("a unit was used while its commit was unknown")
+		}
+		second(c, 1)
+		if got := fill(e); got != 5 {
+			t.Errorf("%d usable after the read back, want 5", got)
+		}
+	})
+	t.Run("lowered limit", func(t *testing.T) {
+		c := newCluster(2, map[fleet.TeamName]int{team: 10})
+		a, b := c.entries[0], c.entries[1]
+		demand(a, 5)
+		demand(b, 3)
+		second(c, 2)
+		fill(a)
+		c.configure(map[fleet.TeamName]int{team: 4})
+		a.snapshot, b.snapshot = c.config, c.config
+		if b.take(team) {
+			t.Error("started before the lowered limit was applied")
+		}
+		second(c, 2)
+		if b.take(team) || a.limits.Excess(team) == 0 {
+			t.Errorf("started above the lowered limit, or no excess: %+v", c.row(t, team))
+		}
+		for a.running[team] > 2 {
+			a.running[team]--
+			a.limits.Return(team)
+		}
+		second(c, 3)
+		if row := c.row(t, team); row.Sum() > 4 || !b.take(team) && !a.take(team) {
+			t.Errorf("no start below the lowered limit: %+v", row)
+		}
+	})
+}
+
+// simulate drives entries whose demand moves between 1/20 and 5 times the mean
+// every 10 s, in turn by team, and reports what the holdings strand.
+func simulate(entries, teams, limit int, seconds int) (stranded, unmet float64, reach time.Duration, writes, asks, reads float64) {
+	ctx := context.Background()
+	limits := map[fleet.TeamName]int{}
+	for i := range teams {
+		limits[fleet.TeamName(fmt.Sprintf("t%02d", i))] = limit
+	}
+	c := newCluster(entries, limits)
+	names := sortedTeams(limits)
+	random := rand.New(rand.NewSource(1))
+	mean := float64(limit) / 3
+	var reaches []time.Duration
+	pendingSince := map[fleet.TeamName]time.Time{}
+	samples := 0
+	jobs := map[fleet.TeamName][]*entry{} // the entries that want to run a job
+	for second := range seconds {
+		for i, name := range names {
+			burst := (second/10)%max(2, min(5, teams)) == i%max(2, min(5, teams))
+			factor := 0.05
+			if burst {
+				factor = 5
+			}
+			if _, missed := pendingSince[name]; burst && missed && second%10 == 0 {
+				reaches = append(reaches, 10*time.Second) // not reached in the last burst
+			}
+			if burst && second%10 == 0 {
+				pendingSince[name] = c.clock.now
+			}
+			kept := jobs[name]
+			kept = kept[:min(len(kept), int(mean*factor))]
+			for i := range kept { // jobs take 3 s on average
+				if random.Intn(3) == 0 {
+					kept[i] = c.entries[random.Intn(entries)]
+				}
+			}
+			for len(kept) < int(mean*factor) {
+				kept = append(kept, c.entries[random.Intn(entries)])
+			}
+			jobs[name] = kept
+			want := map[*entry]int{}
+			for _, e := range kept {
+				want[e]++
+			}
+			for _, e := range c.entries {
+				for e.running[name] > want[e] { // tasks end when the demand is gone
+					e.running[name]--
+					e.limits.Return(name)
+				}
+				e.limits.Demand(name, e.running[name], max(0, want[e]-e.running[name]))
+			}
+		}
+		for step := range 5 { // every 200 ms: starts, urgent rounds; once a tick
+			for _, e := range c.entries {
+				for _, name := range names {
+					t := e.limits.team(name)
+					for t.queued > 0 && e.take(name) {
+						t.queued--
+					}
+				}
+				select {
+				case <-e.limits.Wake():
+					_ = e.limits.Urgent(ctx)
+				default:
+				}
+			}
+			c.clock.now = c.clock.now.Add(200 * time.Millisecond)
+			if step == 4 {
+				c.tick(ctx)
+			}
+			for _, name := range names {
+				if since, ok := pendingSince[name]; ok && c.total(name) >= limit*9/10 {
+					reaches = append(reaches, c.clock.now.Sub(since))
+					delete(pendingSince, name)
+				}
+			}
+		}
+		for _, name := range names {
+			demand, short := 0, 0
+			for _, e := range c.entries {
+				demand += e.running[name] + e.limits.team(name).queued
+				short += e.limits.team(name).queued
+			}
+			if demand >= limit { // idle units of a team that wants its whole limit
+				samples++
+				stranded += float64(limit-c.total(name)) / float64(limit)
+				unmet += float64(short)
+			}
+		}
+	}
+	for range pendingSince {
+		reaches = append(reaches, 10*time.Second)
+	}
+	sort.Slice(reaches, func(i, j int) bool { return reaches[i] < reaches[j] })
+	if len(reaches) > 0 {
+		reach = reaches[len(reaches)*9/10]
+	}
+	for _, e := range c.entries {
+		stats := e.limits.Stats()
+		writes += float64(stats.Writes) / float64(seconds)
+		asks += float64(stats.Asks) / float64(seconds)
+		reads += float64(stats.Reads) / float64(seconds)
+	}
+	return stranded / float64(max(1, samples)), unmet / float64(max(1, samples)), reach, writes, asks, reads
+}
+
+// BenchmarkBursts reports stranded units, the time until 90% of a team's limit
+// runs after its demand rose from 1/20 to 5 times the mean (p90, 10 s if it is
+// not reached within the burst), and the load.
+func BenchmarkBursts(b *testing.B) {
+	for _, size := range []struct{ entries, teams, limit int }{{8, 6, 60}, {20, 25, 60}, {100, 98, 120}} {
+		b.Run(fmt.Sprintf("entries=%d/teams=%d/limit=%d", size.entries, size.teams, size.limit), func(b *testing.B) {
+			for range b.N {
+				stranded, _, reach, writes, asks, reads := simulate(size.entries, size.teams, size.limit, 50)
+				b.ReportMetric(100*stranded, "%stranded")
+				b.ReportMetric(reach.Seconds(), "s-to-90%")
+				b.ReportMetric(writes, "writes/s")
+				b.ReportMetric(reads, "reads/s")
+				b.ReportMetric(asks/float64(size.entries), "asks/s/entry")
+			}
+		})
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, teams := range []int{6, 25, 98} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			limits := map[fleet.TeamName]int{}
+			for i := range teams {
+				limits[fleet.TeamName(fmt.Sprintf("t%02d", i))] = 10
+			}
+			c := newCluster(1, limits)
+			e := c.entries[0]
+			for name := range limits {
+				e.limits.Demand(name, 0, 8)
+			}
+			for range 20 {
+				c.clock.now = c.clock.now.Add(time.Second)
+				c.tick(context.Background())
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if err := e.limits.Take("t03"); err != nil {
+					b.Fatal(err)
+				}
+				e.limits.Return("t03")
+			}
+		})
+	}
+}
