Try: count only a part of the running batch work

Cause: a pool in a burst fills free slots with batch work, which then counts as need, so that the need exceeds what urgent and standard work take. Change: setting BatchRunning. Donors also keep their readiness before the spare pool is empty, and the harness smooths arrivals over 1 s instead of 1.5 s.

--- a/cmd/internal/measure/estimates.go
+++ b/cmd/internal/measure/estimates.go
@@ -80,7 +80,7 @@
 
 // settle turns the arrivals of the last ticks into rates.
 func (e *estimates) settle(span int) {
-	const memory = 1.5 // seconds
+	const memory = 1.0 // seconds
 	dt := durOf(span).Seconds()
 	f := 1 - math.Exp(-dt/memory)
 	for q, qu := range e.s.queues {
--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -49,7 +49,7 @@
 	hold := p.MoveWeight / p.IdleWeight
 	return capacity.Settings{
 		ClearUrgent: 500 * time.Millisecond, ClearStandard: 3 * time.Second, ClearBatch: time.Minute,
-		BatchSteady: 1, Headroom: 0.1, Ready: min(1, 0.5/p.IdleWeight),
+		BatchSteady: 1, BatchRunning: 1, Headroom: 0.1, Ready: min(1, 0.5/p.IdleWeight),
 		ShareBlend: p.ShareWeight / (1 + p.ShareWeight),
 		MoveCost:   16 * p.MoveWeight, MaxMoves: 0.2, MinStay: seconds(8 * p.MoveWeight), SpareStay: time.Second,
 		Hold: seconds(4 * hold), GiveMargin: 1, SpareFirst: 0.8, Ramp: 20 * time.Second,
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -69,7 +69,8 @@
 	return keepsSpread(vm, from)
 }
 
-// retained returns how many VMs a donor retains when to asks for one.
+// retained returns how many VMs a donor retains when to asks for one. Only
+// waiting urgent work or a full fleet reaches the VMs that are kept ready.
 func (b *books) retained(from, to *poolBook) int {
 	n := max(from.floor, from.need+b.set.GiveMargin)
 	if b.set.DonorsKeep && !b.full && to.urgentQueued == 0 {
@@ -113,8 +114,12 @@
 		perSecond    = 0.5
 		perSurplus   = 0.1
 		perNeighbour = 0.2
+		keptReady    = 20.0 // below its readiness a donor comes after the spare pool
 	)
 	cost := perRunning*float64(vm.Running) + perSecond*min(vm.Remaining, 10*time.Second).Seconds()
+	if b.set.DonorsKeep && !from.Spare && from.have <= from.keep {
+		cost += keptReady
+	}
 	if !from.Spare {
 		cost += b.set.SpareFirst - perSurplus*float64(from.have-from.need)
 	}
--- a/policy/capacity/need.go
+++ b/policy/capacity/need.go
@@ -43,7 +43,7 @@
 	wants := make([]want, 0, len(b.s.Work))
 	for _, w := range b.s.Work {
 		run := w.RunTime.Seconds()
-		steady := max(float64(w.Running), b.set.offered(w))
+		steady := max(b.set.running(w), b.set.offered(w))
 		backlog := float64(w.Queued) * min(1, run/b.set.clearWithin(w.Class).Seconds())
 		wants = append(wants, want{work: w, slots: steady + backlog})
 	}
@@ -59,6 +59,14 @@
 	return slots
 }
 
+// running returns the slots of a row that count as needed because they are in use.
+func (s Settings) running(w Work) float64 {
+	if w.Class == fleet.ClassBatch {
+		return float64(w.Running) * s.BatchRunning
+	}
+	return float64(w.Running)
+}
+
 // OfferedSlots returns the slots that the arrivals in each pool take if none
 // waits. It is the figure to feed to a forecast of Outlook.Slots and Peak.
 func OfferedSlots(work []Work, set Settings) map[fleet.PoolName]float64 {
--- a/policy/capacity/settings.go
+++ b/policy/capacity/settings.go
@@ -12,6 +12,7 @@
 	ClearStandard time.Duration // queued standard work is to start within this time
 	ClearBatch    time.Duration // queued batch work is to start within this time
 	BatchSteady   float64       // part of the arriving batch work that counts before it queues
+	BatchRunning  float64       // part of the running batch work that counts
 	Headroom      float64       // part of the demand kept free on top of it
 	Ready         float64       // part of a pool's usual burst for which it keeps VMs between bursts
 	ShareBlend    float64       // 1 divides a full fleet by shares only, 0 by demand only
@@ -36,6 +37,7 @@
 		ClearStandard: 3 * time.Second,
 		ClearBatch:    time.Minute,
 		BatchSteady:   0,
+		BatchRunning:  1,
 		Headroom:      0,
 		Ready:         0.5,
 		ShareBlend:    0.5,
