--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -38,6 +38,11 @@
 	},
 	{
 		name: "v2", about: "VMs go from pool to pool, and back only when no pool needed them for 30 s",
+		settings: settingsV2,
+		forecast: forecast.DefaultOptions(),
+	},
+	{
+		name: "v3", about: "bursts are served in part, a full fleet is divided by entitlement",
 		settings: func(s *Scenario) capacity.Settings { return capacity.SettingsFor(s.Profile) },
 		forecast: forecast.DefaultOptions(),
 	},
@@ -49,13 +54,23 @@
 	hold := p.MoveWeight / p.IdleWeight
 	return capacity.Settings{
 		ClearUrgent: 500 * time.Millisecond, ClearStandard: 3 * time.Second, ClearBatch: time.Minute,
-		BatchSteady: 1, BatchRunning: 1, Headroom: 0.1, Ready: min(1, 0.5/p.IdleWeight),
+		BatchSteady: 1, Headroom: 0.1, Ready: min(1, 0.5/p.IdleWeight),
 		ShareBlend: p.ShareWeight / (1 + p.ShareWeight),
 		MoveCost:   16 * p.MoveWeight, MaxMoves: 0.2, MinStay: seconds(8 * p.MoveWeight), SpareStay: time.Second,
 		Hold: seconds(4 * hold), GiveMargin: 1, SpareFirst: 0.8, Ramp: 20 * time.Second,
 	}
 }
 
+// settingsV2 are the settings of the second version.
+func settingsV2(s *Scenario) capacity.Settings {
+	p := s.Profile
+	set := settingsV1(s)
+	set.BatchSteady, set.Headroom, set.Ready, set.SpareFirst = 0, 0, 0.5, -1
+	set.Hold, set.ParkAfter, set.DonorsKeep = 0, seconds(30*p.MoveWeight/p.IdleWeight), true
+	set.MinStay = 8 * time.Second
+	return set
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // policies returns the baselines, the versions and the bounds in the order of
--- a/policy/capacity/need.go
+++ b/policy/capacity/need.go
@@ -43,7 +43,7 @@
 	wants := make([]want, 0, len(b.s.Work))
 	for _, w := range b.s.Work {
 		run := w.RunTime.Seconds()
-		steady := max(b.set.running(w), b.set.offered(w))
+		steady := max(float64(w.Running), b.set.offered(w))
 		backlog := float64(w.Queued) * min(1, run/b.set.clearWithin(w.Class).Seconds())
 		wants = append(wants, want{work: w, slots: steady + backlog})
 	}
@@ -59,14 +59,6 @@
 	return slots
 }
 
-// running returns the slots of a row that count as needed because they are in use.
-func (s Settings) running(w Work) float64 {
-	if w.Class == fleet.ClassBatch {
-		return float64(w.Running) * s.BatchRunning
-	}
-	return float64(w.Running)
-}
-
 // OfferedSlots returns the slots that the arrivals in each pool take if none
 // waits. It is the figure to feed to a forecast of Outlook.Slots and Peak.
 func OfferedSlots(work []Work, set Settings) map[fleet.PoolName]float64 {
@@ -117,31 +109,47 @@
 	}
 }
 
-// divideFullFleet scales the wants down when they exceed the fleet, between
-// the teams' entitlements and plain proportion.
+// divideFullFleet replaces the wants when everything that runs or waits exceeds
+// the fleet: each team's entitlement is spread over its pools by demand, and
+// blended with what plain demand would give it.
 func (b *books) divideFullFleet(wants []want) {
-	totals := teamTotals(wants)
-	sum := 0.0
+	demand := make(map[fleet.TeamName]float64)
 	for _, w := range wants {
-		sum += w.slots
+		demand[w.work.Team] += asked(w.work)
 	}
+	limited, sum := limitedDemand(b.s.Teams, demand)
 	if sum <= b.fleetSlots || sum == 0 {
 		return
 	}
 	b.full = true
-	entitled := Entitlements(b.s.Teams, totals, b.fleetSlots)
+	entitled := Entitlements(b.s.Teams, limited, b.fleetSlots)
 	plain := b.fleetSlots / sum
-	factors := make(map[fleet.TeamName]float64, len(totals))
-	for team, total := range totals {
-		f := plain
-		if e, ok := entitled[team]; ok && total > 0 {
-			f = b.set.ShareBlend*e/total + (1-b.set.ShareBlend)*plain
+	for i, w := range wants {
+		team := w.work.Team
+		if demand[team] == 0 {
+			continue
 		}
-		factors[team] = f
+		part := asked(w.work) / demand[team]
+		share := b.set.ShareBlend*entitled[team] + (1-b.set.ShareBlend)*limited[team]*plain
+		wants[i].slots = part * share
 	}
-	for i := range wants {
-		wants[i].slots *= factors[wants[i].work.Team]
+}
+
+func asked(w Work) float64 { return float64(w.Running + w.Queued) }
+
+// limitedDemand caps the demand of each team at its limit and returns the sum.
+func limitedDemand(teams []fleet.Team, demand map[fleet.TeamName]float64) (map[fleet.TeamName]float64, float64) {
+	limited := make(map[fleet.TeamName]float64, len(teams))
+	sum := 0.0
+	for _, t := range teams {
+		d := demand[t.Name]
+		if t.Limit > 0 {
+			d = min(d, float64(t.Limit))
+		}
+		limited[t.Name] = d
+		sum += d
 	}
+	return limited, sum
 }
 
 // Entitlements divides slots among teams by share. What a team does not demand
@@ -180,7 +188,7 @@
 }
 
 // sizePool turns the demand of a pool into VMs. The floor is what its running
-// work and its availability budget take, whatever the others need.
+// work, as far as it is entitled to it, and its availability budget take.
 func (b *books) sizePool(p *poolBook) {
 	if p.Spare {
 		p.need, p.keep, p.floor = 0, 0, b.set.SpareReserve
@@ -188,12 +196,12 @@
 	}
 	wanted := p.wanted
 	if !b.full {
-		wanted = max(wanted, p.outlook.Slots)
+		wanted = max(wanted, p.outlook.Slots) * (1 + b.set.Headroom)
 	}
-	p.need = vmsFor(wanted*(1+b.set.Headroom), p.slotsPerVM)
+	p.need = vmsFor(wanted, p.slotsPerVM)
 	ready := vmsFor(p.outlook.Peak*b.set.Ready, p.slotsPerVM)
 	p.keep = max(p.need, min(ready, p.Home))
-	p.floor = vmsFor(float64(p.busy), p.slotsPerVM) + p.MaxUnavailable
+	p.floor = min(p.need, vmsFor(float64(p.busy), p.slotsPerVM)) + p.MaxUnavailable
 }
 
 func vmsFor(slots, perVM float64) int {
--- a/policy/capacity/settings.go
+++ b/policy/capacity/settings.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math"
 	"time"
 
 	"amaranthfork.example/fleet"
@@ -12,7 +13,6 @@
 	ClearStandard time.Duration // queued standard work is to start within this time
 	ClearBatch    time.Duration // queued batch work is to start within this time
 	BatchSteady   float64       // part of the arriving batch work that counts before it queues
-	BatchRunning  float64       // part of the running batch work that counts
 	Headroom      float64       // part of the demand kept free on top of it
 	Ready         float64       // part of a pool's usual burst for which it keeps VMs between bursts
 	ShareBlend    float64       // 1 divides a full fleet by shares only, 0 by demand only
@@ -36,21 +36,20 @@
 		ClearUrgent:   500 * time.Millisecond,
 		ClearStandard: 3 * time.Second,
 		ClearBatch:    time.Minute,
-		BatchSteady:   0,
-		BatchRunning:  1,
-		Headroom:      0,
-		Ready:         0.5,
-		ShareBlend:    0.5,
-		MoveCost:      16,
-		MaxMoves:      0.2,
-		MinStay:       8 * time.Second,
-		SpareStay:     time.Second,
-		ParkAfter:     30 * time.Second,
-		DonorsKeep:    true,
-		DeficitHold:   0,
-		GiveMargin:    1,
-		SpareFirst:    -1,
-		Ramp:          20 * time.Second,
+		// Serving a burst nine tenths at once defers some seconds of batch
+		// work and saves a fifth of the moves.
+		Headroom:   -0.1,
+		Ready:      0.5,
+		ShareBlend: 0.5,
+		MoveCost:   16,
+		MaxMoves:   0.2,
+		MinStay:    8 * time.Second,
+		SpareStay:  time.Second,
+		ParkAfter:  time.Minute,
+		DonorsKeep: true,
+		GiveMargin: 2,
+		SpareFirst: -1,
+		Ramp:       20 * time.Second,
 	}
 }
 
@@ -59,9 +58,13 @@
 func SettingsFor(p fleet.Profile) Settings {
 	s := DefaultSettings()
 	idle, move, share := weight(p.IdleWeight), weight(p.MoveWeight), weight(p.ShareWeight)
+	// thrift is how much both costs of capacity weigh beside late work.
+	thrift := math.Sqrt(idle * move)
+	s.Headroom = max(-0.4, s.Headroom-0.125*(thrift-1))
 	s.MoveCost *= move
-	s.ParkAfter = scale(s.ParkAfter, move/idle)
-	s.ShareBlend = share / (1 + share)
+	s.Ready = min(1, s.Ready*math.Sqrt(move/idle))
+	s.ParkAfter = scale(s.ParkAfter, math.Sqrt(move)/idle)
+	s.ShareBlend = 1 - 1/(1+share*share)
 	return s
 }
 
