--- a/control/control.go
+++ b/control/control.go
@@ -87,6 +87,8 @@
 	Need    fleet.Resources `cbor:"6,keyasint"` // already estimated
 	Avoid   []fleet.VMID    `cbor:"7,keyasint,omitempty"`
 	RunTime time.Duration   `cbor:"8,keyasint"` // estimated
+	// Deadline of the job; zero means none. Maintenance keeps to it.
+	Deadline time.Time `cbor:"9,keyasint"`
 }
 
 // Reservation is a slot held in the VM owner's memory until it expires.
@@ -174,4 +176,7 @@
 	State  JobState       `cbor:"3,keyasint" json:"state"`
 	Step   int            `cbor:"4,keyasint" json:"step"`
 	Result *fleet.Result  `cbor:"5,keyasint,omitempty" json:"result,omitempty"`
+	// Unrecorded is set while the job is not durable: it was accepted during a
+	// store outage and is lost if its owner fails before the store returns.
+	Unrecorded bool `cbor:"6,keyasint,omitempty" json:"unrecorded,omitempty"`
 }
