--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -38,6 +38,11 @@
 	},
 	{
 		name: "v2", about: "VMs go from pool to pool, and back only when no pool needed them for 30 s",
+		settings: settingsV2,
+		forecast: forecast.DefaultOptions(),
+	},
+	{
+		name: "v3", about: "bursts are served in part, a full fleet is divided by entitlement",
 		settings: func(s *Scenario) capacity.Settings { return capacity.SettingsFor(s.Profile) },
 		forecast: forecast.DefaultOptions(),
 	},
@@ -56,6 +61,16 @@
 	}
 }
 
+// settingsV2 are the settings of the second version.
+func settingsV2(s *Scenario) capacity.Settings {
+	p := s.Profile
+	set := settingsV1(s)
+	set.BatchSteady, set.Headroom, set.Ready, set.SpareFirst = 0, 0, 0.5, -1
+	set.Hold, set.ParkAfter, set.DonorsKeep = 0, seconds(30*p.MoveWeight/p.IdleWeight), true
+	set.MinStay = 8 * time.Second
+	return set
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // policies returns the baselines, the versions and the bounds in the order of
