Wire the entry and run the whole path in one process

Cause: the parts existed but no request passed through all of them. Change: entry.Entry assembles the parts as the control plane of one session and builds a new plane when the session was fenced; planned stop in the order unready, drain delay, running requests, hand-over; operator requests; the command amaranth dev. Found on the first run: a planned stop reported an error for roles that the session did not hold; that case is not an error.

--- /dev/null
+++ b/cmd/amaranth/main.go
@@ -0,0 +1,119 @@
+// Amaranth runs a small fleet in one process, to try amaranthfork out.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"amaranthfork.example/client"
+	"amaranthfork.example/cmd/internal/dev"
+	"amaranthfork.example/cmd/internal/envflag"
+	"amaranthfork.example/cmd/internal/process"
+	"amaranthfork.example/fleet"
+)
+
+const demoTimeout = 60 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "amaranth",
+		Short:         "Try amaranthfork out",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	var exit, verbose bool
+	c := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a platform stand-in, entries in two data centres and eight workers, and send a job through",
+		Args:  cobra.NoArgs,
+	}
+	c.Flags().BoolVar(&exit, "exit", false, "stop after the job instead of serving until interrupted")
+	c.Flags().BoolVar(&verbose, "verbose", false, "write the log to standard error")
+	envflag.Describe(c.Flags())
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if err := envflag.Apply(c.Flags()); err != nil {
+			return err
+		}
+		log := zap.NewNop()
+		if verbose {
+			var err error
+			if log, err = process.Logger(); err != nil {
+				return err
+			}
+		}
+		return runDev(c.Context(), c.OutOrStdout(), log, exit)
+	}
+	root.AddCommand(c)
+	return root
+}
+
+func runDev(ctx context.Context, out io.Writer, log *zap.Logger, exit bool) error {
+	f, err := dev.Start(ctx, log)
+	if err != nil {
+		return err
+	}
+	printf := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format, args...) }
+	for i, url := range f.URLs {
+		printf("entry in %s: %s\n", dev.DataCentres[i], url)
+	}
+	err = demonstrate(ctx, f, printf)
+	if err == nil && !exit {
+		printf("serving; for example:\n  export AMARANTH_SERVER=%s AMARANTH_TOKEN=%s AMARANTH_KEY=%s\n  amaranthctl status\n", f.URLs[0], f.Token, f.Key)
+		<-ctx.Done()
+	}
+	err = errors.Join(err, f.Stop())
+	if err == nil {
+		printf("stopped\n")
+	}
+	return err
+}
+
+// demonstrate submits a job with two steps and waits for its result.
+func demonstrate(ctx context.Context, f *dev.Fleet, printf func(string, ...any)) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	caller, err := client.New(client.Options{BaseURL: f.URLs[len(f.URLs)-1], Key: f.Key})
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	job, err := caller.Submit(ctx, "quotes", client.SubmitRequest{
+		ID: "demo-quote", Class: fleet.ClassUrgent,
+		Steps: []fleet.Step{
+			{Command: "measure?time=50ms", Payload: []byte("booth 12")},
+			{Command: "price?time=50ms", Payload: []byte("quote for booth 12")},
+		},
+		Declared: fleet.Resources{MilliCPU: 500, MemoryMB: 256}, RunTimeMS: 100, DeadlineMS: 30_000, Idempotent: true,
+	})
+	if err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
+	printf("job %s: %s\n", job.ID, job.State)
+	job, err = caller.Wait(ctx, job.ID)
+	if err != nil {
+		return fmt.Errorf("wait: %w", err)
+	}
+	if job.Result == nil || job.Result.Outcome != fleet.OutcomeCompleted {
+		return fmt.Errorf("job ended as %+v", job.Result)
+	}
+	printf("job %s: %s after %d ms: %s\n", job.ID, job.Result.Outcome, time.Since(began).Milliseconds(), job.Result.Body)
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/process/process.go
@@ -0,0 +1,79 @@
+// Package process holds what the daemons share: logging and the reaction to signals.
+package process
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Logger returns a logger that writes one line of key=value pairs for each event.
+func Logger() (*zap.Logger, error) {
+	level := zapcore.InfoLevel
+	if text, ok := os.LookupEnv("AMARANTH_LOG_LEVEL"); ok {
+		parsed, err := zapcore.ParseLevel(text)
+		if err != nil {
+			return nil, err
+		}
+		level = parsed
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = func(t time.Time, enc zapcore.PrimitiveArrayEncoder) {
+		enc.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
+	}
+	config.MessageKey = "event"
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), level)), nil
+}
+
+// Daemon is a process that serves until its context ends and then stops gracefully.
+type Daemon interface {
+	Run(ctx context.Context) error
+	// Reload reads files that may change while running.
+	Reload() error
+}
+
+// errSecondSignal ends the process at once.
+var errSecondSignal = errors.New("second signal: stopped at once")
+
+// Run runs a daemon. The first SIGTERM or SIGINT begins a planned stop, a
+// second one ends the process at once, SIGHUP reloads.
+func Run(d Daemon, log *zap.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				reload(d, log)
+				continue
+			}
+			if ctx.Err() != nil {
+				return errSecondSignal
+			}
+			log.Info("stop_requested", zap.String("signal", sig.String()))
+			cancel()
+		}
+	}
+}
+
+func reload(d Daemon, log *zap.Logger) {
+	if err := d.Reload(); err != nil {
+		log.Error("reload_failed", zap.Error(err))
+		return
+	}
+	log.Info("reloaded")
+}
--- a/entry/api/operator.go
+++ b/entry/api/operator.go
@@ -90,7 +90,7 @@
 	// Apply returns once the change is in force everywhere, or a *fleet.Refusal
 	// if it was not committed.
 	Apply(ctx context.Context, change config.Change) (ApplyResult, error)
-	Status() Status
+	Status(ctx context.Context) Status
 	Pools(ctx context.Context) ([]PoolStatus, error)
 	Teams(ctx context.Context) ([]TeamStatus, error)
 	// Drain takes a VM out of service; it is refused when the availability
@@ -157,7 +157,9 @@
 	return c.JSON(http.StatusOK, body)
 }
 
-func (s *Server) status(c *echo.Context) error { return c.JSON(http.StatusOK, s.Operator.Status()) }
+func (s *Server) status(c *echo.Context) error {
+	return c.JSON(http.StatusOK, s.Operator.Status(c.Request().Context()))
+}
 
 func (s *Server) pools(c *echo.Context) error {
 	list, err := s.Operator.Pools(c.Request().Context())
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -119,13 +119,15 @@
 
 // Quantile describes one histogram; all durations are in milliseconds.
 type Quantile struct {
-	Kind      string         `json:"kind"`
-	Team      fleet.TeamName `json:"team"`
-	Class     fleet.Class    `json:"class"`
-	Count     int64          `json:"count"`
-	P50       int64          `json:"p50"`
-	P99       int64          `json:"p99"`
-	RecentP99 int64          `json:"recentP99"` // over the last one to two minutes
+	Kind  string         `json:"kind"`
+	Team  fleet.TeamName `json:"team"`
+	Class fleet.Class    `json:"class"`
+	Count int64          `json:"count"`
+	P50   int64          `json:"p50"`
+	P99   int64          `json:"p99"`
+	// Over the last one to two minutes.
+	RecentCount int64 `json:"recentCount"`
+	RecentP99   int64 `json:"recentP99"`
 }
 
 // Quantiles returns all histograms, ordered by kind, team and class.
@@ -138,10 +140,11 @@
 		s.rotate(now)
 		list = append(list, Quantile{
 			Kind: key.kind, Team: key.team, Class: key.class,
-			Count:     s.total.TotalCount(),
-			P50:       s.total.ValueAtQuantile(50),
-			P99:       s.total.ValueAtQuantile(99),
-			RecentP99: max(s.recent.ValueAtQuantile(99), s.before.ValueAtQuantile(99)),
+			Count:       s.total.TotalCount(),
+			P50:         s.total.ValueAtQuantile(50),
+			P99:         s.total.ValueAtQuantile(99),
+			RecentCount: s.recent.TotalCount() + s.before.TotalCount(),
+			RecentP99:   max(s.recent.ValueAtQuantile(99), s.before.ValueAtQuantile(99)),
 		})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].order() < list[j].order() })
--- /dev/null
+++ b/entry/vmdispatch.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"amaranthfork.example/control/slots"
+	"amaranthfork.example/control/upkeep"
+	"amaranthfork.example/fleet"
+)
+
+const inspectTimeout = 2 * time.Second
+
+// vmDispatch lets the pool and maintenance controllers ask the owners of VMs.
+type vmDispatch struct{ slots *slots.Slots }
+
+var _ upkeep.Dispatch = (*vmDispatch)(nil)
+
+// Idle reports that the owner starts nothing on the VM any more and that
+// nothing runs on it.
+func (d *vmDispatch) Idle(vm fleet.VMID) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	i, err := d.slots.Inspect(ctx, vm)
+	if err != nil {
+		return false, err
+	}
+	return !i.Active && i.Running == 0 && i.Reserved == 0, nil
+}
+
+// Running returns the tasks of a VM; none if its owner cannot be asked, in which
+// case Idle returns an error and nothing is done with the VM.
+func (d *vmDispatch) Running(vm fleet.VMID) []upkeep.RunningTask {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	i, err := d.slots.Inspect(ctx, vm)
+	if err != nil {
+		return nil
+	}
+	tasks := make([]upkeep.RunningTask, 0, len(i.Tasks))
+	for _, t := range i.Tasks {
+		tasks = append(tasks, upkeep.RunningTask{ID: t.Attempt, End: t.Ends, Deadline: t.Due, CanCheckpoint: true})
+	}
+	return tasks
+}
+
+// Checkpoint checkpoints a task.
+func (d *vmDispatch) Checkpoint(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) error {
+	return d.slots.Checkpoint(ctx, vm, attempt)
+}
