Test the lifecycle of jobs under random faults; correct what it found

Change: a rapid model of several owners with kills, pauses inside a start, takeovers, moves, outages, lost answers, delayed starts, silent VM owners and cancellations. Found and corrected: units of moved tasks leaked when the new owner failed before it told the holder (the holder now asks); an idempotent job that ran without a claim during an outage could be called not run by the next owner (now unknown); a job id used again after retention could take the old result after a takeover (sequences now start at the submission time).

--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -486,16 +486,16 @@
 	m.notStarted(s.e)
 }
 
-// unclaim ends the claim of a job and gives its unit back. The caller holds mu.
+// unclaim ends the claim of a job and gives its unit back. A unit that another
+// session holds, or that this one holds since it handed the shard over, is
+// collected by its holder. The caller holds mu.
 func (m *Manager) unclaim(e *entry) {
 	m.running[e.job.Team]--
 	if m.running[e.job.Team] <= 0 {
 		delete(m.running, e.job.Team)
 	}
-	if e.Claim.Holder == m.self() {
+	if _, lent := m.lent[e.Claim.Attempt]; e.Claim.Holder == m.self() && !lent {
 		m.options.Limits.Return(e.job.Team)
-	} else {
-		m.returns = append(m.returns, unitReturn{Holder: e.Claim.Holder, Attempt: e.Claim.Attempt})
 	}
 	delete(m.open, e.job.ID)
 	e.Claim = nil
--- a/control/jobs/ended.go
+++ b/control/jobs/ended.go
@@ -159,8 +159,11 @@
 // none of its attempts may have started. The caller holds mu.
 func (m *Manager) finishRefused(e *entry, reason fleet.Reason, why string) {
 	outcome := fleet.OutcomeNotRun
-	if e.Started > 0 {
+	switch {
+	case e.Started > 0:
 		outcome = fleet.OutcomeFailed
+	case e.Unsure:
+		outcome = fleet.OutcomeUnknown
 	}
 	m.finish(e, fleet.Result{Outcome: outcome, Reason: reason, Detail: why})
 }
--- a/control/jobs/forward.go
+++ b/control/jobs/forward.go
@@ -20,7 +20,7 @@
 	methodWait   = "jobs.wait"
 	methodCancel = "jobs.cancel"
 	methodEnded  = "jobs.ended"
-	methodUnit   = "jobs.unit"
+	methodHeld   = "jobs.held"
 )
 
 // retryPause is the time between tries of a forwarded call; the owner of a
@@ -45,6 +45,11 @@
 	For time.Duration `cbor:"2,keyasint,omitempty"` // bound of a wait
 }
 
+type heldRequest struct {
+	ID      fleet.JobID     `cbor:"1,keyasint"`
+	Attempt fleet.AttemptID `cbor:"2,keyasint"`
+}
+
 type reply struct {
 	Status  control.JobStatus `cbor:"1,keyasint"`
 	Code    answerCode        `cbor:"2,keyasint,omitempty"`
@@ -71,9 +76,8 @@
 	rpc.Handle(r, methodEnded, func(ctx context.Context, _ string, end control.TaskEnd) (reply, error) {
 		return answer(control.JobStatus{}, m.taskEnded(ctx, end)), nil
 	})
-	rpc.Handle(r, methodUnit, func(_ context.Context, _ string, u unitReturn) (reply, error) {
-		m.unitReturned(u)
-		return reply{}, nil
+	rpc.Handle(r, methodHeld, func(_ context.Context, _ string, q heldRequest) (reply, error) {
+		return answer(control.JobStatus{}, m.held(q)), nil
 	})
 }
 
--- a/control/jobs/manager.go
+++ b/control/jobs/manager.go
@@ -156,7 +156,7 @@
 	Ended       uint64
 	TakenOver   uint64 // jobs rebuilt from other sessions
 	Incomplete  uint64 // rebuilt records without their job, dropped
-	UnitsAbroad uint64 // units given back to the session that holds them
+	UnitsAbroad uint64 // units taken back for tasks that ended at another owner
 	Queued      int
 	Open        int
 	Retained    int
@@ -187,8 +187,7 @@
 	retry      *retry.Policy
 	rates      map[fleet.PoolName]*rateCounter
 	revision   fleet.Revision // whose queues the lanes follow
-	lent       map[fleet.AttemptID]fleet.TeamName
-	returns    []unitReturn
+	lent       map[fleet.AttemptID]lentUnit
 	demanded   map[fleet.TeamName]bool
 	maintained time.Time
 	ckpt       checkpointRound
@@ -222,7 +221,7 @@
 		dirty:    map[fleet.JobID]*entry{},
 		retry:    retry.New(options.Retry),
 		rates:    map[fleet.PoolName]*rateCounter{},
-		lent:     map[fleet.AttemptID]fleet.TeamName{},
+		lent:     map[fleet.AttemptID]lentUnit{},
 		demanded: map[fleet.TeamName]bool{},
 	}
 }
@@ -254,7 +253,7 @@
 		return err
 	}
 	m.Resolve(ctx)
-	m.returnUnits(ctx)
+	m.collectUnits(ctx)
 	m.reportDemand()
 	m.expireResults()
 	return errors.Join(err, m.checkpointIfDue(ctx))
--- /dev/null
+++ b/control/jobs/property_test.go
@@ -0,0 +1,375 @@
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/control"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+)
+
+// model drives a world with random faults and remembers what callers were told.
+type model struct {
+	*world
+	t        *rapid.T
+	jobs     map[fleet.JobID]fleet.Job
+	accepted map[fleet.JobID]bool // answered as queued and recorded
+	unsure   map[fleet.JobID]bool // answered as unknown or unrecorded
+	// unrecorded jobs may have run for an owner that failed before it could
+	// record them; callers were told so, and a later submission is a new job.
+	unrecorded map[fleet.JobID]bool
+	refused    map[fleet.JobID]bool
+	results    map[fleet.JobID]fleet.Result // first final result seen
+	sent       []control.TaskEnd            // for duplicates
+	serial     int
+	depth      int
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, jobs: map[fleet.JobID]fleet.Job{}, accepted: map[fleet.JobID]bool{}, unsure: map[fleet.JobID]bool{},
+		refused: map[fleet.JobID]bool{}, results: map[fleet.JobID]fleet.Result{},
+		unrecorded: map[fleet.JobID]bool{},
+	}
+	m.world = newWorld(3)
+	m.world.options = Options{UnknownAfter: 30 * time.Second, CheckpointEvery: 2 * time.Second}
+	m.world.onStart = m.startFaults
+	m.tick(8, time.Second)
+	return m
+}
+
+func (m *model) node() *node {
+	var usable []*node
+	for _, n := range m.nodes {
+		if !n.paused {
+			usable = append(usable, n)
+		}
+	}
+	if len(usable) == 0 {
+		return m.nodes[0]
+	}
+	return rapid.SampledFrom(usable).Draw(m.t, "node")
+}
+
+// startFaults may lose the answer of a start, hold the start back, refuse it,
+// or pause its sender until another entry has taken its shards over.
+func (m *model) startFaults(n *node, task platform.Task) (lose, delay, refuse bool) {
+	if m.t == nil || m.depth > 0 {
+		return false, false, false
+	}
+	switch rapid.IntRange(0, 9).Draw(m.t, "startFault") {
+	case 0:
+		return true, false, false
+	case 1:
+		return false, true, false
+	case 2:
+		return false, false, true
+	case 3:
+		m.pauseAndFence(n)
+	}
+	return false, false, false
+}
+
+// pauseAndFence stops a node in the middle of an action while the others fence
+// it and take over, and then lets it go on.
+func (m *model) pauseAndFence(n *node) {
+	if len(m.nodes) < 2 || n.dead {
+		return
+	}
+	m.depth++
+	n.paused = true
+	m.kill(n)
+	m.tick(6, time.Second)
+	m.add()
+	m.depth--
+}
+
+func (m *model) submit() {
+	var j fleet.Job
+	if len(m.jobs) > 0 && rapid.IntRange(0, 3).Draw(m.t, "repeat") == 0 {
+		j = m.jobs[rapid.SampledFrom(m.ids()).Draw(m.t, "job")]
+	} else {
+		m.serial++
+		j = job(fmt.Sprint(m.serial), rapid.IntRange(1, 3).Draw(m.t, "steps"), rapid.Bool().Draw(m.t, "idempotent"))
+		j.Class = rapid.SampledFrom(fleet.Classes).Draw(m.t, "class")
+		if rapid.IntRange(0, 3).Draw(m.t, "deadline") == 0 {
+			j.Deadline = m.clock.now.Add(5 * time.Second)
+		}
+	}
+	m.jobs[j.ID] = j
+	status, err := m.node().jobs.Submit(context.Background(), j)
+	switch {
+	case err == nil && status.Unrecorded:
+		m.unsure[j.ID], m.unrecorded[j.ID] = true, true
+	case err == nil:
+		m.accepted[j.ID] = true
+		m.see(status)
+	case refusalReason(err) != "":
+		m.refused[j.ID] = true
+	default:
+		m.unsure[j.ID] = true
+	}
+}
+
+func (m *model) ids() []fleet.JobID {
+	ids := make([]fleet.JobID, 0, len(m.jobs))
+	for id := range m.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// see checks a status that a caller got.
+func (m *model) see(status control.JobStatus) {
+	if status.State != control.JobEnded {
+		return
+	}
+	r := *status.Result
+	j := m.jobs[status.ID]
+	if r.Job != j.ID {
+		m.t.Fatalf("job %s got the result of %s", j.ID, r.Job)
+	}
+	if r.Outcome == fleet.OutcomeCompleted {
+		last := len(j.Steps) - 1
+		task := m.tasks[r.Attempt]
+		if task == nil || task.Job != j.ID || task.Step != last || !bytes.Equal(r.Body, body(j.ID, last, r.Attempt)) {
+			m.t.Fatalf("job %s: result %+v is not that of an attempt of its last step", j.ID, r)
+		}
+	}
+	first, ok := m.results[j.ID]
+	if ok && !first.Unrecorded && (first.Outcome != r.Outcome || first.Attempt != r.Attempt) {
+		m.t.Fatalf("job %s: result changed from %+v to %+v", j.ID, first, r)
+	}
+	m.results[j.ID] = r
+}
+
+func (m *model) status() {
+	if len(m.jobs) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(m.ids()).Draw(m.t, "job")
+	if status, err := m.node().jobs.Status(context.Background(), id); err == nil {
+		m.see(status)
+	}
+}
+
+func (m *model) cancel() {
+	if len(m.jobs) == 0 {
+		return
+	}
+	for range rapid.IntRange(1, 5).Draw(m.t, "wave") {
+		id := rapid.SampledFrom(m.ids()).Draw(m.t, "job")
+		if status, err := m.node().jobs.Cancel(context.Background(), id); err == nil {
+			m.see(status)
+		}
+	}
+}
+
+// end ends a task at its worker and reports it once, twice, late or not at all.
+func (m *model) end() {
+	running := m.running()
+	if len(running) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(running).Draw(m.t, "attempt")
+	state := rapid.SampledFrom([]platform.TaskState{
+		platform.TaskCompleted, platform.TaskCompleted, platform.TaskCompleted,
+		platform.TaskFailed, platform.TaskCheckpointed, platform.TaskStopped,
+	}).Draw(m.t, "state")
+	end := m.finish(id, state)
+	m.sent = append(m.sent, end)
+	for range rapid.IntRange(0, 2).Draw(m.t, "reports") {
+		_ = m.node().jobs.TaskEnded(context.Background(), end)
+	}
+}
+
+func (m *model) repeatEnd() {
+	if len(m.sent) > 0 {
+		_ = m.node().jobs.TaskEnded(context.Background(), rapid.SampledFrom(m.sent).Draw(m.t, "end"))
+	}
+}
+
+// loseWorker ends a task without a word of how far it came.
+func (m *model) loseWorker() {
+	running := m.running()
+	if len(running) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(running).Draw(m.t, "attempt")
+	m.tasks[id].State = lost
+	end := m.tasks[id].end()
+	m.sent = append(m.sent, end)
+	for range rapid.IntRange(0, 2).Draw(m.t, "reports") {
+		_ = m.node().jobs.TaskEnded(context.Background(), end)
+	}
+}
+
+func (m *model) killOne() {
+	if len(m.nodes) < 2 {
+		return
+	}
+	m.kill(m.node())
+	if rapid.Bool().Draw(m.t, "replace") || len(m.nodes) < 2 {
+		m.add()
+	}
+}
+
+func (m *model) replaceAll() {
+	for _, n := range slices.Clone(m.nodes) {
+		m.kill(n)
+	}
+	for range 3 {
+		m.add()
+	}
+}
+
+func (m *model) join() {
+	if len(m.nodes) < 5 {
+		m.add()
+	}
+}
+
+// loseAnswers makes store commits or peer calls take effect without an answer.
+func (m *model) loseAnswers() {
+	n := m.node()
+	if rapid.Bool().Draw(m.t, "store") {
+		n.faults.LoseAnswers(rapid.IntRange(1, 8).Draw(m.t, "commits"))
+		return
+	}
+	m.network.LoseAnswers(n.id, m.node().id, rapid.IntRange(1, 3).Draw(m.t, "calls"))
+}
+
+func (m *model) outage() {
+	down := rapid.Bool().Draw(m.t, "down")
+	if rapid.Bool().Draw(m.t, "all") {
+		for _, n := range m.nodes {
+			m.setDown(n, down)
+		}
+		return
+	}
+	m.setDown(m.node(), down)
+}
+
+func (m *model) deliverDelayed() {
+	if len(m.delayed) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.delayed)-1).Draw(m.t, "delayed")
+	m.arrive(m.delayed[i])
+	m.delayed = slices.Delete(m.delayed, i, i+1)
+}
+
+func (m *model) advance() {
+	m.tick(rapid.IntRange(1, 3).Draw(m.t, "rounds"), time.Duration(rapid.IntRange(10, 1500).Draw(m.t, "ms"))*time.Millisecond)
+}
+
+// check tests what holds at every moment.
+func (m *model) check(*rapid.T) {
+	if len(m.faults) > 0 {
+		m.t.Fatal(m.faults)
+	}
+	for _, id := range m.ids() {
+		m.checkStarts(m.jobs[id])
+	}
+}
+
+func (m *model) checkStarts(j fleet.Job) {
+	total := 0
+	for step := range j.Steps {
+		starts := m.starts[stepKey(j.ID, step)]
+		total += len(starts)
+		fresh := 0
+		for _, id := range starts {
+			if m.tasks[id].State != platform.TaskCheckpointed {
+				fresh++
+			}
+		}
+		if fresh > 1 && !j.Idempotent {
+			m.t.Fatalf("non-idempotent step %d of %s started %d times: %v", step, j.ID, fresh, starts)
+		}
+	}
+	if r, ok := m.results[j.ID]; ok && r.Outcome == fleet.OutcomeNotRun && total > 0 && !m.unrecorded[j.ID] {
+		m.t.Fatalf("job %s was reported as not run and started %d times", j.ID, total)
+	}
+	if m.refused[j.ID] && !m.accepted[j.ID] && !m.unsure[j.ID] && total > 0 {
+		m.t.Fatalf("job %s was refused and started %d times", j.ID, total)
+	}
+}
+
+// settle stops all faults and checks that every accepted job ends.
+func (m *model) settle(t *rapid.T) {
+	m.depth++
+	m.silent = false
+	for _, n := range m.nodes {
+		n.paused, n.stale, n.limit = false, false, 1000
+		m.setDown(n, false)
+		n.faults.LoseAnswers(0)
+	}
+	for _, p := range m.delayed {
+		m.arrive(p)
+	}
+	m.delayed = nil
+	m.drain(100)
+	m.tick(3, time.Second) // units held abroad are returned after the last end
+	m.check(t)
+	for _, id := range m.ids() {
+		status, err := m.nodes[0].jobs.Status(context.Background(), id)
+		if m.accepted[id] && (err != nil || status.State != control.JobEnded) {
+			t.Fatalf("accepted job %s is lost or stuck: %+v, %v", id, status, err)
+		}
+		if err == nil {
+			m.see(status)
+		}
+	}
+	m.check(t)
+	for _, n := range m.nodes {
+		if open := n.jobs.Stats().Open; open > 0 {
+			t.Fatalf("node %s has %d open claims after everything has ended", n.id, open)
+		}
+		for team, taken := range n.taken {
+			if taken != 0 {
+				t.Fatalf("node %s holds %d units of %s after everything has ended", n.id, taken, team)
+			}
+		}
+	}
+}
+
+// Guards against every known way to start a non-idempotent step twice, to call
+// a job not run that has started, to lose an accepted job, to answer a caller
+// with another job's or attempt's result, and to leak units of limits.
+func TestLifecycleUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		actions := map[string]func(*rapid.T){
+			"submit":   func(t *rapid.T) { m.t = t; m.submit() },
+			"submit2":  func(t *rapid.T) { m.t = t; m.submit() },
+			"status":   func(t *rapid.T) { m.t = t; m.status() },
+			"cancel":   func(t *rapid.T) { m.t = t; m.cancel() },
+			"end":      func(t *rapid.T) { m.t = t; m.end() },
+			"repeat":   func(t *rapid.T) { m.t = t; m.repeatEnd() },
+			"worker":   func(t *rapid.T) { m.t = t; m.loseWorker() },
+			"kill":     func(t *rapid.T) { m.t = t; m.killOne() },
+			"replace":  func(t *rapid.T) { m.t = t; m.replaceAll() },
+			"join":     func(t *rapid.T) { m.t = t; m.join() },
+			"lose":     func(t *rapid.T) { m.t = t; m.loseAnswers() },
+			"outage":   func(t *rapid.T) { m.t = t; m.outage() },
+			"delayed":  func(t *rapid.T) { m.t = t; m.deliverDelayed() },
+			"silence":  func(t *rapid.T) { m.t = t; m.silent = !m.silent },
+			"evidence": func(t *rapid.T) { m.t = t; n := m.node(); n.stale = !n.stale },
+			"advance":  func(t *rapid.T) { m.t = t; m.advance() },
+			"advance2": func(t *rapid.T) { m.t = t; m.advance() },
+			"":         func(t *rapid.T) { m.t = t; m.check(t) },
+		}
+		t.Repeat(actions)
+		m.t = t
+		m.settle(t)
+	})
+}
--- a/control/jobs/record.go
+++ b/control/jobs/record.go
@@ -40,11 +40,16 @@
 	Avoid    []fleet.VMID  `cbor:"6,keyasint,omitempty"` // VMs on which the current step has failed
 	Result   *fleet.Result `cbor:"7,keyasint,omitempty"`
 	Ended    int64         `cbor:"8,keyasint,omitempty"` // Unix time in nanoseconds
+	// Unsure is set when a former owner may have started the job without a
+	// durable claim, as owners do with idempotent jobs during an outage.
+	Unsure bool `cbor:"9,keyasint,omitempty"`
 }
 
 // record is the whole progress of a job at one moment. The record with the
 // highest sequence holds, in whichever order records are read, so replaying
-// pages over a checkpoint that contains them does no harm.
+// pages over a checkpoint that contains them does no harm. Sequences start at
+// the time of the submission, so a job that is submitted again after its result
+// was dropped is later than all records of its first life.
 type record struct {
 	ID       fleet.JobID `cbor:"1,keyasint"`
 	Sequence uint64      `cbor:"2,keyasint"`
@@ -68,6 +73,7 @@
 type merged struct {
 	record
 	shard int
+	jobAt uint64 // sequence of the record that Job came with
 }
 
 func newMerger() *merger { return &merger{jobs: map[fleet.JobID]*merged{}} }
@@ -95,17 +101,17 @@
 func (m *merger) add(shard int, r record) {
 	known := m.jobs[r.ID]
 	if known == nil {
-		m.jobs[r.ID] = &merged{record: r, shard: shard}
-		return
+		known = &merged{shard: shard}
+		m.jobs[r.ID] = known
 	}
-	job := known.Job
-	if job == nil {
-		job = r.Job
+	job, jobAt := known.Job, known.jobAt
+	if r.Job != nil && r.Sequence >= jobAt {
+		job, jobAt = r.Job, r.Sequence
 	}
-	if r.Sequence > known.Sequence {
+	if r.Sequence >= known.Sequence {
 		known.record = r
 	}
-	known.Job = job
+	known.Job, known.jobAt = job, jobAt
 }
 
 // queueKey names the waiting jobs that one bound applies to.
--- a/control/jobs/resolve.go
+++ b/control/jobs/resolve.go
@@ -4,12 +4,13 @@
 	"container/heap"
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
 
 	"amaranthfork.example/control"
-	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/platform"
 )
@@ -23,11 +24,11 @@
 // resolveBatch bounds the lookups of one Resolve.
 const resolveBatch = 256
 
-// unitReturn is a unit of a team's limit that another session holds for a task
-// that has ended here.
-type unitReturn struct {
-	Holder  string          `cbor:"1,keyasint"`
-	Attempt fleet.AttemptID `cbor:"2,keyasint"`
+// lentUnit is a unit of a team's limit that this session holds for a task whose
+// shard it has handed over.
+type lentUnit struct {
+	job  fleet.JobID
+	team fleet.TeamName
 }
 
 // Resolve asks the VM owners about open claims: those whose start had no
@@ -132,39 +133,53 @@
 	}
 }
 
-// returnUnits tells other sessions that tasks have ended whose units they hold.
-func (m *Manager) returnUnits(ctx context.Context) {
-	m.mu.Lock()
-	pending := m.returns
-	m.returns = nil
-	m.mu.Unlock()
-	members := m.options.Membership.Members()
-	var failed []unitReturn
-	for _, r := range pending {
-		if !slices.ContainsFunc(members.List, func(x control.Member) bool { return x.ID == r.Holder }) {
-			continue // the holding has gone with its session
-		}
-		err := m.options.Caller.Call(ctx, r.Holder, methodUnit, r, nil)
-		if errors.Is(err, rpc.ErrUnreachable) || errors.Is(err, rpc.ErrNoAnswer) {
-			failed = append(failed, r)
+// collectUnits takes back the units of handed-over tasks that are no longer
+// current at the owners of their jobs. Asking, rather than being told, also
+// finds the ends of which an owner that has failed since could not tell.
+func (m *Manager) collectUnits(ctx context.Context) {
+	for attempt, unit := range m.lentUnits() {
+		q := heldRequest{ID: unit.job, Attempt: attempt}
+		_, err := m.call(ctx, unit.job, methodHeld, q, func(context.Context) (control.JobStatus, error) {
+			return control.JobStatus{}, m.held(q)
+		})
+		if errors.Is(err, platform.ErrNotFound) {
+			m.takeBack(attempt)
 		}
 	}
+}
+
+func (m *Manager) lentUnits() map[fleet.AttemptID]lentUnit {
 	m.mu.Lock()
-	m.returns = append(m.returns, failed...)
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.lent)
 }
 
-// unitReturned gives back the unit of a task that was handed over while it ran.
-func (m *Manager) unitReturned(r unitReturn) {
+func (m *Manager) takeBack(attempt fleet.AttemptID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	team, ok := m.lent[r.Attempt]
-	if !ok || r.Holder != m.self() {
+	unit, ok := m.lent[attempt]
+	if !ok {
 		return
 	}
-	delete(m.lent, r.Attempt)
+	delete(m.lent, attempt)
 	m.stats.UnitsAbroad++
-	m.options.Limits.Return(team)
+	m.options.Limits.Return(unit.team)
+}
+
+// held returns nil while an attempt is the claim of a job of an own shard, and
+// platform.ErrNotFound once its end is durable.
+func (m *Manager) held(q heldRequest) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, err := m.acting(m.shardOf(q.ID))
+	if err != nil {
+		return err
+	}
+	e := s.entries[q.ID]
+	if e != nil && (e.dirty() || e.Claim != nil && e.Claim.Attempt == q.Attempt) {
+		return nil
+	}
+	return fmt.Errorf("attempt %s: %w", q.Attempt, platform.ErrNotFound)
 }
 
 // reportDemand tells the limits how many units each team uses and wants here.
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -77,6 +77,8 @@
 	}
 	e = &entry{job: job, shard: number, phase: phaseSubmitting, ready: make(chan struct{}), queuedAt: now}
 	e.pool = snapshot.Queues[job.Queue].Pool
+	e.sequence = uint64(now.UnixMicro())
+	e.durable = e.sequence
 	s.entries[job.ID] = e
 	m.count(e)
 	m.touch(e)
--- a/control/jobs/takeover.go
+++ b/control/jobs/takeover.go
@@ -114,14 +114,31 @@
 		}
 		return jobs[i].ID < jobs[k].ID
 	})
+	fenced := m.fencedShards(takes)
 	for _, job := range jobs {
-		m.enter(job)
+		m.enter(job, fenced[job.shard])
 	}
 	slices.SortStableFunc(m.ended, func(a, b *entry) int { return int(a.Ended - b.Ended) })
 	m.signal()
 }
 
-func (m *Manager) enter(job *merged) {
+// fencedShards returns the shards with a source that did not hand over its
+// whole state because it is gone.
+func (m *Manager) fencedShards(takes []shards.Take) map[int]bool {
+	live := map[string]bool{}
+	for _, member := range m.options.Membership.Members().List {
+		live[member.ID] = true
+	}
+	fenced := map[int]bool{}
+	for _, take := range takes {
+		for _, source := range take.Sources {
+			fenced[take.Shard] = fenced[take.Shard] || !live[source]
+		}
+	}
+	return fenced
+}
+
+func (m *Manager) enter(job *merged, fenced bool) {
 	if job.Job == nil {
 		m.stats.Incomplete++
 		return
@@ -138,6 +155,9 @@
 	}
 	m.shards[job.shard].entries[e.job.ID] = e
 	m.stats.TakenOver++
+	if fenced && e.job.Idempotent && e.Result == nil {
+		e.Unsure = true
+	}
 	switch {
 	case e.Result != nil:
 		e.phase = phaseEnded
@@ -197,7 +217,7 @@
 	defer m.mu.Unlock()
 	for _, e := range m.shards[number].entries {
 		if e.Claim != nil && e.Claim.Holder == m.self() {
-			m.lent[e.Claim.Attempt] = e.job.Team
+			m.lent[e.Claim.Attempt] = lentUnit{job: e.job.ID, team: e.job.Team}
 		}
 	}
 	m.dropShard(number)
@@ -213,7 +233,7 @@
 	for number, s := range m.shards {
 		numbers = append(numbers, number)
 		if s.session != self {
-			m.lent = map[fleet.AttemptID]fleet.TeamName{}
+			m.lent = map[fleet.AttemptID]lentUnit{}
 		}
 	}
 	m.mu.Unlock()
--- a/control/jobs/world_test.go
+++ b/control/jobs/world_test.go
@@ -43,22 +43,21 @@
 
 // node is one entry; it is its own Membership, View and Limits.
 type node struct {
-	w         *world
-	id        string
-	faults    *memory.Faults
-	down      bool // store
-	session   platform.Condition
-	invalid   bool
-	stale     bool
-	limit     int
-	taken     map[fleet.TeamName]int
-	adopted   map[string]int
-	journal   *journal.Journal
-	shards    *shards.Manager
-	jobs      *Manager
-	paused    bool // is inside a pause and must not be driven
-	dead      bool
-	loseStart bool
+	w       *world
+	id      string
+	faults  *memory.Faults
+	down    bool // store
+	session platform.Condition
+	invalid bool
+	stale   bool
+	limit   int
+	taken   map[fleet.TeamName]int
+	adopted map[string]int
+	journal *journal.Journal
+	shards  *shards.Manager
+	jobs    *Manager
+	paused  bool // is inside a pause and must not be driven
+	dead    bool
 }
 
 func (n *node) Self() control.Member            { return control.Member{ID: n.id} }
@@ -127,14 +126,15 @@
 	attempts int
 	options  Options
 
-	tasks   map[fleet.AttemptID]*workerTask
-	refused map[fleet.AttemptID]bool     // proved not to have started: a higher epoch was seen
-	starts  map[string][]fleet.AttemptID // by job and step
-	delayed []pendingStart
-	silent  bool // VM owners answer no lookups
-	free    int
-	onStart func(n *node, task platform.Task) (lose, delay, refuse bool)
-	faults  []string
+	tasks     map[fleet.AttemptID]*workerTask
+	refused   map[fleet.AttemptID]bool     // proved not to have started: a higher epoch was seen
+	starts    map[string][]fleet.AttemptID // by job and step
+	delayed   []pendingStart
+	silent    bool // VM owners answer no lookups
+	free      int
+	onReserve func(n *node)
+	onStart   func(n *node, task platform.Task) (lose, delay, refuse bool)
+	faults    []string
 }
 
 func newWorld(nodes int) *world {
@@ -204,6 +204,15 @@
 	return n
 }
 
+// reconfigure puts a new configuration in force.
+func (w *world) reconfigure(state fleet.DataCentreState, withdrawn bool) {
+	next := *w.snapshot
+	next.Revision++
+	next.DataCentres = map[fleet.DataCentreName]fleet.DataCentre{"dc1": {Name: "dc1", State: state}}
+	next.Keys = map[fleet.KeyID]fleet.Key{"k": {ID: "k", Team: "a", Withdrawn: withdrawn}}
+	w.snapshot = &next
+}
+
 // fence ends a session as another entry does it after its TTL.
 func (w *world) fence(n *node) {
 	_, err := w.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: n.session.Key, Delete: true}}})
@@ -254,6 +263,9 @@
 }
 
 func (d *dispatcher) Reserve(_ context.Context, dc fleet.DataCentreName, req control.ReserveRequest) (control.Reservation, error) {
+	if d.n.w.onReserve != nil {
+		d.n.w.onReserve(d.n)
+	}
 	vm := fleet.VMID("vm1")
 	if slices.Contains(req.Avoid, vm) {
 		vm = "vm2"
@@ -323,11 +335,20 @@
 	if t.State == platform.TaskRunning {
 		return t.TaskStatus, nil, true
 	}
+	if t.State == lost {
+		return platform.TaskStatus{}, nil, false
+	}
 	end := t.end()
 	return t.TaskStatus, &end, true
 }
 
+// lost is the state of a task whose worker is gone; reports leave it out.
+const lost platform.TaskState = "lost"
+
 func (t *workerTask) end() control.TaskEnd {
+	if t.State == lost {
+		return control.TaskEnd{Job: t.Job, Attempt: t.ID, Step: t.Step, VM: t.vm}
+	}
 	return control.TaskEnd{Job: t.Job, Attempt: t.ID, Step: t.Step, VM: t.vm, State: t.State, Body: t.Body}
 }
 
@@ -359,16 +380,23 @@
 	return ids
 }
 
-// drain completes everything that runs until no job is open.
+// drain completes everything that runs until no node has work, at most for
+// some rounds.
 func (w *world) drain(rounds int) {
-	for range rounds {
-		w.tick(2, 500*time.Millisecond)
+	for i := 0; i < rounds && (i < 3 || w.busy()); i++ {
+		w.tick(3, time.Second)
 		for _, id := range w.running() {
 			end := w.finish(id, platform.TaskCompleted)
 			_ = w.nodes[0].jobs.TaskEnded(context.Background(), end)
 		}
 	}
-	w.tick(80, time.Second)
+}
+
+func (w *world) busy() bool {
+	return slices.ContainsFunc(w.nodes, func(n *node) bool {
+		s := n.jobs.Stats()
+		return s.Queued+s.Open > 0
+	})
 }
 
 func job(id string, steps int, idempotent bool) fleet.Job {
