--- a/client/client_test.go
+++ b/client/client_test.go
@@ -4,10 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"io"
+	"log"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -220,3 +225,28 @@
 		}
 	}
 }
+
+// Guards against a CA file that is not used, and a server that is trusted
+// without it.
+func TestCAFile(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"revision":7}`))
+	}))
+	defer server.Close()
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	certificate := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	if err := os.WriteFile(file, certificate, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, caFile := range []string{file, ""} {
+		client, err := New(Options{BaseURL: server.URL, CAFile: caFile, MaxTries: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		status, err := client.Status(t.Context())
+		if trusted := caFile != ""; (err == nil) != trusted || (status.Revision == 7) != trusted {
+			t.Errorf("CA file %q: %+v, %v", caFile, status, err)
+		}
+	}
+}
--- a/config/builder_test.go
+++ b/config/builder_test.go
@@ -63,7 +63,9 @@
 			t.Fatalf("the difference leads to %v, want %v", got, new)
 		}
 		want, wantFindings := Build(new, 7)
-		builder := NewBuilder(old).With(change)
+		before := NewBuilder(old)
+		builder := before.With(change)
+		checkShared(t, before, builder, change)
 		got, gotFindings := builder.Build(7)
 		if !reflect.DeepEqual(got, want) || !reflect.DeepEqual(gotFindings, wantFindings) {
 			t.Fatalf("builder: %+v %v\nwant: %+v %v", got, gotFindings, want, wantFindings)
@@ -84,6 +86,23 @@
 	}
 }
 
+// checkShared checks that only the files of a change are parsed again.
+func checkShared(t *rapid.T, before, after *Builder, change Change) {
+	parsed := map[*parsedFile]bool{}
+	for _, file := range before.files {
+		parsed[file] = true
+	}
+	fresh := 0
+	for _, file := range after.files {
+		if !parsed[file] {
+			fresh++
+		}
+	}
+	if fresh != len(change.Put) {
+		t.Fatalf("%d files were parsed for a change of %d", fresh, len(change.Put))
+	}
+}
+
 // checkCompacted compares a compacted folder, also after another change.
 func checkCompacted(t *rapid.T, folder Folder, want *Snapshot) {
 	compacted, findings := Compact(folder)
