--- /dev/null
+++ b/policy/capacity/capacity_test.go
@@ -0,0 +1,346 @@
+package capacity
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"amaranthfork.example/fleet"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleetOf returns pools of the given sizes, the last one the spare, with VMs
+// of 8 slots spread over four data centres, four to a rack.
+func fleetOf(sizes ...int) Snapshot {
+	s := Snapshot{Now: start}
+	n := 0
+	for p, size := range sizes {
+		name := fleet.PoolName(fmt.Sprintf("p%d", p))
+		s.Pools = append(s.Pools, Pool{Name: name, Spare: p == len(sizes)-1, MaxUnavailable: 1, Home: size})
+		for range size {
+			s.VMs = append(s.VMs, VM{
+				ID: fleet.VMID(fmt.Sprintf("vm%03d", n)), Pool: name, Slots: 8, Available: true,
+				DataCentre: fleet.DataCentreName(fmt.Sprintf("dc%d", n%4)),
+				Rack:       fleet.RackName(fmt.Sprintf("dc%d-r%d", n%4, n/16)),
+			})
+			n++
+		}
+	}
+	for dc := range 4 {
+		s.DataCentres = append(s.DataCentres, DataCentre{Name: fleet.DataCentreName(fmt.Sprintf("dc%d", dc)), State: fleet.DataCentreIn})
+	}
+	s.Teams = []fleet.Team{{Name: "large", Share: 700, Limit: 1000}, {Name: "small", Share: 300, Limit: 1000}}
+	return s
+}
+
+func waiting(pool fleet.PoolName, team fleet.TeamName, class fleet.Class, running, queued int) Work {
+	return Work{Pool: pool, Team: team, Class: class, Running: running, Queued: queued, RunTime: 2 * time.Second}
+}
+
+func countTo(d Decision, pool fleet.PoolName) int {
+	n := 0
+	for _, m := range d.Moves {
+		if m.To == pool {
+			n++
+		}
+	}
+	return n
+}
+
+func TestDecide(t *testing.T) {
+	neutral := SettingsFor(fleet.Profile{})
+	cases := []struct {
+		name   string
+		change func(s *Snapshot, set *Settings)
+		check  func(d Decision) bool
+	}{
+		{"an idle fleet moves nothing", func(*Snapshot, *Settings) {}, func(d Decision) bool { return len(d.Moves) == 0 }},
+		{"a burst brings VMs", func(s *Snapshot, _ *Settings) {
+			s.Work = []Work{waiting("p0", "large", fleet.ClassStandard, 32, 60)}
+		}, func(d Decision) bool { return countTo(d, "p0") > 0 }},
+		{"a team at its limit brings none", func(s *Snapshot, _ *Settings) {
+			s.Teams[0].Limit = 32
+			s.Work = []Work{waiting("p0", "large", fleet.ClassStandard, 32, 60)}
+		}, func(d Decision) bool { return len(d.Moves) == 0 }},
+		{"VMs that maintenance takes stay", func(s *Snapshot, _ *Settings) {
+			s.Work = []Work{waiting("p0", "large", fleet.ClassUrgent, 32, 60)}
+			for i := range s.VMs {
+				s.VMs[i].Maintained = true
+			}
+		}, func(d Decision) bool { return len(d.Moves) == 0 }},
+		{"VMs of a data centre that returns stay", func(s *Snapshot, set *Settings) {
+			s.Work = []Work{waiting("p0", "large", fleet.ClassUrgent, 32, 60)}
+			for i := range s.DataCentres {
+				s.DataCentres[i].Since = s.Now.Add(-set.Ramp / 2)
+			}
+		}, func(d Decision) bool { return len(d.Moves) == 0 }},
+		{"the spare reserve is kept from standard work", func(s *Snapshot, set *Settings) {
+			set.SpareReserve = 4
+			s.Work = []Work{
+				waiting("p0", "large", fleet.ClassStandard, 32, 90),
+				waiting("p1", "small", fleet.ClassStandard, 32, 0),
+			}
+		}, func(d Decision) bool { return len(d.Moves) == 0 }},
+		{"urgent work reaches the spare reserve", func(s *Snapshot, set *Settings) {
+			set.SpareReserve = 4
+			s.Work = []Work{waiting("p0", "large", fleet.ClassUrgent, 32, 20)}
+		}, func(d Decision) bool { return countTo(d, "p0") > 0 }},
+		{"idle VMs come before busy ones", func(s *Snapshot, _ *Settings) {
+			s.Work = []Work{waiting("p0", "large", fleet.ClassStandard, 32, 20)}
+			for i := range s.VMs {
+				s.VMs[i].Running = 8
+			}
+			s.VMs[9].Running = 0
+		}, func(d Decision) bool { return len(d.Moves) > 0 && d.Moves[0].VM == "vm009" }},
+		{"a burst that ends soon is not worth moves", func(s *Snapshot, _ *Settings) {
+			s.Work = []Work{waiting("p0", "large", fleet.ClassStandard, 32, 60)}
+			s.Outlooks = []Outlook{{Pool: "p0", Bursting: true, Ends: time.Second}}
+		}, func(d Decision) bool { return len(d.Moves) == 0 }},
+		{"a burst that is due brings VMs ahead", func(s *Snapshot, _ *Settings) {
+			s.Outlooks = []Outlook{{Pool: "p0", Slots: 60, Bursting: true, Ends: 10 * time.Second}}
+		}, func(d Decision) bool { return countTo(d, "p0") > 0 }},
+		{"in a full fleet a team below its share gains VMs", func(s *Snapshot, set *Settings) {
+			set.ShareBlend = 1
+			s.Work = []Work{
+				waiting("p0", "large", fleet.ClassBatch, 32, 500),
+				waiting("p1", "small", fleet.ClassBatch, 32, 500),
+			}
+			for i := range s.VMs {
+				s.VMs[i].Running = 8
+			}
+		}, func(d Decision) bool { return countTo(d, "p0") > countTo(d, "p1") && d.Need["p0"] > d.Need["p1"] }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, set := fleetOf(4, 4, 4), neutral
+			c.change(&s, &set)
+			if d := Decide(s, set, Memory{}); !c.check(d) {
+				t.Errorf("moves %+v, need %v", d.Moves, d.Need)
+			}
+		})
+	}
+}
+
+// Guards against VMs that stay in pools that no longer need them, and against
+// returns before the whole window has passed.
+func TestParkReturnsWhatNoPoolNeeded(t *testing.T) {
+	set := SettingsFor(fleet.Profile{})
+	s := fleetOf(8, 8, 4)
+	var m Memory
+	first := time.Duration(-1)
+	returned := 0
+	for at := time.Duration(0); at < 4*set.ParkAfter; at += time.Second {
+		s.Now = start.Add(at)
+		d := Decide(s, set, m)
+		m = d.Memory
+		if len(d.Moves) > 0 && first < 0 {
+			first = at
+		}
+		returned += countTo(d, "p2")
+		s = apply(s, d)
+	}
+	if first < set.ParkAfter || returned == 0 {
+		t.Errorf("returned %d VMs, the first after %v", returned, first)
+	}
+}
+
+func TestRampUp(t *testing.T) {
+	dc := DataCentre{State: fleet.DataCentreIn, Since: start}
+	for after, want := range map[time.Duration]float64{0: 0.25, 10 * time.Second: 0.625, time.Minute: 1} {
+		if got := RampUp(dc, start.Add(after), 20*time.Second); got != want {
+			t.Errorf("after %v: %v, want %v", after, got, want)
+		}
+	}
+	if got := RampUp(DataCentre{State: fleet.DataCentreOut}, start, 0); got != 0 {
+		t.Errorf("a data centre that is out has %v of its capacity", got)
+	}
+}
+
+// apply ends all moves of a decision at once.
+func apply(s Snapshot, d Decision) Snapshot {
+	s.VMs = append([]VM(nil), s.VMs...)
+	for _, m := range d.Moves {
+		for i := range s.VMs {
+			if s.VMs[i].ID == m.VM {
+				s.VMs[i].Pool, s.VMs[i].Moved = m.To, s.Now
+			}
+		}
+	}
+	return s
+}
+
+func drawSnapshot(t *rapid.T) Snapshot {
+	sizes := rapid.SliceOfN(rapid.IntRange(1, 10), 3, 6).Draw(t, "sizes")
+	s := fleetOf(sizes...)
+	for i := range s.Pools {
+		s.Pools[i].MaxUnavailable = rapid.IntRange(0, 3).Draw(t, "budget")
+	}
+	for i := range s.VMs {
+		v := &s.VMs[i]
+		v.Available = rapid.IntRange(0, 9).Draw(t, "up") > 0
+		v.Maintained = rapid.IntRange(0, 9).Draw(t, "maintained") == 0
+		v.Running = rapid.IntRange(0, 8).Draw(t, "running")
+		if rapid.IntRange(0, 9).Draw(t, "moving") == 0 {
+			s.Moves = append(s.Moves, MoveInProgress{VM: v.ID, From: v.Pool, To: s.Pools[0].Name})
+		}
+	}
+	classes := rapid.SampledFrom(fleet.Classes)
+	for _, p := range s.Pools[:len(s.Pools)-1] {
+		for _, team := range s.Teams {
+			w := waiting(p.Name, team.Name, classes.Draw(t, "class"), rapid.IntRange(0, 40).Draw(t, "busy"), rapid.IntRange(0, 200).Draw(t, "queued"))
+			w.Arrivals = rapid.Float64Range(0, 30).Draw(t, "arrivals")
+			s.Work = append(s.Work, w)
+		}
+	}
+	return s
+}
+
+// Guards the commitments of every decision, whatever the snapshot: at most one
+// move of a VM at a time, none out of maintenance or out of a pool at its
+// floor, donors keep two data centres, and the moves stay within their bound.
+func TestDecisionsKeepCommitments(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		set := SettingsFor(fleet.Profile{
+			IdleWeight:  rapid.Float64Range(0, 5).Draw(t, "idle"),
+			MoveWeight:  rapid.Float64Range(0, 5).Draw(t, "move"),
+			ShareWeight: rapid.Float64Range(0, 5).Draw(t, "share"),
+		})
+		m := Memory{Window: Window{Began: start, Least: 10, LeastLast: 10, Complete: true}}
+		d := Decide(s, set, m)
+		moved := make(map[fleet.VMID]bool)
+		for _, p := range s.Moves {
+			moved[p.VM] = true
+		}
+		if limit := max(1, int(set.MaxMoves*float64(len(s.VMs)))); len(d.Moves) > max(0, limit-len(s.Moves)) {
+			t.Fatalf("%d moves with %d in progress exceed %d", len(d.Moves), len(s.Moves), limit)
+		}
+		for _, mv := range d.Moves {
+			vm := find(s, mv.VM)
+			if moved[mv.VM] || vm.Maintained || !vm.Available || vm.Pool != mv.From || mv.From == mv.To {
+				t.Fatalf("move %+v of %+v", mv, vm)
+			}
+			moved[mv.VM] = true
+		}
+		for _, p := range s.Pools {
+			checkDonor(t, s, d, p)
+		}
+	})
+}
+
+func find(s Snapshot, id fleet.VMID) VM {
+	for _, vm := range s.VMs {
+		if vm.ID == id {
+			return vm
+		}
+	}
+	return VM{}
+}
+
+func checkDonor(t *rapid.T, s Snapshot, d Decision, p Pool) {
+	left, dcs, gave := 0, make(map[fleet.DataCentreName]bool), 0
+	leaving := make(map[fleet.VMID]bool)
+	for _, m := range d.Moves {
+		leaving[m.VM] = true
+		if m.From == p.Name {
+			gave++
+		}
+	}
+	for _, m := range s.Moves {
+		leaving[m.VM] = true
+	}
+	for _, vm := range s.VMs {
+		if vm.Pool == p.Name && vm.Available && !leaving[vm.ID] {
+			left++
+			dcs[vm.DataCentre] = true
+		}
+	}
+	if gave == 0 || p.Spare {
+		return
+	}
+	if left < d.Need[p.Name] || left < p.MaxUnavailable || len(dcs) < min(left, minDataCentres) {
+		t.Fatalf("pool %s has %d VMs in %d data centres left; needs %d, budget %d", p.Name, left, len(dcs), d.Need[p.Name], p.MaxUnavailable)
+	}
+}
+
+// Guards against oscillation: under constant demand the pools settle, and from
+// then on no VM moves.
+func TestConstantDemandSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := fleetOf(rapid.SliceOfN(rapid.IntRange(3, 10), 3, 6).Draw(t, "sizes")...)
+		for _, p := range s.Pools[:len(s.Pools)-1] {
+			w := waiting(p.Name, "large", fleet.ClassStandard, 0, 0)
+			w.Arrivals = rapid.Float64Range(0, 40).Draw(t, "arrivals")
+			s.Work = append(s.Work, w)
+		}
+		set := SettingsFor(fleet.Profile{})
+		var m Memory
+		total := 0
+		for at := time.Duration(0); at < 10*time.Minute; at += 500 * time.Millisecond {
+			s.Now = start.Add(at)
+			d := Decide(s, set, m)
+			m = d.Memory
+			total += len(d.Moves)
+			if at > 5*time.Minute && len(d.Moves) > 0 {
+				t.Fatalf("after %v: %+v", at, d.Moves)
+			}
+			s = apply(s, d)
+		}
+		if total > 2*len(s.VMs) {
+			t.Fatalf("%d moves of %d VMs under constant demand", total, len(s.VMs))
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ pools, vms int }{{5, 48}, {10, 500}, {25, 2300}} {
+		b.Run(fmt.Sprint(size.vms), func(b *testing.B) {
+			s := benchmarkFleet(size.pools, size.vms)
+			set := SettingsFor(fleet.Profile{})
+			b.ReportAllocs()
+			for b.Loop() {
+				Decide(s, set, Memory{})
+			}
+		})
+	}
+}
+
+// benchmarkFleet has a burst in every fifth pool and four teams in each.
+func benchmarkFleet(pools, vms int) Snapshot {
+	sizes := make([]int, pools)
+	for i := range sizes {
+		sizes[i] = vms / pools
+	}
+	s := fleetOf(sizes...)
+	s.Teams = nil
+	for t := range 98 {
+		s.Teams = append(s.Teams, fleet.Team{Name: fleet.TeamName(fmt.Sprintf("t%d", t)), Share: 10, Limit: vms})
+	}
+	for p := range pools - 1 {
+		for t := range 4 {
+			for _, class := range fleet.Classes {
+				w := waiting(s.Pools[p].Name, s.Teams[(p*4+t)%98].Name, class, 2, 0)
+				if p%5 == 0 {
+					w.Queued = sizes[p]
+				}
+				s.Work = append(s.Work, w)
+			}
+		}
+	}
+	return s
+}
