--- a/cmd/amaranth/main.go
+++ b/cmd/amaranth/main.go
@@ -71,12 +71,12 @@
 		return err
 	}
 	printf := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format, args...) }
-	for i, url := range f.URLs {
-		printf("entry in %s: %s\n", dev.DataCentres[i], url)
+	for _, e := range f.Entries {
+		printf("entry in %s: %s\n", e.DataCentre, e.URL)
 	}
 	err = demonstrate(ctx, f, printf)
 	if err == nil && !exit {
-		printf("serving; for example:\n  export AMARANTH_SERVER=%s AMARANTH_TOKEN=%s AMARANTH_KEY=%s\n  amaranthctl status\n", f.URLs[0], f.Token, f.Key)
+		printf("serving; for example:\n  export AMARANTH_SERVER=%s AMARANTH_TOKEN=%s AMARANTH_KEY=%s\n  amaranthctl status\n", f.Entries[0].URL, f.Token, f.Key)
 		<-ctx.Done()
 	}
 	err = errors.Join(err, f.Stop())
@@ -90,7 +90,7 @@
 func demonstrate(ctx context.Context, f *dev.Fleet, printf func(string, ...any)) error {
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
-	caller, err := client.New(client.Options{BaseURL: f.URLs[len(f.URLs)-1], Key: f.Key})
+	caller, err := client.New(client.Options{BaseURL: f.Entries[len(f.Entries)-1].URL, Key: f.Key})
 	if err != nil {
 		return err
 	}
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -71,15 +71,29 @@
 	caches  map[fleet.DataCentreName]*pools.Cache
 	version uint64    // of the member list
 	since   time.Time // when that version was first seen here
+	wanted  bool      // an assignment was asked for that is not known
+	readAt  time.Time // start of the last read
 }
 
+const (
+	// poolMapEvery is the age at which the assignments are read again.
+	poolMapEvery = 2 * time.Second
+	// poolMapTick is the age at which they are read again when an assignment is
+	// missing or the members have changed.
+	poolMapTick = 250 * time.Millisecond
+)
+
 func newPoolMap(table platform.Table, clock fleet.Clock, members control.Membership, view control.View) *poolMap {
 	return &poolMap{table: table, clock: clock, members: members, view: view, caches: map[fleet.DataCentreName]*pools.Cache{}}
 }
 
-// Tick reads the rows of the served data centres.
+// Tick reads the rows of the served data centres if that is due. It is called
+// every poolMapTick.
 func (m *poolMap) Tick(ctx context.Context) error {
 	m.noteVersion()
+	if !m.due() {
+		return nil
+	}
 	var faults error
 	for _, dc := range m.served() {
 		faults = errors.Join(faults, m.cacheOf(dc).Tick(ctx))
@@ -87,6 +101,18 @@
 	return faults
 }
 
+// due reports whether the rows must be read now, and notes the read.
+func (m *poolMap) due() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	if now.Sub(m.readAt) < poolMapEvery && !m.wanted && m.readAt.After(m.since) {
+		return false
+	}
+	m.readAt, m.wanted = now, false
+	return true
+}
+
 // served returns the own data centre and those without entries.
 func (m *poolMap) served() []fleet.DataCentreName {
 	list := []fleet.DataCentreName{m.members.Self().DataCentre}
@@ -140,6 +166,7 @@
 		}
 		return slots.Assignment{Pool: pool, State: placementState(state)}, cache.ReadAt().After(m.since)
 	}
+	m.wanted = true
 	return slots.Assignment{}, false
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,11 +47,14 @@
 	peer *listener
 
 	plane atomic.Pointer[plane] // of the present session, nil between sessions
+
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
 // New opens the listeners. Callers are answered once Run has begun a session.
 func New(o Options) (*Entry, error) {
-	e := &Entry{o: o, metrics: metrics.New(o.Clock)}
+	e := &Entry{o: o, metrics: metrics.New(o.Clock), aborted: make(chan struct{})}
 	serverTLS, err := e.loadTLS()
 	if err != nil {
 		return nil, err
@@ -170,10 +174,12 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		err = e.stopServing()
+		err = errors.Join(e.stopServing(), e.leave())
 	case err = <-failed:
+		err = errors.Join(err, e.leave())
+	case <-e.aborted:
+		err = ErrAborted
 	}
-	err = errors.Join(err, e.leave())
 	endSessions()
 	<-over
 	if p := e.plane.Load(); p != nil {
@@ -185,6 +191,13 @@
 	return err
 }
 
+// ErrAborted is the error of Run after Abort.
+var ErrAborted = errors.New("entry aborted")
+
+// Abort ends the entry at once, as a crash would: requests are cut and nothing
+// is handed over.
+func (e *Entry) Abort() { e.abortOnce.Do(func() { close(e.aborted) }) }
+
 // keepSession begins a session and a new one whenever it was fenced.
 func (e *Entry) keepSession(ctx context.Context) {
 	wait := minRejoin
