--- a/entry/settings.go
+++ b/entry/settings.go
@@ -18,7 +18,6 @@
 	APIAddress    string // host:port to listen on for callers and operators
 	PeerAddress   string // host:port to listen on for other entries
 	AdvertisePeer string // host:port under which other entries reach PeerAddress; empty means PeerAddress
-	Seeds         []string
 	PlatformURL   string
 	PeerSecret    string
 	OperatorToken string
@@ -66,10 +65,6 @@
 		_, _, err := net.SplitHostPort(s.AdvertisePeer)
 		fail(err == nil, "advertise-peer: %q is not host:port", s.AdvertisePeer)
 	}
-	for _, seed := range s.Seeds {
-		_, _, err := net.SplitHostPort(seed)
-		fail(err == nil, "seed: %q is not host:port", seed)
-	}
 	u, err := url.Parse(s.PlatformURL)
 	fail(err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "",
 		"platform-url: %q is not an http or https URL", s.PlatformURL)
