Give holdings of a fenced session out only after its jobs were taken over

The sweeper of old journals runs every minute at the holder of the pools role. Measured: go test ./entry passes. Conclusion: the time alone no longer decides.

--- a/entry/plane.go
+++ b/entry/plane.go
@@ -140,8 +140,10 @@
 func (p *plane) buildDispatch() {
 	o := p.entry.o
 	p.poolMap = newPoolMap(o.Platform.Table, o.Clock, p.members, p.view)
+	p.shards = shards.New(shards.Options{Table: o.Platform.Table, Membership: p.members, Count: o.Settings.Shards})
 	p.limits = limits.New(limits.Options{
 		View: p.view, Membership: p.members, Table: o.Platform.Table, Caller: p.node, Clock: o.Clock,
+		Recovered: newRecovered(o.Clock, p.shards.References).of,
 	}, p.router)
 	p.slots = slots.New(slots.Options{
 		View: p.view, Membership: p.members, Workers: o.Platform.Workers, List: o.Platform.VMList,
@@ -159,7 +161,6 @@
 
 func (p *plane) buildJobs() {
 	o := p.entry.o
-	p.shards = shards.New(shards.Options{Table: o.Platform.Table, Membership: p.members, Count: o.Settings.Shards})
 	p.journal = journal.New(journal.Options{
 		Table: o.Platform.Table, Objects: o.Platform.Objects, Membership: p.members, Clock: o.Clock,
 	})
@@ -278,6 +279,7 @@
 		{name: "membership", every: member.TickEvery, run: func(ctx context.Context) error { return p.tickMembers(ctx, cancel) }},
 		{name: "view", every: view.TickEvery, run: p.view.Tick},
 		{name: "shards", every: 500 * time.Millisecond, run: p.shards.Tick},
+		{name: "sweep", every: time.Minute, timeout: time.Minute, run: p.sweep},
 		{name: "journal", every: second, run: void(p.journal.Tick)},
 		{name: "jobs", every: 250 * time.Millisecond, run: p.jobs.Tick},
 		{name: "vm_list", every: second, run: p.slots.TickList},
@@ -296,6 +298,17 @@
 	}
 }
 
+// sweep deletes journals that nobody needs any more; one entry does it for all.
+func (p *plane) sweep(ctx context.Context) error {
+	if p.poolRole.Held() != nil {
+		return nil
+	}
+	o := p.entry.o.Platform
+	sweeper := journal.Sweeper{Table: o.Table, Objects: o.Objects, Referenced: p.shards.Referenced, TxnID: uuid.NewString}
+	_, err := sweeper.Sweep(ctx)
+	return err
+}
+
 func (p *plane) tickMembers(ctx context.Context, cancel context.CancelCauseFunc) error {
 	err := p.members.Tick(ctx)
 	if errors.Is(err, member.ErrFenced) {
