Add the peer link between entries

Entries need calls in both directions over one authenticated connection, whose failures say whether the request may have been handled.

Add entry/peer: WebSocket links with CBOR frames, an HMAC handshake bound to both member ids and fresh nonces, a bounded send queue, keepalive, reconnection with jittered backoff, and limits on the requests that are handled for a peer.

--- /dev/null
+++ b/entry/peer/network_test.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"amaranthfork.example/control/rpc"
+)
+
+// network connects nodes by address over net.Pipe, so that tests run in a
+// synctest bubble.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	buffer    int  // writes that a connection holds back
+	frozen    bool // connections carry nothing
+	thaw      chan struct{}
+	conns     []net.Conn
+}
+
+type listener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, thaw: make(chan struct{}), buffer: 64}
+}
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, ok := n.listeners[address]
+	refused := !ok || n.frozen
+	n.mu.Unlock()
+	if refused {
+		return nil, errors.New("connection refused")
+	}
+	client, server := net.Pipe()
+	client, server = n.buffered(client), n.buffered(server)
+	select {
+	case l.conns <- server:
+		n.mu.Lock()
+		n.conns = append(n.conns, client, server)
+		n.mu.Unlock()
+		return client, nil
+	case <-l.closed:
+	case <-ctx.Done():
+	}
+	client.Close()
+	server.Close()
+	return nil, errors.New("connection refused")
+}
+
+// cut closes all connections.
+func (n *network) cut() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		c.Close()
+	}
+	n.conns = nil
+}
+
+func (n *network) freeze(frozen bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen && !frozen {
+		close(n.thaw)
+		n.thaw = make(chan struct{})
+	}
+	n.frozen = frozen
+}
+
+// buffered is a connection that holds back some writes, like TCP, so that two
+// peers that write to each other do not block. It carries nothing while the
+// network is frozen.
+type buffered struct {
+	net.Conn
+	network *network
+	writes  chan []byte
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (n *network) buffered(c net.Conn) net.Conn {
+	b := &buffered{Conn: c, network: n, writes: make(chan []byte, n.buffer), closed: make(chan struct{})}
+	go b.carry()
+	return b
+}
+
+func (b *buffered) carry() {
+	for {
+		select {
+		case p := <-b.writes:
+			b.waitThawed()
+			b.Conn.Write(p)
+		case <-b.closed:
+			return
+		}
+	}
+}
+
+func (b *buffered) waitThawed() {
+	b.network.mu.Lock()
+	frozen, thaw := b.network.frozen, b.network.thaw
+	b.network.mu.Unlock()
+	if frozen {
+		select {
+		case <-thaw:
+		case <-b.closed:
+		}
+	}
+}
+
+func (b *buffered) Write(p []byte) (int, error) {
+	select {
+	case b.writes <- append([]byte(nil), p...):
+		return len(p), nil
+	case <-b.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (b *buffered) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return b.Conn.Close()
+}
+
+// serve serves a handler on port 80 of a host.
+func (n *network) serve(t *testing.T, address string, handler http.Handler) {
+	l := &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	n.listeners[address+":80"] = l
+	n.mu.Unlock()
+	server := &http.Server{Handler: handler}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+}
+
+var secret = []byte("0123456789abcdef")
+
+// join starts a node that is reached at its own id.
+func (n *network) join(t *testing.T, id string, router *rpc.Router, change func(*Options)) *Node {
+	t.Helper()
+	o := Options{Self: id, Secret: secret, Router: router, Dial: n.dial}
+	if change != nil {
+		change(&o)
+	}
+	node, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.serve(t, id, node)
+	t.Cleanup(func() {
+		n.freeze(false)
+		node.Close()
+	})
+	return node
+}
+
+// settle waits until links are open after SetMembers or a failure.
+func settle() { time.Sleep(10 * time.Second) }
--- /dev/null
+++ b/entry/peer/node.go
@@ -0,0 +1,439 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthfork.example/control/rpc"
+)
+
+const (
+	// maxLinks bounds the links of one peer; a peer that connects again gets a
+	// new link while the old one may not have failed yet.
+	maxLinks = 4
+	// maxHandshakes bounds the connections that are not authenticated yet.
+	maxHandshakes = 64
+)
+
+// Node is the own end of all peer links.
+type Node struct {
+	options Options
+	client  *http.Client
+	stats   counters
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup // dial loops and links
+	handlers   gate
+	handshakes chan struct{}
+
+	mu      sync.Mutex
+	closed  bool
+	remotes map[string]*remote
+}
+
+var (
+	_ rpc.Caller   = (*Node)(nil)
+	_ http.Handler = (*Node)(nil)
+)
+
+// New returns a node without peers. It returns all faults of the options.
+func New(o Options) (*Node, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	o.setDefaults()
+	n := &Node{
+		options:    o,
+		client:     newHTTPClient(o),
+		handlers:   gate{idle: make(chan struct{})},
+		handshakes: make(chan struct{}, maxHandshakes),
+		remotes:    map[string]*remote{},
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n, nil
+}
+
+func newHTTPClient(o Options) *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{DialContext: o.Dial, TLSClientConfig: o.TLS},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// SetMembers sets the addresses (host:port) of the peers by member id. The node
+// keeps a link to each; links that it opened to other peers are closed. The own
+// id is ignored.
+func (n *Node) SetMembers(addresses map[string]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return
+	}
+	for id, r := range n.remotes {
+		if addresses[id] != r.address {
+			r.stopDialing()
+		}
+	}
+	for id, address := range addresses {
+		if id != n.options.Self && address != "" {
+			n.startDialing(n.remote(id), address)
+		}
+	}
+	n.prune()
+}
+
+// remote returns the peer with an id. The caller holds n.mu.
+func (n *Node) remote(id string) *remote {
+	r, ok := n.remotes[id]
+	if !ok {
+		r = newRemote(n, id)
+		n.remotes[id] = r
+	}
+	return r
+}
+
+// prune drops the peers that have neither an address nor an accepted link. The
+// caller holds n.mu.
+func (n *Node) prune() {
+	maps.DeleteFunc(n.remotes, func(_ string, r *remote) bool {
+		return r.address == "" && r.accepted == 0
+	})
+}
+
+func (n *Node) startDialing(r *remote, address string) {
+	if r.address == address {
+		return
+	}
+	ctx, cancel := context.WithCancel(n.ctx)
+	r.address, r.stop = address, cancel
+	r.setConnecting()
+	n.loops.Go(func() { n.dialLoop(ctx, r, address) })
+}
+
+// Connected returns the ids of the peers with a link, in order.
+func (n *Node) Connected() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var ids []string
+	for id, r := range n.remotes {
+		if r.link() != nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Stats returns the counters.
+func (n *Node) Stats() Stats { return n.stats.snapshot() }
+
+// Call calls a method of a peer. It waits for the first attempt to connect but
+// not for later ones. A request that the peer rejected unhandled because it is
+// busy returns ErrUnreachable like one that was not sent. A call of the own id
+// is handled directly.
+func (n *Node) Call(ctx context.Context, member, method string, req, resp any) error {
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return fmt.Errorf("%w: encode %s: %w", rpc.ErrUnreachable, method, err)
+	}
+	if len(body) > maxBody {
+		return fmt.Errorf("%w: %s request of %d bytes is over the limit of %d", rpc.ErrUnreachable, method, len(body), maxBody)
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, n.options.RequestTimeout)
+		defer cancel()
+	}
+	answer, err := n.send(ctx, member, method, body)
+	if err == nil {
+		err = decodeAnswer(answer, method, resp)
+	}
+	n.countFailure(err)
+	return err
+}
+
+func (n *Node) send(ctx context.Context, member, method string, body []byte) (frame, error) {
+	if member == n.options.Self {
+		return n.handle(ctx, member, frame{Method: method, Body: body}), nil
+	}
+	l, err := n.linkTo(ctx, member)
+	if err != nil {
+		return frame{}, err
+	}
+	return l.roundTrip(ctx, method, body)
+}
+
+func (n *Node) linkTo(ctx context.Context, member string) (*link, error) {
+	n.mu.Lock()
+	r, ok := n.remotes[member]
+	n.mu.Unlock()
+	if !ok {
+		return nil, fmt.Errorf("%w: member %q is not known", rpc.ErrUnreachable, member)
+	}
+	return r.wait(ctx)
+}
+
+func decodeAnswer(answer frame, method string, resp any) error {
+	if answer.Kind != kindResponse {
+		return decodeFailure(answer)
+	}
+	if resp == nil {
+		return nil
+	}
+	if err := cbor.Unmarshal(answer.Body, resp); err != nil {
+		return fmt.Errorf("%w: decode answer to %s: %w", rpc.ErrNoAnswer, method, err)
+	}
+	return nil
+}
+
+func (n *Node) countFailure(err error) {
+	switch {
+	case errors.Is(err, rpc.ErrUnreachable):
+		n.stats.unreachable.Add(1)
+	case errors.Is(err, rpc.ErrNoAnswer):
+		n.stats.noAnswer.Add(1)
+	}
+}
+
+// handle runs the handler of a request and returns the answer.
+func (n *Node) handle(ctx context.Context, from string, f frame) frame {
+	body, err := n.options.Router.Serve(ctx, from, f.Method, f.Body)
+	var remote *rpc.RemoteError
+	switch {
+	case errors.Is(err, rpc.ErrUnknownMethod):
+		return failureFrame(f.ID, kindReject, codeUnknownMethod, err.Error())
+	case errors.As(err, &remote):
+		return failureFrame(f.ID, kindError, remote.Code, remote.Message)
+	case err != nil:
+		return failureFrame(f.ID, kindError, "error", err.Error())
+	case len(body) > maxBody:
+		message := fmt.Sprintf("response of %d bytes is over the limit of %d", len(body), maxBody)
+		return failureFrame(f.ID, kindError, "response_too_large", message)
+	}
+	return frame{Kind: kindResponse, ID: f.ID, Body: body}
+}
+
+// dialLoop keeps a link to a peer open until ctx is done. It does not dial while
+// the peer's own link to this node is open.
+func (n *Node) dialLoop(ctx context.Context, r *remote, address string) {
+	pause := &backoff.ExponentialBackOff{
+		InitialInterval:     n.options.MinBackoff,
+		RandomizationFactor: 0.5,
+		Multiplier:          2,
+		MaxInterval:         n.options.MaxBackoff,
+	}
+	for ctx.Err() == nil {
+		if l := r.link(); l != nil {
+			waitDone(ctx, l.ctx)
+			continue
+		}
+		if n.dialOnce(ctx, r, address) == nil {
+			pause.Reset()
+		}
+		if ctx.Err() == nil {
+			r.setFailed()
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// waitDone returns when either context is done.
+func waitDone(a, b context.Context) {
+	select {
+	case <-a.Done():
+	case <-b.Done():
+	}
+}
+
+// dialOnce opens a link and serves it until it fails. The error says why no link
+// was opened.
+func (n *Node) dialOnce(ctx context.Context, r *remote, address string) error {
+	conn, err := n.dial(ctx, r.id, address)
+	if err != nil {
+		n.stats.handshakeFailures.Add(1)
+		return err
+	}
+	l := newLink(n, r, conn, true)
+	stop := context.AfterFunc(ctx, func() { l.fail(errRemoved) })
+	defer stop()
+	n.runLink(l)
+	return nil
+}
+
+var errRemoved = errors.New("the peer is no longer a member")
+
+func (n *Node) dial(ctx context.Context, id, address string) (*websocket.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.options.HandshakeTimeout)
+	defer cancel()
+	scheme := "ws://"
+	if n.options.TLS != nil {
+		scheme = "wss://"
+	}
+	conn, _, err := websocket.Dial(ctx, scheme+address+Path, &websocket.DialOptions{HTTPClient: n.client})
+	if err != nil {
+		return nil, err
+	}
+	conn.SetReadLimit(maxHandshake)
+	if err := dialHandshake(ctx, conn, n.options.Secret, n.options.Self, id); err != nil {
+		conn.CloseNow()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// ServeHTTP accepts a link and serves it until it fails or the node is closed.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case n.handshakes <- struct{}{}:
+	default:
+		http.Error(w, "too many handshakes", http.StatusServiceUnavailable)
+		return
+	}
+	conn, id, err := n.accept(w, r)
+	<-n.handshakes
+	if err != nil {
+		n.stats.handshakeFailures.Add(1)
+		return
+	}
+	peer, ok := n.enter(id)
+	if !ok {
+		conn.CloseNow()
+		return
+	}
+	defer n.leave(peer)
+	n.runLink(newLink(n, peer, conn, false))
+}
+
+// enter counts an accepted link, unless the node is closed.
+func (n *Node) enter(id string) (*remote, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, false
+	}
+	n.loops.Add(1)
+	peer := n.remote(id)
+	peer.accepted++
+	return peer, true
+}
+
+func (n *Node) leave(peer *remote) {
+	defer n.loops.Done()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peer.accepted--
+	n.prune()
+}
+
+func (n *Node) accept(w http.ResponseWriter, r *http.Request) (*websocket.Conn, string, error) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	conn.SetReadLimit(maxHandshake)
+	ctx, cancel := context.WithTimeout(n.ctx, n.options.HandshakeTimeout)
+	defer cancel()
+	id, err := acceptHandshake(ctx, conn, n.options.Secret, n.options.Self)
+	if err != nil {
+		conn.CloseNow()
+		return nil, "", err
+	}
+	return conn, id, nil
+}
+
+func (n *Node) runLink(l *link) {
+	n.stats.linksOpened.Add(1)
+	n.stats.links.Add(1)
+	defer n.stats.links.Add(-1)
+	l.peer.add(l)
+	defer l.peer.remove(l)
+	l.run()
+}
+
+// Shutdown rejects new requests, waits until the handlers of open ones have
+// ended and their answers are sent or ctx is done, and closes the node.
+func (n *Node) Shutdown(ctx context.Context) error {
+	defer n.Close()
+	idle := n.handlers.close()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	var closing sync.WaitGroup
+	for _, l := range n.links() {
+		closing.Go(func() { l.finish(ctx) })
+	}
+	closing.Wait()
+	return ctx.Err()
+}
+
+func (n *Node) links() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var links []*link
+	for _, r := range n.remotes {
+		links = append(links, r.all()...)
+	}
+	return links
+}
+
+// Close closes all links and waits for their loops and handlers, whose contexts
+// it cancels.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
+	n.cancel()
+	n.loops.Wait()
+	<-n.handlers.close()
+	n.client.CloseIdleConnections()
+}
+
+// gate counts the running handlers until it is closed and they have ended.
+type gate struct {
+	mu     sync.Mutex
+	closed bool
+	active int
+	idle   chan struct{} // closed once the gate is closed and no handler runs
+}
+
+func (g *gate) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
+	g.active++
+	return true
+}
+
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active--
+	if g.closed && g.active == 0 {
+		close(g.idle)
+	}
+}
+
+// close lets no further handler start.
+func (g *gate) close() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed && g.active == 0 {
+		close(g.idle)
+	}
+	g.closed = true
+	return g.idle
+}
--- /dev/null
+++ b/entry/peer/peer_test.go
@@ -0,0 +1,530 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/goleak"
+
+	"amaranthfork.example/control/rpc"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// newRouter returns a router whose methods the tests call. handled gets each
+// request; release lets "wait" return.
+func newRouter(handled func(from string, id int), release <-chan struct{}) *rpc.Router {
+	r := rpc.NewRouter()
+	rpc.Handle(r, "echo", func(_ context.Context, _, s string) (string, error) { return s, nil })
+	rpc.Handle(r, "fail", func(_ context.Context, _, s string) (string, error) {
+		return "", &rpc.RemoteError{Code: s, Message: "why"}
+	})
+	rpc.Handle(r, "grow", func(context.Context, string, int) (string, error) { return strings.Repeat("x", MaxFrame), nil })
+	rpc.Handle(r, "count", func(_ context.Context, from string, id int) (int, error) {
+		handled(from, id)
+		return id, nil
+	})
+	rpc.Handle(r, "wait", func(ctx context.Context, _ string, id int) (int, error) {
+		select {
+		case <-release:
+			return id, nil
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	})
+	return r
+}
+
+// pair starts nodes a and b, of which only a knows the other's address.
+func pair(t *testing.T, release <-chan struct{}, change func(*Options)) (*network, *Node, *Node) {
+	t.Helper()
+	network := newNetwork()
+	router := newRouter(nil, release)
+	a, b := network.join(t, "a", router, change), network.join(t, "b", router, change)
+	a.SetMembers(map[string]string{"a": "a", "b": "b"})
+	return network, a, b
+}
+
+// TestCalls guards the results of calls in both directions of one link.
+func TestCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, a, b := pair(t, nil, nil)
+		long := strings.Repeat("y", MaxFrame-2*frameOverhead)
+		for _, test := range []struct {
+			method, req, resp string
+			err               error
+			code              string
+		}{
+			{"echo", "hello", "hello", nil, ""},
+			{"echo", long, long, nil, ""},
+			{"echo", long + long, "", rpc.ErrUnreachable, ""},
+			{"fail", "why_not", "", nil, "why_not"},
+			{"none", "", "", rpc.ErrUnknownMethod, ""},
+			{"count", "not a number", "", nil, "bad_request"},
+		} {
+			for _, call := range []struct {
+				from *Node
+				to   string
+			}{{a, "b"}, {b, "a"}, {a, "a"}} {
+				var resp string
+				err := call.from.Call(t.Context(), call.to, test.method, test.req, &resp)
+				if resp != test.resp || test.code == "" && !errors.Is(err, test.err) {
+					t.Errorf("%s to %s: %.20q, %v", test.method, call.to, resp, err)
+				}
+				var remote *rpc.RemoteError
+				if test.code != "" && (!errors.As(err, &remote) || remote.Code != test.code) {
+					t.Errorf("%s to %s: %v, want code %q", test.method, call.to, err, test.code)
+				}
+			}
+		}
+		var remote *rpc.RemoteError
+		if err := a.Call(t.Context(), "b", "grow", 1, nil); !errors.As(err, &remote) || remote.Code != "response_too_large" {
+			t.Errorf("response over the limit: %v", err)
+		}
+		if err := a.Call(t.Context(), "c", "echo", "", nil); !errors.Is(err, rpc.ErrUnreachable) {
+			t.Errorf("call of an unknown member: %v", err)
+		}
+		synctest.Wait()
+		as, bs := a.Stats(), b.Stats()
+		if as.Links != 1 || as.LinksOpened != 1 || as.BytesOut != bs.BytesIn || as.BytesIn != bs.BytesOut || as.FramesOut != bs.FramesIn {
+			t.Errorf("stats differ: %+v %+v", as, bs)
+		}
+		a.SetMembers(nil)
+		synctest.Wait()
+		if len(a.Connected())+len(b.Connected()) > 0 || len(a.remotes)+len(b.remotes) > 0 {
+			t.Errorf("links remain after the member was removed: %v %v", a.Connected(), b.Connected())
+		}
+	})
+}
+
+// TestOutcomeOfBrokenCalls guards the difference between ErrUnreachable and
+// ErrNoAnswer: a request reported as unreachable must never have been handled,
+// and none may be handled twice, when connections break or stall at any time.
+func TestOutcomeOfBrokenCalls(t *testing.T) {
+	seen := map[string]int{}
+	for seed := range int64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewSource(seed))
+			var mu sync.Mutex
+			handled := map[int]int{}
+			router := newRouter(func(_ string, id int) {
+				mu.Lock()
+				defer mu.Unlock()
+				handled[id]++
+			}, nil)
+			network := newNetwork()
+			a := network.join(t, "a", router, nil)
+			b := network.join(t, "b", router, nil)
+			a.SetMembers(map[string]string{"b": "b"})
+			b.SetMembers(map[string]string{"a": "a"})
+			results := map[int]error{}
+			var calls sync.WaitGroup
+			for id := range 400 {
+				switch random.Intn(20) {
+				case 0:
+					network.cut()
+				case 1:
+					network.freeze(true)
+				case 2, 3, 4:
+					network.freeze(false)
+				}
+				node, to := a, "b"
+				if random.Intn(2) == 0 {
+					node, to = b, "a"
+				}
+				timeout := time.Duration(random.Intn(500)) * time.Millisecond
+				calls.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), timeout)
+					defer cancel()
+					err := node.Call(ctx, to, "count", id, nil)
+					mu.Lock()
+					defer mu.Unlock()
+					results[id] = err
+				})
+				time.Sleep(time.Duration(random.Intn(20)) * time.Millisecond)
+			}
+			network.freeze(false)
+			calls.Wait()
+			settle()
+			for id, err := range results {
+				switch {
+				case err == nil:
+					seen["ok"]++
+					if handled[id] != 1 {
+						t.Errorf("answered request %d was handled %d times", id, handled[id])
+					}
+				case errors.Is(err, rpc.ErrUnreachable):
+					seen["unreachable"]++
+					if handled[id] != 0 {
+						t.Errorf("unreachable request %d was handled: %v", id, err)
+					}
+				case errors.Is(err, rpc.ErrNoAnswer):
+					seen["no answer"]++
+					if handled[id] > 1 {
+						t.Errorf("request %d was handled %d times", id, handled[id])
+					}
+				default:
+					t.Errorf("request %d: %v", id, err)
+				}
+			}
+			if err := a.Call(t.Context(), "b", "count", -1, nil); err != nil {
+				t.Errorf("call after the faults: %v", err)
+			}
+		})
+	}
+	if seen["ok"] == 0 || seen["unreachable"] == 0 || seen["no answer"] == 0 {
+		t.Errorf("the faults did not lead to every outcome: %v", seen)
+	}
+}
+
+// TestSendQueue guards the memory of a node whose peer does not read: the link
+// is closed at the limit, and the queued requests are known not to be sent.
+func TestSendQueue(t *testing.T) {
+	for name, limit := range map[string]func(*Options){
+		"frames": func(o *Options) { o.QueueFrames, o.HandshakeTimeout = 5, time.Hour },
+		"bytes":  func(o *Options) { o.QueueBytes, o.HandshakeTimeout = 5*110, time.Hour },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			network := newNetwork()
+			network.buffer = 0 // the connection holds one frame back, the writer another
+			a := network.join(t, "a", newRouter(nil, nil), limit)
+			network.join(t, "b", newRouter(nil, nil), nil)
+			a.SetMembers(map[string]string{"b": "b"})
+			synctest.Wait()
+			network.freeze(true)
+			errs := make(chan error)
+			for range 8 {
+				go func() { errs <- a.Call(t.Context(), "b", "echo", strings.Repeat("x", 100), nil) }()
+				synctest.Wait()
+			}
+			unreachable := 0
+			for range 8 {
+				if errors.Is(<-errs, rpc.ErrUnreachable) {
+					unreachable++
+				}
+			}
+			if s := a.Stats(); unreachable != 6 || s.Overflows != 1 {
+				t.Errorf("%s: %d of 8 calls unreachable, %d overflows", name, unreachable, s.Overflows)
+			}
+			network.freeze(false)
+			settle()
+			if err := a.Call(t.Context(), "b", "echo", "", nil); err != nil {
+				t.Errorf("%s: call after the overflow: %v", name, err)
+			}
+		})
+	}
+}
+
+// TestKeepAlive guards against a silent peer that counts as connected, and
+// against attempts to connect that follow each other without a pause.
+func TestKeepAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, a, b := pair(t, nil, nil)
+		time.Sleep(time.Hour)
+		if s := a.Stats(); s.LinksOpened != 1 {
+			t.Fatalf("idle link was opened %d times", s.LinksOpened)
+		}
+		network.freeze(true)
+		time.Sleep(3 * DefaultKeepAlive)
+		if len(a.Connected())+len(b.Connected()) > 0 {
+			t.Errorf("silent peers are connected: %v %v", a.Connected(), b.Connected())
+		}
+		before := a.Stats().HandshakeFailures
+		time.Sleep(time.Minute)
+		if n := a.Stats().HandshakeFailures - before; n < 15 || n > 60 {
+			t.Errorf("%d attempts to connect in a minute", n)
+		}
+		network.freeze(false)
+		settle()
+		if !slices.Equal(a.Connected(), []string{"b"}) || !slices.Equal(b.Connected(), []string{"a"}) {
+			t.Errorf("not connected again: %v %v", a.Connected(), b.Connected())
+		}
+	})
+}
+
+// TestHandlerLimits guards against a peer that takes up all memory with open
+// requests, against liveness checks that wait behind them, and against a
+// shutdown that loses answers.
+func TestHandlerLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		_, a, b := pair(t, release, func(o *Options) {
+			o.MaxHandlers, o.ReservedHandlers, o.HandlerBytes = 4, 1, 1000
+			o.Priority = func(method string) bool { return method == "echo" }
+		})
+		settle()
+		waits := make(chan error)
+		for range 3 {
+			go func() { waits <- a.Call(t.Context(), "b", "wait", 1, nil) }()
+		}
+		synctest.Wait()
+		if err := a.Call(t.Context(), "b", "wait", 1, nil); !errors.Is(err, rpc.ErrUnreachable) {
+			t.Errorf("call of a busy peer: %v", err)
+		}
+		if err := a.Call(t.Context(), "b", "echo", "", nil); err != nil {
+			t.Errorf("priority call of a busy peer: %v", err)
+		}
+		if err := a.Call(t.Context(), "b", "echo", strings.Repeat("x", 1000), nil); !errors.Is(err, rpc.ErrUnreachable) {
+			t.Errorf("call over the limit of bytes: %v", err)
+		}
+		down := make(chan error)
+		go func() { down <- b.Shutdown(t.Context()) }()
+		synctest.Wait()
+		if err := a.Call(t.Context(), "b", "echo", "", nil); !errors.Is(err, rpc.ErrUnreachable) {
+			t.Errorf("call of a peer in shutdown: %v", err)
+		}
+		close(release)
+		for range 3 {
+			if err := <-waits; err != nil {
+				t.Errorf("open call during shutdown: %v", err)
+			}
+		}
+		if err := <-down; err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+	})
+}
+
+// TestRawPeer guards against answers that are delivered twice or late, and
+// against frames of later or foreign versions.
+func TestRawPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newNetwork()
+		a := network.join(t, "a", newRouter(nil, nil), nil)
+		next := make(chan frame)
+		requests := make(chan uint64, 10)
+		network.serve(t, "b", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn, err := websocket.Accept(w, r, nil)
+			if err != nil {
+				return
+			}
+			defer conn.CloseNow()
+			if _, err := acceptHandshake(r.Context(), conn, secret, "b"); err != nil {
+				return
+			}
+			go func() {
+				for f := range next {
+					data, _ := cbor.Marshal(f) // keeps the version that the test sets
+					conn.Write(context.Background(), websocket.MessageBinary, data)
+				}
+			}()
+			for {
+				_, data, err := conn.Read(context.Background())
+				if err != nil {
+					return
+				}
+				f, _ := decodeFrame(data)
+				requests <- f.ID
+			}
+		}))
+		defer close(next)
+		a.SetMembers(map[string]string{"b": "b"})
+		answers := make(chan error)
+		call := func() uint64 {
+			go func() { answers <- a.Call(t.Context(), "b", "echo", "", nil) }()
+			return <-requests
+		}
+		id := call()
+		next <- frame{Version: version, Kind: 99, ID: id}
+		next <- frame{Version: version, Kind: kindResponse, ID: id + 1}
+		next <- frame{Version: version, Kind: kindResponse, ID: id}
+		if err := <-answers; err != nil {
+			t.Error(err)
+		}
+		next <- frame{Version: version, Kind: kindResponse, ID: id}
+		id = call()
+		if err := <-answers; !errors.Is(err, rpc.ErrNoAnswer) || !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("call without an answer: %v", err)
+		}
+		next <- frame{Version: version, Kind: kindResponse, ID: id}
+		synctest.Wait()
+		if s := a.Stats(); s.LateResponses != 3 || s.UnknownKinds != 1 || s.Links != 1 {
+			t.Errorf("stats %+v", s)
+		}
+		next <- frame{Version: version + 1, Kind: kindResponse}
+		synctest.Wait()
+		if s := a.Stats(); s.BadFrames != 1 || s.Links != 0 {
+			t.Errorf("frame of another version: %+v", s)
+		}
+	})
+}
+
+// TestHandshake guards against links to peers that do not prove who they are.
+func TestHandshake(t *testing.T) {
+	good := func(t *transcript, _ *[]byte) []byte { return t.mac(secret, roleDialer) }
+	dialer := func(member, target string, answer func(*transcript, *[]byte) []byte) func(context.Context, *websocket.Conn) error {
+		return func(ctx context.Context, conn *websocket.Conn) error {
+			tr := transcript{dialer: member, acceptor: "a", dialerNonce: newNonce()}
+			if err := send(ctx, conn, hello{version, member, target, tr.dialerNonce}); err != nil {
+				return err
+			}
+			var c challenge
+			if err := receive(ctx, conn, &c); err != nil {
+				return err
+			}
+			tr.acceptorNonce = c.Nonce
+			if err := send(ctx, conn, proof{answer(&tr, &c.MAC)}); err != nil {
+				return err
+			}
+			return receive(ctx, conn, &welcome{})
+		}
+	}
+	tests := []struct {
+		name string
+		dial func(context.Context, *websocket.Conn) error
+		ok   bool
+	}{
+		{"right", dialer("x", "a", good), true},
+		{"another target", dialer("x", "b", good), false},
+		{"id of the acceptor", dialer("a", "a", good), false},
+		{"empty id", dialer("", "a", good), false},
+		{"wrong secret", dialer("x", "a", func(t *transcript, _ *[]byte) []byte { return t.mac([]byte("other"), roleDialer) }), false},
+		{"reflected MAC", dialer("x", "a", func(_ *transcript, mac *[]byte) []byte { return *mac }), false},
+		{"MAC of another id", dialer("x", "a", func(t *transcript, _ *[]byte) []byte { t.dialer = "y"; return t.mac(secret, roleDialer) }), false},
+		{"MAC of an old nonce", dialer("x", "a", func(t *transcript, _ *[]byte) []byte { t.acceptorNonce = newNonce(); return t.mac(secret, roleDialer) }), false},
+		{"frame without a handshake", func(ctx context.Context, conn *websocket.Conn) error {
+			if err := send(ctx, conn, frame{Version: version, Kind: kindRequest}); err != nil {
+				return err
+			}
+			return receive(ctx, conn, &welcome{})
+		}, false},
+		{"silence", func(ctx context.Context, conn *websocket.Conn) error { return receive(ctx, conn, &welcome{}) }, false},
+		{"large message", func(ctx context.Context, conn *websocket.Conn) error {
+			if err := send(ctx, conn, hello{version, "x", "a", make([]byte, 2*maxHandshake)}); err != nil {
+				return err
+			}
+			return receive(ctx, conn, &welcome{})
+		}, false},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			network := newNetwork()
+			a := network.join(t, "a", newRouter(nil, nil), nil)
+			conn, _, err := websocket.Dial(t.Context(), "ws://a"+Path, &websocket.DialOptions{HTTPClient: newHTTPClient(a.options)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.CloseNow()
+			err = test.dial(t.Context(), conn)
+			synctest.Wait()
+			if s := a.Stats(); (err == nil) != test.ok || (s.Links == 1) != test.ok || (s.HandshakeFailures == 0) != test.ok {
+				t.Errorf("%s: %v, %+v", test.name, err, s)
+			}
+		})
+	}
+	for name, change := range map[string]func(*Options){
+		"acceptor with another secret": func(o *Options) { o.Secret = []byte("another secret of b") },
+		"acceptor with another id":     func(o *Options) { o.Self = "c" },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			network := newNetwork()
+			a := network.join(t, "a", newRouter(nil, nil), nil)
+			network.join(t, "b", newRouter(nil, nil), change)
+			a.SetMembers(map[string]string{"b": "b"})
+			if err := a.Call(t.Context(), "b", "echo", "", nil); !errors.Is(err, rpc.ErrUnreachable) {
+				t.Errorf("%s: %v", name, err)
+			}
+		})
+	}
+	if _, err := New(Options{}); err == nil || len(strings.Split(err.Error(), "\n")) != 3 {
+		t.Errorf("faults of empty options: %v", err)
+	}
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	for _, seed := range []frame{
+		{Kind: kindRequest, ID: 1, Method: "echo", Body: []byte{0x60}, Timeout: 5000},
+		{Kind: kindResponse, ID: 1<<64 - 1},
+		failureFrame(7, kindError, "code", "message"),
+	} {
+		data, err := encodeFrame(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := decodeFrame(data)
+		if err != nil {
+			return
+		}
+		again, err := encodeFrame(decoded)
+		if err != nil {
+			t.Fatalf("a decoded frame cannot be encoded: %v", err)
+		}
+		twice, err := decodeFrame(again)
+		if err != nil || fmt.Sprintf("%+v", twice) != fmt.Sprintf("%+v", decoded) {
+			t.Fatalf("%+v became %+v, %v", decoded, twice, err)
+		}
+		decodeFailure(decoded)
+	})
+}
+
+// TestTLS guards links over TCP with TLS, whose certificate must be checked.
+func TestTLS(t *testing.T) {
+	start := func(id string, config *tls.Config) (*Node, string, *http.Transport) {
+		node, err := New(Options{Self: id, Secret: secret, Router: newRouter(nil, nil), TLS: config})
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := httptest.NewUnstartedServer(node)
+		server.Config.ErrorLog = log.New(io.Discard, "", 0)
+		server.StartTLS()
+		t.Cleanup(func() {
+			node.Close()
+			server.Close()
+		})
+		return node, server.Listener.Addr().String(), server.Client().Transport.(*http.Transport)
+	}
+	_, address, transport := start("b", &tls.Config{})
+	a, _, _ := start("a", transport.TLSClientConfig)
+	untrusting, _, _ := start("c", &tls.Config{})
+	a.SetMembers(map[string]string{"b": address})
+	untrusting.SetMembers(map[string]string{"b": address})
+	if err := a.Call(t.Context(), "b", "echo", "x", nil); err != nil {
+		t.Error(err)
+	}
+	if err := untrusting.Call(t.Context(), "b", "echo", "x", nil); !errors.Is(err, rpc.ErrUnreachable) {
+		t.Errorf("call over an untrusted certificate: %v", err)
+	}
+}
+
+// BenchmarkCall measures one request and response of 100 bytes over TCP.
+func BenchmarkCall(b *testing.B) {
+	router := newRouter(nil, nil)
+	server, err := New(Options{Self: "b", Secret: secret, Router: router})
+	if err != nil {
+		b.Fatal(err)
+	}
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	defer server.Close()
+	client, err := New(Options{Self: "a", Secret: secret, Router: router})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	client.SetMembers(map[string]string{"b": listener.Listener.Addr().String()})
+	req := strings.Repeat("x", 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := client.Call(b.Context(), "b", "echo", req, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
