--- /dev/null
+++ b/policy/admission/admission_test.go
@@ -0,0 +1,223 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var origin = time.Unix(1_000_000, 0)
+
+// Guards against refusing jobs that can be done and accepting those that cannot.
+func TestAdmit(t *testing.T) {
+	large := []fleet.Resources{{MilliCPU: 16000, MemoryMB: 64000}}
+	tests := []struct {
+		name string
+		r    Request
+		want fleet.Reason
+	}{
+		{"fits", Request{Need: fleet.Resources{MilliCPU: 16000}, Largest: large}, ""},
+		{"too large for every VM", Request{Need: fleet.Resources{Accelerators: 1}, Largest: large}, fleet.ReasonTooLarge},
+		{"capacity not known", Request{Need: fleet.Resources{Accelerators: 1}}, ""},
+		{"queue full", Request{Queued: 5, MaxQueued: 5}, fleet.ReasonQueueFull},
+		{"queue not full", Request{Queued: 4, MaxQueued: 5}, ""},
+		{"deadline passed", Request{Deadline: origin.Add(-1)}, fleet.ReasonDeadline},
+		{"longer than the deadline", Request{Deadline: origin.Add(time.Second), RunTime: 2 * time.Second}, fleet.ReasonDeadline},
+		{"rate not known", Request{Deadline: origin.Add(time.Second), Load: Load{TotalAhead: 1000}}, ""},
+		{"free slots", Request{Deadline: origin.Add(time.Second), Load: Load{TotalAhead: 7, FreeSlots: 8, Rate: 0.1}}, ""},
+		{"long queue", Request{Deadline: origin.Add(9 * time.Second), Load: Load{TeamAhead: 100, TotalAhead: 100, Rate: 10, TeamPortion: 1}}, fleet.ReasonDeadline},
+		{"long queue of others", Request{Deadline: origin.Add(9 * time.Second), Load: Load{TeamAhead: 10, TotalAhead: 1000, Rate: 10, TeamPortion: 0.5}}, ""},
+	}
+	for _, tt := range tests {
+		tt.r.Now = origin
+		got := fleet.Reason("")
+		refusal := Admit(tt.r)
+		if refusal != nil {
+			got = refusal.Reason
+		}
+		if got != tt.want {
+			t.Errorf("%s: refusal %v, want %q", tt.name, refusal, tt.want)
+		}
+		if got == fleet.ReasonQueueFull && refusal.RetryAfter < minRetryAfter {
+			t.Errorf("%s: retry after %v", tt.name, refusal.RetryAfter)
+		}
+	}
+}
+
+func fair(shares, running map[fleet.TeamName]int) Fair {
+	return Fair{
+		Share:   func(t fleet.TeamName) int { return shares[t] },
+		Running: func(t fleet.TeamName) int { return running[t] },
+	}
+}
+
+// Guards against starts that do not follow the shares while all teams wait.
+func TestFairSharing(t *testing.T) {
+	q := NewQueue(Settings{})
+	shares := map[fleet.TeamName]int{"a": 500, "b": 250, "c": 125}
+	for team := range shares {
+		for i := range 1000 {
+			q.Push(Item{ID: fleet.JobID(fmt.Sprint(team, i)), Team: team, Class: fleet.ClassStandard})
+		}
+	}
+	running := map[fleet.TeamName]int{}
+	for range 875 {
+		item, _ := q.Next(fair(shares, running))
+		running[item.Team]++
+	}
+	for team, share := range shares {
+		if d := running[team] - share; d < -2 || d > 2 {
+			t.Errorf("team %s has %d running of a share of %d", team, running[team], share)
+		}
+	}
+}
+
+// Guards against batch work that never starts under urgent load, and against
+// urgent work that waits for more than its part.
+func TestUrgentFirstWithinBounds(t *testing.T) {
+	q := NewQueue(Settings{StandardBound: 4, BatchBound: 10})
+	for _, class := range fleet.Classes {
+		for i := range 1000 {
+			q.Push(Item{ID: fleet.JobID(fmt.Sprint(class, i)), Team: "a", Class: class})
+		}
+	}
+	started := map[fleet.Class]int{}
+	for range 110 {
+		item, _ := q.Next(fair(nil, nil))
+		started[item.Class]++
+	}
+	if started[fleet.ClassBatch] < 9 || started[fleet.ClassStandard] < 18 || started[fleet.ClassUrgent] < 75 {
+		t.Errorf("starts by class: %v", started)
+	}
+}
+
+// Guards against lost, repeated or misordered jobs under pushes, removals,
+// expiry and starts in any order; compares with a plain list.
+func TestQueueAgainstList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Settings{})
+		list := map[fleet.JobID]Item{}
+		serial := 0
+		remove := func(item Item) {
+			if list[item.ID] != item {
+				t.Fatalf("queue returned %+v, list has %+v", item, list[item.ID])
+			}
+			delete(list, item.ID)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				serial++
+				item := Item{
+					ID: fleet.JobID(fmt.Sprint(serial)), Team: rapid.SampledFrom([]fleet.TeamName{"a", "b"}).Draw(t, "team"),
+					Class: rapid.SampledFrom(fleet.Classes).Draw(t, "class"), Submitted: origin.Add(time.Duration(serial)),
+				}
+				if d := rapid.IntRange(0, 20).Draw(t, "deadline"); d > 0 {
+					item.Deadline = origin.Add(time.Duration(d) * time.Second)
+				}
+				q.Push(item)
+				list[item.ID] = item
+			},
+			"remove": func(t *rapid.T) {
+				id := fleet.JobID(fmt.Sprint(rapid.IntRange(1, serial+1).Draw(t, "id")))
+				_, known := list[id]
+				if q.Remove(id) != known {
+					t.Fatalf("remove of %s: known %v", id, known)
+				}
+				delete(list, id)
+			},
+			"expire": func(t *rapid.T) {
+				now := origin.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "now")) * time.Second)
+				for _, item := range q.Expired(now) {
+					remove(item)
+				}
+				for _, item := range list {
+					if !item.Deadline.IsZero() && !item.Deadline.After(now) {
+						t.Fatalf("%+v has not expired at %v", item, now)
+					}
+				}
+			},
+			"next": func(t *rapid.T) {
+				f := fair(nil, nil)
+				skipped := rapid.SampledFrom([]fleet.TeamName{"", "a"}).Draw(t, "skip")
+				f.Skip = func(team fleet.TeamName) bool { return team == skipped }
+				item, ok := q.Next(f)
+				for _, other := range list {
+					if !ok && other.Team != skipped {
+						t.Fatalf("%+v was not started", other)
+					}
+					if ok && other.Team == item.Team && other.Class == item.Class && less(&node{item: other}, &node{item: item}) {
+						t.Fatalf("%+v started before %+v", item, other)
+					}
+				}
+				if ok {
+					remove(item)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.Len() != len(list) {
+					t.Fatalf("queue has %d jobs, list %d", q.Len(), len(list))
+				}
+			},
+		})
+	})
+}
+
+// BenchmarkNext measures one start and one arrival by waiting jobs, with 98
+// teams, and the memory of a waiting job.
+func BenchmarkNext(b *testing.B) {
+	for _, size := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			teams := make([]fleet.TeamName, 98)
+			shares, running := map[fleet.TeamName]int{}, map[fleet.TeamName]int{}
+			for i := range teams {
+				teams[i] = fleet.TeamName(fmt.Sprint("team", i))
+				shares[teams[i]] = 1 + i%20
+			}
+			item := func(i int) Item {
+				return Item{
+					ID: fleet.JobID(fmt.Sprintf("%032d", i)), Team: teams[i%98], Class: fleet.Classes[i%3],
+					Deadline: origin.Add(time.Duration(i*7919%100_000) * time.Millisecond),
+				}
+			}
+			before := heapInUse()
+			q := NewQueue(Settings{})
+			for i := range size {
+				q.Push(item(i))
+			}
+			perJob := float64(heapInUse()-before) / float64(size)
+			i := size
+			for b.Loop() {
+				started, _ := q.Next(fair(shares, running))
+				running[started.Team]++
+				q.Push(item(i))
+				i++
+			}
+			b.ReportMetric(perJob, "B/job")
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/policy/retry/retry_test.go
@@ -0,0 +1,77 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"amaranthfork.example/fleet"
+)
+
+var origin = time.Unix(1_000_000, 0)
+
+// Guards against retries that multiply the load of a failing fleet, and against
+// a budget that never recovers or starves teams with few successes.
+func TestBudget(t *testing.T) {
+	p := New(Settings{Floor: 2, Window: time.Minute})
+	retries := func(now time.Time, team fleet.TeamName) int {
+		n := 0
+		for range 1000 {
+			if p.Decide(now, Failure{Team: team, Idempotent: true, Attempts: 1}).Retry {
+				n++
+			}
+		}
+		return n
+	}
+	if n := retries(origin, "quiet"); n != 2 {
+		t.Errorf("%d retries without successes, want the floor of 2", n)
+	}
+	for range 100 {
+		p.Success(origin, "busy")
+	}
+	if n := retries(origin, "busy"); n != 12 {
+		t.Errorf("%d retries after 100 successes, want 12", n)
+	}
+	if n := retries(origin.Add(50*time.Second), "busy"); n != 0 {
+		t.Errorf("%d retries within the window of the spent budget", n)
+	}
+	if n := retries(origin.Add(2*time.Minute), "busy"); n != 2 {
+		t.Errorf("%d retries once the successes are old, want the floor of 2", n)
+	}
+}
+
+// Guards against retries of work that may have side effects, endless retries,
+// and retries in step.
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name    string
+		failure Failure
+		want    bool
+		reason  fleet.Reason
+	}{
+		{"first failure", Failure{Team: "a", Idempotent: true, Attempts: 1}, true, ""},
+		{"not idempotent", Failure{Team: "a", Attempts: 1}, false, fleet.ReasonTaskFailed},
+		{"last attempt", Failure{Team: "a", Idempotent: true, Attempts: 4}, false, fleet.ReasonTaskFailed},
+	}
+	for _, tt := range tests {
+		d := New(Settings{}).Decide(origin, tt.failure)
+		if d.Retry != tt.want || d.Reason != tt.reason {
+			t.Errorf("%s: %+v", tt.name, d)
+		}
+	}
+	p, same := New(Settings{Seed: 7}), New(Settings{Seed: 7})
+	distinct := map[time.Duration]bool{}
+	for attempts := 1; attempts < 20; attempts++ {
+		d := p.Backoff(attempts)
+		if d != same.Backoff(attempts) {
+			t.Fatal("the same seed gives different delays")
+		}
+		mean := min(100*time.Millisecond<<(attempts-1), 10*time.Second)
+		if attempts < 8 && (d < mean/2 || d > mean*3/2) || d > 10*time.Second {
+			t.Errorf("delay %v after %d attempts", d, attempts)
+		}
+		distinct[d] = true
+	}
+	if len(distinct) < 7 {
+		t.Error("delays have no jitter")
+	}
+}
