--- a/client/client_test.go
+++ b/client/client_test.go
@@ -98,6 +98,7 @@
 		{"connected at last", []answer{refused, refused, accepted}, done, done, 3},
 		{"answer lost once", []answer{lost, accepted}, done, done, 2},
 		{"answer cut once", []answer{cut, accepted}, done, done, 2},
+		{"all answers cut", []answer{cut}, unknown, unavailable, 5},
 		{"all answers lost", []answer{lost}, unknown, unavailable, 5},
 		{"lost, then refused connections", []answer{lost, refused}, unknown, unavailable, 5},
 		{"lost, then a refusal", []answer{lost, denied}, unknown, refusal, 2},
--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -140,6 +140,7 @@
 	dir := fixtures(t)
 	s := newSession(t)
 	s.run("validate", ExitOK)
+	s.run("validate -o json", ExitOK)
 	s.run("diff", ExitOK)
 	s.run("apply", ExitOK)
 	s.run("dc out dc-b", ExitOK)
@@ -200,6 +201,12 @@
 	s.run("apply --id id-6", ExitOK)
 	s.write("00000009-later.yaml", "teams: {booking: {limit: 60}}\n")
 	s.run("apply --id id-6", ExitConflict)
+	s.set(func(server *standIn) { server.folder["../outside.yaml"] = []byte("teams: {}\n") })
+	s.run("pull", ExitFailed)
+	if _, err := os.Stat("../outside.yaml"); err == nil {
+		t.Error("pull wrote a file outside of the folder")
+	}
+	s.set(func(server *standIn) { delete(server.folder, "../outside.yaml") })
 	s.token = "wrong"
 	s.run("dc out dc-a", ExitNotRun)
 	s.files()
@@ -242,6 +249,10 @@
 		s.run("watch "+id, outcomeCode(outcome))
 	}
 	s.set(func(server *standIn) { server.jobs["slow"] = []client.Job{{ID: "slow", State: client.JobRunning}} })
+	outage := &fleet.Result{Outcome: fleet.OutcomeCompleted, Body: []byte("priced"), Unrecorded: true}
+	s.set(func(server *standIn) { server.jobs["outage"] = []client.Job{{ID: "outage", State: client.JobEnded, Result: outage}} })
+	s.run("watch outage", ExitOK)
+	s.run("submit quotes --file -", ExitUsage)
 	s.run("cancel slow", ExitOK)
 	s.run("watch slow", ExitUnknown)
 	s.run("cancel nothing", ExitNotRun)
--- a/cmd/internal/ctl/output.go
+++ b/cmd/internal/ctl/output.go
@@ -44,7 +44,7 @@
 // table writes rows below a header, in columns.
 func (a *app) table(header string, rows [][]any) {
 	w := tabwriter.NewWriter(a.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, strings.Join(strings.Split(header, "|"), "\t"))
+	fmt.Fprintln(w, strings.ReplaceAll(header, "|", "\t"))
 	for _, row := range rows {
 		cells := make([]string, len(row))
 		for i, cell := range row {
--- a/cmd/internal/ctl/standin_test.go
+++ b/cmd/internal/ctl/standin_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -147,7 +147,7 @@
 	_, knownQueue := map[string]bool{"quotes": true}[r.PathValue("queue")]
 	switch {
 	case err != nil || len(request.Steps) == 0:
-		refuse(w, http.StatusBadRequest, "invalid_request", "steps: "+errors.Join(err).Error())
+		refuse(w, http.StatusBadRequest, "invalid_request", fmt.Sprintf("%d steps: %v", len(request.Steps), err))
 	case !knownQueue:
 		refuse(w, http.StatusNotFound, "no_such_queue", "there is no queue "+r.PathValue("queue"))
 	case s.refusal != "":
