--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -167,6 +167,10 @@
 	s.run("apply", ExitConflict)
 	s.run("apply --prune", ExitOK)
 	s.run("diff", ExitOK)
+	s.write("00000002-stale.yaml", "teams: {booking: {limit: 1}}\n")
+	s.run("pull", ExitOK)
+	s.run("pull --prune", ExitOK)
+	s.files()
 	s.assert(dir, "configuration")
 }
 
@@ -250,7 +254,9 @@
 	}
 	s.set(func(server *standIn) { server.jobs["slow"] = []client.Job{{ID: "slow", State: client.JobRunning}} })
 	outage := &fleet.Result{Outcome: fleet.OutcomeCompleted, Body: []byte("priced"), Unrecorded: true}
-	s.set(func(server *standIn) { server.jobs["outage"] = []client.Job{{ID: "outage", State: client.JobEnded, Result: outage}} })
+	s.set(func(server *standIn) {
+		server.jobs["outage"] = []client.Job{{ID: "outage", State: client.JobEnded, Result: outage}}
+	})
 	s.run("watch outage", ExitOK)
 	s.run("submit quotes --file -", ExitUsage)
 	s.run("cancel slow", ExitOK)
--- a/cmd/internal/ctl/folder.go
+++ b/cmd/internal/ctl/folder.go
@@ -313,19 +313,33 @@
 }
 
 func (a *app) pullCommand() *cobra.Command {
-	return &cobra.Command{
+	prune := false
+	cmd := &cobra.Command{
 		Use:   "pull",
 		Short: "Write the files of the accepted configuration into the folder",
-		Args:  cobra.NoArgs,
+		Long: `Write the files of the accepted configuration into the folder. Files that only
+the folder has are kept without --prune; apply would put them again, also when
+another operator has removed or compacted them.`,
+		Args: cobra.NoArgs,
 		RunE: a.remote(func(ctx context.Context, c *client.Client, _ []string) error {
-			return a.pull(ctx, c)
+			return a.pull(ctx, c, prune)
 		}),
 	}
+	cmd.Flags().BoolVar(&prune, "prune", false, "remove files that only the folder has")
+	return cmd
+}
+
+// pullOutput is the result of pull.
+type pullOutput struct {
+	Revision fleet.Revision `json:"revision"`
+	Written  int            `json:"written"`
+	Kept     []string       `json:"kept"`    // files that only the folder has
+	Removed  []string       `json:"removed"` // files that only the folder had
 }
 
 // pull writes the accepted files that the folder lacks or has with other
-// content. Files that only the folder has are kept.
-func (a *app) pull(ctx context.Context, c *client.Client) error {
+// content, and with prune removes files that only the folder has.
+func (a *app) pull(ctx context.Context, c *client.Client, prune bool) error {
 	folder, err := config.Load(a.folder)
 	if err != nil {
 		return &usageError{err}
@@ -335,25 +349,47 @@
 		return err
 	}
 	change := config.Diff(folder, server.folder)
-	if findings := change.Check(); len(findings) > 0 {
+	if findings := (config.Change{Put: change.Put}).Check(); len(findings) > 0 {
 		return findings // names that would lead out of the folder
 	}
-	for _, file := range change.Put {
+	result := pullOutput{Revision: server.revision, Written: len(change.Put), Kept: []string{}, Removed: []string{}}
+	if prune {
+		result.Removed = append(result.Removed, change.Removed...)
+	} else {
+		result.Kept = append(result.Kept, change.Removed...)
+	}
+	if err := a.replaceFiles(change.Put, result.Removed); err != nil {
+		return err
+	}
+	return a.print(result, func() { a.showPull(result) })
+}
+
+// showPull writes the result of pull for people.
+func (a *app) showPull(result pullOutput) {
+	a.say("wrote %s of revision %d", count(result.Written, "file"), result.Revision)
+	for _, name := range result.Removed {
+		a.say("removed %s, which is not accepted", name)
+	}
+	for _, name := range result.Kept {
+		a.say("kept %s, which is not accepted", name)
+	}
+}
+
+// replaceFiles writes files and then removes others, in the order of their
+// names. If it is interrupted after a compaction, the rest cannot bring back an
+// object that a later file had removed.
+func (a *app) replaceFiles(put []config.File, removed []string) error {
+	for _, file := range put {
 		if err := a.writeFile(file.Name, file.Content); err != nil {
 			return err
 		}
 	}
-	result := struct {
-		Revision fleet.Revision `json:"revision"`
-		Written  int            `json:"written"`
-		Kept     []string       `json:"kept"` // files that only the folder has
-	}{server.revision, len(change.Put), append([]string{}, change.Removed...)}
-	return a.print(result, func() {
-		a.say("wrote %s of revision %d", count(len(change.Put), "file"), server.revision)
-		for _, name := range change.Removed {
-			a.say("kept %s, which is not accepted", name)
+	for _, name := range removed {
+		if err := a.removeFile(name); err != nil {
+			return err
 		}
-	})
+	}
+	return nil
 }
 
 // writeFile writes a file of the folder.
@@ -384,9 +420,7 @@
 	}
 }
 
-// compact replaces the files of the folder. It writes the new files first and
-// then removes the others, the oldest first: if it is interrupted, the rest
-// cannot bring back an object that a later file had removed.
+// compact replaces the files of the folder.
 func (a *app) compact() error {
 	folder, err := a.loadFolder()
 	if err != nil {
@@ -397,15 +431,8 @@
 		return findings
 	}
 	change := config.Diff(folder, compacted)
-	for _, file := range change.Put {
-		if err := a.writeFile(file.Name, file.Content); err != nil {
-			return err
-		}
-	}
-	for _, name := range change.Removed {
-		if err := a.removeFile(name); err != nil {
-			return err
-		}
+	if err := a.replaceFiles(change.Put, change.Removed); err != nil {
+		return err
 	}
 	result := struct {
 		Before int `json:"before"`
