--- a/control/pools/pools_test.go
+++ b/control/pools/pools_test.go
@@ -74,16 +74,29 @@
 type node struct {
 	*poolstest.Entry
 	ledger     *pools.Ledger
+	role       *role.Role
 	controller *pools.Controller
+	ticking    bool // a controller has one round at a time
 }
 
 func join(w *poolstest.World, n int) *node {
 	e := w.Join(fmt.Sprintf("entry-%03d", n))
 	ledger := pools.NewLedger(pools.LedgerOptions{Table: e, View: w, Clock: w})
-	return &node{e, ledger, pools.NewController(pools.Options{
-		Ledger: ledger, View: w, VMList: e, VMs: e, Dispatch: w, Clock: w,
-		Role: role.New(role.Options{Name: pools.Name, Table: e, Membership: e}),
-	})}
+	r := role.New(role.Options{Name: pools.Name, Table: e, Membership: e})
+	controller := pools.NewController(pools.Options{
+		Ledger: ledger, Role: r, View: w, VMList: e, VMs: e, Dispatch: w, Clock: w,
+	})
+	return &node{Entry: e, ledger: ledger, role: r, controller: controller}
+}
+
+// tick does a round of the controller unless one is under way.
+func (n *node) tick() {
+	if n.ticking {
+		return
+	}
+	n.ticking = true
+	defer func() { n.ticking = false }()
+	_ = n.controller.Tick(ctx)
 }
 
 // settled returns a world whose 13 VMs are assigned; vm-12 is a spare one.
@@ -106,6 +119,15 @@
 	return errors.Join(n.controller.Tick(ctx), w.Work.Tick(ctx))
 }
 
+func rounds(t *testing.T, w *poolstest.World, n *node, count int) {
+	t.Helper()
+	for range count {
+		if err := round(w, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestMove guards the steps of a move: it waits for running work, a timed-out or
 // aborted one goes back, and the budget is returned in each case.
 func TestMove(t *testing.T) {
@@ -217,11 +239,7 @@
 func TestGoneVM(t *testing.T) {
 	w, n := settled(t)
 	w.Kill(vmID(0), fleet.VMGone)
-	for range 60 {
-		if err := round(w, n); err != nil {
-			t.Fatal(err)
-		}
-	}
+	rounds(t, w, n, 60)
 	if _, _, err := n.ledger.Locate(ctx, vmID(0)); !errors.Is(err, pools.ErrUnassigned) {
 		t.Fatalf("gone VM is still assigned: %v", err)
 	}
@@ -231,28 +249,73 @@
 	if err := n.ledger.Move(ctx, vmID(12), "a"); err != nil {
 		t.Fatal(err)
 	}
-	for range 3 {
-		if err := round(w, n); err != nil {
-			t.Fatal(err)
-		}
-	}
+	rounds(t, w, n, 3)
 	checkPlace(t, w, vmID(12), "a", pools.StateActive)
 	checkNoRecords(t, w)
 	w.Kill(vmID(1), fleet.VMLeaving)
-	for range 60 {
-		if err := round(w, n); err != nil {
-			t.Fatal(err)
-		}
-	}
+	rounds(t, w, n, 60)
 	checkPlace(t, w, vmID(1), "b", pools.StateActive)
+	w.Kill(vmID(0), fleet.VMLive) // comes back to a pool that has nothing to replace
+	w.Kill(vmID(2), fleet.VMGone)
+	rounds(t, w, n, 60)
+	w.Kill(vmID(2), fleet.VMLive)
+	rounds(t, w, n, 2)
+	checkPlace(t, w, vmID(2), "a", pools.StateActive)
 	delete(w.Config.Pools, "b")
 	w.Kill(vmID(1), fleet.VMLive)
-	for range 200 {
-		if err := round(w, n); err != nil {
-			t.Fatal(err)
+	rounds(t, w, n, 200)
+	checkPlace(t, w, vmID(1), "spare", pools.StateActive)
+	checkNoRecords(t, w)
+	checkViolations(t, w)
+}
+
+// TestPausedController guards against a controller that is paused before its
+// commit, loses the role and writes by its old listing after the pause.
+func TestPausedController(t *testing.T) {
+	w, n := settled(t)
+	before, err := w.Table.Get(ctx, pools.AssignmentPrefix+"d0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := join(w, 1)
+	w.Add(fleet.VM{ID: "vm-99", DataCentre: "d0", Rack: "r0"})
+	w.Step(time.Second)
+	w.Hook = func(e *poolstest.Entry, op string) error {
+		if e == n.Entry && op == "commit" && !n.Expired {
+			w.Fence(n.Entry)
+			return other.role.Tick(ctx)
 		}
+		return nil
 	}
-	checkPlace(t, w, vmID(1), "spare", pools.StateActive)
+	if err := n.controller.Tick(ctx); err == nil || other.role.Held() != nil {
+		t.Fatalf("controller was not stopped: %v, %v", err, other.role.Held())
+	}
+	after, err := w.Table.Get(ctx, pools.AssignmentPrefix+"d0")
+	if err != nil || after.Version != before.Version {
+		t.Fatalf("a paused controller wrote version %d, %v", after.Version, err)
+	}
+}
+
+// TestReturnWaitsForListing guards against returning a VM whose failure the
+// lagging VM list does not show yet, and against a second assignment of
+// a VM that the list shows in another data centre.
+func TestReturnWaitsForListing(t *testing.T) {
+	w, n := settled(t)
+	w.Lag = 5 * time.Minute
+	if err := n.ledger.Draw(ctx, "d0", vmID(0), pools.CauseFailed, "reported by the dispatcher"); err != nil {
+		t.Fatal(err)
+	}
+	rounds(t, w, n, 3)
+	if _, byDC, err := n.ledger.Budgets(ctx); err != nil || len(byDC["d0"].VMs) != 1 {
+		t.Fatalf("returned by a listing from before the failure: %v", err)
+	}
+	rounds(t, w, n, 30)
+	checkNoRecords(t, w)
+	relocated := vm(0)
+	relocated.DataCentre = "d1"
+	w.Add(relocated)
+	rounds(t, w, n, 30)
+	checkPlace(t, w, vmID(0), "a", pools.StateActive)
 	checkViolations(t, w)
 }
 
@@ -328,6 +391,8 @@
 	case 4:
 		e.Faults.LoseAnswers(1)
 		e.LoseAnswers = 1
+	case 5:
+		return platform.ErrUnavailable
 	}
 	return nil
 }
@@ -337,7 +402,7 @@
 	pool := []fleet.PoolName{"a", "b", "spare"}
 	switch c.int("do", 16) {
 	case 0, 1, 2, 3:
-		_ = n.controller.Tick(ctx)
+		n.tick()
 	case 4, 5:
 		_ = n.ledger.Move(ctx, c.vm(), pool[c.int("pool", 3)])
 	case 6:
