--- a/control/pools/pools_test.go
+++ b/control/pools/pools_test.go
@@ -136,12 +136,24 @@
 		taskS  int // running time of the task in seconds
 		pool   fleet.PoolName
 	}{
-		"idle":            {nil, 0, "b"},
-		"task ends":       {nil, 120, "b"},
-		"timed out":       {nil, 7200, "a"},
-		"aborted":         {func(_ *poolstest.World, n *node) error { return n.ledger.Abort(ctx, vmID(0)) }, 120, "a"},
-		"failed":          {func(w *poolstest.World, _ *node) error { w.Kill(vmID(0), fleet.VMLeaving); return nil }, 120, "a"},
-		"answers lost":    {func(_ *poolstest.World, n *node) error { n.Faults.LoseAnswers(3); n.LoseAnswers = 3; return nil }, 120, "b"},
+		"idle":         {nil, 0, "b"},
+		"task ends":    {nil, 120, "b"},
+		"timed out":    {nil, 7200, "a"},
+		"aborted":      {func(_ *poolstest.World, n *node) error { return n.ledger.Abort(ctx, vmID(0)) }, 120, "a"},
+		"failed":       {func(w *poolstest.World, _ *node) error { w.Kill(vmID(0), fleet.VMLeaving); return nil }, 120, "a"},
+		"answers lost": {func(_ *poolstest.World, n *node) error { n.Faults.LoseAnswers(3); n.LoseAnswers = 3; return nil }, 120, "b"},
+		"release fails": {func(w *poolstest.World, _ *node) error {
+			failures := 2
+			w.Hook = func(_ *poolstest.Entry, op string) error {
+				if failures--; op == "release" && failures >= 0 {
+					return platform.ErrUnavailable
+				} else if op != "release" {
+					failures++
+				}
+				return nil
+			}
+			return nil
+		}, 60, "b"},
 		"asked for twice": {func(_ *poolstest.World, n *node) error { return n.ledger.Move(ctx, vmID(0), "b") }, 120, "b"},
 	}
 	for name, tc := range cases {
@@ -255,6 +267,10 @@
 	w.Kill(vmID(1), fleet.VMLeaving)
 	rounds(t, w, n, 60)
 	checkPlace(t, w, vmID(1), "b", pools.StateActive)
+	w.Omitted[vmID(3)] = true
+	rounds(t, w, n, 60)
+	checkPlace(t, w, vmID(3), "b", pools.StateActive)
+	delete(w.Omitted, vmID(3))
 	w.Kill(vmID(0), fleet.VMLive) // comes back to a pool that has nothing to replace
 	w.Kill(vmID(2), fleet.VMGone)
 	rounds(t, w, n, 60)
@@ -302,6 +318,7 @@
 func TestReturnWaitsForListing(t *testing.T) {
 	w, n := settled(t)
 	w.Lag = 5 * time.Minute
+	n.Faults.LoseAnswers(1) // the lost answer is read back
 	if err := n.ledger.Draw(ctx, "d0", vmID(0), pools.CauseFailed, "reported by the dispatcher"); err != nil {
 		t.Fatal(err)
 	}
--- a/control/pools/poolstest/world.go
+++ b/control/pools/poolstest/world.go
@@ -31,6 +31,8 @@
 	Violations []string
 	// Work tells where the dispatcher may start tasks, by its own cache.
 	Work *pools.Cache
+	// Omitted holds the VMs that the VM list leaves out.
+	Omitted map[fleet.VMID]bool
 	// Reboots counts accepted reboots by VM.
 	Reboots map[fleet.VMID]int
 
@@ -64,6 +66,7 @@
 		Config:     snapshot,
 		RebootTime: 3 * time.Minute,
 		Reboots:    map[fleet.VMID]int{},
+		Omitted:    map[fleet.VMID]bool{},
 		vms:        map[fleet.VMID]*machine{},
 	}
 	w.Work = pools.NewCache(pools.CacheOptions{Table: w.Table, Clock: w})
@@ -123,7 +126,9 @@
 				delete(m.tasks, t)
 			}
 		}
-		listing.VMs = append(listing.VMs, m.vm)
+		if !w.Omitted[id] {
+			listing.VMs = append(listing.VMs, m.vm)
+		}
 	}
 	w.history = append(w.history, listing)
 	for len(w.history) > 1 && w.Time.Sub(w.history[1].AsOf) >= w.Lag {
