--- /dev/null
+++ b/policy/maintenance/plan_test.go
@@ -0,0 +1,336 @@
+package maintenance
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+const day = 24 * time.Hour
+
+// fleetOf returns n live VMs that were all maintained at start, four to a rack,
+// spread over data centres and pools; each pool may miss a tenth, at least 2.
+func fleetOf(n, dataCentres, pools int) Snapshot {
+	s := Snapshot{Pools: map[fleet.PoolName]Pool{}, Plan: fleet.MaintenancePlan{
+		Period: 14 * day, DrainTimeout: 15 * time.Minute, RebootTimeout: 30 * time.Minute,
+		MaxPerRack: 1, MaxPerDataCentre: max(2, n/dataCentres/10), StopAfterFailures: 3, AvoidDataCentresOut: true,
+	}}
+	for i := range n {
+		dc := i % dataCentres
+		s.VMs = append(s.VMs, VM{
+			ID: fleet.VMID(fmt.Sprintf("vm-%04d", i)), DataCentre: fleet.DataCentreName(fmt.Sprintf("dc%d", dc)),
+			Rack: fleet.RackName(fmt.Sprintf("dc%d-%d", dc, i/dataCentres/4)), Pool: fleet.PoolName(fmt.Sprintf("pool%d", i/dataCentres%pools)),
+			Last: start, Active: true, Live: true, TasksKnown: true,
+		})
+	}
+	for i := range pools {
+		s.Pools[fleet.PoolName(fmt.Sprintf("pool%d", i))] = Pool{MaxUnavailable: max(2, n/pools/10)}
+	}
+	return s
+}
+
+// simulation is a fleet that works, fails at the ordinary rate and is
+// maintained by the planner.
+type simulation struct {
+	s     Snapshot
+	now   time.Time
+	step  time.Duration
+	rand  *rand.Rand
+	back  map[fleet.VMID]time.Time // end of an outage
+	done  map[fleet.VMID]int
+	first time.Time
+	last  time.Time
+	most  int // VMs in maintenance at a time
+	sum   int // VMs in maintenance, added over the steps
+	ended int // checkpoints
+}
+
+func (m *simulation) round(t *testing.T) {
+	m.now = m.now.Add(m.step)
+	for i := range m.s.VMs {
+		m.live(&m.s.VMs[i])
+	}
+	decisions, report := Plan(m.s, m.now)
+	byID := map[fleet.VMID]*VM{}
+	for i := range m.s.VMs {
+		byID[m.s.VMs[i].ID] = &m.s.VMs[i]
+	}
+	for _, d := range decisions {
+		m.apply(t, byID[d.VM], d)
+	}
+	m.most, m.sum = max(m.most, report.InProgress), m.sum+report.InProgress
+}
+
+// live lets work, failures (13 a day of 2,300 VMs, an hour each) and restarts
+// (190 a day, 10 minutes each) happen.
+func (m *simulation) live(v *VM) {
+	v.SeenAt = m.now
+	if at, out := m.back[v.ID]; out && !m.now.Before(at) {
+		v.Live, v.Drawn, v.Failed = true, v.Phase != PhaseNone, false
+		delete(m.back, v.ID)
+	}
+	perStep := float64(m.step) / float64(day) / 2300
+	switch chance := m.rand.Float64(); {
+	case !v.Live:
+	case chance < 13*perStep:
+		m.fail(v, time.Hour)
+	case chance < 203*perStep:
+		m.fail(v, 10*time.Minute)
+	}
+	var left []Task
+	for _, task := range v.Tasks {
+		if task.End.After(m.now) {
+			left = append(left, task)
+		}
+	}
+	v.Tasks = left
+	if v.Phase == PhaseNone && v.Live && len(v.Tasks) == 0 && m.rand.Intn(4) > 0 {
+		v.Tasks = []Task{{ID: "t", End: m.now.Add(time.Duration(m.rand.Intn(180)) * time.Minute), CanCheckpoint: m.rand.Intn(4) > 0}}
+		if m.rand.Intn(2) > 0 {
+			v.Tasks[0].Deadline = v.Tasks[0].End.Add(time.Duration(m.rand.Intn(60)) * time.Minute)
+		}
+	}
+	v.Idle = len(v.Tasks) == 0
+}
+
+func (m *simulation) fail(v *VM, d time.Duration) {
+	v.Live, v.Drawn, v.Failed, v.Tasks = false, true, true, nil
+	m.back[v.ID] = m.now.Add(d)
+}
+
+func (m *simulation) apply(t *testing.T, v *VM, d Decision) {
+	switch d.Action {
+	case ActionDrain:
+		if m.first.IsZero() {
+			m.first = m.now
+		}
+		v.Phase, v.Since, v.Drawn, v.Rebooted = PhaseDraining, m.now, true, time.Time{}
+	case ActionCheckpoint:
+		if !v.Tasks[0].CanCheckpoint {
+			t.Fatalf("checkpoint of a task that cannot be checkpointed on %s", v.ID)
+		}
+		m.ended++
+		v.Tasks, v.Idle = nil, true
+	case ActionReboot:
+		if len(v.Tasks) > 0 {
+			t.Fatalf("reboot of %s cuts work", v.ID)
+		}
+		v.Phase, v.Since, v.Rebooted = PhaseRebooting, m.now, m.now
+	case ActionFinish:
+		m.done[v.ID]++
+		v.Phase, v.Last, v.Drawn, m.last = PhaseNone, m.now, false, m.now
+	case ActionReturn:
+		v.Phase, v.Drawn, v.NotBefore = PhaseNone, false, m.now.Add(d.RetryAfter)
+	case ActionFail:
+		v.Phase, v.Since, v.Drawn, v.Failed = PhaseFailed, m.now, true, true
+	case ActionStopWave:
+		t.Fatalf("wave stopped at the ordinary failure rate: %s", d.Reason)
+	}
+}
+
+// TestEveryVMWithinPeriod guards the period: at today's and the target size, with
+// ordinary failures, busy VMs and a pause of a day, no VM gets older than it.
+func TestEveryVMWithinPeriod(t *testing.T) {
+	for _, size := range []struct{ vms, dataCentres, pools int }{{48, 4, 5}, {500, 8, 10}, {2300, 20, 25}} {
+		t.Run(fmt.Sprint(size.vms), func(t *testing.T) {
+			m := &simulation{
+				s: fleetOf(size.vms, size.dataCentres, size.pools), now: start, step: 10 * time.Minute,
+				rand: rand.New(rand.NewSource(1)), back: map[fleet.VMID]time.Time{}, done: map[fleet.VMID]int{},
+			}
+			steps := 0
+			for ; len(m.done) < size.vms && m.now.Before(start.Add(14*day)); steps++ {
+				m.s.Paused = ""
+				if since := m.now.Sub(start); since > 9*day && since < 10*day {
+					m.s.Paused = "change freeze"
+				}
+				m.round(t)
+			}
+			if len(m.done) < size.vms {
+				t.Fatalf("%d of %d VMs maintained within the period", len(m.done), size.vms)
+			}
+			t.Logf("%d VMs: first start at %.1f d, roll-out %.1f d with a pause of 1 d, at most %d in progress, %.2f on average, %d checkpoints",
+				size.vms, m.first.Sub(start).Hours()/24, m.last.Sub(m.first).Hours()/24, m.most, float64(m.sum)/float64(steps), m.ended)
+		})
+	}
+}
+
+// TestBudgetsHold guards the limits and the reserve for the loss of a failure
+// domain in every plan, for any state of the fleet.
+func TestBudgetsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := fleetOf(rapid.IntRange(8, 120).Draw(t, "vms"), rapid.IntRange(1, 4).Draw(t, "dcs"), rapid.IntRange(1, 5).Draw(t, "pools"))
+		s.Plan.MaxPerRack = rapid.IntRange(0, 3).Draw(t, "perRack")
+		s.Plan.MaxPerDataCentre = rapid.IntRange(0, 6).Draw(t, "perDC")
+		s.Plan.AvoidDataCentresOut = rapid.Bool().Draw(t, "avoid")
+		out := rapid.Bool().Draw(t, "out")
+		s.DataCentresOut = map[fleet.DataCentreName]bool{"dc0": out}
+		limit := rapid.IntRange(0, 12).Draw(t, "limit")
+		for name := range s.Pools {
+			s.Pools[name] = Pool{MaxUnavailable: limit, Lost: rapid.IntRange(0, 1).Draw(t, "lost")}
+		}
+		now := start.Add(14 * day)
+		share := rapid.Float64Range(0.5, 1.1).Draw(t, "age")
+		byID := map[fleet.VMID]*VM{}
+		for i := range s.VMs {
+			v := &s.VMs[i]
+			v.Last = now.Add(-time.Duration(share * float64(14*day)))
+			v.Drawn = rapid.IntRange(0, 9).Draw(t, "drawn") == 0
+			byID[v.ID] = v
+		}
+		domains := shares(s.VMs)
+		decisions, _ := Plan(s, now)
+		for _, d := range decisions {
+			v := byID[d.VM]
+			if v.Drawn || d.Action != ActionDrain || share < dueShare {
+				t.Fatalf("decision %+v for %+v", d, *v)
+			}
+			v.Drawn = true
+			pool, rack, dc := s.Pools[v.Pool].Lost, 0, 0
+			for _, o := range s.VMs {
+				if o.Pool == v.Pool && (o.Drawn || out && o.DataCentre == "dc0" && v.DataCentre != "dc0") {
+					pool++
+				}
+				if o.Drawn && o.DataCentre == v.DataCentre {
+					dc++
+				}
+				if o.Drawn && o.Rack == v.Rack {
+					rack++
+				}
+			}
+			if pool > limit || rack > s.Plan.MaxPerRack || dc > s.Plan.MaxPerDataCentre {
+				t.Fatalf("%s: pool %d of %d, rack %d, data centre %d", v.ID, pool, limit, rack, dc)
+			}
+			if share < lastShare && limit > domains[v.Pool].rack && pool+domains[v.Pool].rack > limit {
+				t.Fatalf("%s: the loss of a rack of %d exceeds %d with %d unavailable", v.ID, domains[v.Pool].rack, limit, pool)
+			}
+			if out && s.Plan.AvoidDataCentresOut && v.DataCentre != "dc0" {
+				t.Fatalf("%s: started while dc0 is out", v.ID)
+			}
+		}
+	})
+}
+
+// TestDecisions guards the reason and the action for each state of one VM.
+func TestDecisions(t *testing.T) {
+	now := start.Add(13 * day)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	task := func(end, deadline time.Duration, can bool) []Task {
+		tk := Task{ID: "t", End: now.Add(end), CanCheckpoint: can}
+		if deadline > 0 {
+			tk.Deadline = now.Add(deadline)
+		}
+		return []Task{tk}
+	}
+	cases := map[string]struct {
+		vm     func(*VM)
+		s      func(*Snapshot)
+		action Action // 0 for none
+		reason string // part of the decision's or, without one, the waiting reason
+	}{
+		"overdue":               {func(v *VM) {}, nil, ActionDrain, "last maintained"},
+		"young":                 {func(v *VM) { v.Last = ago(day) }, nil, 0, ""},
+		"busy, not urgent":      {func(v *VM) { v.Last, v.Tasks = ago(9*day), task(time.Minute, 0, true) }, nil, 0, "not idle"},
+		"busy, ends in time":    {func(v *VM) { v.Last, v.Tasks = ago(10*day), task(time.Minute, 0, false) }, nil, ActionDrain, ""},
+		"busy, outlasts":        {func(v *VM) { v.Last, v.Tasks = ago(10*day), task(time.Hour, 0, true) }, nil, 0, "outlasts"},
+		"long, no checkpoint":   {func(v *VM) { v.Tasks = task(time.Hour, 0, false) }, nil, 0, "cannot be checkpointed"},
+		"long, keeps deadline":  {func(v *VM) { v.Tasks = task(time.Hour, 2*time.Hour, true) }, nil, ActionDrain, ""},
+		"long, breaks deadline": {func(v *VM) { v.Tasks = task(time.Hour, 61*time.Minute, true) }, nil, 0, "miss its deadline"},
+		"tasks unknown":         {func(v *VM) { v.TasksKnown = false }, nil, 0, "older VMs"},
+		"moving":                {func(v *VM) { v.Active = false }, nil, 0, "being moved"},
+		"not live":              {func(v *VM) { v.Live = false }, nil, 0, "not live"},
+		"tried lately":          {func(v *VM) { v.NotBefore = now.Add(time.Minute) }, nil, 0, "short while"},
+		"paused":                {func(v *VM) {}, func(s *Snapshot) { s.Paused = "freeze" }, 0, ""},
+		"stop":                  {func(v *VM) {}, func(s *Snapshot) { s.Failures = 4 }, ActionStopWave, "4 reboots failed"},
+		"stopped":               {func(v *VM) {}, func(s *Snapshot) { s.Failures, s.Stopped = 4, "4 failed" }, 0, ""},
+		"drained":               {func(v *VM) { v.Phase, v.Since, v.Idle = PhaseDraining, ago(time.Minute), true }, nil, ActionReboot, "idle"},
+		"drain goes on":         {func(v *VM) { v.Phase, v.Since, v.Tasks = PhaseDraining, ago(time.Minute), task(time.Hour, 0, true) }, nil, 0, ""},
+		"drain timeout":         {func(v *VM) { v.Phase, v.Since, v.Tasks = PhaseDraining, ago(20*time.Minute), task(time.Hour, 0, true) }, nil, ActionCheckpoint, ""},
+		"deadline too near": {func(v *VM) {
+			v.Phase, v.Since, v.Tasks = PhaseDraining, ago(20*time.Minute), task(time.Hour, time.Hour, true)
+		}, nil, 0, ""},
+		"drain given up":        {func(v *VM) { v.Phase, v.Since = PhaseDraining, ago(time.Hour) }, nil, ActionReturn, "did not end"},
+		"drain while paused":    {func(v *VM) { v.Phase, v.Since, v.Idle = PhaseDraining, now, true }, func(s *Snapshot) { s.Paused = "freeze" }, ActionReturn, "freeze"},
+		"drain while other out": {func(v *VM) { v.Phase, v.Since, v.Idle = PhaseDraining, now, true }, func(s *Snapshot) { s.DataCentresOut = map[fleet.DataCentreName]bool{"dc9": true} }, ActionReturn, "out"},
+		"drain lost":            {func(v *VM) { v.Phase, v.Since, v.Live = PhaseDraining, now, false }, nil, ActionFail, "lost"},
+		"reboot not accepted":   {func(v *VM) { v.Phase, v.Since = PhaseRebooting, now }, nil, ActionReboot, ""},
+		"live from before":      {func(v *VM) { v.Phase, v.Since, v.Rebooted, v.SeenAt = PhaseRebooting, now, now, ago(time.Second) }, nil, 0, ""},
+		"live again": {func(v *VM) {
+			v.Phase, v.Since, v.Rebooted, v.SeenAt = PhaseRebooting, ago(time.Minute), ago(time.Minute), now
+		}, nil, ActionFinish, ""},
+		"reboot while paused": {func(v *VM) { v.Phase, v.Since, v.Rebooted, v.SeenAt = PhaseRebooting, now, ago(time.Minute), now }, func(s *Snapshot) { s.Paused = "freeze" }, ActionFinish, ""},
+		"reboot timeout": {func(v *VM) {
+			v.Phase, v.Since, v.Rebooted, v.Live = PhaseRebooting, ago(time.Hour), ago(time.Hour), false
+		}, nil, ActionFail, "not back"},
+		"failed, back":           {func(v *VM) { v.Phase, v.Since, v.Rebooted, v.SeenAt = PhaseFailed, ago(time.Hour), ago(time.Hour), now }, nil, ActionFinish, ""},
+		"failed, never rebooted": {func(v *VM) { v.Phase, v.Since, v.SeenAt = PhaseFailed, ago(time.Hour), now }, nil, ActionReturn, ""},
+		"held":                   {func(v *VM) { v.Phase = PhaseHeld }, nil, 0, ""},
+		"held, lost":             {func(v *VM) { v.Phase, v.Live = PhaseHeld, false }, nil, ActionFail, ""},
+		"releasing":              {func(v *VM) { v.Phase = PhaseReleasing }, nil, ActionReturn, ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := fleetOf(1, 1, 1)
+			tc.vm(&s.VMs[0])
+			if tc.s != nil {
+				tc.s(&s)
+			}
+			decisions, report := Plan(s, now)
+			if len(decisions) == 0 {
+				if tc.action != 0 || tc.reason != "" && !strings.Contains(fmt.Sprint(report.Waiting), tc.reason) {
+					t.Fatalf("no decision; waiting %v", report.Waiting)
+				}
+				return
+			}
+			if d := decisions[0]; len(decisions) > 1 || d.Action != tc.action || !strings.Contains(d.Reason, tc.reason) {
+				t.Fatalf("decisions %+v, want %s", decisions, tc.action)
+			}
+		})
+	}
+}
+
+// TestFeasible guards the arithmetic of the design: 164 VMs and 55 hours a day
+// and 2.3 VMs at a time at the target size.
+func TestFeasible(t *testing.T) {
+	f := Feasible(fleetOf(2300, 20, 25))
+	t.Logf("%.1f a day, %s a day, %.2f at a time, %d at once allowed", f.PerDay, f.TimePerDay.Round(time.Minute), f.Mean, f.AtOnce)
+	if !f.Feasible || int(f.PerDay) != 164 || int(f.TimePerDay.Hours()) != 54 || f.Mean < 2.2 || f.Mean > 2.4 {
+		t.Fatalf("%+v", f)
+	}
+	none := fleetOf(48, 4, 5)
+	none.Pools["pool3"] = Pool{}
+	if Feasible(none).Feasible {
+		t.Fatal("a pool without a budget is feasible")
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ vms, dataCentres, pools int }{{48, 4, 5}, {500, 8, 10}, {2300, 20, 25}} {
+		b.Run(fmt.Sprint(size.vms), func(b *testing.B) {
+			s := fleetOf(size.vms, size.dataCentres, size.pools)
+			for b.Loop() {
+				Plan(s, start.Add(12*day))
+			}
+		})
+	}
+}
