Plan with numbered domains instead of maps

The planner searched maps keyed by names for each VM and start: 20 ms for a plan with 16 starts at 2,300 VMs (BenchmarkPlan). It now numbers pools, racks and data centres once: 5.8 ms.

--- a/policy/maintenance/feasibility.go
+++ b/policy/maintenance/feasibility.go
@@ -42,15 +42,22 @@
 	f.PerDay = float64(f.VMs) / days
 	f.TimePerDay = time.Duration(f.PerDay * float64(s.Duration))
 	f.Mean = float64(f.VMs) * float64(s.Duration) / float64(s.Plan.Period)
-	sizes, domains := map[fleet.PoolName]int{}, shares(s.VMs)
+	usable := (lateShare - dueShare) * float64(s.Plan.Period) / float64(s.Duration)
+	p, sizes := newPlanner(s, time.Time{}), map[fleet.PoolName]int{}
 	for i := range s.VMs {
 		sizes[s.VMs[i].Pool]++
 	}
-	usable := (lateShare - dueShare) * float64(s.Plan.Period) / float64(s.Duration)
-	for pool, n := range sizes {
-		limit := reserved(s.Pools[pool].MaxUnavailable, domains[pool], dueShare)
+	for i := range p.items {
+		v := &p.items[i]
+		n := sizes[v.Pool]
+		if n == 0 {
+			continue // counted with an earlier VM of the pool
+		}
+		delete(sizes, v.Pool)
+		use := p.pools[v.pool]
+		limit := reserved(use.MaxUnavailable, use.share, dueShare)
 		capacity := int(math.Floor(float64(limit) * usable))
-		f.Pools = append(f.Pools, PoolFeasibility{pool, n, limit, capacity, capacity >= n})
+		f.Pools = append(f.Pools, PoolFeasibility{v.Pool, n, limit, capacity, capacity >= n})
 		f.AtOnce += limit
 		f.Feasible = f.Feasible && capacity >= n
 	}
--- a/policy/maintenance/plan.go
+++ b/policy/maintenance/plan.go
@@ -82,27 +82,43 @@
 type planner struct {
 	s       Snapshot
 	now     time.Time
-	used    usage
-	shares  map[fleet.PoolName]share
+	items   []item
+	pools   []poolUse
+	racks   []int // unavailable VMs
+	dcs     []dcUse
 	working int // VMs that maintenance has taken
 	report  Report
 }
 
-// usage counts unavailable VMs.
-type usage struct {
-	pool map[fleet.PoolName]int
-	rack map[rackKey]int
-	dc   map[fleet.DataCentreName]int
+// item is a VM with the indices of its domains.
+type item struct {
+	*VM
+	pool, rack, dc int
+	age            float64 // time since the last maintenance as a share of the period
+	bucket         int     // age in steps of ageBucket
 }
 
-type rackKey struct {
-	dc   fleet.DataCentreName
-	rack fleet.RackName
+type poolUse struct {
+	Pool
+	used int // unavailable VMs
+	share
+}
+
+type dcUse struct {
+	used    int  // unavailable VMs
+	out     bool // taken out by operators
+	avoided bool // waits for another data centre that is out
 }
 
-// share is the largest part of a pool that one failure domain takes with it.
+// share is the largest part of a pool's available VMs that one failure domain
+// takes with it.
 type share struct{ rack, dc int }
 
+type rackKey struct {
+	dc   int
+	rack fleet.RackName
+}
+
 func defaults(s Snapshot) Snapshot {
 	if s.Duration <= 0 {
 		s.Duration = defaultDuration
@@ -115,26 +131,69 @@
 
 func newPlanner(s Snapshot, now time.Time) *planner {
 	p := &planner{s: defaults(s), now: now}
-	p.used = usage{map[fleet.PoolName]int{}, map[rackKey]int{}, map[fleet.DataCentreName]int{}}
 	p.report.Waiting = map[string]int{}
-	for name, pool := range s.Pools {
-		p.used.pool[name] = pool.Lost
+	p.index()
+	p.shares()
+	for i := range p.items {
+		p.count(&p.items[i])
 	}
-	for i := range s.VMs {
-		p.count(&s.VMs[i])
-	}
-	p.shares = shares(s.VMs)
 	return p
 }
 
-func (p *planner) count(v *VM) {
+// index numbers the pools, racks and data centres, so that the search for the
+// next VM needs no maps.
+func (p *planner) index() {
+	pools, racks, dcs := map[fleet.PoolName]int{}, map[rackKey]int{}, map[fleet.DataCentreName]int{}
+	p.items = make([]item, len(p.s.VMs))
+	for i := range p.s.VMs {
+		v := &p.s.VMs[i]
+		pool, known := pools[v.Pool]
+		if !known {
+			pool = len(p.pools)
+			pools[v.Pool] = pool
+			declared := p.s.Pools[v.Pool]
+			p.pools = append(p.pools, poolUse{Pool: declared, used: declared.Lost})
+		}
+		dc, known := dcs[v.DataCentre]
+		if !known {
+			dc = len(p.dcs)
+			dcs[v.DataCentre] = dc
+			p.dcs = append(p.dcs, dcUse{out: p.s.DataCentresOut[v.DataCentre], avoided: p.avoided(v.DataCentre)})
+		}
+		rack, known := racks[rackKey{dc, v.Rack}]
+		if !known {
+			rack = len(p.racks)
+			racks[rackKey{dc, v.Rack}] = rack
+			p.racks = append(p.racks, 0)
+		}
+		p.items[i] = item{v, pool, rack, dc, p.age(v), int(p.now.Sub(v.Last) / ageBucket)}
+	}
+}
+
+// shares finds the largest share of each pool by rack and by data centre.
+func (p *planner) shares() {
+	byRack, byDC := map[[2]int]int{}, map[[2]int]int{}
+	for i := range p.items {
+		v := &p.items[i]
+		if v.Drawn {
+			continue
+		}
+		use := &p.pools[v.pool]
+		byRack[[2]int{v.pool, v.rack}]++
+		byDC[[2]int{v.pool, v.dc}]++
+		use.rack = max(use.rack, byRack[[2]int{v.pool, v.rack}])
+		use.dc = max(use.dc, byDC[[2]int{v.pool, v.dc}])
+	}
+}
+
+func (p *planner) count(v *item) {
 	p.report.Total++
 	if v.Drawn {
-		p.used.rack[rackKey{v.DataCentre, v.Rack}]++
-		p.used.dc[v.DataCentre]++
+		p.racks[v.rack]++
+		p.dcs[v.dc].used++
 	}
-	if v.Drawn || p.s.DataCentresOut[v.DataCentre] {
-		p.used.pool[v.Pool]++
+	if v.Drawn || p.dcs[v.dc].out {
+		p.pools[v.pool].used++
 	}
 	switch v.Phase {
 	case PhaseDraining, PhaseRebooting, PhaseReleasing:
@@ -143,46 +202,15 @@
 	case PhaseFailed:
 		p.report.Failed++
 	case PhaseNone:
-		if p.age(v) < dueShare {
+		if v.age < dueShare {
 			p.report.Done++
 		}
 	}
-	if p.age(v) > 1 {
+	if v.age > 1 {
 		p.report.Overdue++
 	}
 }
 
-// shares counts the available VMs of each pool by failure domain.
-func shares(vms []VM) map[fleet.PoolName]share {
-	type domain struct {
-		pool fleet.PoolName
-		dc   fleet.DataCentreName
-		rack fleet.RackName // "" for the data centre
-	}
-	counts := map[domain]int{}
-	for i := range vms {
-		v := &vms[i]
-		if v.Drawn {
-			continue
-		}
-		counts[domain{v.Pool, v.DataCentre, v.Rack}]++
-		if v.Rack != "" {
-			counts[domain{v.Pool, v.DataCentre, ""}]++
-		}
-	}
-	result := map[fleet.PoolName]share{}
-	for d, n := range counts {
-		s := result[d.pool]
-		if d.rack == "" {
-			s.dc = max(s.dc, n)
-		} else {
-			s.rack = max(s.rack, n)
-		}
-		result[d.pool] = s
-	}
-	return result
-}
-
 // hold returns why no VM may be taken now, "" if VMs may be taken.
 func (p *planner) hold() string {
 	switch {
@@ -231,8 +259,8 @@
 	if p.tooManyFailures() && p.s.Stopped == "" {
 		out = append(out, Decision{Action: ActionStopWave, Reason: hold})
 	}
-	for i := range p.s.VMs {
-		v := &p.s.VMs[i]
+	for i := range p.items {
+		v := &p.items[i]
 		switch v.Phase {
 		case PhaseDraining:
 			out = append(out, p.draining(v, hold)...)
@@ -249,14 +277,14 @@
 	return out
 }
 
-func (p *planner) draining(v *VM, hold string) []Decision {
+func (p *planner) draining(v *item, hold string) []Decision {
 	waited := p.now.Sub(v.Since)
 	switch {
 	case !v.Live:
 		return []Decision{{Action: ActionFail, VM: v.ID, Reason: "lost while draining"}}
 	case hold != "":
 		return []Decision{{Action: ActionReturn, VM: v.ID, Reason: hold}}
-	case p.avoided(v.DataCentre):
+	case p.dcs[v.dc].avoided:
 		return []Decision{{Action: ActionReturn, VM: v.ID, Reason: "another data centre is out"}}
 	case v.Idle:
 		return []Decision{{Action: ActionReboot, VM: v.ID, Reason: "idle"}}
@@ -270,7 +298,7 @@
 
 // checkpoints asks for a checkpoint of each task that keeps its deadline after
 // one. Tasks that would not are left to end by themselves.
-func (p *planner) checkpoints(v *VM) []Decision {
+func (p *planner) checkpoints(v *item) []Decision {
 	var out []Decision
 	for _, t := range v.Tasks {
 		if t.CanCheckpoint && !t.CheckpointAsked && keepsDeadline(t, p.now) {
@@ -280,7 +308,7 @@
 	return out
 }
 
-func (p *planner) rebooting(v *VM) []Decision {
+func (p *planner) rebooting(v *item) []Decision {
 	accepted := !v.Rebooted.IsZero()
 	back := v.Live && v.SeenAt.After(v.Rebooted)
 	switch {
@@ -323,6 +351,7 @@
 		}
 		i := p.best(due)
 		if i < 0 {
+			p.explain(due)
 			break
 		}
 		v := due[i]
@@ -337,31 +366,38 @@
 
 func (p *planner) wait(n int, reason string) { p.report.Waiting[reason] += n }
 
+func (p *planner) explain(due []*item) {
+	for _, v := range due {
+		p.wait(1, p.refuse(v))
+	}
+}
+
 // due returns the VMs that may be maintained by their age, oldest first.
-func (p *planner) due() []*VM {
-	var due []*VM
-	for i := range p.s.VMs {
-		v := &p.s.VMs[i]
-		if v.Phase == PhaseNone && p.age(v) >= dueShare && !v.Drawn {
+func (p *planner) due() []*item {
+	var due []*item
+	for i := range p.items {
+		if v := &p.items[i]; v.Phase == PhaseNone && v.age >= dueShare && !v.Drawn {
 			due = append(due, v)
 		}
 	}
-	sort.Slice(due, func(i, j int) bool {
-		if !due[i].Last.Equal(due[j].Last) {
-			return due[i].Last.Before(due[j].Last)
-		}
-		return due[i].ID < due[j].ID
-	})
+	sort.Slice(due, func(i, j int) bool { return older(due[i], due[j]) })
 	return due
 }
 
+func older(a, b *item) bool {
+	if !a.Last.Equal(b.Last) {
+		return a.Last.Before(b.Last)
+	}
+	return a.ID < b.ID
+}
+
 // pace returns how many VMs are to be in progress so that every VM is done at
 // lateShare of the period: for each k, the k oldest need k durations until the
 // k-th is due.
 func (p *planner) pace() int {
-	lasts := make([]time.Time, 0, len(p.s.VMs))
-	for i := range p.s.VMs {
-		if v := &p.s.VMs[i]; v.Phase == PhaseNone && !v.Drawn {
+	lasts := make([]time.Time, 0, len(p.items))
+	for i := range p.items {
+		if v := &p.items[i]; v.Phase == PhaseNone && !v.Drawn {
 			lasts = append(lasts, v.Last)
 		}
 	}
@@ -375,62 +411,47 @@
 	return max(1, int(math.Ceil(paceFactor*need)))
 }
 
-// best returns the index of the VM to take next, -1 if none may be taken.
-func (p *planner) best(due []*VM) int {
-	best, reasons := -1, map[string]int{}
+// best returns the index of the VM to take next, -1 if none may be taken. The
+// VMs are in the order of their age: a VM of a younger bucket is not better.
+func (p *planner) best(due []*item) int {
+	best := -1
 	for i, v := range due {
-		if reason := p.refuse(v); reason != "" {
-			reasons[reason]++
-			continue
+		if best >= 0 && v.bucket < due[best].bucket {
+			break
 		}
-		if best < 0 || p.before(v, due[best]) {
+		if p.refuse(v) == "" && (best < 0 || p.before(v, due[best])) {
 			best = i
 		}
 	}
-	if best < 0 {
-		for reason, n := range reasons {
-			p.wait(n, reason)
-		}
-	}
 	return best
 }
 
-// before orders by age in steps of ageBucket, then idle VMs first, then by how
-// few VMs of the rack and of the data centre are unavailable.
-func (p *planner) before(a, b *VM) bool {
-	ka, kb := p.rank(a), p.rank(b)
-	for i := range ka {
-		if ka[i] != kb[i] {
-			return ka[i] < kb[i]
-		}
-	}
-	if !a.Last.Equal(b.Last) {
-		return a.Last.Before(b.Last)
-	}
-	return a.ID < b.ID
-}
-
-func (p *planner) rank(v *VM) [4]int {
-	return [4]int{
-		-int(p.now.Sub(v.Last) / ageBucket),
-		len(v.Tasks),
-		p.used.rack[rackKey{v.DataCentre, v.Rack}],
-		p.used.dc[v.DataCentre],
+// before orders VMs of one bucket: idle ones first, then by how few VMs of the
+// rack and of the data centre are unavailable, then by age.
+func (p *planner) before(a, b *item) bool {
+	switch {
+	case len(a.Tasks) != len(b.Tasks):
+		return len(a.Tasks) < len(b.Tasks)
+	case p.racks[a.rack] != p.racks[b.rack]:
+		return p.racks[a.rack] < p.racks[b.rack]
+	case p.dcs[a.dc].used != p.dcs[b.dc].used:
+		return p.dcs[a.dc].used < p.dcs[b.dc].used
 	}
+	return older(a, b)
 }
 
-func (p *planner) take(v *VM) {
+func (p *planner) take(v *item) {
 	p.working++
 	p.report.InProgress++
-	p.used.rack[rackKey{v.DataCentre, v.Rack}]++
-	p.used.dc[v.DataCentre]++
-	if !p.s.DataCentresOut[v.DataCentre] {
-		p.used.pool[v.Pool]++
+	p.racks[v.rack]++
+	p.dcs[v.dc].used++
+	if !p.dcs[v.dc].out {
+		p.pools[v.pool].used++
 	}
 }
 
 // refuse returns why a due VM may not be taken now, "" if it may.
-func (p *planner) refuse(v *VM) string {
+func (p *planner) refuse(v *item) string {
 	if reason := p.bound(v); reason != "" {
 		return reason
 	}
@@ -441,7 +462,7 @@
 }
 
 // bound checks the state of the VM and the budgets.
-func (p *planner) bound(v *VM) string {
+func (p *planner) bound(v *item) string {
 	plan := p.s.Plan
 	switch {
 	case !v.Live:
@@ -450,11 +471,11 @@
 		return "being moved"
 	case p.now.Before(v.NotBefore):
 		return "tried a short while ago"
-	case p.avoided(v.DataCentre):
+	case p.dcs[v.dc].avoided:
 		return "another data centre is out"
-	case p.used.rack[rackKey{v.DataCentre, v.Rack}] >= plan.MaxPerRack:
+	case p.racks[v.rack] >= plan.MaxPerRack:
 		return "rack budget is spent"
-	case p.used.dc[v.DataCentre] >= plan.MaxPerDataCentre:
+	case p.dcs[v.dc].used >= plan.MaxPerDataCentre:
 		return "data centre budget is spent"
 	case p.poolUsed(v) >= p.poolLimit(v):
 		return "pool budget is spent or reserved for the loss of a rack or data centre"
@@ -464,16 +485,17 @@
 
 // poolUsed counts the VMs of the pool that are unavailable without v. A VM of a
 // data centre that is out was counted already.
-func (p *planner) poolUsed(v *VM) int {
-	used := p.used.pool[v.Pool]
-	if p.s.DataCentresOut[v.DataCentre] {
+func (p *planner) poolUsed(v *item) int {
+	used := p.pools[v.pool].used
+	if p.dcs[v.dc].out {
 		used--
 	}
 	return used
 }
 
-func (p *planner) poolLimit(v *VM) int {
-	return reserved(p.s.Pools[v.Pool].MaxUnavailable, p.shares[v.Pool], p.age(v))
+func (p *planner) poolLimit(v *item) int {
+	use := &p.pools[v.pool]
+	return reserved(use.MaxUnavailable, use.share, v.age)
 }
 
 // reserved returns how many of limit VMs of a pool may be unavailable so that
@@ -493,8 +515,8 @@
 }
 
 // work checks the running tasks of a VM.
-func (p *planner) work(v *VM) string {
-	age, end := p.age(v), p.now.Add(p.s.Plan.DrainTimeout)
+func (p *planner) work(v *item) string {
+	age, end := v.age, p.now.Add(p.s.Plan.DrainTimeout)
 	for _, t := range v.Tasks {
 		endsInTime := !t.End.After(end)
 		switch {
--- a/policy/maintenance/plan_test.go
+++ b/policy/maintenance/plan_test.go
@@ -198,7 +198,7 @@
 			v.Drawn = rapid.IntRange(0, 9).Draw(t, "drawn") == 0
 			byID[v.ID] = v
 		}
-		domains := shares(s.VMs)
+		domains := largestRacks(s.VMs)
 		decisions, _ := Plan(s, now)
 		for _, d := range decisions {
 			v := byID[d.VM]
@@ -221,8 +221,8 @@
 			if pool > limit || rack > s.Plan.MaxPerRack || dc > s.Plan.MaxPerDataCentre {
 				t.Fatalf("%s: pool %d of %d, rack %d, data centre %d", v.ID, pool, limit, rack, dc)
 			}
-			if share < lastShare && limit > domains[v.Pool].rack && pool+domains[v.Pool].rack > limit {
-				t.Fatalf("%s: the loss of a rack of %d exceeds %d with %d unavailable", v.ID, domains[v.Pool].rack, limit, pool)
+			if share < lastShare && limit > domains[v.Pool] && pool+domains[v.Pool] > limit {
+				t.Fatalf("%s: the loss of a rack of %d exceeds %d with %d unavailable", v.ID, domains[v.Pool], limit, pool)
 			}
 			if out && s.Plan.AvoidDataCentresOut && v.DataCentre != "dc0" {
 				t.Fatalf("%s: started while dc0 is out", v.ID)
@@ -231,6 +231,20 @@
 	})
 }
 
+// largestRacks returns the number of available VMs that each pool has in the
+// rack where it has most.
+func largestRacks(vms []VM) map[fleet.PoolName]int {
+	racks, most := map[string]int{}, map[fleet.PoolName]int{}
+	for _, v := range vms {
+		if !v.Drawn {
+			key := string(v.Pool) + "/" + string(v.Rack)
+			racks[key]++
+			most[v.Pool] = max(most[v.Pool], racks[key])
+		}
+	}
+	return most
+}
+
 // TestDecisions guards the reason and the action for each state of one VM.
 func TestDecisions(t *testing.T) {
 	now := start.Add(13 * day)
