Build configurations incrementally in the entry and report maintenance to the client

Cause: the entry parsed the whole folder for each change; the progress of maintenance had a shape that the client does not read. Change: the entry keeps the parsed files and builds from the difference; GET /v1/maintenance has its own type; changes with bad file names are findings.

--- a/entry/api/operator.go
+++ b/entry/api/operator.go
@@ -81,6 +81,27 @@
 	Queued  int            `json:"queued"`
 }
 
+// MaintenanceStatus is the progress of maintenance.
+type MaintenanceStatus struct {
+	Paused       bool            `json:"paused"`
+	Stopped      bool            `json:"stopped"` // nothing starts, for the reason in Detail
+	Detail       string          `json:"detail,omitempty"`
+	Due          int             `json:"due"`
+	Done         int             `json:"done"`
+	Failed       int             `json:"failed"`
+	Waiting      map[string]int  `json:"waiting,omitempty"` // due VMs by the reason why they wait
+	ProjectedEnd time.Time       `json:"projectedEnd"`      // zero while nothing may start
+	VMs          []MaintenanceVM `json:"vms"`
+}
+
+// MaintenanceVM is a VM that is not in ordinary service.
+type MaintenanceVM struct {
+	VM         fleet.VMID           `json:"vm"`
+	Pool       fleet.PoolName       `json:"pool"`
+	DataCentre fleet.DataCentreName `json:"dataCentre"`
+	State      string               `json:"state"`
+}
+
 // Operator carries out what operators ask for.
 type Operator interface {
 	// Folder returns the configuration in force.
@@ -97,8 +118,7 @@
 	// budget is spent.
 	Drain(ctx context.Context, vm fleet.VMID) error
 	Undrain(ctx context.Context, vm fleet.VMID) error
-	// Maintenance returns the progress of maintenance in JSON form.
-	Maintenance(ctx context.Context) (any, error)
+	Maintenance(ctx context.Context) (MaintenanceStatus, error)
 	PauseMaintenance(ctx context.Context, paused bool) error
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,6 +140,7 @@
 			return nil
 		})
 	}
+	e.metrics.Publish("process", func() any { return metrics.ReadProcess() })
 	ofPlane("jobs", func(p *plane) any { return p.jobs.Stats() })
 	ofPlane("slots", func(p *plane) any { return p.slots.Stats() })
 	ofPlane("limits", func(p *plane) any { return p.limits.Stats() })
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -46,6 +46,9 @@
 
 // Apply applies a change and waits until it is in force everywhere.
 func (o *operator) Apply(ctx context.Context, change config.Change) (api.ApplyResult, error) {
+	if findings := change.Check(); len(findings) > 0 {
+		return api.ApplyResult{Findings: findingList(findings)}, nil
+	}
 	result, err := o.applier.Apply(ctx, change)
 	var conflict *apply.ConflictError
 	var invalid *apply.InvalidError
@@ -213,7 +216,21 @@
 }
 
 // Maintenance returns the progress of maintenance.
-func (o *operator) Maintenance(ctx context.Context) (any, error) { return o.upkeep.Status(ctx) }
+func (o *operator) Maintenance(ctx context.Context) (api.MaintenanceStatus, error) {
+	got, err := o.upkeep.Status(ctx)
+	if err != nil {
+		return api.MaintenanceStatus{}, err
+	}
+	status := api.MaintenanceStatus{
+		Paused: got.PausedBy != "", Stopped: got.Hold != "" && got.PausedBy == "", Detail: got.Hold,
+		Due: got.Remaining, Done: got.Done, Failed: len(got.Failed), ProjectedEnd: got.ProjectedEnd,
+		Waiting: got.Waiting, VMs: []api.MaintenanceVM{},
+	}
+	for _, vm := range got.VMs {
+		status.VMs = append(status.VMs, api.MaintenanceVM{VM: vm.ID, Pool: vm.Pool, DataCentre: vm.DataCentre, State: vm.Phase})
+	}
+	return status, nil
+}
 
 // PauseMaintenance pauses or resumes maintenance.
 func (o *operator) PauseMaintenance(ctx context.Context, paused bool) error {
--- a/entry/plane.go
+++ b/entry/plane.go
@@ -108,7 +108,7 @@
 		Caller: node,
 		Clock:  o.Clock,
 	})
-	builder := view.BuilderFunc(buildSnapshot)
+	builder := &snapshotBuilder{builder: config.NewBuilder(nil)}
 	p.view = view.New(view.Options{
 		Members: p.members, Table: o.Platform.Table, Objects: o.Platform.Objects, VMs: o.Platform.VMList,
 		Caller: node, Clock: o.Clock, Builder: builder,
@@ -127,16 +127,6 @@
 	return !strings.HasPrefix(method, "jobs.") && !strings.HasPrefix(method, "slots.")
 }
 
-// buildSnapshot builds a configuration; a faulty folder gives its findings as
-// the error.
-func buildSnapshot(folder config.Folder, revision fleet.Revision) (*config.Snapshot, error) {
-	snapshot, findings := config.Build(folder, revision)
-	if err := findings.Err(); err != nil {
-		return nil, err
-	}
-	return snapshot, nil
-}
-
 func (p *plane) buildDispatch() {
 	o := p.entry.o
 	p.poolMap = newPoolMap(o.Platform.Table, o.Clock, p.members, p.view)
