Bind acceptance to the session and test each condition of an agreement

A coordinator that was fenced during a pause could go on under its next session. An operation now ends with the session that began it. Table and scenario tests cover each condition of an outage agreement.

--- a/control/apply/apply.go
+++ b/control/apply/apply.go
@@ -168,7 +168,14 @@
 	if stopping {
 		return nil, ErrStopping
 	}
-	op := &Operation{c: c, change: change, started: c.o.Clock.Now(), end: c.o.View.Coordinate(), confirmed: map[string]bool{}}
+	op := &Operation{
+		c:         c,
+		change:    change,
+		started:   c.o.Clock.Now(),
+		session:   c.o.Members.Session(),
+		end:       c.o.View.Coordinate(),
+		confirmed: map[string]bool{},
+	}
 	if err := op.commit(ctx); err != nil {
 		op.Close()
 		return nil, err
@@ -256,8 +263,7 @@
 		Conditions: []platform.Condition{
 			{Key: view.HeadKey, Version: head.RowVersion},
 			{Key: key},
-			list.Condition(),
-			o.c.o.Members.Session(),
+			list.Condition(), // also fails if this session has been fenced
 		},
 		Writes: []platform.Write{{Key: key, Value: row}, {Key: view.HeadKey, Value: value}},
 	})
--- a/control/apply/apply_test.go
+++ b/control/apply/apply_test.go
@@ -10,6 +10,7 @@
 
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/apply"
+	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
 )
 
@@ -308,3 +309,141 @@
 		t.Error("the new fleet did not accept a change")
 	}
 }
+
+// Guards against evidence that a slow clock keeps longer than a fast clock waits.
+func TestClockRates(t *testing.T) {
+	c := start(t, 3, 3)
+	slow, fast := c.nodes[0], c.nodes[2]
+	slow.tick()
+	c.partition(true, func(n *node) bool { return n == slow })
+	slow.faults.SetDown(true)
+	if err := fast.change("skewed", 1); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 400 {
+		c.now += 10 * time.Millisecond
+		if i%50 == 0 {
+			fast.tick()
+		}
+		fast.step()
+		c.check()
+	}
+	if c.accepted[2] == 0 {
+		t.Error("the change was not accepted within 4 s")
+	}
+}
+
+// Guards against evidence for a revision that the entry could not load.
+func TestEvidenceOfAnUnknownRevision(t *testing.T) {
+	c := start(t, 3, 3)
+	n := c.nodes[1]
+	n.faults.SetDown(true)
+	n.noMethod = "view.pull"
+	c.partition(true, func(m *node) bool { return m == n })
+	if err := c.nodes[0].change("unseen", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(4 * time.Second)
+	clear(c.cut)
+	c.advance(time.Second)
+	expect(t, c, "without the change", func(m *node) bool { return m != n })
+	n.noMethod = ""
+	c.advance(time.Second)
+	expect(t, c, "with the change", all)
+}
+
+// Guards against an acceptance that forgets an answer given to an entry that is
+// no longer in the member list.
+func TestGrantToFormerMember(t *testing.T) {
+	c := start(t, 3, 3)
+	n := c.nodes[0]
+	n.faults.SetDown(true)
+	n.tick()
+	former := c.network.Join("former", rpc.NewRouter())
+	if err := former.Call(t.Context(), n.members.Self().ID, "view.probe", map[int]any{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	n.faults.SetDown(false)
+	if err := n.change("after-grant", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(2 * time.Second)
+	if c.accepted[2] != 0 {
+		t.Errorf("accepted %v after the start, while the answer counts", c.accepted[2])
+	}
+	c.advance(time.Second)
+	if c.accepted[2] == 0 {
+		t.Error("not accepted after the answer ended")
+	}
+}
+
+// Guards against an acceptance that dies with its coordinator: the rest, none of
+// which saw the change, may agree once the VM is gone.
+func TestAcceptanceOutlivesItsCoordinator(t *testing.T) {
+	c := start(t, 5, 5)
+	lone := c.nodes[0]
+	c.partition(true, func(n *node) bool { return n == lone })
+	c.storeDown(true, func(n *node) bool { return n != lone })
+	if err := lone.change("unheard", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(12 * time.Second) // the others are fenced meanwhile
+	if c.accepted[2] != 0 {
+		t.Errorf("accepted at %v by one of five", c.accepted[2])
+	}
+	lone.kill(true)
+	c.advance(10 * time.Second)
+	expect(t, c, "without the coordinator", all)
+}
+
+// Guards against a change that is reported as accepted by a coordinator that was
+// fenced during a pause and so is not asked for agreements any more.
+func TestPausedCoordinator(t *testing.T) {
+	c := start(t, 2, 2)
+	paused, other := c.nodes[0], c.nodes[1]
+	paused.beforeChange = func() { c.partition(true, func(n *node) bool { return n == other }) }
+	if err := paused.change("paused", 1); err != nil {
+		t.Fatal(err)
+	}
+	paused.paused = true
+	c.advance(10 * time.Second)
+	paused.paused = false
+	paused.step()
+	c.advance(6 * time.Second) // it has a new session by now
+	if c.accepted[2] != 0 {
+		t.Errorf("accepted at %v by a fenced coordinator", c.accepted[2])
+	}
+	clear(c.cut)
+	if err := other.change("paused", 1); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(time.Second)
+	if c.accepted[2] == 0 {
+		t.Error("the retry was not accepted")
+	}
+}
+
+// Guards against a coordinator that does not wait for an entry that joined while
+// it was committing.
+func TestJoinDuringCommit(t *testing.T) {
+	c := start(t, 3, 3)
+	newcomer := c.add("a", 1)
+	c.nodes[0].beforeChange = func() {
+		if err := newcomer.join(); err != nil {
+			t.Fatal(err)
+		}
+		newcomer.tick()
+		newcomer.faults.SetDown(true)
+		c.partition(true, func(n *node) bool { return n == newcomer })
+	}
+	if err := c.nodes[0].change("with-join", 1); err != nil {
+		t.Fatal(err)
+	}
+	if c.check(); c.accepted[2] != 0 {
+		t.Error("accepted without the newcomer")
+	}
+	c.advance(4 * time.Second)
+	if c.accepted[2] == 0 {
+		t.Error("not accepted within 4 s")
+	}
+}
--- a/control/apply/cluster_test.go
+++ b/control/apply/cluster_test.go
@@ -57,11 +57,14 @@
 	view    *view.View
 	apply   *apply.Coordinator
 	ops     []*apply.Operation
-	opIDs   []string
-	phase   time.Duration
-	off     bool // killed or left
-	paused  bool
-	highest fleet.Revision
+	// noMethod is a peer method whose answers to this node are lost.
+	noMethod string
+	// beforeChange runs once before the next commit of a change.
+	beforeChange func()
+	phase        time.Duration
+	off          bool // killed or left
+	paused       bool
+	highest      fleet.Revision
 }
 
 func newCluster(t tb) *cluster {
@@ -85,9 +88,26 @@
 			return rpc.ErrUnreachable
 		}
 	}
+	if method == n.noMethod {
+		return rpc.ErrNoAnswer
+	}
 	return n.caller.Call(ctx, to, method, req, resp)
 }
 
+// path is the table as a node reaches it.
+type path struct {
+	platform.Table
+	n *node
+}
+
+func (p path) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	if hook := p.n.beforeChange; hook != nil && strings.HasPrefix(txn.ID, "apply/") {
+		p.n.beforeChange = nil
+		hook()
+	}
+	return p.Table.Commit(ctx, txn)
+}
+
 // List is the VM list.
 func (c *cluster) List(context.Context) (platform.VMListing, error) {
 	var listing platform.VMListing
@@ -117,7 +137,7 @@
 func (c *cluster) add(dc string, rate float64) *node {
 	n := &node{c: c, vm: fmt.Sprintf("vm%02d", len(c.nodes)), dc: fleet.DataCentreName(dc), rate: rate,
 		faults: &memory.Faults{}, router: rpc.NewRouter(), phase: time.Duration(len(c.nodes)%5) * 100 * time.Millisecond}
-	table := c.table.Via(n.faults)
+	table := path{c.table.Via(n.faults), n}
 	n.members = member.New(member.Options{
 		Self:  control.Member{DataCentre: n.dc, VM: n.vm},
 		NewID: func() string { c.sessions++; return fmt.Sprintf("s%03d", c.sessions) },
@@ -309,7 +329,7 @@
 			t.Fatalf("join: %v", err)
 		}
 	}
-	c.advance(6 * time.Second)
+	c.advance(10 * time.Second) // until all are settled and know it of each other
 	if err := c.nodes[0].change("first", 0); err != nil {
 		t.Fatalf("first change: %v", err)
 	}
--- a/control/apply/operation.go
+++ b/control/apply/operation.go
@@ -10,6 +10,7 @@
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
 )
 
 // Operation is a committed change on its way to acceptance.
@@ -17,6 +18,7 @@
 	c       *Coordinator
 	change  config.Change
 	started time.Time
+	session platform.Condition
 	end     func() // ends the mark that prevents outage agreements
 
 	mu        sync.Mutex
@@ -64,8 +66,8 @@
 		return o.result(), nil
 	}
 	// The last check is against a pause of this process: once its session may
-	// have been fenced, members that it does not know could agree without it.
-	if o.c.o.Members.Valid() != nil {
+	// have been fenced, the others could agree without it.
+	if o.c.o.Members.Valid() != nil || o.c.o.Members.Session() != o.session {
 		return o.result(), nil
 	}
 	o.accepted = true
--- /dev/null
+++ b/control/view/agree_test.go
@@ -0,0 +1,186 @@
+package view
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/member"
+	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/control/rpc/rpctest"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/platform/memory"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// fixed is a membership that does not change.
+type fixed struct {
+	list     member.List
+	extended time.Time
+}
+
+func (f *fixed) Self() control.Member        { return f.list.Entries[0].Member }
+func (f *fixed) Members() control.Members    { return f.list.Members() }
+func (f *fixed) List() member.List           { return f.list }
+func (f *fixed) Valid() error                { return nil }
+func (f *fixed) Session() platform.Condition { return platform.Condition{} }
+func (f *fixed) Install(member.List)         {}
+func (f *fixed) Extend(at time.Time)         { f.extended = at }
+func (f *fixed) Outage()                     {}
+func (f *fixed) Via() string                 { return "" }
+func (f *fixed) RenewVia(string)             {}
+
+type vms struct{ gone []string }
+
+func (v vms) List(context.Context) (platform.VMListing, error) {
+	listing := platform.VMListing{}
+	for _, id := range v.gone {
+		listing.Entries = append(listing.Entries, platform.EntryVM{ID: id, State: fleet.VMGone})
+	}
+	return listing, nil
+}
+
+// outage is a view of m0 at revision 5 that lost the store, with peers m1 to m4
+// whose answers are scripted. All but m4 are settled.
+type outage struct {
+	view    *View
+	members *fixed
+	clock   *clock
+	acks    map[string]probeAck
+}
+
+func newOutage(t *testing.T, gone ...string) *outage {
+	t.Helper()
+	o := &outage{clock: &clock{now: time.Unix(1000, 0)}, members: &fixed{list: member.List{Version: 7}}, acks: map[string]probeAck{}}
+	network := rpctest.NewNetwork()
+	for _, id := range []string{"m0", "m1", "m2", "m3", "m4"} {
+		e := member.Entry{Member: control.Member{ID: id, VM: "vm-" + id}, Joined: 1, SettledAt: 1}
+		if id == "m4" {
+			e.SettledAt = 0
+		}
+		o.members.list.Entries = append(o.members.list.Entries, e)
+		if id == "m0" {
+			continue
+		}
+		o.acks[id] = probeAck{Revision: 5, ListVersion: 7, StoreDown: true, Gone: []string{"m1", "m2", "m3", "m4"}}
+		router := rpc.NewRouter()
+		rpc.Handle(router, methodProbe, func(context.Context, string, probe) (probeAck, error) {
+			ack, ok := o.acks[id]
+			if !ok {
+				return ack, &rpc.RemoteError{Code: "silent"}
+			}
+			return ack, nil
+		})
+		network.Join(id, router)
+	}
+	faults := &memory.Faults{}
+	faults.SetDown(true)
+	o.view = New(Options{Members: o.members, Table: memory.NewTable(faults), VMs: vms{gone}, Clock: o.clock,
+		Caller: network.Join("m0", rpc.NewRouter()),
+		Builder: BuilderFunc(func(_ config.Folder, r fleet.Revision) (*config.Snapshot, error) {
+			return &config.Snapshot{Revision: r}, nil
+		})})
+	if err := o.view.replace(stored{Revision: 5}); err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+func (o *outage) edit(id string, fn func(*probeAck)) {
+	ack := o.acks[id]
+	fn(&ack)
+	o.acks[id] = ack
+}
+
+// Guards each condition of an outage agreement: without it, some entry could act
+// on a revision that is no longer current.
+func TestAgreement(t *testing.T) {
+	silent := func(ids ...string) func(*outage) {
+		return func(o *outage) {
+			for _, id := range ids {
+				delete(o.acks, id)
+			}
+		}
+	}
+	for _, tt := range []struct {
+		name   string
+		gone   []string
+		change func(*outage)
+		want   bool
+	}{
+		{"all agree", nil, func(*outage) {}, true},
+		{"one is silent", nil, silent("m2"), false},
+		{"one reaches the store", nil, func(o *outage) { o.edit("m2", func(a *probeAck) { a.StoreDown = false }) }, false},
+		{"one coordinates", nil, func(o *outage) { o.edit("m2", func(a *probeAck) { a.Coordinating = true }) }, false},
+		{"one has a lower revision", nil, func(o *outage) { o.edit("m2", func(a *probeAck) { a.Revision = 4 }) }, false},
+		{"one has a higher revision", nil, func(o *outage) { o.edit("m2", func(a *probeAck) { a.Revision = 6 }) }, false},
+		{"one has an older list", nil, func(o *outage) { o.edit("m2", func(a *probeAck) { a.ListVersion = 6 }) }, false},
+		{"one has a newer list", nil, func(o *outage) { o.edit("m2", func(a *probeAck) { a.ListVersion = 8 }) }, false},
+		{"this entry coordinates", nil, func(o *outage) { o.view.Coordinate() }, false},
+		{"this entry coordinated", nil, func(o *outage) { o.view.Coordinate()() }, true},
+		{"the VM of the silent one is gone", []string{"vm-m2"}, silent("m2"), true},
+		{"another VM is gone", []string{"vm-m3"}, silent("m2"), false},
+		{"one does not see that the VM is gone", []string{"vm-m2"}, func(o *outage) {
+			silent("m2")(o)
+			o.edit("m3", func(a *probeAck) { a.Gone = nil })
+		}, false},
+		{"half of the settled ones are gone", []string{"vm-m2", "vm-m3"}, silent("m2", "m3"), false},
+		{"one has left", nil, func(o *outage) {
+			silent("m2")(o)
+			o.view.goodbyes["m2"] = Goodbye{Revision: 5, ListVersion: 7}
+		}, true},
+		{"one has left with a higher revision", nil, func(o *outage) {
+			silent("m2")(o)
+			o.view.goodbyes["m2"] = Goodbye{Revision: 6, ListVersion: 7}
+		}, false},
+		{"one has left with a newer list", nil, func(o *outage) {
+			silent("m2")(o)
+			o.view.goodbyes["m2"] = Goodbye{Revision: 5, ListVersion: 8}
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			o := newOutage(t, tt.gone...)
+			tt.change(o)
+			var began time.Time
+			for range 5 { // a silent member is looked up in the VM list first
+				o.clock.now = o.clock.now.Add(TickEvery)
+				began = o.clock.now
+				_ = o.view.Tick(t.Context())
+			}
+			if got := o.view.Fresh() == nil; got != tt.want {
+				t.Fatalf("fresh: %v, want %v", got, tt.want)
+			}
+			if extended := !o.members.extended.IsZero(); extended != tt.want {
+				t.Errorf("session extended: %v, want %v", extended, tt.want)
+			}
+			if !tt.want {
+				return
+			}
+			o.acks = nil
+			o.clock.now = began.Add(UsableTTL)
+			if o.view.Fresh() == nil {
+				t.Error("fresh after the evidence has ended")
+			}
+		})
+	}
+}
+
+// Guards against a view that goes back to an older folder which arrives late.
+func TestRevisionNeverFalls(t *testing.T) {
+	o := newOutage(t)
+	if err := o.view.replace(stored{Revision: 4}); err != nil || o.view.Revision() != 5 {
+		t.Errorf("a folder of revision 4 led to revision %d: %v", o.view.Revision(), err)
+	}
+	if ok, err := o.view.apply(5, config.Change{Base: 4}); !ok || err != nil || o.view.Revision() != 5 {
+		t.Errorf("a change of revision 5 led to revision %d: %v", o.view.Revision(), err)
+	}
+	if ok, _ := o.view.apply(7, config.Change{Base: 6}); ok || o.view.Revision() != 5 {
+		t.Errorf("a change that does not follow led to revision %d", o.view.Revision())
+	}
+}
