control/slots, policy: add property and table tests, fix what they found

The property test found that an entry whose lease had lapsed could report tasks as lost that run under a newer owner: a verdict now needs a valid session and fresh evidence. Absence from a list proves nothing after a worker lost its list.

--- /dev/null
+++ b/control/slots/fakes_test.go
@@ -0,0 +1,451 @@
+package slots
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/control/rpc/rpctest"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/policy/placement"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	if !set["rapid.seed"] {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// worker is one VM's worker. It checks every start that it accepts.
+type worker struct {
+	world   *world
+	vm      fleet.VM
+	lease   platform.Lease
+	highest uint64
+	expires time.Time
+	tasks   map[fleet.AttemptID]*platform.TaskStatus
+	down    bool
+	lose    int  // answers of the next calls
+	hold    bool // the next start stays in the network
+	refuse  bool
+}
+
+// heldStart is a start that the caller has given up on.
+type heldStart struct {
+	worker *worker
+	lease  platform.Lease
+	task   platform.Task
+	sent   time.Time
+}
+
+// world is the platform and the entries.
+type world struct {
+	clock      *clock
+	network    *rpctest.Network
+	workers    map[fleet.VMID]*worker
+	vmIDs      []fleet.VMID
+	assigned   map[fleet.VMID]Assignment
+	entries    []*entry
+	members    control.Members
+	config     *config.Snapshot
+	superseded map[*config.Snapshot]time.Time
+	changed    map[uint64]time.Time // when versions of the member list were superseded
+	outAt      map[fleet.DataCentreName]time.Time
+	leavingAt  map[fleet.VMID]time.Time
+	drainedAt  map[fleet.VMID]time.Time
+	steps      int
+	held       []heldStart
+	started    map[fleet.AttemptID]fleet.VMID
+	proved     map[fleet.AttemptID]string // attempts that were said not to run
+	ended      map[fleet.AttemptID][]control.TaskEnd
+	deaf       int // reports of ends that fail
+	fault      string
+}
+
+func newWorld(dcs, entriesPerDC, vmsPerDC int) *world {
+	w := &world{
+		clock: &clock{time.Unix(1000, 0)}, network: rpctest.NewNetwork(),
+		workers: map[fleet.VMID]*worker{}, assigned: map[fleet.VMID]Assignment{},
+		outAt: map[fleet.DataCentreName]time.Time{}, leavingAt: map[fleet.VMID]time.Time{},
+		drainedAt: map[fleet.VMID]time.Time{},
+		started:   map[fleet.AttemptID]fleet.VMID{}, proved: map[fleet.AttemptID]string{},
+		ended: map[fleet.AttemptID][]control.TaskEnd{}, superseded: map[*config.Snapshot]time.Time{},
+		changed: map[uint64]time.Time{},
+		config:  &config.Snapshot{Revision: 1, DataCentres: map[fleet.DataCentreName]fleet.DataCentre{}},
+	}
+	for d := range dcs {
+		dc := fleet.DataCentreName(fmt.Sprintf("dc%02d", d))
+		w.config.DataCentres[dc] = fleet.DataCentre{Name: dc, State: fleet.DataCentreIn}
+		for i := range vmsPerDC {
+			id := fleet.VMID(fmt.Sprintf("%s-vm%03d", dc, i))
+			vm := fleet.VM{
+				ID: id, DataCentre: dc, Rack: fleet.RackName(fmt.Sprintf("%s-r%d", dc, i/4)), State: fleet.VMLive,
+				Slots: 2, Capacity: fleet.Resources{MilliCPU: 4000, MemoryMB: 8192},
+			}
+			w.workers[id] = &worker{world: w, vm: vm, tasks: map[fleet.AttemptID]*platform.TaskStatus{}}
+			w.assigned[id] = Assignment{Pool: "p", State: placement.Active}
+			w.vmIDs = append(w.vmIDs, id)
+		}
+		for range entriesPerDC {
+			w.join(dc)
+		}
+	}
+	w.learnMembers()
+	return w
+}
+
+func (w *world) Assignment(vm fleet.VMID) (Assignment, bool) { a, ok := w.assigned[vm]; return a, ok }
+
+func (w *world) List(context.Context) (platform.VMListing, error) {
+	listing := platform.VMListing{AsOf: w.clock.now}
+	for _, id := range w.vmIDs {
+		listing.VMs = append(listing.VMs, w.workers[id].vm)
+	}
+	return listing, nil
+}
+
+func (w *world) failf(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+// advance moves the clock and stops the tasks of lapsed leases.
+func (w *world) advance(d time.Duration) {
+	w.clock.now = w.clock.now.Add(d)
+	for _, k := range w.workers {
+		if !k.expires.IsZero() && !w.clock.now.Before(k.expires) {
+			k.stopAll()
+		}
+	}
+}
+
+func (k *worker) stopAll() {
+	for _, task := range k.tasks {
+		if task.State == platform.TaskRunning {
+			task.State = platform.TaskStopped
+		}
+	}
+}
+
+func (w *world) running(id fleet.AttemptID) bool {
+	for _, k := range w.workers {
+		if task, ok := k.tasks[id]; ok && task.State == platform.TaskRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// denied notes that someone was told that an attempt does not run.
+func (w *world) denied(id fleet.AttemptID, by string) {
+	w.proved[id] = by
+	if vm, ok := w.started[id]; ok {
+		w.failf("%s said that %s was not started, but it was on %s", by, id, vm)
+	}
+}
+
+func (k *worker) reach() error {
+	if k.down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (k *worker) answer() error {
+	if k.lose > 0 {
+		k.lose--
+		return platform.ErrUnknown
+	}
+	return nil
+}
+
+func (k *worker) accept(lease platform.Lease) error {
+	if lease != k.lease || lease.Epoch < k.highest || !k.world.clock.now.Before(k.expires) {
+		return platform.ErrFenced
+	}
+	return nil
+}
+
+func (k *worker) start(lease platform.Lease, task platform.Task, sent time.Time) error {
+	w := k.world
+	if err := k.accept(lease); err != nil {
+		return err
+	}
+	if _, ok := k.tasks[task.ID]; ok {
+		return nil
+	}
+	used, need := 1, task.Need
+	for _, other := range k.tasks {
+		if other.State == platform.TaskRunning {
+			used++
+			need = need.Add(other.Need)
+		}
+	}
+	switch {
+	case used > k.vm.Slots || !need.Fits(k.vm.Capacity):
+		w.failf("%s on %s: %d slots, %+v in use", task.ID, k.vm.ID, used, need)
+	case w.proved[task.ID] != "":
+		w.failf("%s started on %s after %s said that it was not", task.ID, k.vm.ID, w.proved[task.ID])
+	case w.started[task.ID] != "":
+		w.failf("%s started twice, on %s and %s", task.ID, w.started[task.ID], k.vm.ID)
+	case !w.outAt[k.vm.DataCentre].IsZero() && sent.Sub(w.outAt[k.vm.DataCentre]) > 4*time.Second:
+		w.failf("%s started %s after its data centre was out", task.ID, sent.Sub(w.outAt[k.vm.DataCentre]))
+	case !w.leavingAt[k.vm.ID].IsZero() && sent.Sub(w.leavingAt[k.vm.ID]) > 4*time.Second:
+		w.failf("%s started %s after its VM was leaving", task.ID, sent.Sub(w.leavingAt[k.vm.ID]))
+	case !w.drainedAt[k.vm.ID].IsZero() && sent.After(w.drainedAt[k.vm.ID]):
+		w.failf("%s started on %s, which is draining", task.ID, k.vm.ID)
+	}
+	w.started[task.ID] = k.vm.ID
+	k.tasks[task.ID] = &platform.TaskStatus{ID: task.ID, Job: task.Job, State: platform.TaskRunning, Need: task.Need}
+	return nil
+}
+
+func (w *world) worker(vm fleet.VMID) *worker { return w.workers[vm] }
+
+func (w *world) Acquire(_ context.Context, vm fleet.VMID, lease platform.Lease, ttl time.Duration) error {
+	k := w.worker(vm)
+	if err := k.reach(); err != nil {
+		return err
+	}
+	live := w.clock.now.Before(k.expires)
+	if lease.Epoch < k.highest || lease.Epoch == k.highest && lease.Holder != k.lease.Holder && live {
+		return platform.ErrFenced
+	}
+	k.lease, k.highest, k.expires = lease, lease.Epoch, w.clock.now.Add(ttl)
+	return k.answer()
+}
+
+func (w *world) Start(_ context.Context, vm fleet.VMID, lease platform.Lease, task platform.Task) error {
+	k := w.worker(vm)
+	if err := k.reach(); err != nil {
+		return err
+	}
+	if k.refuse {
+		return platform.ErrRefused
+	}
+	if k.hold {
+		k.hold = false
+		w.held = append(w.held, heldStart{k, lease, task, w.clock.now})
+		return context.DeadlineExceeded
+	}
+	if err := k.start(lease, task, w.clock.now); err != nil {
+		return err
+	}
+	return k.answer()
+}
+
+func (w *world) Tasks(_ context.Context, vm fleet.VMID, lease platform.Lease) ([]platform.TaskStatus, error) {
+	k := w.worker(vm)
+	if err := k.reach(); err != nil {
+		return nil, err
+	}
+	if err := k.accept(lease); err != nil {
+		return nil, err
+	}
+	var list []platform.TaskStatus
+	for _, task := range k.tasks {
+		list = append(list, *task)
+	}
+	return list, k.answer()
+}
+
+func (w *world) Forget(_ context.Context, vm fleet.VMID, lease platform.Lease, ids []fleet.AttemptID) error {
+	k := w.worker(vm)
+	if err := errors.Join(k.reach(), k.accept(lease)); err != nil {
+		return err
+	}
+	for _, id := range ids {
+		delete(k.tasks, id)
+	}
+	return k.answer()
+}
+
+func (w *world) end(vm fleet.VMID, lease platform.Lease, id fleet.AttemptID, state platform.TaskState) error {
+	k := w.worker(vm)
+	if err := errors.Join(k.reach(), k.accept(lease)); err != nil {
+		return err
+	}
+	task, ok := k.tasks[id]
+	if !ok {
+		return platform.ErrNotFound
+	}
+	task.State = state
+	return nil
+}
+
+func (w *world) Checkpoint(_ context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
+	return w.end(vm, lease, id, platform.TaskCheckpointed)
+}
+
+func (w *world) Stop(_ context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
+	return w.end(vm, lease, id, platform.TaskStopped)
+}
+
+func (w *world) Throttle(_ context.Context, vm fleet.VMID, _ platform.Lease, id fleet.AttemptID, milliCPU int64) error {
+	task := w.worker(vm).tasks[id]
+	task.Usage.MilliCPU, task.UsageAt = min(task.Usage.MilliCPU, milliCPU), w.clock.now.Add(time.Second)
+	return nil
+}
+
+// entry is one entry with fakes around its Slots.
+type entry struct {
+	world    *world
+	member   control.Member
+	slots    *Slots
+	snapshot *config.Snapshot
+	members  control.Members
+	valid    bool
+	fresh    bool
+	paused   bool
+}
+
+func (e *entry) Snapshot() *config.Snapshot { return e.snapshot }
+func (e *entry) StoreReachable() bool       { return true }
+func (e *entry) Self() control.Member       { return e.member }
+func (e *entry) Members() control.Members   { return e.members }
+func (e *entry) Session() platform.Condition {
+	return platform.Condition{}
+}
+
+func (e *entry) Fresh() error {
+	old := func(at time.Time) bool { return !at.IsZero() && e.world.clock.now.Sub(at) > 2500*time.Millisecond }
+	if !e.fresh || old(e.world.superseded[e.snapshot]) || old(e.world.changed[e.members.Version]) {
+		return &fleet.Refusal{Reason: fleet.ReasonStaleView}
+	}
+	return nil
+}
+
+func (e *entry) Valid() error {
+	if !e.valid {
+		return &fleet.Refusal{Reason: fleet.ReasonStopping}
+	}
+	return nil
+}
+
+func (w *world) join(dc fleet.DataCentreName) *entry {
+	e := &entry{
+		world: w, valid: true, fresh: true, snapshot: w.config,
+		member: control.Member{ID: fmt.Sprintf("e%03d", len(w.entries)), DataCentre: dc},
+	}
+	router := rpc.NewRouter()
+	e.slots = New(Options{
+		View: e, Membership: e, Workers: w, List: w, Pools: w, Clock: w.clock, Parallel: 1,
+		Caller: w.network.Join(e.member.ID, router), Placement: placement.DefaultSettings(),
+		OnTaskEnd: func(_ context.Context, end control.TaskEnd) error { return w.takeEnd(e, end) },
+	}, router)
+	w.entries = append(w.entries, e)
+	w.setMembers(append(slices.Clone(w.members.List), e.member))
+	e.members = w.members
+	return e
+}
+
+func (w *world) setMembers(list []control.Member) {
+	w.changed[w.members.Version] = w.clock.now
+	w.members = control.Members{Version: w.members.Version + 1, List: list}
+}
+
+func (w *world) fence(e *entry) {
+	e.valid = false
+	w.network.Leave(e.member.ID)
+	w.setMembers(slices.DeleteFunc(slices.Clone(w.members.List), func(m control.Member) bool { return m.ID == e.member.ID }))
+}
+
+func (w *world) takeEnd(e *entry, end control.TaskEnd) error {
+	switch {
+	case end.NotStarted:
+		w.denied(end.Attempt, "the end reported by "+e.member.ID)
+	case end.State == "" && w.running(end.Attempt):
+		w.failf("%s reported %s as lost while it runs", e.member.ID, end.Attempt)
+	}
+	if w.deaf > 0 {
+		w.deaf--
+		return errors.New("job owner not reached")
+	}
+	w.ended[end.Attempt] = append(w.ended[end.Attempt], end)
+	return nil
+}
+
+// learnMembers lets all entries see the present member list.
+func (w *world) learnMembers() {
+	for _, e := range w.entries {
+		if e.valid {
+			e.members = w.members
+		}
+	}
+}
+
+// run ticks the entries for d in steps of 100 ms.
+func (w *world) run(d time.Duration) {
+	ctx := context.Background()
+	for ; d > 0; d -= 100 * time.Millisecond {
+		w.advance(100 * time.Millisecond)
+		w.steps++
+		second := w.steps%10 == 0
+		for _, e := range w.entries {
+			if e.paused {
+				continue
+			}
+			if second {
+				_ = e.slots.TickList(ctx)
+				e.slots.TickLeases(ctx)
+				e.slots.TickDigests(ctx)
+			}
+			e.slots.TickTasks(ctx)
+			e.slots.TickEnds(ctx)
+		}
+	}
+}
+
+func (w *world) runningTasks() []*platform.TaskStatus {
+	var list []*platform.TaskStatus
+	for _, id := range w.vmIDs {
+		for _, task := range w.workers[id].tasks {
+			if task.State == platform.TaskRunning {
+				list = append(list, task)
+			}
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// place reserves and starts a task from an entry.
+func (w *world) place(t testing.TB, e *entry, dc fleet.DataCentreName, id fleet.AttemptID) (control.Reservation, error) {
+	t.Helper()
+	res, err := e.slots.Reserve(context.Background(), dc, request(id, 1000))
+	if err != nil {
+		return res, err
+	}
+	return res, e.slots.Start(context.Background(), res, task(id))
+}
+
+func request(id fleet.AttemptID, milliCPU int64) control.ReserveRequest {
+	return control.ReserveRequest{
+		Job: fleet.JobID("job-" + id), Attempt: id, Team: "t", Class: fleet.ClassStandard, Pool: "p",
+		Need: fleet.Resources{MilliCPU: milliCPU, MemoryMB: 512}, RunTime: time.Second,
+	}
+}
+
+func task(id fleet.AttemptID) platform.Task {
+	return platform.Task{ID: id, Job: fleet.JobID("job-" + id), Command: "cut"}
+}
--- a/control/slots/lease.go
+++ b/control/slots/lease.go
@@ -53,6 +53,7 @@
 	ready       bool      // the task list was read under the present epoch
 	lost        bool      // its tasks were reported as lost and it has not answered since
 	refusesTill time.Time // the worker refused a start
+	amnesia     bool      // running tasks vanished from the list, so absence proves nothing
 
 	slots    map[fleet.AttemptID]*slot
 	leasing  bool // an Acquire is in flight
@@ -228,7 +229,7 @@
 	}
 	s.forgetSlots(v)
 	v.leasedAt, v.confirmedAt, v.maybeAt = time.Time{}, time.Time{}, time.Time{}
-	v.ready, v.contacted = false, false
+	v.ready, v.contacted, v.lost = false, false, false
 	v.ownedSince = now
 	if now.Sub(v.fencedAt) > lostAfter {
 		// The other holder would have been replaced by now if it were the
@@ -249,12 +250,14 @@
 // reportLost reports the tasks of a worker whose lease must have lapsed: the
 // worker has stopped them. Without an own lease before, that is only certain
 // when the platform shows the VM as gone, as an earlier owner that is cut off
-// goes on renewing the leases of running tasks.
+// goes on renewing the leases of running tasks. It also needs evidence: another
+// entry may have taken the lease over and be running the tasks, and an entry
+// whose evidence is fresh has the member list of some seconds ago.
 func (s *Slots) reportLost(v *ownedVM, now time.Time) {
 	if v.lost || v.leased(now) || v.leasing || now.Sub(s.lapseStart(v)) < lostAfter {
 		return
 	}
-	if !v.contacted && !v.gone() {
+	if !v.contacted && !v.gone() || s.o.Membership.Valid() != nil || s.o.View.Fresh() != nil {
 		return
 	}
 	v.lost, v.ready = true, false
--- a/control/slots/owner.go
+++ b/control/slots/owner.go
@@ -353,8 +353,8 @@
 	if t := s.tombstones[id]; t.ended || v.slots[id] != nil {
 		return lookup{} // ended and forgotten, or started meanwhile
 	}
-	s.bury(id, false)
-	end := control.TaskEnd{Attempt: id, VM: vm, NotStarted: true, Detail: "not in the worker's list"}
+	s.bury(id, v.amnesia)
+	end := control.TaskEnd{Attempt: id, VM: vm, NotStarted: !v.amnesia, Detail: "not in the worker's list"}
 	return lookup{end: &end, known: true}
 }
 
--- a/control/slots/tasks.go
+++ b/control/slots/tasks.go
@@ -98,9 +98,11 @@
 			s.applyEnded(v, status)
 		}
 	}
-	for id, sl := range v.slots {
-		if !listed[id] && sl.settled < seq {
-			s.applyAbsent(v, id, sl)
+	for _, p := range []phase{running, unknown} { // amnesia shows in running tasks first
+		for id, sl := range v.slots {
+			if sl.phase == p && !listed[id] && sl.settled < seq {
+				s.applyAbsent(v, id, sl)
+			}
 		}
 	}
 	v.ready = true
@@ -137,15 +139,16 @@
 func (s *Slots) applyAbsent(v *ownedVM, id fleet.AttemptID, sl *slot) {
 	switch {
 	case sl.phase == running:
-		// The worker has restarted and lost its tasks.
+		// The worker was replaced and has lost its list.
 		s.stats.LostTasks++
+		v.amnesia = true
 		s.queueEnd(lostEnd(v.vm.ID, id, sl), false)
 		delete(v.slots, id)
 	case sl.phase == unknown && sl.epoch < v.epoch:
 		// The worker refuses the epoch of the start from now on.
 		end := lostEnd(v.vm.ID, id, sl)
-		end.NotStarted = true
-		s.bury(id, false)
+		end.NotStarted = !v.amnesia
+		s.bury(id, v.amnesia)
 		s.queueEnd(end, false)
 		delete(v.slots, id)
 	}
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -47,6 +47,15 @@
 	priorFailures = 1
 )
 
+const (
+	// recentWeight is the weight of the newest end in the moving average of a
+	// worker's successes: it covers about the last eight.
+	recentWeight = 0.25
+	// goodRate is the average from which failures are held against the job. Two
+	// failures in a row on a worker without history lead below it.
+	goodRate = 0.4
+)
+
 // State is the state of a worker.
 type State string
 
@@ -91,11 +100,12 @@
 	state    State
 	until    time.Time // end of the quarantine
 	relapses int
-	ok       int // successes on probation
+	ok       int     // successes on probation
+	recent   float64 // moving average of successes, from 0 to 1
 }
 
 type job struct {
-	failedOn map[fleet.VMID]bool
+	failedOn map[fleet.VMID]bool // whether the worker was good
 	faulty   bool
 }
 
@@ -132,6 +142,7 @@
 		return
 	}
 	t.add(w, end.Class, 1, 0)
+	w.recent += recentWeight * (1 - w.recent)
 	if w.state == Probation {
 		w.ok++
 	}
@@ -140,7 +151,7 @@
 func (t *Tracker) worker(vm fleet.VMID) *worker {
 	w, ok := t.workers[vm]
 	if !ok {
-		w = &worker{classes: map[fleet.Class]tally{}, failed: map[fleet.JobID]fleet.Class{}, state: Healthy}
+		w = &worker{classes: map[fleet.Class]tally{}, failed: map[fleet.JobID]fleet.Class{}, state: Healthy, recent: 0.5}
 		t.workers[vm] = w
 	}
 	return w
@@ -148,7 +159,8 @@
 
 func (t *Tracker) add(w *worker, class fleet.Class, tasks, failures float64) {
 	own, all := w.classes[class], t.classes[class]
-	w.classes[class] = tally{max(0, own.tasks+tasks), max(0, own.failures+failures)}
+	tasks, failures = max(tasks, -own.tasks), max(failures, -own.failures)
+	w.classes[class] = tally{own.tasks + tasks, own.failures + failures}
 	t.classes[class] = tally{max(0, all.tasks+tasks), max(0, all.failures+failures)}
 }
 
@@ -162,7 +174,10 @@
 		w.failed[end.Job] = end.Class
 		t.add(w, end.Class, 1, 1)
 	}
-	j.failedOn[end.VM] = true
+	if !j.failedOn[end.VM] {
+		j.failedOn[end.VM] = t.good(w)
+	}
+	w.recent -= recentWeight * w.recent
 	if t.goodWorkers(j) >= 2 {
 		t.acquit(end.Job, j)
 	}
@@ -182,17 +197,15 @@
 	return j
 }
 
-// goodWorkers counts the workers on which the job failed and which completed
-// more tasks of other jobs than failed there.
+// good reports whether a worker mostly succeeds with other jobs at the moment.
+// All that it ever did is no measure, as a worker may have turned bad lately.
+func (t *Tracker) good(w *worker) bool { return w.recent >= goodRate }
+
+// goodWorkers counts the good workers on which the job failed.
 func (t *Tracker) goodWorkers(j *job) int {
 	good := 0
-	for vm := range j.failedOn {
-		var sum tally
-		for _, own := range t.workers[vm].classes {
-			sum.tasks += own.tasks
-			sum.failures += own.failures
-		}
-		if sum.tasks-sum.failures > sum.failures {
+	for _, wasGood := range j.failedOn {
+		if wasGood {
 			good++
 		}
 	}
--- /dev/null
+++ b/policy/quarantine/quarantine_test.go
@@ -0,0 +1,152 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"amaranthfork.example/fleet"
+)
+
+// pool simulates the workers of one pool.
+type pool struct {
+	tracker *Tracker
+	vms     []fleet.VMID
+	now     time.Time
+	random  *rand.Rand
+	jobs    int
+}
+
+func newPool(vms int) *pool {
+	p := &pool{tracker: New(DefaultSettings()), now: time.Unix(1000, 0), random: rand.New(rand.NewSource(1))}
+	for i := range vms {
+		p.vms = append(p.vms, fleet.VMID(fmt.Sprintf("vm%02d", i)))
+	}
+	return p
+}
+
+// round runs jobs on workers that are not quarantined and retries each failure
+// on up to two other workers.
+func (p *pool) round(jobs int, fails func(vm fleet.VMID, job int) bool) {
+	for range jobs {
+		p.jobs++
+		job := fleet.JobID(fmt.Sprintf("j%d", p.jobs))
+		for range 3 {
+			vm := p.vms[p.random.Intn(len(p.vms))]
+			for p.tracker.State(vm) == Quarantined {
+				vm = p.vms[p.random.Intn(len(p.vms))]
+			}
+			failed := fails(vm, p.jobs)
+			p.tracker.Observe(End{VM: vm, Class: fleet.ClassStandard, Job: job, Failed: failed})
+			if !failed || p.tracker.Faulty(job) {
+				break
+			}
+		}
+	}
+	p.now = p.now.Add(time.Second)
+	p.tracker.Evaluate(p.now, map[fleet.PoolName][]fleet.VMID{"p": p.vms})
+}
+
+func (p *pool) count(state State) int {
+	n := 0
+	for _, vm := range p.vms {
+		if p.tracker.State(vm) == state {
+			n++
+		}
+	}
+	return n
+}
+
+// TestBadWorker guards against a worker that fails everything staying in use,
+// and against one that has recovered staying out of use.
+func TestBadWorker(t *testing.T) {
+	for _, history := range []int{0, 50} {
+		p := newPool(10)
+		bad := func(vm fleet.VMID, _ int) bool { return vm == "vm03" }
+		for range history {
+			p.round(10, func(fleet.VMID, int) bool { return false })
+		}
+		for range 15 {
+			p.round(10, bad)
+		}
+		if p.tracker.State("vm03") != Quarantined || p.count(Healthy) != 9 {
+			t.Fatalf("history %d: %s, %d healthy", history, p.tracker.State("vm03"), p.count(Healthy))
+		}
+		for range 120 {
+			p.round(10, bad)
+		}
+		if w := p.tracker.workers["vm03"]; w.state == Healthy || w.relapses < 2 {
+			t.Errorf("still bad after probation, but %s with %d relapses", w.state, w.relapses)
+		}
+		for range 300 {
+			p.round(10, func(fleet.VMID, int) bool { return false })
+		}
+		if p.count(Healthy) != 10 {
+			t.Errorf("recovered, but %s", p.tracker.State("vm03"))
+		}
+	}
+}
+
+// TestBadJobs guards against a wave of bad jobs that quarantines workers, and
+// against bad jobs that are not found.
+func TestBadJobs(t *testing.T) {
+	for _, part := range []int{10, 3, 2, 1} { // every n-th job is bad
+		p := newPool(10)
+		for range 20 {
+			p.round(10, func(fleet.VMID, int) bool { return false })
+		}
+		worst := 0
+		for range 60 {
+			p.round(10, func(_ fleet.VMID, job int) bool { return job%part == 0 })
+			worst = max(worst, len(p.vms)-p.count(Healthy))
+		}
+		if worst > 0 {
+			t.Errorf("every %d. job bad: %d healthy workers were restricted", part, worst)
+		}
+		faulty := 0
+		for _, job := range p.tracker.jobs {
+			if job.faulty {
+				faulty++
+			}
+		}
+		if part >= 3 && faulty < 600/part/2 {
+			t.Errorf("every %d. job bad: %d found", part, faulty)
+		}
+	}
+}
+
+// TestBound guards against a pool that is emptied when most workers are bad.
+func TestBound(t *testing.T) {
+	for _, c := range []struct{ vms, bad, bound int }{{10, 4, 2}, {12, 12, 2}, {3, 1, 1}, {1, 1, 0}} {
+		p := newPool(c.vms)
+		for range 40 {
+			p.round(10, func(fleet.VMID, int) bool { return false })
+		}
+		worst := 0
+		for range 100 {
+			p.round(10, func(vm fleet.VMID, _ int) bool { return vm < fleet.VMID(fmt.Sprintf("vm%02d", c.bad)) })
+			worst = max(worst, c.vms-p.count(Healthy))
+		}
+		if worst > c.bound {
+			t.Errorf("%d of %d bad: %d restricted, bound %d", c.bad, c.vms, worst, c.bound)
+		}
+	}
+}
+
+// TestMemory guards the bounds of what is remembered.
+func TestMemory(t *testing.T) {
+	p := newPool(4)
+	p.tracker.settings.MaxJobs = 16
+	for range 50 {
+		p.round(10, func(fleet.VMID, int) bool { return true })
+	}
+	p.tracker.Evaluate(p.now, map[fleet.PoolName][]fleet.VMID{"p": p.vms[:1]})
+	if len(p.tracker.jobs) > 16 || len(p.tracker.workers) != 1 {
+		t.Errorf("%d jobs and %d workers remembered", len(p.tracker.jobs), len(p.tracker.workers))
+	}
+	p.tracker.Evaluate(p.now.Add(24*time.Hour), map[fleet.PoolName][]fleet.VMID{"p": p.vms[:1]})
+	if n := p.tracker.classes[fleet.ClassStandard].tasks; n > 1 {
+		t.Errorf("weight of %.1f tasks after a day", n)
+	}
+}
