Learn estimates from completed tasks and refuse a reused idempotency id

Change: jobs report completed tasks with usage and run time; a digest of the content tells a repeated submission from other work, also after the job's end and after a takeover. A task that ended before usage was reported counts with its declaration. Before: TestSameIDForDifferentWorkIsRefused got the first job's status. After: it gets a refusal as invalid, and repeated submissions still match.

--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -194,6 +194,7 @@
 		picked[e.job.Team]++
 		m.uncount(e)
 		e.phase = phaseStarting
+		e.startedAt = time.Time{}
 		starts = append(starts, m.newStart(e, free))
 		budget--
 	}
@@ -460,6 +461,7 @@
 	switch {
 	case s.err == nil:
 		e.refusals = 0
+		e.startedAt = now
 		if e.Canceled {
 			e.lookupAt = now // the stop may have overtaken the start
 		}
--- a/control/jobs/ended.go
+++ b/control/jobs/ended.go
@@ -71,7 +71,12 @@
 }
 
 func (m *Manager) completed(e *entry, end control.TaskEnd) {
-	m.retry.Success(m.options.Clock.Now(), e.job.Team)
+	now := m.options.Clock.Now()
+	m.retry.Success(now, e.job.Team)
+	if !e.startedAt.IsZero() {
+		m.options.OnTask(&e.job, end, now.Sub(e.startedAt))
+	}
+	e.startedAt = time.Time{}
 	if e.Step+1 == len(e.job.Steps) {
 		m.finish(e, fleet.Result{Attempt: end.Attempt, Outcome: fleet.OutcomeCompleted, Detail: end.Detail, Body: end.Body})
 		return
--- a/control/jobs/forward.go
+++ b/control/jobs/forward.go
@@ -110,6 +110,7 @@
 	if refusal := check(&job); refusal != nil {
 		return control.JobStatus{}, refusal
 	}
+	job.Digest = contentDigest(&job)
 	return m.call(ctx, job.ID, methodSubmit, job, func(ctx context.Context) (control.JobStatus, error) {
 		return m.submit(ctx, job)
 	})
--- a/control/jobs/manager.go
+++ b/control/jobs/manager.go
@@ -65,6 +65,9 @@
 	// queued, and of final results. They must not block or call the manager.
 	OnStart func(job *fleet.Job, delay time.Duration)
 	OnEnd   func(job *fleet.Job, result fleet.Result)
+	// OnTask tells of each completed task and how long it ran. It must not block
+	// or call the manager.
+	OnTask func(job *fleet.Job, end control.TaskEnd, ran time.Duration)
 	// Sleep pauses between tries of a forwarded call.
 	Sleep func(ctx context.Context, d time.Duration) error
 	// AttemptID returns unique ids.
@@ -92,6 +95,9 @@
 	if o.OnStart == nil {
 		o.OnStart = func(*fleet.Job, time.Duration) {}
 	}
+	if o.OnTask == nil {
+		o.OnTask = func(*fleet.Job, control.TaskEnd, time.Duration) {}
+	}
 	if o.OnEnd == nil {
 		o.OnEnd = func(*fleet.Job, fleet.Result) {}
 	}
--- a/control/jobs/record.go
+++ b/control/jobs/record.go
@@ -156,7 +156,8 @@
 	lookups    int       // in a row without an answer
 	lastKnown  time.Time // when the attempt was last known to a VM owner, or claimed
 	queuedAt   time.Time
-	queueCount bool // counted against the queue's bound
+	startedAt  time.Time // of the present attempt; zero if it was taken over
+	queueCount bool      // counted against the queue's bound
 }
 
 func (e *entry) key() queueKey { return queueKey{e.job.Queue, e.job.Team, e.job.Class} }
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/shards"
@@ -36,6 +39,26 @@
 	return &fleet.Refusal{Reason: fleet.ReasonInvalid, Detail: detail}
 }
 
+// contentDigest covers what makes two submissions the same work: the queue, the
+// class and the steps. Deadlines move with the time of the submission.
+func contentDigest(job *fleet.Job) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{string(job.Queue), string(job.Class), strconv.FormatBool(job.Idempotent)} {
+		writePart(d, []byte(part))
+	}
+	for _, step := range job.Steps {
+		writePart(d, []byte(step.Command))
+		writePart(d, step.Payload)
+	}
+	return d.Sum64()
+}
+
+// writePart adds a part with its length, so that parts cannot run together.
+func writePart(d *xxhash.Digest, part []byte) {
+	_, _ = d.WriteString(strconv.Itoa(len(part)) + ":")
+	_, _ = d.Write(part)
+}
+
 // submit accepts a job of an own shard. It returns once the job is durable, or
 // accepted without a record during an outage.
 func (m *Manager) submit(ctx context.Context, job fleet.Job) (control.JobStatus, error) {
@@ -64,6 +87,10 @@
 		return nil, false, err
 	}
 	if e := s.entries[job.ID]; e != nil {
+		if e.job.Digest != job.Digest {
+			m.stats.Refused++
+			return nil, false, &fleet.Refusal{Reason: fleet.ReasonInvalid, Detail: "id: was used before for different work"}
+		}
 		m.stats.Duplicates++
 		return e, true, nil
 	}
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -45,6 +45,17 @@
 
 func newEstimates() *estimates { return &estimates{estimator: estimate.New(0)} }
 
+// observe learns from a completed task. Usage lags, so a short task may end
+// before any was reported; its declaration is all that is known then.
+func (e *estimates) observe(job *fleet.Job, usage fleet.Resources, ran time.Duration) {
+	if usage == (fleet.Resources{}) {
+		usage = job.Declared
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.estimator.Observe(estimate.Key{Queue: job.Queue, Class: job.Class}, estimate.Sample{Usage: usage, RunTime: ran})
+}
+
 func (e *estimates) of(job *fleet.Job) (fleet.Resources, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/plane.go
+++ b/entry/plane.go
@@ -159,6 +159,7 @@
 		Dispatcher: p.slots, Journal: p.journal, Shards: p.shards, Caller: p.node,
 		Estimate: p.estimate.of,
 		OnStart:  p.onStart,
+		OnTask:   p.onTask,
 		OnEnd:    p.onEnd,
 	})
 	p.shards.SetHandoff(p.jobs)
@@ -216,6 +217,11 @@
 	p.entry.metrics.Observe(metrics.StartDelay, job.Team, job.Class, delay)
 }
 
+func (p *plane) onTask(job *fleet.Job, end control.TaskEnd, ran time.Duration) {
+	p.entry.metrics.Observe(metrics.RunTime, job.Team, job.Class, ran)
+	p.estimate.observe(job, end.Usage, ran)
+}
+
 func (p *plane) onEnd(job *fleet.Job, result fleet.Result) {
 	p.entry.metrics.Add("jobs_"+string(result.Outcome), 1)
 	if result.Outcome != fleet.OutcomeCompleted {
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -33,6 +33,9 @@
 	// Key is the key that the job was submitted with, empty on open queues. It
 	// is checked again before each start.
 	Key KeyID `cbor:"11,keyasint,omitempty" json:"key,omitempty"`
+	// Digest is of the content. It tells a repeated submission from another job
+	// with the same idempotency id.
+	Digest uint64 `cbor:"12,keyasint,omitempty" json:"digest,omitempty"`
 }
 
 // Outcome is the final word on a job or request.
