Drive the admission, placement and maintenance policies in amaranth-measure

Cause: the harness ordered jobs, picked VMs and planned waves with its own stand-ins. Change: policy/admission orders the queues of all policies but fcfs, policy/placement picks VMs (packing, for all), policy/maintenance plans the waves of the own versions with time running 60 times faster; the oracle knows the true demand and keeps a VM that its pool needs again within ParkAfter.

--- a/cmd/internal/measure/demand.go
+++ b/cmd/internal/measure/demand.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -28,6 +29,7 @@
 
 // job is one task of work.
 type job struct {
+	id       fleet.JobID
 	arrived  int // tick
 	queue    int
 	team     int
@@ -39,6 +41,9 @@
 	usage    fleet.Resources // in truth
 }
 
+// key identifies the job's queue, class and team.
+func (j *job) key() [3]int { return [3]int{j.queue, j.class, j.team} }
+
 // demand is everything that arrives in one run. It is the same for all policies.
 type demand struct {
 	arrivals [][]*job    // by tick
@@ -56,6 +61,13 @@
 			d.arrivals[t] = append(d.arrivals[t], s.draw(rng, t, q, d.level[q][t])...)
 		}
 	}
+	n := 0
+	for _, jobs := range d.arrivals {
+		for _, j := range jobs {
+			j.id = fleet.JobID(fmt.Sprintf("job%09d", n))
+			n++
+		}
+	}
 	for range s.failures {
 		d.failures[rng.IntN(s.length)] = rng.IntN(len(s.VMs))
 	}
--- a/cmd/internal/measure/meter.go
+++ b/cmd/internal/measure/meter.go
@@ -12,8 +12,10 @@
 type meter struct {
 	s        *Scenario
 	moves    int
+	ended    int // jobs
 	rollOut  int // ticks, -1 while the wave has not ended
 	held     int // idle VM-ticks in pools other than the spare
+	free     int // free slot-ticks in pools other than the spare
 	idle     int // idle VM-ticks in the whole fleet
 	below    float64
 	worst    []float64 // by team: shortfall against its entitlement
@@ -62,6 +64,9 @@
 		v := &w.vms[i]
 		usable += w.usable(i)
 		busy += len(v.tasks)
+		if !w.s.Pools[v.pool].Spare && v.phase != failed && v.phase != rebooting && !w.out[v.dc] {
+			m.free += w.s.VMs[i].Slots - len(v.tasks)
+		}
 		if len(v.tasks) > 0 || v.phase == failed || v.phase == rebooting || w.out[v.dc] {
 			continue
 		}
@@ -96,12 +101,8 @@
 // of each job.
 func (w *world) outstanding(limit int) int {
 	sum := 0
-	for _, lanes := range w.lanes {
-		for _, l := range lanes {
-			for _, j := range l.jobs[l.head:] {
-				sum += min(j.left, limit)
-			}
-		}
+	for j := range w.waiting {
+		sum += min(j.left, limit)
 	}
 	for i := range w.vms {
 		for _, t := range w.vms[i].tasks {
@@ -159,10 +160,8 @@
 // demand returns what each team could run if there were VMs enough.
 func (w *world) demand() (byTeam map[fleet.TeamName]float64, total float64) {
 	asked := append([]int(nil), w.running...)
-	for _, lanes := range w.lanes {
-		for _, l := range lanes {
-			asked[l.team] += l.len()
-		}
+	for key, n := range w.queued {
+		asked[key[2]] += n
 	}
 	byTeam = make(map[fleet.TeamName]float64, len(asked))
 	for i, t := range w.s.Teams {
--- a/cmd/internal/measure/movers.go
+++ b/cmd/internal/measure/movers.go
@@ -54,23 +54,25 @@
 	}
 }
 
-// work sums the lanes and the running tasks of each pool, team and class.
+// work sums the waiting jobs and the running tasks of each pool, team and class.
 func (w *world) work() []capacity.Work {
 	running := make(map[[3]int]int)
 	for i := range w.vms {
 		for _, t := range w.vms[i].tasks {
-			running[[3]int{t.job.queue, t.job.class, t.job.team}]++
+			running[t.job.key()]++
 		}
 	}
 	var rows []capacity.Work
-	for pool, lanes := range w.lanes {
-		for _, l := range lanes {
-			key := [3]int{l.queue, l.class, l.team}
-			rows = append(rows, capacity.Work{
-				Pool: w.s.Pools[pool].Name, Team: w.s.Teams[l.team].Name, Class: classes[l.class].name,
-				Running: running[key], Queued: l.len(),
-				RunTime: w.est.runTime(l.queue, l.class), Arrivals: w.est.rate[key],
-			})
+	for q, qu := range w.s.queues {
+		for _, part := range qu.parts {
+			for c, class := range classes {
+				key := [3]int{q, c, part.team}
+				rows = append(rows, capacity.Work{
+					Pool: w.s.Pools[qu.pool].Name, Team: w.s.Teams[part.team].Name, Class: class.name,
+					Running: running[key], Queued: w.queued[key],
+					RunTime: w.est.runTime(q, c), Arrivals: w.est.rate[key],
+				})
+			}
 		}
 	}
 	return rows
@@ -163,37 +165,51 @@
 	return &own{s: s, set: set, outlook: look}
 }
 
-// newOracle returns the policy with the true future demand instead of a
-// forecast, and without the waits that guard against wrong forecasts.
-func newOracle(s *Scenario, d *demand, set capacity.Settings, horizon time.Duration) *own {
-	set.Hold, set.MinStay, set.DeficitHold = 0, 0, 0
+// newOracle returns the policy with the true demand of the future instead of a
+// forecast, and without the waits and margins that guard against wrong ones. A
+// pool keeps the VMs that it will need again before their idle time would cost
+// more than moving them, which the settings express as ParkAfter.
+func newOracle(s *Scenario, d *demand, set capacity.Settings, lead time.Duration) *own {
+	again := ticks(set.ParkAfter)
+	set.MinStay, set.SpareStay, set.DeficitHold = 0, 0, 0
+	set.GiveMargin, set.Ready, set.ParkAfter = 0, 1+set.Headroom, time.Second
+	slots := trueSlots(s, d, set.BatchSteady)
 	look := func(pool, now int, _ float64) capacity.Outlook {
-		return trueOutlook(s, d, pool, now, ticks(horizon))
+		o := capacity.Outlook{Pool: s.Pools[pool].Name, Ends: time.Hour}
+		end := min(s.length, now+max(again, ticks(lead)))
+		for t := now; t < end; t++ {
+			if t < now+ticks(lead) {
+				o.Slots = max(o.Slots, slots[pool][t])
+			}
+			o.Peak = max(o.Peak, slots[pool][t])
+		}
+		return o
 	}
 	return &own{s: s, set: set, outlook: look}
 }
 
-// trueOutlook reads the demand of the next ticks.
-func trueOutlook(s *Scenario, d *demand, pool, now, horizon int) capacity.Outlook {
-	o := capacity.Outlook{Pool: s.Pools[pool].Name}
-	for q, qu := range s.queues {
-		if qu.pool != pool {
-			continue
-		}
-		end := min(s.length, now+horizon)
-		for t := now; t < end; t++ {
-			o.Slots = max(o.Slots, d.level[q][t])
-		}
-		o.Peak = max(o.Peak, burstLevel*qu.mean)
-		t := now
-		for t < s.length && d.level[q][t] < qu.mean {
-			t++
+// trueSlots returns, by pool and tick, the slots that the demand takes if every
+// job starts when it arrives; of batch jobs only the given part counts.
+func trueSlots(s *Scenario, d *demand, batch float64) [][]float64 {
+	slots := make([][]float64, len(s.Pools))
+	for p := range slots {
+		slots[p] = make([]float64, s.length+1)
+	}
+	for t, jobs := range d.arrivals {
+		for _, j := range jobs {
+			part := 1.0
+			if classes[j.class].name == fleet.ClassBatch {
+				part = batch
+			}
+			pool := slots[s.queues[j.queue].pool]
+			pool[t] += part
+			pool[min(s.length, t+j.left)] -= part
 		}
-		for t < s.length && d.level[q][t] > qu.mean {
-			t++
+	}
+	for _, pool := range slots {
+		for t := 1; t < len(pool); t++ {
+			pool[t] += pool[t-1]
 		}
-		o.Ends = max(o.Ends, durOf(t-now))
 	}
-	o.Bursting = o.Slots > o.Peak/2
-	return o
+	return slots
 }
--- a/cmd/internal/measure/order.go
+++ b/cmd/internal/measure/order.go
@@ -1,79 +1,105 @@
 package measure
 
-// lane holds the waiting jobs of one queue, class and team in order of arrival.
-type lane struct {
-	queue, class, team int
-	jobs               []*job
-	head               int
-}
-
-func (l *lane) len() int    { return len(l.jobs) - l.head }
-func (l *lane) first() *job { return l.jobs[l.head] }
-func (l *lane) push(j *job) { l.jobs = append(l.jobs, j) }
+import (
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/policy/admission"
+)
 
-func (l *lane) pop() *job {
-	j := l.jobs[l.head]
-	l.jobs[l.head] = nil
-	l.head++
-	if l.head > 1024 && l.head*2 > len(l.jobs) {
-		l.jobs = append([]*job(nil), l.jobs[l.head:]...)
-		l.head = 0
-	}
-	return j
+// backlog holds the waiting jobs of all pools and chooses the next to start.
+type backlog interface {
+	push(pool int, j *job)
+	// next takes out the job that a pool starts next, nil when none of a team
+	// below its limit waits.
+	next(pool int) *job
 }
 
-// pushFront puts a checkpointed or lost job back in front of its lane.
-func (l *lane) pushFront(j *job) {
-	if l.head > 0 {
-		l.head--
-		l.jobs[l.head] = j
-		return
+// newFair returns the order of policy/admission: by class, then by the team
+// that is farthest below its share.
+func newFair(w *world) backlog {
+	b := &fairBacklog{jobs: make(map[fleet.JobID]*job), teams: make(map[fleet.TeamName]int)}
+	for range w.s.Pools {
+		b.queues = append(b.queues, admission.NewQueue(admission.Settings{}))
+	}
+	for i, t := range w.s.Teams {
+		b.teams[t.Name] = i
+	}
+	b.names = w.s.Teams
+	b.fair = admission.Fair{
+		Share:   func(t fleet.TeamName) int { return w.s.Teams[b.teams[t]].Share },
+		Running: func(t fleet.TeamName) int { return w.running[b.teams[t]] },
+		Skip:    func(t fleet.TeamName) bool { return w.atLimit(b.teams[t]) },
 	}
-	l.jobs = append([]*job{j}, l.jobs...)
+	return b
 }
 
-// order chooses the next lane of a pool to start a job from. Lanes without jobs
-// and of teams at their limit are not offered.
-type order interface {
-	better(a, b *lane, w *world) bool
+type fairBacklog struct {
+	queues []*admission.Queue
+	jobs   map[fleet.JobID]*job
+	teams  map[fleet.TeamName]int
+	names  []fleet.Team
+	fair   admission.Fair
 }
 
-// fairOrder starts the more urgent class first, and within a class the team
-// that is farthest below its share.
-type fairOrder struct{}
+func (b *fairBacklog) push(pool int, j *job) {
+	b.jobs[j.id] = j
+	b.queues[pool].Push(admission.Item{
+		ID: j.id, Team: b.names[j.team].Name, Class: classes[j.class].name, Submitted: timeOf(j.arrived),
+	})
+}
 
-func (fairOrder) better(a, b *lane, w *world) bool {
-	if a.class != b.class {
-		return a.class < b.class
+func (b *fairBacklog) next(pool int) *job {
+	if b.queues[pool].Len() == 0 {
+		return nil
 	}
-	ra, rb := w.ofShare(a.team), w.ofShare(b.team)
-	if ra != rb {
-		return ra < rb
+	item, ok := b.queues[pool].Next(b.fair)
+	if !ok {
+		return nil
 	}
-	return a.first().arrived < b.first().arrived
+	j := b.jobs[item.ID]
+	delete(b.jobs, item.ID)
+	return j
 }
 
-// arrivalOrder starts jobs first come, first served.
-type arrivalOrder struct{}
+// newArrival returns the order first come, first served, whatever the class
+// and team.
+func newArrival(w *world) backlog {
+	b := &arrivalBacklog{w: w, lanes: make([][][]*job, len(w.s.Pools))}
+	for p := range b.lanes {
+		b.lanes[p] = make([][]*job, len(w.s.Teams))
+	}
+	return b
+}
+
+type arrivalBacklog struct {
+	w     *world
+	lanes [][][]*job // by pool and team, in order of arrival
+}
 
-func (arrivalOrder) better(a, b *lane, _ *world) bool {
-	return a.first().arrived < b.first().arrived
+func (b *arrivalBacklog) push(pool int, j *job) {
+	lane := &b.lanes[pool][j.team]
+	if n := len(*lane); n > 0 && j.arrived < (*lane)[n-1].arrived {
+		*lane = append([]*job{j}, *lane...)
+		return
+	}
+	*lane = append(*lane, j)
 }
 
-// next returns the lane to start from in a pool, nil when none can start.
-func (w *world) next(pool int) *lane {
-	var best *lane
-	for _, l := range w.lanes[pool] {
-		if l.len() == 0 || w.running[l.team] >= w.s.Teams[l.team].Limit {
+func (b *arrivalBacklog) next(pool int) *job {
+	best := -1
+	for t, lane := range b.lanes[pool] {
+		if len(lane) == 0 || b.w.atLimit(t) {
 			continue
 		}
-		if best == nil || w.p.order.better(l, best, w) {
-			best = l
+		if best < 0 || lane[0].arrived < b.lanes[pool][best][0].arrived {
+			best = t
 		}
 	}
-	return best
+	if best < 0 {
+		return nil
+	}
+	j := b.lanes[pool][best][0]
+	b.lanes[pool][best] = b.lanes[pool][best][1:]
+	return j
 }
 
-func (w *world) ofShare(team int) float64 {
-	return float64(w.running[team]) / float64(max(1, w.s.Teams[team].Share))
-}
+func (w *world) atLimit(team int) bool { return w.running[team] >= w.s.Teams[team].Limit }
--- a/cmd/internal/measure/report.go
+++ b/cmd/internal/measure/report.go
@@ -27,6 +27,7 @@
 
 var columns = []column{
 	{title: "held idle VMh", value: func(r Result) float64 { return r.HeldIdle }},
+	{title: "held free VMh", value: func(r Result) float64 { return r.HeldFree }},
 	{title: "idle VMh", value: func(r Result) float64 { return r.Idle }},
 	{title: "roll-out s", value: func(r Result) float64 { return r.RollOut }},
 	{title: "moves", value: func(r Result) float64 { return r.Moves }},
--- a/cmd/internal/measure/run.go
+++ b/cmd/internal/measure/run.go
@@ -21,6 +21,7 @@
 	Policy     string         `json:"policy"`
 	Seed       uint64         `json:"seed"`
 	HeldIdle   float64        `json:"heldIdleVMHours"`   // idle VMs in pools other than the spare
+	HeldFree   float64        `json:"heldFreeVMHours"`   // free slots in pools other than the spare, 8 to a VM
 	Idle       float64        `json:"idleVMHours"`       // idle VMs in all pools
 	RollOut    float64        `json:"rollOutSeconds"`    // of the maintenance wave
 	Moves      float64        `json:"moves"`             // begun
@@ -121,7 +122,7 @@
 	m := w.m
 	r := Result{
 		Scenario: w.s.Name, Policy: w.p.name, Seed: seed,
-		HeldIdle: secondsOf(float64(m.held)) / 3600, Idle: secondsOf(float64(m.idle)) / 3600,
+		HeldIdle: secondsOf(float64(m.held)) / 3600, HeldFree: secondsOf(float64(m.free)) / 8 / 3600, Idle: secondsOf(float64(m.idle)) / 3600,
 		RollOut:    secondsOf(float64(m.rollOut)),
 		Moves:      float64(m.moves),
 		Undone:     100 * (1 - float64(m.work)/float64(max(1, m.offered))),
--- a/cmd/internal/measure/scenario.go
+++ b/cmd/internal/measure/scenario.go
@@ -76,7 +76,7 @@
 func Users() []string { return []string{"lantern", "sabz"} }
 
 // NewScenario returns the scenario of a user ("lantern" or "sabz") at a size
-// ("today" or "target").
+// ("today", "brief" for today's fleet in two minutes, or "target").
 func NewScenario(user, size string) (*Scenario, error) {
 	u, ok := users[user]
 	if !ok {
@@ -86,10 +86,13 @@
 	switch size {
 	case "today":
 		s.today(u.capacity)
+	case "brief":
+		s.today(u.capacity)
+		s.brief()
 	case "target":
 		s.target(u.capacity)
 	default:
-		return nil, fmt.Errorf("size %q is neither today nor target", size)
+		return nil, fmt.Errorf("size %q is none of today, brief and target", size)
 	}
 	return s, nil
 }
@@ -117,6 +120,14 @@
 	}
 }
 
+// brief puts the events of a run into two minutes.
+func (s *Scenario) brief() {
+	s.length = ticks(2 * time.Minute)
+	s.wave = ticks(5 * time.Second)
+	s.out = window{ticks(40 * time.Second), ticks(55 * time.Second)}
+	s.flood = window{ticks(80 * time.Second), ticks(110 * time.Second)}
+}
+
 // target is the fleet of two years from now. Its run is shorter and its wave
 // covers only a part of the VMs, as many as would be due at once.
 func (s *Scenario) target(capacity fleet.Resources) {
--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -5,16 +5,18 @@
 
 	"amaranthfork.example/policy/capacity"
 	"amaranthfork.example/policy/forecast"
+	"amaranthfork.example/policy/placement"
 )
 
 // policy is a named combination of mover, order and maintenance planner.
 type policy struct {
-	name    string
-	about   string
-	mover   func(s *Scenario, d *demand) mover
-	order   order
-	planner planner
-	pooled  bool // all VMs form one pool
+	name      string
+	about     string
+	mover     func(s *Scenario, d *demand) mover
+	backlog   func(w *world) backlog
+	planner   planner
+	placement placement.Settings
+	pooled    bool // all VMs form one pool
 }
 
 // horizon is the time that a decided move takes until its VM serves.
@@ -73,19 +75,22 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// packed fills VMs that are in use first, so that idle VMs can be moved.
+var packed = placement.Settings{Packing: 1, RackSpread: 0.1, DataCentreSpread: 0.1}
+
 // policies returns the baselines, the versions and the bounds in the order of
 // the report.
 func policies() []*policy {
 	none := func(*Scenario, *demand) mover { return static{} }
 	list := []*policy{
-		{name: "static", about: "no moves, fair shares", mover: none, order: fairOrder{}, planner: listOrder{}},
+		{name: "static", about: "no moves, fair shares", mover: none, backlog: newFair, placement: packed, planner: listOrder{}},
 		{name: "reactive", about: "spare VMs lent above 90% use and taken back below 50%, fair shares",
-			mover: func(*Scenario, *demand) mover { return reactive{high: 0.9, low: 0.5} },
-			order: fairOrder{}, planner: listOrder{}},
-		{name: "fcfs", about: "no moves, first come first served", mover: none, order: arrivalOrder{}, planner: listOrder{}},
+			mover:   func(*Scenario, *demand) mover { return reactive{high: 0.9, low: 0.5} },
+			backlog: newFair, placement: packed, planner: listOrder{}},
+		{name: "fcfs", about: "no moves, first come first served", mover: none, backlog: newArrival, placement: packed, planner: listOrder{}},
 	}
 	for _, v := range versions {
-		list = append(list, &policy{name: v.name, about: v.about, order: fairOrder{}, planner: idleFirst{},
+		list = append(list, &policy{name: v.name, about: v.about, backlog: newFair, placement: packed, planner: library{},
 			mover: func(s *Scenario, _ *demand) mover {
 				return newOwn(s, v.settings(s), v.forecast, horizon)
 			}})
@@ -93,10 +98,10 @@
 	newest := versions[len(versions)-1]
 	return append(list,
 		&policy{name: "oracle", about: "newest version with the true demand of the next seconds instead of a forecast and without waits",
-			order: fairOrder{}, planner: idleFirst{},
+			backlog: newFair, placement: packed, planner: library{},
 			mover: func(s *Scenario, d *demand) mover { return newOracle(s, d, newest.settings(s), horizon) }},
 		&policy{name: "pooled", about: "bound: every VM serves every pool, moves are free and take no time",
-			order: fairOrder{}, planner: idleFirst{}, mover: none, pooled: true},
+			backlog: newFair, placement: packed, planner: listOrder{}, mover: none, pooled: true},
 	)
 }
 
--- a/cmd/internal/measure/world.go
+++ b/cmd/internal/measure/world.go
@@ -5,6 +5,7 @@
 
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/policy/capacity"
+	"amaranthfork.example/policy/placement"
 )
 
 // vmPhase is what a VM does.
@@ -52,8 +53,10 @@
 	now     int
 	vms     []vm
 	members [][]int // VMs by pool
-	lanes   [][]*lane
-	byKey   map[[3]int]*lane
+	backlog backlog
+	waiting map[*job]bool
+	queued  map[[3]int]int // waiting jobs by queue, class and team
+	placer  *placement.Placer
 	running []int // tasks by team
 	ends    [][]*task
 	out     []bool // by data centre
@@ -70,7 +73,7 @@
 	w := &world{
 		s: s, d: d, p: p,
 		vms: make([]vm, len(s.VMs)), members: make([][]int, len(s.Pools)),
-		lanes: make([][]*lane, len(s.Pools)), byKey: make(map[[3]int]*lane),
+		waiting: make(map[*job]bool), queued: make(map[[3]int]int), placer: placement.New(p.placement),
 		running: make([]int, len(s.Teams)), ends: make([][]*task, s.length),
 		out: make([]bool, len(s.DataCentres)), since: make([]int, len(s.DataCentres)),
 		names: make(map[fleet.VMID]int), pools: make(map[fleet.PoolName]int),
@@ -87,7 +90,7 @@
 		w.vms[i] = vm{pool: s.home[i], dc: dcs[v.DataCentre], moved: -1, to: -1}
 		w.members[s.home[i]] = append(w.members[s.home[i]], i)
 	}
-	w.openLanes()
+	w.backlog = p.backlog(w)
 	w.est = newEstimates(s)
 	w.check = newChecker(s)
 	w.m = newMeter(s)
@@ -95,18 +98,6 @@
 	return w
 }
 
-func (w *world) openLanes() {
-	for q, qu := range w.s.queues {
-		for _, part := range qu.parts {
-			for c := range classes {
-				l := &lane{queue: q, class: c, team: part.team}
-				w.lanes[qu.pool] = append(w.lanes[qu.pool], l)
-				w.byKey[[3]int{q, c, part.team}] = l
-			}
-		}
-	}
-}
-
 // step advances the world by one tick.
 func (w *world) step() {
 	w.applyEvents()
@@ -169,7 +160,7 @@
 	w.check.ended(t)
 	w.m.redo(w.now, left-(t.end-w.now))
 	t.job.left = max(1, left)
-	w.byKey[[3]int{t.job.queue, t.job.class, t.job.team}].pushFront(t.job)
+	w.enqueue(t.job)
 }
 
 func (w *world) endTasks() {
@@ -182,6 +173,7 @@
 		v.used = v.used.Sub(t.need)
 		w.running[t.job.team]--
 		w.est.learn(t.job, t.end-t.began)
+		w.m.ended++
 		w.check.ended(t)
 	}
 	w.ends[w.now] = nil
@@ -199,11 +191,17 @@
 func (w *world) arrive() {
 	for _, j := range w.d.arrivals[w.now] {
 		copied := *j
-		w.byKey[[3]int{j.queue, j.class, j.team}].push(&copied)
+		w.enqueue(&copied)
 		w.est.arrived(j)
 	}
 }
 
+func (w *world) enqueue(j *job) {
+	w.waiting[j] = true
+	w.queued[j.key()]++
+	w.backlog.push(w.s.queues[j.queue].pool, j)
+}
+
 // decide asks the policy for moves and begins them.
 func (w *world) decide() {
 	w.est.settle(w.s.decideEvery)
@@ -315,37 +313,47 @@
 // dispatch starts waiting jobs in each pool until no slot or no job is left.
 func (w *world) dispatch() {
 	for pool := range w.s.Pools {
-		for {
-			l := w.next(pool)
-			if l == nil {
+		for w.freeSlots(pool) > 0 {
+			j := w.backlog.next(pool)
+			if j == nil {
 				break
 			}
-			i := w.place(pool, l.first())
+			i := w.place(pool, j)
 			if i < 0 {
+				w.backlog.push(pool, j)
 				break
 			}
-			w.start(l.pop(), i)
+			w.start(j, i)
 		}
 	}
 }
 
-// place picks the busiest VM that has room, so that other VMs stay idle and
-// can be moved. It returns -1 when none has room.
+func (w *world) freeSlots(pool int) int {
+	free := 0
+	for _, i := range w.members[pool] {
+		free += max(0, w.usable(i)-len(w.vms[i].tasks))
+	}
+	return free
+}
+
+// place picks a VM with policy/placement, -1 when none has room.
 func (w *world) place(pool int, j *job) int {
-	best, bestBusy := -1, -1
-	need := w.est.need(j)
+	name := w.s.Pools[pool].Name
+	candidates := make([]placement.VM, 0, len(w.members[pool]))
 	for _, i := range w.members[pool] {
-		v := &w.vms[i]
-		busy := len(v.tasks)
-		if busy <= bestBusy || busy >= w.usable(i) {
-			continue
-		}
-		if busy > 0 && !v.used.Add(need).Fits(w.s.VMs[i].Capacity) {
-			continue
-		}
-		best, bestBusy = i, busy
+		v, f := &w.vms[i], &w.s.VMs[i]
+		candidates = append(candidates, placement.VM{
+			ID: f.ID, DataCentre: f.DataCentre, Rack: f.Rack, Pool: name,
+			State: placement.Active, Usable: true, Slots: w.usable(i), Used: len(v.tasks),
+			Capacity: f.Capacity, Free: f.Capacity.Sub(v.used),
+		})
+	}
+	request := placement.Request{Pool: name, Need: w.est.need(j), RunTime: w.est.runTime(j.queue, j.class)}
+	d := w.placer.Place(placement.NewSnapshot(candidates), request, timeOf(w.now))
+	if !d.Placed() {
+		return -1
 	}
-	return best
+	return w.names[d.VM]
 }
 
 func (w *world) start(j *job, i int) {
@@ -354,6 +362,8 @@
 	v.tasks = append(v.tasks, t)
 	v.used = v.used.Add(t.need)
 	w.running[j.team]++
+	w.queued[j.key()]--
+	delete(w.waiting, j)
 	if t.end < w.s.length {
 		w.ends[t.end] = append(w.ends[t.end], t)
 	}
