--- a/policy/maintenance/plan_test.go
+++ b/policy/maintenance/plan_test.go
@@ -325,6 +325,50 @@
 	}
 }
 
+// TestOrder guards the choice among VMs that may all be taken: the oldest, then
+// idle ones, then racks and data centres with fewer unavailable VMs; and the
+// pace, which rises with the number of VMs and as their period runs out.
+func TestOrder(t *testing.T) {
+	now, hour := start.Add(12*day), time.Hour
+	cases := map[string]struct {
+		change func(vms []VM)
+		first  int // index of the VM that is taken first
+	}{
+		"oldest":      {func(vms []VM) { vms[5].Last = start.Add(-7 * hour); vms[5].Tasks = []Task{{End: now}} }, 5},
+		"idle":        {func(vms []VM) { vms[0].Tasks = []Task{{End: now}}; vms[1].Last = start.Add(time.Minute) }, 2},
+		"rack":        {func(vms []VM) { vms[0].Drawn, vms[0].Pool, vms[3].Drawn, vms[3].Pool = true, "pool1", true, "pool1" }, 8},
+		"data centre": {func(vms []VM) { vms[16].Drawn, vms[16].Pool = true, "pool1" }, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := fleetOf(24, 2, 1)
+			s.Plan.MaxPerRack, s.Plan.MaxPerDataCentre, s.MaxStarts = 3, 5, 1
+			tc.change(s.VMs)
+			decisions, _ := Plan(s, now)
+			if len(decisions) != 1 || decisions[0].VM != s.VMs[tc.first].ID {
+				t.Fatalf("%+v, want %s", decisions, s.VMs[tc.first].ID)
+			}
+		})
+	}
+	for age, want := range map[float64][2]int{0.601: {1, 19}, 0.84: {10, 457}} {
+		now := start.Add(time.Duration(age * float64(14*day)))
+		for i, n := range []int{48, 2300} {
+			if _, r := Plan(fleetOf(n, 4, 5), now); r.Allowed != want[i] || r.InProgress > r.Allowed {
+				t.Errorf("%d VMs at age %.2f: %d of %d allowed, want %d", n, age, r.InProgress, r.Allowed, want[i])
+			}
+		}
+	}
+	s := fleetOf(8, 1, 1) // two racks of 4
+	s.Plan.MaxPerRack, s.Pools["pool0"] = 4, Pool{MaxUnavailable: 5}
+	s.Plan.MaxPerDataCentre = 8
+	for age, want := range map[float64]int{0.94: 1, 0.96: 5} {
+		s.Plan.Period = time.Duration(float64(12*day) / age)
+		if decisions, _ := Plan(s, now); len(decisions) != want {
+			t.Errorf("at age %.2f: %d starts, want %d", age, len(decisions), want)
+		}
+	}
+}
+
 // TestFeasible guards the arithmetic of the design: 164 VMs and 55 hours a day
 // and 2.3 VMs at a time at the target size.
 func TestFeasible(t *testing.T) {
