Checkpoint running tasks above a lowered limit

Change: each second an entry checkpoints its part of the excess, the least urgent class and the latest starts first; the jobs go on when the team is below its limit again.

--- a/entry/plane.go
+++ b/entry/plane.go
@@ -60,12 +60,13 @@
 	balance  *balance.Controller
 	load     *load.Collector
 	estimate *estimates
+	asked    map[fleet.AttemptID]time.Time // checkpoints that shedExcess asked for
 	api      *api.Server
 }
 
 // newPlane builds all parts; none of them acts before the session has begun.
 func newPlane(e *Entry) (*plane, error) {
-	p := &plane{entry: e, id: uuid.NewString(), router: rpc.NewRouter(), estimate: newEstimates()}
+	p := &plane{entry: e, id: uuid.NewString(), router: rpc.NewRouter(), estimate: newEstimates(), asked: map[fleet.AttemptID]time.Time{}}
 	if err := p.buildMembership(); err != nil {
 		return nil, err
 	}
@@ -284,6 +285,7 @@
 		{name: "task_ends", every: 50 * time.Millisecond, run: void(p.slots.TickEnds)},
 		{name: "digests", every: second, run: void(p.slots.TickDigests)},
 		{name: "limits", every: second, run: p.limits.Tick},
+		{name: "excess", every: second, run: p.shedExcess},
 		{name: "pool_map", every: poolMapTick, run: p.poolMap.Tick},
 		{name: "pools", every: second, run: p.pools.Tick},
 		{name: "maintenance", every: 5 * second, run: p.upkeep.Tick},
