--- /dev/null
+++ b/cmd/internal/bench/jobs.go
@@ -0,0 +1,127 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"amaranthfork.example/client"
+	"amaranthfork.example/entry/local"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform/memory"
+)
+
+// Throughput is how many jobs pass.
+type Throughput struct {
+	Entries       int
+	Jobs          int
+	PerSecond     float64
+	WritesPerJob  float64 // of the table service
+	P50, P99      time.Duration
+	StoreWrites   float64 // a second, over the run
+	RateLimitHits int
+}
+
+// storeLatency and the rate limits are those of the platform that the users
+// describe: several hundred writes and about 2,000 reads a second.
+const storeLatency = 3 * time.Millisecond
+
+var storeLimit = memory.RateLimit{WritesPerSecond: 400, ReadsPerSecond: 2000, QueueTime: 2 * time.Second}
+
+// MeasureJobs submits jobs of one short step through the given number of
+// entries, with a number of callers at a time, and waits for all results.
+func MeasureJobs(ctx context.Context, entries, jobs, callers int) (Throughput, error) {
+	size := Size{DataCentres: min(entries, 4), Entries: entries, Workers: 48, Pools: 1, Teams: 1}
+	r, err := start(ctx, size, local.DefaultOptions())
+	if err != nil {
+		return Throughput{}, err
+	}
+	r.Platform.Service.Table.SetRateLimit(storeLimit)
+	for _, e := range r.Entries {
+		e.Platform.Path.Table.SetLatency(storeLatency)
+	}
+	time.Sleep(settle)
+	before, err := r.sample()
+	if err != nil {
+		return Throughput{}, err
+	}
+	began := time.Now()
+	times, err := r.submitAll(ctx, jobs, callers)
+	elapsed := time.Since(began)
+	after, sampleErr := r.sample()
+	err = errors.Join(err, sampleErr, r.Stop())
+	writes := float64(after.writes - before.writes)
+	return Throughput{
+		Entries: entries, Jobs: jobs,
+		PerSecond:     float64(jobs) / elapsed.Seconds(),
+		WritesPerJob:  writes / float64(jobs),
+		P50:           quantile(times, 0.50),
+		P99:           quantile(times, 0.99),
+		StoreWrites:   writes / elapsed.Seconds(),
+		RateLimitHits: r.Platform.Service.Table.Refused(),
+	}, err
+}
+
+// submitAll returns the time from submission to result of each job.
+func (r *running) submitAll(ctx context.Context, jobs, callers int) ([]time.Duration, error) {
+	times := make([]time.Duration, jobs)
+	next := make(chan int)
+	var mu sync.Mutex
+	var faults error
+	var group sync.WaitGroup
+	for c := range callers {
+		caller, err := client.New(client.Options{BaseURL: r.Entries[c%len(r.Entries)].URL, Key: r.key})
+		if err != nil {
+			return nil, err
+		}
+		group.Go(func() {
+			for i := range next {
+				began := time.Now()
+				if err := runJob(ctx, caller, i); err != nil {
+					mu.Lock()
+					faults = errors.Join(faults, err)
+					mu.Unlock()
+				}
+				times[i] = time.Since(began)
+			}
+		})
+	}
+	for i := range jobs {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	return times, faults
+}
+
+func runJob(ctx context.Context, caller *client.Client, i int) error {
+	job, err := caller.Submit(ctx, "work", client.SubmitRequest{
+		ID: fmt.Sprintf("bench-%d", i), Class: fleet.ClassUrgent,
+		Steps:    []fleet.Step{{Command: "run?time=10ms", Payload: []byte("payload")}},
+		Declared: fleet.Resources{MilliCPU: 100, MemoryMB: 64}, RunTimeMS: 10,
+	})
+	if err != nil {
+		return err
+	}
+	if job, err = caller.Wait(ctx, job.ID); err != nil {
+		return err
+	}
+	if job.Result.Outcome != fleet.OutcomeCompleted {
+		return fmt.Errorf("job %d ended as %s: %s", i, job.Result.Outcome, job.Result.Detail)
+	}
+	return nil
+}
+
+// WriteJobs writes rows as a table.
+func WriteJobs(w io.Writer, rows []Throughput) {
+	_, _ = fmt.Fprintln(w, "entries  jobs | jobs/s | writes/job | store writes/s refused | submit to result p50   p99")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(w, "%7d %5d | %6.0f | %10.2f | %14.0f %7d | %16.0f ms %5.0f ms\n", r.Entries, r.Jobs, r.PerSecond,
+			r.WritesPerJob, r.StoreWrites, r.RateLimitHits, ms(r.P50), ms(r.P99))
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
