Test the acceptor's proof, duplicates and the end of a peer link

Removing the check of the acceptor's MAC, the drop of a second answer, the close handshake at shutdown, the reset of the backoff or the size limit of the handshake did not fail a test. Each does now.

--- a/entry/peer/network_test.go
+++ b/entry/peer/network_test.go
@@ -19,6 +19,7 @@
 	listeners map[string]*listener
 	buffer    int  // writes that a connection holds back
 	frozen    bool // connections carry nothing
+	latency   time.Duration
 	thaw      chan struct{}
 	conns     []net.Conn
 }
@@ -93,6 +94,12 @@
 	n.frozen = frozen
 }
 
+func (n *network) setLatency(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.latency = d
+}
+
 // buffered is a connection that holds back some writes, like TCP, so that two
 // peers that write to each other do not block. It carries nothing while the
 // network is frozen.
@@ -114,18 +121,22 @@
 	for {
 		select {
 		case p := <-b.writes:
-			b.waitThawed()
-			b.Conn.Write(p)
+			b.wait()
+			b.Conn.Write(p) // fails after Close, like a segment that is lost
 		case <-b.closed:
 			return
 		}
 	}
 }
 
-func (b *buffered) waitThawed() {
+func (b *buffered) wait() {
 	b.network.mu.Lock()
-	frozen, thaw := b.network.frozen, b.network.thaw
+	frozen, thaw, latency := b.network.frozen, b.network.thaw, b.network.latency
 	b.network.mu.Unlock()
+	select {
+	case <-time.After(latency):
+	case <-b.closed:
+	}
 	if frozen {
 		select {
 		case <-thaw:
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -254,6 +254,11 @@
 		if !slices.Equal(a.Connected(), []string{"b"}) || !slices.Equal(b.Connected(), []string{"a"}) {
 			t.Errorf("not connected again: %v %v", a.Connected(), b.Connected())
 		}
+		network.cut()
+		time.Sleep(2 * DefaultMinBackoff)
+		if len(a.Connected()) == 0 {
+			t.Error("the pause after a link that worked is not the shortest one")
+		}
 	})
 }
 
@@ -263,7 +268,7 @@
 func TestHandlerLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		release := make(chan struct{})
-		_, a, b := pair(t, release, func(o *Options) {
+		network, a, b := pair(t, release, func(o *Options) {
 			o.MaxHandlers, o.ReservedHandlers, o.HandlerBytes = 4, 1, 1000
 			o.Priority = func(method string) bool { return method == "echo" }
 		})
@@ -288,6 +293,7 @@
 		if err := a.Call(t.Context(), "b", "echo", "", nil); !errors.Is(err, rpc.ErrUnreachable) {
 			t.Errorf("call of a peer in shutdown: %v", err)
 		}
+		network.setLatency(time.Millisecond)
 		close(release)
 		for range 3 {
 			if err := <-waits; err != nil {
@@ -356,6 +362,13 @@
 		if s := a.Stats(); s.LateResponses != 3 || s.UnknownKinds != 1 || s.Links != 1 {
 			t.Errorf("stats %+v", s)
 		}
+		l := a.links()[0]
+		id, p := l.register()
+		l.deliver(frame{Kind: kindResponse, ID: id, Method: "first"})
+		l.deliver(frame{Kind: kindResponse, ID: id, Method: "second"})
+		if f := <-p.answer; f.Method != "first" || a.Stats().LateResponses != 4 {
+			t.Errorf("%s answer was delivered, %+v", f.Method, a.Stats())
+		}
 		next <- frame{Version: version + 1, Kind: kindResponse}
 		synctest.Wait()
 		if s := a.Stats(); s.BadFrames != 1 || s.Links != 0 {
@@ -405,7 +418,8 @@
 		}, false},
 		{"silence", func(ctx context.Context, conn *websocket.Conn) error { return receive(ctx, conn, &welcome{}) }, false},
 		{"large message", func(ctx context.Context, conn *websocket.Conn) error {
-			if err := send(ctx, conn, hello{version, "x", "a", make([]byte, 2*maxHandshake)}); err != nil {
+			large := map[int]any{1: version, 2: "x", 3: "a", 4: newNonce(), 9: make([]byte, maxHandshake)}
+			if err := send(ctx, conn, large); err != nil {
 				return err
 			}
 			return receive(ctx, conn, &welcome{})
@@ -427,14 +441,30 @@
 			}
 		})
 	}
-	for name, change := range map[string]func(*Options){
-		"acceptor with another secret": func(o *Options) { o.Secret = []byte("another secret of b") },
-		"acceptor with another id":     func(o *Options) { o.Self = "c" },
+	for name, acceptor := range map[string]func(context.Context, *websocket.Conn) error{
+		"acceptor with another id": func(ctx context.Context, conn *websocket.Conn) error {
+			_, err := acceptHandshake(ctx, conn, secret, "c")
+			return err
+		},
+		"acceptor without the secret": func(ctx context.Context, conn *websocket.Conn) error {
+			return errors.Join(receive(ctx, conn, &hello{}),
+				send(ctx, conn, challenge{version, newNonce(), make([]byte, 32)}),
+				receive(ctx, conn, &proof{}), send(ctx, conn, welcome{true}))
+		},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			network := newNetwork()
 			a := network.join(t, "a", newRouter(nil, nil), nil)
-			network.join(t, "b", newRouter(nil, nil), change)
+			network.serve(t, "b", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				conn, err := websocket.Accept(w, r, nil)
+				if err != nil {
+					return
+				}
+				defer conn.CloseNow()
+				if acceptor(r.Context(), conn) == nil {
+					conn.Read(context.Background())
+				}
+			}))
 			a.SetMembers(map[string]string{"b": "b"})
 			if err := a.Call(t.Context(), "b", "echo", "", nil); !errors.Is(err, rpc.ErrUnreachable) {
 				t.Errorf("%s: %v", name, err)
