--- a/control/pools/poolstest/entry.go
+++ b/control/pools/poolstest/entry.go
@@ -132,7 +132,13 @@
 
 // Release ends the drain.
 func (e *Entry) Release(ctx context.Context, vm fleet.VMID) error {
-	return e.control(ctx, "release", vm, func(m *machine) error { m.drained = false; return nil })
+	return e.control(ctx, "release", vm, func(m *machine) error {
+		if !m.upAt.IsZero() {
+			e.World.violate("VM %s was released while it reboots", vm)
+		}
+		m.drained = false
+		return nil
+	})
 }
 
 // Reboot restarts a VM; tasks that still run are recorded as a violation.
--- a/control/pools/poolstest/world.go
+++ b/control/pools/poolstest/world.go
@@ -177,6 +177,9 @@
 	if !ok || m.vm.State == fleet.VMGone {
 		return platform.ErrNotFound
 	}
+	if state := w.audited.vms[vm].State; state != pools.StateMaintenance {
+		w.violate("reboot of VM %s, which is %s", vm, state)
+	}
 	for id, t := range m.tasks {
 		w.violate("reboot of VM %s cut task %s of pool %s", vm, id, t.Pool)
 	}
--- /dev/null
+++ b/control/upkeep/upkeep_test.go
@@ -0,0 +1,502 @@
+package upkeep_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control/pools"
+	"amaranthfork.example/control/pools/poolstest"
+	"amaranthfork.example/control/role"
+	"amaranthfork.example/control/upkeep"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var ctx = context.Background()
+
+const period = 24 * time.Hour
+
+// newWorld returns n VMs, four to a rack, over data centres and pools; pool p0
+// is the spare one. Every VM is due once in a day.
+func newWorld(n, dataCentres, poolCount int) *poolstest.World {
+	s := &config.Snapshot{
+		Pools: map[fleet.PoolName]fleet.Pool{}, DataCentres: map[fleet.DataCentreName]fleet.DataCentre{},
+		Maintenance: fleet.MaintenancePlan{
+			Period: period, DrainTimeout: 10 * time.Minute, RebootTimeout: 20 * time.Minute,
+			MaxPerRack: 1, MaxPerDataCentre: max(2, n/dataCentres/10), StopAfterFailures: 2, AvoidDataCentresOut: true,
+		},
+	}
+	w := poolstest.NewWorld(s)
+	for i := range dataCentres {
+		name := fleet.DataCentreName(fmt.Sprintf("d%02d", i))
+		s.DataCentres[name] = fleet.DataCentre{Name: name, State: fleet.DataCentreIn}
+	}
+	for i := range n {
+		dc := i % dataCentres
+		pool := fleet.PoolName(fmt.Sprintf("p%d", i/dataCentres%poolCount))
+		p := s.Pools[pool]
+		p.Name, p.Spare, p.MaxUnavailable = pool, pool == "p0", max(2, n/poolCount/10)
+		p.VMs = append(p.VMs, vmID(i))
+		s.Pools[pool] = p
+		w.Add(fleet.VM{
+			ID: vmID(i), DataCentre: fleet.DataCentreName(fmt.Sprintf("d%02d", dc)),
+			Rack: fleet.RackName(fmt.Sprintf("d%02d-r%d", dc, i/dataCentres/4)),
+		})
+	}
+	return w
+}
+
+func vmID(i int) fleet.VMID { return fleet.VMID(fmt.Sprintf("vm-%04d", i)) }
+
+// work is the dispatcher of the world.
+type work struct{ *poolstest.World }
+
+func (d work) Running(vm fleet.VMID) []upkeep.RunningTask {
+	var out []upkeep.RunningTask
+	for id, t := range d.Tasks(vm) {
+		out = append(out, upkeep.RunningTask{ID: id, End: t.End, Deadline: t.Deadline, CanCheckpoint: t.CanCheckpoint})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// node is one entry with its controllers.
+type node struct {
+	*poolstest.Entry
+	ledger  *pools.Ledger
+	moves   *pools.Controller
+	upkeep  *upkeep.Executor
+	role    *role.Role
+	ticking bool // an entry has one round at a time
+}
+
+func join(w *poolstest.World, n int) *node {
+	e := w.Join(fmt.Sprintf("entry-%03d", n))
+	ledger := pools.NewLedger(pools.LedgerOptions{Table: e, View: w, Clock: w})
+	r := role.New(role.Options{Name: upkeep.Name, Table: e, Membership: e})
+	return &node{
+		Entry: e, ledger: ledger, role: r,
+		moves: pools.NewController(pools.Options{
+			Ledger: ledger, View: w, VMList: e, VMs: e, Dispatch: w, Clock: w,
+			Role: role.New(role.Options{Name: pools.Name, Table: e, Membership: e}),
+		}),
+		upkeep: upkeep.New(upkeep.Options{
+			Table: e, Ledger: ledger, Role: r, View: w, VMList: e, VMs: e, Dispatch: work{w}, Clock: w,
+		}),
+	}
+}
+
+func (n *node) tick() error {
+	if n.ticking {
+		return nil
+	}
+	n.ticking = true
+	defer func() { n.ticking = false }()
+	return errors.Join(n.moves.Tick(ctx), n.upkeep.Tick(ctx))
+}
+
+// round lets time pass and ticks the entries that are alive.
+func round(w *poolstest.World, d time.Duration, nodes ...*node) error {
+	w.Step(d)
+	var errs []error
+	for _, n := range nodes {
+		if !n.Expired {
+			errs = append(errs, n.tick())
+		}
+	}
+	return errors.Join(append(errs, w.Work.Tick(ctx))...)
+}
+
+// due returns a world in which all VMs are due for idle maintenance.
+func due(t interface{ Fatal(...any) }, n int) (*poolstest.World, *node) {
+	w := newWorld(n, 2, 3)
+	first := join(w, 0)
+	for _, d := range []time.Duration{time.Second, time.Second, period * 62 / 100} {
+		if err := round(w, d, first); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return w, first
+}
+
+func rounds(t *testing.T, w *poolstest.World, count int, nodes ...*node) {
+	t.Helper()
+	for range count {
+		if err := round(w, time.Minute, nodes...); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func status(t interface{ Fatal(...any) }, n *node) upkeep.Status {
+	s, err := n.upkeep.Status(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// checkDone fails unless every VM serves, is released and holds no budget.
+func checkDone(t interface{ Fatal(...any) }, w *poolstest.World, n *node) {
+	if len(w.Violations) > 0 {
+		t.Fatal(strings.Join(w.Violations, "\n"))
+	}
+	if s := status(t, n); s.Overdue > 0 || s.InProgress > 0 || len(s.VMs) > 0 {
+		t.Fatal(fmt.Sprintf("not done: %+v", s))
+	}
+	for _, id := range w.IDs() {
+		_, state := w.Work.Pool(id)
+		if _, drained := w.VM(id); drained || state != pools.StateActive {
+			t.Fatal(fmt.Sprintf("VM %s is %s, drained: %t", id, state, drained))
+		}
+	}
+	byPool, byDC, err := n.ledger.Budgets(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, b := range byDC {
+		if len(b.VMs) > 0 {
+			t.Fatal(name, b)
+		}
+	}
+	for name, b := range byPool {
+		if len(b.VMs) > b.Lost() {
+			t.Fatal(name, b)
+		}
+	}
+}
+
+// TestEveryInterruption guards each change against the end or a pause of the
+// holder before it, a lost answer or an outage at it: a successor completes the
+// maintenance of a VM, with its work checkpointed and its budget returned.
+func TestEveryInterruption(t *testing.T) {
+	calls := interrupt(t, "none", 0)
+	for _, fault := range []string{"end", "pause", "lost answer", "unavailable"} {
+		for at := 1; at <= calls; at++ {
+			interrupt(t, fault, at)
+		}
+	}
+	t.Logf("%d calls that change something", calls)
+}
+
+// interrupt runs the maintenance of one VM with a fault at one call of the
+// first holder and returns the number of the calls.
+func interrupt(t *testing.T, fault string, at int) int {
+	w := newWorld(1, 1, 1)
+	holder := join(w, 0)
+	rounds(t, w, 2, holder)
+	successor, calls := join(w, 1), 0
+	if !w.Start(vmID(0), "task", poolstest.Task{End: w.Time.Add(2 * period), CanCheckpoint: true}) {
+		t.Fatal("task not started")
+	}
+	w.Hook = func(e *poolstest.Entry, op string) error {
+		if e != holder.Entry || op == "get" || op == "range" || op == "list" {
+			return nil
+		}
+		if calls++; calls != at {
+			return nil
+		}
+		switch fault {
+		case "end":
+			e.Dead = true
+			w.Fence(e)
+		case "pause":
+			w.Fence(e)
+			for range 40 {
+				_ = round(w, time.Minute, successor)
+			}
+			if op == "drain" || op == "release" || op == "reboot" {
+				return platform.ErrUnavailable // the call's time has run out
+			}
+		case "lost answer":
+			e.Faults.LoseAnswers(1)
+			e.LoseAnswers = 1
+		case "unavailable":
+			return platform.ErrUnavailable
+		}
+		return nil
+	}
+	_ = round(w, period*88/100, holder, successor) // now busy VMs may be taken
+	for range 90 {
+		_ = round(w, time.Minute, holder, successor)
+	}
+	if n := w.Reboots[vmID(0)]; n < 1 || n > 2 || fault == "none" && n != 1 {
+		t.Fatalf("%s at call %d: %d reboots", fault, at, n)
+	}
+	checkDone(t, w, successor)
+	return calls
+}
+
+// TestFailedReboots guards against a wave that goes on when VMs do not come
+// back, against a budget that forgets them, and against a stop without end.
+func TestFailedReboots(t *testing.T) {
+	w, n := due(t, 24)
+	w.RebootTime = 30 * time.Hour
+	rounds(t, w, 240, n)
+	s := status(t, n)
+	_, byDC, err := n.ledger.Budgets(ctx)
+	failed := 0
+	for _, b := range byDC {
+		for _, r := range b.VMs {
+			if r.Cause == pools.CauseFailed {
+				failed++
+			}
+		}
+	}
+	if err != nil || !strings.Contains(s.Hold, "reboots failed") || len(s.Failed) < 3 || failed != len(s.Failed) {
+		t.Fatalf("wave not stopped: %+v; %d failures recorded, %v", s, failed, err)
+	}
+	before := len(w.Reboots)
+	w.RebootTime = 3 * time.Minute
+	for _, id := range w.IDs() {
+		w.Kill(id, fleet.VMLive)
+	}
+	rounds(t, w, 60, n)
+	if len(w.Reboots) != before {
+		t.Fatal("a stopped wave took more VMs")
+	}
+	if err := errors.Join(n.upkeep.Resume(ctx), n.upkeep.Resume(ctx)); err != nil {
+		t.Fatal(err)
+	}
+	rounds(t, w, 500, n)
+	if len(w.Reboots) != 24 {
+		t.Fatalf("%d of 24 VMs maintained after the wave was resumed", len(w.Reboots))
+	}
+	checkDone(t, w, n)
+}
+
+// TestOperators guards the requests of operators: refused with the reason when
+// the budget is spent, idempotent, and in force on a holder that has planned
+// before them.
+func TestOperators(t *testing.T) {
+	w, n := due(t, 24)
+	other := join(w, 1)
+	if err := errors.Join(other.upkeep.Pause(ctx, "ann", "freeze"), other.upkeep.Pause(ctx, "bob", "second")); err != nil {
+		t.Fatal(err)
+	}
+	rounds(t, w, 30, n, other)
+	if s := status(t, other); len(w.Reboots) > 1 || !strings.Contains(s.Hold, "freeze") || s.PausedBy != "ann" || s.InProgress > 0 {
+		t.Fatalf("not paused: %d reboots, %+v", len(w.Reboots), s)
+	}
+	if err := errors.Join(other.upkeep.Drain(ctx, vmID(0), "ann"), other.upkeep.Drain(ctx, vmID(0), "bob")); err != nil {
+		t.Fatal(err)
+	}
+	var refused *pools.BudgetError
+	if err := other.upkeep.Drain(ctx, vmID(2), "ann"); !errors.As(err, &refused) || refused.Bound != pools.BoundRack {
+		t.Fatalf("drain above the rack's budget returned %v", err)
+	}
+	rounds(t, w, 2, n, other)
+	if _, drained := w.VM(vmID(0)); !drained || len(status(t, n).VMs) != 1 {
+		t.Fatalf("VM not held: %+v", status(t, n))
+	}
+	if err := errors.Join(other.upkeep.Undrain(ctx, vmID(0)), other.upkeep.Undrain(ctx, vmID(0))); err != nil {
+		t.Fatal(err)
+	}
+	rounds(t, w, 2, n, other)
+	checkDone(t, w, n)
+	if err := other.upkeep.Resume(ctx); err != nil {
+		t.Fatal(err)
+	}
+	// A pause that is committed between the holder's plan and its draw.
+	paused, before := false, len(w.Reboots)
+	w.Hook = func(e *poolstest.Entry, op string) error {
+		if e == n.Entry && op == "commit" && !paused {
+			paused = true
+			return other.upkeep.Pause(ctx, "ann", "race")
+		}
+		return nil
+	}
+	rounds(t, w, 30, n, other)
+	if !paused || len(w.Reboots) != before {
+		t.Fatalf("a VM was taken after the pause: %t, %d", paused, len(w.Reboots)-before)
+	}
+	checkDone(t, w, n)
+}
+
+// TestListingLag guards against taking a VM that the lagging list shows as live
+// from before its reboot for one that is back; the world records a release
+// during a reboot.
+func TestListingLag(t *testing.T) {
+	w, n := due(t, 4)
+	w.Lag, w.RebootTime = 10*time.Minute, 6*time.Minute
+	rounds(t, w, 400, n)
+	if len(w.Reboots) != 4 {
+		t.Fatalf("%d of 4 VMs maintained", len(w.Reboots))
+	}
+	checkDone(t, w, n)
+}
+
+// TestRaces guards C1 and C2, work that runs, and the period, under races of
+// entries, moves and operators, ends and pauses between any two calls, lost
+// answers, outages, failing VMs and racks, and data centres that are out.
+func TestRaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, first := due(t, 12)
+		w.Lag = time.Duration(rapid.IntRange(0, 240).Draw(t, "lag")) * time.Second
+		c := &chaos{t: t, w: w, nodes: []*node{first}}
+		c.add()
+		w.Hook = c.hook
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			c.step()
+			if len(w.Violations) > 0 {
+				t.Fatal(w.Violations)
+			}
+		}
+		c.heal()
+	})
+}
+
+type chaos struct {
+	t      *rapid.T
+	w      *poolstest.World
+	nodes  []*node
+	tasks  int
+	nested bool
+}
+
+func (c *chaos) int(label string, n int) int { return rapid.IntRange(0, n-1).Draw(c.t, label) }
+func (c *chaos) vm() fleet.VMID              { return vmID(c.int("vm", 12)) }
+
+func (c *chaos) add() { c.nodes = append(c.nodes, join(c.w, len(c.nodes)+1)) }
+
+func (c *chaos) fence(e *poolstest.Entry) {
+	if !e.Expired {
+		c.w.Fence(e)
+		c.add()
+	}
+}
+
+func (c *chaos) hook(e *poolstest.Entry, op string) error {
+	if c.nested {
+		return nil
+	}
+	c.nested = true
+	defer func() { c.nested = false }()
+	switch c.int("fault", 50) {
+	case 0:
+		e.Dead = true
+		c.fence(e)
+	case 1, 2: // others act while the entry waits
+		c.step()
+	case 3: // paused for longer than its session
+		c.fence(e)
+		for range 6 {
+			c.step()
+		}
+		if op == "drain" || op == "release" || op == "reboot" {
+			return platform.ErrUnavailable // the call's time has run out
+		}
+	case 4:
+		e.Faults.LoseAnswers(1)
+		e.LoseAnswers = 1
+	case 5:
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (c *chaos) step() {
+	w, n := c.w, c.nodes[c.int("node", len(c.nodes))]
+	switch c.int("do", 24) {
+	case 0:
+		_ = n.ledger.Move(ctx, c.vm(), fleet.PoolName(fmt.Sprintf("p%d", c.int("pool", 3))))
+	case 1:
+		_ = n.ledger.Abort(ctx, c.vm())
+	case 2:
+		_ = n.upkeep.Drain(ctx, c.vm(), "ann")
+	case 3, 4:
+		_ = n.upkeep.Undrain(ctx, c.vm())
+	case 5:
+		_ = n.upkeep.Pause(ctx, "ann", "freeze")
+	case 6, 7:
+		_ = n.upkeep.Resume(ctx)
+	case 8:
+		states := []fleet.VMState{fleet.VMLive, fleet.VMLive, fleet.VMLeaving, fleet.VMGone}
+		w.Kill(c.vm(), states[c.int("state", 4)])
+	case 9:
+		rack := c.int("rack", 6)
+		w.Kill(vmID(rack), fleet.VMLeaving)
+		w.Kill(vmID(rack+6), fleet.VMLeaving)
+	case 10, 11:
+		c.tasks++
+		end := w.Time.Add(time.Duration(c.int("minutes", 60)) * time.Minute)
+		w.Start(c.vm(), fleet.AttemptID(fmt.Sprint(c.tasks)), poolstest.Task{End: end, CanCheckpoint: rapid.Bool().Draw(c.t, "can")})
+	case 12:
+		n.Faults.SetDown(rapid.Bool().Draw(c.t, "down"))
+	case 13:
+		if !c.nested { // a draw that has passed its check may commit after the change
+			dc := fleet.DataCentreName(fmt.Sprintf("d%02d", c.int("dc", 2)))
+			states := []fleet.DataCentreState{fleet.DataCentreIn, fleet.DataCentreIn, fleet.DataCentreOut}
+			w.Config.DataCentres[dc] = fleet.DataCentre{Name: dc, State: states[c.int("dcState", 3)]}
+		}
+	case 14, 15, 16, 17:
+		w.Step(time.Duration(c.int("seconds", 400)) * time.Second)
+		_ = w.Work.Tick(ctx)
+	default:
+		_ = n.tick()
+	}
+}
+
+// heal ends all faults and checks that every VM is maintained once more within
+// a period and serves.
+func (c *chaos) heal() {
+	w := c.w
+	w.Hook = nil
+	for name, dc := range w.Config.DataCentres {
+		dc.State = fleet.DataCentreIn
+		w.Config.DataCentres[name] = dc
+	}
+	last := c.nodes[len(c.nodes)-1]
+	for _, n := range c.nodes {
+		n.Faults.SetDown(false)
+		n.Faults.LoseAnswers(0)
+		n.LoseAnswers = 0
+	}
+	for _, id := range w.IDs() {
+		w.Kill(id, fleet.VMLive)
+		_ = last.upkeep.Undrain(ctx, id)
+	}
+	before := map[fleet.VMID]int{}
+	for id, n := range w.Reboots {
+		before[id] = n
+	}
+	if err := last.upkeep.Resume(ctx); err != nil {
+		c.t.Fatal(err)
+	}
+	for range period / (20 * time.Minute) {
+		_ = round(w, 20*time.Minute, c.nodes...)
+	}
+	for range 120 { // no VM is due at the end of a wave that has just begun
+		if s := status(c.t, last); s.InProgress == 0 {
+			break
+		}
+		_ = round(w, time.Minute, c.nodes...)
+	}
+	for _, id := range w.IDs() {
+		if w.Reboots[id] == before[id] {
+			c.t.Fatalf("VM %s was not maintained: %+v", id, status(c.t, last))
+		}
+	}
+	checkDone(c.t, w, last)
+}
--- a/policy/maintenance/plan.go
+++ b/policy/maintenance/plan.go
@@ -28,7 +28,8 @@
 	// giveUpFactor times the drain timeout is how long a drain may take before
 	// the VM is returned and tried again later.
 	giveUpFactor = 3
-	// retryAfter is how long a VM is left alone after a drain that was given up.
+	// retryAfter is how long a VM is left alone after a drain that was given up
+	// or ended by an operator.
 	retryAfter = 2 * time.Hour
 	// checkpointCost is the time a task loses by a checkpoint and a restart.
 	checkpointCost = 2 * time.Minute
@@ -267,7 +268,7 @@
 		case PhaseRebooting, PhaseFailed:
 			out = append(out, p.rebooting(v)...)
 		case PhaseReleasing:
-			out = append(out, Decision{Action: ActionReturn, VM: v.ID, Reason: "released"})
+			out = append(out, Decision{Action: ActionReturn, VM: v.ID, Reason: "released", RetryAfter: retryAfter})
 		case PhaseHeld:
 			if !v.Live && !v.Failed {
 				out = append(out, Decision{Action: ActionFail, VM: v.ID, Reason: "lost while held by an operator"})
