Read the id of an owned VM without a data race

Cause: calls to workers read vm.ID without the mutex while TickList replaces the whole VM record (found by the first session test under -race). Change: an owned VM keeps its id in a field that never changes. Before: go test -race ./cmd/internal/session reported a race in acquire.

--- a/control/slots/digest.go
+++ b/control/slots/digest.go
@@ -267,7 +267,7 @@
 func (s *Slots) ownFree(now time.Time) map[fleet.DataCentreName]map[fleet.PoolName]free {
 	own := map[fleet.DataCentreName]map[fleet.PoolName]free{}
 	for _, v := range s.vms {
-		assigned, ok := s.o.Pools.Assignment(v.vm.ID)
+		assigned, ok := s.o.Pools.Assignment(v.id)
 		if !ok {
 			continue
 		}
--- a/control/slots/ends.go
+++ b/control/slots/ends.go
@@ -148,10 +148,10 @@
 		if !v.leased(now) {
 			continue
 		}
-		if byVM[v.vm.ID] == nil {
-			byVM[v.vm.ID] = &batch{v: v, lease: platform.Lease{Holder: s.self, Epoch: v.epoch}}
+		if byVM[v.id] == nil {
+			byVM[v.id] = &batch{v: v, lease: platform.Lease{Holder: s.self, Epoch: v.epoch}}
 		}
-		byVM[v.vm.ID].ids = append(byVM[v.vm.ID].ids, id)
+		byVM[v.id].ids = append(byVM[v.id].ids, id)
 	}
 	batches := make([]*batch, 0, len(byVM))
 	for _, b := range byVM {
@@ -162,7 +162,7 @@
 	each(s.o.Parallel, batches, func(b *batch) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		if err := s.o.Workers.Forget(callCtx, b.v.vm.ID, b.lease, b.ids); err != nil {
+		if err := s.o.Workers.Forget(callCtx, b.v.id, b.lease, b.ids); err != nil {
 			return // tried again at the next tick
 		}
 		s.mu.Lock()
--- a/control/slots/lease.go
+++ b/control/slots/lease.go
@@ -42,7 +42,8 @@
 
 // ownedVM is a VM that this entry owns.
 type ownedVM struct {
-	vm         fleet.VM
+	id         fleet.VMID // never changes, so it is read without the mutex
+	vm         fleet.VM   // as last listed
 	ownedSince time.Time
 	dropped    bool
 
@@ -66,7 +67,7 @@
 }
 
 func newOwnedVM(vm fleet.VM, now time.Time) *ownedVM {
-	return &ownedVM{vm: vm, ownedSince: now, slots: map[fleet.AttemptID]*slot{}}
+	return &ownedVM{id: vm.ID, vm: vm, ownedSince: now, slots: map[fleet.AttemptID]*slot{}}
 }
 
 // leased reports whether the lease may be used.
@@ -175,7 +176,7 @@
 
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.o.Workers.Acquire(ctx, v.vm.ID, platform.Lease{Holder: s.self, Epoch: epoch}, LeaseTTL)
+	err := s.o.Workers.Acquire(ctx, v.id, platform.Lease{Holder: s.self, Epoch: epoch}, LeaseTTL)
 
 	s.mu.Lock()
 	defer s.unlock()
@@ -194,9 +195,9 @@
 	if v.epoch == 0 || v.ready {
 		// The lease may have lapsed since the last list, or starts are
 		// unresolved: the next list must prove that they are refused.
-		v.epoch = max(s.shardMapNow().version<<epochBits, s.floors[v.vm.ID], v.epoch+1)
+		v.epoch = max(s.shardMapNow().version<<epochBits, s.floors[v.id], v.epoch+1)
 	}
-	v.epoch = max(v.epoch, s.shardMapNow().version<<epochBits, s.floors[v.vm.ID])
+	v.epoch = max(v.epoch, s.shardMapNow().version<<epochBits, s.floors[v.id])
 	v.ready = false
 	v.leasedAt = time.Time{}
 	return true
@@ -211,7 +212,7 @@
 		v.contacted, v.lost = true, false
 		v.fencedAt = time.Time{}
 		if fresh {
-			s.event(EventAcquired, v.vm.ID, "", "epoch %d", v.epoch)
+			s.event(EventAcquired, v.id, "", "epoch %d", v.epoch)
 		}
 	case errors.Is(err, platform.ErrFenced):
 		s.fenced(v, now)
@@ -227,7 +228,7 @@
 func (s *Slots) fenced(v *ownedVM, now time.Time) {
 	if v.fencedAt.IsZero() {
 		v.fencedAt = now
-		s.event(EventFenced, v.vm.ID, "", "epoch %d refused", v.epoch)
+		s.event(EventFenced, v.id, "", "epoch %d refused", v.epoch)
 	}
 	s.forgetSlots(v)
 	v.leasedAt, v.confirmedAt, v.maybeAt = time.Time{}, time.Time{}, time.Time{}
@@ -237,7 +238,7 @@
 		// The other holder would have been replaced by now if it were the
 		// owner of a newer member list, so it holds a higher counter of the
 		// present version without renewing it.
-		s.floors[v.vm.ID] = v.epoch + 1
+		s.floors[v.id] = v.epoch + 1
 		v.fencedAt = now
 	}
 	v.epoch = 0
@@ -246,7 +247,7 @@
 // forgetSlots drops all slots whose start is not in flight.
 func (s *Slots) forgetSlots(v *ownedVM) {
 	v.slots = map[fleet.AttemptID]*slot{}
-	s.dropListedEnds(v.vm.ID)
+	s.dropListedEnds(v.id)
 }
 
 // reportLost reports the tasks of a worker whose lease must have lapsed: the
@@ -262,13 +263,13 @@
 	}
 	v.lost, v.ready = true, false
 	v.leasedAt = time.Time{}
-	s.floors[v.vm.ID] = max(s.floors[v.vm.ID], v.epoch+1)
-	s.event(EventLost, v.vm.ID, "", "%d tasks", v.count(running)+v.count(unknown))
+	s.floors[v.id] = max(s.floors[v.id], v.epoch+1)
+	s.event(EventLost, v.id, "", "%d tasks", v.count(running)+v.count(unknown))
 	for id, sl := range v.slots {
 		switch sl.phase {
 		case running, unknown:
 			s.stats.LostTasks++
-			s.queueEnd(lostEnd(v.vm.ID, id, sl), false)
+			s.queueEnd(lostEnd(v.id, id, sl), false)
 			delete(v.slots, id)
 		case reserved:
 			delete(v.slots, id)
@@ -282,7 +283,7 @@
 	if v.maybeAt.After(start) {
 		start = v.maybeAt
 	}
-	if gone := s.known[v.vm.ID].goneSince; gone.After(start) && !v.contacted {
+	if gone := s.known[v.id].goneSince; gone.After(start) && !v.contacted {
 		start = gone
 	}
 	return start
--- a/control/slots/owner.go
+++ b/control/slots/owner.go
@@ -87,7 +87,7 @@
 
 func (s *Slots) reservation(v *ownedVM, id fleet.AttemptID) control.Reservation {
 	return control.Reservation{
-		Owner: s.self, VM: v.vm.ID, DataCentre: v.vm.DataCentre, Epoch: v.epoch, Attempt: id, TTL: ReservationTTL,
+		Owner: s.self, VM: v.id, DataCentre: v.vm.DataCentre, Epoch: v.epoch, Attempt: id, TTL: ReservationTTL,
 	}
 }
 
@@ -108,7 +108,7 @@
 func (s *Slots) placementSnapshot(pool fleet.PoolName, now time.Time) *placement.Snapshot {
 	vms := make([]placement.VM, 0, len(s.vms))
 	for _, v := range s.vms {
-		assigned, ok := s.o.Pools.Assignment(v.vm.ID)
+		assigned, ok := s.o.Pools.Assignment(v.id)
 		if !ok || assigned.Pool != pool {
 			continue
 		}
@@ -127,10 +127,10 @@
 	free := v.vm.Capacity.Sub(need)
 	observed := v.vm.Capacity.Sub(usage)
 	return placement.VM{
-		ID: v.vm.ID, DataCentre: v.vm.DataCentre, Rack: v.vm.Rack, Pool: assigned.Pool, State: assigned.State,
+		ID: v.id, DataCentre: v.vm.DataCentre, Rack: v.vm.Rack, Pool: assigned.Pool, State: assigned.State,
 		Leaving:       v.vm.State != fleet.VMLive || now.Before(v.refusesTill),
 		Usable:        v.usable(now),
-		Health:        healthOf[s.health.State(v.vm.ID)],
+		Health:        healthOf[s.health.State(v.id)],
 		MaintenanceAt: assigned.MaintenanceAt,
 		Slots:         v.vm.Slots, Used: len(v.slots),
 		Capacity: v.vm.Capacity,
@@ -165,14 +165,14 @@
 	s.stats.WorkerCalls++
 	s.unlock()
 
-	err = s.o.Workers.Start(ctx, v.vm.ID, lease, task)
+	err = s.o.Workers.Start(ctx, v.id, lease, task)
 
 	s.mu.Lock()
 	err = s.settleStart(v, task.ID, sl, err)
 	stop := err == nil && sl.cancelled
 	s.unlock()
 	if stop {
-		_ = s.stop(v.vm.ID, lease, task.ID) // best effort: the job owner repeats a cancellation
+		_ = s.stop(v.id, lease, task.ID) // best effort: the job owner repeats a cancellation
 	}
 	return err
 }
@@ -227,10 +227,10 @@
 	if err := s.mayStart(v.vm.DataCentre, now); err != nil {
 		return err
 	}
-	if s.shardMapNow().owner(v.vm.ID, v.vm.DataCentre) != s.self {
+	if s.shardMapNow().owner(v.id, v.vm.DataCentre) != s.self {
 		return refuse(fleet.ReasonNoCapacity, retrySoon, "VM has another owner")
 	}
-	assigned, ok := s.o.Pools.Assignment(v.vm.ID)
+	assigned, ok := s.o.Pools.Assignment(v.id)
 	if !ok || assigned.Pool != sl.pool || assigned.State != placement.Active {
 		return refuse(fleet.ReasonNoCapacity, retrySoon, "VM leaves the pool")
 	}
@@ -258,7 +258,7 @@
 		return nil
 	case errors.Is(err, platform.ErrRefused):
 		v.refusesTill = now.Add(refusePause)
-		s.event(EventFull, v.vm.ID, id, "%v", err)
+		s.event(EventFull, v.id, id, "%v", err)
 		proved = refuse(fleet.ReasonNoCapacity, retrySoon, "worker refused the task")
 	case errors.Is(err, platform.ErrFenced):
 		s.distrust(v)
@@ -268,8 +268,8 @@
 	default:
 		sl.phase = unknown
 		s.stats.UnknownStarts++
-		s.event(EventUnknown, v.vm.ID, id, "%v", err)
-		return openError("attempt %s on %s: %w", id, v.vm.ID, err)
+		s.event(EventUnknown, v.id, id, "%v", err)
+		return openError("attempt %s on %s: %w", id, v.id, err)
 	}
 	if v.slots[id] == sl {
 		delete(v.slots, id)
--- a/control/slots/ownership.go
+++ b/control/slots/ownership.go
@@ -142,12 +142,12 @@
 // drop ends the ownership of a VM. The next owner reads the task list, so the
 // ends that stand in it are left to that owner.
 func (s *Slots) drop(v *ownedVM) {
-	delete(s.vms, v.vm.ID)
+	delete(s.vms, v.id)
 	v.dropped = true
 	if v.epoch > 0 {
-		s.floors[v.vm.ID] = max(s.floors[v.vm.ID], v.epoch+1)
+		s.floors[v.id] = max(s.floors[v.id], v.epoch+1)
 	}
-	s.dropListedEnds(v.vm.ID)
+	s.dropListedEnds(v.id)
 }
 
 // totalKey names a pool's part in a data centre.
--- a/control/slots/tasks.go
+++ b/control/slots/tasks.go
@@ -64,7 +64,7 @@
 	s.unlock()
 
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	list, err := s.o.Workers.Tasks(callCtx, v.vm.ID, lease)
+	list, err := s.o.Workers.Tasks(callCtx, v.id, lease)
 	cancel()
 
 	s.mu.Lock()
@@ -126,7 +126,7 @@
 		v.activeAt = s.o.Clock.Now()
 		delete(v.slots, status.ID)
 	}
-	end := endOf(v.vm.ID, status)
+	end := endOf(v.id, status)
 	if s.queueEnd(end, true) && sl != nil {
 		s.observe(v, sl, end)
 	}
@@ -139,11 +139,11 @@
 	case sl.phase == running:
 		// The worker has restarted and lost its tasks.
 		s.stats.LostTasks++
-		s.queueEnd(lostEnd(v.vm.ID, id, sl), false)
+		s.queueEnd(lostEnd(v.id, id, sl), false)
 		delete(v.slots, id)
 	case sl.phase == unknown && sl.epoch < v.epoch:
 		// The worker refuses the epoch of the start from now on.
-		end := lostEnd(v.vm.ID, id, sl)
+		end := lostEnd(v.id, id, sl)
 		end.NotStarted = true
 		s.bury(id, false)
 		s.queueEnd(end, false)
@@ -156,7 +156,7 @@
 		return
 	}
 	s.health.Observe(quarantine.End{
-		VM: v.vm.ID, Class: sl.class, Job: end.Job, Failed: end.State == platform.TaskFailed,
+		VM: v.id, Class: sl.class, Job: end.Job, Failed: end.State == platform.TaskFailed,
 	})
 }
 
@@ -191,15 +191,15 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		kind, err := EventThrottled, error(nil)
 		if action.Kind == estimate.Throttle {
-			err = s.o.Workers.Throttle(callCtx, v.vm.ID, lease, action.Task, action.MilliCPU)
+			err = s.o.Workers.Throttle(callCtx, v.id, lease, action.Task, action.MilliCPU)
 		} else {
 			kind = EventCheckpoint
-			err = s.o.Workers.Checkpoint(callCtx, v.vm.ID, lease, action.Task)
+			err = s.o.Workers.Checkpoint(callCtx, v.id, lease, action.Task)
 		}
 		cancel()
 		s.mu.Lock()
 		s.stats.WorkerCalls++
-		s.event(kind, v.vm.ID, action.Task, "%s, error %v", action.Reason, err)
+		s.event(kind, v.id, action.Task, "%s, error %v", action.Reason, err)
 		s.unlock()
 	}
 }
