Tell callers of the client that a job is not recorded yet

Cause: the API answers "unrecorded" for a job accepted in a store outage, the client dropped the field. Change: client.Job has the field Unrecorded.

--- a/client/types.go
+++ b/client/types.go
@@ -36,6 +36,9 @@
 	State  JobState       `json:"state"`
 	Step   int            `json:"step"` // counts from 0
 	Result *fleet.Result  `json:"result,omitempty"`
+	// Unrecorded means that the job was accepted while the store was
+	// unavailable: it is lost if its owner fails before the store is back.
+	Unrecorded bool `json:"unrecorded,omitempty"`
 }
 
 // File is one file of a configuration folder. Content is base64 on the wire.
