Interrupt the peer links of an entry of a local fleet

Cause: tests of partitions need to cut an entry off from all other entries. Change: entry.Options has DialPeer; local dials through a network with a switch for each entry, which holds data back until it is mended.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,8 @@
 	Platform Platform
 	Clock    fleet.Clock
 	Log      *zap.Logger
+	// DialPeer opens connections to other entries; nil means TCP.
+	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Entry is one entry process.
@@ -97,7 +100,8 @@
 // APIAddress returns the host:port that callers use.
 func (e *Entry) APIAddress() string { return e.api.address() }
 
-func (e *Entry) peerAddress() string {
+// PeerAddress returns the host:port that other entries use.
+func (e *Entry) PeerAddress() string {
 	if e.o.Settings.AdvertisePeer != "" {
 		return e.o.Settings.AdvertisePeer
 	}
@@ -163,7 +167,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- e.api.serve() }()
 	go func() { failed <- e.peer.serve() }()
-	e.o.Log.Info("listening", zap.String("api", e.api.address()), zap.String("peers", e.peerAddress()))
+	e.o.Log.Info("listening", zap.String("api", e.api.address()), zap.String("peers", e.PeerAddress()))
 
 	sessions, endSessions := context.WithCancel(context.WithoutCancel(ctx))
 	defer endSessions()
--- a/entry/local/local.go
+++ b/entry/local/local.go
@@ -78,6 +78,7 @@
 	o      Options
 	secret string
 	number int // of entries started
+	links  *links
 }
 
 // Entry is one entry of the fleet.
@@ -88,9 +89,10 @@
 	URL        string           // of the API
 	Platform   *memory.Platform // the path to the platform, with its fault switches
 
-	stop context.CancelFunc
-	over chan struct{}
-	err  error
+	links *links
+	stop  context.CancelFunc
+	over  chan struct{}
+	err   error
 }
 
 // New opens the workers and starts the entries. Stop must be called after it
@@ -102,6 +104,7 @@
 		Token:     randomText(),
 		o:         o,
 		secret:    randomText(),
+		links:     newLinks(),
 	}
 	if err := f.addWorkers(); err != nil {
 		return nil, errors.Join(err, f.Endpoints.Close())
@@ -155,12 +158,14 @@
 	inner, err := entry.New(entry.Options{
 		Settings: s, Clock: fleet.SystemClock{}, Log: f.o.Log.With(zap.String("vm", s.VM)),
 		Platform: entry.Platform{Table: p.Table, Objects: p.Objects, VMList: p.VMList, Workers: p.Workers, VMs: p.VMs},
+		DialPeer: f.links.dialFrom(s.VM),
 	})
 	if err != nil {
 		return nil, err
 	}
+	f.links.add(s.VM, inner.PeerAddress())
 	ctx, stop := context.WithCancel(context.Background())
-	e := &Entry{Entry: inner, VM: s.VM, DataCentre: dc, URL: "http://" + inner.APIAddress(), Platform: p, stop: stop, over: make(chan struct{})}
+	e := &Entry{Entry: inner, VM: s.VM, DataCentre: dc, URL: "http://" + inner.APIAddress(), Platform: p, links: f.links, stop: stop, over: make(chan struct{})}
 	f.Entries = append(f.Entries, e)
 	go func() {
 		defer close(e.over)
@@ -176,6 +181,17 @@
 	return e.err
 }
 
+// CutPeers interrupts all links between this entry and the others, or mends
+// them. Nothing is closed: what is sent meanwhile arrives late.
+func (e *Entry) CutPeers(cut bool) { e.links.cut(e.VM, cut) }
+
+// Isolate cuts the entry off from the platform and from all other entries, or
+// ends that. Callers still reach it.
+func (e *Entry) Isolate(cut bool) {
+	e.Platform.Path.Partition(cut)
+	e.CutPeers(cut)
+}
+
 // Kill ends an entry as a crash would. The platform still lists its VM.
 func (e *Entry) Kill() {
 	e.Abort()
--- a/entry/plane.go
+++ b/entry/plane.go
@@ -93,13 +93,14 @@
 		Secret:   []byte(o.Settings.PeerSecret),
 		Router:   p.router,
 		TLS:      e.peerTLS,
+		Dial:     o.DialPeer,
 		Priority: isLivenessMethod,
 	})
 	if err != nil {
 		return fmt.Errorf("peer link: %w", err)
 	}
 	p.node = node
-	self := control.Member{ID: p.id, DataCentre: o.Settings.DataCentre, Address: e.peerAddress(), VM: o.Settings.VM}
+	self := control.Member{ID: p.id, DataCentre: o.Settings.DataCentre, Address: e.PeerAddress(), VM: o.Settings.VM}
 	p.members = member.New(member.Options{
 		Self:   self,
 		NewID:  func() string { return p.id },
