--- /dev/null
+++ b/cmd/internal/session/ledger_test.go
@@ -0,0 +1,91 @@
+package session_test
+
+import (
+	"sync"
+	"time"
+
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/platform/memory"
+)
+
+type stepKey struct {
+	job  fleet.JobID
+	step int
+}
+
+type start struct {
+	vm fleet.VMID
+	at time.Time
+}
+
+// ledger counts the starts at the workers, independently of the entries.
+type ledger struct {
+	mu     sync.Mutex
+	byStep map[stepKey][]start
+}
+
+// run is the runner of all workers; it is called once for each start.
+func (l *ledger) run(vm fleet.VMID, task platform.Task) memory.Run {
+	l.mu.Lock()
+	key := stepKey{task.Job, task.Step}
+	l.byStep[key] = append(l.byStep[key], start{vm, time.Now()})
+	l.mu.Unlock()
+	return memory.CommandRunner(vm, task)
+}
+
+// starts returns the starts of a step.
+func (l *ledger) starts(job fleet.JobID, step int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.byStep[stepKey{job, step}])
+}
+
+// most returns the most starts of any step of the jobs of a batch, and the
+// number of their steps that were started at all.
+func (l *ledger) most(b batch) (most, started int) {
+	for i, job := range b.jobs {
+		for step := range b.works[i].commands {
+			n := l.starts(job.ID, step)
+			most = max(most, n)
+			if n > 0 {
+				started++
+			}
+		}
+	}
+	return most, started
+}
+
+// inDataCentre returns the times of all starts in a data centre.
+func (l *ledger) inDataCentre(dc fleet.DataCentreName) []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var times []time.Time
+	for _, starts := range l.byStep {
+		for _, s := range starts {
+			if dataCentreOf(s.vm) == dc {
+				times = append(times, s.at)
+			}
+		}
+	}
+	return times
+}
+
+// after returns how many of the times are later than a limit.
+func after(times []time.Time, limit time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
+// dataCentreOf returns the data centre of a worker of the sample fleet.
+func dataCentreOf(vm fleet.VMID) fleet.DataCentreName {
+	if vm <= "w-04" {
+		return "dc-a"
+	}
+	return "dc-b"
+}
