Count the bytes between entries and the platform in the bench

Cause: the target of 4 KB/s of control traffic for each node includes the platform's services; so far only the peer link was counted. Change: the local fleet can reach the stand-in over HTTP; the bench counts bodies.

--- a/cmd/internal/bench/idle.go
+++ b/cmd/internal/bench/idle.go
@@ -23,6 +23,11 @@
 	StoreWrites float64 // a second
 	ListCalls   float64 // of the VM list, a second
 	WorkerCalls float64 // a second
+	// Bodies of requests and answers, bytes a second. They are JSON; headers are
+	// not counted.
+	StoreBytes  float64
+	ListBytes   float64
+	WorkerBytes float64
 }
 
 // MeasureIdle runs a fleet without work for a window and returns the means over
@@ -30,11 +35,15 @@
 // memory are included.
 func MeasureIdle(ctx context.Context, size Size, window time.Duration) (Idle, error) {
 	base := heap()
-	r, err := start(ctx, size, local.DefaultOptions())
+	traffic := &traffic{}
+	o := local.DefaultOptions()
+	o.OverHTTP = traffic.wrap
+	r, err := start(ctx, size, o)
 	if err != nil {
 		return Idle{}, err
 	}
 	time.Sleep(settle)
+	traffic.reset()
 	before, err := r.sample()
 	if err != nil {
 		return Idle{}, err
@@ -44,6 +53,7 @@
 	if err != nil {
 		return Idle{}, err
 	}
+	store, list, workers := traffic.sums()
 	memory := heap() - base
 	perSecond := 1 / window.Seconds() / float64(size.Entries)
 	idle := Idle{
@@ -56,6 +66,9 @@
 		StoreWrites: float64(after.writes-before.writes) * perSecond,
 		ListCalls:   float64(after.list-before.list) * perSecond,
 		WorkerCalls: float64(after.workers-before.workers) * perSecond,
+		StoreBytes:  float64(store) * perSecond,
+		ListBytes:   float64(list) * perSecond,
+		WorkerBytes: float64(workers) * perSecond,
 	}
 	return idle, r.Stop()
 }
@@ -101,10 +114,10 @@
 
 // WriteIdle writes rows as a table.
 func WriteIdle(w io.Writer, rows []Idle) {
-	_, _ = fmt.Fprintln(w, "entries workers pools teams files | core % | MB   | peer B/s frames/s | store reads/s writes/s | list/s workers/s")
+	_, _ = fmt.Fprintln(w, "DCs entries workers pools teams files | core %   MB | peer B/s frames/s | store reads/s writes/s   B/s | list/s    B/s | worker calls/s  B/s")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(w, "%7d %7d %5d %5d %5d | %6.2f | %4.1f | %8.0f %8.1f | %13.2f %8.2f | %6.2f %9.2f\n",
-			r.Entries, r.Workers, r.Pools, r.Teams, r.Files, r.CPUPart*100, r.MemoryBytes/(1<<20),
-			r.PeerBytes, r.PeerFrames, r.StoreReads, r.StoreWrites, r.ListCalls, r.WorkerCalls)
+		_, _ = fmt.Fprintf(w, "%3d %7d %7d %5d %5d %5d | %6.2f %4.1f | %8.0f %8.1f | %13.2f %8.2f %5.0f | %6.2f %6.0f | %14.2f %4.0f\n",
+			r.DataCentres, r.Entries, r.Workers, r.Pools, r.Teams, r.Files, r.CPUPart*100, r.MemoryBytes/(1<<20),
+			r.PeerBytes, r.PeerFrames, r.StoreReads, r.StoreWrites, r.StoreBytes, r.ListCalls, r.ListBytes, r.WorkerCalls, r.WorkerBytes)
 	}
 }
--- a/entry/local/local.go
+++ b/entry/local/local.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,7 +39,8 @@
 }
 
 const (
-	loopback = "127.0.0.1:0"
+	loopback          = "127.0.0.1:0"
+	readHeaderTimeout = 5 * time.Second
 
 	stopTimeout = 30 * time.Second
 )
@@ -51,7 +53,10 @@
 	Worker               fleet.VM // slots, connections and capacity of each worker
 	Platform             memory.Options
 	DrainDelay           time.Duration
-	Log                  *zap.Logger
+	// OverHTTP, if it is set, makes the entries reach the platform over HTTP on
+	// loopback, through the handler that it returns.
+	OverHTTP func(http.Handler) http.Handler
+	Log      *zap.Logger
 }
 
 // DefaultOptions describes the fleet of the sample folder.
@@ -79,6 +84,7 @@
 	secret string
 	number int // of entries started
 	links  *links
+	http   *httpPlatform // nil unless Options.OverHTTP is set
 }
 
 // Entry is one entry of the fleet.
@@ -109,6 +115,12 @@
 	if err := f.addWorkers(); err != nil {
 		return nil, errors.Join(err, f.Endpoints.Close())
 	}
+	if o.OverHTTP != nil {
+		var err error
+		if f.http, err = serveHTTP(f.Platform, o.OverHTTP); err != nil {
+			return nil, errors.Join(err, f.Endpoints.Close())
+		}
+	}
 	for range o.EntriesPerDataCentre {
 		for _, dc := range o.DataCentres {
 			if _, err := f.StartEntry(dc); err != nil {
@@ -154,10 +166,10 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	f.Platform.SetEntry(platform.EntryVM{ID: s.VM, DataCentre: dc, State: fleet.VMLive})
-	p := f.Platform.Node()
+	p, services := f.connect(s.VM)
 	inner, err := entry.New(entry.Options{
 		Settings: s, Clock: fleet.SystemClock{}, Log: f.o.Log.With(zap.String("vm", s.VM)),
-		Platform: entry.Platform{Table: p.Table, Objects: p.Objects, VMList: p.VMList, Workers: p.Workers, VMs: p.VMs},
+		Platform: services,
 		DialPeer: f.links.dialFrom(s.VM),
 	})
 	if err != nil {
@@ -174,6 +186,34 @@
 	return e, nil
 }
 
+// connect returns an entry's path to the platform, and the services over it.
+func (f *Fleet) connect(vm string) (*memory.Platform, entry.Platform) {
+	if f.http == nil {
+		p := f.Platform.Node()
+		return p, entry.Platform{Table: p.Table, Objects: p.Objects, VMList: p.VMList, Workers: p.Workers, VMs: p.VMs}
+	}
+	c := httpapi.NewClient(httpapi.ClientOptions{URL: f.http.url, Caller: vm})
+	return f.http.api.Node(vm), entry.Platform{Table: c.Table(), Objects: c.Objects(), VMList: c.VMList(), Workers: c.Workers(), VMs: c.VMs()}
+}
+
+// httpPlatform serves the platform over HTTP.
+type httpPlatform struct {
+	api    *httpapi.Server
+	server *http.Server
+	url    string
+}
+
+func serveHTTP(p *memory.Platform, wrap func(http.Handler) http.Handler) (*httpPlatform, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, fmt.Errorf("listen for the platform: %w", err)
+	}
+	h := &httpPlatform{api: httpapi.NewServer(p, nil), url: "http://" + l.Addr().String()}
+	h.server = &http.Server{Handler: wrap(h.api), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = h.server.Serve(l) }() // ends with Close
+	return h, nil
+}
+
 // Stop stops an entry gracefully and returns its error.
 func (e *Entry) Stop() error {
 	e.stop()
@@ -228,6 +268,9 @@
 			faults = errors.Join(faults, fmt.Errorf("entry %s has not stopped after %s", e.VM, stopTimeout))
 		}
 	}
+	if f.http != nil {
+		faults = errors.Join(faults, f.http.server.Close())
+	}
 	return errors.Join(faults, f.Endpoints.Close())
 }
 
