Read rows and the list of VMs as changes

Change: the platform interfaces have a conditional read of a row and a feed of VM changes; package cached turns them into the Table and VMList that the control packages use. Every read still asks the service, so it counts as evidence.

--- a/cmd/amaranthd/main.go
+++ b/cmd/amaranthd/main.go
@@ -68,7 +68,7 @@
 	p := httpapi.NewClient(httpapi.ClientOptions{URL: s.PlatformURL, Caller: s.VM})
 	e, err := entry.New(entry.Options{
 		Settings: s,
-		Platform: entry.Platform{Table: p.Table(), Objects: p.Objects(), VMList: p.VMList(), Workers: p.Workers(), VMs: p.VMs()},
+		Platform: entry.Platform{Table: p.Table(), Objects: p.Objects(), VMFeed: p.VMFeed(), Workers: p.Workers(), VMs: p.VMs()},
 		Clock:    fleet.SystemClock{},
 		Log:      log,
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,13 +18,14 @@
 	"amaranthfork.example/entry/peer"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/platform"
+	"amaranthfork.example/platform/cached"
 )
 
 // Platform bundles the platform's services.
 type Platform struct {
-	Table   platform.Table
+	Table   platform.ConditionalTable
 	Objects platform.Objects
-	VMList  platform.VMList
+	VMFeed  platform.VMFeed
 	Workers platform.Workers
 	VMs     platform.VMs
 }
@@ -42,6 +43,8 @@
 // Entry is one entry process.
 type Entry struct {
 	o       Options
+	table   platform.Table
+	vmList  platform.VMList
 	metrics *metrics.Registry
 	certs   *certs.Reloader
 	peerTLS *tls.Config
@@ -57,7 +60,13 @@
 
 // New opens the listeners. Callers are answered once Run has begun a session.
 func New(o Options) (*Entry, error) {
-	e := &Entry{o: o, metrics: metrics.New(o.Clock), aborted: make(chan struct{})}
+	e := &Entry{
+		o:       o,
+		table:   cached.NewTable(o.Platform.Table),
+		vmList:  cached.NewVMList(o.Platform.VMFeed),
+		metrics: metrics.New(o.Clock),
+		aborted: make(chan struct{}),
+	}
 	serverTLS, err := e.loadTLS()
 	if err != nil {
 		return nil, err
--- a/entry/local/local.go
+++ b/entry/local/local.go
@@ -190,10 +190,10 @@
 func (f *Fleet) connect(vm string) (*memory.Platform, entry.Platform) {
 	if f.http == nil {
 		p := f.Platform.Node()
-		return p, entry.Platform{Table: p.Table, Objects: p.Objects, VMList: p.VMList, Workers: p.Workers, VMs: p.VMs}
+		return p, entry.Platform{Table: p.Table, Objects: p.Objects, VMFeed: p.VMList, Workers: p.Workers, VMs: p.VMs}
 	}
 	c := httpapi.NewClient(httpapi.ClientOptions{URL: f.http.url, Caller: vm})
-	return f.http.api.Node(vm), entry.Platform{Table: c.Table(), Objects: c.Objects(), VMList: c.VMList(), Workers: c.Workers(), VMs: c.VMs()}
+	return f.http.api.Node(vm), entry.Platform{Table: c.Table(), Objects: c.Objects(), VMFeed: c.VMFeed(), Workers: c.Workers(), VMs: c.VMs()}
 }
 
 // httpPlatform serves the platform over HTTP.
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -102,7 +102,7 @@
 		list = append(list, api.Warning{Subject: "platform", Message: "the store cannot be reached from this entry",
 			Action: "check the table service; applies, moves and new non-idempotent work wait until it answers"})
 	}
-	warnings, err := balance.Warnings(ctx, o.entry.o.Platform.Table)
+	warnings, err := balance.Warnings(ctx, o.entry.table)
 	if err != nil {
 		return list
 	}
--- a/entry/plane.go
+++ b/entry/plane.go
@@ -105,18 +105,18 @@
 	p.members = member.New(member.Options{
 		Self:   self,
 		NewID:  func() string { return p.id },
-		Table:  o.Platform.Table,
-		VMs:    o.Platform.VMList,
+		Table:  p.entry.table,
+		VMs:    p.entry.vmList,
 		Caller: node,
 		Clock:  o.Clock,
 	})
 	builder := &snapshotBuilder{builder: config.NewBuilder(nil)}
 	p.view = view.New(view.Options{
-		Members: p.members, Table: o.Platform.Table, Objects: o.Platform.Objects, VMs: o.Platform.VMList,
+		Members: p.members, Table: p.entry.table, Objects: o.Platform.Objects, VMs: p.entry.vmList,
 		Caller: node, Clock: o.Clock, Builder: builder,
 	})
 	p.applier = apply.New(apply.Options{
-		View: p.view, Members: p.members, Table: o.Platform.Table, Caller: node, Clock: o.Clock, Builder: builder,
+		View: p.view, Members: p.members, Table: p.entry.table, Caller: node, Clock: o.Clock, Builder: builder,
 	})
 	p.members.Register(p.router)
 	p.view.Register(p.router)
@@ -131,14 +131,14 @@
 
 func (p *plane) buildDispatch() {
 	o := p.entry.o
-	p.poolMap = newPoolMap(o.Platform.Table, o.Clock, p.members, p.view)
-	p.shards = shards.New(shards.Options{Table: o.Platform.Table, Membership: p.members, Count: o.Settings.Shards})
+	p.poolMap = newPoolMap(p.entry.table, o.Clock, p.members, p.view)
+	p.shards = shards.New(shards.Options{Table: p.entry.table, Membership: p.members, Count: o.Settings.Shards})
 	p.limits = limits.New(limits.Options{
-		View: p.view, Membership: p.members, Table: o.Platform.Table, Caller: p.node, Clock: o.Clock,
+		View: p.view, Membership: p.members, Table: p.entry.table, Caller: p.node, Clock: o.Clock,
 		Recovered: newRecovered(o.Clock, p.shards.References).of,
 	}, p.router)
 	p.slots = slots.New(slots.Options{
-		View: p.view, Membership: p.members, Workers: o.Platform.Workers, List: o.Platform.VMList,
+		View: p.view, Membership: p.members, Workers: o.Platform.Workers, List: p.entry.vmList,
 		Pools: p.poolMap, Caller: p.node, Clock: o.Clock,
 		OnTaskEnd: func(ctx context.Context, end control.TaskEnd) error { return p.jobs.TaskEnded(ctx, end) },
 		OnEvent:   p.onSlotEvent,
@@ -154,7 +154,7 @@
 func (p *plane) buildJobs() {
 	o := p.entry.o
 	p.journal = journal.New(journal.Options{
-		Table: o.Platform.Table, Objects: o.Platform.Objects, Membership: p.members, Clock: o.Clock,
+		Table: p.entry.table, Objects: o.Platform.Objects, Membership: p.members, Clock: o.Clock,
 	})
 	p.jobs = jobs.New(jobs.Options{
 		Clock: o.Clock, Membership: p.members, View: p.view, Limits: teamLimits{p.limits},
@@ -170,16 +170,16 @@
 
 func (p *plane) buildControllers() {
 	o := p.entry.o
-	p.ledger = pools.NewLedger(pools.LedgerOptions{Table: o.Platform.Table, View: p.view, Clock: o.Clock})
+	p.ledger = pools.NewLedger(pools.LedgerOptions{Table: p.entry.table, View: p.view, Clock: o.Clock})
 	dispatch := &vmDispatch{slots: p.slots}
-	p.poolRole = role.New(role.Options{Name: pools.Name, Table: o.Platform.Table, Membership: p.members})
+	p.poolRole = role.New(role.Options{Name: pools.Name, Table: p.entry.table, Membership: p.members})
 	p.pools = pools.NewController(pools.Options{
-		Ledger: p.ledger, Role: p.poolRole, View: p.view, VMList: o.Platform.VMList, VMs: o.Platform.VMs,
+		Ledger: p.ledger, Role: p.poolRole, View: p.view, VMList: p.entry.vmList, VMs: o.Platform.VMs,
 		Dispatch: dispatch, Clock: o.Clock,
 	})
-	p.upRole = role.New(role.Options{Name: upkeep.Name, Table: o.Platform.Table, Membership: p.members})
+	p.upRole = role.New(role.Options{Name: upkeep.Name, Table: p.entry.table, Membership: p.members})
 	p.upkeep = upkeep.New(upkeep.Options{
-		Table: o.Platform.Table, Ledger: p.ledger, Role: p.upRole, View: p.view, VMList: o.Platform.VMList,
+		Table: p.entry.table, Ledger: p.ledger, Role: p.upRole, View: p.view, VMList: p.entry.vmList,
 		VMs: o.Platform.VMs, Dispatch: dispatch, Clock: o.Clock,
 	})
 }
@@ -189,9 +189,9 @@
 	p.load = load.New(load.Options{
 		Membership: p.members, Caller: p.node, Clock: o.Clock, Local: p.report,
 	}, p.router)
-	p.capRole = role.New(role.Options{Name: balance.Name, Table: o.Platform.Table, Membership: p.members})
+	p.capRole = role.New(role.Options{Name: balance.Name, Table: p.entry.table, Membership: p.members})
 	p.balance = balance.New(balance.Options{
-		Table: o.Platform.Table, VMList: o.Platform.VMList, Ledger: p.ledger, Role: p.capRole,
+		Table: p.entry.table, VMList: p.entry.vmList, Ledger: p.ledger, Role: p.capRole,
 		View: p.view, Load: p.load, Clock: o.Clock, OnMove: p.onMove,
 	})
 }
@@ -303,7 +303,7 @@
 		return nil
 	}
 	o := p.entry.o.Platform
-	sweeper := journal.Sweeper{Table: o.Table, Objects: o.Objects, Referenced: p.shards.Referenced, TxnID: uuid.NewString}
+	sweeper := journal.Sweeper{Table: p.entry.table, Objects: o.Objects, Referenced: p.shards.Referenced, TxnID: uuid.NewString}
 	_, err := sweeper.Sweep(ctx)
 	return err
 }
