Add the direct path to endpoints

Add entry/direct: a forwarder that passes whole answers only, sends non-idempotent requests once, and keeps within the entry's portion of each endpoint's connections. A connection is sealed before a failed request is reported as not run, so that the transport cannot send it afterwards. The transport cannot rewind the body of a non-idempotent request, which also keeps net/http from resending requests that carry an Idempotency-Key.

--- /dev/null
+++ b/entry/direct/direct_test.go
@@ -0,0 +1,497 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
+	"amaranthfork.example/platform/httpapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// entry is a forwarder behind an HTTP server.
+type entry struct {
+	*Forwarder
+	url   string
+	clock *fleettest.ManualClock
+
+	mu   sync.Mutex
+	errs []error
+	seen []Observation
+}
+
+// newEntry starts an entry whose endpoints have had the time to get their portion.
+func newEntry(t testing.TB, endpoints []Endpoint, change func(*Options)) *entry {
+	e := &entry{clock: fleettest.NewManualClock(start)}
+	var vms []fleet.VMID
+	for _, n := range endpoints {
+		vms = append(vms, n.VM)
+	}
+	o := Options{
+		DataCentre: "east", Clock: e.clock, StripHeaders: []string{"Authorization"},
+		Candidates: func(fleet.WorkspaceName) ([]fleet.VMID, error) { return vms, nil },
+		Observe: func(o Observation) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.seen = append(e.seen, o)
+		},
+	}
+	if change != nil {
+		change(&o)
+	}
+	f, err := New(o)
+	must(t, err)
+	e.Forwarder = f
+	e.Update(endpoints)
+	e.clock.Advance(DefaultGrowDelay)
+	e.Update(endpoints)
+	server := httptest.NewUnstartedServer(e)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	e.url = server.URL
+	t.Cleanup(func() {
+		server.Close()
+		f.Close()
+	})
+	return e
+}
+
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	err := e.Forward(w, r, Target{Workspace: "w", Path: r.URL.EscapedPath(), Team: "t"})
+	e.mu.Lock()
+	e.errs = append(e.errs, err)
+	e.mu.Unlock()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// last returns the error and observation of the last request.
+func (e *entry) last() (error, Observation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.errs[len(e.errs)-1], e.seen[len(e.seen)-1]
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// hosted opens endpoints of the platform stand-in for the VMs.
+func hosted(t testing.TB, vms ...fleet.VMID) (*httpapi.Endpoints, []Endpoint) {
+	host := httpapi.NewEndpoints(httpapi.EndpointOptions{})
+	t.Cleanup(func() { must(t, host.Close()) })
+	var list []Endpoint
+	for _, vm := range vms {
+		address, err := host.Open(vm)
+		must(t, err)
+		list = append(list, Endpoint{VM: vm, DataCentre: "east", Address: address, Entries: 1})
+	}
+	return host, list
+}
+
+// raw answers each connection to an endpoint with fixed bytes, after it has read
+// the request, and counts the requests.
+func raw(t testing.TB, answer string) (Endpoint, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	var arrivals atomic.Int64
+	var open sync.WaitGroup
+	open.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			open.Go(func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				arrivals.Add(1)
+				io.WriteString(conn, answer)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		open.Wait()
+	})
+	return Endpoint{VM: "raw", DataCentre: "east", Address: listener.Addr().String(), Entries: 1}, &arrivals
+}
+
+func closedPort(t testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// do sends a request as a caller and returns the whole answer.
+func do(t testing.TB, method, url, body string, header ...string) (status int, answer string, err error) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	must(t, err)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// TestOutcomes guards the verdict on each kind of failure and the number of
+// times that the request arrives: a non-idempotent request arrives at most once,
+// "not run" is true, and no caller takes a part of an answer for the whole.
+func TestOutcomes(t *testing.T) {
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	large := strings.Repeat("x", DefaultMaxBuffered+1)
+	tests := []struct {
+		name     string
+		answer   string
+		method   string
+		header   []string
+		outcome  fleet.Outcome
+		arrivals int64
+		status   int // 0 when the caller sees a broken answer
+	}{
+		{"whole", whole, "POST", nil, fleet.OutcomeCompleted, 1, 200},
+		{"reset after the request", "", "POST", nil, fleet.OutcomeUnknown, 1, 503},
+		{"reset after the request with an idempotency key", "", "POST", []string{"Idempotency-Key", "1"}, fleet.OutcomeUnknown, 1, 503},
+		{"reset, marked idempotent", "", "POST", []string{IdempotentHeader, "true"}, fleet.OutcomeUnknown, 3, 503},
+		{"reset, GET", "", "GET", nil, fleet.OutcomeUnknown, 3, 503},
+		{"truncated headers", "HTTP/1.1 200 OK\r\nContent-Le", "POST", nil, fleet.OutcomeUnknown, 1, 503},
+		{"truncated body", whole[:len(whole)-1], "POST", nil, fleet.OutcomeUnknown, 1, 503},
+		{"truncated chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "POST", nil, fleet.OutcomeUnknown, 1, 503},
+		{"no length", "HTTP/1.0 200 OK\r\n\r\nbody", "POST", nil, fleet.OutcomeUnknown, 1, 503},
+		{"upgrade", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", "POST", nil, fleet.OutcomeUnknown, 1, 503},
+		{"large", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large), large), "POST", nil, fleet.OutcomeCompleted, 1, 200},
+		{"large, truncated", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large)+1, large), "POST", nil, fleet.OutcomeUnknown, 1, 0},
+		{"large, truncated, GET", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large)+1, large), "GET", nil, fleet.OutcomeUnknown, 1, 0},
+		{"large, truncated chunk", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(large), large), "POST", nil, fleet.OutcomeUnknown, 1, 0},
+	}
+	for _, test := range tests {
+		endpoint, arrivals := raw(t, test.answer)
+		e := newEntry(t, []Endpoint{endpoint}, nil)
+		status, _, err := do(t, test.method, e.url, "x", test.header...)
+		if broken := test.status == 0; broken != (err != nil) || !broken && status != test.status {
+			t.Errorf("%s: caller saw status %d, %v", test.name, status, err)
+		}
+		e.mu.Lock()
+		got := e.seen[0]
+		e.mu.Unlock()
+		if got.Outcome != test.outcome || arrivals.Load() != test.arrivals {
+			t.Errorf("%s: outcome %s, %d arrivals; want %s, %d", test.name, got.Outcome, arrivals.Load(), test.outcome, test.arrivals)
+		}
+	}
+}
+
+// TestNotRun guards refusals: nothing may have reached an endpoint.
+func TestNotRun(t *testing.T) {
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	host, endpoints := hosted(t, "v")
+	refusing := []Endpoint{{VM: "r", DataCentre: "east", Address: closedPort(t), Entries: 1}}
+	leaving := slices.Clone(endpoints)
+	leaving[0].Leaving = true
+	crowded := slices.Clone(endpoints)
+	crowded[0].Entries = 65
+	stale := &fleet.Refusal{Reason: fleet.ReasonStaleView}
+	tests := []struct {
+		name      string
+		endpoints []Endpoint
+		body      string
+		change    func(*Options)
+		reason    fleet.Reason
+	}{
+		{"refused connection", refusing, "x", nil, fleet.ReasonNoCapacity},
+		{"no endpoint", nil, "x", nil, fleet.ReasonNoCapacity},
+		{"leaving endpoint", leaving, "x", nil, fleet.ReasonNoCapacity},
+		{"no portion", crowded, "x", nil, fleet.ReasonNoCapacity},
+		{"large request", endpoints, strings.Repeat("x", DefaultMaxRequest+1), nil, fleet.ReasonInvalid},
+		{"stale view", endpoints, "x", func(o *Options) {
+			o.Candidates = func(fleet.WorkspaceName) ([]fleet.VMID, error) { return nil, stale }
+		}, fleet.ReasonStaleView},
+	}
+	for _, test := range tests {
+		e := newEntry(t, test.endpoints, test.change)
+		_, _, err := do(t, "POST", e.url, test.body)
+		must(t, err)
+		err, seen := e.last()
+		var refusal *fleet.Refusal
+		if !errors.As(err, &refusal) || refusal.Reason != test.reason || seen.Outcome != fleet.OutcomeNotRun {
+			t.Errorf("%s: %v, %+v", test.name, err, seen)
+		}
+	}
+	if n := host.Stats()["v"].Requests; n != 0 {
+		t.Errorf("%d refused requests reached an endpoint", n)
+	}
+	// A refused connection is not sent, so that even a POST may try another endpoint.
+	e := newEntry(t, append(refusing, endpoints...), func(o *Options) { o.Random = func(int) int { return 0 } })
+	if status, _, err := do(t, "POST", e.url, "x"); status != 200 {
+		t.Errorf("POST after a refused connection: %d, %v", status, err)
+	}
+}
+
+// TestForwardedRequest guards what an endpoint and a caller see of each other.
+func TestForwardedRequest(t *testing.T) {
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	var got *http.Request
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		body, _ = io.ReadAll(r.Body)
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("X-Kept", "1")
+		w.WriteHeader(http.StatusTeapot)
+		io.WriteString(w, "tea")
+	}))
+	t.Cleanup(server.Close)
+	e := newEntry(t, []Endpoint{{VM: "v", Address: server.Listener.Addr().String(), Entries: 1}}, nil)
+	r, err := http.NewRequest("PUT", e.url+"/a%2Fb/c?q=1&q=2", strings.NewReader("hello"))
+	must(t, err)
+	r.Host = "caller.example"
+	r.Header = http.Header{
+		"Connection": {"X-Private"}, "X-Private": {"1"}, "Authorization": {"key"}, "Te": {"trailers"},
+		"X-Team": {"1", "2"}, "User-Agent": {"test"},
+	}
+	resp, err := http.DefaultClient.Do(r)
+	must(t, err)
+	answer, err := io.ReadAll(resp.Body)
+	must(t, err)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusTeapot || string(answer) != "tea" || resp.ContentLength != 3 ||
+		resp.Header.Get("X-Hop") != "" || resp.Header.Get("X-Kept") != "1" {
+		t.Errorf("answer %q, %+v", answer, resp)
+	}
+	if got.Method != "PUT" || got.RequestURI != "/a%2Fb/c?q=1&q=2" || got.Host != "caller.example" || string(body) != "hello" {
+		t.Errorf("request %s %s for %s with body %q", got.Method, got.RequestURI, got.Host, body)
+	}
+	for _, name := range []string{"X-Private", "Authorization", "Te"} {
+		if got.Header.Get(name) != "" {
+			t.Errorf("header %s was forwarded", name)
+		}
+	}
+	if len(got.Header["X-Team"]) != 2 {
+		t.Errorf("headers %v", got.Header)
+	}
+	if status, answer, err := do(t, "HEAD", e.url, ""); status != http.StatusTeapot || answer != "" || err != nil {
+		t.Errorf("HEAD: %d, %q, %v", status, answer, err)
+	}
+}
+
+// TestPortions guards the limit of an endpoint's connections when several
+// entries share it and one of them comes and goes under load.
+func TestPortions(t *testing.T) {
+	host, endpoints := hosted(t, "v")
+	transport := &http.Transport{MaxIdleConnsPerHost: 200}
+	defer transport.CloseIdleConnections()
+	share := func(entries int) []Endpoint {
+		list := slices.Clone(endpoints)
+		list[0].Entries = entries
+		return list
+	}
+	a := newEntry(t, share(1), nil)
+	b := newEntry(t, share(2), nil)
+	a.Update(share(2))
+	load := func() (done int64) {
+		var completed atomic.Int64
+		var callers sync.WaitGroup
+		for i := range 160 {
+			e := a
+			if i%2 == 0 {
+				e = b
+			}
+			callers.Go(func() {
+				for range 5 {
+					resp, err := (&http.Client{Transport: transport}).Get(e.url + "?delay=2ms")
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+					if resp.StatusCode == 200 {
+						completed.Add(1)
+					}
+				}
+			})
+		}
+		callers.Wait()
+		return completed.Load()
+	}
+	done := load()
+	stats := host.Stats()["v"]
+	if stats.Refused != 0 || stats.PeakConnections > 64 || stats.PeakConnections < 33 || done == 0 {
+		t.Errorf("%d completed with %+v", done, stats)
+	}
+	connections := func(e *entry) [2]int { return e.Connections()["v"] }
+	b.Update(share(4))
+	if c := connections(b); c[1] != 16 || c[0] > 16 {
+		t.Errorf("after a reduction: open %d of %d, want the portion at 16 at once", c[0], c[1])
+	}
+	b.Update(share(1))
+	b.clock.Advance(DefaultGrowDelay - time.Millisecond)
+	b.Update(share(1))
+	if c := connections(b); c[1] != 16 {
+		t.Errorf("portion of %d before the other entries have shrunk theirs", c[1])
+	}
+	b.clock.Advance(time.Millisecond)
+	b.Update(share(1))
+	if c := connections(b); c[1] != 64 {
+		t.Errorf("portion of %d after the delay, want 64", c[1])
+	}
+	b.Update(nil)
+	if c := connections(b); c != [2]int{} {
+		t.Errorf("an endpoint that is no longer known has connections: %v", c)
+	}
+	fresh, err := New(Options{Candidates: func(fleet.WorkspaceName) ([]fleet.VMID, error) { return nil, nil }, Clock: a.clock})
+	must(t, err)
+	fresh.Update(share(1))
+	if c := fresh.Connections()["v"]; c[1] != 0 {
+		t.Errorf("a new entry has a portion of %d at once", c[1])
+	}
+}
+
+// TestChoice guards which endpoints get requests: not leaving, in the own data
+// centre, less busy, and not failing.
+func TestChoice(t *testing.T) {
+	now := start
+	random := 0
+	s := newEndpointSet("east", 0, func(n int) int { random++; return random % n })
+	endpoint := func(vm fleet.VMID, dc fleet.DataCentreName) Endpoint {
+		return Endpoint{VM: vm, DataCentre: dc, Entries: 1, Connections: 10}
+	}
+	list := []Endpoint{endpoint("a", "east"), endpoint("b", "east"), endpoint("far", "west")}
+	all := []fleet.VMID{"a", "b", "far", "unknown"}
+	take := func(n int, last fleet.VMID) (leases []*lease, by map[fleet.VMID]int) {
+		by = map[fleet.VMID]int{}
+		for range n {
+			l, err := s.acquire(now, all, last)
+			if err != nil {
+				break
+			}
+			by[l.vm]++
+			leases = append(leases, l)
+		}
+		return leases, by
+	}
+	end := func(leases []*lease, ok bool) {
+		for _, l := range leases {
+			s.release(now, l, ok)
+		}
+	}
+	check := func(what string, by map[fleet.VMID]int, want string) {
+		t.Helper()
+		if got := fmt.Sprint(by); got != want {
+			t.Errorf("%s: got %s, want %s", what, got, want)
+		}
+	}
+	s.update(now, list)
+	leases, by := take(8, "")
+	check("less busy of the own data centre", by, "map[a:4 b:4]")
+	more, by := take(50, "")
+	check("all connections", by, "map[a:6 b:6 far:10]")
+	end(append(leases, more...), true)
+	leases, by = take(3, "a")
+	check("not the last one", by, "map[b:3]")
+	end(leases, true)
+	list[0].Leaving = true
+	s.update(now, list)
+	leases, by = take(3, "")
+	check("leaving", by, "map[b:3]")
+	end(leases, false) // ejects b
+	leases, by = take(3, "")
+	check("ejected", by, "map[far:3]")
+	end(leases, true)
+	now = now.Add(ejectTime + returnTime/2)
+	leases, by = take(20, "")
+	check("half of the way back", by, "map[b:5 far:10]")
+	end(leases, true)
+	l, err := s.acquire(now, []fleet.VMID{"b"}, "")
+	must(t, err)
+	s.release(now, l, false)
+	now = now.Add(2*ejectTime - 1)
+	_, by = take(1, "")
+	check("ejected for longer after a failure on the way back", by, "map[far:1]")
+	l, err = s.acquire(now, []fleet.VMID{"b"}, "")
+	must(t, err) // an ejected endpoint is better than none
+	s.release(now, l, true)
+	now = now.Add(1 + returnTime)
+	leases, by = take(11, "")
+	check("back", by, "map[b:10 far:1]")
+	end(leases, true)
+}
+
+// TestRetryBudget guards against retries that multiply the load.
+func TestRetryBudget(t *testing.T) {
+	b := newRetryBudget()
+	retries := func() (n int) {
+		for b.take(start, "t") {
+			n++
+		}
+		return n
+	}
+	for range 100 {
+		b.succeeded(start, "t")
+	}
+	if n := retries(); n != 10 {
+		t.Errorf("%d retries after 100 successes, want 10", n)
+	}
+	if !b.take(start, "other") {
+		t.Error("the budget of a team was spent by another")
+	}
+	start := start.Add(retryWindow * time.Second)
+	if !b.take(start, "t") || !b.take(start, "t") || !b.take(start, "t") || b.take(start, "t") {
+		t.Errorf("the budget without recent successes is not %d", minRetries)
+	}
+}
+
+// TestSeal guards the proof that nothing was sent: a connection that is given up
+// writes nothing any more.
+func TestSeal(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near, closed: func() {}}
+	defer c.Close()
+	c.mark()
+	if c.seal() {
+		t.Error("nothing was written")
+	}
+	if _, err := c.Write([]byte("x")); !errors.Is(err, errSealed) {
+		t.Errorf("write after the seal: %v", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := newTransport(func() bool { return false }, func() {}).DialContext(ctx, "tcp", "127.0.0.1:1"); !errors.Is(err, errNoSlot) {
+		t.Errorf("connection over the portion: %v", err)
+	}
+}
