Fence a majority only when it is known to be dead

Random tests showed valid sessions that had been fenced: a majority without the store went on by agreement while a newcomer or a lone member fenced it. Members that may be running are now fenced by settled members while half of the settled ones renew, and otherwise after a minute.

--- a/control/apply/apply.go
+++ b/control/apply/apply.go
@@ -268,7 +268,7 @@
 		Writes: []platform.Write{{Key: key, Value: row}, {Key: view.HeadKey, Value: value}},
 	})
 	if err != nil {
-		return err
+		return member.CommitError(err)
 	}
 	return o.c.o.View.Install(head.Revision+1, o.change)
 }
--- /dev/null
+++ b/control/apply/blocking_test.go
@@ -0,0 +1,79 @@
+package apply_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthfork.example/control/apply"
+	"amaranthfork.example/control/view"
+)
+
+// live runs the nodes in goroutines on the clock of the bubble until the test ends.
+func live(ctx context.Context, c *cluster) {
+	for _, n := range c.nodes {
+		go func() {
+			ticker := time.NewTicker(view.TickEvery)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ticker.C:
+					_ = n.members.Tick(ctx)
+					_ = n.view.Tick(ctx)
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	}
+}
+
+// Guards against races of concurrent ticks and applies (with the race detector),
+// against two winners on one base, and against an Apply that does not return.
+func TestConcurrentApplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, 6, 3)
+		c.bubble, c.bubbleStart = true, time.Now().Add(-c.now)
+		ctx, cancel := context.WithCancel(t.Context())
+		live(ctx, c)
+		time.Sleep(3 * time.Second)
+		var mu sync.Mutex
+		won, lost := 0, 0
+		var wg sync.WaitGroup
+		for i, n := range c.nodes {
+			wg.Go(func() {
+				result, err := n.apply.Apply(ctx, change(fmt.Sprint("racer", i), 1))
+				mu.Lock()
+				defer mu.Unlock()
+				var conflict *apply.ConflictError
+				switch {
+				case err == nil && result.Accepted && result.Revision == 2:
+					won++
+				case errors.As(err, &conflict) && conflict.Winner == 2:
+					lost++
+				default:
+					t.Errorf("racer %d: %+v, %v", i, result, err)
+				}
+			})
+		}
+		wg.Wait()
+		if won != 1 || lost != 5 {
+			t.Errorf("%d won and %d lost, want 1 and 5", won, lost)
+		}
+		for _, n := range c.nodes[1:] {
+			n.faults.SetDown(true)
+		}
+		c.partition(true, func(n *node) bool { return n == c.nodes[0] })
+		began := time.Now()
+		result, err := c.nodes[0].apply.Apply(ctx, change("pending", 2))
+		if took := time.Since(began); err != nil || result.Accepted || len(result.Waiting) != 5 || took > apply.DefaultMaxWait+time.Second {
+			t.Errorf("an apply that one of six has: %+v, %v after %v", result, err, took)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/control/member/list.go
+++ b/control/member/list.go
@@ -181,6 +181,14 @@
 	return 2*confirmed >= len(settled)
 }
 
+// replaced reports whether a newer session runs on the VM of a member. A VM runs
+// one entry process, so the older session has ended.
+func (l List) replaced(e Entry) bool {
+	return e.Member.VM != "" && slices.ContainsFunc(l.Entries, func(other Entry) bool {
+		return other.Member.VM == e.Member.VM && other.Joined > e.Joined
+	})
+}
+
 // Outvoted reports whether silent members could still reach an outage agreement
 // without any of the confirmed ones, should the VMs of all confirmed ones be
 // lost. Such an agreement needs more than half of the members that were settled
--- a/control/member/registry.go
+++ b/control/member/registry.go
@@ -22,6 +22,10 @@
 	// UsableTTL is the time, from before the renewal was sent, for which the
 	// holder uses its session. The rest is the margin for pauses and drift.
 	UsableTTL = TTL * 7 / 10
+	// DefaultMajorityTTL outlasts most partitions. Members that are the majority
+	// may go on by an outage agreement while a few that reach the store, but not
+	// them, see no renewals.
+	DefaultMajorityTTL = time.Minute
 	// RenewEvery is the time between renewals.
 	RenewEvery = 2 * time.Second
 	// TickEvery is the time between calls of Tick.
@@ -48,6 +52,10 @@
 	VMs    platform.VMList // optional; without it fenced members count as dead
 	Caller rpc.Caller      // optional; renews through peers while the store is out of reach
 	Clock  fleet.Clock
+	// MajorityTTL is the time without renewal after which members are fenced that
+	// together are the majority and whose VMs are still shown as live. 0 means
+	// DefaultMajorityTTL.
+	MajorityTTL time.Duration
 }
 
 // Registry keeps the own session and the known member list. It is safe for
@@ -74,6 +82,9 @@
 
 // New returns a registry without a session.
 func New(o Options) *Registry {
+	if o.MajorityTTL == 0 {
+		o.MajorityTTL = DefaultMajorityTTL
+	}
 	return &Registry{o: o, self: o.Self, watch: watch{rows: map[string]observation{}}}
 }
 
@@ -402,7 +413,17 @@
 func (r *Registry) commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.o.Table.Commit(ctx, txn)
+	versions, err := r.o.Table.Commit(ctx, txn)
+	return versions, CommitError(err)
+}
+
+// CommitError returns the error of a commit, where the end of a context counts as
+// platform.ErrUnknown: the table may have got the transaction.
+func CommitError(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+	return err
 }
 
 // rangeAll reads all rows with a prefix.
--- a/control/member/tick.go
+++ b/control/member/tick.go
@@ -48,6 +48,7 @@
 type observation struct {
 	version uint64
 	since   time.Time
+	renewed bool // the version changed while it was watched
 }
 
 // watch holds what was observed of the renewals of others.
@@ -78,11 +79,14 @@
 	r.mu.Lock()
 	has := r.sessionVersion > 0
 	due := !r.o.Clock.Now().Before(r.renewed.Add(RenewEvery))
+	suspicion := r.watch.all
 	r.mu.Unlock()
-	if !has {
+	switch {
+	case !has:
 		return ErrNoSession
-	}
-	if !due {
+	case !due && suspicion:
+		return r.tend(ctx) // so that the end of the TTL is not missed by a renewal period
+	case !due:
 		return nil
 	}
 	if err := r.renew(ctx); err != nil {
@@ -310,7 +314,7 @@
 		id := strings.TrimPrefix(row.Key, heartbeatKey)
 		o, ok := w.rows[id]
 		if !ok || o.version != row.Version {
-			o = observation{version: row.Version, since: now}
+			o = observation{version: row.Version, since: now, renewed: ok}
 		}
 		seen[id] = o
 		if id != r.self.ID && now.Sub(o.since) >= fenceGone {
@@ -352,7 +356,7 @@
 	for _, row := range rows {
 		id := strings.TrimPrefix(row.Key, heartbeatKey)
 		limit := TTL
-		if e, ok := r.list.Find(id); ok && r.watch.vms[e.Member.VM] == fleet.VMGone {
+		if e, ok := r.list.Find(id); ok && (r.watch.vms[e.Member.VM] == fleet.VMGone || r.list.replaced(e)) {
 			limit = fenceGone
 		}
 		if now.Sub(r.watch.rows[id].since) >= limit {
@@ -369,6 +373,9 @@
 	if err != nil {
 		return err
 	}
+	if silent = r.mayFence(list, silent); len(silent) == 0 {
+		return nil
+	}
 	conditions := []platform.Condition{r.Session()}
 	var ids []string
 	known, err := listVersions(silent)
@@ -393,6 +400,47 @@
 	return nil // a lost race or answer shows at the next observation
 }
 
+// mayFence returns the silent members that may be fenced. Members that are not
+// known to be dead are fenced only by a settled member, and only while half of
+// the settled ones renew: otherwise they may be the majority and go on by an
+// outage agreement on a list that does not name this entry.
+func (r *Registry) mayFence(list List, silent []platform.Row) []platform.Row {
+	now := r.o.Clock.Now()
+	half := r.MayCoordinate() && r.halfRenew(list)
+	var may []platform.Row
+	for _, row := range silent {
+		id := strings.TrimPrefix(row.Key, heartbeatKey)
+		e, listed := list.Find(id)
+		r.mu.Lock()
+		since := r.watch.rows[id].since
+		r.mu.Unlock()
+		if half || !listed || list.replaced(e) || r.dead(e.Member.VM) || now.Sub(since) >= r.o.MajorityTTL {
+			may = append(may, row)
+		}
+	}
+	return may
+}
+
+// halfRenew reports whether at least half of the settled members, including
+// fenced ones that may still be running, were seen to renew lately.
+func (r *Registry) halfRenew(list List) bool {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	renewing, all := 0, 0
+	for _, e := range append(list.Settled(), list.Fenced...) {
+		if e.SettledAt == 0 {
+			continue
+		}
+		all++
+		o := r.watch.rows[e.Member.ID]
+		if e.Member.ID == r.self.ID || o.renewed && now.Sub(o.since) < fenceGone {
+			renewing++
+		}
+	}
+	return 2*renewing >= all && renewing > 0
+}
+
 // settle marks the members that may coordinate from now on, and forgets fenced
 // ones that are dead.
 func (r *Registry) settle(ctx context.Context, known map[string]uint64) error {
