Let a newly settled member wait for the TTL before it fences

go test ./control/apply -run Random -rapid.seed= -rapid.checks=1 -rapid.steps=70 failed before: a newcomer fenced an entry whose session had been extended by an agreement less than 4.2 s earlier. It passes now, and a scenario test repeats the case. A commit whose context ends counts as unknown.

--- a/control/apply/apply_test.go
+++ b/control/apply/apply_test.go
@@ -182,21 +182,25 @@
 	if err := c.nodes[0].change("lost-answer", 1); err != nil {
 		t.Fatalf("the lost answer was not read back: %v", err)
 	}
-	op, err := c.nodes[1].apply.Begin(t.Context(), change("orphan", 2))
+	c.nodes[0].lateCommit = true
+	if err := c.nodes[0].change("late", 2); err != nil {
+		t.Fatalf("the commit that ended late was not read back: %v", err)
+	}
+	op, err := c.nodes[1].apply.Begin(t.Context(), change("orphan", 3))
 	if err != nil {
 		t.Fatal(err)
 	}
 	_ = op // its coordinator dies before the first step
 	c.nodes[1].kill(true)
 	c.advance(time.Second)
-	if err := c.nodes[2].change("orphan", 2); err != nil {
+	if err := c.nodes[2].change("orphan", 3); err != nil {
 		t.Fatalf("retry at another entry: %v", err)
 	}
 	c.advance(4 * time.Second)
-	if c.changes["orphan"] != 3 || c.accepted[3] == 0 {
-		t.Errorf("the retry made revision %d, accepted at %v; want 3", c.changes["orphan"], c.accepted[3])
+	if c.changes["orphan"] != 4 || c.accepted[4] == 0 {
+		t.Errorf("the retry made revision %d, accepted at %v; want 4", c.changes["orphan"], c.accepted[4])
 	}
-	if err := c.nodes[3].change("orphan", 2); err != nil || c.nodes[3].view.Revision() != 3 {
+	if err := c.nodes[3].change("orphan", 3); err != nil || c.nodes[3].view.Revision() != 4 {
 		t.Errorf("the second retry gave %v at revision %d", err, c.nodes[3].view.Revision())
 	}
 }
@@ -261,6 +265,27 @@
 	}
 }
 
+// Guards against a newcomer that fences an entry as soon as it may: the entry may
+// have agreed with the others until they learned of the newcomer.
+func TestNewEntryWaitsBeforeItFences(t *testing.T) {
+	c := start(t, 6, 3)
+	c.storeDown(true, all)
+	newcomer := c.add("d", 1)
+	c.partition(true, func(n *node) bool { return n == newcomer })
+	if err := newcomer.join(); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(10 * time.Second)
+	clear(c.cut)
+	cut := func(n *node) bool { return n == c.nodes[0] }
+	c.partition(true, cut)
+	c.storeDown(false, func(n *node) bool { return !cut(n) })
+	c.advance(15 * time.Second)
+	if c.listed(c.nodes[0]) {
+		t.Error("the entry that is out of reach is never fenced")
+	}
+}
+
 // Guards against a newcomer's change that is refused where a settled member is
 // in reach.
 func TestNewEntryForwards(t *testing.T) {
--- a/control/apply/cluster_test.go
+++ b/control/apply/cluster_test.go
@@ -64,6 +64,8 @@
 	ops     []*apply.Operation
 	// noMethod is a peer method whose answers to this node are lost.
 	noMethod string
+	// lateCommit makes commits of changes take effect after their context has ended.
+	lateCommit bool
 	// beforeChange runs once before the next commit of a change.
 	beforeChange func()
 	mu           sync.Mutex // guards traffic against concurrent calls
@@ -136,7 +138,11 @@
 		hook()
 	}
 	p.n.count(func(t *traffic) { t.commit(txn) })
-	return p.Table.Commit(ctx, txn)
+	versions, err := p.Table.Commit(ctx, txn)
+	if p.n.lateCommit && strings.HasPrefix(txn.ID, "apply/") {
+		return nil, context.DeadlineExceeded
+	}
+	return versions, err
 }
 
 // List is the VM list.
--- a/control/member/registry.go
+++ b/control/member/registry.go
@@ -71,7 +71,8 @@
 	renewed        time.Time // start of the last renewal in the store
 	sequence       uint64
 	list           List
-	peer           int // rotates the linked peers asked to renew
+	settled        time.Time // when this member was first seen as settled
+	peer           int       // rotates the linked peers asked to renew
 	via            hint
 	failed         hint // the last hint that was wrong
 
@@ -212,10 +213,16 @@
 
 // Install takes a newer member list that a peer has read from the store.
 func (r *Registry) Install(list List) {
+	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if list.Version > r.list.Version {
-		r.list = list
+	if list.Version <= r.list.Version {
+		return
+	}
+	r.list = list
+	e, ok := list.Find(r.self.ID)
+	if ok && e.SettledAt > 0 && r.settled.IsZero() {
+		r.settled = now
 	}
 }
 
@@ -250,6 +257,7 @@
 	}
 	r.self.ID = r.o.NewID()
 	r.sessionVersion, r.leased, r.renewed, r.sequence = 0, false, time.Time{}, 0
+	r.settled = time.Time{}
 	r.watch.reset()
 }
 
--- a/control/member/tick.go
+++ b/control/member/tick.go
@@ -401,12 +401,13 @@
 }
 
 // mayFence returns the silent members that may be fenced. Members that are not
-// known to be dead are fenced only by a settled member, and only while half of
-// the settled ones renew: otherwise they may be the majority and go on by an
-// outage agreement on a list that does not name this entry.
+// known to be dead are fenced only while half of the settled ones renew, and by a
+// member that has been settled for the TTL: otherwise they may be the majority,
+// or may have been until lately, and go on by an outage agreement on a list that
+// does not name this entry.
 func (r *Registry) mayFence(list List, silent []platform.Row) []platform.Row {
 	now := r.o.Clock.Now()
-	half := r.MayCoordinate() && r.halfRenew(list)
+	half := r.settledFor(now) >= TTL && r.halfRenew(list)
 	var may []platform.Row
 	for _, row := range silent {
 		id := strings.TrimPrefix(row.Key, heartbeatKey)
@@ -421,6 +422,16 @@
 	return may
 }
 
+// settledFor returns the time since this member was first seen as settled.
+func (r *Registry) settledFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.settled.IsZero() {
+		return 0
+	}
+	return now.Sub(r.settled)
+}
+
 // halfRenew reports whether at least half of the settled members, including
 // fenced ones that may still be running, were seen to renew lately.
 func (r *Registry) halfRenew(list List) bool {
