--- a/control/apply/cluster_test.go
+++ b/control/apply/cluster_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,10 +41,13 @@
 	gone     map[string]bool // VMs
 	nodes    []*node
 	cut      map[[2]*node]bool
-	calls    int
+	calls    atomic.Int64
 	sessions int
-	accepted map[fleet.Revision]time.Duration
-	changes  map[string]fleet.Revision
+	// bubble makes the clock of a synctest bubble the global one.
+	bubble      bool
+	bubbleStart time.Time
+	accepted    map[fleet.Revision]time.Duration
+	changes     map[string]fleet.Revision
 }
 
 type node struct {
@@ -59,8 +64,12 @@
 	ops     []*apply.Operation
 	// noMethod is a peer method whose answers to this node are lost.
 	noMethod string
+	// lateCommit makes commits of changes take effect after their context has ended.
+	lateCommit bool
 	// beforeChange runs once before the next commit of a change.
 	beforeChange func()
+	mu           sync.Mutex // guards traffic against concurrent calls
+	traffic      traffic
 	phase        time.Duration
 	off          bool // killed or left
 	paused       bool
@@ -77,12 +86,15 @@
 
 // Now is the clock of the node.
 func (n *node) Now() time.Time {
+	if n.c.bubble {
+		return epoch.Add(time.Duration(float64(time.Since(n.c.bubbleStart)) * n.rate))
+	}
 	return epoch.Add(time.Duration(float64(n.c.now) * n.rate))
 }
 
 // Call passes a call on unless the nodes are cut off from each other.
 func (n *node) Call(ctx context.Context, to, method string, req, resp any) error {
-	n.c.calls++
+	n.c.calls.Add(1)
 	for _, other := range n.c.nodes {
 		if other.members.Self().ID == to && (other.paused || n.c.cut[[2]*node{n, other}]) {
 			return rpc.ErrUnreachable
@@ -91,7 +103,15 @@
 	if method == n.noMethod {
 		return rpc.ErrNoAnswer
 	}
-	return n.caller.Call(ctx, to, method, req, resp)
+	err := n.caller.Call(ctx, to, method, req, resp)
+	n.count(func(t *traffic) { t.call(method, req, resp) })
+	return err
+}
+
+func (n *node) count(fn func(*traffic)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	fn(&n.traffic)
 }
 
 // path is the table as a node reaches it.
@@ -100,12 +120,29 @@
 	n *node
 }
 
+func (p path) Get(ctx context.Context, key string) (platform.Row, error) {
+	row, err := p.Table.Get(ctx, key)
+	p.n.count(func(t *traffic) { t.rows(row) })
+	return row, err
+}
+
+func (p path) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := p.Table.Range(ctx, prefix, after, limit)
+	p.n.count(func(t *traffic) { t.rows(rows...) })
+	return rows, err
+}
+
 func (p path) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
 	if hook := p.n.beforeChange; hook != nil && strings.HasPrefix(txn.ID, "apply/") {
 		p.n.beforeChange = nil
 		hook()
 	}
-	return p.Table.Commit(ctx, txn)
+	p.n.count(func(t *traffic) { t.commit(txn) })
+	versions, err := p.Table.Commit(ctx, txn)
+	if p.n.lateCommit && strings.HasPrefix(txn.ID, "apply/") {
+		return nil, context.DeadlineExceeded
+	}
+	return versions, err
 }
 
 // List is the VM list.
@@ -141,7 +178,7 @@
 	n.members = member.New(member.Options{
 		Self:  control.Member{DataCentre: n.dc, VM: n.vm},
 		NewID: func() string { c.sessions++; return fmt.Sprintf("s%03d", c.sessions) },
-		Table: table, VMs: c, Caller: n, Clock: n,
+		Table: table, VMs: c, Caller: n, Clock: n, MajorityTTL: time.Hour,
 	})
 	n.view = view.New(view.Options{Members: n.members, Table: table, Objects: c.objects.Via(n.faults), VMs: c,
 		Caller: n, Clock: n, Builder: view.BuilderFunc(build)})
@@ -247,6 +284,9 @@
 			c.t.Fatalf("%v: %s went from revision %d to %d", c.now, n.vm, n.highest, revision)
 		}
 		n.highest = revision
+		if n.members.Valid() == nil && !c.listed(n) {
+			c.t.Fatalf("%v: %s has a valid session that was fenced\n%s", c.now, n.vm, c.dump())
+		}
 		if n.view.Fresh() != nil {
 			continue
 		}
