--- a/control/slots/fakes_test.go
+++ b/control/slots/fakes_test.go
@@ -59,26 +59,27 @@
 
 // world is the platform and the entries.
 type world struct {
-	clock      *clock
-	network    *rpctest.Network
-	workers    map[fleet.VMID]*worker
-	vmIDs      []fleet.VMID
-	assigned   map[fleet.VMID]Assignment
-	entries    []*entry
-	members    control.Members
-	config     *config.Snapshot
-	superseded map[*config.Snapshot]time.Time
-	changed    map[uint64]time.Time // when versions of the member list were superseded
-	outAt      map[fleet.DataCentreName]time.Time
-	leavingAt  map[fleet.VMID]time.Time
-	drainedAt  map[fleet.VMID]time.Time
-	steps      int
-	held       []heldStart
-	started    map[fleet.AttemptID]fleet.VMID
-	proved     map[fleet.AttemptID]string // attempts that were said not to run
-	ended      map[fleet.AttemptID][]control.TaskEnd
-	deaf       int // reports of ends that fail
-	fault      string
+	clock       *clock
+	network     *rpctest.Network
+	workers     map[fleet.VMID]*worker
+	vmIDs       []fleet.VMID
+	assigned    map[fleet.VMID]Assignment
+	entries     []*entry
+	members     control.Members
+	config      *config.Snapshot
+	superseded  map[*config.Snapshot]time.Time
+	changed     map[uint64]time.Time // when versions of the member list were superseded
+	outAt       map[fleet.DataCentreName]time.Time
+	leavingAt   map[fleet.VMID]time.Time
+	drainedAt   map[fleet.VMID]time.Time
+	duringTasks func() // runs once after a list was made, before its answer
+	steps       int
+	held        []heldStart
+	started     map[fleet.AttemptID]fleet.VMID
+	proved      map[fleet.AttemptID]string // attempts that were said not to run
+	ended       map[fleet.AttemptID][]control.TaskEnd
+	deaf        int // reports of ends that fail
+	fault       string
 }
 
 func newWorld(dcs, entriesPerDC, vmsPerDC int) *world {
@@ -268,6 +269,10 @@
 	for _, task := range k.tasks {
 		list = append(list, *task)
 	}
+	if hook := w.duringTasks; hook != nil {
+		w.duringTasks = nil
+		hook()
+	}
 	return list, k.answer()
 }
 
--- a/control/slots/lease.go
+++ b/control/slots/lease.go
@@ -189,12 +189,13 @@
 	if v.leased(now) && !prove {
 		return false
 	}
-	if v.epoch == 0 || v.ready {
+	epoch := max(s.shardMapNow().version<<epochBits, s.floors[v.vm.ID], v.epoch)
+	if v.ready {
 		// The lease may have lapsed since the last list, or starts are
 		// unresolved: the next list must prove that they are refused.
-		v.epoch = max(s.shardMapNow().version<<epochBits, s.floors[v.vm.ID], v.epoch+1)
+		epoch = max(epoch, v.epoch+1)
 	}
-	v.epoch = max(v.epoch, s.shardMapNow().version<<epochBits, s.floors[v.vm.ID])
+	v.epoch = epoch
 	v.ready = false
 	v.leasedAt = time.Time{}
 	return true
--- a/control/slots/scenario_test.go
+++ b/control/slots/scenario_test.go
@@ -238,6 +238,95 @@
 				t.Errorf("worker that fails everything is %s", w.entries[0].slots.health.State(bad))
 			}
 		}},
+		{"takeover counts running tasks before it gives out slots", 1, 2, 1, func(t *testing.T, w *world) {
+			w.mustPlace(t, "a")
+			k := w.mustPlace(t, "b")
+			w.fence(w.owner(k.vm.ID))
+			w.learnMembers()
+			next := w.entries[0]
+			if !next.valid {
+				next = w.entries[1]
+			}
+			w.duringTasks = func() {
+				if _, err := next.slots.Reserve(ctx, "dc00", request("c", 500)); err == nil {
+					t.Error("gave out a slot before the task list was read")
+				}
+			}
+			_ = next.slots.TickList(ctx)
+			next.slots.TickLeases(ctx)
+			if _, err := next.slots.Reserve(ctx, "dc00", request("d", 500)); !refused(err) || w.duringTasks != nil {
+				t.Errorf("gave out a slot of a full VM: %v", err)
+			}
+		}},
+		{"attempt is burnt while a lookup reads the list", 1, 1, 1, func(t *testing.T, w *world) {
+			e := w.entries[0]
+			w.duringTasks = func() { _, _ = w.place(t, e, "dc00", "a") }
+			if _, end, known := e.slots.Lookup(ctx, w.vmIDs[0], "a"); known && end.NotStarted {
+				w.denied("a", "Lookup")
+			}
+		}},
+		{"task started while a list is read is not lost", 1, 1, 1, func(t *testing.T, w *world) {
+			w.mustPlace(t, "a")
+			w.duringTasks = func() { w.mustPlace(t, "b") }
+			w.run(time.Second)
+			if stats := w.entries[0].slots.Stats(); stats.Running != 2 || stats.LostTasks != 0 {
+				t.Errorf("%+v", stats)
+			}
+		}},
+		{"worker that lost its list", 1, 1, 1, func(t *testing.T, w *world) {
+			k := w.mustPlace(t, "a")
+			clear(k.tasks)
+			w.run(time.Second)
+			if end := w.onlyEnd(t, "a"); end.State != "" || end.NotStarted {
+				t.Errorf("%+v, want a lost task", end)
+			}
+			if _, end, known := w.entries[0].slots.Lookup(ctx, k.vm.ID, "b"); known && end.NotStarted {
+				t.Error("absence proves nothing after the worker lost its list")
+			}
+		}},
+		{"resumed owner does not report tasks of the new owner as lost", 1, 2, 1, func(t *testing.T, w *world) {
+			k := w.mustPlace(t, "a")
+			old := w.owner(k.vm.ID)
+			old.paused = true
+			w.fence(old)
+			w.learnMembers()
+			w.run(lostAfter + 10*time.Second)
+			old.paused = false
+			w.run(time.Second)
+			if !w.running("a") || len(w.ended["a"]) > 0 {
+				t.Errorf("task ended: %+v", w.ended["a"])
+			}
+		}},
+		{"owner that was fenced does not call tasks lost", 1, 2, 1, func(t *testing.T, w *world) {
+			k := w.workers[w.vmIDs[0]]
+			old := w.owner(k.vm.ID)
+			k.down = true
+			w.run(lostAfter + 5*time.Second)
+			k.down = false
+			other := w.entries[0]
+			if other == old {
+				other = w.entries[1]
+			}
+			w.setMembers([]control.Member{other.member})
+			other.members = w.members // old has not heard of it
+			_ = other.slots.TickList(ctx)
+			other.slots.TickLeases(ctx)
+			if _, err := w.place(t, other, "dc00", "a"); err != nil {
+				t.Fatal(err)
+			}
+			old.slots.TickLeases(ctx)
+			if _, end, known := old.slots.Lookup(ctx, k.vm.ID, "a"); known && end != nil && w.running("a") {
+				t.Errorf("running task: %+v", end)
+			}
+		}},
+		{"renewals with lost answers", 1, 1, 1, func(t *testing.T, w *world) {
+			k := w.mustPlace(t, "a")
+			k.lose = 1 << 20
+			w.run(2 * lostAfter) // takeEnd checks that the task does not run when it is reported
+			if end := w.onlyEnd(t, "a"); end.State != "" {
+				t.Errorf("%+v", end)
+			}
+		}},
 		{"cancel", 1, 2, 2, func(t *testing.T, w *world) {
 			k := w.mustPlace(t, "a")
 			if err := w.entries[1].slots.Cancel(ctx, k.vm.ID, "a"); err != nil {
@@ -264,6 +353,53 @@
 	}
 }
 
+// TestStartChecks guards against a start although something that must hold
+// directly before it has ended since the reservation.
+func TestStartChecks(t *testing.T) {
+	ctx := context.Background()
+	list := func(w *world) { _ = w.entries[0].slots.TickList(ctx) }
+	cases := map[string]func(w *world, k *worker){
+		"nothing":  func(*world, *worker) {},
+		"lease":    func(w *world, _ *worker) { w.advance(2900 * time.Millisecond); list(w) },
+		"evidence": func(w *world, _ *worker) { w.entries[0].fresh = false },
+		"session":  func(w *world, _ *worker) { w.entries[0].valid = false },
+		"data centre": func(w *world, _ *worker) {
+			w.setDC("dc00", fleet.DataCentreOut)
+			w.entries[0].snapshot = w.config
+		},
+		"leaving":     func(w *world, k *worker) { k.vm.State = fleet.VMLeaving; list(w) },
+		"draining":    func(w *world, k *worker) { w.assigned[k.vm.ID] = Assignment{Pool: "p", State: placement.Draining} },
+		"other pool":  func(w *world, k *worker) { w.assigned[k.vm.ID] = Assignment{Pool: "q", State: placement.Active} },
+		"no pool":     func(w *world, k *worker) { delete(w.assigned, k.vm.ID) },
+		"VM list":     func(w *world, _ *worker) { w.advance(listUse + time.Millisecond) },
+		"reservation": func(w *world, _ *worker) { w.run(ReservationTTL) },
+		"owner": func(w *world, _ *worker) {
+			w.setMembers([]control.Member{{ID: "other", DataCentre: "dc00"}})
+			w.learnMembers()
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 1, 1)
+			w.run(2 * time.Second)
+			e, k := w.entries[0], w.workers[w.vmIDs[0]]
+			if name == "lease" { // no renewal for most of its life
+				w.advance(leaseUse - 2*time.Second)
+				list(w)
+			}
+			res, err := e.slots.Reserve(ctx, "dc00", request("a", 1000))
+			if err != nil {
+				t.Fatal(err)
+			}
+			change(w, k)
+			err = e.slots.Start(ctx, res, task("a"))
+			if refused(err) != (name != "nothing") || w.running("a") != (name == "nothing") {
+				t.Errorf("start after the change: %v, running %v", err, w.running("a"))
+			}
+		})
+	}
+}
+
 // TestDigestCodec guards against amounts that grow by rounding: a digest must
 // not promise more than an eighth of an octave above the truth.
 func TestDigestCodec(t *testing.T) {
--- a/control/slots/slots_test.go
+++ b/control/slots/slots_test.go
@@ -40,7 +40,7 @@
 func TestDispatchHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
-		w := newWorld(2, 2, 2)
+		w := newWorld(2, 2, 1)
 		w.run(2 * time.Second)
 		var reservations []control.Reservation
 		homes := map[fleet.AttemptID]*entry{}
@@ -78,7 +78,15 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"reserve": reserve, "reserveMore": reserve, "start": start, "startMore": start,
+			"reserve": reserve, "start": start,
+			"burst": func(t *rapid.T) {
+				for range 4 {
+					reserve(t)
+				}
+				for range 4 {
+					start(t)
+				}
+			},
 			"step": func(t *rapid.T) {
 				w.run(time.Duration(rapid.IntRange(1, 12).Draw(t, "steps")) * 100 * time.Millisecond)
 			},
@@ -170,6 +178,13 @@
 				w.network.SetCut(pick().member.ID, pick().member.ID, rapid.Bool().Draw(t, "cut"))
 			},
 			"deaf": func(*rapid.T) { w.deaf = 3 },
+			"takeover": func(*rapid.T) { // the new owners know at once
+				if e := pick(); e.valid {
+					w.fence(e)
+					w.join(e.member.DataCentre)
+					w.learnMembers()
+				}
+			},
 			"fence": func(*rapid.T) {
 				if e := pick(); e.valid && len(w.members.List) > 1 {
 					w.fence(e)
