Measure jobs per second, memory and takeover time of one owner

Cause: throughput, memory and takeover had no figures. Change: benchmarks at three sizes and a test of concurrent callers.

--- /dev/null
+++ b/control/jobs/bench_test.go
@@ -0,0 +1,273 @@
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"amaranthfork.example/config"
+	"amaranthfork.example/control"
+	"amaranthfork.example/control/journal"
+	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/control/rpc/rpctest"
+	"amaranthfork.example/control/shards"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+	"amaranthfork.example/platform/memory"
+)
+
+// owner is one entry whose workers complete every task at once, with everything
+// safe for concurrent use. It is its own Membership, View, Limits and
+// Dispatcher.
+type owner struct {
+	node
+	jobs   *Manager
+	free   atomic.Int64
+	starts atomic.Int64
+	busy   sync.WaitGroup
+}
+
+func (o *owner) Take(fleet.TeamName) error    { return nil }
+func (o *owner) Return(fleet.TeamName)        {}
+func (o *owner) Adopt(fleet.TeamName, string) {}
+func (o *owner) Members() control.Members     { return o.w.members }
+func (o *owner) Valid() error                 { return nil }
+func (o *owner) Fresh() error                 { return nil }
+func (o *owner) StoreReachable() bool         { return true }
+func (o *owner) Snapshot() *config.Snapshot   { return o.w.snapshot }
+func (o *owner) Self() control.Member         { return control.Member{ID: o.id} }
+func (o *owner) Capacity(fleet.PoolName) []control.Capacity {
+	return []control.Capacity{{DataCentre: "dc1", FreeSlots: int(o.free.Load()), LargestVM: fleet.Resources{MilliCPU: 1, MemoryMB: 1}}}
+}
+
+func (o *owner) Reserve(_ context.Context, dc fleet.DataCentreName, req control.ReserveRequest) (control.Reservation, error) {
+	return control.Reservation{VM: "vm", DataCentre: dc, Attempt: req.Attempt}, nil
+}
+func (o *owner) Release(context.Context, control.Reservation) {}
+func (o *owner) Cancel(context.Context, fleet.VMID, fleet.AttemptID) error {
+	return nil
+}
+func (o *owner) Lookup(context.Context, fleet.VMID, fleet.AttemptID) (platform.TaskStatus, *control.TaskEnd, bool) {
+	return platform.TaskStatus{State: platform.TaskRunning}, nil, true
+}
+
+func (o *owner) Start(_ context.Context, res control.Reservation, task platform.Task) error {
+	o.starts.Add(1)
+	o.busy.Go(func() {
+		end := control.TaskEnd{
+			Job: task.Job, Attempt: task.ID, Step: task.Step, VM: res.VM,
+			State: platform.TaskCompleted, Body: body(task.Job, task.Step, task.ID),
+		}
+		for o.jobs.TaskEnded(context.Background(), end) != nil {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	return nil
+}
+
+// newOwner returns an owner of all shards in a store of its own, or in that of
+// a world which earlier owners have used.
+func newOwner(tb testing.TB, w *world, faults *memory.Faults, options Options) *owner {
+	tb.Helper()
+	o := &owner{}
+	w.born++
+	o.w, o.id = w, fmt.Sprint("owner", w.born)
+	w.members = control.Members{Version: w.members.Version}
+	w.join(&o.node)
+	table, objects := w.table.Via(faults), w.objects.Via(faults)
+	j := journal.New(journal.Options{Table: table, Objects: objects, Membership: o, Clock: fleet.SystemClock{}})
+	m := shards.New(shards.Options{Table: table, Membership: o})
+	options.Clock, options.Membership, options.View, options.Limits, options.Dispatcher = fleet.SystemClock{}, o, o, o, o
+	options.Journal, options.Shards, options.Caller = j, m, rpctest.NewNetwork().Join(o.id, rpc.NewRouter())
+	o.jobs = New(options)
+	o.journal = j
+	m.SetHandoff(o.jobs)
+	if err := m.Tick(tb.Context()); err != nil {
+		tb.Fatal(err)
+	}
+	return o
+}
+
+// run drives the owner until ctx is done.
+func (o *owner) run(ctx context.Context) {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-o.jobs.Ready():
+			_ = o.jobs.Dispatch(ctx) // the jobs concerned wait for the next
+		case <-ticker.C:
+			_ = o.jobs.Tick(ctx)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// through submits jobs from many callers and waits for their results.
+func (o *owner) through(tb testing.TB, callers, each int) {
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for i := range each {
+				j := job(fmt.Sprint(o.id, "/", c, "/", i), 1, i%2 == 0)
+				if _, err := o.jobs.Submit(tb.Context(), j); err != nil {
+					tb.Errorf("submit: %v", err)
+					return
+				}
+				status, err := o.jobs.Wait(tb.Context(), j.ID)
+				if err != nil || status.Result == nil || !bytes.Equal(status.Result.Body, body(j.ID, 0, status.Result.Attempt)) {
+					tb.Errorf("wait: %+v, %v", status, err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against data races and lost wake-ups between submissions, starts, ends
+// of tasks and checkpoints that run at the same time.
+func TestConcurrentCallers(t *testing.T) {
+	o := newOwner(t, newWorld(0), nil, Options{CheckpointBytes: 20_000, MaintainEvery: time.Millisecond})
+	o.free.Store(1000)
+	ctx, cancel := context.WithCancel(t.Context())
+	var driver sync.WaitGroup
+	driver.Go(func() { o.run(ctx) })
+	o.through(t, 50, 6)
+	o.busy.Wait()
+	cancel()
+	driver.Wait()
+	if n := o.starts.Load(); n != 300 {
+		t.Errorf("%d starts of 300 jobs", n)
+	}
+}
+
+// BenchmarkJobs measures jobs through one owner with a store of 300 writes/s
+// and 3 ms, by the number of callers that submit and wait.
+func BenchmarkJobs(b *testing.B) {
+	for _, callers := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			faults := &memory.Faults{}
+			w := newWorld(0)
+			q := w.snapshot.Queues["q"]
+			q.MaxQueued = 1 << 20
+			w.snapshot.Queues["q"] = q
+			o := newOwner(b, w, faults, Options{})
+			o.free.Store(1 << 20)
+			faults.SetLatency(3 * time.Millisecond)
+			ctx, cancel := context.WithCancel(b.Context())
+			var driver sync.WaitGroup
+			driver.Go(func() { o.run(ctx) })
+			each := 20
+			_, before := faults.Counts()
+			begin := time.Now()
+			o.through(b, callers, each)
+			took := time.Since(begin)
+			_, after := faults.Counts()
+			o.busy.Wait()
+			cancel()
+			driver.Wait()
+			jobs := float64(callers * each)
+			b.ReportMetric(jobs/took.Seconds(), "jobs/s")
+			b.ReportMetric(float64(after-before)/jobs, "writes/job")
+			b.ReportMetric(float64(after-before)/took.Seconds(), "writes/s")
+			b.ReportMetric(took.Seconds()*1000/float64(each), "ms/job")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func heapAlloc() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// fill submits jobs with payloads of 100 bytes.
+func fill(b *testing.B, o *owner, n int) {
+	var wg sync.WaitGroup
+	for c := range 200 {
+		wg.Go(func() {
+			for i := c; i < n; i += 200 {
+				j := job(fmt.Sprint(i), 1, true)
+				j.Steps[0].Payload = make([]byte, 100)
+				if _, err := o.jobs.submit(b.Context(), j); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// BenchmarkMemory measures the memory of a queued job and of a retained result,
+// apart from the store's.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			w := largeWorld()
+			o := newOwner(b, w, nil, Options{DispatchBatch: 1000, MaxRetained: n})
+			o.jobs.options.Journal = discard{o.journal}
+			before := heapAlloc()
+			fill(b, o, n)
+			b.ReportMetric((heapAlloc()-before)/float64(n), "B/queued")
+			o.free.Store(1 << 20)
+			for o.jobs.Stats().Retained < n {
+				_ = o.jobs.Dispatch(b.Context())
+				o.busy.Wait()
+			}
+			b.ReportMetric((heapAlloc()-before)/float64(n), "B/retained")
+			b.ReportMetric(0, "ns/op")
+			runtime.KeepAlive(o)
+		})
+	}
+}
+
+// discard is a journal that keeps nothing, so that only the owner's memory is
+// measured.
+type discard struct{ *journal.Journal }
+
+func (discard) Append(context.Context, ...control.Record) error { return nil }
+
+func largeWorld() *world {
+	w := newWorld(0)
+	q := w.snapshot.Queues["q"]
+	q.MaxQueued = 1 << 20
+	w.snapshot.Queues["q"] = q
+	return w
+}
+
+// BenchmarkTakeover measures the time from the first tick of a successor until
+// it acts on all jobs of a failed owner, and until they are in checkpoints of
+// its own, with a store of 3 ms.
+func BenchmarkTakeover(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			w := largeWorld()
+			first := newOwner(b, w, nil, Options{})
+			fill(b, first, n)
+			pages := first.journal.Stats().Pages
+			w.members.List = nil
+			faults := &memory.Faults{}
+			faults.SetLatency(3 * time.Millisecond)
+			begin := time.Now()
+			heir := newOwner(b, w, faults, Options{})
+			took := time.Since(begin)
+			if got := heir.jobs.Stats().TakenOver; got != uint64(n) {
+				b.Fatalf("%d of %d jobs taken over", got, n)
+			}
+			b.ReportMetric(float64(took.Milliseconds()), "ms")
+			b.ReportMetric(float64(pages), "pages")
+			b.ReportMetric(float64(took.Microseconds())/float64(n), "us/job")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
