Let the healed fleet take steps below the reboot timeout

Steps of 20 minutes equalled the reboot timeout of 20 minutes, and a lagging listing then turned healthy reboots into failures.

--- a/control/upkeep/upkeep_test.go
+++ b/control/upkeep/upkeep_test.go
@@ -484,8 +484,8 @@
 	if err := last.upkeep.Resume(ctx); err != nil {
 		c.t.Fatal(err)
 	}
-	for range period / (20 * time.Minute) {
-		_ = round(w, 20*time.Minute, c.nodes...)
+	for range period / (15 * time.Minute) {
+		_ = round(w, 15*time.Minute, c.nodes...)
 	}
 	for range 120 { // no VM is due at the end of a wave that has just begun
 		if s := status(c.t, last); s.InProgress == 0 {
