--- a/cmd/internal/measure/maintenance.go
+++ b/cmd/internal/measure/maintenance.go
@@ -161,6 +161,9 @@
 	v.phase, v.to = draining, -1
 	v.drainBy = w.now + ticks(w.s.Maintenance.DrainTimeout)
 	w.check.maintenance(i)
+	if w.drawnAt == w.now {
+		w.addDrawn(i)
+	}
 }
 
 // allows reports whether the bounds allow one more unavailable VM like this.
@@ -168,26 +171,31 @@
 	if w.s.Maintenance.AvoidDataCentresOut && w.anyOut() {
 		return false
 	}
-	pool, rack, dc := 0, 0, 0
-	for k := range w.vms {
-		if !w.drawn(k) {
-			continue
-		}
-		v := &w.vms[k]
-		if v.pool == w.vms[i].pool {
-			pool++
-		}
-		if w.s.VMs[k].Rack == w.s.VMs[i].Rack {
-			rack++
-		}
-		if v.dc == w.vms[i].dc {
-			dc++
-		}
+	plan, vm := w.s.Maintenance, w.s.VMs[i]
+	if w.drawnAt != w.now {
+		w.countDrawn()
 	}
-	plan := w.s.Maintenance
+	pool, rack, dc := w.drawnIn[w.s.Pools[w.vms[i].pool].Name], w.drawnIn[vm.Rack], w.drawnIn[vm.DataCentre]
 	return pool < w.s.Pools[w.vms[i].pool].MaxUnavailable && rack < plan.MaxPerRack && dc < plan.MaxPerDataCentre
 }
 
+// countDrawn counts the VMs that are drawn, by pool, rack and data centre, once
+// for each tick.
+func (w *world) countDrawn() {
+	w.drawnIn, w.drawnAt = make(map[any]int), w.now
+	for i := range w.vms {
+		if w.drawn(i) {
+			w.addDrawn(i)
+		}
+	}
+}
+
+func (w *world) addDrawn(i int) {
+	w.drawnIn[w.s.Pools[w.vms[i].pool].Name]++
+	w.drawnIn[w.s.VMs[i].Rack]++
+	w.drawnIn[w.s.VMs[i].DataCentre]++
+}
+
 func (w *world) anyOut() bool {
 	for _, out := range w.out {
 		if out {
--- a/cmd/internal/measure/movers.go
+++ b/cmd/internal/measure/movers.go
@@ -171,7 +171,7 @@
 // more than moving them, which the settings express as ParkAfter.
 func newOracle(s *Scenario, d *demand, set capacity.Settings, lead time.Duration) *own {
 	again := ticks(set.ParkAfter)
-	set.MinStay, set.SpareStay, set.DeficitHold = 0, 0, 0
+	set.MinStay, set.SpareStay = 0, 0
 	set.GiveMargin, set.Ready, set.ParkAfter = 0, 1+set.Headroom, time.Second
 	slots := trueSlots(s, d, set.BatchSteady)
 	look := func(pool, now int, _ float64) capacity.Outlook {
--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"math"
 	"time"
 
 	"amaranthfork.example/policy/capacity"
@@ -45,6 +46,11 @@
 	},
 	{
 		name: "v3", about: "bursts are served in part, a full fleet is divided by entitlement",
+		settings: settingsV3,
+		forecast: forecast.DefaultOptions(),
+	},
+	{
+		name: "v4", about: "thrifty profiles serve a smaller part of the whole burst and keep fewer VMs ready",
 		settings: func(s *Scenario) capacity.Settings { return capacity.SettingsFor(s.Profile) },
 		forecast: forecast.DefaultOptions(),
 	},
@@ -73,6 +79,18 @@
 	return set
 }
 
+// settingsV3 are the settings of the third version.
+func settingsV3(s *Scenario) capacity.Settings {
+	p := s.Profile
+	set := settingsV2(s)
+	thrift := math.Sqrt(p.IdleWeight * p.MoveWeight)
+	set.Headroom = -0.1 - 0.125*(thrift-1)
+	set.ParkAfter = seconds(60 * math.Sqrt(p.MoveWeight) / p.IdleWeight)
+	set.ShareBlend = 1 - 1/(1+p.ShareWeight*p.ShareWeight)
+	set.GiveMargin = 2
+	return set
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // packed fills VMs that are in use first, so that idle VMs can be moved.
--- a/cmd/internal/measure/world.go
+++ b/cmd/internal/measure/world.go
@@ -57,7 +57,9 @@
 	waiting map[*job]bool
 	queued  map[[3]int]int // waiting jobs by queue, class and team
 	placer  *placement.Placer
-	running []int // tasks by team
+	drawnIn map[any]int // drawn VMs by fleet.PoolName, fleet.RackName and fleet.DataCentreName
+	drawnAt int         // tick of drawnIn
+	running []int       // tasks by team
 	ends    [][]*task
 	out     []bool // by data centre
 	since   []int  // tick of the last change of the data centre, -1 for never
@@ -73,7 +75,7 @@
 	w := &world{
 		s: s, d: d, p: p,
 		vms: make([]vm, len(s.VMs)), members: make([][]int, len(s.Pools)),
-		waiting: make(map[*job]bool), queued: make(map[[3]int]int), placer: placement.New(p.placement),
+		waiting: make(map[*job]bool), queued: make(map[[3]int]int), placer: placement.New(p.placement), drawnAt: -1,
 		running: make([]int, len(s.Teams)), ends: make([][]*task, s.length),
 		out: make([]bool, len(s.DataCentres)), since: make([]int, len(s.DataCentres)),
 		names: make(map[fleet.VMID]int), pools: make(map[fleet.PoolName]int),
@@ -336,11 +338,33 @@
 	return free
 }
 
+// maxCandidates bounds the VMs that placement looks at. A snapshot of the 90 VMs
+// of a pool of the target fleet for each start took three fifths of the run.
+const maxCandidates = 16
+
+// mostUsed returns the VMs of a pool, and of a large pool only those with a free
+// slot that use most of their slots.
+func (w *world) mostUsed(pool int) []int {
+	if len(w.members[pool]) <= 2*maxCandidates {
+		return w.members[pool]
+	}
+	var most []int
+	for busy := 7; busy >= 0 && len(most) < maxCandidates; busy-- {
+		for _, i := range w.members[pool] {
+			if len(w.vms[i].tasks) == busy && busy < w.usable(i) && len(most) < maxCandidates {
+				most = append(most, i)
+			}
+		}
+	}
+	return most
+}
+
 // place picks a VM with policy/placement, -1 when none has room.
 func (w *world) place(pool int, j *job) int {
 	name := w.s.Pools[pool].Name
-	candidates := make([]placement.VM, 0, len(w.members[pool]))
-	for _, i := range w.members[pool] {
+	members := w.mostUsed(pool)
+	candidates := make([]placement.VM, 0, len(members))
+	for _, i := range members {
 		v, f := &w.vms[i], &w.s.VMs[i]
 		candidates = append(candidates, placement.VM{
 			ID: f.ID, DataCentre: f.DataCentre, Rack: f.Rack, Pool: name,
--- a/policy/capacity/books.go
+++ b/policy/capacity/books.go
@@ -128,19 +128,16 @@
 	return 1
 }
 
-// remember carries over since when each pool has had a surplus or a deficit.
+// remember carries over since when each pool has had a surplus, and the least
+// surplus of all pools.
 func (b *books) remember(m Memory) {
 	b.memory = Memory{
 		SurplusSince: make(map[fleet.PoolName]time.Time),
-		DeficitSince: make(map[fleet.PoolName]time.Time),
 	}
 	for _, p := range b.order {
 		if !p.Spare && p.surplus() > 0 {
 			b.memory.SurplusSince[p.Name] = earlier(m.SurplusSince, p.Name, b.s.Now)
 		}
-		if p.deficit() > 0 {
-			b.memory.DeficitSince[p.Name] = earlier(m.DeficitSince, p.Name, b.s.Now)
-		}
 	}
 	b.memory.Window = m.Window.advance(b.totalSurplus(), b.s.Now, b.set.ParkAfter)
 }
--- a/policy/capacity/capacity.go
+++ b/policy/capacity/capacity.go
@@ -97,7 +97,6 @@
 // Memory is what one decision hands to the next. The zero value is the start.
 type Memory struct {
 	SurplusSince map[fleet.PoolName]time.Time // pools that have more VMs than they need
-	DeficitSince map[fleet.PoolName]time.Time // pools that need more VMs than they have
 	Window       Window                       // surplus of all pools together
 }
 
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -26,9 +26,6 @@
 // worthMoving weighs what the moved VMs can serve before the demand ends
 // against the cost of the moves.
 func (b *books) worthMoving(p *poolBook) bool {
-	if b.s.Now.Sub(b.memory.DeficitSince[p.Name]) < b.set.DeficitHold {
-		return false
-	}
 	if p.urgentQueued > 0 || !p.outlook.Bursting {
 		return true
 	}
--- a/policy/capacity/settings.go
+++ b/policy/capacity/settings.go
@@ -23,7 +23,6 @@
 	Hold          time.Duration // a pool's surplus must last this long before its VMs go back; 0 means never
 	ParkAfter     time.Duration // VMs that all pools together did not need for this long go back; 0 means never
 	DonorsKeep    bool          // donors other than the spare pool keep the VMs that Ready asks for
-	DeficitHold   time.Duration // a deficit must last this long before VMs come
 	GiveMargin    int           // VMs above its need that a donor other than the spare pool keeps
 	SpareFirst    float64       // preference of the spare pool over other donors, in running tasks
 	SpareReserve  int           // VMs that stay in the spare pool unless urgent work waits
@@ -60,7 +59,10 @@
 	idle, move, share := weight(p.IdleWeight), weight(p.MoveWeight), weight(p.ShareWeight)
 	// thrift is how much both costs of capacity weigh beside late work.
 	thrift := math.Sqrt(idle * move)
-	s.Headroom = max(-0.4, s.Headroom-0.125*(thrift-1))
+	s.Headroom = max(-0.5, s.Headroom-0.18*(thrift-1))
+	// The smaller the part that is served at once, the more of it is batch work.
+	s.BatchSteady = max(0, min(1, (thrift-1)/2))
+	s.Ready = max(0.2, s.Ready-0.1*(thrift-1))
 	s.MoveCost *= move
 	s.Ready = min(1, s.Ready*math.Sqrt(move/idle))
 	s.ParkAfter = scale(s.ParkAfter, math.Sqrt(move)/idle)
