--- a/cmd/internal/measure/report.go
+++ b/cmd/internal/measure/report.go
@@ -30,6 +30,7 @@
 	{title: "held free VMh", value: func(r Result) float64 { return r.HeldFree }},
 	{title: "idle VMh", value: func(r Result) float64 { return r.Idle }},
 	{title: "roll-out s", value: func(r Result) float64 { return r.RollOut }},
+	{title: "wave unfinished", value: func(r Result) float64 { return r.Unfinished }},
 	{title: "moves", value: func(r Result) float64 { return r.Moves }},
 	{title: "below share %", value: func(r Result) float64 { return r.BelowShare }},
 	{title: "worst team %", value: func(r Result) float64 { return r.WorstTeam }},
--- a/cmd/internal/measure/run.go
+++ b/cmd/internal/measure/run.go
@@ -24,6 +24,7 @@
 	HeldFree   float64        `json:"heldFreeVMHours"`   // free slots in pools other than the spare, 8 to a VM
 	Idle       float64        `json:"idleVMHours"`       // idle VMs in all pools
 	RollOut    float64        `json:"rollOutSeconds"`    // of the maintenance wave
+	Unfinished float64        `json:"waveUnfinished"`    // 1 when the wave had not ended with the run
 	Moves      float64        `json:"moves"`             // begun
 	BelowShare float64        `json:"belowSharePercent"` // slots that teams lack to their entitlement, of all slots, over 10 s, while the fleet is full
 	WorstTeam  float64        `json:"worstTeamPercent"`  // part of its entitlement that the worst-off team lacks
@@ -131,6 +132,7 @@
 	}
 	if m.rollOut < 0 {
 		r.RollOut = secondsOf(float64(w.s.length - w.s.wave))
+		r.Unfinished = 1
 	}
 	if m.full > 0 {
 		r.BelowShare = 100 * m.below / m.full
--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -34,11 +34,6 @@
 // versions lists the versions of the own policy, the newest last. Earlier
 // versions keep their settings so that a run compares them.
 var versions = []version{
-	{
-		name: "v1", about: "need from load and backlog, forecast of turns",
-		settings: settingsV1,
-		forecast: forecast.DefaultOptions(),
-	},
 	{
 		name: "v2", about: "VMs go from pool to pool, and back only when no pool needed them for 30 s",
 		settings: settingsV2,
@@ -56,29 +51,18 @@
 	},
 }
 
-// settingsV1 are the settings of the first version.
-func settingsV1(s *Scenario) capacity.Settings {
+// settingsV2 are the settings of the second version. The first, which returned
+// VMs pool by pool, is no longer supported.
+func settingsV2(s *Scenario) capacity.Settings {
 	p := s.Profile
-	hold := p.MoveWeight / p.IdleWeight
 	return capacity.Settings{
 		ClearUrgent: 500 * time.Millisecond, ClearStandard: 3 * time.Second, ClearBatch: time.Minute,
-		BatchSteady: 1, Headroom: 0.1, Ready: min(1, 0.5/p.IdleWeight),
-		ShareBlend: p.ShareWeight / (1 + p.ShareWeight),
-		MoveCost:   16 * p.MoveWeight, MaxMoves: 0.2, MinStay: seconds(8 * p.MoveWeight), SpareStay: time.Second,
-		Hold: seconds(4 * hold), GiveMargin: 1, SpareFirst: 0.8, Ramp: 20 * time.Second,
+		Ready: 0.5, ShareBlend: p.ShareWeight / (1 + p.ShareWeight),
+		MoveCost: 16 * p.MoveWeight, MaxMoves: 0.2, MinStay: 8 * time.Second, SpareStay: time.Second,
+		ParkAfter: seconds(30 * p.MoveWeight / p.IdleWeight), GiveMargin: 1, SpareFirst: -1, Ramp: 20 * time.Second,
 	}
 }
 
-// settingsV2 are the settings of the second version.
-func settingsV2(s *Scenario) capacity.Settings {
-	p := s.Profile
-	set := settingsV1(s)
-	set.BatchSteady, set.Headroom, set.Ready, set.SpareFirst = 0, 0, 0.5, -1
-	set.Hold, set.ParkAfter, set.DonorsKeep = 0, seconds(30*p.MoveWeight/p.IdleWeight), true
-	set.MinStay = 8 * time.Second
-	return set
-}
-
 // settingsV3 are the settings of the third version.
 func settingsV3(s *Scenario) capacity.Settings {
 	p := s.Profile
--- a/policy/capacity/books.go
+++ b/policy/capacity/books.go
@@ -128,18 +128,9 @@
 	return 1
 }
 
-// remember carries over since when each pool has had a surplus, and the least
-// surplus of all pools.
+// remember carries over the least surplus of all pools.
 func (b *books) remember(m Memory) {
-	b.memory = Memory{
-		SurplusSince: make(map[fleet.PoolName]time.Time),
-	}
-	for _, p := range b.order {
-		if !p.Spare && p.surplus() > 0 {
-			b.memory.SurplusSince[p.Name] = earlier(m.SurplusSince, p.Name, b.s.Now)
-		}
-	}
-	b.memory.Window = m.Window.advance(b.totalSurplus(), b.s.Now, b.set.ParkAfter)
+	b.memory = Memory{Window: m.Window.advance(b.totalSurplus(), b.s.Now, b.set.ParkAfter)}
 }
 
 // totalSurplus returns the VMs that all pools together do not need now.
@@ -173,13 +164,6 @@
 	return min(w.Least, w.LeastLast)
 }
 
-func earlier(since map[fleet.PoolName]time.Time, p fleet.PoolName, now time.Time) time.Time {
-	if t, ok := since[p]; ok {
-		return t
-	}
-	return now
-}
-
 func (b *books) needs() map[fleet.PoolName]int {
 	needs := make(map[fleet.PoolName]int, len(b.order))
 	for _, p := range b.order {
--- a/policy/capacity/capacity.go
+++ b/policy/capacity/capacity.go
@@ -96,8 +96,7 @@
 
 // Memory is what one decision hands to the next. The zero value is the start.
 type Memory struct {
-	SurplusSince map[fleet.PoolName]time.Time // pools that have more VMs than they need
-	Window       Window                       // surplus of all pools together
+	Window Window // surplus of all pools together
 }
 
 // Window remembers the least surplus of all pools together in the present and
@@ -124,6 +123,6 @@
 	b.computeNeeds()
 	b.remember(m)
 	b.fillDeficits()
-	b.returnSurplus()
+	b.park()
 	return Decision{Moves: b.moves, Need: b.needs(), Memory: b.memory}
 }
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -70,7 +70,7 @@
 // waiting urgent work or a full fleet reaches the VMs that are kept ready.
 func (b *books) retained(from, to *poolBook) int {
 	n := max(from.floor, from.need+b.set.GiveMargin)
-	if b.set.DonorsKeep && !b.full && to.urgentQueued == 0 {
+	if !b.full && to.urgentQueued == 0 {
 		n = max(n, from.keep)
 	}
 	return n
@@ -114,7 +114,7 @@
 		keptReady    = 20.0 // below its readiness a donor comes after the spare pool
 	)
 	cost := perRunning*float64(vm.Running) + perSecond*min(vm.Remaining, 10*time.Second).Seconds()
-	if b.set.DonorsKeep && !from.Spare && from.have <= from.keep {
+	if !from.Spare && from.have <= from.keep {
 		cost += keptReady
 	}
 	if !from.Spare {
@@ -125,36 +125,13 @@
 	return cost
 }
 
-// returnSurplus moves idle VMs back to the spare pool.
-func (b *books) returnSurplus() {
-	if b.spare == nil {
-		return
-	}
-	if b.set.Hold > 0 {
-		b.returnHeld()
-	}
-	if b.set.ParkAfter > 0 {
-		b.park()
-	}
-}
-
-// returnHeld returns the VMs of pools that have had a surplus for long enough.
-func (b *books) returnHeld() {
-	for _, p := range b.order {
-		since, ok := b.memory.SurplusSince[p.Name]
-		if !ok || b.s.Now.Sub(since) < b.set.Hold {
-			continue
-		}
-		for p.surplus() > 0 && b.budget > 0 && b.returnOne(p) {
-			continue
-		}
-	}
-}
-
 // park returns the VMs that no pool has needed in the whole window. VMs that
 // one pool or another needs in its turn stay, because moving them to the
 // spare pool and out again costs two moves instead of one.
 func (b *books) park() {
+	if b.spare == nil || b.set.ParkAfter <= 0 {
+		return
+	}
 	for b.memory.Window.unused() > 0 && b.budget > 0 {
 		p := b.richest()
 		if p == nil || !b.returnOne(p) {
--- a/policy/capacity/settings.go
+++ b/policy/capacity/settings.go
@@ -20,9 +20,7 @@
 	MaxMoves      float64       // moves at a time, as a part of the fleet's VMs
 	MinStay       time.Duration // a moved VM stays in its new pool for this time
 	SpareStay     time.Duration // MinStay of VMs in the spare pool
-	Hold          time.Duration // a pool's surplus must last this long before its VMs go back; 0 means never
 	ParkAfter     time.Duration // VMs that all pools together did not need for this long go back; 0 means never
-	DonorsKeep    bool          // donors other than the spare pool keep the VMs that Ready asks for
 	GiveMargin    int           // VMs above its need that a donor other than the spare pool keeps
 	SpareFirst    float64       // preference of the spare pool over other donors, in running tasks
 	SpareReserve  int           // VMs that stay in the spare pool unless urgent work waits
@@ -45,7 +43,6 @@
 		MinStay:    8 * time.Second,
 		SpareStay:  time.Second,
 		ParkAfter:  time.Minute,
-		DonorsKeep: true,
 		GiveMargin: 2,
 		SpareFirst: -1,
 		Ramp:       20 * time.Second,
