--- a/cmd/internal/session/world_test.go
+++ b/cmd/internal/session/world_test.go
@@ -25,6 +25,8 @@
 	"amaranthfork.example/platform/memory"
 )
 
+var entropy = rand.Reader
+
 const (
 	inForce  = 4 * time.Second  // C4, C6, C10, C12
 	patience = 60 * time.Second // for conditions that have no bound of their own
@@ -76,7 +78,7 @@
 	folder := local.SampleFolder()
 	var keys []byte
 	for _, team := range []fleet.TeamName{"booking", "supply"} {
-		key, presented, err := config.NewKey(rand.Reader, fleet.KeyID(team+"-1"), team)
+		key, presented, err := config.NewKey(entropy, fleet.KeyID(team+"-1"), team)
 		if err != nil {
 			w.t.Fatal(err)
 		}
@@ -327,3 +329,21 @@
 	}
 	return err.Error()
 }
+
+// findings returns the faults of a refused folder.
+func findings(err error) []client.Finding {
+	var refusal *client.Error
+	if errors.As(err, &refusal) {
+		return refusal.Findings
+	}
+	return nil
+}
+
+// winner returns the accepted revision that a conflict names.
+func winner(err error) fleet.Revision {
+	var refusal *client.Error
+	if errors.As(err, &refusal) {
+		return refusal.Revision
+	}
+	return 0
+}
