Answer the status of known jobs without a valid session

Change: while its session is not valid, the owner of a shard answers with what it holds in memory; jobs that it does not know are still refused. Before: TestEntryCutOff, the island answered for 0 of 16 jobs. After: it answers.

--- a/control/jobs/forward.go
+++ b/control/jobs/forward.go
@@ -249,12 +249,22 @@
 	}
 }
 
-// status returns the status of a job of an own shard.
+// status returns the status of a job of an own shard. An entry whose session is
+// not valid at the moment answers with what it knows, so that callers of an
+// entry that is cut off still learn of their jobs.
 func (m *Manager) status(id fleet.JobID) (control.JobStatus, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, err := m.acting(m.shardOf(id))
+	number := m.shardOf(id)
+	s, err := m.acting(number)
 	if err != nil {
+		held := m.shards[number]
+		if errors.Is(err, shards.ErrNotOwner) || held == nil || held.session != m.self() {
+			return control.JobStatus{}, err
+		}
+		if e := held.entries[id]; e != nil && e.phase != phaseSubmitting {
+			return e.status(), nil
+		}
 		return control.JobStatus{}, err
 	}
 	e := s.entries[id]
