--- a/entry/api/api.go
+++ b/entry/api/api.go
@@ -28,12 +28,16 @@
 	defaultWait = 30 * time.Second
 )
 
+// Direct forwards a request to an endpoint of a workspace; path is escaped. After
+// an error nothing has been written: a *fleet.Refusal if the request was not run.
+type Direct func(w http.ResponseWriter, r *http.Request, workspace fleet.Workspace, path string) error
+
 // Options configures a Server.
 type Options struct {
 	View     control.View
 	Jobs     control.Jobs
 	Operator Operator
-	Direct   http.Handler // direct requests; nil answers 404
+	Direct   Direct
 	JobID    func(team fleet.TeamName, id string) fleet.JobID
 	// OperatorToken is the bearer token of operators; empty refuses them all.
 	OperatorToken string
--- a/entry/api/api_test.go
+++ b/entry/api/api_test.go
@@ -60,9 +60,10 @@
 
 func newServer(view *fakeView, jobs *fakeJobs) *Server {
 	return New(Options{
-		View: view, Jobs: jobs, Direct: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = fmt.Fprintf(w, "endpoint got %s key=%q", r.URL.Path, r.Header.Get(keyHeader))
-		}), Clock: fleet.SystemClock{}, OperatorToken: "operator-secret",
+		View: view, Jobs: jobs, Direct: func(w http.ResponseWriter, r *http.Request, _ fleet.Workspace, path string) error {
+			_, err := fmt.Fprintf(w, "endpoint got %s key=%q", path, r.Header.Get(keyHeader))
+			return err
+		}, Clock: fleet.SystemClock{}, OperatorToken: "operator-secret",
 		Metrics: metrics.New(fleet.SystemClock{}), Log: zap.NewNop(),
 		JobID: func(team fleet.TeamName, id string) fleet.JobID { return fleet.JobID(string(team) + "-" + id) },
 	})
--- a/entry/api/caller.go
+++ b/entry/api/caller.go
@@ -233,7 +233,7 @@
 	}
 	snapshot := s.View.Snapshot()
 	workspace, ok := snapshot.Workspaces[fleet.WorkspaceName(c.Param("workspace"))]
-	if !ok || s.Direct == nil {
+	if !ok {
 		return &fleet.Refusal{Reason: fleet.ReasonNoQueue, Detail: fmt.Sprintf("workspace %q does not exist", c.Param("workspace"))}
 	}
 	if err := s.authorizeWorkspace(snapshot, workspace, c.Request().Header.Get(keyHeader)); err != nil {
@@ -241,10 +241,8 @@
 	}
 	r := c.Request()
 	r.Header.Del(keyHeader) // endpoints must not learn callers' keys
-	r.URL.Path = "/" + c.Param("*")
-	r.URL.RawPath = ""
-	s.Direct.ServeHTTP(c.Response(), r.WithContext(WithWorkspace(r.Context(), workspace)))
-	return nil
+	_, path, _ := strings.Cut(r.URL.EscapedPath(), "/direct/")
+	return s.Direct(c.Response(), r, workspace, "/"+path)
 }
 
 func (s *Server) authorizeWorkspace(snapshot *config.Snapshot, w fleet.Workspace, key string) error {
@@ -264,19 +262,6 @@
 	return nil
 }
 
-type workspaceKey struct{}
-
-// WithWorkspace attaches the workspace of a direct request.
-func WithWorkspace(ctx context.Context, w fleet.Workspace) context.Context {
-	return context.WithValue(ctx, workspaceKey{}, w)
-}
-
-// WorkspaceOf returns the workspace of a direct request.
-func WorkspaceOf(ctx context.Context) (fleet.Workspace, bool) {
-	w, ok := ctx.Value(workspaceKey{}).(fleet.Workspace)
-	return w, ok
-}
-
 // decodeStrict reads one JSON value of a known shape and size.
 func decodeStrict(c *echo.Context, into any) error {
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBody))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -159,6 +159,7 @@
 	ofPlane("limits", func(p *plane) any { return p.limits.Stats() })
 	ofPlane("journal", func(p *plane) any { return p.journal.Stats() })
 	ofPlane("peers", func(p *plane) any { return p.node.Stats() })
+	ofPlane("direct", func(p *plane) any { return p.direct.Stats() })
 	ofPlane("revision", func(p *plane) any { return p.view.Revision() })
 	ofPlane("members", func(p *plane) any { return len(p.members.Members().List) })
 }
--- a/entry/plane.go
+++ b/entry/plane.go
@@ -28,6 +28,7 @@
 	"amaranthfork.example/control/upkeep"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/entry/api"
+	"amaranthfork.example/entry/direct"
 	"amaranthfork.example/entry/metrics"
 	"amaranthfork.example/entry/peer"
 	"amaranthfork.example/fleet"
@@ -60,6 +61,7 @@
 	balance  *balance.Controller
 	load     *load.Collector
 	estimate *estimates
+	direct   *direct.Forwarder
 	asked    map[fleet.AttemptID]time.Time // checkpoints that shedExcess asked for
 	api      *api.Server
 }
@@ -74,8 +76,12 @@
 	p.buildJobs()
 	p.buildControllers()
 	p.buildBalance()
+	if err := p.buildDirect(); err != nil {
+		return nil, err
+	}
 	p.api = api.New(api.Options{
 		View:          p.view,
+		Direct:        p.serveDirect,
 		Jobs:          p.jobs,
 		Operator:      &operator{p},
 		JobID:         jobs.ID,
@@ -287,6 +293,7 @@
 		{name: "digests", every: second, run: void(p.slots.TickDigests)},
 		{name: "limits", every: second, run: p.limits.Tick},
 		{name: "excess", every: second, run: p.shedExcess},
+		{name: "endpoints", every: second, run: p.updateEndpoints},
 		{name: "pool_map", every: poolMapTick, run: p.poolMap.Tick},
 		{name: "pools", every: second, run: p.pools.Tick},
 		{name: "maintenance", every: 5 * second, run: p.upkeep.Tick},
@@ -365,7 +372,10 @@
 	return errors.Join(err, p.members.Leave(ctx))
 }
 
-func (p *plane) close() { p.node.Close() }
+func (p *plane) close() {
+	p.node.Close()
+	p.direct.Close()
+}
 
 // ServeHTTP serves callers and operators.
 func (p *plane) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.api.ServeHTTP(w, r) }
