--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -26,6 +26,8 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // entry is a forwarder behind an HTTP server.
@@ -112,9 +114,9 @@
 	return host, list
 }
 
-// raw answers each connection to an endpoint with fixed bytes, after it has read
-// the request, and counts the requests.
-func raw(t testing.TB, answer string) (Endpoint, *atomic.Int64) {
+// raw answers the requests of each connection to an endpoint with fixed bytes,
+// closes it after the last answer, and counts the requests.
+func raw(t testing.TB, answers ...string) (Endpoint, *atomic.Int64) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	var arrivals atomic.Int64
@@ -127,13 +129,16 @@
 			}
 			open.Go(func() {
 				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
+				reader := bufio.NewReader(conn)
+				for _, answer := range answers {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					arrivals.Add(1)
+					io.WriteString(conn, answer)
 				}
-				io.Copy(io.Discard, r.Body)
-				arrivals.Add(1)
-				io.WriteString(conn, answer)
 			})
 		}
 	})
@@ -172,7 +177,6 @@
 // "not run" is true, and no caller takes a part of an answer for the whole.
 func TestOutcomes(t *testing.T) {
 	t.Cleanup(http.DefaultClient.CloseIdleConnections)
-	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 	large := strings.Repeat("x", DefaultMaxBuffered+1)
 	tests := []struct {
 		name     string
@@ -214,6 +218,52 @@
 	}
 }
 
+// TestReusedConnection guards against the resending of net/http: it sends a
+// request again that carries an idempotency key when a reused connection breaks.
+func TestReusedConnection(t *testing.T) {
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	endpoint, arrivals := raw(t, whole, "")
+	e := newEntry(t, []Endpoint{endpoint}, nil)
+	for i, want := range []fleet.Outcome{fleet.OutcomeCompleted, fleet.OutcomeUnknown} {
+		_, _, err := do(t, "POST", e.url, "", "Idempotency-Key", "1")
+		must(t, err)
+		if seen, err := e.last(); seen.Outcome != want || arrivals.Load() != int64(i+1) {
+			t.Errorf("request %d: %v, %v, %d arrivals", i, seen.Outcome, err, arrivals.Load())
+		}
+	}
+}
+
+// TestRetriesAreBounded guards the load on an endpoint that fails all requests.
+func TestRetriesAreBounded(t *testing.T) {
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	endpoint, arrivals := raw(t, "")
+	e := newEntry(t, []Endpoint{endpoint}, nil)
+	for range 5 {
+		_, _, err := do(t, "GET", e.url, "")
+		must(t, err)
+	}
+	if n := arrivals.Load(); n != 5+minRetries || e.Stats().Retries != minRetries {
+		t.Errorf("%d arrivals of 5 requests, %+v", n, e.Stats())
+	}
+}
+
+// TestDeadline guards the verdict on a request that takes too long: it may have
+// run, and it is not sent again.
+func TestDeadline(t *testing.T) {
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	host, endpoints := hosted(t, "v")
+	e := newEntry(t, endpoints, func(o *Options) { o.MaxTime = 100 * time.Millisecond })
+	_, _, err := do(t, "GET", e.url+"?delay=1h&id=late", "")
+	must(t, err)
+	if _, err := e.last(); !errors.Is(err, context.DeadlineExceeded) || host.Arrivals("late") != 1 {
+		t.Errorf("%v, %d arrivals", err, host.Arrivals("late"))
+	}
+	var unknown *UnknownError
+	if _, err := e.last(); !errors.As(err, &unknown) || unknown.VM != "v" || e.Stats().Retries != 0 {
+		t.Errorf("got %v, %+v", err, e.Stats())
+	}
+}
+
 // TestNotRun guards refusals: nothing may have reached an endpoint.
 func TestNotRun(t *testing.T) {
 	t.Cleanup(http.DefaultClient.CloseIdleConnections)
