Let the direct path wait for a connection that is being closed

A request could find no connection while one of its endpoint's portion was being closed, although fewer requests than connections were under way: with answers that close the connection and a portion of 2, 400 POSTs of 2 callers did not all complete.

--- a/entry/direct/conn.go
+++ b/entry/direct/conn.go
@@ -23,14 +23,16 @@
 	errNoSlot = errors.New("the portion of the endpoint's connections is used up")
 )
 
-// newTransport returns the transport of one endpoint. open must grant each
-// connection, and closed is called at its end.
-func newTransport(open func() bool, closed func()) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// newTransport returns the transport of one endpoint. open waits until it may
+// open a connection, and closed is called at the connection's end.
+func newTransport(open func(context.Context) error, closed func()) *http.Transport {
+	dialer := &net.Dialer{}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			if !open() {
-				return nil, errNoSlot
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			if err := open(ctx); err != nil {
+				return nil, err
 			}
 			raw, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/entry/direct/endpoints.go
+++ b/entry/direct/endpoints.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 	wantedAt  time.Time // since when wanted has its value
 	open      int       // connections
 	busy      int       // requests
+	freed     chan struct{}
 
 	failures     int           // in a row
 	ejectedUntil time.Time     // zero unless ejected or returning
@@ -130,25 +132,55 @@
 }
 
 func (s *endpointSet) newState(now time.Time) *endpointState {
-	e := &endpointState{wantedAt: now}
+	e := &endpointState{wantedAt: now, freed: make(chan struct{}, 1)}
 	e.transport = newTransport(
-		func() bool {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if e.open >= e.portion {
-				return false
-			}
-			e.open++
-			return true
-		},
+		func(ctx context.Context) error { return s.open(ctx, e) },
 		func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			e.open--
+			e.signal()
 		})
 	return e
 }
 
+// open counts a connection. There are never more requests than connections in
+// the portion, so that the wait for a connection that is being closed is short.
+func (s *endpointSet) open(ctx context.Context, e *endpointState) error {
+	for {
+		if s.tryOpen(e) {
+			return nil
+		}
+		select {
+		case <-e.freed:
+		case <-ctx.Done():
+			return errNoSlot
+		}
+	}
+}
+
+func (s *endpointSet) tryOpen(e *endpointState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.open >= e.portion {
+		return false
+	}
+	e.open++
+	e.signal()
+	return true
+}
+
+// signal wakes up one that waits for a connection, if there is one left.
+func (e *endpointState) signal() {
+	if e.open >= e.portion {
+		return
+	}
+	select {
+	case e.freed <- struct{}{}:
+	default:
+	}
+}
+
 // resize shrinks the portion at once and lets it grow only after the other
 // entries have had the time to shrink theirs. A new endpoint starts at 0.
 func (e *endpointState) resize(now time.Time, wanted int, delay time.Duration) {
@@ -157,6 +189,7 @@
 	}
 	if wanted < e.portion || now.Sub(e.wantedAt) >= delay {
 		e.portion = wanted
+		e.signal()
 	}
 }
 
