--- a/control/jobs/bench_test.go
+++ b/control/jobs/bench_test.go
@@ -103,6 +103,7 @@
 			_ = o.jobs.Dispatch(ctx) // the jobs concerned wait for the next
 		case <-ticker.C:
 			_ = o.jobs.Tick(ctx)
+			_ = o.jobs.Maintain(ctx)
 		case <-ctx.Done():
 		}
 	}
@@ -133,7 +134,7 @@
 // Guards against data races and lost wake-ups between submissions, starts, ends
 // of tasks and checkpoints that run at the same time.
 func TestConcurrentCallers(t *testing.T) {
-	o := newOwner(t, newWorld(0), nil, Options{CheckpointBytes: 20_000, MaintainEvery: time.Millisecond})
+	o := newOwner(t, newWorld(0), nil, Options{CheckpointBytes: 20_000})
 	o.free.Store(1000)
 	ctx, cancel := context.WithCancel(t.Context())
 	var driver sync.WaitGroup
@@ -235,7 +236,7 @@
 // measured.
 type discard struct{ *journal.Journal }
 
-func (discard) Append(context.Context, ...control.Record) error { return nil }
+func (discard) AppendIn(context.Context, string, ...control.Record) error { return nil }
 
 func largeWorld() *world {
 	w := newWorld(0)
--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -46,6 +46,9 @@
 		return nil
 	}
 	starts := m.pick(snapshot)
+	if len(starts) == m.options.DispatchBatch {
+		m.signal() // more may be waiting
+	}
 	starts = m.reserve(ctx, starts)
 	starts, err := m.claim(ctx, starts)
 	m.start(ctx, starts)
@@ -251,21 +254,21 @@
 	return s
 }
 
-// each calls fn for all starts, several at a time.
-func (m *Manager) each(starts []*start, fn func(*start)) {
-	if m.options.Parallel == 1 || len(starts) < 2 {
-		for _, s := range starts {
-			fn(s)
+// each calls fn for all items, several at a time.
+func each[T any](parallel int, items []T, fn func(T)) {
+	if parallel == 1 || len(items) < 2 {
+		for _, item := range items {
+			fn(item)
 		}
 		return
 	}
 	var wg sync.WaitGroup
-	slots := make(chan struct{}, m.options.Parallel)
-	for _, s := range starts {
+	slots := make(chan struct{}, parallel)
+	for _, item := range items {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			fn(s)
+			fn(item)
 		})
 	}
 	wg.Wait()
@@ -274,7 +277,7 @@
 // reserve asks for a slot for each start and returns those that got one. The
 // others wait again.
 func (m *Manager) reserve(ctx context.Context, starts []*start) []*start {
-	m.each(starts, func(s *start) { s.res, s.err = m.reserveOne(ctx, s) })
+	each(m.options.Parallel, starts, func(s *start) { s.res, s.err = m.reserveOne(ctx, s) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var reserved []*start
@@ -293,7 +296,7 @@
 	err := error(&fleet.Refusal{Reason: fleet.ReasonNoCapacity})
 	for _, dc := range s.centres {
 		var res control.Reservation
-		res, err = m.options.Dispatcher.Reserve(ctx, dc, s.request)
+		res, err = m.reserveIn(ctx, dc, s.request)
 		if err == nil {
 			return res, nil
 		}
@@ -301,6 +304,12 @@
 	return control.Reservation{}, err
 }
 
+func (m *Manager) reserveIn(ctx context.Context, dc fleet.DataCentreName, req control.ReserveRequest) (control.Reservation, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.options.CallTimeout)
+	defer cancel()
+	return m.options.Dispatcher.Reserve(ctx, dc, req)
+}
+
 // postpone lets a job wait again after a refusal, longer with each. The caller
 // holds mu.
 func (m *Manager) postpone(e *entry) {
@@ -392,16 +401,22 @@
 
 // start sends the starts whose conditions still hold.
 func (m *Manager) start(ctx context.Context, starts []*start) {
-	m.each(starts, func(s *start) {
+	each(m.options.Parallel, starts, func(s *start) {
 		if err := m.recheck(s); err != nil {
 			m.withdraw(ctx, s)
 			return
 		}
-		s.err = m.options.Dispatcher.Start(ctx, s.res, s.task)
+		s.err = m.send(ctx, s)
 		m.started(s)
 	})
 }
 
+func (m *Manager) send(ctx context.Context, s *start) error {
+	ctx, cancel := context.WithTimeout(ctx, m.options.CallTimeout)
+	defer cancel()
+	return m.options.Dispatcher.Start(ctx, s.res, s.task)
+}
+
 // recheck is made directly before a start, as time has passed since the pick:
 // the session, the evidence, the data centre and the key must still be valid.
 // The job then counts as open, because a report of its end may come before the
--- a/control/jobs/manager.go
+++ b/control/jobs/manager.go
@@ -29,10 +29,10 @@
 
 // Journal is what the lifecycle needs of a journal with checkpoints.
 type Journal interface {
-	control.Journal
+	AppendIn(ctx context.Context, session string, records ...control.Record) error
 	Position() uint64
-	Checkpoint(ctx context.Context, shard int, position uint64, state []byte) error
-	Trim(ctx context.Context, position uint64) (int, error)
+	Checkpoint(ctx context.Context, session string, shard int, position uint64, state []byte) error
+	Trim(ctx context.Context, session string, position uint64) (int, error)
 	Recover(ctx context.Context, session string, shards []int) (journal.Recovery, error)
 	Stats() journal.Stats
 }
@@ -80,7 +80,7 @@
 	UnknownAfter    time.Duration // without any word of an attempt until it counts as lost; longer than a task's lease
 	CallTries       int           // tries of a forwarded call
 	WaitFor         time.Duration // bound of one forwarded wait
-	MaintainEvery   time.Duration // between lookups, demand and retention
+	CallTimeout     time.Duration // of one call to a VM owner
 	CheckpointBytes int           // of journal pages between checkpoints
 	CheckpointEvery time.Duration // between checkpoints at a low load
 }
@@ -106,7 +106,7 @@
 	defaultInt(&o.DispatchBatch, 256)
 	defaultInt(&o.Parallel, 32)
 	defaultInt(&o.MaxQueued, 10_000)
-	defaultInt(&o.MaxRetained, 20_000)
+	defaultInt(&o.MaxRetained, 10_000) // about 10 MB
 	defaultInt(&o.MaxBodies, 8<<20)
 	defaultInt(&o.CallTries, 5)
 	defaultInt(&o.CheckpointBytes, 4<<20)
@@ -114,7 +114,7 @@
 	defaultDuration(&o.LookupEvery, 15*time.Second)
 	defaultDuration(&o.UnknownAfter, 2*time.Minute)
 	defaultDuration(&o.WaitFor, 10*time.Second)
-	defaultDuration(&o.MaintainEvery, 250*time.Millisecond)
+	defaultDuration(&o.CallTimeout, time.Second)
 	defaultDuration(&o.CheckpointEvery, time.Minute)
 	return o
 }
@@ -174,24 +174,23 @@
 	gate       sync.RWMutex
 	dispatchMu sync.Mutex // one Dispatch at a time
 
-	mu         sync.Mutex
-	shards     map[int]*shard
-	lanes      map[fleet.PoolName]*admission.Queue
-	queued     map[queueKey]int
-	running    map[fleet.TeamName]int
-	open       map[fleet.JobID]*entry
-	dirty      map[fleet.JobID]*entry
-	delayed    delayHeap
-	ended      []*entry // in the order of their ends
-	bodies     int      // bytes of the bodies in ended
-	retry      *retry.Policy
-	rates      map[fleet.PoolName]*rateCounter
-	revision   fleet.Revision // whose queues the lanes follow
-	lent       map[fleet.AttemptID]lentUnit
-	demanded   map[fleet.TeamName]bool
-	maintained time.Time
-	ckpt       checkpointRound
-	stats      Stats
+	mu       sync.Mutex
+	shards   map[int]*shard
+	lanes    map[fleet.PoolName]*admission.Queue
+	queued   map[queueKey]int
+	running  map[fleet.TeamName]int
+	open     map[fleet.JobID]*entry
+	dirty    map[fleet.JobID]*entry
+	delayed  delayHeap
+	ended    []*entry // in the order of their ends
+	bodies   int      // bytes of the bodies in ended
+	retry    *retry.Policy
+	rates    map[fleet.PoolName]*rateCounter
+	revision fleet.Revision // whose queues the lanes follow
+	lent     map[fleet.AttemptID]lentUnit
+	demanded map[fleet.TeamName]bool
+	ckpt     checkpointRound
+	stats    Stats
 }
 
 // shard is the state of one shard that the own session acts on.
@@ -244,32 +243,23 @@
 	return s
 }
 
-// Tick starts what can start, journals what has changed, and does the periodic
-// work: lookups of open claims, demand for units, retention and checkpoints.
-func (m *Manager) Tick(ctx context.Context) error {
-	err := m.Dispatch(ctx)
-	err = errors.Join(err, m.Flush(ctx))
-	if !m.maintenanceDue() {
-		return err
-	}
-	m.Resolve(ctx)
-	m.collectUnits(ctx)
+// Tick starts what can start. The caller runs it every 10 to 50 ms and whenever
+// Ready has a value.
+func (m *Manager) Tick(ctx context.Context) error { return m.Dispatch(ctx) }
+
+// Maintain journals what has changed since, looks up open claims, reports the
+// demand for units, drops old results and makes checkpoints. The caller runs it
+// about every 250 ms, apart from Tick because it waits for the store and for
+// other entries.
+func (m *Manager) Maintain(ctx context.Context) error {
+	err := m.Flush(ctx)
 	m.reportDemand()
 	m.expireResults()
+	m.Resolve(ctx)
+	m.collectUnits(ctx)
 	return errors.Join(err, m.checkpointIfDue(ctx))
 }
 
-func (m *Manager) maintenanceDue() bool {
-	now := m.options.Clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if now.Sub(m.maintained) < m.options.MaintainEvery {
-		return false
-	}
-	m.maintained = now
-	return true
-}
-
 func (m *Manager) signal() {
 	select {
 	case m.ready <- struct{}{}:
--- a/control/jobs/persist.go
+++ b/control/jobs/persist.go
@@ -16,11 +16,12 @@
 // persist journals the present progress of jobs and lets waiting callers see
 // the results that have become durable. Its errors are those of Append.
 func (m *Manager) persist(ctx context.Context, entries ...*entry) error {
-	records, sequences, err := m.records(entries)
+	session := m.self()
+	records, sequences, err := m.records(session, entries)
 	if err != nil {
 		return err
 	}
-	err = m.options.Journal.Append(ctx, records...)
+	err = m.options.Journal.AppendIn(ctx, session, records...)
 	outage := errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -36,21 +37,24 @@
 	return err
 }
 
-func (m *Manager) records(entries []*entry) ([]control.Record, []uint64, error) {
+// records encodes jobs, all of which must belong to shards of the session.
+func (m *Manager) records(session string, entries []*entry) ([]control.Record, []uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	records := make([]control.Record, 0, len(entries))
 	sequences := make([]uint64, 0, len(entries))
 	for _, e := range entries {
+		s := m.shards[e.shard]
+		if s == nil || s.session != session {
+			return nil, nil, fmt.Errorf("%w: job %s belongs to another session", platform.ErrFenced, e.job.ID)
+		}
 		r, err := encodeRecord(e.shard, e.record())
 		if err != nil {
 			return nil, nil, err
 		}
 		records = append(records, r)
 		sequences = append(sequences, e.sequence)
-		if s := m.shards[e.shard]; s != nil {
-			s.touched = true
-		}
+		s.touched = true
 	}
 	return records, sequences, nil
 }
--- a/control/jobs/record.go
+++ b/control/jobs/record.go
@@ -147,7 +147,7 @@
 	recorded   bool   // the job itself is durable
 	unrecorded bool   // ran or ended while the store was unavailable
 
-	ready chan struct{} // closed when the submission is decided
+	ready chan struct{} // closed when the submission is decided; nil from then on
 	done  chan struct{} // closed when the job has ended or moved; nil without waiters
 
 	notBefore  time.Time // of phaseDelayed
--- a/control/jobs/resolve.go
+++ b/control/jobs/resolve.go
@@ -35,9 +35,11 @@
 // answer or whose former owner has failed, and from time to time all others,
 // in case the report of their end was lost.
 func (m *Manager) Resolve(ctx context.Context) {
-	for _, e := range m.dueLookups() {
+	each(m.options.Parallel, m.dueLookups(), func(e *entry) {
+		ctx, cancel := context.WithTimeout(ctx, m.options.CallTimeout)
+		defer cancel()
 		m.resolveOne(ctx, e)
-	}
+	})
 }
 
 func (m *Manager) dueLookups() []*entry {
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -45,32 +45,43 @@
 		m.gate.RUnlock()
 		return control.JobStatus{}, err
 	}
-	if known {
+	if known != nil {
 		m.gate.RUnlock()
-		return m.join(ctx, e)
+		return m.join(ctx, e, known)
 	}
 	defer m.gate.RUnlock()
 	return m.decide(ctx, e, m.persist(ctx, e))
 }
 
-// insert enters a job as submitting, or returns the known one with its id.
-func (m *Manager) insert(job fleet.Job) (e *entry, known bool, err error) {
+// decided is what known jobs have instead of a submission in progress.
+var decided = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// insert enters a job as submitting, or returns the known one with its id and a
+// channel that is closed once its submission is decided.
+func (m *Manager) insert(job fleet.Job) (e *entry, known <-chan struct{}, err error) {
 	now := m.options.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	number := m.shardOf(job.ID)
 	s, err := m.acting(number)
 	if err != nil {
-		return nil, false, err
+		return nil, nil, err
 	}
 	if e := s.entries[job.ID]; e != nil {
 		m.stats.Duplicates++
-		return e, true, nil
+		if e.ready == nil {
+			return e, decided, nil
+		}
+		return e, e.ready, nil
 	}
 	snapshot, err := m.admit(now, &job)
 	if err != nil {
 		m.stats.Refused++
-		return nil, false, err
+		return nil, nil, err
 	}
 	if job.Submitted.IsZero() {
 		job.Submitted = now
@@ -82,7 +93,7 @@
 	s.entries[job.ID] = e
 	m.count(e)
 	m.touch(e)
-	return e, false, nil
+	return e, nil, nil
 }
 
 // admit checks the evidence, the configuration, the store and the load.
@@ -153,7 +164,8 @@
 func (m *Manager) decide(ctx context.Context, e *entry, err error) (control.JobStatus, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer close(e.ready)
+	close(e.ready)
+	e.ready = nil
 	if err != nil && !errors.Is(err, platform.ErrUnknown) {
 		outage := errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil
 		if !outage || !e.job.Idempotent {
@@ -181,9 +193,9 @@
 }
 
 // join answers a repeated submission like the first one, once that is decided.
-func (m *Manager) join(ctx context.Context, e *entry) (control.JobStatus, error) {
+func (m *Manager) join(ctx context.Context, e *entry, known <-chan struct{}) (control.JobStatus, error) {
 	select {
-	case <-e.ready:
+	case <-known:
 	case <-ctx.Done():
 		return control.JobStatus{}, fmt.Errorf("%w: submission of job %s is not decided", platform.ErrUnknown, e.job.ID)
 	}
--- a/control/jobs/takeover.go
+++ b/control/jobs/takeover.go
@@ -145,11 +145,9 @@
 		return
 	}
 	now := m.options.Clock.Now()
-	decided := make(chan struct{})
-	close(decided)
 	e := &entry{
 		job: *job.Job, shard: job.shard, progress: job.Progress,
-		sequence: job.Sequence, durable: job.Sequence, recorded: true, ready: decided, queuedAt: now,
+		sequence: job.Sequence, durable: job.Sequence, recorded: true, queuedAt: now,
 	}
 	if snapshot := m.options.View.Snapshot(); snapshot != nil {
 		e.pool = snapshot.Queues[e.job.Queue].Pool
@@ -306,6 +304,7 @@
 // Checkpoint stores the state of all own shards that have changed and deletes
 // the journal pages that are then not needed any more.
 func (m *Manager) Checkpoint(ctx context.Context) error {
+	session := m.self()
 	position := m.options.Journal.Position()
 	bytes := m.options.Journal.Stats().Bytes
 	for _, number := range m.touchedShards() {
@@ -313,7 +312,7 @@
 			return err
 		}
 	}
-	if _, err := m.options.Journal.Trim(ctx, position); err != nil {
+	if _, err := m.options.Journal.Trim(ctx, session, position); err != nil {
 		return err
 	}
 	m.mu.Lock()
@@ -336,14 +335,14 @@
 }
 
 func (m *Manager) checkpointShard(ctx context.Context, number int) error {
-	state, position, err := m.encodeGated(number)
-	if err != nil || state == nil {
+	c, err := m.encodeGated(number)
+	if err != nil || c.state == nil {
 		return err
 	}
-	return m.storeCheckpoint(ctx, number, position, state)
+	return m.storeCheckpoint(ctx, number, c)
 }
 
-func (m *Manager) encodeGated(number int) ([]byte, uint64, error) {
+func (m *Manager) encodeGated(number int) (encodedShard, error) {
 	m.gate.Lock()
 	defer m.gate.Unlock()
 	return m.encodeShard(number)
@@ -351,15 +350,15 @@
 
 // putCheckpoint stores a checkpoint while the caller holds gate.
 func (m *Manager) putCheckpoint(ctx context.Context, number int) error {
-	state, position, err := m.encodeShard(number)
+	c, err := m.encodeShard(number)
 	if err != nil {
 		return err
 	}
-	return m.storeCheckpoint(ctx, number, position, state)
+	return m.storeCheckpoint(ctx, number, c)
 }
 
-func (m *Manager) storeCheckpoint(ctx context.Context, number int, position uint64, state []byte) error {
-	err := m.options.Journal.Checkpoint(ctx, number, position, state)
+func (m *Manager) storeCheckpoint(ctx context.Context, number int, c encodedShard) error {
+	err := m.options.Journal.Checkpoint(ctx, c.session, number, c.position, c.state)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.shards[number]
@@ -374,14 +373,21 @@
 	return nil
 }
 
-// encodeShard returns the state of a shard and the position that it covers. The
-// caller holds gate.
-func (m *Manager) encodeShard(number int) ([]byte, uint64, error) {
+// encodedShard is the state of a shard in a session and the position of the
+// journal that it covers.
+type encodedShard struct {
+	session  string
+	position uint64
+	state    []byte // nil if the shard is not held
+}
+
+// encodeShard encodes a shard. The caller holds gate.
+func (m *Manager) encodeShard(number int) (encodedShard, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.shards[number]
 	if s == nil {
-		return nil, 0, nil
+		return encodedShard{}, nil
 	}
 	records := make([]record, 0, len(s.entries))
 	for _, e := range s.entries {
@@ -391,10 +397,10 @@
 	}
 	state, err := cbor.Marshal(records)
 	if err != nil {
-		return nil, 0, fmt.Errorf("encode shard %d: %w", number, err)
+		return encodedShard{}, fmt.Errorf("encode shard %d: %w", number, err)
 	}
 	s.touched = false
-	return state, m.options.Journal.Position(), nil
+	return encodedShard{session: s.session, position: m.options.Journal.Position(), state: state}, nil
 }
 
 // errNotDone tells a forwarded wait that its time is over.
--- a/control/jobs/world_test.go
+++ b/control/jobs/world_test.go
@@ -295,6 +295,7 @@
 			}
 			_ = n.shards.Tick(ctx)
 			_ = n.jobs.Tick(ctx)
+			_ = n.jobs.Maintain(ctx)
 		}
 	}
 }
--- a/control/journal/journal.go
+++ b/control/journal/journal.go
@@ -96,6 +96,7 @@
 
 // batch is the records of one Append.
 type batch struct {
+	session string
 	records []control.Record
 	bytes   int
 	done    chan error // buffered, receives one value
@@ -145,10 +146,17 @@
 // platform.ErrUnavailable; while they are being written it returns
 // platform.ErrUnknown.
 func (j *Journal) Append(ctx context.Context, records ...control.Record) error {
+	return j.AppendIn(ctx, j.options.Membership.Self().ID, records...)
+}
+
+// AppendIn is Append for records that were made in a session. It returns
+// platform.ErrFenced if the process has a later session by the time of the
+// flush: another entry may have owned the records' shards meanwhile.
+func (j *Journal) AppendIn(ctx context.Context, session string, records ...control.Record) error {
 	if len(records) == 0 {
 		return nil
 	}
-	b := &batch{records: records, bytes: size(records), done: make(chan error, 1)}
+	b := &batch{session: session, records: records, bytes: size(records), done: make(chan error, 1)}
 	if err := j.enqueue(b); err != nil {
 		return err
 	}
@@ -231,6 +239,7 @@
 	}
 	j.flushing = true
 	j.followSession()
+	j.rejectFormer()
 	bytes, n := 0, 0
 	for n < len(j.pending) && (n == 0 || bytes+j.pending[n].bytes <= j.options.MaxPage) {
 		bytes += j.pending[n].bytes
@@ -242,6 +251,21 @@
 	return taken, true
 }
 
+// rejectFormer fails the batches of former sessions.
+func (j *Journal) rejectFormer() {
+	kept := j.pending[:0:0]
+	for _, b := range j.pending {
+		if b.session == j.session {
+			kept = append(kept, b)
+			continue
+		}
+		j.bytes -= b.bytes
+		j.stats.Fenced++
+		b.done <- fmt.Errorf("%w: session %s", platform.ErrFenced, b.session)
+	}
+	j.pending = kept
+}
+
 // end tells the callers and arms the timer for what has arrived meanwhile.
 func (j *Journal) end(batches []*batch, err error) {
 	j.mu.Lock()
--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -232,6 +232,12 @@
 		t.Errorf("append over a page of another process in the same session: %v", err)
 	}
 	s.fence()
+	for _, id := range []string{"other", "s"} {
+		s.id = id
+		if err := twin.AppendIn(ctx, "former", control.Record{Body: []byte("f")}); !errors.Is(err, platform.ErrFenced) {
+			t.Errorf("append of a former session: %v", err)
+		}
+	}
 	for _, faults = range []string{"", "request late"} {
 		if err := j.Append(ctx, control.Record{Body: []byte("b")}); !errors.Is(err, platform.ErrFenced) {
 			t.Errorf("append after the fence: %v", err)
@@ -372,12 +378,12 @@
 		l.onRange = nil
 		for shard := range 2 {
 			for _, state := range []string{"older", "state"} {
-				if err := j.Checkpoint(ctx, shard, position, []byte(state)); err != nil {
+				if err := j.Checkpoint(ctx, "s", shard, position, []byte(state)); err != nil {
 					t.Fatal(err)
 				}
 			}
 		}
-		if n, err := j.Trim(ctx, position); err != nil || n != 200 {
+		if n, err := j.Trim(ctx, "s", position); err != nil || n != 200 {
 			t.Fatalf("trimmed %d pages, %v", n, err)
 		}
 		appendOne(1, "newer")
@@ -412,7 +418,7 @@
 	if s.fence(); len(contents(t, table)) != 0 {
 		t.Error("pages remain")
 	}
-	if _, err := j.Trim(ctx, 1000); err != nil {
+	if _, err := j.Trim(ctx, "s", 1000); err != nil {
 		t.Errorf("trim without pages: %v", err)
 	}
 }
--- a/control/journal/recover.go
+++ b/control/journal/recover.go
@@ -20,11 +20,10 @@
 // maxReread bounds the reads of a checkpoint that newer ones replace meanwhile.
 const maxReread = 5
 
-// Checkpoint stores the state of a shard. The state must contain the effect of
+// Checkpoint stores the state that a shard has in a session. The state must contain the effect of
 // every record of the shard in pages below position, which is a value that
 // Position has returned. Older checkpoints of the shard are deleted.
-func (j *Journal) Checkpoint(ctx context.Context, shard int, position uint64, state []byte) error {
-	session := j.options.Membership.Self().ID
+func (j *Journal) Checkpoint(ctx context.Context, session string, shard int, position uint64, state []byte) error {
 	key := checkpointKey(session, shard, position)
 	older, err := j.options.Objects.List(ctx, shardPrefix(session, shard))
 	if err != nil {
@@ -41,12 +40,11 @@
 	return nil
 }
 
-// Trim deletes the own pages below a position, which must all be covered by
-// checkpoints. It writes as the rate allows and returns the number of pages
+// Trim deletes the pages of a session below a position, which must all be
+// covered by checkpoints. It writes as the rate allows and returns the number of pages
 // that it has deleted; the rest remains for the next call.
-func (j *Journal) Trim(ctx context.Context, position uint64) (int, error) {
+func (j *Journal) Trim(ctx context.Context, session string, position uint64) (int, error) {
 	deleted := 0
-	session := j.options.Membership.Self().ID
 	end := pageKey(session, position)
 	for {
 		rows, err := j.options.Table.Range(ctx, pagePrefix(session), "", rangeRows)
@@ -54,10 +52,14 @@
 			return deleted, fmt.Errorf("list journal pages: %w", err)
 		}
 		keys := rowKeys(rows, end)
+		condition := j.options.Membership.Session()
+		if j.options.Membership.Self().ID != session {
+			return deleted, fmt.Errorf("%w: session %s", platform.ErrFenced, session)
+		}
 		if len(keys) == 0 || !j.allow() {
 			return deleted, nil
 		}
-		if err := deleteRows(ctx, j.options.Table, keys, j.options.TxnID(), j.options.Membership.Session()); err != nil {
+		if err := deleteRows(ctx, j.options.Table, keys, j.options.TxnID(), condition); err != nil {
 			return deleted, fmt.Errorf("delete journal pages: %w", err)
 		}
 		deleted += len(keys)
