--- a/control/journal/journal.go
+++ b/control/journal/journal.go
@@ -41,6 +41,9 @@
 	MaxResolve int
 	// TxnID returns unique transaction ids; nil means random UUIDs.
 	TxnID func() string
+	// After calls fn once after d, for flushes that the rate holds back; nil
+	// means time.AfterFunc. Without it, flushes wait for Tick or an Append.
+	After func(d time.Duration, fn func())
 }
 
 func (o Options) withDefaults() Options {
@@ -62,6 +65,9 @@
 	if o.TxnID == nil {
 		o.TxnID = uuid.NewString
 	}
+	if o.After == nil {
+		o.After = func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }
+	}
 	return o
 }
 
@@ -84,7 +90,7 @@
 	pending  []*batch
 	bytes    int // of pending records
 	flushing bool
-	timer    *time.Timer
+	armed    bool   // After has been called and not yet fired
 	sequence uint64 // of the next page
 	session  string
 	stats    Stats
@@ -169,8 +175,8 @@
 	}
 }
 
-// Tick flushes what waits and settles a commit in doubt. Append arms a timer of
-// its own, so Tick is needed only while nothing is appended.
+// Tick flushes what waits and settles a commit in doubt. Append arranges for
+// both by Options.After, so Tick is needed only where that does nothing.
 func (j *Journal) Tick(ctx context.Context) {
 	j.flush(ctx)
 }
@@ -281,17 +287,18 @@
 
 // arm flushes again once the rate allows it.
 func (j *Journal) arm(now time.Time) {
-	if j.timer != nil {
+	if j.armed {
 		return
 	}
+	j.armed = true
 	wait := time.Millisecond
 	if r := j.limiter.ReserveN(now, 1); r.OK() {
 		wait = max(wait, r.DelayFrom(now))
 		r.CancelAt(now)
 	}
-	j.timer = time.AfterFunc(wait, func() {
+	j.options.After(wait, func() {
 		j.mu.Lock()
-		j.timer = nil
+		j.armed = false
 		j.mu.Unlock()
 		j.flush(context.Background())
 	})
--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -76,6 +76,9 @@
 
 func (s *session) fence() { s.write(platform.Write{Key: "session/" + s.id, Delete: true}) }
 
+// never is an After for tests that flush with Tick.
+func never(time.Duration, func()) {}
+
 type tick struct{ now time.Time }
 
 func (c *tick) Now() time.Time {
@@ -167,7 +170,7 @@
 			return rapid.SampledFrom([]string{"", "", "", "unavailable", "answer lost", "request late", "overtaken"}).Draw(t, "fault")
 		}
 		n := 0
-		j := New(Options{Table: l, Membership: s, Clock: &tick{}, Rate: 1e12, TxnID: func() string { n++; return fmt.Sprint("txn", n) }})
+		j := New(Options{Table: l, Membership: s, Clock: &tick{}, Rate: 1e12, TxnID: func() string { n++; return fmt.Sprint("txn", n) }, After: never})
 		var durable, maybe, never []string
 		t.Repeat(map[string]func(*rapid.T){
 			"append": func(r *rapid.T) {
