Answer status without a valid session, and cap the waits of urgent jobs

Cause: an owner without evidence must still answer questions about its jobs; refused urgent jobs waited up to 2 s, more than their start target; cancelling delayed jobs searched the whole delay heap for each. Change: status and wait read what is durable; urgent jobs wait at most 200 ms after a refusal; ended jobs leave the delay heap when their time comes.

--- a/control/jobs/bench_test.go
+++ b/control/jobs/bench_test.go
@@ -272,3 +272,34 @@
 		})
 	}
 }
+
+// BenchmarkCancelWave measures the cancellation of all queued jobs by 200
+// callers, with a store of 3 ms.
+func BenchmarkCancelWave(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			faults := &memory.Faults{}
+			o := newOwner(b, largeWorld(), faults, Options{MaxRetained: n})
+			fill(b, o, n)
+			faults.SetLatency(3 * time.Millisecond)
+			_, before := faults.Counts()
+			begin := time.Now()
+			var wg sync.WaitGroup
+			for c := range 200 {
+				wg.Go(func() {
+					for i := c; i < n; i += 200 {
+						status, err := o.jobs.Cancel(b.Context(), ID("a", fmt.Sprint(i)))
+						if err != nil || status.Result == nil || status.Result.Outcome != fleet.OutcomeNotRun {
+							b.Errorf("cancel: %+v, %v", status, err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			_, after := faults.Counts()
+			b.ReportMetric(float64(time.Since(begin).Microseconds())/float64(n), "us/job")
+			b.ReportMetric(float64(after-before)/float64(n), "writes/job")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -20,6 +20,8 @@
 const (
 	refusalBase = 20 * time.Millisecond
 	refusalMax  = 2 * time.Second
+	// urgentRefusalMax leaves several tries within the 1.7 s of urgent starts.
+	urgentRefusalMax = 200 * time.Millisecond
 )
 
 // start is one job on its way from the queue to a VM.
@@ -316,7 +318,11 @@
 	if !m.holds(e) {
 		return
 	}
-	delay := min(refusalBase<<min(e.refusals, 10), refusalMax)
+	longest := refusalMax
+	if e.job.Class == fleet.ClassUrgent {
+		longest = urgentRefusalMax
+	}
+	delay := min(refusalBase<<min(e.refusals, 10), longest)
 	e.refusals++
 	m.delay(e, m.options.Clock.Now().Add(delay))
 }
--- a/control/jobs/forward.go
+++ b/control/jobs/forward.go
@@ -253,7 +253,7 @@
 func (m *Manager) status(id fleet.JobID) (control.JobStatus, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, err := m.acting(m.shardOf(id))
+	s, err := m.readable(m.shardOf(id))
 	if err != nil {
 		return control.JobStatus{}, err
 	}
@@ -285,7 +285,7 @@
 func (m *Manager) watch(id fleet.JobID) (<-chan struct{}, control.JobStatus, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, err := m.acting(m.shardOf(id))
+	s, err := m.readable(m.shardOf(id))
 	if err != nil {
 		return nil, control.JobStatus{}, err
 	}
--- a/control/jobs/jobs_test.go
+++ b/control/jobs/jobs_test.go
@@ -69,6 +69,9 @@
 			mustSubmit(t, n, j)
 			w.onReserve = func(n *node) { tt.change(w, n, j.ID); w.onReserve = nil }
 			w.tick(1, time.Second)
+			if _, err := n.jobs.Status(context.Background(), j.ID); err != nil {
+				t.Errorf("status without session or evidence: %v", err)
+			}
 			n.invalid, n.stale = false, false
 			if len(w.starts) > 0 {
 				t.Fatal("task was started")
--- a/control/jobs/manager.go
+++ b/control/jobs/manager.go
@@ -234,10 +234,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stats
-	for _, lane := range m.lanes {
-		s.Queued += lane.Len()
+	for _, n := range m.queued {
+		s.Queued += n
 	}
-	s.Queued += len(m.delayed)
 	s.Open = len(m.open)
 	s.Retained = len(m.ended)
 	return s
@@ -284,6 +283,17 @@
 	return s, nil
 }
 
+// readable returns the state of a shard to answer questions from. It needs no
+// valid session: what it shows as ended is durable, and what is older than a
+// successor's state only shows a job as not ended yet. The caller holds mu.
+func (m *Manager) readable(number int) (*shard, error) {
+	s := m.shards[number]
+	if s == nil || s.session != m.self() || m.options.Shards.Owner(number) != s.session {
+		return nil, fmt.Errorf("shard %d: %w", number, shards.ErrNotOwner)
+	}
+	return s, nil
+}
+
 // share returns a team's share in thousandths.
 func share(snapshot *config.Snapshot) func(fleet.TeamName) int {
 	return func(team fleet.TeamName) int { return snapshot.Teams[team].Share }
--- a/control/jobs/resolve.go
+++ b/control/jobs/resolve.go
@@ -225,13 +225,17 @@
 	defer m.mu.Unlock()
 	for len(m.delayed) > 0 && !m.delayed[0].notBefore.After(now) {
 		e := heap.Pop(&m.delayed).(*entry)
+		if e.phase != phaseDelayed || !m.holds(e) {
+			continue
+		}
 		queuedAt := e.queuedAt
 		m.enqueue(e)
 		e.queuedAt = queuedAt
 	}
 }
 
-// delayHeap orders waiting jobs by the time of their next attempt.
+// delayHeap orders waiting jobs by the time of their next attempt. Jobs that
+// have ended or moved meanwhile stay in it until that time.
 type delayHeap []*entry
 
 func (h delayHeap) Len() int           { return len(h) }
@@ -250,12 +254,6 @@
 	return last
 }
 
-func (h *delayHeap) remove(e *entry) {
-	if i := slices.Index(*h, e); i >= 0 {
-		heap.Remove(h, i)
-	}
-}
-
 // rateSeconds is the time over which starts are counted.
 const rateSeconds = 10
 
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -268,11 +268,8 @@
 
 // dequeue takes a waiting job out. The caller holds mu.
 func (m *Manager) dequeue(e *entry) {
-	switch e.phase {
-	case phaseQueued:
+	if e.phase == phaseQueued {
 		m.lane(e.pool).Remove(e.job.ID)
-	case phaseDelayed:
-		m.delayed.remove(e)
 	}
 	m.uncount(e)
 }
