--- a/control/jobs/bench_test.go
+++ b/control/jobs/bench_test.go
@@ -103,6 +103,7 @@
 			_ = o.jobs.Dispatch(ctx) // the jobs concerned wait for the next
 		case <-ticker.C:
 			_ = o.jobs.Tick(ctx)
+			_ = o.jobs.Maintain(ctx)
 		case <-ctx.Done():
 		}
 	}
@@ -133,7 +134,7 @@
 // Guards against data races and lost wake-ups between submissions, starts, ends
 // of tasks and checkpoints that run at the same time.
 func TestConcurrentCallers(t *testing.T) {
-	o := newOwner(t, newWorld(0), nil, Options{CheckpointBytes: 20_000, MaintainEvery: time.Millisecond})
+	o := newOwner(t, newWorld(0), nil, Options{CheckpointBytes: 20_000})
 	o.free.Store(1000)
 	ctx, cancel := context.WithCancel(t.Context())
 	var driver sync.WaitGroup
@@ -235,7 +236,7 @@
 // measured.
 type discard struct{ *journal.Journal }
 
-func (discard) Append(context.Context, ...control.Record) error { return nil }
+func (discard) AppendIn(context.Context, string, ...control.Record) error { return nil }
 
 func largeWorld() *world {
 	w := newWorld(0)
@@ -271,3 +272,34 @@
 		})
 	}
 }
+
+// BenchmarkCancelWave measures the cancellation of all queued jobs by 200
+// callers, with a store of 3 ms.
+func BenchmarkCancelWave(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			faults := &memory.Faults{}
+			o := newOwner(b, largeWorld(), faults, Options{MaxRetained: n})
+			fill(b, o, n)
+			faults.SetLatency(3 * time.Millisecond)
+			_, before := faults.Counts()
+			begin := time.Now()
+			var wg sync.WaitGroup
+			for c := range 200 {
+				wg.Go(func() {
+					for i := c; i < n; i += 200 {
+						status, err := o.jobs.Cancel(b.Context(), ID("a", fmt.Sprint(i)))
+						if err != nil || status.Result == nil || status.Result.Outcome != fleet.OutcomeNotRun {
+							b.Errorf("cancel: %+v, %v", status, err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			_, after := faults.Counts()
+			b.ReportMetric(float64(time.Since(begin).Microseconds())/float64(n), "us/job")
+			b.ReportMetric(float64(after-before)/float64(n), "writes/job")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/control/journal/journal.go
+++ b/control/journal/journal.go
@@ -41,6 +41,9 @@
 	MaxResolve int
 	// TxnID returns unique transaction ids; nil means random UUIDs.
 	TxnID func() string
+	// After calls fn once after d, for flushes that the rate holds back; nil
+	// means time.AfterFunc. Without it, flushes wait for Tick or an Append.
+	After func(d time.Duration, fn func())
 }
 
 func (o Options) withDefaults() Options {
@@ -62,6 +65,9 @@
 	if o.TxnID == nil {
 		o.TxnID = uuid.NewString
 	}
+	if o.After == nil {
+		o.After = func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }
+	}
 	return o
 }
 
@@ -84,7 +90,7 @@
 	pending  []*batch
 	bytes    int // of pending records
 	flushing bool
-	timer    *time.Timer
+	armed    bool   // After has been called and not yet fired
 	sequence uint64 // of the next page
 	session  string
 	stats    Stats
@@ -96,6 +102,7 @@
 
 // batch is the records of one Append.
 type batch struct {
+	session string
 	records []control.Record
 	bytes   int
 	done    chan error // buffered, receives one value
@@ -145,10 +152,17 @@
 // platform.ErrUnavailable; while they are being written it returns
 // platform.ErrUnknown.
 func (j *Journal) Append(ctx context.Context, records ...control.Record) error {
+	return j.AppendIn(ctx, j.options.Membership.Self().ID, records...)
+}
+
+// AppendIn is Append for records that were made in a session. It returns
+// platform.ErrFenced if the process has a later session by the time of the
+// flush: another entry may have owned the records' shards meanwhile.
+func (j *Journal) AppendIn(ctx context.Context, session string, records ...control.Record) error {
 	if len(records) == 0 {
 		return nil
 	}
-	b := &batch{records: records, bytes: size(records), done: make(chan error, 1)}
+	b := &batch{session: session, records: records, bytes: size(records), done: make(chan error, 1)}
 	if err := j.enqueue(b); err != nil {
 		return err
 	}
@@ -161,8 +175,8 @@
 	}
 }
 
-// Tick flushes what waits and settles a commit in doubt. Append arms a timer of
-// its own, so Tick is needed only while nothing is appended.
+// Tick flushes what waits and settles a commit in doubt. Append arranges for
+// both by Options.After, so Tick is needed only where that does nothing.
 func (j *Journal) Tick(ctx context.Context) {
 	j.flush(ctx)
 }
@@ -231,6 +245,7 @@
 	}
 	j.flushing = true
 	j.followSession()
+	j.rejectFormer()
 	bytes, n := 0, 0
 	for n < len(j.pending) && (n == 0 || bytes+j.pending[n].bytes <= j.options.MaxPage) {
 		bytes += j.pending[n].bytes
@@ -242,6 +257,21 @@
 	return taken, true
 }
 
+// rejectFormer fails the batches of former sessions.
+func (j *Journal) rejectFormer() {
+	kept := j.pending[:0:0]
+	for _, b := range j.pending {
+		if b.session == j.session {
+			kept = append(kept, b)
+			continue
+		}
+		j.bytes -= b.bytes
+		j.stats.Fenced++
+		b.done <- fmt.Errorf("%w: session %s", platform.ErrFenced, b.session)
+	}
+	j.pending = kept
+}
+
 // end tells the callers and arms the timer for what has arrived meanwhile.
 func (j *Journal) end(batches []*batch, err error) {
 	j.mu.Lock()
@@ -257,17 +287,18 @@
 
 // arm flushes again once the rate allows it.
 func (j *Journal) arm(now time.Time) {
-	if j.timer != nil {
+	if j.armed {
 		return
 	}
+	j.armed = true
 	wait := time.Millisecond
 	if r := j.limiter.ReserveN(now, 1); r.OK() {
 		wait = max(wait, r.DelayFrom(now))
 		r.CancelAt(now)
 	}
-	j.timer = time.AfterFunc(wait, func() {
+	j.options.After(wait, func() {
 		j.mu.Lock()
-		j.timer = nil
+		j.armed = false
 		j.mu.Unlock()
 		j.flush(context.Background())
 	})
--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -76,6 +76,9 @@
 
 func (s *session) fence() { s.write(platform.Write{Key: "session/" + s.id, Delete: true}) }
 
+// never is an After for tests that flush with Tick.
+func never(time.Duration, func()) {}
+
 type tick struct{ now time.Time }
 
 func (c *tick) Now() time.Time {
@@ -167,7 +170,7 @@
 			return rapid.SampledFrom([]string{"", "", "", "unavailable", "answer lost", "request late", "overtaken"}).Draw(t, "fault")
 		}
 		n := 0
-		j := New(Options{Table: l, Membership: s, Clock: &tick{}, Rate: 1e12, TxnID: func() string { n++; return fmt.Sprint("txn", n) }})
+		j := New(Options{Table: l, Membership: s, Clock: &tick{}, Rate: 1e12, TxnID: func() string { n++; return fmt.Sprint("txn", n) }, After: never})
 		var durable, maybe, never []string
 		t.Repeat(map[string]func(*rapid.T){
 			"append": func(r *rapid.T) {
@@ -232,6 +235,12 @@
 		t.Errorf("append over a page of another process in the same session: %v", err)
 	}
 	s.fence()
+	for _, id := range []string{"other", "s"} {
+		s.id = id
+		if err := twin.AppendIn(ctx, "former", control.Record{Body: []byte("f")}); !errors.Is(err, platform.ErrFenced) {
+			t.Errorf("append of a former session: %v", err)
+		}
+	}
 	for _, faults = range []string{"", "request late"} {
 		if err := j.Append(ctx, control.Record{Body: []byte("b")}); !errors.Is(err, platform.ErrFenced) {
 			t.Errorf("append after the fence: %v", err)
@@ -372,12 +381,12 @@
 		l.onRange = nil
 		for shard := range 2 {
 			for _, state := range []string{"older", "state"} {
-				if err := j.Checkpoint(ctx, shard, position, []byte(state)); err != nil {
+				if err := j.Checkpoint(ctx, "s", shard, position, []byte(state)); err != nil {
 					t.Fatal(err)
 				}
 			}
 		}
-		if n, err := j.Trim(ctx, position); err != nil || n != 200 {
+		if n, err := j.Trim(ctx, "s", position); err != nil || n != 200 {
 			t.Fatalf("trimmed %d pages, %v", n, err)
 		}
 		appendOne(1, "newer")
@@ -412,7 +421,7 @@
 	if s.fence(); len(contents(t, table)) != 0 {
 		t.Error("pages remain")
 	}
-	if _, err := j.Trim(ctx, 1000); err != nil {
+	if _, err := j.Trim(ctx, "s", 1000); err != nil {
 		t.Errorf("trim without pages: %v", err)
 	}
 }
