--- a/control/slots/owner.go
+++ b/control/slots/owner.go
@@ -350,8 +350,8 @@
 			return lookupListed(vm, status)
 		}
 	}
-	if t := s.tombstones[id]; t.ended || v.slots[id] != nil {
-		return lookup{} // ended and forgotten, or started meanwhile
+	if s.tombstones[id].ended || v.slots[id] != nil || s.ends[id] != nil {
+		return lookup{} // ended, or its start is in flight, unresolved or done meanwhile
 	}
 	s.bury(id, v.amnesia)
 	end := control.TaskEnd{Attempt: id, VM: vm, NotStarted: !v.amnesia, Detail: "not in the worker's list"}
@@ -367,9 +367,9 @@
 	return answer
 }
 
-// lookupMemory answers from memory where that is certain. Otherwise it makes
-// sure that no start of the attempt is or will be in flight from here, and
-// returns the lease under which the task list is proof.
+// lookupMemory answers from memory where that is certain. Otherwise it gives up
+// a reservation of the attempt and returns the lease under which the task list
+// is proof, if no start was sent from here by the time the list arrives.
 func (s *Slots) lookupMemory(vm fleet.VMID, id fleet.AttemptID) (*ownedVM, platform.Lease, lookup, bool) {
 	s.mu.Lock()
 	defer s.unlock()
@@ -388,21 +388,13 @@
 	if !v.leased(s.o.Clock.Now()) || !v.ready {
 		return nil, platform.Lease{}, lookup{}, true
 	}
-	if sl := v.slots[id]; sl != nil {
-		if sl.phase == starting || sl.phase == unknown {
-			return nil, platform.Lease{}, lookup{}, true
-		}
-		if sl.phase == reserved {
-			delete(v.slots, id)
-			s.bury(id, false)
-		}
+	if sl := v.slots[id]; sl != nil && sl.phase == reserved {
+		delete(v.slots, id)
+		s.bury(id, false)
 	}
 	if s.tombstones[id].ended {
 		return nil, platform.Lease{}, lookup{}, true
 	}
-	if v.slots[id] == nil {
-		s.bury(id, false)
-	}
 	return v, platform.Lease{Holder: s.self, Epoch: v.epoch}, lookup{}, false
 }
 
--- a/control/slots/scenario_test.go
+++ b/control/slots/scenario_test.go
@@ -260,10 +260,28 @@
 		}},
 		{"attempt is burnt while a lookup reads the list", 1, 1, 1, func(t *testing.T, w *world) {
 			e := w.entries[0]
-			w.duringTasks = func() { _, _ = w.place(t, e, "dc00", "a") }
-			if _, end, known := e.slots.Lookup(ctx, w.vmIDs[0], "a"); known && end.NotStarted {
-				w.denied("a", "Lookup")
+			k := w.workers[w.vmIDs[0]]
+			lookup := func(id fleet.AttemptID, meanwhile func()) {
+				w.duringTasks = meanwhile
+				if _, end, known := e.slots.Lookup(ctx, k.vm.ID, id); known && end != nil && end.NotStarted {
+					w.denied(id, "Lookup")
+				}
 			}
+			lookup("a", func() { _, _ = w.place(t, e, "dc00", "a") })
+			lookup("b", func() {
+				k.hold = true
+				_, _ = w.place(t, e, "dc00", "b")
+			})
+			_ = k.start(w.held[0].lease, w.held[0].task, w.held[0].sent)
+			w.run(2 * time.Second)
+			k.tasks["b"].State = platform.TaskCompleted
+			w.run(time.Second)
+			lookup("c", func() {
+				_, _ = w.place(t, e, "dc00", "c")
+				k.tasks["c"].State = platform.TaskCompleted
+				w.deaf = 1 << 20
+				w.run(time.Second)
+			})
 		}},
 		{"task started while a list is read is not lost", 1, 1, 1, func(t *testing.T, w *world) {
 			w.mustPlace(t, "a")
@@ -372,7 +390,7 @@
 		"other pool":  func(w *world, k *worker) { w.assigned[k.vm.ID] = Assignment{Pool: "q", State: placement.Active} },
 		"no pool":     func(w *world, k *worker) { delete(w.assigned, k.vm.ID) },
 		"VM list":     func(w *world, _ *worker) { w.advance(listUse + time.Millisecond) },
-		"reservation": func(w *world, _ *worker) { w.run(ReservationTTL) },
+		"reservation": func(w *world, _ *worker) { w.advance(ReservationTTL); list(w) },
 		"owner": func(w *world, _ *worker) {
 			w.setMembers([]control.Member{{ID: "other", DataCentre: "dc00"}})
 			w.learnMembers()
