--- a/control/pools/poolstest/entry.go
+++ b/control/pools/poolstest/entry.go
@@ -155,6 +155,9 @@
 }
 
 func (e *Entry) control(ctx context.Context, op string, vm fleet.VMID, fn func(*machine) error) error {
+	if e.Expired {
+		e.World.violate("%s of VM %s by an entry whose session has expired", op, vm)
+	}
 	if err := e.pass(ctx, op); err != nil {
 		return err
 	}
--- a/control/upkeep/status.go
+++ b/control/upkeep/status.go
@@ -26,7 +26,7 @@
 	Total        int            `json:"total"`
 	Done         int            `json:"done"` // not due
 	InProgress   int            `json:"inProgress"`
-	Remaining    int            `json:"remaining"` // due
+	Remaining    int            `json:"remaining"` // due and not started
 	Overdue      int            `json:"overdue"`
 	Failed       []string       `json:"failed,omitempty"` // reboots of this wave
 	Hold         string         `json:"hold,omitempty"`   // why nothing starts
@@ -49,7 +49,7 @@
 	return Status{
 		Wave: s.wave.Number, Started: at(s.wave.Started),
 		Total: report.Total, Done: report.Done, InProgress: report.InProgress,
-		Remaining: report.Remaining, Overdue: report.Overdue,
+		Remaining: report.Remaining + report.Starting, Overdue: report.Overdue,
 		Failed: s.wave.Failed, Hold: report.Hold, PausedBy: s.wave.PausedBy,
 		Waiting:      report.Waiting,
 		ProjectedEnd: maintenance.ProjectedEnd(snapshot, report, now),
--- a/policy/maintenance/feasibility.go
+++ b/policy/maintenance/feasibility.go
@@ -71,6 +71,6 @@
 	if r.Hold != "" {
 		return time.Time{}
 	}
-	rounds := math.Ceil(float64(r.Remaining+r.InProgress) / float64(max(r.Allowed, 1)))
+	rounds := math.Ceil(float64(r.Remaining+r.Starting+r.InProgress) / float64(max(r.Allowed, 1)))
 	return now.Add(time.Duration(rounds) * defaults(s).Duration)
 }
--- a/policy/maintenance/plan.go
+++ b/policy/maintenance/plan.go
@@ -41,7 +41,8 @@
 type Report struct {
 	Total      int
 	Done       int // younger than the age at which a VM is due
-	InProgress int
+	InProgress int // before the starts of this plan
+	Starting   int // starts of this plan
 	Failed     int
 	Remaining  int            // due and not started
 	Overdue    int            // older than the period
@@ -448,7 +449,7 @@
 
 func (p *planner) take(v *item) {
 	p.working++
-	p.report.InProgress++
+	p.report.Starting++
 	p.racks[v.rack]++
 	p.dcs[v.dc].used++
 	if p.dcs[v.dc].out {
