--- a/control/upkeep/upkeep_test.go
+++ b/control/upkeep/upkeep_test.go
@@ -324,6 +324,21 @@
 		t.Fatal(err)
 	}
 	rounds(t, w, 2, n, other)
+	// The record of a VM that fails while it is held outlasts the undrain.
+	if err := other.upkeep.Drain(ctx, vmID(0), "ann"); err != nil {
+		t.Fatal(err)
+	}
+	w.Kill(vmID(0), fleet.VMLeaving)
+	rounds(t, w, 2, n)
+	if err := other.upkeep.Undrain(ctx, vmID(0)); err != nil {
+		t.Fatal(err)
+	}
+	rounds(t, w, 1, n)
+	if _, byDC, err := n.ledger.Budgets(ctx); err != nil || byDC["d00"].VMs[vmID(0)].Cause != pools.CauseFailed {
+		t.Fatalf("the failure was forgotten: %+v, %v", byDC, err)
+	}
+	w.Kill(vmID(0), fleet.VMLive)
+	rounds(t, w, 2, n)
 	if err := other.upkeep.Resume(ctx); err != nil {
 		t.Fatal(err)
 	}
