Stop a wave in the transaction of the failure that exceeds the bound

The stop was written one round later, after a wave that ended in between had dropped its failures. The reason of a stop also named a pause that was in force at the same time; it now names the failures.

--- a/control/upkeep/carryout.go
+++ b/control/upkeep/carryout.go
@@ -257,7 +257,7 @@
 			return err
 		}
 		if seen.Phase == maintenance.PhaseRebooting {
-			if err := countFailure(c, d.VM); err != nil {
+			if err := x.countFailure(c, d.VM); err != nil {
 				return err
 			}
 		}
@@ -270,16 +270,24 @@
 	})
 }
 
-func countFailure(c *pools.Change, vm fleet.VMID) error {
+// countFailure adds a failed reboot to the wave and stops it above the bound, so
+// that the stop is in force before the wave can roll over.
+func (x *Executor) countFailure(c *pools.Change, vm fleet.VMID) error {
 	w, err := pools.Load[wave](c, WaveKey)
 	if err != nil {
 		return err
 	}
 	w.Failed = append(w.Failed, string(vm))
+	cfg := x.options.View.Snapshot()
+	if cfg != nil && len(w.Failed) > cfg.Maintenance.StopAfterFailures && w.Stopped == "" {
+		w.Stopped = fmt.Sprintf("%d reboots failed, %d allowed", len(w.Failed), cfg.Maintenance.StopAfterFailures)
+	}
 	c.Store(WaveKey)
 	return nil
 }
 
+// stop records the planner's stop. It is needed when operators have lowered the
+// bound below the failures that were counted.
 func (x *Executor) stop(ctx context.Context, reason string) error {
 	return x.update(ctx, "", func(c *pools.Change) error {
 		w, err := pools.Load[wave](c, WaveKey)
--- a/control/upkeep/upkeep_test.go
+++ b/control/upkeep/upkeep_test.go
@@ -270,6 +270,9 @@
 	if err != nil || !strings.Contains(s.Hold, "reboots failed") || len(s.Failed) < 3 || failed != len(s.Failed) {
 		t.Fatalf("wave not stopped: %+v; %d failures recorded, %v", s, failed, err)
 	}
+	if row, err := w.Table.Get(ctx, upkeep.WaveKey); err != nil || !strings.Contains(string(row.Value), "3 reboots failed, 2 allowed") {
+		t.Fatalf("the stop was not written with the failure that caused it: %q, %v", row.Value, err)
+	}
 	before := len(w.Reboots)
 	w.RebootTime = 3 * time.Minute
 	for _, id := range w.IDs() {
--- a/policy/maintenance/plan.go
+++ b/policy/maintenance/plan.go
@@ -228,7 +228,7 @@
 	case p.s.Stopped != "":
 		return "wave stopped: " + p.s.Stopped
 	case p.tooManyFailures():
-		return fmt.Sprintf("wave stopped: %d reboots failed, %d allowed", p.s.Failures, p.s.Plan.StopAfterFailures)
+		return "wave stopped: " + p.failures()
 	case p.s.Plan.Period <= 0:
 		return "no maintenance period is configured"
 	}
@@ -239,6 +239,10 @@
 	return p.s.Failures > p.s.Plan.StopAfterFailures
 }
 
+func (p *planner) failures() string {
+	return fmt.Sprintf("%d reboots failed, %d allowed", p.s.Failures, p.s.Plan.StopAfterFailures)
+}
+
 // avoided reports whether VMs of a data centre wait for another data centre
 // that operators have taken out.
 func (p *planner) avoided(dc fleet.DataCentreName) bool {
@@ -264,7 +268,7 @@
 func (p *planner) progress(hold string) []Decision {
 	var out []Decision
 	if p.tooManyFailures() && p.s.Stopped == "" {
-		out = append(out, Decision{Action: ActionStopWave, Reason: hold})
+		out = append(out, Decision{Action: ActionStopWave, Reason: p.failures()})
 	}
 	for i := range p.items {
 		v := &p.items[i]
@@ -304,11 +308,11 @@
 }
 
 // checkpoints asks for a checkpoint of each task that keeps its deadline after
-// one. Tasks that would not are left to end by themselves.
+// one, in each plan until the task is gone. Tasks that would not are left to end by themselves.
 func (p *planner) checkpoints(v *item) []Decision {
 	var out []Decision
 	for _, t := range v.Tasks {
-		if t.CanCheckpoint && !t.CheckpointAsked && keepsDeadline(t, p.now) {
+		if t.CanCheckpoint && keepsDeadline(t, p.now) {
 			out = append(out, Decision{Action: ActionCheckpoint, VM: v.ID, Task: t.ID, Reason: "still running after the drain timeout"})
 		}
 	}
--- a/policy/maintenance/types.go
+++ b/policy/maintenance/types.go
@@ -32,11 +32,10 @@
 
 // Task is work that runs on a VM.
 type Task struct {
-	ID              fleet.AttemptID
-	End             time.Time // estimated
-	Deadline        time.Time // zero means none
-	CanCheckpoint   bool
-	CheckpointAsked bool // a checkpoint was asked for and the task has not ended yet
+	ID            fleet.AttemptID
+	End           time.Time // estimated
+	Deadline      time.Time // zero means none
+	CanCheckpoint bool
 }
 
 // VM is what the planner knows of a VM.
