--- a/policy/maintenance/plan.go
+++ b/policy/maintenance/plan.go
@@ -41,7 +41,8 @@
 type Report struct {
 	Total      int
 	Done       int // younger than the age at which a VM is due
-	InProgress int
+	InProgress int // before the starts of this plan
+	Starting   int // starts of this plan
 	Failed     int
 	Remaining  int            // due and not started
 	Overdue    int            // older than the period
@@ -227,7 +228,7 @@
 	case p.s.Stopped != "":
 		return "wave stopped: " + p.s.Stopped
 	case p.tooManyFailures():
-		return fmt.Sprintf("wave stopped: %d reboots failed, %d allowed", p.s.Failures, p.s.Plan.StopAfterFailures)
+		return "wave stopped: " + p.failures()
 	case p.s.Plan.Period <= 0:
 		return "no maintenance period is configured"
 	}
@@ -238,6 +239,10 @@
 	return p.s.Failures > p.s.Plan.StopAfterFailures
 }
 
+func (p *planner) failures() string {
+	return fmt.Sprintf("%d reboots failed, %d allowed", p.s.Failures, p.s.Plan.StopAfterFailures)
+}
+
 // avoided reports whether VMs of a data centre wait for another data centre
 // that operators have taken out.
 func (p *planner) avoided(dc fleet.DataCentreName) bool {
@@ -263,7 +268,7 @@
 func (p *planner) progress(hold string) []Decision {
 	var out []Decision
 	if p.tooManyFailures() && p.s.Stopped == "" {
-		out = append(out, Decision{Action: ActionStopWave, Reason: hold})
+		out = append(out, Decision{Action: ActionStopWave, Reason: p.failures()})
 	}
 	for i := range p.items {
 		v := &p.items[i]
@@ -303,11 +308,11 @@
 }
 
 // checkpoints asks for a checkpoint of each task that keeps its deadline after
-// one. Tasks that would not are left to end by themselves.
+// one, in each plan until the task is gone. Tasks that would not are left to end by themselves.
 func (p *planner) checkpoints(v *item) []Decision {
 	var out []Decision
 	for _, t := range v.Tasks {
-		if t.CanCheckpoint && !t.CheckpointAsked && keepsDeadline(t, p.now) {
+		if t.CanCheckpoint && keepsDeadline(t, p.now) {
 			out = append(out, Decision{Action: ActionCheckpoint, VM: v.ID, Task: t.ID, Reason: "still running after the drain timeout"})
 		}
 	}
@@ -448,7 +453,7 @@
 
 func (p *planner) take(v *item) {
 	p.working++
-	p.report.InProgress++
+	p.report.Starting++
 	p.racks[v.rack]++
 	p.dcs[v.dc].used++
 	if p.dcs[v.dc].out {
