--- a/policy/capacity/books.go
+++ b/policy/capacity/books.go
@@ -19,9 +19,10 @@
 	busy         int     // running tasks
 	urgentQueued int
 	outlook      Outlook
-	need         int // VMs for the demand
-	keep         int // VMs that do not go back to the spare pool
-	floor        int // VMs that never leave
+	need         int   // VMs for the demand
+	keep         int   // VMs that do not go back to the spare pool
+	floor        int   // VMs that never leave
+	candidates   []*VM // VMs in have that maintenance does not take
 	byDC         map[fleet.DataCentreName]int
 	byRack       map[fleet.RackName]int
 }
@@ -42,7 +43,6 @@
 	fleetSlots float64
 	full       bool // the demand exceeds the fleet
 	ramp       map[fleet.DataCentreName]float64
-	candidates []*VM
 	taken      map[fleet.VMID]bool
 	budget     int // moves that may still begin
 	moves      []Move
@@ -106,7 +106,7 @@
 		p.byDC[vm.DataCentre]++
 		p.byRack[vm.Rack]++
 		if !vm.Maintained {
-			b.candidates = append(b.candidates, vm)
+			p.candidates = append(p.candidates, vm)
 		}
 	}
 	mean := 1.0
@@ -150,19 +150,14 @@
 	case w.Began.IsZero():
 		return Window{Began: now, Least: surplus}
 	case now.Sub(w.Began) >= span:
-		return Window{Began: now, Least: surplus, LeastLast: w.Least, Complete: true}
+		return Window{Began: now, Least: surplus, LeastLast: w.Least}
 	}
 	w.Least = min(w.Least, surplus)
 	return w
 }
 
 // unused returns the VMs that no pool needed in the whole window.
-func (w Window) unused() int {
-	if !w.Complete {
-		return 0
-	}
-	return min(w.Least, w.LeastLast)
-}
+func (w Window) unused() int { return min(w.Least, w.LeastLast) }
 
 func (b *books) needs() map[fleet.PoolName]int {
 	needs := make(map[fleet.PoolName]int, len(b.order))
--- a/policy/capacity/capacity.go
+++ b/policy/capacity/capacity.go
@@ -103,9 +103,8 @@
 // the previous span of Settings.ParkAfter.
 type Window struct {
 	Began     time.Time
-	Least     int  // VMs, since Began
-	LeastLast int  // VMs, in the span before
-	Complete  bool // a span came before
+	Least     int // VMs, since Began
+	LeastLast int // VMs, in the span before; 0 in the first span
 }
 
 // Decision is the result of Decide.
--- a/policy/capacity/capacity_test.go
+++ b/policy/capacity/capacity_test.go
@@ -62,6 +62,15 @@
 	return n
 }
 
+func moves(d Decision, id fleet.VMID) bool {
+	for _, m := range d.Moves {
+		if m.VM == id {
+			return true
+		}
+	}
+	return false
+}
+
 func TestDecide(t *testing.T) {
 	neutral := SettingsFor(fleet.Profile{})
 	cases := []struct {
@@ -114,6 +123,27 @@
 		{"a burst that is due brings VMs ahead", func(s *Snapshot, _ *Settings) {
 			s.Outlooks = []Outlook{{Pool: "p0", Slots: 60, Bursting: true, Ends: 10 * time.Second}}
 		}, func(d Decision) bool { return countTo(d, "p0") > 0 }},
+		{"the last VM of a pool in its second data centre stays", func(s *Snapshot, _ *Settings) {
+			s.Work = []Work{waiting("p0", "large", fleet.ClassUrgent, 32, 60)}
+			for i := range s.VMs {
+				s.VMs[i].Maintained = s.VMs[i].Pool == "p2"
+				s.VMs[i].DataCentre, s.VMs[i].Running = "dc0", 1
+			}
+			s.VMs[7].DataCentre, s.VMs[7].Running = "dc1", 0
+		}, func(d Decision) bool { return len(d.Moves) > 0 && !moves(d, "vm007") }},
+		{"VMs that have just moved stay", func(s *Snapshot, _ *Settings) {
+			s.Work = []Work{waiting("p0", "large", fleet.ClassUrgent, 32, 60)}
+			for i := range s.VMs {
+				s.VMs[i].Moved = s.Now.Add(-time.Second / 2)
+			}
+		}, func(d Decision) bool { return len(d.Moves) == 0 }},
+		{"a full fleet uses all VMs, whatever the headroom", func(s *Snapshot, set *Settings) {
+			set.Headroom = -0.5
+			s.Work = []Work{
+				waiting("p0", "large", fleet.ClassBatch, 32, 500),
+				waiting("p1", "small", fleet.ClassBatch, 32, 500),
+			}
+		}, func(d Decision) bool { return d.Need["p0"]+d.Need["p1"] >= 12 }},
 		{"in a full fleet a team below its share gains VMs", func(s *Snapshot, set *Settings) {
 			set.ShareBlend = 1
 			s.Work = []Work{
@@ -188,7 +218,7 @@
 	sizes := rapid.SliceOfN(rapid.IntRange(1, 10), 3, 6).Draw(t, "sizes")
 	s := fleetOf(sizes...)
 	for i := range s.Pools {
-		s.Pools[i].MaxUnavailable = rapid.IntRange(0, 3).Draw(t, "budget")
+		s.Pools[i].MaxUnavailable = rapid.IntRange(0, 6).Draw(t, "budget")
 	}
 	for i := range s.VMs {
 		v := &s.VMs[i]
@@ -221,7 +251,7 @@
 			MoveWeight:  rapid.Float64Range(0, 5).Draw(t, "move"),
 			ShareWeight: rapid.Float64Range(0, 5).Draw(t, "share"),
 		})
-		m := Memory{Window: Window{Began: start, Least: 10, LeastLast: 10, Complete: true}}
+		m := Memory{Window: Window{Began: start, Least: 10, LeastLast: 10}}
 		d := Decide(s, set, m)
 		moved := make(map[fleet.VMID]bool)
 		for _, p := range s.Moves {
@@ -273,7 +303,14 @@
 	if gave == 0 || p.Spare {
 		return
 	}
-	if left < d.Need[p.Name] || left < p.MaxUnavailable || len(dcs) < min(left, minDataCentres) {
+	busy := 0
+	for _, w := range s.Work {
+		if w.Pool == p.Name {
+			busy += w.Running
+		}
+	}
+	floor := min(d.Need[p.Name], (busy+7)/8) + p.MaxUnavailable
+	if left < d.Need[p.Name] || left < floor || len(dcs) < min(left, minDataCentres) {
 		t.Fatalf("pool %s has %d VMs in %d data centres left; needs %d, budget %d", p.Name, left, len(dcs), d.Need[p.Name], p.MaxUnavailable)
 	}
 }
@@ -312,10 +349,13 @@
 		b.Run(fmt.Sprint(size.vms), func(b *testing.B) {
 			s := benchmarkFleet(size.pools, size.vms)
 			set := SettingsFor(fleet.Profile{})
+			m := Memory{Window: Window{Began: start, Least: size.vms / 10, LeastLast: size.vms / 10}}
+			moves := 0
 			b.ReportAllocs()
 			for b.Loop() {
-				Decide(s, set, Memory{})
+				moves = len(Decide(s, set, m).Moves)
 			}
+			b.ReportMetric(float64(moves), "moves")
 		})
 	}
 }
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -36,34 +36,37 @@
 func (b *books) bestDonor(p *poolBook) *VM {
 	var best *VM
 	var bestCost float64
-	for _, vm := range b.candidates {
-		from := b.pools[vm.Pool]
-		if from == p || !b.mayLeave(vm, from, p) {
+	for _, from := range b.order {
+		if from == p || !b.mayGive(from, p) {
 			continue
 		}
-		cost := b.costOfMove(vm, from, p)
-		if best == nil || cost < bestCost {
-			best, bestCost = vm, cost
+		for _, vm := range from.candidates {
+			if !b.mayLeave(vm, from) {
+				continue
+			}
+			cost := b.costOfMove(vm, from, p)
+			if best == nil || cost < bestCost {
+				best, bestCost = vm, cost
+			}
 		}
 	}
 	return best
 }
 
-// mayLeave reports whether the donor can do without the VM.
-func (b *books) mayLeave(vm *VM, from, to *poolBook) bool {
-	if b.taken[vm.ID] || b.rampOf(vm.DataCentre) < 1 {
-		return false
-	}
-	if b.tooSoon(vm, from) {
-		return false
-	}
+// mayGive reports whether a pool can do without one more VM.
+func (b *books) mayGive(from, to *poolBook) bool {
 	if from.Spare {
 		return from.have > from.floor || to.urgentQueued > 0
 	}
-	if from.have-1 < b.retained(from, to) {
+	return from.have-1 >= b.retained(from, to)
+}
+
+// mayLeave reports whether a VM may leave a pool that can give one.
+func (b *books) mayLeave(vm *VM, from *poolBook) bool {
+	if b.taken[vm.ID] || b.rampOf(vm.DataCentre) < 1 || b.tooSoon(vm, from) {
 		return false
 	}
-	return keepsSpread(vm, from)
+	return from.Spare || keepsSpread(vm, from)
 }
 
 // retained returns how many VMs a donor retains when to asks for one. Only
@@ -125,28 +128,33 @@
 	return cost
 }
 
-// park returns the VMs that no pool has needed in the whole window. VMs that
-// one pool or another needs in its turn stay, because moving them to the
-// spare pool and out again costs two moves instead of one.
+// park returns idle VMs that no pool has needed in the whole window to the
+// spare pool. VMs that one pool or another needs in its turn stay, because
+// moving them to the spare pool and out again costs two moves instead of one.
 func (b *books) park() {
 	if b.spare == nil || b.set.ParkAfter <= 0 {
 		return
 	}
+	exhausted := make(map[*poolBook]bool)
 	for b.memory.Window.unused() > 0 && b.budget > 0 {
-		p := b.richest()
-		if p == nil || !b.returnOne(p) {
+		p := b.richest(exhausted)
+		if p == nil {
 			return
 		}
+		if !b.returnOne(p) {
+			exhausted[p] = true
+			continue
+		}
 		b.memory.Window.Least--
 		b.memory.Window.LeastLast--
 	}
 }
 
-// richest returns the pool with the largest surplus that has a VM to return.
-func (b *books) richest() *poolBook {
+// richest returns the pool with the largest surplus that may have a VM to return.
+func (b *books) richest(exhausted map[*poolBook]bool) *poolBook {
 	var best *poolBook
 	for _, p := range b.order {
-		if p.Spare || p.surplus() <= 0 || b.idleVM(p) == nil {
+		if p.Spare || p.surplus() <= 0 || exhausted[p] {
 			continue
 		}
 		if best == nil || p.surplus() > best.surplus() {
@@ -169,8 +177,8 @@
 // idleVM returns an idle VM of the data centre in which the pool has most VMs.
 func (b *books) idleVM(p *poolBook) *VM {
 	var best *VM
-	for _, vm := range b.candidates {
-		if vm.Pool != p.Name || vm.Running > 0 || b.taken[vm.ID] || b.tooSoon(vm, p) {
+	for _, vm := range p.candidates {
+		if vm.Running > 0 || b.taken[vm.ID] || b.tooSoon(vm, p) {
 			continue
 		}
 		if p.have-1 < p.floor || !keepsSpread(vm, p) {
