--- a/control/apply/operation.go
+++ b/control/apply/operation.go
@@ -10,6 +10,7 @@
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
 )
 
 // Operation is a committed change on its way to acceptance.
@@ -17,6 +18,7 @@
 	c       *Coordinator
 	change  config.Change
 	started time.Time
+	session platform.Condition
 	end     func() // ends the mark that prevents outage agreements
 
 	mu        sync.Mutex
@@ -64,8 +66,8 @@
 		return o.result(), nil
 	}
 	// The last check is against a pause of this process: once its session may
-	// have been fenced, members that it does not know could agree without it.
-	if o.c.o.Members.Valid() != nil {
+	// have been fenced, the others could agree without it.
+	if o.c.o.Members.Valid() != nil || o.c.o.Members.Session() != o.session {
 		return o.result(), nil
 	}
 	o.accepted = true
@@ -92,19 +94,21 @@
 // settled reports whether every member has confirmed the change or can have no
 // evidence from before it.
 func (o *Operation) settled(ctx context.Context) bool {
-	if len(o.waiting()) == 0 {
-		return true
-	}
-	if o.c.o.Clock.Now().Sub(o.known) < view.TTL {
+	silent := len(o.waiting()) > 0
+	if silent && o.c.o.Clock.Now().Sub(o.known) < view.TTL {
 		return false
 	}
-	if list, err := o.c.o.Members.Refresh(ctx); err == nil {
-		o.list = list // sessions may have been fenced meanwhile
+	if !silent && len(o.list.Fenced) == 0 {
+		return true
+	}
+	list := o.list
+	if newer, err := o.c.o.Members.Refresh(ctx); err == nil {
+		list = newer // sessions may have been fenced meanwhile
 	}
 	// Without the heartbeats the silent members are taken to know only the list
 	// version that brought them.
 	known, _ := o.c.o.Members.Known(ctx)
-	return !o.list.Outvoted(o.confirmed, known)
+	return !list.Outvoted(o.confirmed, known)
 }
 
 // waiting returns those that have not confirmed: members, and entries with an
--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -194,6 +194,7 @@
 		picked[e.job.Team]++
 		m.uncount(e)
 		e.phase = phaseStarting
+		e.startedAt = time.Time{}
 		starts = append(starts, m.newStart(e, free))
 		budget--
 	}
@@ -460,6 +461,7 @@
 	switch {
 	case s.err == nil:
 		e.refusals = 0
+		e.startedAt = now
 		if e.Canceled {
 			e.lookupAt = now // the stop may have overtaken the start
 		}
@@ -487,16 +489,16 @@
 	m.notStarted(s.e)
 }
 
-// unclaim ends the claim of a job and gives its unit back. The caller holds mu.
+// unclaim ends the claim of a job and gives its unit back. A unit that another
+// session holds, or that this one holds since it handed the shard over, is
+// collected by its holder. The caller holds mu.
 func (m *Manager) unclaim(e *entry) {
 	m.running[e.job.Team]--
 	if m.running[e.job.Team] <= 0 {
 		delete(m.running, e.job.Team)
 	}
-	if e.Claim.Holder == m.self() {
+	if _, lent := m.lent[e.Claim.Attempt]; e.Claim.Holder == m.self() && !lent {
 		m.options.Limits.Return(e.job.Team)
-	} else {
-		m.returns = append(m.returns, unitReturn{Holder: e.Claim.Holder, Attempt: e.Claim.Attempt})
 	}
 	delete(m.open, e.job.ID)
 	e.Claim = nil
--- a/control/jobs/forward.go
+++ b/control/jobs/forward.go
@@ -20,7 +20,7 @@
 	methodWait   = "jobs.wait"
 	methodCancel = "jobs.cancel"
 	methodEnded  = "jobs.ended"
-	methodUnit   = "jobs.unit"
+	methodHeld   = "jobs.held"
 )
 
 // retryPause is the time between tries of a forwarded call; the owner of a
@@ -45,6 +45,11 @@
 	For time.Duration `cbor:"2,keyasint,omitempty"` // bound of a wait
 }
 
+type heldRequest struct {
+	ID      fleet.JobID     `cbor:"1,keyasint"`
+	Attempt fleet.AttemptID `cbor:"2,keyasint"`
+}
+
 type reply struct {
 	Status  control.JobStatus `cbor:"1,keyasint"`
 	Code    answerCode        `cbor:"2,keyasint,omitempty"`
@@ -71,9 +76,8 @@
 	rpc.Handle(r, methodEnded, func(ctx context.Context, _ string, end control.TaskEnd) (reply, error) {
 		return answer(control.JobStatus{}, m.taskEnded(ctx, end)), nil
 	})
-	rpc.Handle(r, methodUnit, func(_ context.Context, _ string, u unitReturn) (reply, error) {
-		m.unitReturned(u)
-		return reply{}, nil
+	rpc.Handle(r, methodHeld, func(_ context.Context, _ string, q heldRequest) (reply, error) {
+		return answer(control.JobStatus{}, m.held(q)), nil
 	})
 }
 
@@ -106,6 +110,7 @@
 	if refusal := check(&job); refusal != nil {
 		return control.JobStatus{}, refusal
 	}
+	job.Digest = contentDigest(&job)
 	return m.call(ctx, job.ID, methodSubmit, job, func(ctx context.Context) (control.JobStatus, error) {
 		return m.submit(ctx, job)
 	})
@@ -245,12 +250,22 @@
 	}
 }
 
-// status returns the status of a job of an own shard.
+// status returns the status of a job of an own shard. An entry whose session is
+// not valid at the moment answers with what it knows, so that callers of an
+// entry that is cut off still learn of their jobs.
 func (m *Manager) status(id fleet.JobID) (control.JobStatus, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, err := m.acting(m.shardOf(id))
+	number := m.shardOf(id)
+	s, err := m.acting(number)
 	if err != nil {
+		held := m.shards[number]
+		if errors.Is(err, shards.ErrNotOwner) || held == nil || held.session != m.self() {
+			return control.JobStatus{}, err
+		}
+		if e := held.entries[id]; e != nil && e.phase != phaseSubmitting {
+			return e.status(), nil
+		}
 		return control.JobStatus{}, err
 	}
 	e := s.entries[id]
--- a/control/jobs/manager.go
+++ b/control/jobs/manager.go
@@ -65,6 +65,9 @@
 	// queued, and of final results. They must not block or call the manager.
 	OnStart func(job *fleet.Job, delay time.Duration)
 	OnEnd   func(job *fleet.Job, result fleet.Result)
+	// OnTask tells of each completed task and how long it ran. It must not block
+	// or call the manager.
+	OnTask func(job *fleet.Job, end control.TaskEnd, ran time.Duration)
 	// Sleep pauses between tries of a forwarded call.
 	Sleep func(ctx context.Context, d time.Duration) error
 	// AttemptID returns unique ids.
@@ -92,6 +95,9 @@
 	if o.OnStart == nil {
 		o.OnStart = func(*fleet.Job, time.Duration) {}
 	}
+	if o.OnTask == nil {
+		o.OnTask = func(*fleet.Job, control.TaskEnd, time.Duration) {}
+	}
 	if o.OnEnd == nil {
 		o.OnEnd = func(*fleet.Job, fleet.Result) {}
 	}
@@ -156,7 +162,7 @@
 	Ended       uint64
 	TakenOver   uint64 // jobs rebuilt from other sessions
 	Incomplete  uint64 // rebuilt records without their job, dropped
-	UnitsAbroad uint64 // units given back to the session that holds them
+	UnitsAbroad uint64 // units taken back for tasks that ended at another owner
 	Queued      int
 	Open        int
 	Retained    int
@@ -187,9 +193,9 @@
 	retry      *retry.Policy
 	rates      map[fleet.PoolName]*rateCounter
 	revision   fleet.Revision // whose queues the lanes follow
-	lent       map[fleet.AttemptID]fleet.TeamName
-	returns    []unitReturn
+	lent       map[fleet.AttemptID]lentUnit
 	demanded   map[fleet.TeamName]bool
+	arrived    map[LoadKey]uint64 // jobs accepted
 	maintained time.Time
 	ckpt       checkpointRound
 	stats      Stats
@@ -222,8 +228,9 @@
 		dirty:    map[fleet.JobID]*entry{},
 		retry:    retry.New(options.Retry),
 		rates:    map[fleet.PoolName]*rateCounter{},
-		lent:     map[fleet.AttemptID]fleet.TeamName{},
+		lent:     map[fleet.AttemptID]lentUnit{},
 		demanded: map[fleet.TeamName]bool{},
+		arrived:  map[LoadKey]uint64{},
 	}
 }
 
@@ -254,7 +261,7 @@
 		return err
 	}
 	m.Resolve(ctx)
-	m.returnUnits(ctx)
+	m.collectUnits(ctx)
 	m.reportDemand()
 	m.expireResults()
 	return errors.Join(err, m.checkpointIfDue(ctx))
--- a/entry/api/operator.go
+++ b/entry/api/operator.go
@@ -81,6 +81,27 @@
 	Queued  int            `json:"queued"`
 }
 
+// MaintenanceStatus is the progress of maintenance.
+type MaintenanceStatus struct {
+	Paused       bool            `json:"paused"`
+	Stopped      bool            `json:"stopped"` // nothing starts, for the reason in Detail
+	Detail       string          `json:"detail,omitempty"`
+	Due          int             `json:"due"`
+	Done         int             `json:"done"`
+	Failed       int             `json:"failed"`
+	Waiting      map[string]int  `json:"waiting,omitempty"` // due VMs by the reason why they wait
+	ProjectedEnd time.Time       `json:"projectedEnd"`      // zero while nothing may start
+	VMs          []MaintenanceVM `json:"vms"`
+}
+
+// MaintenanceVM is a VM that is not in ordinary service.
+type MaintenanceVM struct {
+	VM         fleet.VMID           `json:"vm"`
+	Pool       fleet.PoolName       `json:"pool"`
+	DataCentre fleet.DataCentreName `json:"dataCentre"`
+	State      string               `json:"state"`
+}
+
 // Operator carries out what operators ask for.
 type Operator interface {
 	// Folder returns the configuration in force.
@@ -90,15 +111,14 @@
 	// Apply returns once the change is in force everywhere, or a *fleet.Refusal
 	// if it was not committed.
 	Apply(ctx context.Context, change config.Change) (ApplyResult, error)
-	Status() Status
+	Status(ctx context.Context) Status
 	Pools(ctx context.Context) ([]PoolStatus, error)
 	Teams(ctx context.Context) ([]TeamStatus, error)
 	// Drain takes a VM out of service; it is refused when the availability
 	// budget is spent.
 	Drain(ctx context.Context, vm fleet.VMID) error
 	Undrain(ctx context.Context, vm fleet.VMID) error
-	// Maintenance returns the progress of maintenance in JSON form.
-	Maintenance(ctx context.Context) (any, error)
+	Maintenance(ctx context.Context) (MaintenanceStatus, error)
 	PauseMaintenance(ctx context.Context, paused bool) error
 }
 
@@ -157,7 +177,9 @@
 	return c.JSON(http.StatusOK, body)
 }
 
-func (s *Server) status(c *echo.Context) error { return c.JSON(http.StatusOK, s.Operator.Status()) }
+func (s *Server) status(c *echo.Context) error {
+	return c.JSON(http.StatusOK, s.Operator.Status(c.Request().Context()))
+}
 
 func (s *Server) pools(c *echo.Context) error {
 	list, err := s.Operator.Pools(c.Request().Context())
