Ask further holders for units while a team stays short

Cause: an entry that is short asked only the two largest holders, so an idle unit at a smaller one was never found: 23 of 24 units of a team in use, one job queued. Change: each round of a team that stays short goes on to the next two holders.

--- a/control/limits/limits.go
+++ b/control/limits/limits.go
@@ -170,6 +170,7 @@
 	nextTry   time.Time     // rounds for needed units pause until then
 	slackTry  time.Time     // rounds for slack pause until then
 	backoff   time.Duration // length of the last pause
+	askFrom   int           // holders that were asked since the team became short
 }
 
 // Stats counts the work of an entry.
--- a/control/limits/limits_test.go
+++ b/control/limits/limits_test.go
@@ -316,6 +316,36 @@
 			t.Errorf("%d units after an urgent round, want 5: %+v", b.running[team], c.row(t, team))
 		}
 	})
+	t.Run("the last idle unit is found at the smallest holder", func(t *testing.T) {
+		c := newCluster(4, map[fleet.TeamName]int{team: 24})
+		row := Row{Limit: 24, Revision: 1, Units: map[string]int{}}
+		for i, n := range []int{10, 8, 2, 4} {
+			row.Units[c.entries[i].id] = n
+		}
+		value, err := encodeRow(row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: Key(team), Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range c.entries {
+			demand(e, 1)
+		}
+		second(c, 1)
+		for i, n := range []int{10, 8, 1, 4} {
+			for range n {
+				c.entries[i].take(team)
+			}
+			demand(c.entries[i], 0)
+		}
+		short := c.entries[3]
+		demand(short, 1)
+		second(c, 20)
+		if fill(short); c.total(team) != 24 {
+			t.Errorf("%d of 24 units in use: %+v", c.total(team), c.row(t, team))
+		}
+	})
 	t.Run("all entries short share evenly", func(t *testing.T) {
 		c := newCluster(4, map[fleet.TeamName]int{team: 40})
 		demand(c.entries[0], 100)
--- a/control/limits/round.go
+++ b/control/limits/round.go
@@ -471,7 +471,7 @@
 	return response.Given, err
 }
 
-// asks returns the members that hold most of a team's units, if the units here
+// asks returns the members to ask for a team's units, if the units here
 // do not cover the running and queued tasks. Slack is taken from free units only.
 func (l *Limits) asks(name fleet.TeamName) ([]string, askRequest) {
 	l.mu.Lock()
@@ -480,6 +480,7 @@
 	request := askRequest{Team: name, Held: t.row.Units[l.self], Need: t.need()}
 	limit, current := l.limitNow(name, t)
 	if !current || t.pending || t.sum > limit || request.Held >= request.Need {
+		t.askFrom = 0
 		return nil, request
 	}
 	var holders []string
@@ -492,7 +493,19 @@
 	// entries that are short at the same time ask different ones.
 	rank := sharding.Rank(string(name)+"/"+l.self, holders)
 	sort.SliceStable(rank, func(i, j int) bool { return t.row.Units[rank[i]] > t.row.Units[rank[j]] })
-	return rank[:min(len(rank), asksPerRound)], request
+	return t.nextHolders(rank), request
+}
+
+// nextHolders returns the holders of the next round. The largest come first; a
+// smaller one may hold the only idle unit, so each round of a team that stays
+// short goes on to the next ones.
+func (t *team) nextHolders(rank []string) []string {
+	next := make([]string, 0, asksPerRound)
+	for i := range min(len(rank), asksPerRound) {
+		next = append(next, rank[(t.askFrom+i)%len(rank)])
+	}
+	t.askFrom += len(next)
+	return next
 }
 
 // share returns how many of its units a holder should give to an asker: what it
