Check upper limits at the workers in every session

Cause: the session of the withdrawn key met a team that could not reach its limit. Change: each golden session compares the most tasks of a team at a time with its limit; the withdrawn-key session expects the team at its limit within 10 s.

--- a/cmd/internal/session/entries_test.go
+++ b/cmd/internal/session/entries_test.go
@@ -99,6 +99,7 @@
 		job, err := w.caller(next(), k.team).Submit(w.ctx, k.queue, k.request())
 		var refusal *client.Error
 		if !errors.As(err, &refusal) || refusal.RetryAfter == 0 || w.ctx.Err() != nil {
+			w.note(job.ID, k.team)
 			return job, err
 		}
 		time.Sleep(pollTime)
--- a/cmd/internal/session/ledger_test.go
+++ b/cmd/internal/session/ledger_test.go
@@ -1,6 +1,7 @@
 package session_test
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,9 @@
 }
 
 type start struct {
-	vm fleet.VMID
-	at time.Time
+	vm   fleet.VMID
+	at   time.Time
+	runs time.Duration // unless the task is stopped
 }
 
 // ledger counts the starts at the workers, independently of the entries.
@@ -27,11 +29,38 @@
 
 // run is the runner of all workers; it is called once for each start.
 func (l *ledger) run(vm fleet.VMID, task platform.Task) memory.Run {
+	run := memory.CommandRunner(vm, task)
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	key := stepKey{task.Job, task.Step}
-	l.byStep[key] = append(l.byStep[key], start{vm, time.Now()})
+	l.byStep[key] = append(l.byStep[key], start{vm, time.Now(), run.Time})
+	return run
+}
+
+// peak returns the most tasks of a set of jobs that ran at the same time.
+func (l *ledger) peak(of func(fleet.JobID) bool) int {
+	type change struct {
+		at time.Time
+		n  int
+	}
+	var changes []change
+	l.mu.Lock()
+	for key, starts := range l.byStep {
+		if !of(key.job) {
+			continue
+		}
+		for _, s := range starts {
+			changes = append(changes, change{s.at, 1}, change{s.at.Add(s.runs), -1})
+		}
+	}
 	l.mu.Unlock()
-	return memory.CommandRunner(vm, task)
+	slices.SortFunc(changes, func(a, b change) int { return a.at.Compare(b.at) })
+	peak, running := 0, 0
+	for _, c := range changes {
+		running += c.n
+		peak = max(peak, running)
+	}
+	return peak
 }
 
 // starts returns the starts of a step.
--- a/cmd/internal/session/operator_test.go
+++ b/cmd/internal/session/operator_test.go
@@ -96,10 +96,14 @@
 // withdrawal, and running work that is cut by the withdrawal.
 func TestKeyWithdrawnInUse(t *testing.T) {
 	w := newWorld(t, 2)
-	running := w.submitAll(20, work{team: "booking", queue: "quotes", id: "running", commands: []string{"draw?time=8s"}})
-	w.eventually(patience, "20 jobs run", func() bool { _, n := w.ledger.most(running); return n == 20 })
-	steps := w.submitAll(4, work{team: "booking", queue: "quotes", id: "steps", commands: []string{"draw?time=6s", "print?time=10ms"}})
-	w.eventually(patience, "4 jobs run", func() bool { _, n := w.ledger.most(steps); return n == 4 })
+	running := w.submitAll(20, work{team: "booking", queue: "quotes", id: "running", commands: []string{"draw?time=14s"}})
+	steps := w.submitAll(4, work{team: "booking", queue: "quotes", id: "steps", commands: []string{"draw?time=12s", "print?time=10ms"}})
+	// The team is at its limit of 24, so no entry may keep an idle unit.
+	w.eventually(10*time.Second, "24 jobs run", func() bool {
+		_, n := w.ledger.most(running)
+		_, m := w.ledger.most(steps)
+		return n+m == 24
+	})
 	waiting := w.submitAll(6, work{team: "booking", queue: "quotes", id: "waiting", commands: []string{"draw?time=10ms"}})
 
 	began := time.Now()
--- a/cmd/internal/session/processes_test.go
+++ b/cmd/internal/session/processes_test.go
@@ -201,7 +201,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	w := &world{t: t, ctx: t.Context(), fleet: &local.Fleet{Token: operatorToken}, keys: map[fleet.TeamName]string{}, gone: map[*local.Entry]bool{}}
+	w := &world{t: t, ctx: t.Context(), fleet: &local.Fleet{Token: operatorToken}, keys: map[fleet.TeamName]string{}, teams: map[fleet.JobID]fleet.TeamName{}, gone: map[*local.Entry]bool{}}
 	file, entries := fleetFile(t, dir, 2)
 	stand := w.spawn(filepath.Join(dir, "amaranth-platform"), "--listen", "127.0.0.1:0", "--fleet", file)
 	url := "http://" + w.logged(stand, "serving", "address")
--- a/cmd/internal/session/world_test.go
+++ b/cmd/internal/session/world_test.go
@@ -44,7 +44,8 @@
 	keys   map[fleet.TeamName]string // as presented by callers; "" has none
 	record bytes.Buffer
 	gone   map[*local.Entry]bool // entries that were stopped or killed
-	mu     sync.Mutex            // of gone
+	teams  map[fleet.JobID]fleet.TeamName
+	mu     sync.Mutex // of gone and teams
 }
 
 // newWorld starts a fleet and applies the sample folder with a key for each
@@ -62,7 +63,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
-	w := &world{t: t, ctx: ctx, fleet: f, ledger: l, keys: map[fleet.TeamName]string{}, gone: map[*local.Entry]bool{}}
+	w := &world{t: t, ctx: ctx, fleet: f, ledger: l, keys: map[fleet.TeamName]string{}, teams: map[fleet.JobID]fleet.TeamName{}, gone: map[*local.Entry]bool{}}
 	t.Cleanup(func() {
 		defer cancel()
 		if err := f.Stop(); err != nil {
@@ -100,9 +101,37 @@
 	fmt.Fprintf(&w.record, format+"\n", args...)
 }
 
-// golden compares the record with a golden file.
+// note remembers the team of a job.
+func (w *world) note(job fleet.JobID, team fleet.TeamName) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.teams[job] = team
+}
+
+// upperLimits are those of the sample folder.
+var upperLimits = map[fleet.TeamName]int{"booking": 24, "supply": 16}
+
+// checkLimits checks C5 at the workers.
+func (w *world) checkLimits() {
+	w.t.Helper()
+	for team, limit := range upperLimits {
+		peak := w.ledger.peak(func(job fleet.JobID) bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.teams[job] == team
+		})
+		if peak > limit {
+			w.t.Errorf("%d tasks of %s ran at the same time, above its limit of %d", peak, team, limit)
+		}
+	}
+}
+
+// golden checks the limits and compares the record with a golden file.
 func (w *world) golden(name string) {
 	w.t.Helper()
+	if w.ledger != nil {
+		w.checkLimits()
+	}
 	goldie.New(w.t, goldie.WithFixtureDir("testdata")).Assert(w.t, name, w.record.Bytes())
 }
 
@@ -242,6 +271,7 @@
 		}
 		return false
 	})
+	w.note(job.ID, k.team)
 	return job
 }
 
