End connections with each answer while an entry drains

Change: answers carry 'Connection: close' from the moment the entry is unready. Before: 1 of 80 jobs 'unknown no answer' in one of two runs of TestPlannedStop on a busy machine.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,7 @@
 
 	plane atomic.Pointer[plane] // of the present session, nil between sessions
 
+	draining  atomic.Bool
 	aborted   chan struct{}
 	abortOnce sync.Once
 }
@@ -126,7 +127,13 @@
 	p.node.ServeHTTP(w, r)
 }
 
+// serveAPI serves one request. While the entry drains, each answer ends its
+// connection: a caller that sent its next request on a connection that the
+// shutdown closes at that moment would not know whether it ran.
 func (e *Entry) serveAPI(w http.ResponseWriter, r *http.Request) {
+	if e.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	p := e.plane.Load()
 	switch {
 	case p != nil:
@@ -251,6 +258,7 @@
 // stopServing ends the service for callers without cutting a request.
 func (e *Entry) stopServing() error {
 	p := e.plane.Load()
+	e.draining.Store(true)
 	if p != nil {
 		p.api.Drain()
 	}
