--- a/cmd/amaranth-platform/main.go
+++ b/cmd/amaranth-platform/main.go
@@ -7,10 +7,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -47,7 +49,11 @@
 }
 
 func newCommand() *cobra.Command {
-	s := settings{limit: memory.DefaultRateLimit, options: memory.Options{Runner: memory.CommandRunner}}
+	return newCommandFor(&settings{limit: memory.DefaultRateLimit, options: memory.Options{Runner: memory.CommandRunner}})
+}
+
+// newCommandFor returns the command that reads s from its flags.
+func newCommandFor(s *settings) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:           "amaranth-platform",
 		Short:         "Serve a stand-in for the platform over HTTP",
@@ -56,7 +62,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		PreRunE:       func(cmd *cobra.Command, _ []string) error { return errors.Join(fromEnv(cmd.Flags()), s.check()) },
-		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), s) },
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), *s) },
 	}
 	f := cmd.Flags()
 	f.StringVar(&s.listen, "listen", "127.0.0.1:7070", "address of the HTTP server")
@@ -93,8 +99,8 @@
 		"list-lag": s.options.ListLag, "usage-lag": s.options.UsageLag,
 		"reboot-time": s.options.RebootTime, "queue-time": s.limit.QueueTime,
 	}
-	for name, d := range durations {
-		if d < 0 {
+	for _, name := range slices.Sorted(maps.Keys(durations)) {
+		if d := durations[name]; d < 0 {
 			errs = append(errs, fmt.Errorf("--%s: %v is negative", name, d))
 		}
 	}
