--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -210,8 +210,9 @@
 	body       []byte
 	vm         fleet.VMID
 	attempts   int
-	sent       bool // an attempt may have run
-	broken     bool // a part of an answer was written that cannot be completed
+	sent       bool  // an attempt may have run
+	failure    error // of the last attempt that was sent
+	broken     bool  // a part of an answer was written that cannot be completed
 }
 
 func (c *call) run(ctx context.Context, w http.ResponseWriter) error {
@@ -271,13 +272,14 @@
 }
 
 // verdict turns the error of the last attempt into that of the request. A
-// refusal is proved only if no attempt was sent.
+// refusal is proved only if no attempt was sent: the refusal of a retry must not
+// be found in the error of a request that may have run.
 func (c *call) verdict(err error) error {
 	switch {
 	case err == nil:
 		return nil
 	case c.sent:
-		return &UnknownError{VM: c.vm, Cause: err}
+		return &UnknownError{VM: c.vm, Cause: c.failure}
 	}
 	var refusal *fleet.Refusal
 	if errors.As(err, &refusal) {
@@ -324,19 +326,19 @@
 	defer cancel()
 	resp, err := lease.transport.RoundTrip(c.outgoing(watch.trace(ctx), lease.address))
 	if err != nil {
-		return c.failed(watch, err)
+		return c.failed(watch.seal(), err)
 	}
 	defer resp.Body.Close()
-	c.sent = true
 	if err := c.passOn(w, resp); err != nil {
-		return &attemptError{sent: true, cause: err}
+		return c.failed(true, err)
 	}
 	return nil
 }
 
-func (c *call) failed(watch *sendWatch, err error) error {
-	sent := watch.seal()
-	c.sent = c.sent || sent
+func (c *call) failed(sent bool, err error) error {
+	if sent {
+		c.sent, c.failure = true, err
+	}
 	return &attemptError{sent: sent, cause: err}
 }
 
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -84,6 +85,10 @@
 	e.errs = append(e.errs, err)
 	e.mu.Unlock()
 	if err != nil {
+		var refusal *fleet.Refusal
+		if errors.As(err, &refusal) {
+			w.Header().Set("Outcome", string(fleet.OutcomeNotRun))
+		}
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
 }
@@ -284,6 +289,28 @@
 	})
 }
 
+// TestRefusedRetry guards against a request that is reported as not run because
+// its retry was refused, although its first attempt was sent.
+func TestRefusedRetry(t *testing.T) {
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	endpoint, _ := raw(t, "")
+	calls := 0
+	e := newEntry(t, []Endpoint{endpoint}, func(o *Options) {
+		o.Candidates = func(fleet.WorkspaceName) ([]fleet.VMID, error) {
+			if calls++; calls > 1 {
+				return nil, &fleet.Refusal{Reason: fleet.ReasonStaleView}
+			}
+			return []fleet.VMID{"raw"}, nil
+		}
+	})
+	_, _, err := do(t, "GET", e.url, "")
+	must(t, err)
+	var refusal *fleet.Refusal
+	if seen, err := e.last(); errors.As(err, &refusal) || seen.Outcome != fleet.OutcomeUnknown {
+		t.Errorf("%v, %+v", err, seen)
+	}
+}
+
 // TestRetriesAreBounded guards the load on an endpoint that fails all requests.
 func TestRetriesAreBounded(t *testing.T) {
 	t.Cleanup(http.DefaultClient.CloseIdleConnections)
@@ -482,6 +509,105 @@
 	}
 }
 
+// TestFaultsTogether guards the promises to callers while endpoints break off,
+// delay and reset answers, vanish and leave, and portions change, all at once: an
+// answer that looks whole is the one to the caller's own request, a request that
+// is not run has not arrived, and a non-idempotent one arrives at most once.
+func TestFaultsTogether(t *testing.T) {
+	var gone [4]atomic.Bool
+	vms := []fleet.VMID{"0", "1", "2", "3"}
+	host := httpapi.NewEndpoints(httpapi.EndpointOptions{
+		MaxConnections: 16,
+		Reachable:      func(vm fleet.VMID) bool { return !gone[vm[0]-'0'].Load() },
+	})
+	defer host.Close()
+	var endpoints []Endpoint
+	for _, vm := range vms {
+		address, err := host.Open(vm)
+		must(t, err)
+		endpoints = append(endpoints, Endpoint{VM: vm, DataCentre: "east", Address: address, Entries: 1, Connections: 16})
+	}
+	e := newEntry(t, endpoints, func(o *Options) { o.GrowDelay = time.Nanosecond })
+	transport := &http.Transport{MaxIdleConnsPerHost: 100}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	stop := make(chan struct{})
+	var chaos, callers sync.WaitGroup
+	chaos.Go(func() {
+		random := rand.New(rand.NewPCG(1, 1))
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			i := random.IntN(len(endpoints))
+			gone[i].Store(random.IntN(4) == 0)
+			endpoints[i].Leaving = random.IntN(4) == 0
+			endpoints[i].Entries = 1 + random.IntN(3)
+			e.clock.Advance(time.Duration(random.IntN(300)) * time.Millisecond)
+			e.Update(endpoints)
+		}
+	})
+	kinds := []string{"", "", "&delay=1ms", "&chunked=1", "&truncate=5", "&truncate=5&chunked=1", "&reset=1"}
+	var whole, arrived, once atomic.Int64
+	for c := range 32 {
+		callers.Go(func() {
+			random := rand.New(rand.NewPCG(2, uint64(c)))
+			for n := range 60 {
+				id := fmt.Sprintf("%d-%d", c, n)
+				body := id + strings.Repeat("x", random.IntN(20)*random.IntN(20)*100)
+				method := []string{"POST", "POST", "PUT"}[random.IntN(3)]
+				r, err := http.NewRequest(method, e.url+"/?id="+id+kinds[random.IntN(len(kinds))], strings.NewReader(body))
+				must(t, err)
+				idempotent := method == "PUT"
+				if idempotent {
+					r.Header.Set(IdempotentHeader, "true")
+				}
+				resp, err := client.Do(r)
+				if err != nil {
+					continue // the answer broke off
+				}
+				answer, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				arrivals := host.Arrivals(id)
+				switch {
+				case err != nil:
+				case resp.StatusCode == 200 && string(answer) != body:
+					t.Errorf("%s: answer of %d bytes is not that to the request of %d bytes", id, len(answer), len(body))
+				case resp.StatusCode == 200:
+					whole.Add(1)
+				case resp.Header.Get("Outcome") == "not_run" && arrivals != 0:
+					t.Errorf("%s: request that is reported as not run has arrived: %s %s", id, r.URL, answer)
+				case arrivals > 0:
+					arrived.Add(1)
+				}
+				if !idempotent {
+					once.Add(1)
+					if arrivals > 1 {
+						t.Errorf("%s: %s arrived %d times", id, method, arrivals)
+					}
+				}
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	chaos.Wait()
+	s := e.Stats()
+	if whole.Load() == 0 || arrived.Load() == 0 || once.Load() == 0 || s.NotRun == 0 || s.Unknown == 0 || s.Retries == 0 || s.Ejections == 0 {
+		t.Errorf("the faults did not lead to every outcome: %d whole, %d arrived, %+v", whole.Load(), arrived.Load(), s)
+	}
+	for vm, stats := range host.Stats() {
+		if stats.Refused != 0 {
+			t.Errorf("VM %s refused %d connections over its limit", vm, stats.Refused)
+		}
+	}
+	if c := e.Connections(); len(c) != len(vms) {
+		t.Errorf("connections %v", c)
+	}
+}
+
 // TestChoice guards which endpoints get requests: not leaving, in the own data
 // centre, less busy, and not failing.
 func TestChoice(t *testing.T) {
