--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -289,6 +289,26 @@
 	})
 }
 
+// TestCanceledRequests guards against a wave of cancellations that ejects the
+// endpoints.
+func TestCanceledRequests(t *testing.T) {
+	_, endpoints := hosted(t, "v")
+	ended := make(chan Observation)
+	e := newEntry(t, endpoints, func(o *Options) { o.Observe = func(o Observation) { ended <- o } })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 50 * time.Millisecond}
+	for range 2 * ejectAfter {
+		if _, err := client.Get(e.url + "?delay=1h"); err == nil {
+			t.Fatal("the request was not canceled")
+		}
+		if o := <-ended; o.Outcome != fleet.OutcomeUnknown {
+			t.Errorf("%+v", o)
+		}
+	}
+	if s := e.Stats(); s.Ejections != 0 || s.Retries != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
 // TestRefusedRetry guards against a request that is reported as not run because
 // its retry was refused, although its first attempt was sent.
 func TestRefusedRetry(t *testing.T) {
