--- a/control/apply/apply_test.go
+++ b/control/apply/apply_test.go
@@ -11,7 +11,9 @@
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/apply"
 	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
 )
 
 func TestMain(m *testing.M) {
@@ -322,6 +324,14 @@
 	for _, n := range c.nodes {
 		n.kill(true)
 	}
+	// Only the snapshot leads to the newest revision.
+	var prune []platform.Write
+	for revision := range fleet.Revision(60) {
+		prune = append(prune, platform.Write{Key: view.ChangeKey(revision + 1), Delete: true})
+	}
+	if _, err := c.table.Commit(t.Context(), platform.Txn{Writes: prune}); err != nil {
+		t.Fatal(err)
+	}
 	for i := range 9 {
 		n := c.add(string(rune('a'+i%4)), 1)
 		if err := n.join(); err != nil {
@@ -480,3 +490,59 @@
 		t.Error("not accepted within 4 s")
 	}
 }
+
+// Guards against relays that do not pass a change on, which costs a round.
+func TestFirstRoundReachesAll(t *testing.T) {
+	c := start(t, 30, 10)
+	before := c.calls.Load()
+	if err := c.nodes[7].change("all", 1); err != nil {
+		t.Fatal(err)
+	}
+	if calls := c.calls.Load() - before; c.accepted[2] == 0 || calls != 29 {
+		t.Errorf("accepted at %v after %d calls, want 29 calls", c.accepted[2], calls)
+	}
+}
+
+// Guards against an outage agreement that fails for good because one member
+// could not read the latest member list from the store.
+func TestMemberListFromPeers(t *testing.T) {
+	c := start(t, 4, 2)
+	c.nodes[1].faults.SetDown(true)
+	if err := c.add("a", 1).join(); err != nil {
+		t.Fatal(err)
+	}
+	c.advance(10 * time.Second)
+	c.storeDown(true, all)
+	c.advance(10 * time.Second)
+	expect(t, c, "outage after a join", all)
+}
+
+// Guards against an outage agreement with an entry whose change is under way.
+func TestCoordinatorPreventsAgreement(t *testing.T) {
+	c := start(t, 3, 3)
+	n := c.nodes[0]
+	var ack map[int]any
+	ask := func() {
+		if err := c.nodes[1].Call(t.Context(), n.members.Self().ID, "view.probe", map[int]any{}, &ack); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const storeDown, coordinating = 5, 6 // fields of the answer
+	n.beforeChange = func() {
+		n.faults.SetDown(true)
+		n.tick()
+		ask()
+		n.faults.SetDown(false)
+	}
+	if err := n.change("under-way", 1); err != nil {
+		t.Fatal(err)
+	}
+	if ack[storeDown] != true || ack[coordinating] != true {
+		t.Errorf("during the commit the coordinator answered %v", ack)
+	}
+	ack = nil
+	c.advance(time.Second)
+	if ask(); ack[coordinating] == true {
+		t.Errorf("after the acceptance the coordinator answered %v", ack)
+	}
+}
--- a/control/member/registry.go
+++ b/control/member/registry.go
@@ -74,7 +74,6 @@
 	settled        time.Time // when this member was first seen as settled
 	peer           int       // rotates the linked peers asked to renew
 	via            hint
-	failed         hint // the last hint that was wrong
 
 	watch watch
 }
@@ -196,18 +195,17 @@
 func (r *Registry) RenewVia(id string, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := id == r.failed.id && !at.After(r.failed.at)
-	if id != r.self.ID && !known && (r.via.id == "" || at.After(r.via.at)) {
+	if id != r.self.ID && (r.via.id == "" || at.After(r.via.at)) {
 		r.via = hint{id: id, at: at}
 	}
 }
 
 // notVia notes that a member did not reach the store when it was asked.
-func (r *Registry) notVia(id string, at time.Time) {
+func (r *Registry) notVia(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.via.id == id {
-		r.via, r.failed = hint{}, hint{id: id, at: at}
+		r.via = hint{}
 	}
 }
 
--- a/control/member/tick.go
+++ b/control/member/tick.go
@@ -25,9 +25,6 @@
 	// watchNext is the number of successors, in the order of the ids, that an
 	// entry watches otherwise.
 	watchNext = 4
-	// watchGap is the longest time between two observations that count as
-	// continuous watching; a longer gap means that this entry was paused.
-	watchGap = 2 * RenewEvery
 	// renewPeers is the number of peers asked to renew in each tick while the
 	// store is out of reach.
 	renewPeers = 2
@@ -54,7 +51,6 @@
 // watch holds what was observed of the renewals of others.
 type watch struct {
 	rows  map[string]observation // by member id
-	last  time.Time              // of the last observation
 	began time.Time              // of the first since the last reset
 	all   bool                   // a member was silent at the last observation
 	// vms holds the states of the entry VMs at the last listing, nil before.
@@ -63,7 +59,7 @@
 
 func (w *watch) reset() {
 	w.rows = map[string]observation{}
-	w.began, w.last = time.Time{}, time.Time{}
+	w.began = time.Time{}
 }
 
 // Register registers the peer methods of the registry.
@@ -171,7 +167,7 @@
 		if errors.As(err, &remote) && remote.Code == codeFenced {
 			return platform.ErrConflict
 		}
-		r.notVia(peer, sent)
+		r.notVia(peer)
 	}
 	return cause
 }
@@ -301,13 +297,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := &r.watch
-	if !w.last.IsZero() && now.Sub(w.last) > watchGap {
-		w.reset()
-	}
 	if w.began.IsZero() {
 		w.began = now
 	}
-	w.last = now
 	var suspicious []platform.Row
 	seen := map[string]observation{}
 	for _, row := range rows {
