--- a/control/limits/limits_test.go
+++ b/control/limits/limits_test.go
@@ -46,7 +46,11 @@
 	snapshot *config.Snapshot
 	valid    bool
 	paused   bool
-	running  map[fleet.TeamName]int
+
+	failCommit, holdCommit bool   // the next commit fails, or is delivered late
+	beforeCommit           func() // runs before the next commit
+
+	running map[fleet.TeamName]int
 }
 
 func (e *entry) Snapshot() *config.Snapshot { return e.snapshot }
@@ -71,17 +75,32 @@
 	members control.Members
 	entries []*entry
 	config  *config.Snapshot
-	fault   string // a commit that raised a row above its limit
+	held    []platform.Txn // commits that are still on their way
+	fault   string         // a commit that raised a row above its limit
 }
 
-// watched checks every commit of an entry.
+// watched checks every commit of an entry and can disturb it.
 type watched struct {
 	*memory.Table
 	cluster *cluster
+	entry   *entry
 }
 
 // Commit notes a commit that raises the sum of units above the row's limit.
 func (w watched) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	switch e := w.entry; {
+	case e.failCommit:
+		e.failCommit = false
+		return nil, platform.ErrUnavailable
+	case e.holdCommit:
+		e.holdCommit = false
+		w.cluster.held = append(w.cluster.held, txn)
+		return nil, platform.ErrUnknown
+	case e.beforeCommit != nil:
+		hook := e.beforeCommit
+		e.beforeCommit = nil
+		hook()
+	}
 	before := map[string]int{}
 	for _, write := range txn.Writes {
 		stored, _ := w.cluster.table.Get(ctx, write.Key)
@@ -125,7 +144,7 @@
 	_, _ = c.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: "session/" + e.id}}})
 	router := rpc.NewRouter()
 	e.limits = New(Options{
-		View: e, Membership: e, Table: watched{c.table.Via(e.faults), c}, Clock: c.clock, Caller: c.network.Join(e.id, router),
+		View: e, Membership: e, Table: watched{c.table.Via(e.faults), c, e}, Clock: c.clock, Caller: c.network.Join(e.id, router),
 	}, router)
 	c.entries = append(c.entries, e)
 	c.members = control.Members{Version: c.members.Version + 1, List: append(slices.Clone(c.members.List), e.Self())}
@@ -150,6 +169,14 @@
 	return row
 }
 
+// deliver applies the commits that were held.
+func (c *cluster) deliver() {
+	for _, txn := range c.held {
+		_, _ = c.table.Commit(context.Background(), txn)
+	}
+	c.held = nil
+}
+
 func (c *cluster) total(team fleet.TeamName) int {
 	sum := 0
 	for _, e := range c.entries {
@@ -212,11 +239,27 @@
 				e := pick()
 				e.limits.Demand(team, e.running[team], rapid.IntRange(0, 8).Draw(t, "queued"))
 			},
-			"tick":   func(*rapid.T) { c.clock.now = c.clock.now.Add(time.Second); c.tick(ctx) },
-			"one":    func(*rapid.T) { _ = pick().limits.Tick(ctx) },
-			"urgent": func(*rapid.T) { _ = pick().limits.Urgent(ctx) },
-			"down":   func(t *rapid.T) { pick().faults.SetDown(rapid.Bool().Draw(t, "down")) },
-			"lose":   func(*rapid.T) { pick().faults.LoseAnswers(1) },
+			"tick":    func(*rapid.T) { c.clock.now = c.clock.now.Add(time.Second); c.tick(ctx) },
+			"one":     func(*rapid.T) { _ = pick().limits.Tick(ctx) },
+			"urgent":  func(*rapid.T) { _ = pick().limits.Urgent(ctx) },
+			"down":    func(t *rapid.T) { pick().faults.SetDown(rapid.Bool().Draw(t, "down")) },
+			"lose":    func(*rapid.T) { pick().faults.LoseAnswers(1) },
+			"hold":    func(*rapid.T) { pick().holdCommit = true },
+			"fail":    func(*rapid.T) { pick().failCommit = true },
+			"deliver": func(*rapid.T) { c.deliver() },
+			"race": func(*rapid.T) {
+				e, other := pick(), pick()
+				e.beforeCommit = func() {
+					if e == other || !other.valid || other.paused {
+						return
+					}
+					// e answers no messages meanwhile: the test has one goroutine.
+					c.network.SetCut(e.id, other.id, true)
+					other.beforeCommit = nil
+					_ = other.limits.Tick(ctx)
+					c.network.SetCut(e.id, other.id, false)
+				}
+			},
 			"cut": func(t *rapid.T) {
 				c.network.SetCut(pick().id, pick().id, rapid.Bool().Draw(t, "cut"))
 			},
@@ -279,8 +322,89 @@
 		for range n {
 			c.clock.now = c.clock.now.Add(time.Second)
 			c.tick(ctx)
+			row := c.row(t, team)
+			for _, e := range c.entries {
+				if e.running[team] > row.Units[e.id] && e.valid {
+					t.Errorf("%s runs %d: %+v", e.id, e.running[team], row)
+				}
+			}
+			if c.fault != "" {
+				t.Error(c.fault)
+			}
 		}
 	}
+	hold := func(t *testing.T, entries, units int) *cluster { // the first entry holds units
+		c := newCluster(entries, map[fleet.TeamName]int{team: 10})
+		c.entries[0].limits.Demand(team, 0, units)
+		second(c, 1)
+		return c
+	}
+	t.Run("no units for an entry that is not valid", func(t *testing.T) {
+		c := hold(t, 1, 5)
+		c.entries[0].valid = false
+		if c.entries[0].take(team) {
+			t.Error("took a unit without a session")
+		}
+	})
+	t.Run("fenced entry writes nothing", func(t *testing.T) {
+		c := hold(t, 2, 5)
+		c.fence(c.entries[0])
+		c.entries[0].valid = true // it has not noticed
+		before := c.row(t, team).Sum()
+		demand(c.entries[0], 10)
+		_ = c.entries[0].limits.Tick(ctx)
+		if after := c.row(t, team).Sum(); after != before {
+			t.Errorf("%d units after a write of a fenced session, %d before", after, before)
+		}
+	})
+	t.Run("commits that race", func(t *testing.T) {
+		c := newCluster(2, map[fleet.TeamName]int{team: 10})
+		demand(c.entries[0], 9)
+		demand(c.entries[1], 9)
+		c.entries[0].beforeCommit = func() { _ = c.entries[1].limits.Tick(ctx) }
+		_ = c.entries[0].limits.Tick(ctx)
+		if fill(c.entries[0])+fill(c.entries[1]) > 10 || c.fault != "" {
+			t.Errorf("%d running: %s", c.total(team), c.fault)
+		}
+	})
+	for _, failing := range []bool{false, true} {
+		t.Run(fmt.Sprintf("return with lost answer, next commit fails %v", failing), func(t *testing.T) {
+			c := hold(t, 1, 5)
+			e := c.entries[0]
+			demand(e, 0)
+			e.holdCommit = true
+			second(c, 4) // the surplus is returned
+			if len(c.held) != 1 {
+				second(c, 1)
+			}
+			if fill(e) > 0 {
+				t.Error("used units that may have been returned")
+			}
+			demand(e, 5)
+			e.failCommit = failing
+			_ = e.limits.Tick(ctx)
+			if failing && fill(e) > 0 {
+				t.Error("used units that may have been returned, after a commit that failed")
+			}
+			fill(e)
+			c.deliver()
+			if row := c.row(t, team); e.running[team] > row.Units[e.id] {
+				t.Errorf("%d running: %+v", e.running[team], row)
+			}
+		})
+	}
+	t.Run("lowered limit with an old row", func(t *testing.T) {
+		c := hold(t, 2, 2)
+		a, b := c.entries[0], c.entries[1]
+		demand(b, 7)
+		second(c, 1)
+		fill(b)
+		c.configure(map[fleet.TeamName]int{team: 4})
+		a.snapshot = c.config
+		if a.take(team) { // a has seen the row with its own units only
+			t.Errorf("%d running with a limit of 4", c.total(team))
+		}
+	})
 	t.Run("slack", func(t *testing.T) {
 		c := newCluster(1, map[fleet.TeamName]int{team: 100})
 		demand(c.entries[0], 20)
@@ -417,6 +541,11 @@
 		if b.take(team) || a.limits.Excess(team) == 0 {
 			t.Errorf("started above the lowered limit, or no excess: %+v", c.row(t, team))
 		}
+		a.running[team]--
+		a.limits.Return(team)
+		if a.take(team) {
+			t.Error("replaced an ended task above the lowered limit")
+		}
 		for a.running[team] > 2 {
 			a.running[team]--
 			a.limits.Return(team)
--- a/control/slots/scenario_test.go
+++ b/control/slots/scenario_test.go
@@ -345,6 +345,41 @@
 				t.Errorf("%+v", end)
 			}
 		}},
+		{"start that stays in the network while the worker is lost", 1, 1, 1, func(t *testing.T, w *world) {
+			res, _ := w.entries[0].slots.Reserve(ctx, "dc00", request("a", 1000))
+			k := w.workers[res.VM]
+			k.hold = true
+			_ = w.entries[0].slots.Start(ctx, res, task("a"))
+			k.down = true
+			w.run(lostAfter + 5*time.Second)
+			w.onlyEnd(t, "a")
+			k.down = false
+			w.run(2 * time.Second)
+			if err := k.start(w.held[0].lease, w.held[0].task, w.held[0].sent); !errors.Is(err, platform.ErrFenced) {
+				t.Errorf("start after its attempt was lost: %v", err)
+			}
+		}},
+		{"no lease without a session", 1, 1, 1, func(t *testing.T, w *world) {
+			w.entries[0].valid = false
+			w.run(LeaseTTL + time.Second)
+			k := w.workers[w.vmIDs[0]]
+			k.lease.Holder = ""
+			w.run(2 * time.Second)
+			if k.lease.Holder != "" {
+				t.Error("acquired a lease without a valid session")
+			}
+		}},
+		{"refused start is not repeated", 1, 1, 2, func(t *testing.T, w *world) {
+			for _, k := range w.workers {
+				k.refuse = true
+			}
+			if _, err := w.place(t, w.entries[0], "dc00", "a"); !refused(err) {
+				t.Fatal(err)
+			}
+			if _, err := w.entries[0].slots.Reserve(ctx, "dc00", request("a", 1000)); !refused(err) {
+				t.Errorf("reservation after the proof that it was not started: %v", err)
+			}
+		}},
 		{"cancel", 1, 2, 2, func(t *testing.T, w *world) {
 			k := w.mustPlace(t, "a")
 			if err := w.entries[1].slots.Cancel(ctx, k.vm.ID, "a"); err != nil {
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -34,7 +34,7 @@
 		job := fleet.JobID(fmt.Sprintf("j%d", p.jobs))
 		for range 3 {
 			vm := p.vms[p.random.Intn(len(p.vms))]
-			for p.tracker.State(vm) == Quarantined {
+			for try := 0; p.tracker.State(vm) == Quarantined && try < 100; try++ {
 				vm = p.vms[p.random.Intn(len(p.vms))]
 			}
 			failed := fails(vm, p.jobs)
