--- a/control/slots/lease.go
+++ b/control/slots/lease.go
@@ -263,7 +263,6 @@
 	}
 	v.lost, v.ready = true, false
 	v.leasedAt = time.Time{}
-	s.floors[v.vm.ID] = max(s.floors[v.vm.ID], v.epoch+1)
 	s.event(EventLost, v.vm.ID, "", "%d tasks", v.count(running)+v.count(unknown))
 	for id, sl := range v.slots {
 		switch sl.phase {
--- a/control/slots/scenario_test.go
+++ b/control/slots/scenario_test.go
@@ -143,8 +143,12 @@
 			if err := w.entries[0].slots.Start(ctx, res, task("a")); !refused(err) {
 				t.Errorf("start after the proof: %v", err)
 			}
-			if _, err := w.entries[0].slots.Reserve(ctx, "dc00", request("a", 1000)); !refused(err) {
-				t.Errorf("reservation after the proof: %v", err)
+			_, _, _ = w.entries[1].slots.Lookup(ctx, res.VM, "b")
+			for _, id := range []fleet.AttemptID{"a", "b"} {
+				got, err := w.owner(res.VM).slots.reserveLocal("dc00", request(id, 1000))
+				if !refused(err) {
+					t.Errorf("reservation of %s after the proof: %+v", id, got)
+				}
 			}
 		}},
 		{"reservation expires and is released", 1, 1, 1, func(t *testing.T, w *world) {
@@ -361,11 +365,8 @@
 		}},
 		{"no lease without a session", 1, 1, 1, func(t *testing.T, w *world) {
 			w.entries[0].valid = false
-			w.run(LeaseTTL + time.Second)
-			k := w.workers[w.vmIDs[0]]
-			k.lease.Holder = ""
-			w.run(2 * time.Second)
-			if k.lease.Holder != "" {
+			w.run(2 * LeaseTTL)
+			if k := w.workers[w.vmIDs[0]]; w.clock.now.Before(k.expires) {
 				t.Error("acquired a lease without a valid session")
 			}
 		}},
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// TestTwoBadWorkers guards against workers that turn bad at the same time and
+// acquit each other, as each has succeeded before.
+func TestTwoBadWorkers(t *testing.T) {
+	p := newPool(10)
+	for range 50 {
+		p.round(10, func(fleet.VMID, int) bool { return false })
+	}
+	for range 15 {
+		p.round(10, func(vm fleet.VMID, _ int) bool { return vm <= "vm01" })
+	}
+	faulty := 0
+	for _, job := range p.tracker.jobs {
+		if job.faulty {
+			faulty++
+		}
+	}
+	if p.tracker.State("vm00") != Quarantined || p.tracker.State("vm01") != Quarantined || faulty > 1 {
+		t.Errorf("%s and %s, %d good jobs called faulty", p.tracker.State("vm00"), p.tracker.State("vm01"), faulty)
+	}
+}
+
 // TestBadJobs guards against a wave of bad jobs that quarantines workers, and
 // against bad jobs that are not found.
 func TestBadJobs(t *testing.T) {
