--- a/control/limits/limits_test.go
+++ b/control/limits/limits_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"slices"
 	"sort"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -557,6 +559,40 @@
 	})
 }
 
+// TestConcurrent guards against data races, deadlocks between entries that ask
+// each other, and units that are used twice, when everything runs at once.
+func TestConcurrent(t *testing.T) {
+	ctx := context.Background()
+	const team, limit = "a", 6
+	c := newCluster(4, map[fleet.TeamName]int{team: limit})
+	var running, taken atomic.Int64
+	var group sync.WaitGroup
+	for i, e := range c.entries {
+		group.Go(func() {
+			for j := range 300 {
+				e.limits.Demand(team, 0, (i+j/20)%4*4)
+				if j%3 == 0 {
+					_ = e.limits.Tick(ctx)
+				} else {
+					_ = e.limits.Urgent(ctx)
+				}
+				if e.limits.Take(team) == nil {
+					if n := running.Add(1); n > limit {
+						t.Errorf("%d running", n)
+					}
+					taken.Add(1)
+					running.Add(-1)
+					e.limits.Return(team)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if row := c.row(t, team); taken.Load() == 0 || row.Sum() > limit {
+		t.Errorf("%d taken: %+v", taken.Load(), row)
+	}
+}
+
 // simulate drives entries whose demand moves between 1/20 and 5 times the mean
 // every 10 s, in turn by team, and reports what the holdings strand.
 func simulate(entries, teams, limit int, seconds int) (stranded, unmet float64, reach time.Duration, writes, asks, reads float64) {
--- /dev/null
+++ b/control/slots/concurrent_test.go
@@ -0,0 +1,114 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"amaranthfork.example/control"
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/platform"
+)
+
+// locked serialises the calls of the fake platform.
+type locked struct {
+	mu sync.Mutex
+	*world
+}
+
+func (l *locked) Acquire(ctx context.Context, vm fleet.VMID, lease platform.Lease, ttl time.Duration) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.world.Acquire(ctx, vm, lease, ttl)
+}
+
+func (l *locked) Start(ctx context.Context, vm fleet.VMID, lease platform.Lease, task platform.Task) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.world.Start(ctx, vm, lease, task)
+}
+
+func (l *locked) Tasks(ctx context.Context, vm fleet.VMID, lease platform.Lease) ([]platform.TaskStatus, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.world.Tasks(ctx, vm, lease)
+}
+
+func (l *locked) Forget(ctx context.Context, vm fleet.VMID, lease platform.Lease, ids []fleet.AttemptID) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.world.Forget(ctx, vm, lease, ids)
+}
+
+func (l *locked) Stop(ctx context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.world.Stop(ctx, vm, lease, id)
+}
+
+// TestConcurrent guards against data races and slots that are given twice when
+// requests, ticks and cancellations run at the same time.
+func TestConcurrent(t *testing.T) {
+	ctx := context.Background()
+	w := newWorld(1, 2, 4)
+	w.run(2 * time.Second)
+	platform := &locked{world: w}
+	var acked atomic.Int64
+	for _, e := range w.entries {
+		e.slots.o.Workers, e.slots.o.Parallel = platform, 8
+		e.slots.o.OnTaskEnd = func(context.Context, control.TaskEnd) error { acked.Add(1); return nil }
+	}
+	var placed atomic.Int64
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			e := w.entries[i%2]
+			for j := range 50 {
+				id := fleet.AttemptID(fmt.Sprintf("%d-%d", i, j))
+				res, err := e.slots.Reserve(ctx, "dc00", request(id, 1000))
+				if err != nil || e.slots.Start(ctx, res, task(id)) != nil {
+					continue
+				}
+				placed.Add(1)
+				_ = e.slots.Cancel(ctx, res.VM, id)
+			}
+		})
+	}
+	for _, e := range w.entries {
+		group.Go(func() {
+			for range 50 {
+				_ = e.slots.TickList(ctx)
+				e.slots.TickLeases(ctx)
+				for _, v := range e.slots.vmList() {
+					e.slots.poll(ctx, v)
+				}
+				e.slots.TickEnds(ctx)
+				e.slots.TickDigests(ctx)
+				e.slots.Capacity("p")
+			}
+		})
+	}
+	group.Wait()
+	for _, e := range w.entries {
+		for _, v := range e.slots.vmList() {
+			e.slots.poll(ctx, v)
+		}
+		e.slots.TickEnds(ctx)
+	}
+	if w.fault != "" || placed.Load() < 8 || acked.Load() != placed.Load() {
+		t.Errorf("%d placed, %d ends acknowledged: %s", placed.Load(), acked.Load(), w.fault)
+	}
+}
+
+func (s *Slots) vmList() []*ownedVM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*ownedVM
+	for _, v := range s.vms {
+		list = append(list, v)
+	}
+	return list
+}
