--- a/cmd/internal/measure/estimates.go
+++ b/cmd/internal/measure/estimates.go
@@ -33,6 +33,7 @@
 type estimates struct {
 	s     *Scenario
 	run   [][]average // by queue and class, seconds
+	said  [][]average // the same, as declared
 	cpu   []average   // by class, milli-CPU
 	mem   []average   // by class, MB
 	count map[[3]int]int
@@ -42,12 +43,12 @@
 func newEstimates(s *Scenario) *estimates {
 	e := &estimates{
 		s:   s,
-		run: make([][]average, len(s.queues)),
+		run: make([][]average, len(s.queues)), said: make([][]average, len(s.queues)),
 		cpu: make([]average, len(classes)), mem: make([]average, len(classes)),
 		count: make(map[[3]int]int), rate: make(map[[3]int]float64),
 	}
 	for q := range e.run {
-		e.run[q] = make([]average, len(classes))
+		e.run[q], e.said[q] = make([]average, len(classes)), make([]average, len(classes))
 	}
 	return e
 }
@@ -67,16 +68,20 @@
 	return fleet.Resources{MilliCPU: int64(c.p90()), MemoryMB: int64(e.mem[j.class].p90())}
 }
 
-// runTime estimates the run time of a queue's jobs of a class.
+// runTime estimates the run time of a queue's jobs of a class: as declared
+// until enough has been seen.
 func (e *estimates) runTime(q, c int) time.Duration {
 	a := &e.run[q][c]
 	if a.n < minSamples {
-		return 2 * time.Second // no declaration is of use
+		a = &e.said[q][c]
 	}
 	return time.Duration(a.mean * float64(time.Second))
 }
 
-func (e *estimates) arrived(j *job) { e.count[[3]int{j.queue, j.class, j.team}]++ }
+func (e *estimates) arrived(j *job) {
+	e.count[j.key()]++
+	e.said[j.queue][j.class].add(j.declared.Seconds())
+}
 
 // settle turns the arrivals of the last ticks into rates.
 func (e *estimates) settle(span int) {
--- a/cmd/internal/measure/movers.go
+++ b/cmd/internal/measure/movers.go
@@ -88,46 +88,65 @@
 type reactive struct{ high, low float64 }
 
 func (r reactive) move(s capacity.Snapshot, _ int) []capacity.Move {
+	count := countPools(s)
+	spare := s.Pools[len(s.Pools)-1].Name
+	var moves []capacity.Move
+	for _, p := range s.Pools[:len(s.Pools)-1] {
+		c := count[p.Name]
+		load := float64(c.load) / float64(max(1, c.slots))
+		switch {
+		case load > r.high:
+			moves = append(moves, count.take(spare, p.Name, (c.load-c.slots)/8+1)...)
+		case load < r.low:
+			moves = append(moves, count.take(p.Name, spare, c.vms-p.Home)...)
+		}
+	}
+	return moves
+}
+
+// poolCount is what the reactive policy knows of a pool.
+type poolCount struct {
+	load  int // tasks that run or wait
+	slots int // of its VMs and of those that are moving to it
+	vms   int
+	idle  []fleet.VMID
+}
+
+type poolCounts map[fleet.PoolName]*poolCount
+
+func countPools(s capacity.Snapshot) poolCounts {
+	counts := make(poolCounts)
+	for _, p := range s.Pools {
+		counts[p.Name] = &poolCount{}
+	}
 	moving := make(map[fleet.VMID]bool)
-	incoming := make(map[fleet.PoolName]int)
 	for _, m := range s.Moves {
 		moving[m.VM] = true
-		incoming[m.To]++
+		counts[m.To].slots += 8
 	}
-	use := make(map[fleet.PoolName]int)
 	for _, w := range s.Work {
-		use[w.Pool] += w.Running + w.Queued
+		counts[w.Pool].load += w.Running + w.Queued
 	}
-	free := make(map[fleet.PoolName][]capacity.VM)
-	slots := make(map[fleet.PoolName]int)
-	count := make(map[fleet.PoolName]int)
 	for _, v := range s.VMs {
 		if moving[v.ID] || !v.Available {
 			continue
 		}
-		slots[v.Pool] += v.Slots
-		count[v.Pool]++
+		c := counts[v.Pool]
+		c.slots += v.Slots
+		c.vms++
 		if v.Running == 0 && !v.Maintained {
-			free[v.Pool] = append(free[v.Pool], v)
+			c.idle = append(c.idle, v.ID)
 		}
 	}
-	spare := s.Pools[len(s.Pools)-1].Name
+	return counts
+}
+
+// take moves up to n idle VMs.
+func (c poolCounts) take(from, to fleet.PoolName, n int) []capacity.Move {
 	var moves []capacity.Move
-	for _, p := range s.Pools[:len(s.Pools)-1] {
-		load := float64(use[p.Name]) / float64(max(1, slots[p.Name]+8*incoming[p.Name]))
-		switch {
-		case load > r.high && len(free[spare]) > 0:
-			want := (use[p.Name]-slots[p.Name]-8*incoming[p.Name])/8 + 1
-			for ; want > 0 && len(free[spare]) > 0; want-- {
-				moves = append(moves, capacity.Move{VM: free[spare][0].ID, From: spare, To: p.Name})
-				free[spare] = free[spare][1:]
-			}
-		case load < r.low:
-			for extra := count[p.Name] - p.Home; extra > 0 && len(free[p.Name]) > 0; extra-- {
-				moves = append(moves, capacity.Move{VM: free[p.Name][0].ID, From: p.Name, To: spare})
-				free[p.Name] = free[p.Name][1:]
-			}
-		}
+	for ; n > 0 && len(c[from].idle) > 0; n-- {
+		moves = append(moves, capacity.Move{VM: c[from].idle[0], From: from, To: to})
+		c[from].idle = c[from].idle[1:]
 	}
 	return moves
 }
