--- a/cmd/amaranth-measure/main.go
+++ b/cmd/amaranth-measure/main.go
@@ -26,6 +26,7 @@
 	var o measure.Options
 	var f measure.Format
 	var seeds string
+	var bound bool
 	c := &cobra.Command{
 		Use:          "amaranth-measure",
 		Short:        "Measure the capacity policy against its baselines",
@@ -36,6 +37,9 @@
 			if o.Seeds, err = parseSeeds(seeds); err != nil {
 				return err
 			}
+			if bound {
+				return measure.WriteBounds(c.OutOrStdout(), o)
+			}
 			results, err := measure.Run(c.Context(), o)
 			if err != nil {
 				return err
@@ -47,6 +51,7 @@
 	c.Flags().StringVar(&o.Size, "size", "today", "size of the fleet: today or target")
 	c.Flags().StringVar(&seeds, "seeds", "tune", "tune, holdout, or numbers separated by commas")
 	c.Flags().StringSliceVar(&o.Policies, "policy", nil, "policies to run; all when empty")
+	c.Flags().BoolVar(&bound, "bound", false, "print the offline bound on idle VMs and moves instead")
 	c.Flags().IntVar(&o.Parallel, "parallel", 4, "runs at a time")
 	c.Flags().StringVar(&f.Kind, "format", "table", "table, csv or json")
 	c.Flags().BoolVar(&f.Timing, "timing", false, "print the time per decision")
--- a/cmd/internal/measure/measure_test.go
+++ b/cmd/internal/measure/measure_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"testing"
+	"time"
 
 	"amaranthfork.example/policy/capacity"
 	"github.com/sebdah/goldie/v2"
@@ -195,6 +196,30 @@
 	}
 }
 
+// Guards the arithmetic of the offline bound: two pools need 2 VMs in turn,
+// with a gap of 10 s.
+func TestLowerBound(t *testing.T) {
+	s := brief(t, "lantern")
+	need := make([][]int, len(s.Pools))
+	for p := range need {
+		need[p] = make([]int, ticks(40*time.Second))
+	}
+	for tick := range need[0] {
+		if tick/ticks(10*time.Second)%2 == 0 {
+			need[0][tick] = 2
+		}
+	}
+	hold := lowerBound(s, need, 20*time.Second)
+	move := lowerBound(s, need, 5*time.Second)
+	if hold.Moves != 0 || hold.HeldIdle != 20.0/3600 || move.Moves != 2 || move.HeldIdle != 0 {
+		t.Errorf("hold %+v, move %+v", hold, move)
+	}
+	need[1][0] = len(s.Pools[1].VMs) + 3
+	if b := lowerBound(s, need, time.Hour); b.Moves != 3 {
+		t.Errorf("a pool that needs 3 VMs more than it has: %+v", b)
+	}
+}
+
 func TestOptionsAreChecked(t *testing.T) {
 	for _, o := range []Options{
 		{Users: []string{"nobody"}, Size: "brief"},
