Copy taken-over shards in parallel; test queue bounds and deadlines

Cause: a takeover of 64 shards wrote their checkpoints one after another. Change: checkpoints of several shards run at a time.

--- a/control/jobs/jobs_test.go
+++ b/control/jobs/jobs_test.go
@@ -388,3 +388,42 @@
 		t.Errorf("status %+v", status)
 	}
 }
+
+// Guards against unbounded queues, and against jobs that start after their
+// deadline or vanish at it.
+func TestBoundsAndDeadlines(t *testing.T) {
+	ctx := context.Background()
+	w := newWorld(1)
+	w.snapshot.Queues["q"] = fleet.Queue{Name: "q", Pool: "p", Teams: []fleet.TeamName{"a"}, MaxQueued: 2}
+	w.tick(2, time.Second)
+	n := w.nodes[0]
+	w.free = 0
+	urgent := job("urgent", 1, false)
+	urgent.Class = fleet.ClassUrgent
+	expiring := job("expiring", 1, false)
+	expiring.Deadline = w.clock.now.Add(3 * time.Second)
+	for _, j := range []fleet.Job{job("one", 1, false), expiring, urgent} {
+		mustSubmit(t, n, j)
+	}
+	if _, err := n.jobs.Submit(ctx, job("three", 1, false)); refusalReason(err) != fleet.ReasonQueueFull {
+		t.Errorf("third job of the class: %v", err)
+	}
+	large := job("large", 1, false)
+	large.Declared.Accelerators = 1
+	if _, err := n.jobs.Submit(ctx, large); refusalReason(err) != fleet.ReasonTooLarge {
+		t.Errorf("job that fits no VM: %v", err)
+	}
+	w.tick(5, time.Second)
+	w.free = 8
+	w.drain(6)
+	status, err := n.jobs.Status(ctx, expiring.ID)
+	if err != nil || status.Result == nil || status.Result.Outcome != fleet.OutcomeNotRun || status.Result.Reason != fleet.ReasonDeadline {
+		t.Errorf("expired job: %+v, %v", status, err)
+	}
+	if len(w.starts) != 2 {
+		t.Errorf("%d jobs started, want the other two", len(w.starts))
+	}
+	if _, err := n.jobs.Submit(ctx, job("four", 1, false)); err != nil {
+		t.Errorf("submit once the queue is empty: %v", err)
+	}
+}
--- a/control/jobs/takeover.go
+++ b/control/jobs/takeover.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,17 +30,33 @@
 	if err := m.load(ctx, missing); err != nil {
 		return nil, err
 	}
-	var copied []int
+	var pending []int
 	for _, take := range takes {
-		if len(take.Sources) == 0 {
-			continue
+		if len(take.Sources) > 0 {
+			pending = append(pending, take.Shard)
 		}
-		if err := m.copyShard(ctx, take.Shard); err != nil {
-			return copied, err
-		}
-		copied = append(copied, take.Shard)
 	}
-	return copied, nil
+	return m.forShards(pending, func(number int) error { return m.copyShard(ctx, number) })
+}
+
+// forShards calls fn for several shards at a time and returns those for which
+// it succeeded, in order, with the errors of the others.
+func (m *Manager) forShards(numbers []int, fn func(number int) error) ([]int, error) {
+	var mu sync.Mutex
+	var succeeded []int
+	var failed error
+	each(m.options.Parallel, numbers, func(number int) {
+		err := fn(number)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			failed = errors.Join(failed, err)
+			return
+		}
+		succeeded = append(succeeded, number)
+	})
+	slices.Sort(succeeded)
+	return succeeded, failed
 }
 
 func (m *Manager) missing(takes []shards.Take) []shards.Take {
@@ -307,10 +324,9 @@
 	session := m.self()
 	position := m.options.Journal.Position()
 	bytes := m.options.Journal.Stats().Bytes
-	for _, number := range m.touchedShards() {
-		if err := m.checkpointShard(ctx, number); err != nil {
-			return err
-		}
+	_, err := m.forShards(m.touchedShards(), func(number int) error { return m.checkpointShard(ctx, number) })
+	if err != nil {
+		return err
 	}
 	if _, err := m.options.Journal.Trim(ctx, session, position); err != nil {
 		return err
