List a session's checkpoints once for a takeover

Cause: a takeover listed the checkpoints of each shard and source by itself, 128 calls of 3 ms before the successor could act. Change: one list for each source; replaced checkpoints are listed again, which a test now covers.

--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -359,6 +359,20 @@
 	})
 }
 
+// movingObjects lets a checkpoint be replaced between a list and a read.
+type movingObjects struct {
+	platform.Objects
+	beforeGet func()
+}
+
+func (m *movingObjects) Get(ctx context.Context, key string) ([]byte, error) {
+	if fn := m.beforeGet; fn != nil {
+		m.beforeGet = nil
+		fn()
+	}
+	return m.Objects.Get(ctx, key)
+}
+
 // Guards against takeovers that miss records when pages and checkpoints are
 // replaced while they are read, and against deleting what is still needed.
 func TestRecoverTrimSweep(t *testing.T) {
@@ -391,11 +405,16 @@
 		}
 		appendOne(1, "newer")
 	}
-	r, err := j.Recover(ctx, "s", []int{1})
+	moving := &movingObjects{Objects: objects, beforeGet: func() {
+		if err := j.Checkpoint(ctx, "s", 1, position+1, []byte("newest")); err != nil {
+			t.Fatal(err)
+		}
+	}}
+	r, err := Recover(ctx, l, moving, "s", []int{1})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if string(r.States[1]) != "state" || len(r.States) != 1 {
+	if string(r.States[1]) != "newest" || len(r.States) != 1 {
 		t.Errorf("states %v", r.States)
 	}
 	if last := string(r.Records[len(r.Records)-1].Body); last != "newer" {
--- a/control/journal/recover.go
+++ b/control/journal/recover.go
@@ -99,7 +99,6 @@
 	States  map[int][]byte   // newest checkpoint by shard
 	Records []control.Record // of the requested shards, in the order of the pages
 	Pages   int              // read
-	Objects []string         // keys of the checkpoints read
 }
 
 // Recover reads what a session has left behind through the journal's stores.
@@ -115,10 +114,8 @@
 	if err := r.readPages(ctx, table, session, shards); err != nil {
 		return Recovery{}, fmt.Errorf("read journal of session %s: %w", session, err)
 	}
-	for _, shard := range shards {
-		if err := r.readCheckpoint(ctx, objects, session, shard); err != nil {
-			return Recovery{}, fmt.Errorf("read checkpoint of session %s, shard %d: %w", session, shard, err)
-		}
+	if err := r.readCheckpoints(ctx, objects, session, shards); err != nil {
+		return Recovery{}, fmt.Errorf("read checkpoints of session %s: %w", session, err)
 	}
 	return r, nil
 }
@@ -156,29 +153,48 @@
 	return nil
 }
 
-// readCheckpoint reads the newest checkpoint. It lists again when the newest is
-// replaced between the list and the read.
-func (r *Recovery) readCheckpoint(ctx context.Context, objects platform.Objects, session string, shard int) error {
+// readCheckpoints reads the newest checkpoint of each shard. It lists again
+// while some are replaced between the list and the read.
+func (r *Recovery) readCheckpoints(ctx context.Context, objects platform.Objects, session string, shards []int) error {
 	for range maxReread {
-		keys, err := objects.List(ctx, shardPrefix(session, shard))
+		keys, err := objects.List(ctx, "checkpoint/"+session+"/")
 		if err != nil {
 			return err
 		}
-		if len(keys) == 0 {
-			return nil
+		replaced := 0
+		for _, shard := range shards {
+			err := r.readCheckpoint(ctx, objects, keys, session, shard)
+			if errors.Is(err, platform.ErrNotFound) {
+				replaced++
+			} else if err != nil {
+				return fmt.Errorf("shard %d: %w", shard, err)
+			}
 		}
-		state, err := objects.Get(ctx, slices.Max(keys))
-		if errors.Is(err, platform.ErrNotFound) {
-			continue
+		if replaced == 0 {
+			return nil
 		}
-		if err != nil {
-			return err
+	}
+	return fmt.Errorf("%w: checkpoints are replaced faster than they can be read", platform.ErrUnavailable)
+}
+
+// readCheckpoint reads the newest of the listed checkpoints of a shard, if
+// there is one and it was not read before.
+func (r *Recovery) readCheckpoint(ctx context.Context, objects platform.Objects, listed []string, session string, shard int) error {
+	newest := ""
+	for _, key := range listed {
+		if strings.HasPrefix(key, shardPrefix(session, shard)) {
+			newest = max(newest, key)
 		}
-		r.States[shard] = state
-		r.Objects = append(r.Objects, keys...)
+	}
+	if newest == "" || r.States[shard] != nil {
 		return nil
 	}
-	return fmt.Errorf("%w: checkpoint is replaced faster than it can be read", platform.ErrUnavailable)
+	state, err := objects.Get(ctx, newest)
+	if err != nil {
+		return err
+	}
+	r.States[shard] = state
+	return nil
 }
 
 // Sweeper deletes what sessions have left behind that nobody needs any more.
