Do not call a job too large for a pool of which no VM is known

Cause: a pool without known VMs reports a largest VM of zero, and every job was refused for good. Change: such reports do not take part in the check. Measured: TestBoundsAndDeadlines covers it and passes.

--- a/control/jobs/jobs_test.go
+++ b/control/jobs/jobs_test.go
@@ -413,6 +413,14 @@
 	if _, err := n.jobs.Submit(ctx, large); refusalReason(err) != fleet.ReasonTooLarge {
 		t.Errorf("job that fits no VM: %v", err)
 	}
+	w.largest = fleet.Resources{}
+	large.Class = fleet.ClassBatch
+	if status, err := n.jobs.Submit(ctx, large); err != nil {
+		t.Errorf("job for a pool of which nothing is known: %+v, %v", status, err)
+	}
+	if status, err := n.jobs.Cancel(ctx, large.ID); err != nil || status.State != control.JobEnded {
+		t.Errorf("cancel: %+v, %v", status, err)
+	}
 	w.tick(5, time.Second)
 	w.free = 8
 	w.drain(6)
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -135,7 +135,9 @@
 		MaxQueued: m.bound(queue),
 	}
 	for _, c := range m.options.Dispatcher.Capacity(queue.Pool) {
-		r.Largest = append(r.Largest, c.LargestVM)
+		if c.LargestVM != (fleet.Resources{}) { // zero: no VM of the pool is known there
+			r.Largest = append(r.Largest, c.LargestVM)
+		}
 		if snapshot.DataCentres[c.DataCentre].State == fleet.DataCentreIn {
 			r.Load.FreeSlots += c.FreeSlots
 		}
--- a/control/jobs/world_test.go
+++ b/control/jobs/world_test.go
@@ -165,6 +165,7 @@
 	delayed   []pendingStart
 	silent    bool // VM owners answer no lookups
 	free      int
+	largest   fleet.Resources // VM of the pool
 	onReserve func(n *node)
 	onStart   func(n *node, task platform.Task) (lose, delay, refuse bool)
 	faults    []string
@@ -181,6 +182,7 @@
 		forgotten: map[fleet.AttemptID]bool{},
 		starts:    map[string][]fleet.AttemptID{},
 		free:      8,
+		largest:   fleet.Resources{MilliCPU: 16000, MemoryMB: 64000},
 		onStart:   func(*node, platform.Task) (bool, bool, bool) { return false, false, false },
 	}
 	w.snapshot = &config.Snapshot{
@@ -307,7 +309,7 @@
 func (d *dispatcher) Capacity(pool fleet.PoolName) []control.Capacity {
 	return []control.Capacity{{
 		Pool: pool, DataCentre: "dc1", FreeSlots: d.n.w.free, TotalSlots: 8,
-		LargestVM: fleet.Resources{MilliCPU: 16000, MemoryMB: 64000},
+		LargestVM: d.n.w.largest,
 	}}
 }
 
