--- a/entry/poolmap.go
+++ b/entry/poolmap.go
@@ -27,7 +27,7 @@
 	// wantedServed and wantedOther are the ages at which they are read again
 	// while an assignment is missing.
 	wantedServed = time.Second
-	wantedOther  = 5 * time.Second
+	wantedOther  = 2 * time.Second
 )
 
 // poolMap answers the VM dispatcher from the assignments of all data centres.
@@ -117,7 +117,9 @@
 			list = append(list, c.cache)
 		}
 	}
-	m.wanted = false
+	if len(list) > 0 {
+		m.wanted = false
+	}
 	return list
 }
 
