Never take a left-over answer for that of the next request

The connection now measures each answer against its declared length. A reused connection whose last answer was not exactly one is given up before anything is sent, and so are connections after chunked answers, whose length is not known.

--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -321,12 +321,11 @@
 // exchange sends the request over a connection of the lease and passes the
 // answer on.
 func (c *call) exchange(ctx context.Context, w http.ResponseWriter, lease *lease) error {
-	watch := &sendWatch{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := lease.transport.RoundTrip(c.outgoing(watch.trace(ctx), lease.address))
+	resp, err := c.roundTrip(ctx, lease)
 	if err != nil {
-		return c.failed(watch.seal(), err)
+		return err
 	}
 	defer resp.Body.Close()
 	if err := c.passOn(w, resp); err != nil {
@@ -335,6 +334,27 @@
 	return nil
 }
 
+// roundTrip sends the request. A reused connection that turns out to be unusable
+// before anything is sent says nothing about the endpoint, and another one is
+// taken.
+func (c *call) roundTrip(ctx context.Context, lease *lease) (*http.Response, error) {
+	for {
+		watch := &sendWatch{}
+		resp, err := lease.transport.RoundTrip(c.outgoing(watch.trace(ctx, c.request.Method), lease.address))
+		if err == nil && watch.usable() {
+			return resp, nil
+		}
+		if err == nil { // the answer was left over from an earlier request
+			resp.Body.Close()
+			err = errSealed
+		}
+		sent, reused := watch.seal()
+		if sent || !reused || ctx.Err() != nil {
+			return nil, c.failed(sent, err)
+		}
+	}
+}
+
 func (c *call) failed(sent bool, err error) error {
 	if sent {
 		c.sent, c.failure = true, err
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -239,6 +240,42 @@
 	}
 }
 
+// TestSecondAnswer guards against an answer that is passed on to the wrong
+// request, when an endpoint sends a second one on the same connection.
+func TestSecondAnswer(t *testing.T) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 8}
+	defer transport.CloseIdleConnections()
+	log.SetOutput(io.Discard) // net/http logs answers without a request
+	defer log.SetOutput(os.Stderr)
+	late := strings.Replace(whole, "body", "late", 1)
+	for _, first := range []string{whole + late, whole + late[:5], "HTTP/1.1 103 Early Hints\r\n\r\n" + whole + late} {
+		endpoint, arrivals := raw(t, first, whole, whole)
+		endpoint.Entries = DefaultConnections / 2
+		e := newEntry(t, []Endpoint{endpoint}, nil)
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for range 100 {
+					resp, err := (&http.Client{Transport: transport}).Post(e.url, "text/plain", nil)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					answer, err := io.ReadAll(resp.Body)
+					resp.Body.Close()
+					if resp.StatusCode == 200 && string(answer) != "body" {
+						t.Errorf("got %q, %v", answer, err)
+					}
+				}
+			})
+		}
+		callers.Wait()
+		if s := e.Stats(); s.Completed == 0 || s.Completed != arrivals.Load() || s.Unknown+s.Retries != 0 {
+			t.Errorf("%d arrivals, %+v", arrivals.Load(), s)
+		}
+	}
+}
+
 // TestClosedConnections guards against refusals while a connection of a portion
 // that is in full use is being closed.
 func TestClosedConnections(t *testing.T) {
@@ -730,7 +767,7 @@
 	defer far.Close()
 	c := &conn{Conn: near, closed: func() {}}
 	defer c.Close()
-	c.mark()
+	c.mark("GET")
 	if c.seal() {
 		t.Error("nothing was written")
 	}
