--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -276,6 +276,49 @@
 	}
 }
 
+// TestAnswerSize guards the check that nothing is left on a connection before it
+// is used again, however the answer arrives.
+func TestAnswerSize(t *testing.T) {
+	for _, test := range []struct {
+		method, answer string
+		reused         bool // by the next request
+	}{
+		{"POST", whole, true},
+		{"POST", whole + "x", false},
+		{"POST", whole[:len(whole)-1], false},
+		{"POST", "HTTP/1.1 200 OK\r\nContent-Len", false},
+		{"POST", "HTTP/1.1 103 Early Hints\r\n\r\n", false},
+		{"POST", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole, false},
+		{"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{"POST", "HTTP/1.1 204 No Content\r\n\r\n", true},
+		{"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", true},
+		{"HEAD", whole[:len(whole)-4], true},
+		{"HEAD", whole, false},
+		{"POST", "not HTTP\r\n\r\n", false},
+		{"POST", strings.Repeat("x", 2*maxAnswerHeads), false},
+	} {
+		for _, size := range []int{1, 7, len(test.answer)} {
+			c := &conn{Conn: discard{}, closed: func() {}}
+			if c.mark(test.method) {
+				t.Fatal("a new connection counts as reused")
+			}
+			for part := range slices.Chunk([]byte(test.answer), size) {
+				c.answer.add(part)
+			}
+			reused := c.mark("POST")
+			_, err := c.Write([]byte("x"))
+			if !reused || (err == nil) != test.reused {
+				t.Errorf("%s, %.60q in parts of %d: %v", test.method, test.answer, size, err)
+			}
+		}
+	}
+}
+
+// discard is a connection that takes all writes.
+type discard struct{ net.Conn }
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
 // TestClosedConnections guards against refusals while a connection of a portion
 // that is in full use is being closed.
 func TestClosedConnections(t *testing.T) {
