Keep change ids in rows of their own

The head row held 128 recent ids, about 5 KB, which every entry reads twice a second; the target is 4 KB/s for all control traffic. Each id now has a row, written with the change, and a retry is recognised however old it is.

--- a/control/apply/apply.go
+++ b/control/apply/apply.go
@@ -30,6 +30,9 @@
 	// commitAttempts bounds the commits of one Begin. An attempt is lost by a
 	// change of the member list or by a lost answer.
 	commitAttempts = 8
+	// maxID is the length of a change id in bytes. Every entry reads the last one
+	// twice a second with the head row.
+	maxID = 128
 	// callTimeout bounds each call of the platform or of a peer.
 	callTimeout = 400 * time.Millisecond
 )
@@ -152,8 +155,8 @@
 // Begin commits a change, or finds it committed, here or at a member that may
 // coordinate. The returned operation must be closed.
 func (c *Coordinator) Begin(ctx context.Context, change config.Change) (*Operation, error) {
-	if change.ID == "" {
-		return nil, &InvalidError{Findings: errors.New("the change has no id")}
+	if change.ID == "" || len(change.ID) > maxID {
+		return nil, &InvalidError{Findings: fmt.Errorf("the change id has %d bytes, want 1 to %d", len(change.ID), maxID)}
 	}
 	if !c.o.Members.MayCoordinate() {
 		return c.forward(ctx, change)
@@ -191,12 +194,22 @@
 		if err != nil {
 			return errors.Join(err, last)
 		}
-		if revision, ok := head.Find(o.change.ID); ok {
+		// The id is looked up after the head was read, so that the own change
+		// never counts as the winner of a race.
+		revision, err := o.lookup(ctx)
+		if err != nil {
+			return errors.Join(err, last)
+		}
+		if revision > head.Revision {
+			last = platform.ErrConflict // committed since the head was read
+			continue
+		}
+		if revision > 0 {
 			o.committed(revision, list)
 			return nil
 		}
 		if head.Revision != o.change.Base {
-			return newConflict(o.change, head)
+			return &ConflictError{Base: o.change.Base, Winner: head.Revision, Change: head.Change}
 		}
 		last = o.write(ctx, list, head)
 		if last == nil {
@@ -212,14 +225,6 @@
 	return fmt.Errorf("commit change %s: %w", o.change.ID, last)
 }
 
-func newConflict(change config.Change, head view.Head) *ConflictError {
-	e := &ConflictError{Base: change.Base, Winner: head.Revision}
-	if len(head.Recent) > 0 {
-		e.Change = head.Recent[len(head.Recent)-1].ID
-	}
-	return e
-}
-
 // read reads the member list and the head, and checks the own session.
 func (o *Operation) read(ctx context.Context) (member.List, view.Head, error) {
 	list, err := o.c.o.Members.Refresh(ctx)
@@ -237,6 +242,21 @@
 	return list, head, err
 }
 
+// lookup returns the revision that the change has made, 0 for none.
+func (o *Operation) lookup(ctx context.Context) (fleet.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row, err := o.c.o.Table.Get(ctx, view.IDKey(o.change.ID))
+	if err != nil || row.Version == 0 {
+		return 0, err
+	}
+	var revision fleet.Revision
+	if err := cbor.Unmarshal(row.Value, &revision); err != nil {
+		return 0, fmt.Errorf("decode %s: %w", row.Key, err)
+	}
+	return revision, nil
+}
+
 // write commits the change on top of a head. The conditions make sure that the
 // coordinator waits for exactly the members of the list.
 func (o *Operation) write(ctx context.Context, list member.List, head view.Head) error {
@@ -255,7 +275,11 @@
 	if err != nil {
 		return fmt.Errorf("encode change: %w", err)
 	}
-	key := view.ChangeKey(head.Revision + 1)
+	made, err := cbor.Marshal(head.Revision + 1)
+	if err != nil {
+		return fmt.Errorf("encode revision: %w", err)
+	}
+	key, id := view.ChangeKey(head.Revision+1), view.IDKey(o.change.ID)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err = o.c.o.Table.Commit(ctx, platform.Txn{
@@ -263,9 +287,10 @@
 		Conditions: []platform.Condition{
 			{Key: view.HeadKey, Version: head.RowVersion},
 			{Key: key},
+			{Key: id},
 			list.Condition(), // also fails if this session has been fenced
 		},
-		Writes: []platform.Write{{Key: key, Value: row}, {Key: view.HeadKey, Value: value}},
+		Writes: []platform.Write{{Key: key, Value: row}, {Key: id, Value: made}, {Key: view.HeadKey, Value: value}},
 	})
 	if err != nil {
 		return member.CommitError(err)
--- a/control/apply/apply_test.go
+++ b/control/apply/apply_test.go
@@ -344,6 +344,9 @@
 	if got := len(n.members.Members().List); got != 9 || n.view.Revision() != 71 {
 		t.Errorf("%d members at revision %d, want 9 at 71", got, n.view.Revision())
 	}
+	if err := n.change("c0", 1); err != nil { // node.change compares the revisions
+		t.Errorf("the retry of an old change: %v", err)
+	}
 	if err := n.change("new", 71); err != nil {
 		t.Fatal(err)
 	}
--- a/control/member/member_test.go
+++ b/control/member/member_test.go
@@ -54,13 +54,14 @@
 	faults []*memory.Faults
 	list   []*member.Registry
 	ids    int
+	tick   time.Duration
 	reuse  int // number of the entry after which the VMs are used again
 	// beforeRemoval runs before each commit that deletes rows.
 	beforeRemoval func()
 }
 
 func newEntries(n int) *entries {
-	e := &entries{clock: &clock{now: time.Unix(0, 0)}, vms: &vmList{gone: map[string]bool{}}, table: memory.NewTable(nil)}
+	e := &entries{tick: member.TickEvery, clock: &clock{now: time.Unix(0, 0)}, vms: &vmList{gone: map[string]bool{}}, table: memory.NewTable(nil)}
 	for range n {
 		e.add()
 	}
@@ -86,7 +87,7 @@
 func (e *entries) run(t *testing.T, d time.Duration, skip ...*member.Registry) {
 	t.Helper()
 	for end := e.clock.now.Add(d); e.clock.now.Before(end); {
-		e.clock.now = e.clock.now.Add(member.TickEvery)
+		e.clock.now = e.clock.now.Add(e.tick)
 		for _, r := range e.list {
 			if contains(skip, r) {
 				continue
@@ -113,13 +114,17 @@
 	for _, tt := range []struct {
 		name          string
 		gone          bool
+		tick          time.Duration
 		from, through time.Duration // when the session is fenced
 	}{
-		{"silent", false, member.TTL - member.RenewEvery, member.TTL + member.RenewEvery + member.TickEvery},
-		{"vm gone", true, member.TTL/2 - member.RenewEvery, member.TTL/2 + 2*member.RenewEvery},
+		// With ticks that are a little early, each renewal period takes five ticks.
+		{"silent, early ticks", false, 499 * time.Millisecond, member.TTL - 2500*time.Millisecond, member.TTL + 2*member.TickEvery},
+		{"silent", false, member.TickEvery, member.TTL - member.RenewEvery, member.TTL + member.RenewEvery + member.TickEvery},
+		{"vm gone", true, member.TickEvery, member.TTL/2 - member.RenewEvery, member.TTL/2 + 2*member.RenewEvery},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			e := newEntries(3)
+			e.tick = tt.tick
 			for _, r := range e.list {
 				if err := r.Join(t.Context()); err != nil {
 					t.Fatal(err)
@@ -129,8 +134,8 @@
 			silent, session := e.list[1], e.list[1].Session()
 			e.vms.gone["vm1"] = tt.gone
 			var after time.Duration
-			for ; len(e.list[0].Members().List) == 3 && after < time.Minute; after += member.TickEvery {
-				e.run(t, member.TickEvery, silent)
+			for ; len(e.list[0].Members().List) == 3 && after < time.Minute; after += tt.tick {
+				e.run(t, tt.tick, silent)
 			}
 			if after < tt.from || after > tt.through {
 				t.Errorf("fenced after %v, want %v to %v", after, tt.from, tt.through)
--- a/control/view/folder.go
+++ b/control/view/folder.go
@@ -14,6 +14,7 @@
 const (
 	HeadKey      = "config/head"
 	changeBase   = "config/change/"
+	idBase       = "config/id/" // by change id: the revision that it made
 	snapshotBase = "config/snapshot/"
 )
 
@@ -21,11 +22,6 @@
 // store.
 const SnapshotEvery = 64
 
-// recentChanges is the number of change ids that the head row remembers. An
-// operator's tool repeats a change within minutes; 1,600 changes a day are 67 an
-// hour.
-const recentChanges = 128
-
 // ChangeKey returns the key of the row of the change that made a revision.
 func ChangeKey(revision fleet.Revision) string { return fmt.Sprintf("%s%020d", changeBase, revision) }
 
@@ -33,38 +29,23 @@
 	return fmt.Sprintf("%s%020d", snapshotBase, revision)
 }
 
-// Applied names a change and the revision that it made.
-type Applied struct {
-	ID       string         `cbor:"1,keyasint"`
-	Revision fleet.Revision `cbor:"2,keyasint"`
-}
+// IDKey returns the key of the row that holds the revision of a change id.
+func IDKey(id string) string { return idBase + id }
 
-// Head is the value of the head row.
+// Head is the value of the head row. Every entry reads it twice a second, so it
+// holds only what they need.
 type Head struct {
 	Revision    fleet.Revision `cbor:"1,keyasint"`
 	Coordinator string         `cbor:"2,keyasint"` // member id
-	Recent      []Applied      `cbor:"3,keyasint"` // oldest first
+	Change      string         `cbor:"3,keyasint"` // id of the change that made the revision
 	// RowVersion is the version of the row that the head was read from, for
 	// conditions; 0 while there is none.
 	RowVersion uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Find returns the revision that a change made, if the head remembers it.
-func (h Head) Find(id string) (fleet.Revision, bool) {
-	for _, a := range h.Recent {
-		if a.ID == id {
-			return a.Revision, true
-		}
-	}
-	return 0, false
-}
-
 // Next returns the head after a change.
 func (h Head) Next(id, coordinator string) Head {
-	next := Head{Revision: h.Revision + 1, Coordinator: coordinator, RowVersion: h.RowVersion}
-	kept := h.Recent[max(0, len(h.Recent)-recentChanges+1):]
-	next.Recent = append(append([]Applied(nil), kept...), Applied{ID: id, Revision: next.Revision})
-	return next
+	return Head{Revision: h.Revision + 1, Coordinator: coordinator, Change: id, RowVersion: h.RowVersion}
 }
 
 // Encode returns the value of the head row.
