Cover former sessions and checkpointed tasks by tests that fail without them

Cause: of 66 mechanisms removed one at a time, three had no failing test: appends of a former session, records of a shard from a former session, and checkpointed tasks going on. Change: tests for them; the check of cancellations in a former session's state.

--- a/control/jobs/jobs_test.go
+++ b/control/jobs/jobs_test.go
@@ -320,6 +320,7 @@
 	w.free = 0
 	mustSubmit(t, n, j)
 	w.free = 8
+	former := n.jobs.find(j.ID)
 	w.kill(n)
 	w.drain(6) // the other entry runs the job
 	w.renew(n, next)
@@ -330,6 +331,12 @@
 		if _, err := n.jobs.status(j.ID); err == nil {
 			t.Fatal("answers from the state of its former session")
 		}
+		if _, err := n.jobs.cancel(ctx, j.ID); err == nil {
+			t.Fatal("cancels in the state of its former session")
+		}
+		if err := n.jobs.persist(ctx, former); !errors.Is(err, platform.ErrFenced) {
+			t.Fatalf("journals state of its former session: %v", err)
+		}
 	}
 	w.nodes = append(w.nodes, n)
 	w.drain(6)
@@ -389,6 +396,25 @@
 	}
 }
 
+// Guards against treating a checkpoint as a failure, which would end jobs that
+// are not idempotent and use up the attempts of the others.
+func TestCheckpointedTaskGoesOn(t *testing.T) {
+	w := newWorld(1)
+	w.tick(2, time.Second)
+	n := w.nodes[0]
+	j := job("x", 1, false)
+	mustSubmit(t, n, j)
+	for range 6 {
+		w.tick(2, time.Second)
+		w.report(n, w.finish(w.running()[0], platform.TaskCheckpointed))
+	}
+	w.drain(4)
+	status, err := n.jobs.Status(context.Background(), j.ID)
+	if err != nil || status.Result == nil || status.Result.Outcome != fleet.OutcomeCompleted {
+		t.Errorf("status %+v, error %v", status, err)
+	}
+}
+
 // Guards against unbounded queues, and against jobs that start after their
 // deadline or vanish at it.
 func TestBoundsAndDeadlines(t *testing.T) {
--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -235,11 +235,9 @@
 		t.Errorf("append over a page of another process in the same session: %v", err)
 	}
 	s.fence()
-	for _, id := range []string{"other", "s"} {
-		s.id = id
-		if err := twin.AppendIn(ctx, "former", control.Record{Body: []byte("f")}); !errors.Is(err, platform.ErrFenced) {
-			t.Errorf("append of a former session: %v", err)
-		}
+	later := New(Options{Table: l, Membership: newSession(table, "later", 1), Clock: &tick{}, Rate: 1e12})
+	if err := later.AppendIn(ctx, "s", control.Record{Body: []byte("former")}); !errors.Is(err, platform.ErrFenced) {
+		t.Errorf("append of a former session: %v", err)
 	}
 	for _, faults = range []string{"", "request late"} {
 		if err := j.Append(ctx, control.Record{Body: []byte("b")}); !errors.Is(err, platform.ErrFenced) {
