--- a/control/limits/limits_test.go
+++ b/control/limits/limits_test.go
@@ -411,6 +411,22 @@
 			t.Errorf("%d running with a limit of 4", c.total(team))
 		}
 	})
+	t.Run("entry with an old view keeps to the row", func(t *testing.T) {
+		c := hold(t, 2, 3)
+		a, b := c.entries[0], c.entries[1]
+		demand(b, 1)
+		second(c, 1)
+		c.configure(map[fleet.TeamName]int{team: 8})
+		a.snapshot = c.config
+		for _, queued := range []int{9, 0, 9} { // b raises, returns and raises again
+			demand(a, 3)
+			demand(b, queued)
+			second(c, 5)
+			if row := c.row(t, team); row.Limit != 8 || row.Revision != 2 || row.Sum() > 8 {
+				t.Errorf("after a demand of %d: %+v", queued, row)
+			}
+		}
+	})
 	t.Run("slack", func(t *testing.T) {
 		c := newCluster(1, map[fleet.TeamName]int{team: 100})
 		demand(c.entries[0], 20)
