Release VMs before their first assignment

A VM that was removed while a move or maintenance had drained it came back drained and served nothing: TestRaces failed with -rapid.seed=3846158. Live VMs without an assignment are now released before they get one.

--- a/control/pools/controller.go
+++ b/control/pools/controller.go
@@ -111,7 +111,9 @@
 	}
 	var errs []error
 	for _, dc := range sortedKeys(listed) {
-		r := round{c, listing.AsOf, listed[dc], sortedKeys(listed)}
+		released, err := c.release(ctx, listed[dc], known)
+		errs = append(errs, err)
+		r := round{c, listing.AsOf, listed[dc], sortedKeys(listed), released}
 		if r.differs(known[dc], budgets[dc]) {
 			errs = append(errs, c.update(ctx, dc, r.apply))
 		}
@@ -119,6 +121,33 @@
 	return errors.Join(errs...)
 }
 
+// release ends the drain of live VMs that have no assignment in any data centre
+// and returns those that may be assigned. A VM that was removed while it was drained may come back
+// still drained.
+func (c *Controller) release(ctx context.Context, listed map[fleet.VMID]fleet.VM, known assignments) (map[fleet.VMID]bool, error) {
+	assigned, released := map[fleet.VMID]bool{}, map[fleet.VMID]bool{}
+	for _, vms := range known {
+		for id := range vms {
+			assigned[id] = true
+		}
+	}
+	var errs []error
+	for _, id := range sortedKeys(listed) {
+		if assigned[id] || listed[id].State != fleet.VMLive {
+			continue
+		}
+		if err := c.options.Role.Held(); err != nil {
+			return released, err
+		}
+		if err := c.options.VMs.Release(ctx, id); err != nil {
+			errs = append(errs, fmt.Errorf("release VM %q: %w", id, err))
+			continue
+		}
+		released[id] = true
+	}
+	return released, errors.Join(errs...)
+}
+
 func (c *Controller) update(ctx context.Context, dc fleet.DataCentreName, fn func(*Change) error) error {
 	return c.options.Ledger.Update(ctx, dc, c.options.Role.Conditions, fn)
 }
@@ -139,6 +168,7 @@
 	asOf       time.Time
 	listed     map[fleet.VMID]fleet.VM
 	all        []fleet.DataCentreName // every data centre with VMs or a row
+	released   map[fleet.VMID]bool    // VMs without an assignment that may get one
 }
 
 // step is what the listing asks for about one VM.
@@ -161,7 +191,7 @@
 	live := present && listed.State == fleet.VMLive
 	failed := drawn && record.Cause == CauseFailed
 	switch {
-	case !assigned && live:
+	case !assigned && live && r.released[vm]:
 		return stepAdd
 	case !assigned:
 		return stepNone
@@ -207,8 +237,8 @@
 			return true
 		}
 	}
-	for vm, listed := range r.listed {
-		if _, ok := known[vm]; !ok && listed.State == fleet.VMLive {
+	for vm := range r.released {
+		if _, ok := known[vm]; !ok {
 			return true
 		}
 	}
--- a/control/pools/pools_test.go
+++ b/control/pools/pools_test.go
@@ -277,6 +277,23 @@
 	w.Kill(vmID(2), fleet.VMLive)
 	rounds(t, w, n, 2)
 	checkPlace(t, w, vmID(2), "a", pools.StateActive)
+	// A VM that is removed while it is drained is released when it is back.
+	if !w.Start(vmID(6), "task", poolstest.Task{End: w.Time.Add(time.Hour)}) {
+		t.Fatal("task not started")
+	}
+	if err := n.ledger.Move(ctx, vmID(6), "b"); err != nil {
+		t.Fatal(err)
+	}
+	rounds(t, w, n, 1)
+	w.Kill(vmID(6), fleet.VMGone)
+	for range 60 {
+		_ = round(w, n) // the platform does not know the VM
+	}
+	w.Kill(vmID(6), fleet.VMLive)
+	rounds(t, w, n, 2)
+	if _, drained := w.VM(vmID(6)); drained {
+		t.Fatal("VM came back drained")
+	}
 	delete(w.Config.Pools, "b")
 	w.Kill(vmID(1), fleet.VMLive)
 	rounds(t, w, n, 200)
