Number data centres and racks in capacity decisions

Cause: string map look-ups for each VM and move dominated a decision that moves many VMs. Change: VMs, data centres and racks are numbered once for each decision. The golden report is unchanged.

--- a/policy/capacity/books.go
+++ b/policy/capacity/books.go
@@ -19,12 +19,23 @@
 	busy         int     // running tasks
 	urgentQueued int
 	outlook      Outlook
-	need         int   // VMs for the demand
-	keep         int   // VMs that do not go back to the spare pool
-	floor        int   // VMs that never leave
-	candidates   []*VM // VMs in have that maintenance does not take
-	byDC         map[fleet.DataCentreName]int
-	byRack       map[fleet.RackName]int
+	need         int          // VMs for the demand
+	keep         int          // VMs that do not go back to the spare pool
+	floor        int          // VMs that never leave
+	candidates   []*candidate // VMs in have that maintenance does not take
+	byDC         []int        // VMs by data centre
+	byRack       []int        // VMs by rack
+}
+
+// candidate is a VM that may move. Data centres and racks are numbered, because
+// a large decision looks at each VM many times.
+type candidate struct {
+	*VM
+	dc, rack int
+	cost     float64 // of the work that runs on it
+	taken    bool
+	tooSoon  bool // it moved a short while ago
+	back     bool // its data centre has all of its capacity
 }
 
 // deficit returns how many VMs the pool lacks.
@@ -67,11 +78,7 @@
 
 func (b *books) openPools() {
 	for _, p := range b.s.Pools {
-		book := &poolBook{
-			Pool:   p,
-			byDC:   make(map[fleet.DataCentreName]int),
-			byRack: make(map[fleet.RackName]int),
-		}
+		book := &poolBook{Pool: p}
 		b.pools[p.Name] = book
 		b.order = append(b.order, book)
 		if p.Spare && b.spare == nil {
@@ -91,6 +98,7 @@
 }
 
 func (b *books) countVMs() {
+	dcs, racks := b.numberDomains()
 	totalSlots := 0
 	for i := range b.s.VMs {
 		vm := &b.s.VMs[i]
@@ -99,18 +107,44 @@
 		if p == nil || !vm.Available || b.taken[vm.ID] {
 			continue
 		}
-		part := b.rampOf(vm.DataCentre)
-		p.have++
-		p.slots += part * float64(vm.Slots)
-		b.fleetSlots += part * float64(vm.Slots)
-		p.byDC[vm.DataCentre]++
-		p.byRack[vm.Rack]++
-		if !vm.Maintained {
-			p.candidates = append(p.candidates, vm)
-		}
+		b.countVM(p, vm, dcs[vm.DataCentre], racks[vm.Rack])
+	}
+	b.setSlotsPerVM(totalSlots)
+}
+
+// numberDomains numbers the data centres and racks of all VMs.
+func (b *books) numberDomains() (index[fleet.DataCentreName], index[fleet.RackName]) {
+	dcs, racks := make(index[fleet.DataCentreName]), make(index[fleet.RackName])
+	for i := range b.s.VMs {
+		dcs.add(b.s.VMs[i].DataCentre)
+		racks.add(b.s.VMs[i].Rack)
+	}
+	for _, p := range b.order {
+		p.byDC, p.byRack = make([]int, len(dcs)), make([]int, len(racks))
 	}
+	return dcs, racks
+}
+
+func (b *books) countVM(p *poolBook, vm *VM, dc, rack int) {
+	part := b.rampOf(vm.DataCentre)
+	p.have++
+	p.slots += part * float64(vm.Slots)
+	b.fleetSlots += part * float64(vm.Slots)
+	p.byDC[dc]++
+	p.byRack[rack]++
+	if vm.Maintained {
+		return
+	}
+	p.candidates = append(p.candidates, &candidate{
+		VM: vm, dc: dc, rack: rack,
+		cost: costOfWork(vm), tooSoon: b.tooSoon(vm, p), back: part >= 1,
+	})
+}
+
+// setSlotsPerVM uses the fleet's mean for pools without VMs.
+func (b *books) setSlotsPerVM(totalSlots int) {
 	mean := 1.0
-	if len(b.s.VMs) > 0 && totalSlots > 0 {
+	if totalSlots > 0 {
 		mean = float64(totalSlots) / float64(len(b.s.VMs))
 	}
 	for _, p := range b.order {
@@ -121,6 +155,15 @@
 	}
 }
 
+// index numbers names in the order of their first use.
+type index[K comparable] map[K]int
+
+func (x index[K]) add(name K) {
+	if _, ok := x[name]; !ok {
+		x[name] = len(x)
+	}
+}
+
 func (b *books) rampOf(dc fleet.DataCentreName) float64 {
 	if r, ok := b.ramp[dc]; ok {
 		return r
@@ -168,14 +211,14 @@
 }
 
 // begin books a move and appends it to the decision.
-func (b *books) begin(vm *VM, from, to *poolBook, reason Reason) {
+func (b *books) begin(vm *candidate, from, to *poolBook, reason Reason) {
 	from.have--
-	from.byDC[vm.DataCentre]--
-	from.byRack[vm.Rack]--
+	from.byDC[vm.dc]--
+	from.byRack[vm.rack]--
 	to.incoming++
-	to.byDC[vm.DataCentre]++
-	to.byRack[vm.Rack]++
-	b.taken[vm.ID] = true
+	to.byDC[vm.dc]++
+	to.byRack[vm.rack]++
+	vm.taken = true
 	b.budget--
 	b.moves = append(b.moves, Move{
 		VM: vm.ID, From: from.Name, To: to.Name, Reason: reason,
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -33,15 +33,15 @@
 }
 
 // bestDonor returns the VM that costs least to move to p, nil when there is none.
-func (b *books) bestDonor(p *poolBook) *VM {
-	var best *VM
+func (b *books) bestDonor(p *poolBook) *candidate {
+	var best *candidate
 	var bestCost float64
 	for _, from := range b.order {
 		if from == p || !b.mayGive(from, p) {
 			continue
 		}
 		for _, vm := range from.candidates {
-			if !b.mayLeave(vm, from) {
+			if !mayLeave(vm, from) {
 				continue
 			}
 			cost := b.costOfMove(vm, from, p)
@@ -62,8 +62,8 @@
 }
 
 // mayLeave reports whether a VM may leave a pool that can give one.
-func (b *books) mayLeave(vm *VM, from *poolBook) bool {
-	if b.taken[vm.ID] || b.rampOf(vm.DataCentre) < 1 || b.tooSoon(vm, from) {
+func mayLeave(vm *candidate, from *poolBook) bool {
+	if vm.taken || !vm.back || vm.tooSoon {
 		return false
 	}
 	return from.Spare || keepsSpread(vm, from)
@@ -89,8 +89,8 @@
 
 // keepsSpread reports whether the donor still has VMs in enough data centres
 // without the VM.
-func keepsSpread(vm *VM, from *poolBook) bool {
-	if from.byDC[vm.DataCentre] > 1 {
+func keepsSpread(vm *candidate, from *poolBook) bool {
+	if from.byDC[vm.dc] > 1 {
 		return true
 	}
 	return dataCentres(from) > minDataCentres
@@ -106,25 +106,32 @@
 	return n
 }
 
-// costOfMove prefers idle VMs, then the spare pool, then donors with more to
-// spare, then the move that evens out racks and data centres.
-func (b *books) costOfMove(vm *VM, from, to *poolBook) float64 {
+// costOfWork is what the work that runs on a VM adds to the cost of its move.
+func costOfWork(vm *VM) float64 {
+	const (
+		perRunning = 1.0 // a running task delays the move
+		perSecond  = 0.5
+	)
+	return perRunning*float64(vm.Running) + perSecond*min(vm.Remaining, 10*time.Second).Seconds()
+}
+
+// costOfMove prefers idle VMs, then donors with more to spare or the spare pool
+// as the settings say, then the move that evens out racks and data centres.
+func (b *books) costOfMove(vm *candidate, from, to *poolBook) float64 {
 	const (
-		perRunning   = 1.0 // a running task delays the move
-		perSecond    = 0.5
 		perSurplus   = 0.1
 		perNeighbour = 0.2
 		keptReady    = 20.0 // below its readiness a donor comes after the spare pool
 	)
-	cost := perRunning*float64(vm.Running) + perSecond*min(vm.Remaining, 10*time.Second).Seconds()
+	cost := vm.cost
 	if !from.Spare && from.have <= from.keep {
 		cost += keptReady
 	}
 	if !from.Spare {
 		cost += b.set.SpareFirst - perSurplus*float64(from.have-from.need)
 	}
-	cost += perNeighbour * float64(to.byDC[vm.DataCentre]+to.byRack[vm.Rack])
-	cost -= perNeighbour * float64(from.byDC[vm.DataCentre]+from.byRack[vm.Rack]) / 2
+	cost += perNeighbour * float64(to.byDC[vm.dc]+to.byRack[vm.rack])
+	cost -= perNeighbour * float64(from.byDC[vm.dc]+from.byRack[vm.rack]) / 2
 	return cost
 }
 
@@ -166,7 +173,7 @@
 
 // returnOne begins the return of one VM and reports whether it found one.
 func (b *books) returnOne(p *poolBook) bool {
-	vm := b.idleVM(p)
+	vm := idleVM(p)
 	if vm == nil {
 		return false
 	}
@@ -175,10 +182,10 @@
 }
 
 // idleVM returns an idle VM of the data centre in which the pool has most VMs.
-func (b *books) idleVM(p *poolBook) *VM {
-	var best *VM
+func idleVM(p *poolBook) *candidate {
+	var best *candidate
 	for _, vm := range p.candidates {
-		if vm.Running > 0 || b.taken[vm.ID] || b.tooSoon(vm, p) {
+		if vm.Running > 0 || vm.taken || vm.tooSoon {
 			continue
 		}
 		if p.have-1 < p.floor || !keepsSpread(vm, p) {
@@ -191,6 +198,6 @@
 	return best
 }
 
-func crowding(p *poolBook, vm *VM) int {
-	return p.byDC[vm.DataCentre] + p.byRack[vm.Rack]
+func crowding(p *poolBook, vm *candidate) int {
+	return p.byDC[vm.dc] + p.byRack[vm.rack]
 }
