--- a/control/slots/lease.go
+++ b/control/slots/lease.go
@@ -267,7 +267,6 @@
 	}
 	v.lost, v.ready = true, false
 	v.leasedAt = time.Time{}
-	s.floors[v.id] = max(s.floors[v.id], v.epoch+1)
 	s.event(EventLost, v.id, "", "%d tasks", v.count(running)+v.count(unknown))
 	for id, sl := range v.slots {
 		switch sl.phase {
