--- a/cmd/internal/session/entries_test.go
+++ b/cmd/internal/session/entries_test.go
@@ -1,8 +1,11 @@
 package session_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"testing"
 	"time"
@@ -56,6 +59,8 @@
 	w.eventually(patience, "a quarter of the jobs has been started", func() bool {
 		return len(w.ledger.inDataCentre("dc-a"))+len(w.ledger.inDataCentre("dc-b")) > callers*jobs/2
 	})
+	long := w.submitAll(20, work{team: "supply", queue: "orders", id: "long", commands: []string{"draw?time=5s"}, idempotent: true})
+	waits := w.openWaits(leaving, long)
 	stopped := make(chan error, 1)
 	w.remove(leaving, func() {
 		go func() { stopped <- leaving.Stop() }()
@@ -66,6 +71,8 @@
 	})
 	group.Wait()
 	w.say("%s", countText(answers))
+	w.say("waits that were open at the entry: %s", countText(waits()))
+	w.say("their jobs: %s", w.summary(patience, long))
 	most, started := w.ledger.most(b)
 	w.say("%d steps started, most starts of a step: %d", started, most)
 	w.golden("planned_stop")
@@ -92,6 +99,47 @@
 	return b.entries[b.n%len(b.entries)]
 }
 
+// openWaits sends a wait for each job to an entry and returns once the entry
+// handles them. The result waits for the answers and counts them.
+func (w *world) openWaits(e *local.Entry, b batch) func() map[string]int {
+	answers := make(chan string, len(b.jobs))
+	var sent sync.WaitGroup
+	for i, job := range b.jobs {
+		var once sync.Once
+		sent.Add(1)
+		trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { once.Do(sent.Done) }}
+		ctx := httptrace.WithClientTrace(w.ctx, trace)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s/v1/jobs/%s/wait?timeoutMS=60000", e.URL, job.ID), nil)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		request.Header.Set(client.KeyHeader, w.keys[b.works[i].team])
+		go func() { answers <- answerOf(request) }()
+	}
+	sent.Wait()
+	return func() map[string]int {
+		counts := map[string]int{}
+		for range b.jobs {
+			counts[<-answers]++
+		}
+		return counts
+	}
+}
+
+// answerOf sends a request and tells whether a whole answer came.
+func answerOf(request *http.Request) string {
+	response, err := (&http.Client{Transport: &http.Transport{}}).Do(request)
+	if err != nil {
+		return "cut"
+	}
+	defer response.Body.Close()
+	var job client.Job
+	if err := json.NewDecoder(response.Body).Decode(&job); err != nil {
+		return "cut"
+	}
+	return fmt.Sprintf("answered %d", response.StatusCode)
+}
+
 // submitAt submits a job and follows the advice of refusals to try again: while
 // shards move, their jobs are refused as not run.
 func (w *world) submitAt(next func() *local.Entry, k work) (client.Job, error) {
