Record that work of an idle team waits for the end of a store outage

Cause: holdings of the upper limit change only in transactions and an idle team holds none, so its accepted job does not start in an outage. Conclusion: open.

--- a/cmd/internal/session/partitions_test.go
+++ b/cmd/internal/session/partitions_test.go
@@ -7,6 +7,7 @@
 
 	"amaranthfork.example/client"
 	"amaranthfork.example/entry/local"
+	"amaranthfork.example/fleet"
 )
 
 // Guards C8 and C9 in an outage of the store: keyed idempotent work that stops
@@ -186,3 +187,15 @@
 	w.t.Fatal("the entry does not know its own session")
 	return ""
 }
+
+// Guards work of a team that was idle when an outage of the store began: its
+// idempotent jobs must run like those of a team at work.
+func TestStoreOutageIdleTeam(t *testing.T) {
+	w := newWorld(t, 1)
+	w.fleet.Platform.Service.StoreDown(true)
+	t.Cleanup(func() { w.fleet.Platform.Service.StoreDown(false) })
+	job := w.submit(work{team: "supply", queue: "orders", id: "idle", commands: []string{"draw?time=50ms"}, idempotent: true})
+	if r := w.result(15*time.Second, "supply", job.ID); r.Outcome != fleet.OutcomeCompleted {
+		t.Errorf("job of an idle team in an outage: %s", resultText(r))
+	}
+}
