Bound waiting classes by slot time and wait for handlers in the direct tests

Cause: the bound that keeps batch work from starving counted starts, and batch tasks run about 6 times longer, so in an overload standard work, which has to finish within a visit, waited up to a minute. Separately, tests of the direct path read observations that are made after the caller has its answer, and hung in 1 of 4 runs. Change: a waiting class gets one start for each 20 (standard: 8) times its own run time that went to more urgent work; the measuring harness passes run times too. Tests of the direct path wait for their handlers. TestWaitingClassesGetSlotTimeNotStarts fails when starts are counted: 23.0% of the slot time for batch at a ratio of 6. go test -race -count=4 ./entry/direct passes.

--- a/cmd/internal/measure/order.go
+++ b/cmd/internal/measure/order.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"time"
+
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/policy/admission"
 )
@@ -24,6 +26,7 @@
 		b.teams[t.Name] = i
 	}
 	b.names = w.s.Teams
+	b.runTime = func(queue, class int) time.Duration { return w.est.runTime(queue, class) }
 	b.fair = admission.Fair{
 		Share:   func(t fleet.TeamName) int { return w.s.Teams[b.teams[t]].Share },
 		Running: func(t fleet.TeamName) int { return w.running[b.teams[t]] },
@@ -38,12 +41,15 @@
 	teams  map[fleet.TeamName]int
 	names  []fleet.Team
 	fair   admission.Fair
+	// runTime is the estimate for one task of a queue and class.
+	runTime func(queue, class int) time.Duration
 }
 
 func (b *fairBacklog) push(pool int, j *job) {
 	b.jobs[j.id] = j
 	b.queues[pool].Push(admission.Item{
 		ID: j.id, Team: b.names[j.team].Name, Class: classes[j.class].name, Submitted: timeOf(j.arrived),
+		RunTime: b.runTime(j.queue, j.class),
 	})
 }
 
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -290,8 +290,10 @@
 	e.phase = phaseQueued
 	e.queuedAt = m.options.Clock.Now()
 	m.count(e)
+	_, runTime := m.options.Estimate(&e.job)
 	m.lane(e.pool).Push(admission.Item{
 		ID: e.job.ID, Team: e.job.Team, Class: e.job.Class, Deadline: e.job.Deadline, Submitted: e.job.Submitted,
+		RunTime: runTime,
 	})
 	m.signal()
 }
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -39,6 +39,8 @@
 	url   string
 	clock *fleettest.ManualClock
 
+	handlers sync.WaitGroup // a caller has its answer before the request is observed
+
 	mu   sync.Mutex
 	errs []error
 	seen []Observation
@@ -81,6 +83,8 @@
 }
 
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.handlers.Add(1)
+	defer e.handlers.Done()
 	err := e.Forward(w, r, Target{Workspace: "w", Path: r.URL.EscapedPath(), Team: "t"})
 	e.mu.Lock()
 	e.errs = append(e.errs, err)
@@ -96,6 +100,7 @@
 
 // last returns the observation and error of the last request.
 func (e *entry) last() (Observation, error) {
+	e.handlers.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.seen[len(e.seen)-1], e.errs[len(e.errs)-1]
@@ -216,6 +221,7 @@
 		if broken := test.status == 0; broken != (err != nil) || !broken && status != test.status {
 			t.Errorf("%s: caller saw status %d, %v", test.name, status, err)
 		}
+		e.handlers.Wait()
 		e.mu.Lock()
 		got := e.seen[0]
 		e.mu.Unlock()
@@ -270,6 +276,7 @@
 			})
 		}
 		callers.Wait()
+		e.handlers.Wait()
 		if s := e.Stats(); s.Completed == 0 || s.Completed != arrivals.Load() || s.Unknown+s.Retries != 0 {
 			t.Errorf("%d arrivals, %+v", arrivals.Load(), s)
 		}
@@ -337,6 +344,7 @@
 		})
 	}
 	callers.Wait()
+	e.handlers.Wait()
 	if s := e.Stats(); s.Completed != 400 || s.Retries != 0 {
 		t.Errorf("%+v", s)
 	}
@@ -694,6 +702,7 @@
 	callers.Wait()
 	close(stop)
 	chaos.Wait()
+	e.handlers.Wait()
 	s := e.Stats()
 	if whole.Load() == 0 || arrived.Load() == 0 || once.Load() == 0 || s.NotRun == 0 || s.Unknown == 0 || s.Retries == 0 || s.Ejections == 0 {
 		t.Errorf("the faults did not lead to every outcome: %d whole, %d arrived, %+v", whole.Load(), arrived.Load(), s)
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -7,9 +7,10 @@
 	"amaranthfork.example/fleet"
 )
 
-// Default numbers of starts of more urgent classes after which a class that
-// waits gets one start. They keep batch work going at about a twentieth of the
-// starts under a lasting urgent load.
+// Default bounds: the slot time of more urgent starts, in multiples of a waiting
+// job's own run time, after which a class that waits gets one start. They keep
+// batch work going at about a twentieth of the slots under a lasting urgent
+// load. One start in twenty gave tasks that run 6 times longer 23% of the slots.
 const (
 	defaultStandardBound = 8
 	defaultBatchBound    = 20
@@ -20,14 +21,26 @@
 	ID        fleet.JobID
 	Team      fleet.TeamName
 	Class     fleet.Class
-	Deadline  time.Time // zero means none
-	Submitted time.Time // orders jobs with the same deadline
+	Deadline  time.Time     // zero means none
+	Submitted time.Time     // orders jobs with the same deadline
+	RunTime   time.Duration // estimated, of one step; zero counts as unknownRunTime
+}
+
+// unknownRunTime stands for a run time that is not known.
+const unknownRunTime = time.Second
+
+// slotTime is the time for which the job will hold a slot.
+func (i Item) slotTime() time.Duration {
+	if i.RunTime <= 0 {
+		return unknownRunTime
+	}
+	return i.RunTime
 }
 
 // Settings of a Queue. Zero fields take defaults.
 type Settings struct {
-	StandardBound int // urgent starts after which a waiting standard job starts
-	BatchBound    int // more urgent starts after which a waiting batch job starts
+	StandardBound int // slot time of urgent starts, in run times of a waiting standard job, after which it starts
+	BatchBound    int // the same of all more urgent starts for a waiting batch job
 }
 
 // Fair tells what teams are entitled to and what they have.
@@ -51,7 +64,7 @@
 type classQueue struct {
 	teams  map[fleet.TeamName]*teamQueue
 	size   int
-	passed int // starts of more urgent classes since the last start of this one
+	passed time.Duration // slot time of more urgent starts since the last start of this class
 	bound  int
 }
 
@@ -146,15 +159,15 @@
 	if chosen < 0 {
 		return Item{}, false
 	}
-	q.countPassed(chosen, best)
 	item := best[chosen].head().item
+	q.countPassed(chosen, item.slotTime(), best)
 	q.Remove(item.ID)
 	return item, true
 }
 
 func (q *Queue) chooseClass(best [classCount]*teamQueue) int {
 	for i := classCount - 1; i > 0; i-- {
-		if best[i] != nil && q.classes[i].passed >= q.classes[i].bound {
+		if best[i] != nil && q.classes[i].overdue(best[i].head().item) {
 			return i
 		}
 	}
@@ -166,11 +179,17 @@
 	return -1
 }
 
-func (q *Queue) countPassed(chosen int, best [classCount]*teamQueue) {
+// overdue reports whether enough slot time has gone to more urgent work for the
+// class to get one start.
+func (c *classQueue) overdue(head Item) bool {
+	return c.passed >= time.Duration(c.bound)*head.slotTime()
+}
+
+func (q *Queue) countPassed(chosen int, slotTime time.Duration, best [classCount]*teamQueue) {
 	q.classes[chosen].passed = 0
 	for i := chosen + 1; i < classCount; i++ {
 		if best[i] != nil {
-			q.classes[i].passed++
+			q.classes[i].passed += slotTime
 		}
 	}
 }
