Let starts outlive the call that picked them

Cause: Dispatch launches a batch in a goroutine under its caller's context, and the entry ends that context when the call returns, so claims were taken back and jobs waited for ever. Change: the launch has a context of its own, bounded by 15 s. The findings of a change that was forwarded to another entry are computed again with their places.

--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -63,13 +63,20 @@
 		defer done()
 		return m.launch(ctx, starts)
 	}
+	// The caller's context ends with its call, the launch goes on.
+	launch, cancel := context.WithTimeout(context.WithoutCancel(ctx), launchTimeout)
 	go func() {
 		defer done()
-		_ = m.launch(ctx, starts) // counted; the jobs concerned wait on
+		defer cancel()
+		_ = m.launch(launch, starts) // counted; the jobs concerned wait on
 	}()
 	return nil
 }
 
+// launchTimeout bounds the journaling of claims and the calls to VM owners of one
+// batch of starts.
+const launchTimeout = 15 * time.Second
+
 // WaitStarts returns once no claim or start is on its way.
 func (m *Manager) WaitStarts() {
 	m.startMu.Lock()
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -56,7 +56,7 @@
 	case errors.As(err, &conflict):
 		return api.ApplyResult{Revision: conflict.Winner, Conflict: true, Detail: err.Error()}, nil
 	case errors.As(err, &invalid):
-		return api.ApplyResult{Findings: findingsOf(invalid)}, nil
+		return api.ApplyResult{Findings: o.findingsOf(change, invalid)}, nil
 	case errors.Is(err, apply.ErrNoCoordinator), errors.Is(err, apply.ErrStopping), errors.Is(err, platform.ErrUnavailable):
 		return api.ApplyResult{}, &fleet.Refusal{Reason: fleet.ReasonStoreUnavailable, Detail: err.Error(), RetryAfter: time.Second}
 	case err != nil:
@@ -71,12 +71,19 @@
 	return api.ApplyResult{Revision: result.Revision, InForce: result.Took}, nil
 }
 
-func findingsOf(err *apply.InvalidError) []api.Finding {
+// findingsOf returns the findings with their places. The findings of a change that
+// was forwarded to another entry come back as text, so the folder is checked here
+// again.
+func (o *operator) findingsOf(change config.Change, invalid *apply.InvalidError) []api.Finding {
 	var findings config.Findings
-	if errors.As(err.Findings, &findings) {
-		return findingList(findings)
+	if !errors.As(invalid.Findings, &findings) {
+		folder, _ := o.view.Folder()
+		_, findings = config.Build(config.Apply(folder, change), 0)
 	}
-	return []api.Finding{{Message: err.Error()}}
+	if len(findings) == 0 {
+		return []api.Finding{{Message: invalid.Error()}}
+	}
+	return findingList(findings)
 }
 
 // Status returns the state of the fleet as this entry sees it. While the store
