Share the seeding of property tests, logging and environment flags

Change: fleettest.RunSeeded, process.Logger and envflag.ApplyPrefix serve all. Seeds, checks and steps are unchanged. Conclusion: behaviour unchanged but for the key event= in the stand-in's log.

--- a/cmd/amaranth-platform/main.go
+++ b/cmd/amaranth-platform/main.go
@@ -13,16 +13,14 @@
 	"os"
 	"os/signal"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/spf13/cobra"
-	"github.com/spf13/pflag"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"amaranthfork.example/cmd/internal/envflag"
+	"amaranthfork.example/cmd/internal/process"
 	"amaranthfork.example/platform/httpapi"
 	"amaranthfork.example/platform/memory"
 )
@@ -61,8 +59,10 @@
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		PreRunE:       func(cmd *cobra.Command, _ []string) error { return errors.Join(fromEnv(cmd.Flags()), s.check()) },
-		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), *s) },
+		PreRunE: func(cmd *cobra.Command, _ []string) error {
+			return errors.Join(envflag.ApplyPrefix(cmd.Flags(), envPrefix), s.check())
+		},
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), *s) },
 	}
 	f := cmd.Flags()
 	f.StringVar(&s.listen, "listen", "127.0.0.1:7070", "address of the HTTP server")
@@ -76,22 +76,6 @@
 	return cmd
 }
 
-// fromEnv sets the flags that the command line does not set.
-func fromEnv(flags *pflag.FlagSet) error {
-	var errs []error
-	flags.VisitAll(func(f *pflag.Flag) {
-		name := envPrefix + strings.ToUpper(strings.ReplaceAll(f.Name, "-", "_"))
-		value, ok := os.LookupEnv(name)
-		if !ok || f.Changed {
-			return
-		}
-		if err := flags.Set(f.Name, value); err != nil {
-			errs = append(errs, fmt.Errorf("%s: %w", name, err))
-		}
-	})
-	return errors.Join(errs...)
-}
-
 // check returns all faults of the settings.
 func (s *settings) check() error {
 	var errs []error
@@ -111,7 +95,10 @@
 }
 
 func run(ctx context.Context, s settings) error {
-	log := newLogger()
+	log, err := process.Logger()
+	if err != nil {
+		return err
+	}
 	p := memory.New(s.options)
 	p.Service.Table.SetRateLimit(s.limit)
 	p.Service.Objects.SetRateLimit(s.limit)
@@ -157,10 +144,3 @@
 	defer cancel()
 	return server.Shutdown(end)
 }
-
-func newLogger() *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), zapcore.InfoLevel)
-	return zap.New(core)
-}
--- a/cmd/internal/envflag/envflag.go
+++ b/cmd/internal/envflag/envflag.go
@@ -14,21 +14,26 @@
 const Prefix = "AMARANTH_"
 
 // Name returns the environment variable of a flag.
-func Name(flag string) string {
-	return Prefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+func Name(flag string) string { return name(Prefix, flag) }
+
+func name(prefix, flag string) string {
+	return prefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
 // Apply sets each flag that was not given from its environment variable, and
 // names the variable in the flag's help text. All faults are returned together.
-func Apply(flags *pflag.FlagSet) error {
+func Apply(flags *pflag.FlagSet) error { return ApplyPrefix(flags, Prefix) }
+
+// ApplyPrefix does the same with variables that start with another prefix.
+func ApplyPrefix(flags *pflag.FlagSet, prefix string) error {
 	var faults []error
 	flags.VisitAll(func(f *pflag.Flag) {
-		value, ok := os.LookupEnv(Name(f.Name))
+		value, ok := os.LookupEnv(name(prefix, f.Name))
 		if !ok || f.Changed {
 			return
 		}
 		if err := flags.Set(f.Name, value); err != nil {
-			faults = append(faults, fmt.Errorf("%s: %w", Name(f.Name), err))
+			faults = append(faults, fmt.Errorf("%s: %w", name(prefix, f.Name), err))
 		}
 	})
 	return errors.Join(faults...)
--- a/control/apply/apply_test.go
+++ b/control/apply/apply_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -13,19 +12,11 @@
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 )
 
-func TestMain(m *testing.M) {
-	set := map[string]bool{}
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	if !set["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 // expect fails unless exactly the nodes in the set act.
 func expect(t *testing.T, c *cluster, when string, acts func(*node) bool) {
--- a/control/jobs/world_test.go
+++ b/control/jobs/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -17,21 +16,13 @@
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/control/shards"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 	"amaranthfork.example/platform/memory"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "40"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	os.Exit(fleettest.RunSeeded(m, map[string]string{"rapid.checks": "300", "rapid.steps": "40"}))
 }
 
 // clock advances a little with each reading, so that rate limits refill while
--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -17,20 +16,12 @@
 
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 	"amaranthfork.example/platform/memory"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 // session is the Membership of one entry, whose row the tests renew and fence.
 type session struct {
--- a/control/limits/limits_test.go
+++ b/control/limits/limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand"
 	"os"
@@ -20,20 +19,12 @@
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 	"amaranthfork.example/platform/memory"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	if !set["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 type clock struct{ now time.Time }
 
--- a/control/member/member_test.go
+++ b/control/member/member_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -14,20 +13,12 @@
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 	"amaranthfork.example/platform/memory"
 )
 
-func TestMain(m *testing.M) {
-	set := map[string]bool{}
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	if !set["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 type clock struct{ now time.Time }
 
--- a/control/pools/pools_test.go
+++ b/control/pools/pools_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -16,19 +15,11 @@
 	"amaranthfork.example/control/pools/poolstest"
 	"amaranthfork.example/control/role"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 var ctx = context.Background()
 
--- a/control/shards/shards_test.go
+++ b/control/shards/shards_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -13,20 +12,12 @@
 	"pgregory.net/rapid"
 
 	"amaranthfork.example/control"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 	"amaranthfork.example/platform/memory"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 // cluster is a member list and the true holders of the shards' state.
 type cluster struct {
--- a/control/slots/fakes_test.go
+++ b/control/slots/fakes_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -16,20 +15,12 @@
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	if !set["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 type clock struct{ now time.Time }
 
--- a/control/upkeep/upkeep_test.go
+++ b/control/upkeep/upkeep_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"sort"
@@ -19,21 +18,13 @@
 	"amaranthfork.example/control/role"
 	"amaranthfork.example/control/upkeep"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"amaranthfork.example/platform"
 )
 
+// 50 checks take 30 s with the race detector.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	// 50 checks take 30 s with the race detector.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "50"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	os.Exit(fleettest.RunSeeded(m, map[string]string{"rapid.checks": "50"}))
 }
 
 var ctx = context.Background()
--- a/policy/admission/admission_test.go
+++ b/policy/admission/admission_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"runtime"
@@ -11,18 +10,10 @@
 	"pgregory.net/rapid"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 var origin = time.Unix(1_000_000, 0)
 
--- a/policy/capacity/capacity_test.go
+++ b/policy/capacity/capacity_test.go
@@ -1,26 +1,17 @@
 package capacity
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/policy/maintenance/plan_test.go
+++ b/policy/maintenance/plan_test.go
@@ -1,7 +1,6 @@
 package maintenance
 
 import (
-	"flag"
 	"fmt"
 	"math/rand"
 	"os"
@@ -12,18 +11,10 @@
 	"pgregory.net/rapid"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/fleettest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
 
 var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
 
