Leave VMs alone whose tasks are not known, and name the maintenance rate

Cause: when the owner of a VM could not be asked, maintenance took its task list as empty and could begin to drain a VM with work that has a deadline. Change: Dispatch.Running returns an error and the planner leaves such a VM in service. The planner's pace is called rate and concurrency. Before: TestUnknownTasksKeepVMsInService fails with the error ignored.

--- a/control/upkeep/upkeep.go
+++ b/control/upkeep/upkeep.go
@@ -43,7 +43,7 @@
 type Dispatch interface {
 	pools.Dispatch
 	// Running returns the tasks that run on a VM.
-	Running(vm fleet.VMID) []RunningTask
+	Running(vm fleet.VMID) ([]RunningTask, error)
 	// Checkpoint asks the worker to checkpoint a task and stop it. It is
 	// idempotent; the task is gone from Running once it has stopped.
 	Checkpoint(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) error
@@ -59,7 +59,7 @@
 	VMs      platform.VMs
 	Dispatch Dispatch
 	Clock    fleet.Clock
-	// Duration of one VM's maintenance that the pace is computed from; 0 means
+	// Duration of one VM's maintenance that the rate is computed from; 0 means
 	// 20 minutes.
 	Duration time.Duration
 }
@@ -307,8 +307,12 @@
 		if !draining && !ask[v.ID] {
 			continue
 		}
+		tasks, err := x.options.Dispatch.Running(v.ID)
+		if err != nil {
+			continue // the planner leaves a VM alone whose tasks are not known
+		}
 		v.TasksKnown = true
-		for _, t := range x.options.Dispatch.Running(v.ID) {
+		for _, t := range tasks {
 			v.Tasks = append(v.Tasks, maintenance.Task{ID: t.ID, End: t.End, Deadline: t.Deadline, CanCheckpoint: t.CanCheckpoint})
 		}
 		if draining {
--- a/control/upkeep/upkeep_test.go
+++ b/control/upkeep/upkeep_test.go
@@ -66,13 +66,13 @@
 // work is the dispatcher of the world.
 type work struct{ *poolstest.World }
 
-func (d work) Running(vm fleet.VMID) []upkeep.RunningTask {
+func (d work) Running(vm fleet.VMID) ([]upkeep.RunningTask, error) {
 	var out []upkeep.RunningTask
 	for id, t := range d.Tasks(vm) {
 		out = append(out, upkeep.RunningTask{ID: id, End: t.End, Deadline: t.Deadline, CanCheckpoint: t.CanCheckpoint})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
+	return out, nil
 }
 
 // node is one entry with its controllers.
@@ -242,6 +242,31 @@
 	return calls
 }
 
+// silent is a dispatcher whose owners cannot be asked.
+type silent struct{ work }
+
+func (silent) Running(fleet.VMID) ([]upkeep.RunningTask, error) {
+	return nil, errors.New("owner of the VM is unreachable")
+}
+
+// Guards against VMs that are taken as if nothing ran on them because the owner
+// of the VM could not be asked.
+func TestUnknownTasksKeepVMsInService(t *testing.T) {
+	w := newWorld(4, 2, 3)
+	n := join(w, 0)
+	n.upkeep = upkeep.New(upkeep.Options{
+		Table: n, Ledger: n.ledger, Role: n.role, View: w, VMList: n, VMs: n, Dispatch: silent{work{w}}, Clock: w,
+	})
+	for _, d := range []time.Duration{time.Second, time.Second, period * 62 / 100, time.Minute} {
+		if err := round(w, d, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s := status(t, n); s.InProgress > 0 || s.Remaining != 4 {
+		t.Errorf("VMs were taken although their tasks are not known: %+v", s)
+	}
+}
+
 // TestFailedReboots guards against a wave that goes on when VMs do not come
 // back, against a budget that forgets them, and against a stop without end.
 func TestFailedReboots(t *testing.T) {
--- a/entry/vmdispatch.go
+++ b/entry/vmdispatch.go
@@ -28,20 +28,19 @@
 	return !i.Active && i.Running == 0 && i.Reserved == 0, nil
 }
 
-// Running returns the tasks of a VM; none if its owner cannot be asked, in which
-// case Idle returns an error and nothing is done with the VM.
-func (d *vmDispatch) Running(vm fleet.VMID) []upkeep.RunningTask {
+// Running returns the tasks of a VM, or an error if its owner cannot be asked.
+func (d *vmDispatch) Running(vm fleet.VMID) ([]upkeep.RunningTask, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
 	i, err := d.slots.Inspect(ctx, vm)
 	if err != nil {
-		return nil
+		return nil, err
 	}
 	tasks := make([]upkeep.RunningTask, 0, len(i.Tasks))
 	for _, t := range i.Tasks {
 		tasks = append(tasks, upkeep.RunningTask{ID: t.Attempt, End: t.Ends, Deadline: t.Due, CanCheckpoint: true})
 	}
-	return tasks
+	return tasks, nil
 }
 
 // Checkpoint checkpoints a task.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -127,7 +127,7 @@
 	Team TeamName // the team whose key is needed when the workspace is not open
 }
 
-// MaintenancePlan sets the pace and limits of maintenance.
+// MaintenancePlan sets the rate and limits of maintenance.
 type MaintenancePlan struct {
 	Period              time.Duration // every VM once in this time
 	DrainTimeout        time.Duration // work still running after this is checkpointed
--- a/policy/maintenance/feasibility.go
+++ b/policy/maintenance/feasibility.go
@@ -66,7 +66,7 @@
 }
 
 // ProjectedEnd returns when the VMs that are due now will be done at the present
-// pace, zero while nothing may start.
+// rate, zero while nothing may start.
 func ProjectedEnd(s Snapshot, r Report, now time.Time) time.Time {
 	if r.Hold != "" {
 		return time.Time{}
--- a/policy/maintenance/plan.go
+++ b/policy/maintenance/plan.go
@@ -13,17 +13,17 @@
 const (
 	dueShare    = 0.60 // idle VMs may be taken
 	normalShare = 0.70 // VMs whose work ends within the drain timeout may be taken
-	lateShare   = 0.85 // any VM whose work keeps its deadline; the pace aims at this age
+	lateShare   = 0.85 // any VM whose work keeps its deadline; the rate aims at this age
 	lastShare   = 0.95 // the reserve for the loss of a rack is given up
 )
 
 const (
 	defaultDuration = 20 * time.Minute
 	defaultStarts   = 16
-	// paceFactor leaves room for VMs that cannot be taken at once: the planner
+	// rateFactor leaves room for VMs that cannot be taken at once: the planner
 	// works on twice as many VMs as the mean that the period requires.
-	paceFactor = 2
-	// minTimeLeft bounds the pace of VMs that are already late.
+	rateFactor = 2
+	// minTimeLeft bounds the rate for VMs that are already late.
 	minTimeLeft = time.Hour
 	// giveUpFactor times the drain timeout is how long a drain may take before
 	// the VM is returned and tried again later.
@@ -46,7 +46,7 @@
 	Failed     int
 	Remaining  int            // due and not started
 	Overdue    int            // older than the period
-	Allowed    int            // VMs that may be in progress at a time by the pace
+	Allowed    int            // VMs that may be in progress at a time by the rate
 	Waiting    map[string]int // reasons of the due VMs that were not started
 	Hold       string         // why nothing starts at all, "" when it may
 }
@@ -352,12 +352,12 @@
 
 func (p *planner) starts() []Decision {
 	due := p.due()
-	allowed := p.pace()
+	allowed := p.concurrency()
 	p.report.Allowed = allowed
 	var out []Decision
 	for len(due) > 0 {
 		if len(out) == p.s.MaxStarts || p.working >= allowed {
-			p.wait(len(due), "pace: enough VMs are in progress")
+			p.wait(len(due), "rate: enough VMs are in progress")
 			break
 		}
 		i := p.best(due)
@@ -402,10 +402,10 @@
 	return a.ID < b.ID
 }
 
-// pace returns how many VMs are to be in progress so that every VM is done at
+// concurrency returns how many VMs are to be in progress so that every VM is done at
 // lateShare of the period: for each k, the k oldest need k durations until the
 // k-th is due.
-func (p *planner) pace() int {
+func (p *planner) concurrency() int {
 	lasts := make([]time.Time, 0, len(p.items))
 	for i := range p.items {
 		if v := &p.items[i]; v.Phase == PhaseNone && !v.Drawn {
@@ -419,7 +419,7 @@
 		left := max(last.Add(target).Sub(p.now), minTimeLeft)
 		need = max(need, float64(k+1)*float64(p.s.Duration)/float64(left))
 	}
-	return max(1, int(math.Ceil(paceFactor*need)))
+	return max(1, int(math.Ceil(rateFactor*need)))
 }
 
 // best returns the index of the VM to take next, -1 if none may be taken. The
--- a/policy/maintenance/plan_test.go
+++ b/policy/maintenance/plan_test.go
@@ -319,7 +319,7 @@
 
 // TestOrder guards the choice among VMs that may all be taken: the oldest, then
 // idle ones, then racks and data centres with fewer unavailable VMs; and the
-// pace, which rises with the number of VMs and as their period runs out.
+// rate, which rises with the number of VMs and as their period runs out.
 func TestOrder(t *testing.T) {
 	now, hour := start.Add(12*day), time.Hour
 	cases := map[string]struct {
