--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -18,8 +18,7 @@
 
 // Kinds of histograms. All hold durations.
 const (
-	QueueDelay   = "queue_delay"   // from submission to the claim
-	StartDelay   = "start_delay"   // from submission to the start on the worker
+	StartDelay   = "start_delay"   // from the time a step was queued until its start on the worker
 	RunTime      = "run_time"      // of one step on the worker
 	DirectTime   = "direct_time"   // of one direct request
 	ApplyInForce = "apply_inforce" // from commit until in force everywhere
