Wait under a context in one place

Change: fleet.Sleep serves all; vmDispatch.inspect serves both calls. In limits, promise is called allot. Conclusion: behaviour unchanged.

--- a/client/api.go
+++ b/client/api.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -49,7 +48,8 @@
 	each(job)
 	query := url.Values{"timeoutMS": {strconv.FormatInt(waitTimeout.Milliseconds(), 10)}}
 	for job.State != JobEnded {
-		if err := c.pause(ctx); err != nil {
+		// An entry that does not hold a wait must not be asked without a break.
+		if err := fleet.Sleep(ctx, c.options.MinWait); err != nil {
 			return job, err
 		}
 		var next Job
@@ -66,19 +66,6 @@
 	return job, nil
 }
 
-// pause waits for a moment, so that an entry that does not hold a wait is not
-// asked without a break.
-func (c *Client) pause(ctx context.Context) error {
-	timer := time.NewTimer(c.options.MinWait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Cancel cancels a job and returns its status.
 func (c *Client) Cancel(ctx context.Context, id fleet.JobID) (Job, error) {
 	var job Job
--- a/cmd/internal/ctl/change.go
+++ b/cmd/internal/ctl/change.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -205,15 +204,3 @@
 		}),
 	}
 }
-
-// pause waits and reports whether ctx is still valid afterwards.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/internal/ctl/folder.go
+++ b/cmd/internal/ctl/folder.go
@@ -297,7 +297,7 @@
 			a.progress("revision %d is accepted, waiting until every entry has it: %s", applied.Revision, detail)
 		}
 		pending := &pendingError{fmt.Sprintf("revision %d is accepted, but not every entry is known to have it; apply again with --id %s to wait for it", applied.Revision, request.ID)}
-		if !pause(ctx, a.PollInterval) {
+		if fleet.Sleep(ctx, a.PollInterval) != nil {
 			return applied, pending
 		}
 		next, err := c.Apply(ctx, request)
--- a/control/jobs/bench_test.go
+++ b/control/jobs/bench_test.go
@@ -104,7 +104,7 @@
 	maintenance.Go(func() {
 		for ctx.Err() == nil {
 			_ = o.jobs.Maintain(ctx)
-			_ = sleep(ctx, 10*time.Millisecond)
+			_ = fleet.Sleep(ctx, 10*time.Millisecond)
 		}
 	})
 	ticker := time.NewTicker(10 * time.Millisecond)
--- a/control/jobs/jobs_test.go
+++ b/control/jobs/jobs_test.go
@@ -171,7 +171,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(3)
 		for _, n := range w.nodes {
-			n.jobs.options.Sleep = sleep
+			n.jobs.options.Sleep = fleet.Sleep
 		}
 		w.tick(8, time.Second)
 		j := job("waited", 1, false)
@@ -212,7 +212,7 @@
 		w := newWorld(1)
 		w.tick(2, time.Second)
 		n := w.nodes[0]
-		n.jobs.options.Sleep = sleep
+		n.jobs.options.Sleep = fleet.Sleep
 		j := job("moved", 1, false)
 		mustSubmit(t, n, j)
 		w.tick(1, time.Second)
--- a/control/jobs/manager.go
+++ b/control/jobs/manager.go
@@ -102,7 +102,7 @@
 		o.OnEnd = func(*fleet.Job, fleet.Result) {}
 	}
 	if o.Sleep == nil {
-		o.Sleep = sleep
+		o.Sleep = fleet.Sleep
 	}
 	if o.AttemptID == nil {
 		o.AttemptID = func(job fleet.JobID) fleet.AttemptID {
@@ -137,17 +137,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Stats counts events and present numbers of one owner.
 type Stats struct {
 	Submitted    uint64 // accepted
--- a/control/limits/holder.go
+++ b/control/limits/holder.go
@@ -55,7 +55,7 @@
 	}
 	l.round.Lock()
 	defer l.round.Unlock()
-	if l.promise(to, req) == 0 {
+	if l.allot(to, req) == 0 {
 		return 0, nil
 	}
 	given := 0
@@ -91,9 +91,9 @@
 	return false
 }
 
-// promise returns how many units can be given now, and keeps those that are in
+// allot returns how many units can be given now, and keeps those that are in
 // use but owed from being used again.
-func (l *Limits) promise(to string, req askRequest) int {
+func (l *Limits) allot(to string, req askRequest) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.team(req.Team)
--- a/control/pools/state.go
+++ b/control/pools/state.go
@@ -70,7 +70,7 @@
 // Dispatch asks the VM dispatchers.
 type Dispatch interface {
 	// Idle reports that the VM has no task and no reservation. True is a
-	// promise: the owner of the VM has seen that the VM is not active and
+	// guarantee: the owner of the VM has seen that the VM is not active and
 	// starts nothing on it until it sees it active in a later version of the
 	// row; or the dispatch lease on the worker has expired.
 	Idle(vm fleet.VMID) (bool, error)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -234,7 +234,7 @@
 		}
 		e.o.Log.Warn("session_ended", zap.Error(err), zap.Duration("retry_in", wait))
 		e.metrics.Add("sessions_ended", 1)
-		sleep(ctx, wait)
+		_ = fleet.Sleep(ctx, wait) // the loop looks at ctx
 		wait = min(2*wait, maxRejoin)
 	}
 }
@@ -263,7 +263,7 @@
 		p.api.Drain()
 	}
 	e.o.Log.Info("draining", zap.Duration("delay", e.o.Settings.DrainDelay))
-	sleep(context.Background(), e.o.Settings.DrainDelay)
+	_ = fleet.Sleep(context.Background(), e.o.Settings.DrainDelay)
 	if p != nil {
 		p.api.Stop()
 	}
@@ -285,12 +285,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/peer/node.go
+++ b/entry/peer/node.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"amaranthfork.example/control/rpc"
+	"amaranthfork.example/fleet"
 )
 
 const (
@@ -243,7 +244,7 @@
 		if ctx.Err() == nil {
 			r.setFailed()
 		}
-		sleep(ctx, pause.NextBackOff())
+		_ = fleet.Sleep(ctx, pause.NextBackOff()) // the loop looks at ctx
 	}
 }
 
--- a/entry/peer/remote.go
+++ b/entry/peer/remote.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"time"
 
 	"amaranthfork.example/control/rpc"
 )
@@ -145,13 +144,3 @@
 	r.handlers--
 	r.bytes -= len(f.Body)
 }
-
-// sleep returns after d or when ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/vmdispatch.go
+++ b/entry/vmdispatch.go
@@ -19,9 +19,7 @@
 // Idle reports that the owner starts nothing on the VM any more and that
 // nothing runs on it.
 func (d *vmDispatch) Idle(vm fleet.VMID) (bool, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
-	defer cancel()
-	i, err := d.slots.Inspect(ctx, vm)
+	i, err := d.inspect(vm)
 	if err != nil {
 		return false, err
 	}
@@ -30,9 +28,7 @@
 
 // Running returns the tasks of a VM, or an error if its owner cannot be asked.
 func (d *vmDispatch) Running(vm fleet.VMID) ([]upkeep.RunningTask, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
-	defer cancel()
-	i, err := d.slots.Inspect(ctx, vm)
+	i, err := d.inspect(vm)
 	if err != nil {
 		return nil, err
 	}
@@ -43,6 +39,12 @@
 	return tasks, nil
 }
 
+func (d *vmDispatch) inspect(vm fleet.VMID) (slots.Inspection, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	return d.slots.Inspect(ctx, vm)
+}
+
 // Checkpoint checkpoints a task.
 func (d *vmDispatch) Checkpoint(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) error {
 	return d.slots.Checkpoint(ctx, vm, attempt)
