--- a/platform/platform.go
+++ b/backing/backing.go
@@ -1,7 +1,7 @@
-// Package platform declares the narrow interfaces through which amaranthfork
+// Package backing declares the narrow interfaces through which amaranthfork
 // meets the platform: the table service, the object store, the VM list and the
 // control of workers and VMs.
-package platform
+package backing
 
 import (
 	"context"
--- a/platform/cached/cached_test.go
+++ b/backing/cached/cached_test.go
@@ -10,11 +10,11 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/cached"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/cached"
-	"amaranthfork.example/platform/memory"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -31,9 +31,9 @@
 			switch rapid.IntRange(0, 3).Draw(t, "do") {
 			case 0:
 				value := rapid.SliceOfN(rapid.Byte(), 0, 4).Draw(t, "value")
-				_, _ = inner.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}})
+				_, _ = inner.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: key, Value: value}}})
 			case 1:
-				_, _ = inner.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: key, Delete: true}}})
+				_, _ = inner.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: key, Delete: true}}})
 			default:
 				want, _ := inner.Get(ctx, key)
 				got, err := table.Get(ctx, key)
@@ -51,7 +51,7 @@
 	faults := &memory.Faults{}
 	table := cached.NewTable(memory.NewTable(faults))
 	ctx := context.Background()
-	if _, err := table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "a", Value: []byte("1")}}}); err != nil {
+	if _, err := table.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: "a", Value: []byte("1")}}}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := table.Get(ctx, "a"); err != nil {
@@ -80,7 +80,7 @@
 			case 1:
 				_ = p.SetVMState(id, rapid.SampledFrom(states).Draw(t, "state"))
 			case 2:
-				p.SetEntry(platform.EntryVM{ID: string(id), DataCentre: "a", State: rapid.SampledFrom(states).Draw(t, "entry")})
+				p.SetEntry(backing.EntryVM{ID: string(id), DataCentre: "a", State: rapid.SampledFrom(states).Draw(t, "entry")})
 			case 3:
 				clock.Advance(rapid.SampledFrom([]time.Duration{time.Second, 2 * time.Hour}).Draw(t, "advance"))
 			default:
--- a/platform/cached/table.go
+++ b/backing/cached/table.go
@@ -8,7 +8,7 @@
 	"slices"
 	"sync"
 
-	"amaranthfork.example/platform"
+	"amaranthfork.example/backing"
 )
 
 const (
@@ -21,23 +21,23 @@
 // Table is a table whose Get transfers only rows that have changed. It is safe
 // for concurrent use.
 type Table struct {
-	platform.ConditionalTable
+	backing.ConditionalTable
 
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]backing.Row
 }
 
 // NewTable returns a table that reads through inner.
-func NewTable(inner platform.ConditionalTable) *Table {
-	return &Table{ConditionalTable: inner, rows: map[string]platform.Row{}}
+func NewTable(inner backing.ConditionalTable) *Table {
+	return &Table{ConditionalTable: inner, rows: map[string]backing.Row{}}
 }
 
 // Get returns a row.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *Table) Get(ctx context.Context, key string) (backing.Row, error) {
 	kept := t.kept(key)
 	row, changed, err := t.GetNewer(ctx, key, kept.Version)
 	if err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	if !changed {
 		kept.Value = slices.Clone(kept.Value)
@@ -47,7 +47,7 @@
 	return row, nil
 }
 
-func (t *Table) kept(key string) platform.Row {
+func (t *Table) kept(key string) backing.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row := t.rows[key]
@@ -56,7 +56,7 @@
 }
 
 // keep stores a row unless a later read has stored a newer one.
-func (t *Table) keep(row platform.Row) {
+func (t *Table) keep(row backing.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.rows[row.Key]
--- a/platform/cached/vmlist.go
+++ b/backing/cached/vmlist.go
@@ -5,43 +5,43 @@
 	"maps"
 	"slices"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // VMList is a list of VMs that transfers only changes. It is safe for concurrent
 // use.
 type VMList struct {
-	feed platform.VMFeed
+	feed backing.VMFeed
 
 	turn    chan struct{} // held while the list is read, so that changes are applied in order
 	token   string
 	vms     map[fleet.VMID]fleet.VM
-	entries map[string]platform.EntryVM
+	entries map[string]backing.EntryVM
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ backing.VMList = (*VMList)(nil)
 
 // NewVMList returns a list that reads from feed.
-func NewVMList(feed platform.VMFeed) *VMList {
+func NewVMList(feed backing.VMFeed) *VMList {
 	return &VMList{feed: feed, turn: make(chan struct{}, 1)}
 }
 
 // List returns the VMs and entry VMs, each ordered by id. Errors are those of
 // the feed; while another read holds the list, it waits until ctx is done.
-func (l *VMList) List(ctx context.Context) (platform.VMListing, error) {
+func (l *VMList) List(ctx context.Context) (backing.VMListing, error) {
 	select {
 	case l.turn <- struct{}{}:
 	case <-ctx.Done():
-		return platform.VMListing{}, platform.ErrUnavailable
+		return backing.VMListing{}, backing.ErrUnavailable
 	}
 	defer func() { <-l.turn }()
 	changes, err := l.feed.Changes(ctx, l.token)
 	if err != nil {
-		return platform.VMListing{}, err
+		return backing.VMListing{}, err
 	}
 	l.apply(changes)
-	listing := platform.VMListing{AsOf: changes.AsOf}
+	listing := backing.VMListing{AsOf: changes.AsOf}
 	for _, id := range slices.Sorted(maps.Keys(l.vms)) {
 		listing.VMs = append(listing.VMs, l.vms[id])
 	}
@@ -51,9 +51,9 @@
 	return listing, nil
 }
 
-func (l *VMList) apply(c platform.VMChanges) {
+func (l *VMList) apply(c backing.VMChanges) {
 	if c.Whole || l.vms == nil {
-		l.vms, l.entries = map[fleet.VMID]fleet.VM{}, map[string]platform.EntryVM{}
+		l.vms, l.entries = map[fleet.VMID]fleet.VM{}, map[string]backing.EntryVM{}
 	}
 	for _, vm := range c.VMs {
 		l.vms[vm.ID] = vm
--- a/platform/httpapi/admin.go
+++ b/backing/httpapi/admin.go
@@ -9,9 +9,9 @@
 
 	"github.com/labstack/echo/v5"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 // Services that FaultSettings names.
@@ -69,8 +69,8 @@
 }
 
 type addVMsRequest struct {
-	VMs     []fleet.VM         `json:"vms"`
-	Entries []platform.EntryVM `json:"entries"`
+	VMs     []fleet.VM        `json:"vms"`
+	Entries []backing.EntryVM `json:"entries"`
 }
 
 type addVMsResponse struct {
@@ -255,7 +255,7 @@
 
 // AddVMs adds VMs and entry VMs, and returns the VMs with the addresses of
 // their endpoints. An entry VM that exists gets the given state.
-func (a Admin) AddVMs(ctx context.Context, vms []fleet.VM, entries []platform.EntryVM) ([]fleet.VM, error) {
+func (a Admin) AddVMs(ctx context.Context, vms []fleet.VM, entries []backing.EntryVM) ([]fleet.VM, error) {
 	resp, err := write[addVMsResponse](ctx, a.c, "/admin/vms", addVMsRequest{vms, entries})
 	return resp.VMs, err
 }
--- a/platform/httpapi/client.go
+++ b/backing/httpapi/client.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Defaults of ClientOptions.
@@ -57,31 +57,31 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Table returns the table service.
-func (c *Client) Table() platform.ConditionalTable { return table{c} }
+func (c *Client) Table() backing.ConditionalTable { return table{c} }
 
 // Objects returns the object store.
-func (c *Client) Objects() platform.Objects { return objects{c} }
+func (c *Client) Objects() backing.Objects { return objects{c} }
 
 // VMList returns the list of VMs.
-func (c *Client) VMList() platform.VMList { return vms{c} }
+func (c *Client) VMList() backing.VMList { return vms{c} }
 
 // VMFeed returns the changes of the list of VMs.
-func (c *Client) VMFeed() platform.VMFeed { return vms{c} }
+func (c *Client) VMFeed() backing.VMFeed { return vms{c} }
 
 // VMs returns the control of VMs.
-func (c *Client) VMs() platform.VMs { return vms{c} }
+func (c *Client) VMs() backing.VMs { return vms{c} }
 
 // Workers returns the control of workers.
-func (c *Client) Workers() platform.Workers { return workers{c} }
+func (c *Client) Workers() backing.Workers { return workers{c} }
 
 // read calls without an effect on the platform.
 func read[Resp any](ctx context.Context, c *Client, path string, req any) (Resp, error) {
-	return call[Resp](ctx, c, path, req, platform.ErrUnavailable)
+	return call[Resp](ctx, c, path, req, backing.ErrUnavailable)
 }
 
 // write calls with an effect on the platform.
 func write[Resp any](ctx context.Context, c *Client, path string, req any) (Resp, error) {
-	return call[Resp](ctx, c, path, req, platform.ErrUnknown)
+	return call[Resp](ctx, c, path, req, backing.ErrUnknown)
 }
 
 // call posts req. broken is the error when the request may have been handled
@@ -136,7 +136,7 @@
 	if err != nil {
 		// Nothing was written before the request had a connection.
 		if !connected.Load() {
-			broken = platform.ErrUnavailable
+			broken = backing.ErrUnavailable
 		}
 		return 0, nil, fmt.Errorf("%w: %w", broken, err)
 	}
@@ -171,21 +171,21 @@
 
 type table struct{ c *Client }
 
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
-	return read[platform.Row](ctx, t.c, "/v1/table/get", keyRequest{key})
+func (t table) Get(ctx context.Context, key string) (backing.Row, error) {
+	return read[backing.Row](ctx, t.c, "/v1/table/get", keyRequest{key})
 }
 
-func (t table) GetNewer(ctx context.Context, key string, version uint64) (platform.Row, bool, error) {
+func (t table) GetNewer(ctx context.Context, key string, version uint64) (backing.Row, bool, error) {
 	resp, err := read[newerResponse](ctx, t.c, "/v1/table/get-newer", newerRequest{key, version})
 	return resp.Row, resp.Changed, err
 }
 
-func (t table) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t table) Range(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	resp, err := read[rowsResponse](ctx, t.c, "/v1/table/range", rangeRequest{prefix, after, limit})
 	return resp.Rows, err
 }
 
-func (t table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t table) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	resp, err := write[versionsResponse](ctx, t.c, "/v1/table/commit", txn)
 	return resp.Versions, err
 }
@@ -214,12 +214,12 @@
 
 type vms struct{ c *Client }
 
-func (v vms) List(ctx context.Context) (platform.VMListing, error) {
-	return read[platform.VMListing](ctx, v.c, "/v1/vms/list", empty{})
+func (v vms) List(ctx context.Context) (backing.VMListing, error) {
+	return read[backing.VMListing](ctx, v.c, "/v1/vms/list", empty{})
 }
 
-func (v vms) Changes(ctx context.Context, token string) (platform.VMChanges, error) {
-	return read[platform.VMChanges](ctx, v.c, "/v1/vms/changes", changesRequest{token})
+func (v vms) Changes(ctx context.Context, token string) (backing.VMChanges, error) {
+	return read[backing.VMChanges](ctx, v.c, "/v1/vms/changes", changesRequest{token})
 }
 
 func (v vms) Drain(ctx context.Context, vm fleet.VMID) error {
@@ -244,31 +244,31 @@
 	return err
 }
 
-func (w workers) Acquire(ctx context.Context, vm fleet.VMID, lease platform.Lease, ttl time.Duration) error {
+func (w workers) Acquire(ctx context.Context, vm fleet.VMID, lease backing.Lease, ttl time.Duration) error {
 	return w.effect(ctx, "acquire", workerRequest{VM: vm, Lease: lease, TTL: Duration(ttl)})
 }
 
-func (w workers) Start(ctx context.Context, vm fleet.VMID, lease platform.Lease, task platform.Task) error {
+func (w workers) Start(ctx context.Context, vm fleet.VMID, lease backing.Lease, task backing.Task) error {
 	return w.effect(ctx, "start", workerRequest{VM: vm, Lease: lease, Task: &task})
 }
 
-func (w workers) Tasks(ctx context.Context, vm fleet.VMID, lease platform.Lease) ([]platform.TaskStatus, error) {
+func (w workers) Tasks(ctx context.Context, vm fleet.VMID, lease backing.Lease) ([]backing.TaskStatus, error) {
 	resp, err := read[tasksResponse](ctx, w.c, "/v1/workers/tasks", workerRequest{VM: vm, Lease: lease})
 	return resp.Tasks, err
 }
 
-func (w workers) Forget(ctx context.Context, vm fleet.VMID, lease platform.Lease, ids []fleet.AttemptID) error {
+func (w workers) Forget(ctx context.Context, vm fleet.VMID, lease backing.Lease, ids []fleet.AttemptID) error {
 	return w.effect(ctx, "forget", workerRequest{VM: vm, Lease: lease, Attempts: ids})
 }
 
-func (w workers) Checkpoint(ctx context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
+func (w workers) Checkpoint(ctx context.Context, vm fleet.VMID, lease backing.Lease, id fleet.AttemptID) error {
 	return w.effect(ctx, "checkpoint", workerRequest{VM: vm, Lease: lease, Attempt: id})
 }
 
-func (w workers) Throttle(ctx context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID, milliCPU int64) error {
+func (w workers) Throttle(ctx context.Context, vm fleet.VMID, lease backing.Lease, id fleet.AttemptID, milliCPU int64) error {
 	return w.effect(ctx, "throttle", workerRequest{VM: vm, Lease: lease, Attempt: id, MilliCPU: milliCPU})
 }
 
-func (w workers) Stop(ctx context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
+func (w workers) Stop(ctx context.Context, vm fleet.VMID, lease backing.Lease, id fleet.AttemptID) error {
 	return w.effect(ctx, "stop", workerRequest{VM: vm, Lease: lease, Attempt: id})
 }
--- a/platform/httpapi/httpapi_test.go
+++ b/backing/httpapi/httpapi_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 var ctx = context.Background()
@@ -49,15 +49,15 @@
 func TestCallsAndErrors(t *testing.T) {
 	p, c, _ := serve(t)
 	p.AddVM(fleet.VM{ID: "v", Slots: 1})
-	lease, old := platform.Lease{Holder: "h", Epoch: 2}, platform.Lease{Holder: "h", Epoch: 1}
-	put := func(key string, version uint64) platform.Txn {
-		return platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: version}},
-			Writes:     []platform.Write{{Key: key, Value: []byte{0, 255}}},
+	lease, old := backing.Lease{Holder: "h", Epoch: 2}, backing.Lease{Holder: "h", Epoch: 1}
+	put := func(key string, version uint64) backing.Txn {
+		return backing.Txn{
+			Conditions: []backing.Condition{{Key: key, Version: version}},
+			Writes:     []backing.Write{{Key: key, Value: []byte{0, 255}}},
 		}
 	}
-	task := func(id fleet.AttemptID, command string) platform.Task {
-		return platform.Task{ID: id, Command: command, Payload: []byte("body")}
+	task := func(id fleet.AttemptID, command string) backing.Task {
+		return backing.Task{ID: id, Command: command, Payload: []byte("body")}
 	}
 	result := func(v any, err error) (string, error) { return fmt.Sprint(v), err }
 	none := func(err error) (string, error) { return "", err }
@@ -68,7 +68,7 @@
 		err  error
 	}{
 		{"commit", func() (string, error) { return result(c.Table().Commit(ctx, put("k/1", 0))) }, "[1]", nil},
-		{"conflict", func() (string, error) { return result(c.Table().Commit(ctx, put("k/1", 0))) }, "[]", platform.ErrConflict},
+		{"conflict", func() (string, error) { return result(c.Table().Commit(ctx, put("k/1", 0))) }, "[]", backing.ErrConflict},
 		{"second", func() (string, error) { return result(c.Table().Commit(ctx, put("k/2", 0))) }, "[1]", nil},
 		{"get", func() (string, error) { return result(c.Table().Get(ctx, "k/1")) }, "{k/1 [0 255] 1}", nil},
 		{"get absent", func() (string, error) { return result(c.Table().Get(ctx, "k/3")) }, "{k/3 [] 0}", nil},
@@ -77,10 +77,10 @@
 		{"get object", func() (string, error) { return result(c.Objects().Get(ctx, "o")) }, "[120]", nil},
 		{"list objects", func() (string, error) { return result(c.Objects().List(ctx, "o")) }, "[o]", nil},
 		{"delete object", func() (string, error) { return none(c.Objects().Delete(ctx, "o")) }, "", nil},
-		{"no object", func() (string, error) { return result(c.Objects().Get(ctx, "o")) }, "[]", platform.ErrNotFound},
-		{"no lease", func() (string, error) { return none(c.Workers().Start(ctx, "v", lease, task("1", ""))) }, "", platform.ErrFenced},
+		{"no object", func() (string, error) { return result(c.Objects().Get(ctx, "o")) }, "[]", backing.ErrNotFound},
+		{"no lease", func() (string, error) { return none(c.Workers().Start(ctx, "v", lease, task("1", ""))) }, "", backing.ErrFenced},
 		{"acquire", func() (string, error) { return none(c.Workers().Acquire(ctx, "v", lease, time.Hour)) }, "", nil},
-		{"old epoch", func() (string, error) { return none(c.Workers().Acquire(ctx, "v", old, time.Hour)) }, "", platform.ErrFenced},
+		{"old epoch", func() (string, error) { return none(c.Workers().Acquire(ctx, "v", old, time.Hour)) }, "", backing.ErrFenced},
 		{"start", func() (string, error) { return none(c.Workers().Start(ctx, "v", lease, task("1", "x?time=0s"))) }, "", nil},
 		{"tasks", func() (string, error) {
 			list, err := c.Workers().Tasks(ctx, "v", lease)
@@ -88,10 +88,10 @@
 		}, "1 completed body", nil},
 		{"forget", func() (string, error) { return none(c.Workers().Forget(ctx, "v", lease, []fleet.AttemptID{"1"})) }, "", nil},
 		{"start long", func() (string, error) { return none(c.Workers().Start(ctx, "v", lease, task("2", "x?time=1h"))) }, "", nil},
-		{"no slot", func() (string, error) { return none(c.Workers().Start(ctx, "v", lease, task("3", ""))) }, "", platform.ErrRefused},
+		{"no slot", func() (string, error) { return none(c.Workers().Start(ctx, "v", lease, task("3", ""))) }, "", backing.ErrRefused},
 		{"throttle", func() (string, error) { return none(c.Workers().Throttle(ctx, "v", lease, "2", 5)) }, "", nil},
 		{"checkpoint", func() (string, error) { return none(c.Workers().Checkpoint(ctx, "v", lease, "2")) }, "", nil},
-		{"no task", func() (string, error) { return none(c.Workers().Stop(ctx, "v", lease, "9")) }, "", platform.ErrNotFound},
+		{"no task", func() (string, error) { return none(c.Workers().Stop(ctx, "v", lease, "9")) }, "", backing.ErrNotFound},
 		{"states", func() (string, error) {
 			list, err := c.Workers().Tasks(ctx, "v", lease)
 			return fmt.Sprintf("%d %s", len(list), list[0].State), err
@@ -103,8 +103,8 @@
 		}, "leaving", nil},
 		{"release", func() (string, error) { return none(c.VMs().Release(ctx, "v")) }, "", nil},
 		{"reboot", func() (string, error) { return none(c.VMs().Reboot(ctx, "v")) }, "", nil},
-		{"rebooting", func() (string, error) { return none(c.Workers().Acquire(ctx, "v", lease, time.Hour)) }, "", platform.ErrUnavailable},
-		{"no VM", func() (string, error) { return none(c.VMs().Drain(ctx, "w")) }, "", platform.ErrNotFound},
+		{"rebooting", func() (string, error) { return none(c.Workers().Acquire(ctx, "v", lease, time.Hour)) }, "", backing.ErrUnavailable},
+		{"no VM", func() (string, error) { return none(c.VMs().Drain(ctx, "w")) }, "", backing.ErrNotFound},
 	}
 	for _, step := range steps {
 		got, err := step.call()
@@ -145,25 +145,25 @@
 	check := func(name, url string, wantWrite error) {
 		c := NewClient(ClientOptions{URL: url, Timeout: 300 * time.Millisecond})
 		defer c.Close()
-		if _, err := c.Table().Commit(ctx, platform.Txn{}); !errors.Is(err, wantWrite) {
+		if _, err := c.Table().Commit(ctx, backing.Txn{}); !errors.Is(err, wantWrite) {
 			t.Errorf("%s: commit returned %v, want %v", name, err, wantWrite)
 		}
-		if err := c.Workers().Start(ctx, "v", platform.Lease{}, platform.Task{}); !errors.Is(err, wantWrite) {
+		if err := c.Workers().Start(ctx, "v", backing.Lease{}, backing.Task{}); !errors.Is(err, wantWrite) {
 			t.Errorf("%s: start returned %v, want %v", name, err, wantWrite)
 		}
-		if _, err := c.Table().Get(ctx, "k"); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := c.Table().Get(ctx, "k"); !errors.Is(err, backing.ErrUnavailable) {
 			t.Errorf("%s: get returned %v, want ErrUnavailable", name, err)
 		}
 	}
 	for name, handler := range answers {
 		server := httptest.NewServer(handler)
-		check(name, server.URL, platform.ErrUnknown)
+		check(name, server.URL, backing.ErrUnknown)
 		server.Close()
 	}
 	if _, err := readAll(io.LimitReader(rand.Reader, MaxBody+2)); err == nil {
 		t.Error("an answer over the limit was accepted")
 	}
-	check("connection refused", "http://"+refused.Addr().String(), platform.ErrUnavailable)
+	check("connection refused", "http://"+refused.Addr().String(), backing.ErrUnavailable)
 }
 
 // TestSwitches guards the switches over HTTP: which callers and services they
@@ -171,7 +171,7 @@
 func TestSwitches(t *testing.T) {
 	_, a, b := serve(t)
 	commit := func(c *Client, key string) error {
-		_, err := c.Table().Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: key}}})
+		_, err := c.Table().Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: key}}})
 		return err
 	}
 	version := func(key string) uint64 {
@@ -183,29 +183,29 @@
 	admin := b.Admin()
 
 	must(t, admin.SetFaults(ctx, FaultSettings{Service: ServiceTable, LoseAnswers: &one}))
-	if err := commit(a, "lost"); !errors.Is(err, platform.ErrUnknown) || version("lost") != 1 {
+	if err := commit(a, "lost"); !errors.Is(err, backing.ErrUnknown) || version("lost") != 1 {
 		t.Errorf("commit with a lost answer: %v, version %d", err, version("lost"))
 	}
 
 	must(t, admin.Partition(ctx, "a", true))
 	short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 	defer cancel()
-	_, err := a.Table().Commit(short, platform.Txn{Writes: []platform.Write{{Key: "cut"}}})
-	if !errors.Is(err, platform.ErrUnknown) || !errors.Is(err, context.DeadlineExceeded) || version("cut") != 0 {
+	_, err := a.Table().Commit(short, backing.Txn{Writes: []backing.Write{{Key: "cut"}}})
+	if !errors.Is(err, backing.ErrUnknown) || !errors.Is(err, context.DeadlineExceeded) || version("cut") != 0 {
 		t.Errorf("commit of a partitioned caller: %v, version %d", err, version("cut"))
 	}
 	must(t, admin.Partition(ctx, "a", false))
 	must(t, commit(a, "cut"))
 
 	must(t, admin.SetFaults(ctx, FaultSettings{Service: ServiceAll, Down: &on}))
-	if err := commit(a, "down"); !errors.Is(err, platform.ErrUnavailable) {
+	if err := commit(a, "down"); !errors.Is(err, backing.ErrUnavailable) {
 		t.Errorf("commit in an outage: %v", err)
 	}
 	must(t, admin.SetFaults(ctx, FaultSettings{Service: ServiceAll, Down: &off}))
 
 	must(t, admin.SetFaults(ctx, FaultSettings{Service: ServiceTable, Rate: &RateSettings{WritesPerSecond: 0.001}}))
 	must(t, commit(a, "rate"))
-	if err := commit(a, "rate"); !errors.Is(err, platform.ErrUnavailable) {
+	if err := commit(a, "rate"); !errors.Is(err, backing.ErrUnavailable) {
 		t.Errorf("commit over the rate limit: %v", err)
 	}
 	if err := admin.SetFaults(ctx, FaultSettings{Service: "tabel"}); err == nil || !strings.Contains(err.Error(), "tabel") {
@@ -213,7 +213,7 @@
 	}
 
 	lag := Duration(time.Hour)
-	vms, err := admin.AddVMs(ctx, []fleet.VM{{ID: "v"}}, []platform.EntryVM{{ID: "e"}})
+	vms, err := admin.AddVMs(ctx, []fleet.VM{{ID: "v"}}, []backing.EntryVM{{ID: "e"}})
 	must(t, err)
 	resp, err := http.Post("http://"+vms[0].Address+"/x", "text/plain", strings.NewReader("hello"))
 	must(t, err)
--- a/platform/httpapi/server.go
+++ b/backing/httpapi/server.go
@@ -10,8 +10,8 @@
 
 	"github.com/labstack/echo/v5"
 
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 )
 
 // Server serves a platform in memory. Each caller has a path of its own.
@@ -77,7 +77,7 @@
 	}
 	resp, err := fn(r.Context(), req)
 	switch {
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, backing.ErrUnknown):
 		panic(http.ErrAbortHandler) // closes the connection without a response
 	case err != nil:
 		status, body := encodeError(err)
@@ -94,7 +94,7 @@
 }
 
 func (s *Server) routeTable() {
-	route(s, "/v1/table/get", func(ctx context.Context, p *memory.Platform, r keyRequest) (platform.Row, error) {
+	route(s, "/v1/table/get", func(ctx context.Context, p *memory.Platform, r keyRequest) (backing.Row, error) {
 		return p.Table.Get(ctx, r.Key)
 	})
 	route(s, "/v1/table/get-newer", func(ctx context.Context, p *memory.Platform, r newerRequest) (newerResponse, error) {
@@ -105,7 +105,7 @@
 		rows, err := p.Table.Range(ctx, r.Prefix, r.After, r.Limit)
 		return rowsResponse{rows}, err
 	})
-	route(s, "/v1/table/commit", func(ctx context.Context, p *memory.Platform, t platform.Txn) (versionsResponse, error) {
+	route(s, "/v1/table/commit", func(ctx context.Context, p *memory.Platform, t backing.Txn) (versionsResponse, error) {
 		versions, err := p.Table.Commit(ctx, t)
 		return versionsResponse{versions}, err
 	})
@@ -129,10 +129,10 @@
 }
 
 func (s *Server) routeVMs() {
-	route(s, "/v1/vms/list", func(ctx context.Context, p *memory.Platform, _ empty) (platform.VMListing, error) {
+	route(s, "/v1/vms/list", func(ctx context.Context, p *memory.Platform, _ empty) (backing.VMListing, error) {
 		return p.VMList.List(ctx)
 	})
-	route(s, "/v1/vms/changes", func(ctx context.Context, p *memory.Platform, r changesRequest) (platform.VMChanges, error) {
+	route(s, "/v1/vms/changes", func(ctx context.Context, p *memory.Platform, r changesRequest) (backing.VMChanges, error) {
 		return p.VMList.Changes(ctx, r.Token)
 	})
 	route(s, "/v1/vms/drain", effect(func(ctx context.Context, p *memory.Platform, r vmRequest) error {
@@ -151,26 +151,26 @@
 		tasks, err := p.Workers.Tasks(ctx, r.VM, r.Lease)
 		return tasksResponse{tasks}, err
 	})
-	calls := map[string]func(context.Context, platform.Workers, workerRequest) error{
-		"acquire": func(ctx context.Context, w platform.Workers, r workerRequest) error {
+	calls := map[string]func(context.Context, backing.Workers, workerRequest) error{
+		"acquire": func(ctx context.Context, w backing.Workers, r workerRequest) error {
 			return w.Acquire(ctx, r.VM, r.Lease, time.Duration(r.TTL))
 		},
-		"start": func(ctx context.Context, w platform.Workers, r workerRequest) error {
+		"start": func(ctx context.Context, w backing.Workers, r workerRequest) error {
 			if r.Task == nil {
 				return errors.New("field task is missing")
 			}
 			return w.Start(ctx, r.VM, r.Lease, *r.Task)
 		},
-		"forget": func(ctx context.Context, w platform.Workers, r workerRequest) error {
+		"forget": func(ctx context.Context, w backing.Workers, r workerRequest) error {
 			return w.Forget(ctx, r.VM, r.Lease, r.Attempts)
 		},
-		"checkpoint": func(ctx context.Context, w platform.Workers, r workerRequest) error {
+		"checkpoint": func(ctx context.Context, w backing.Workers, r workerRequest) error {
 			return w.Checkpoint(ctx, r.VM, r.Lease, r.Attempt)
 		},
-		"throttle": func(ctx context.Context, w platform.Workers, r workerRequest) error {
+		"throttle": func(ctx context.Context, w backing.Workers, r workerRequest) error {
 			return w.Throttle(ctx, r.VM, r.Lease, r.Attempt, r.MilliCPU)
 		},
-		"stop": func(ctx context.Context, w platform.Workers, r workerRequest) error {
+		"stop": func(ctx context.Context, w backing.Workers, r workerRequest) error {
 			return w.Stop(ctx, r.VM, r.Lease, r.Attempt)
 		},
 	}
--- a/platform/httpapi/wire.go
+++ b/backing/httpapi/wire.go
@@ -13,8 +13,8 @@
 	"net/http"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // CallerHeader names the calling node.
@@ -39,11 +39,11 @@
 	code   string
 	status int
 }{
-	{platform.ErrConflict, "conflict", http.StatusConflict},
-	{platform.ErrNotFound, "not_found", http.StatusNotFound},
-	{platform.ErrFenced, "fenced", http.StatusPreconditionFailed},
-	{platform.ErrRefused, "refused", http.StatusUnprocessableEntity},
-	{platform.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
+	{backing.ErrConflict, "conflict", http.StatusConflict},
+	{backing.ErrNotFound, "not_found", http.StatusNotFound},
+	{backing.ErrFenced, "fenced", http.StatusPreconditionFailed},
+	{backing.ErrRefused, "refused", http.StatusUnprocessableEntity},
+	{backing.ErrUnavailable, "unavailable", http.StatusServiceUnavailable},
 }
 
 // encodeError returns the status and body of an error.
@@ -94,8 +94,8 @@
 		Version uint64 `json:"version"`
 	}
 	newerResponse struct {
-		Row     platform.Row `json:"row"`
-		Changed bool         `json:"changed"`
+		Row     backing.Row `json:"row"`
+		Changed bool        `json:"changed"`
 	}
 	changesRequest struct {
 		Token string `json:"token"`
@@ -106,7 +106,7 @@
 		Limit  int    `json:"limit"`
 	}
 	rowsResponse struct {
-		Rows []platform.Row `json:"rows"`
+		Rows []backing.Row `json:"rows"`
 	}
 	versionsResponse struct {
 		Versions []uint64 `json:"versions"`
@@ -128,14 +128,14 @@
 	// needs some of its fields.
 	workerRequest struct {
 		VM       fleet.VMID        `json:"vm"`
-		Lease    platform.Lease    `json:"lease"`
+		Lease    backing.Lease     `json:"lease"`
 		TTL      Duration          `json:"ttl,omitzero"`
-		Task     *platform.Task    `json:"task,omitempty"`
+		Task     *backing.Task     `json:"task,omitempty"`
 		Attempt  fleet.AttemptID   `json:"attempt,omitempty"`
 		Attempts []fleet.AttemptID `json:"attempts,omitempty"`
 		MilliCPU int64             `json:"milliCPU,omitempty"`
 	}
 	tasksResponse struct {
-		Tasks []platform.TaskStatus `json:"tasks"`
+		Tasks []backing.TaskStatus `json:"tasks"`
 	}
 )
--- a/platform/memory/faults.go
+++ b/backing/memory/faults.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/time/rate"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Default rate limits of the table service and the object store.
@@ -140,7 +140,7 @@
 		return err
 	}
 	if wait > 0 && fleet.Sleep(ctx, wait) != nil {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	f.mu.Lock()
 	down := f.down
@@ -149,7 +149,7 @@
 	}
 	f.mu.Unlock()
 	if down {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	return f.Service.pass(ctx, write)
 }
@@ -162,7 +162,7 @@
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	if f.down {
 		return f.latency, nil
@@ -170,7 +170,7 @@
 	queued, ok := f.reserve(write)
 	if !ok {
 		f.refused++
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	return f.latency + queued, nil
 }
--- a/platform/memory/feed.go
+++ b/backing/memory/feed.go
@@ -5,15 +5,15 @@
 	"slices"
 	"strconv"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // feed numbers the changes of the listings.
 type feed struct {
 	version uint64
 	vms     map[fleet.VMID]numbered[fleet.VM]
-	entries map[string]numbered[platform.EntryVM]
+	entries map[string]numbered[backing.EntryVM]
 }
 
 // numbered is the newest state of a VM with the version that brought it.
@@ -25,9 +25,9 @@
 
 // Changes returns what has changed since the answer with the token. Tokens are
 // those of this list, so any number from its past is known.
-func (l *VMList) Changes(ctx context.Context, token string) (platform.VMChanges, error) {
+func (l *VMList) Changes(ctx context.Context, token string) (backing.VMChanges, error) {
 	if err := l.Faults.read(ctx); err != nil {
-		return platform.VMChanges{}, err
+		return backing.VMChanges{}, err
 	}
 	l.data.mu.Lock()
 	defer l.data.mu.Unlock()
@@ -39,20 +39,20 @@
 	if whole {
 		since = 0
 	}
-	changes := platform.VMChanges{Whole: whole, Token: strconv.FormatUint(f.version, 10)}
+	changes := backing.VMChanges{Whole: whole, Token: strconv.FormatUint(f.version, 10)}
 	changes.AsOf = listing.AsOf
 	changes.VMs, changes.Removed = collect(f.vms, since)
 	changes.Entries, changes.RemovedEntries = collect(f.entries, since)
 	return changes, nil
 }
 
-func (f *feed) update(listing platform.VMListing) {
+func (f *feed) update(listing backing.VMListing) {
 	if f.vms == nil {
-		f.vms, f.entries = map[fleet.VMID]numbered[fleet.VM]{}, map[string]numbered[platform.EntryVM]{}
+		f.vms, f.entries = map[fleet.VMID]numbered[fleet.VM]{}, map[string]numbered[backing.EntryVM]{}
 	}
 	f.version++
 	changed := note(f.vms, listing.VMs, func(v fleet.VM) fleet.VMID { return v.ID }, f.version)
-	changed = note(f.entries, listing.Entries, func(e platform.EntryVM) string { return e.ID }, f.version) || changed
+	changed = note(f.entries, listing.Entries, func(e backing.EntryVM) string { return e.ID }, f.version) || changed
 	if !changed {
 		f.version--
 	}
--- a/platform/memory/objects.go
+++ b/backing/memory/objects.go
@@ -6,7 +6,7 @@
 	"strings"
 	"sync"
 
-	"amaranthfork.example/platform"
+	"amaranthfork.example/backing"
 )
 
 // Objects is an object store in memory.
@@ -20,7 +20,7 @@
 	values map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ backing.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty store whose calls pass through faults.
 func NewObjects(faults *Faults) *Objects {
@@ -41,7 +41,7 @@
 	o.data.values[key] = append([]byte(nil), value...)
 	o.data.mu.Unlock()
 	if o.Faults.loseAnswer() {
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return nil
 }
@@ -55,7 +55,7 @@
 	defer o.data.mu.Unlock()
 	value, ok := o.data.values[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, backing.ErrNotFound
 	}
 	return append([]byte(nil), value...), nil
 }
@@ -86,7 +86,7 @@
 	defer o.data.mu.Unlock()
 	delete(o.data.values, key)
 	if o.Faults.loseAnswer() {
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return nil
 }
--- a/platform/memory/platform.go
+++ b/backing/memory/platform.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Options sets up a Platform. Zero values give the defaults named below.
@@ -183,7 +183,7 @@
 	now := p.data.advance()
 	m, ok := p.data.vms[id]
 	if !ok {
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	fn(m, now)
 	return nil
@@ -191,7 +191,7 @@
 
 // SetEntry adds an entry VM to the VM list or changes its state. An empty State
 // means live.
-func (p *Platform) SetEntry(e platform.EntryVM) {
+func (p *Platform) SetEntry(e backing.EntryVM) {
 	p.data.mu.Lock()
 	defer p.data.mu.Unlock()
 	if e.State == "" {
@@ -284,11 +284,11 @@
 }
 
 // RunningTasks returns the running tasks of all VMs, for checks of a test.
-func (p *Platform) RunningTasks() map[fleet.VMID][]platform.Task {
+func (p *Platform) RunningTasks() map[fleet.VMID][]backing.Task {
 	p.data.mu.Lock()
 	defer p.data.mu.Unlock()
 	p.data.advance()
-	running := map[fleet.VMID][]platform.Task{}
+	running := map[fleet.VMID][]backing.Task{}
 	for id, m := range p.data.vms {
 		for _, t := range m.worker.running() {
 			running[id] = append(running[id], t.task)
--- a/platform/memory/platform_test.go
+++ b/backing/memory/platform_test.go
@@ -14,9 +14,9 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -33,22 +33,22 @@
 	rapid.Check(t, func(t *rapid.T) {
 		clock := fleettest.NewManualClock(epoch)
 		runs := map[fleet.AttemptID]int{}
-		p := New(Options{Clock: clock, Runner: func(_ fleet.VMID, task platform.Task) Run {
+		p := New(Options{Clock: clock, Runner: func(_ fleet.VMID, task backing.Task) Run {
 			runs[task.ID]++
 			return Run{Time: 3 * time.Second, NoCheckpoint: len(runs)%2 == 0}
 		}})
 		p.AddVM(fleet.VM{ID: "v", Slots: 3})
 		// held and until model who holds the lease and how long.
-		var held platform.Lease
+		var held backing.Lease
 		var until time.Time
-		lease := rapid.Custom(func(t *rapid.T) platform.Lease {
+		lease := rapid.Custom(func(t *rapid.T) backing.Lease {
 			switch rapid.IntRange(0, 7).Draw(t, "kind") {
 			case 0, 1, 2, 3, 4:
 				return held
 			case 5:
-				return platform.Lease{Holder: "c", Epoch: held.Epoch}
+				return backing.Lease{Holder: "c", Epoch: held.Epoch}
 			}
-			return platform.Lease{
+			return backing.Lease{
 				Holder: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "holder"),
 				Epoch:  rapid.Uint64Range(1, 4).Draw(t, "epoch"),
 			}
@@ -56,9 +56,9 @@
 		attempt := rapid.Custom(func(t *rapid.T) fleet.AttemptID {
 			return fleet.AttemptID(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "attempt")))
 		})
-		holds := func(l platform.Lease) bool { return l == held && clock.Now().Before(until) }
-		checkFenced := func(what string, l platform.Lease, err error) {
-			if errors.Is(err, platform.ErrFenced) == holds(l) {
+		holds := func(l backing.Lease) bool { return l == held && clock.Now().Before(until) }
+		checkFenced := func(what string, l backing.Lease, err error) {
+			if errors.Is(err, backing.ErrFenced) == holds(l) {
 				t.Fatalf("%s by %v while %v holds until %v: %v", what, l, held, until, err)
 			}
 		}
@@ -81,10 +81,10 @@
 					p.Path.Workers.LoseAnswers(1)
 				}
 				before := runs[id]
-				err := p.Workers.Start(ctx, "v", l, platform.Task{ID: id, Job: fleet.JobID(id)})
+				err := p.Workers.Start(ctx, "v", l, backing.Task{ID: id, Job: fleet.JobID(id)})
 				p.Path.Workers.LoseAnswers(0)
 				checkFenced("start", l, err)
-				refused := errors.Is(err, platform.ErrFenced) || errors.Is(err, platform.ErrRefused)
+				refused := errors.Is(err, backing.ErrFenced) || errors.Is(err, backing.ErrRefused)
 				if refused && runs[id] != before {
 					t.Fatalf("refused start %s took effect", id)
 				}
@@ -125,23 +125,23 @@
 func TestTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := NewTable(nil)
-		rows, last := map[string]platform.Row{}, map[string]uint64{}
+		rows, last := map[string]backing.Row{}, map[string]uint64{}
 		key := rapid.StringMatching(`[ab]/[a-c]?`)
 		t.Repeat(map[string]func(*rapid.T){
 			"commit": func(t *rapid.T) {
-				var txn platform.Txn
+				var txn backing.Txn
 				ok := true
 				for range rapid.IntRange(0, 2).Draw(t, "conditions") {
-					c := platform.Condition{Key: key.Draw(t, "key"), Version: rapid.Uint64Range(0, 3).Draw(t, "version")}
+					c := backing.Condition{Key: key.Draw(t, "key"), Version: rapid.Uint64Range(0, 3).Draw(t, "version")}
 					ok = ok && rows[c.Key].Version == c.Version
 					txn.Conditions = append(txn.Conditions, c)
 				}
 				for range rapid.IntRange(0, 2).Draw(t, "writes") {
-					w := platform.Write{Key: key.Draw(t, "key"), Value: []byte(key.Draw(t, "value")), Delete: rapid.Bool().Draw(t, "delete")}
+					w := backing.Write{Key: key.Draw(t, "key"), Value: []byte(key.Draw(t, "value")), Delete: rapid.Bool().Draw(t, "delete")}
 					txn.Writes = append(txn.Writes, w)
 				}
 				versions, err := table.Commit(ctx, txn)
-				if ok != (err == nil) || !ok && !errors.Is(err, platform.ErrConflict) {
+				if ok != (err == nil) || !ok && !errors.Is(err, backing.ErrConflict) {
 					t.Fatalf("conditions hold: %v, commit: %v", ok, err)
 				}
 				for i := 0; ok && i < len(txn.Writes); i++ {
@@ -151,7 +151,7 @@
 						t.Fatalf("write %d of %q has version %d, want %d", i, w.Key, versions[i], last[w.Key])
 					}
 					if delete(rows, w.Key); !w.Delete {
-						rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: last[w.Key]}
+						rows[w.Key] = backing.Row{Key: w.Key, Value: w.Value, Version: last[w.Key]}
 					}
 				}
 			},
@@ -159,7 +159,7 @@
 				prefix := rapid.SampledFrom([]string{"", "a", "a/", "b/", "c"}).Draw(t, "prefix")
 				after := rapid.SampledFrom([]string{"", "a", "a/", "a/b", "b/a", "c"}).Draw(t, "after")
 				limit := rapid.IntRange(0, 4).Draw(t, "limit")
-				want := []platform.Row{}
+				want := []backing.Row{}
 				for _, k := range slices.Sorted(maps.Keys(rows)) {
 					if strings.HasPrefix(k, prefix) && k > after && len(want) < limit {
 						want = append(want, rows[k])
@@ -185,33 +185,33 @@
 
 // TestTaskLife guards the states and times that dispatchers read from a worker.
 func TestTaskLife(t *testing.T) {
-	lease := platform.Lease{Holder: "a", Epoch: 1}
+	lease := backing.Lease{Holder: "a", Epoch: 1}
 	run := Run{Time: 10 * time.Second, Body: []byte("answer"), Usage: fleet.Resources{MilliCPU: 1000}}
-	task := platform.Task{ID: "1", Job: "j"}
+	task := backing.Task{ID: "1", Job: "j"}
 	tests := []struct {
 		name  string
 		act   func(p *Platform, clock *fleettest.ManualClock) error
 		err   error
-		state platform.TaskState // of task 1, 10 s after its start
+		state backing.TaskState // of task 1, 10 s after its start
 		usage int64
 	}{
-		{"completes", nil, nil, platform.TaskCompleted, 1000},
+		{"completes", nil, nil, backing.TaskCompleted, 1000},
 		{"stop", func(p *Platform, _ *fleettest.ManualClock) error {
 			return p.Workers.Stop(ctx, "v", lease, "1")
-		}, nil, platform.TaskStopped, 0},
+		}, nil, backing.TaskStopped, 0},
 		{"half speed", func(p *Platform, _ *fleettest.ManualClock) error {
 			return p.Workers.Throttle(ctx, "v", lease, "1", 500)
-		}, nil, platform.TaskRunning, 500},
+		}, nil, backing.TaskRunning, 500},
 		{"lapse", func(_ *Platform, clock *fleettest.ManualClock) error {
 			clock.Advance(time.Hour)
 			return nil
-		}, nil, platform.TaskCompleted, 1000},
+		}, nil, backing.TaskCompleted, 1000},
 		{"drain lets tasks go on", func(p *Platform, _ *fleettest.ManualClock) error {
 			if err := p.VMs.Drain(ctx, "v"); err != nil {
 				return err
 			}
-			return p.Workers.Start(ctx, "v", lease, platform.Task{ID: "2"})
-		}, platform.ErrRefused, platform.TaskCompleted, 1000},
+			return p.Workers.Start(ctx, "v", lease, backing.Task{ID: "2"})
+		}, backing.ErrRefused, backing.TaskCompleted, 1000},
 		{"reboot", func(p *Platform, clock *fleettest.ManualClock) error {
 			if err := p.VMs.Reboot(ctx, "v"); err != nil {
 				return err
@@ -219,49 +219,49 @@
 			err := p.Workers.Acquire(ctx, "v", lease, time.Hour)
 			clock.Advance(2 * time.Minute)
 			return err
-		}, platform.ErrUnavailable, platform.TaskStopped, 0},
+		}, backing.ErrUnavailable, backing.TaskStopped, 0},
 		{"gone", func(p *Platform, _ *fleettest.ManualClock) error {
 			if err := p.SetVMState("v", fleet.VMGone); err != nil {
 				return err
 			}
-			err := p.Workers.Start(ctx, "v", lease, platform.Task{ID: "2"})
+			err := p.Workers.Start(ctx, "v", lease, backing.Task{ID: "2"})
 			return errors.Join(err, p.SetVMState("v", fleet.VMLive))
-		}, platform.ErrUnavailable, platform.TaskStopped, 0},
+		}, backing.ErrUnavailable, backing.TaskStopped, 0},
 		{"fails all", func(p *Platform, _ *fleettest.ManualClock) error {
 			if err := p.SetFailsAll("v", true); err != nil {
 				return err
 			}
-			err := p.Workers.Start(ctx, "v", lease, platform.Task{ID: "2"})
-			if list, _ := p.Workers.Tasks(ctx, "v", lease); list[1].State != platform.TaskFailed {
+			err := p.Workers.Start(ctx, "v", lease, backing.Task{ID: "2"})
+			if list, _ := p.Workers.Tasks(ctx, "v", lease); list[1].State != backing.TaskFailed {
 				return fmt.Errorf("task on a failing worker: %+v", list[1])
 			}
 			return err
-		}, nil, platform.TaskCompleted, 1000},
+		}, nil, backing.TaskCompleted, 1000},
 		{"need over capacity", func(p *Platform, _ *fleettest.ManualClock) error {
-			return p.Workers.Start(ctx, "v", lease, platform.Task{ID: "2", Need: fleet.Resources{MemoryMB: 101}})
-		}, platform.ErrRefused, platform.TaskCompleted, 1000},
+			return p.Workers.Start(ctx, "v", lease, backing.Task{ID: "2", Need: fleet.Resources{MemoryMB: 101}})
+		}, backing.ErrRefused, backing.TaskCompleted, 1000},
 		{"usage over capacity", func(p *Platform, _ *fleettest.ManualClock) error {
-			p.SetRunner(func(fleet.VMID, platform.Task) Run { return Run{Usage: fleet.Resources{MemoryMB: 101}} })
-			err := p.Workers.Start(ctx, "v", lease, platform.Task{ID: "2"})
-			if list, _ := p.Workers.Tasks(ctx, "v", lease); list[1].State != platform.TaskFailed {
+			p.SetRunner(func(fleet.VMID, backing.Task) Run { return Run{Usage: fleet.Resources{MemoryMB: 101}} })
+			err := p.Workers.Start(ctx, "v", lease, backing.Task{ID: "2"})
+			if list, _ := p.Workers.Tasks(ctx, "v", lease); list[1].State != backing.TaskFailed {
 				return fmt.Errorf("task that needs more memory than the VM has: %+v", list[1])
 			}
 			return err
-		}, nil, platform.TaskCompleted, 1000},
+		}, nil, backing.TaskCompleted, 1000},
 		{"cut data centre", func(p *Platform, _ *fleettest.ManualClock) error {
 			p.Path.Workers.SetCut("east", true)
 			defer p.Path.Workers.SetCut("east", false)
 			return p.Workers.Stop(ctx, "v", lease, "1")
-		}, platform.ErrUnavailable, platform.TaskCompleted, 1000},
+		}, backing.ErrUnavailable, backing.TaskCompleted, 1000},
 		{"answer lost after the effect", func(p *Platform, _ *fleettest.ManualClock) error {
 			p.Service.Workers.LoseAnswers(1)
 			return p.Workers.Stop(ctx, "v", lease, "1")
-		}, platform.ErrUnknown, platform.TaskStopped, 0},
+		}, backing.ErrUnknown, backing.TaskStopped, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			clock := fleettest.NewManualClock(epoch)
-			p := New(Options{Clock: clock, UsageLag: 2 * time.Second, Runner: func(fleet.VMID, platform.Task) Run { return run }})
+			p := New(Options{Clock: clock, UsageLag: 2 * time.Second, Runner: func(fleet.VMID, backing.Task) Run { return run }})
 			p.AddVM(fleet.VM{ID: "v", DataCentre: "east", Capacity: fleet.Resources{MilliCPU: 4000, MemoryMB: 100}})
 			must(t, p.Workers.Acquire(ctx, "v", lease, time.Minute))
 			must(t, p.Workers.Start(ctx, "v", lease, task))
@@ -278,7 +278,7 @@
 			if got.State != test.state || got.Usage.MilliCPU != test.usage {
 				t.Fatalf("got %+v, want state %s and usage %d", got, test.state, test.usage)
 			}
-			if (string(got.Body) == "answer") != (test.state == platform.TaskCompleted) {
+			if (string(got.Body) == "answer") != (test.state == backing.TaskCompleted) {
 				t.Fatalf("body %q in state %s", got.Body, got.State)
 			}
 		})
@@ -290,19 +290,19 @@
 func TestCheckpointResumes(t *testing.T) {
 	for _, onRequest := range []bool{true, false} {
 		clock := fleettest.NewManualClock(epoch)
-		p := New(Options{Clock: clock, Runner: func(fleet.VMID, platform.Task) Run { return Run{Time: 10 * time.Second} }})
+		p := New(Options{Clock: clock, Runner: func(fleet.VMID, backing.Task) Run { return Run{Time: 10 * time.Second} }})
 		p.AddVM(fleet.VM{ID: "v"})
 		p.AddVM(fleet.VM{ID: "w"})
-		lease := platform.Lease{Holder: "a", Epoch: 1}
+		lease := backing.Lease{Holder: "a", Epoch: 1}
 		must(t, p.Workers.Acquire(ctx, "v", lease, 6*time.Second))
 		must(t, p.Workers.Acquire(ctx, "w", lease, time.Minute))
-		must(t, p.Workers.Start(ctx, "v", lease, platform.Task{ID: "1", Job: "j", Step: 2}))
+		must(t, p.Workers.Start(ctx, "v", lease, backing.Task{ID: "1", Job: "j", Step: 2}))
 		if onRequest {
 			clock.Advance(5 * time.Second)
 			must(t, p.Workers.Checkpoint(ctx, "v", lease, "1"))
 		}
 		clock.Advance(7 * time.Second)
-		must(t, p.Workers.Start(ctx, "w", lease, platform.Task{ID: "2", Job: "j", Step: 2}))
+		must(t, p.Workers.Start(ctx, "w", lease, backing.Task{ID: "2", Job: "j", Step: 2}))
 		want := clock.Now().Add(4 * time.Second)
 		if onRequest {
 			want = want.Add(time.Second)
@@ -319,7 +319,7 @@
 	clock := fleettest.NewManualClock(epoch)
 	p := New(Options{Clock: clock, ListLag: 3 * time.Second, RebootTime: 10 * time.Second})
 	p.AddVM(fleet.VM{ID: "v"})
-	p.SetEntry(platform.EntryVM{ID: "e", DataCentre: "east"})
+	p.SetEntry(backing.EntryVM{ID: "e", DataCentre: "east"})
 	show := func() string {
 		listing, err := p.VMList.List(ctx)
 		must(t, err)
@@ -342,7 +342,7 @@
 		{func() error { p.VMList.SetLag(time.Minute); return nil }, "2 leaving entry live"},
 		{func() error { p.VMList.SetLag(0); clock.Advance(5 * time.Second); return nil }, "12 live entry live"},
 		{func() error {
-			p.SetEntry(platform.EntryVM{ID: "e", State: fleet.VMGone})
+			p.SetEntry(backing.EntryVM{ID: "e", State: fleet.VMGone})
 			return p.SetVMState("v", fleet.VMGone)
 		}, "13 gone entry gone"},
 		{func() error { clock.Advance(time.Hour); return nil }, "3614"},
@@ -367,7 +367,7 @@
 		for range 1000 {
 			node := p.Node()
 			go func() {
-				_, err := node.Table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k"}}})
+				_, err := node.Table.Commit(t.Context(), backing.Txn{Writes: []backing.Write{{Key: "k"}}})
 				results <- err
 			}()
 		}
@@ -375,7 +375,7 @@
 		for range 1000 {
 			if err := <-results; err == nil {
 				done++
-			} else if !errors.Is(err, platform.ErrUnavailable) {
+			} else if !errors.Is(err, backing.ErrUnavailable) {
 				t.Fatal(err)
 			}
 		}
@@ -398,22 +398,22 @@
 	calls := map[string]func(p *Platform) error{
 		"get":     func(p *Platform) error { _, err := p.Table.Get(ctx, "k"); return err },
 		"range":   func(p *Platform) error { _, err := p.Table.Range(ctx, "", "", 1); return err },
-		"commit":  func(p *Platform) error { _, err := p.Table.Commit(ctx, platform.Txn{}); return err },
+		"commit":  func(p *Platform) error { _, err := p.Table.Commit(ctx, backing.Txn{}); return err },
 		"put":     func(p *Platform) error { return p.Objects.Put(ctx, "o", nil) },
 		"list":    func(p *Platform) error { _, err := p.VMList.List(ctx); return err },
 		"drain":   func(p *Platform) error { return p.VMs.Drain(ctx, "v") },
-		"acquire": func(p *Platform) error { return p.Workers.Acquire(ctx, "v", platform.Lease{}, time.Second) },
+		"acquire": func(p *Platform) error { return p.Workers.Acquire(ctx, "v", backing.Lease{}, time.Second) },
 	}
 	a.Path.Partition(true)
 	for name, call := range calls {
-		if err := call(a); !errors.Is(err, platform.ErrUnavailable) {
+		if err := call(a); !errors.Is(err, backing.ErrUnavailable) {
 			t.Errorf("%s over a partitioned path: %v", name, err)
 		}
 		must(t, call(b))
 	}
 	a.Path.Partition(false)
 	p.Service.StoreDown(true)
-	if err := calls["get"](a); !errors.Is(err, platform.ErrUnavailable) {
+	if err := calls["get"](a); !errors.Is(err, backing.ErrUnavailable) {
 		t.Errorf("get in a store outage: %v", err)
 	}
 	must(t, calls["acquire"](a))
@@ -421,7 +421,7 @@
 	short, cancel := context.WithTimeout(ctx, time.Millisecond)
 	defer cancel()
 	a.Path.Table.SetHang(true)
-	if _, err := a.Table.Commit(short, platform.Txn{Writes: []platform.Write{{Key: "k"}}}); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := a.Table.Commit(short, backing.Txn{Writes: []backing.Write{{Key: "k"}}}); !errors.Is(err, backing.ErrUnavailable) {
 		t.Errorf("hanging commit: %v", err)
 	}
 	if row, _ := b.Table.Get(ctx, "k"); row.Version != 0 {
--- a/platform/memory/runner.go
+++ b/backing/memory/runner.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // maxRunBody bounds the answer of a task in bytes.
@@ -28,7 +28,7 @@
 //
 // For example: "cut?time=200ms&memoryMB=64". A task with a faulty command fails
 // at once.
-func CommandRunner(vm fleet.VMID, task platform.Task) Run {
+func CommandRunner(vm fleet.VMID, task backing.Task) Run {
 	run, err := parseRun(vm, task)
 	if err != nil {
 		return Run{Failed: true, Detail: fmt.Sprintf("command %q: %v", task.Command, err)}
@@ -36,7 +36,7 @@
 	return run
 }
 
-func parseRun(vm fleet.VMID, task platform.Task) (Run, error) {
+func parseRun(vm fleet.VMID, task backing.Task) (Run, error) {
 	run := EchoRunner(vm, task)
 	_, query, _ := strings.Cut(task.Command, "?")
 	values, err := url.ParseQuery(query)
--- a/platform/memory/table.go
+++ b/backing/memory/table.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"amaranthfork.example/platform"
+	"amaranthfork.example/backing"
 )
 
 // Table is a transactional table in memory.
@@ -19,16 +19,16 @@
 
 type tableData struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 	keys     []string          // of rows, in order
 	versions map[string]uint64 // survives deletes so that versions are never reused
 }
 
-var _ platform.ConditionalTable = (*Table)(nil)
+var _ backing.ConditionalTable = (*Table)(nil)
 
 // NewTable returns an empty table whose calls pass through faults.
 func NewTable(faults *Faults) *Table {
-	data := &tableData{rows: map[string]platform.Row{}, versions: map[string]uint64{}}
+	data := &tableData{rows: map[string]backing.Row{}, versions: map[string]uint64{}}
 	return &Table{Faults: faults, data: data}
 }
 
@@ -38,9 +38,9 @@
 }
 
 // Get returns a row.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *Table) Get(ctx context.Context, key string) (backing.Row, error) {
 	if err := t.Faults.read(ctx); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	t.data.mu.Lock()
 	defer t.data.mu.Unlock()
@@ -51,23 +51,23 @@
 }
 
 // GetNewer returns a row unless it is at the version.
-func (t *Table) GetNewer(ctx context.Context, key string, version uint64) (platform.Row, bool, error) {
+func (t *Table) GetNewer(ctx context.Context, key string, version uint64) (backing.Row, bool, error) {
 	row, err := t.Get(ctx, key)
 	if err != nil || row.Version == version {
-		return platform.Row{Key: key, Version: version}, false, err
+		return backing.Row{Key: key, Version: version}, false, err
 	}
 	return row, true, nil
 }
 
 // Range returns rows in key order.
-func (t *Table) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *Table) Range(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	if err := t.Faults.read(ctx); err != nil {
 		return nil, err
 	}
 	t.data.mu.Lock()
 	defer t.data.mu.Unlock()
 	keys := t.data.find(prefix, after, limit)
-	rows := make([]platform.Row, 0, len(keys))
+	rows := make([]backing.Row, 0, len(keys))
 	for _, key := range keys {
 		row := t.data.rows[key]
 		row.Value = append([]byte(nil), row.Value...)
@@ -91,7 +91,7 @@
 }
 
 // Commit applies a transaction.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t *Table) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	if err := t.Faults.write(ctx); err != nil {
 		return nil, err
 	}
@@ -100,17 +100,17 @@
 		return nil, err
 	}
 	if t.Faults.loseAnswer() {
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	}
 	return versions, nil
 }
 
-func (d *tableData) commit(txn platform.Txn) ([]uint64, error) {
+func (d *tableData) commit(txn backing.Txn) ([]uint64, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range txn.Conditions {
 		if d.rows[c.Key].Version != c.Version {
-			return nil, platform.ErrConflict
+			return nil, backing.ErrConflict
 		}
 	}
 	versions := make([]uint64, len(txn.Writes))
@@ -129,7 +129,7 @@
 			d.keys = slices.Insert(d.keys, i, w.Key)
 		}
 		value := append([]byte(nil), w.Value...)
-		d.rows[w.Key] = platform.Row{Key: w.Key, Value: value, Version: versions[n]}
+		d.rows[w.Key] = backing.Row{Key: w.Key, Value: value, Version: versions[n]}
 	}
 	return versions, nil
 }
--- a/platform/memory/vms.go
+++ b/backing/memory/vms.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
-type platformEntry = platform.EntryVM
+type platformEntry = backing.EntryVM
 
 // VMs controls the VMs of the stand-in.
 //
@@ -23,7 +23,7 @@
 	data   *inventory
 }
 
-var _ platform.VMs = (*VMs)(nil)
+var _ backing.VMs = (*VMs)(nil)
 
 // Via returns the same service as reached over another path.
 func (v *VMs) Via(faults *Faults) *VMs { return &VMs{Faults: faults, data: v.data} }
@@ -66,7 +66,7 @@
 		return err
 	}
 	if v.Faults.loseAnswer() {
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return nil
 }
@@ -77,7 +77,7 @@
 	now := i.advance()
 	m, ok := i.vms[id]
 	if !ok || m.states.last() == fleet.VMGone {
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	fn(m, now)
 	return nil
@@ -89,7 +89,7 @@
 	data   *inventory
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ backing.VMList = (*VMList)(nil)
 
 // Via returns the same list as reached over another path.
 func (l *VMList) Via(faults *Faults) *VMList { return &VMList{Faults: faults, data: l.data} }
@@ -103,22 +103,22 @@
 }
 
 // List returns the VMs by id, as they were one lag ago.
-func (l *VMList) List(ctx context.Context) (platform.VMListing, error) {
+func (l *VMList) List(ctx context.Context) (backing.VMListing, error) {
 	if err := l.Faults.read(ctx); err != nil {
-		return platform.VMListing{}, err
+		return backing.VMListing{}, err
 	}
 	l.data.mu.Lock()
 	defer l.data.mu.Unlock()
 	return l.data.list(), nil
 }
 
-func (i *inventory) list() platform.VMListing {
+func (i *inventory) list() backing.VMListing {
 	asOf := i.advance().Add(-i.listLag)
 	if asOf.Before(i.listed) {
 		asOf = i.listed
 	}
 	i.listed = asOf
-	listing := platform.VMListing{AsOf: asOf}
+	listing := backing.VMListing{AsOf: asOf}
 	for _, id := range slices.Sorted(maps.Keys(i.vms)) {
 		m := i.vms[id]
 		state, ok := m.states.listed(asOf)
--- a/platform/memory/worker.go
+++ b/backing/memory/worker.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // maxForgotten bounds the ids of forgotten tasks that a worker still refuses to
@@ -25,9 +25,9 @@
 
 // task is a running or ended task.
 type task struct {
-	task      platform.Task
+	task      backing.Task
 	run       Run
-	state     platform.TaskState
+	state     backing.TaskState
 	detail    string
 	started   time.Time
 	ended     time.Time
@@ -36,18 +36,18 @@
 	limit     int64         // thousandths of a processor, 0 without a throttle
 }
 
-func (w *worker) acquire(now time.Time, lease platform.Lease, ttl time.Duration) error {
+func (w *worker) acquire(now time.Time, lease backing.Lease, ttl time.Duration) error {
 	held := w.expires.After(now)
 	if lease.Epoch < w.epoch || (lease.Epoch == w.epoch && held && lease.Holder != w.holder) {
-		return platform.ErrFenced
+		return backing.ErrFenced
 	}
 	w.holder, w.epoch, w.expires = lease.Holder, lease.Epoch, now.Add(ttl)
 	return nil
 }
 
-func (w *worker) check(now time.Time, lease platform.Lease) error {
+func (w *worker) check(now time.Time, lease backing.Lease) error {
 	if lease.Epoch != w.epoch || lease.Holder != w.holder || !w.expires.After(now) {
-		return platform.ErrFenced
+		return backing.ErrFenced
 	}
 	return nil
 }
@@ -61,7 +61,7 @@
 func (w *worker) running() []*task {
 	var list []*task
 	for _, id := range w.order {
-		if t := w.tasks[id]; t.state == platform.TaskRunning {
+		if t := w.tasks[id]; t.state == backing.TaskRunning {
 			list = append(list, t)
 		}
 	}
@@ -71,7 +71,7 @@
 func (w *worker) forget(ids []fleet.AttemptID) {
 	for _, id := range ids {
 		t, ok := w.tasks[id]
-		if !ok || t.state == platform.TaskRunning {
+		if !ok || t.state == backing.TaskRunning {
 			continue
 		}
 		delete(w.tasks, id)
@@ -85,12 +85,12 @@
 
 func (w *worker) stopAll(now time.Time, detail string) {
 	for _, t := range w.running() {
-		t.end(now, platform.TaskStopped, detail)
+		t.end(now, backing.TaskStopped, detail)
 	}
 }
 
-func (w *worker) statuses(now time.Time, usageLag time.Duration) []platform.TaskStatus {
-	list := make([]platform.TaskStatus, 0, len(w.order))
+func (w *worker) statuses(now time.Time, usageLag time.Duration) []backing.TaskStatus {
+	list := make([]backing.TaskStatus, 0, len(w.order))
 	for _, id := range w.order {
 		list = append(list, w.tasks[id].status(now.Add(-usageLag)))
 	}
@@ -98,16 +98,16 @@
 }
 
 // start starts a task on a worker whose lease was checked.
-func (i *inventory) start(m *vm, now time.Time, pt platform.Task) error {
+func (i *inventory) start(m *vm, now time.Time, pt backing.Task) error {
 	w := &m.worker
 	if w.knows(pt.ID) {
 		return nil
 	}
 	if m.states.last() != fleet.VMLive || len(w.running()) >= m.info.Slots || !m.hasRoom(pt.Need) {
-		return platform.ErrRefused
+		return backing.ErrRefused
 	}
 	pt.Payload = slices.Clone(pt.Payload)
-	t := &task{task: pt, state: platform.TaskRunning, started: now, since: now}
+	t := &task{task: pt, state: backing.TaskRunning, started: now, since: now}
 	t.run = i.runOf(m, pt)
 	t.remaining = t.run.Time
 	if left, ok := i.resume(stepKey{pt.Job, pt.Step}, m, now); ok {
@@ -145,7 +145,7 @@
 }
 
 // runOf asks the runner and applies the faults of the VM.
-func (i *inventory) runOf(m *vm, pt platform.Task) Run {
+func (i *inventory) runOf(m *vm, pt backing.Task) Run {
 	run := i.runner(m.info.ID, pt)
 	switch {
 	case m.failsAll:
@@ -183,7 +183,7 @@
 		case !ends.After(limit):
 			i.finish(t, ends)
 		case lapsed && t.run.NoCheckpoint:
-			t.end(limit, platform.TaskStopped, "the dispatch lease lapsed")
+			t.end(limit, backing.TaskStopped, "the dispatch lease lapsed")
 		case lapsed:
 			i.checkpoint(t, limit, "the dispatch lease lapsed")
 		}
@@ -192,10 +192,10 @@
 
 func (i *inventory) finish(t *task, at time.Time) {
 	if t.run.Failed {
-		t.end(at, platform.TaskFailed, t.run.Detail)
+		t.end(at, backing.TaskFailed, t.run.Detail)
 		return
 	}
-	t.end(at, platform.TaskCompleted, t.run.Detail)
+	t.end(at, backing.TaskCompleted, t.run.Detail)
 	delete(i.checkpoints, stepKey{t.task.Job, t.task.Step})
 	delete(i.placed, stepKey{t.task.Job, t.task.Step})
 }
@@ -203,10 +203,10 @@
 func (i *inventory) checkpoint(t *task, now time.Time, detail string) {
 	t.progress(now)
 	i.checkpoints[stepKey{t.task.Job, t.task.Step}] = t.remaining
-	t.end(now, platform.TaskCheckpointed, detail)
+	t.end(now, backing.TaskCheckpointed, detail)
 }
 
-func (t *task) end(at time.Time, state platform.TaskState, detail string) {
+func (t *task) end(at time.Time, state backing.TaskState, detail string) {
 	t.ended, t.state, t.detail = at, state, detail
 }
 
@@ -234,15 +234,15 @@
 }
 
 // status reports the task with its usage as it was at usageAt, or at its end.
-func (t *task) status(usageAt time.Time) platform.TaskStatus {
-	s := platform.TaskStatus{
+func (t *task) status(usageAt time.Time) backing.TaskStatus {
+	s := backing.TaskStatus{
 		ID: t.task.ID, Job: t.task.Job, Step: t.task.Step,
 		State: t.state, Detail: t.detail, Need: t.task.Need,
 	}
-	if t.state == platform.TaskCompleted {
+	if t.state == backing.TaskCompleted {
 		s.Body = slices.Clone(t.run.Body)
 	}
-	if t.state != platform.TaskRunning && t.ended.Before(usageAt) {
+	if t.state != backing.TaskRunning && t.ended.Before(usageAt) {
 		usageAt = t.ended
 	}
 	if !usageAt.After(t.started) {
--- a/platform/memory/workers.go
+++ b/backing/memory/workers.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Run says how a task runs on a worker.
@@ -19,11 +19,11 @@
 }
 
 // Runner decides how a task runs. It must not call the service back.
-type Runner func(vm fleet.VMID, task platform.Task) Run
+type Runner func(vm fleet.VMID, task backing.Task) Run
 
 // EchoRunner completes each task after a second with its payload as the answer
 // and its need as the usage.
-func EchoRunner(_ fleet.VMID, task platform.Task) Run {
+func EchoRunner(_ fleet.VMID, task backing.Task) Run {
 	return Run{Time: time.Second, Body: task.Payload, Usage: task.Need}
 }
 
@@ -34,14 +34,14 @@
 	data   *inventory
 }
 
-var _ platform.Workers = (*Workers)(nil)
+var _ backing.Workers = (*Workers)(nil)
 
 // Via returns the same service as reached over another path.
 func (w *Workers) Via(faults *Faults) *Workers { return &Workers{Faults: faults, data: w.data} }
 
 // Acquire takes or renews the dispatch lease of a VM. Running tasks go on under
 // the new lease.
-func (w *Workers) Acquire(ctx context.Context, id fleet.VMID, lease platform.Lease, ttl time.Duration) error {
+func (w *Workers) Acquire(ctx context.Context, id fleet.VMID, lease backing.Lease, ttl time.Duration) error {
 	return w.write(ctx, id, func(m *vm, now time.Time) error {
 		return m.worker.acquire(now, lease, ttl)
 	})
@@ -50,18 +50,18 @@
 // Start starts a task. It returns ErrRefused on a leaving VM, without a free
 // slot or without room for the task's need, and nil without effect for a task
 // id that the worker knows.
-func (w *Workers) Start(ctx context.Context, id fleet.VMID, lease platform.Lease, task platform.Task) error {
+func (w *Workers) Start(ctx context.Context, id fleet.VMID, lease backing.Lease, task backing.Task) error {
 	return w.leased(ctx, id, lease, func(m *vm, now time.Time) error {
 		return w.data.start(m, now, task)
 	})
 }
 
 // Tasks lists the tasks that were not forgotten, in the order of their starts.
-func (w *Workers) Tasks(ctx context.Context, id fleet.VMID, lease platform.Lease) ([]platform.TaskStatus, error) {
+func (w *Workers) Tasks(ctx context.Context, id fleet.VMID, lease backing.Lease) ([]backing.TaskStatus, error) {
 	if err := w.Faults.read(ctx); err != nil {
 		return nil, err
 	}
-	var list []platform.TaskStatus
+	var list []backing.TaskStatus
 	err := w.call(id, func(m *vm, now time.Time) error {
 		if err := m.worker.check(now, lease); err != nil {
 			return err
@@ -73,7 +73,7 @@
 }
 
 // Forget drops ended tasks. Ids of running or unknown tasks are ignored.
-func (w *Workers) Forget(ctx context.Context, id fleet.VMID, lease platform.Lease, ids []fleet.AttemptID) error {
+func (w *Workers) Forget(ctx context.Context, id fleet.VMID, lease backing.Lease, ids []fleet.AttemptID) error {
 	return w.leased(ctx, id, lease, func(m *vm, _ time.Time) error {
 		m.worker.forget(ids)
 		return nil
@@ -83,10 +83,10 @@
 // Checkpoint stops a running task so that a later start of the same step goes
 // on from there. It returns ErrRefused for a task that cannot be checkpointed,
 // and nil without effect for an ended one.
-func (w *Workers) Checkpoint(ctx context.Context, id fleet.VMID, lease platform.Lease, attempt fleet.AttemptID) error {
+func (w *Workers) Checkpoint(ctx context.Context, id fleet.VMID, lease backing.Lease, attempt fleet.AttemptID) error {
 	return w.onTask(ctx, id, lease, attempt, func(t *task, now time.Time) error {
 		if t.run.NoCheckpoint {
-			return platform.ErrRefused
+			return backing.ErrRefused
 		}
 		w.data.checkpoint(t, now, "checkpointed on request")
 		return nil
@@ -95,7 +95,7 @@
 
 // Throttle limits the processors of a running task; its remaining run time
 // grows accordingly. A limit of 0 or less lifts the throttle.
-func (w *Workers) Throttle(ctx context.Context, id fleet.VMID, lease platform.Lease, attempt fleet.AttemptID, milliCPU int64) error {
+func (w *Workers) Throttle(ctx context.Context, id fleet.VMID, lease backing.Lease, attempt fleet.AttemptID, milliCPU int64) error {
 	return w.onTask(ctx, id, lease, attempt, func(t *task, now time.Time) error {
 		t.throttle(now, milliCPU)
 		return nil
@@ -103,21 +103,21 @@
 }
 
 // Stop ends a running task without a checkpoint.
-func (w *Workers) Stop(ctx context.Context, id fleet.VMID, lease platform.Lease, attempt fleet.AttemptID) error {
+func (w *Workers) Stop(ctx context.Context, id fleet.VMID, lease backing.Lease, attempt fleet.AttemptID) error {
 	return w.onTask(ctx, id, lease, attempt, func(t *task, now time.Time) error {
-		t.end(now, platform.TaskStopped, "stopped on request")
+		t.end(now, backing.TaskStopped, "stopped on request")
 		return nil
 	})
 }
 
 // onTask applies fn to a running task.
-func (w *Workers) onTask(ctx context.Context, id fleet.VMID, lease platform.Lease, attempt fleet.AttemptID, fn func(*task, time.Time) error) error {
+func (w *Workers) onTask(ctx context.Context, id fleet.VMID, lease backing.Lease, attempt fleet.AttemptID, fn func(*task, time.Time) error) error {
 	return w.leased(ctx, id, lease, func(m *vm, now time.Time) error {
 		t, ok := m.worker.tasks[attempt]
 		switch {
 		case !ok:
-			return platform.ErrNotFound
-		case t.state != platform.TaskRunning:
+			return backing.ErrNotFound
+		case t.state != backing.TaskRunning:
 			return nil
 		}
 		return fn(t, now)
@@ -125,7 +125,7 @@
 }
 
 // leased applies fn if the lease is the one that the worker knows.
-func (w *Workers) leased(ctx context.Context, id fleet.VMID, lease platform.Lease, fn func(*vm, time.Time) error) error {
+func (w *Workers) leased(ctx context.Context, id fleet.VMID, lease backing.Lease, fn func(*vm, time.Time) error) error {
 	return w.write(ctx, id, func(m *vm, now time.Time) error {
 		if err := m.worker.check(now, lease); err != nil {
 			return err
@@ -141,7 +141,7 @@
 	}
 	err := w.call(id, fn)
 	if err == nil && w.Faults.loseAnswer() {
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return err
 }
@@ -152,12 +152,12 @@
 	defer w.data.mu.Unlock()
 	m, ok := w.data.vms[id]
 	if !ok {
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	now := w.data.clock.Now()
 	w.data.advanceVM(m, now)
 	if !m.reachable() || w.Faults.isCut(m.info.DataCentre) {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	return fn(m, now)
 }
--- a/cmd/amaranth-platform/main.go
+++ b/cmd/amaranth-platform/main.go
@@ -19,10 +19,10 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
+	"amaranthfork.example/backing/httpapi"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/cmd/internal/envflag"
 	"amaranthfork.example/cmd/internal/process"
-	"amaranthfork.example/platform/httpapi"
-	"amaranthfork.example/platform/memory"
 )
 
 const (
--- a/cmd/amaranth-platform/main_test.go
+++ b/cmd/amaranth-platform/main_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"amaranthfork.example/platform/memory"
+	"amaranthfork.example/backing/memory"
 )
 
 // TestSettings guards the order of flags before environment variables, and that
--- a/cmd/amaranthd/main.go
+++ b/cmd/amaranthd/main.go
@@ -8,11 +8,11 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
+	"amaranthfork.example/backing/httpapi"
 	"amaranthfork.example/cmd/internal/envflag"
 	"amaranthfork.example/cmd/internal/process"
 	"amaranthfork.example/entry"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform/httpapi"
 )
 
 func main() {
--- a/cmd/internal/bench/jobs.go
+++ b/cmd/internal/bench/jobs.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/client"
 	"amaranthfork.example/entry/local"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform/memory"
 )
 
 // Throughput is how many jobs pass.
--- a/cmd/internal/session/ledger_test.go
+++ b/cmd/internal/session/ledger_test.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 type stepKey struct {
@@ -28,7 +28,7 @@
 }
 
 // run is the runner of all workers; it is called once for each start.
-func (l *ledger) run(vm fleet.VMID, task platform.Task) memory.Run {
+func (l *ledger) run(vm fleet.VMID, task backing.Task) memory.Run {
 	run := memory.CommandRunner(vm, task)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/cmd/internal/session/processes_test.go
+++ b/cmd/internal/session/processes_test.go
@@ -16,11 +16,11 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/client"
 	"amaranthfork.example/entry/local"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 const (
@@ -107,7 +107,7 @@
 
 // fleetFile describes the workers of the sample folder and n entries for each
 // data centre.
-func fleetFile(t *testing.T, dir string, n int) (file string, entries []platform.EntryVM) {
+func fleetFile(t *testing.T, dir string, n int) (file string, entries []backing.EntryVM) {
 	t.Helper()
 	var vms []fleet.VM
 	for i := range 8 {
@@ -121,7 +121,7 @@
 		if i%2 == 1 {
 			dc = "dc-b"
 		}
-		entries = append(entries, platform.EntryVM{ID: fmt.Sprintf("entry-%d", i+1), DataCentre: dc, State: fleet.VMLive})
+		entries = append(entries, backing.EntryVM{ID: fmt.Sprintf("entry-%d", i+1), DataCentre: dc, State: fleet.VMLive})
 	}
 	content, err := json.Marshal(map[string]any{"vms": vms, "entries": entries})
 	if err != nil {
--- a/cmd/internal/session/world_test.go
+++ b/cmd/internal/session/world_test.go
@@ -17,12 +17,12 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/client"
 	"amaranthfork.example/config"
 	"amaranthfork.example/entry/local"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 var entropy = rand.Reader
@@ -166,7 +166,7 @@
 	w.mu.Lock()
 	w.gone[e] = true
 	w.mu.Unlock()
-	w.fleet.Platform.SetEntry(platform.EntryVM{ID: e.VM, DataCentre: e.DataCentre, State: fleet.VMGone})
+	w.fleet.Platform.SetEntry(backing.EntryVM{ID: e.VM, DataCentre: e.DataCentre, State: fleet.VMGone})
 }
 
 // add starts an entry.
--- a/control/apply/apply.go
+++ b/control/apply/apply.go
@@ -12,12 +12,12 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 const (
@@ -91,7 +91,7 @@
 type Options struct {
 	View    *view.View
 	Members Members
-	Table   platform.Table
+	Table   backing.Table
 	Caller  rpc.Caller
 	Clock   fleet.Clock
 	Builder view.Builder
@@ -125,7 +125,7 @@
 
 // Apply applies a change and returns when it is accepted or MaxWait or ctx ends.
 // A second call with the same change id, at any entry, returns the same revision.
-// After platform.ErrUnknown the change may have been committed; repeating the
+// After backing.ErrUnknown the change may have been committed; repeating the
 // call with the same change id tells.
 func (c *Coordinator) Apply(ctx context.Context, change config.Change) (Result, error) {
 	op, err := c.Begin(ctx, change)
@@ -201,7 +201,7 @@
 			return errors.Join(err, last)
 		}
 		if revision > head.Revision {
-			last = platform.ErrConflict // committed since the head was read
+			last = backing.ErrConflict // committed since the head was read
 			continue
 		}
 		if revision > 0 {
@@ -216,7 +216,7 @@
 			o.committed(head.Revision+1, list)
 			return nil
 		}
-		if !errors.Is(last, platform.ErrConflict) && !errors.Is(last, platform.ErrUnknown) {
+		if !errors.Is(last, backing.ErrConflict) && !errors.Is(last, backing.ErrUnknown) {
 			return last
 		}
 		// Reading back tells whether a commit without an answer took effect, and
@@ -262,7 +262,7 @@
 func (o *Operation) write(ctx context.Context, list member.List, head view.Head) error {
 	folder, revision := o.c.o.View.Folder()
 	if revision != head.Revision {
-		return platform.ErrConflict // a newer revision has come in from a peer
+		return backing.ErrConflict // a newer revision has come in from a peer
 	}
 	if err := o.validate(folder, head.Revision+1); err != nil {
 		return err
@@ -282,15 +282,15 @@
 	key, id := view.ChangeKey(head.Revision+1), view.IDKey(o.change.ID)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = o.c.o.Table.Commit(ctx, platform.Txn{
+	_, err = o.c.o.Table.Commit(ctx, backing.Txn{
 		ID: "apply/" + o.change.ID,
-		Conditions: []platform.Condition{
+		Conditions: []backing.Condition{
 			{Key: view.HeadKey, Version: head.RowVersion},
 			{Key: key},
 			{Key: id},
 			list.Condition(), // also fails if this session has been fenced
 		},
-		Writes: []platform.Write{{Key: key, Value: row}, {Key: id, Value: made}, {Key: view.HeadKey, Value: value}},
+		Writes: []backing.Write{{Key: key, Value: row}, {Key: id, Value: made}, {Key: view.HeadKey, Value: value}},
 	})
 	if err != nil {
 		return member.CommitError(err)
--- a/control/apply/apply_test.go
+++ b/control/apply/apply_test.go
@@ -7,13 +7,13 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/apply"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -316,11 +316,11 @@
 		n.kill(true)
 	}
 	// Only the snapshot leads to the newest revision.
-	var prune []platform.Write
+	var prune []backing.Write
 	for revision := range fleet.Revision(60) {
-		prune = append(prune, platform.Write{Key: view.ChangeKey(revision + 1), Delete: true})
+		prune = append(prune, backing.Write{Key: view.ChangeKey(revision + 1), Delete: true})
 	}
-	if _, err := c.table.Commit(t.Context(), platform.Txn{Writes: prune}); err != nil {
+	if _, err := c.table.Commit(t.Context(), backing.Txn{Writes: prune}); err != nil {
 		t.Fatal(err)
 	}
 	for i := range 9 {
--- a/control/apply/bench_test.go
+++ b/control/apply/bench_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
-	"amaranthfork.example/platform"
 )
 
 // traffic counts the calls and bytes of one node: keys, values and peer bodies,
@@ -19,14 +19,14 @@
 	bytes                int
 }
 
-func (t *traffic) rows(rows ...platform.Row) {
+func (t *traffic) rows(rows ...backing.Row) {
 	t.reads++
 	for _, r := range rows {
 		t.bytes += len(r.Key) + len(r.Value) + 8
 	}
 }
 
-func (t *traffic) commit(txn platform.Txn) {
+func (t *traffic) commit(txn backing.Txn) {
 	t.writes++
 	t.bytes += len(txn.ID)
 	for _, c := range txn.Conditions {
--- a/control/apply/cluster_test.go
+++ b/control/apply/cluster_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/apply"
@@ -18,8 +20,6 @@
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -116,23 +116,23 @@
 
 // path is the table as a node reaches it.
 type path struct {
-	platform.Table
+	backing.Table
 	n *node
 }
 
-func (p path) Get(ctx context.Context, key string) (platform.Row, error) {
+func (p path) Get(ctx context.Context, key string) (backing.Row, error) {
 	row, err := p.Table.Get(ctx, key)
 	p.n.count(func(t *traffic) { t.rows(row) })
 	return row, err
 }
 
-func (p path) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (p path) Range(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	rows, err := p.Table.Range(ctx, prefix, after, limit)
 	p.n.count(func(t *traffic) { t.rows(rows...) })
 	return rows, err
 }
 
-func (p path) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (p path) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	if hook := p.n.beforeChange; hook != nil && strings.HasPrefix(txn.ID, "apply/") {
 		p.n.beforeChange = nil
 		hook()
@@ -146,17 +146,17 @@
 }
 
 // List is the VM list.
-func (c *cluster) List(context.Context) (platform.VMListing, error) {
-	var listing platform.VMListing
+func (c *cluster) List(context.Context) (backing.VMListing, error) {
+	var listing backing.VMListing
 	if c.vmsDown {
-		return listing, platform.ErrUnavailable
+		return listing, backing.ErrUnavailable
 	}
 	for _, n := range c.nodes {
 		state := fleet.VMLive
 		if c.gone[n.vm] {
 			state = fleet.VMGone
 		}
-		listing.Entries = append(listing.Entries, platform.EntryVM{ID: n.vm, DataCentre: n.dc, State: state})
+		listing.Entries = append(listing.Entries, backing.EntryVM{ID: n.vm, DataCentre: n.dc, State: state})
 	}
 	return listing, nil
 }
--- a/control/apply/forward.go
+++ b/control/apply/forward.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Peer methods of the coordinator.
@@ -170,9 +170,9 @@
 		resp.Base, resp.Winner, resp.Change = conflict.Base, conflict.Winner, conflict.Change
 	case errors.As(err, &invalid):
 		resp.Code = codeInvalid
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, backing.ErrUnknown):
 		resp.Code = codeUnknown
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrUnavailable):
 		resp.Code = codeUnavailable
 	}
 	return resp
@@ -188,9 +188,9 @@
 	case codeInvalid:
 		return &InvalidError{Findings: errors.New(r.Message)}
 	case codeUnknown:
-		return fmt.Errorf("%w: %s", platform.ErrUnknown, r.Message)
+		return fmt.Errorf("%w: %s", backing.ErrUnknown, r.Message)
 	case codeUnavailable:
-		return fmt.Errorf("%w: %s", platform.ErrUnavailable, r.Message)
+		return fmt.Errorf("%w: %s", backing.ErrUnavailable, r.Message)
 	default:
 		return fmt.Errorf("%w: %s", ErrNoCoordinator, r.Message)
 	}
--- a/control/apply/operation.go
+++ b/control/apply/operation.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/control/view"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Operation is a committed change on its way to acceptance.
@@ -18,7 +18,7 @@
 	c       *Coordinator
 	change  config.Change
 	started time.Time
-	session platform.Condition
+	session backing.Condition
 	end     func() // ends the mark that prevents outage agreements
 
 	mu        sync.Mutex
--- a/control/balance/balance.go
+++ b/control/balance/balance.go
@@ -11,12 +11,12 @@
 	"slices"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/load"
 	"amaranthfork.example/control/pools"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/capacity"
 	"amaranthfork.example/policy/forecast"
 	"amaranthfork.example/policy/headroom"
@@ -34,14 +34,14 @@
 
 // Role is what the controller needs of its role.
 type Role interface {
-	Conditions() ([]platform.Condition, error)
+	Conditions() ([]backing.Condition, error)
 	Held() error
 }
 
 // Options configures a Controller.
 type Options struct {
-	Table  platform.Table
-	VMList platform.VMList
+	Table  backing.Table
+	VMList backing.VMList
 	Ledger *pools.Ledger
 	Role   Role
 	View   control.View
@@ -189,7 +189,7 @@
 }
 
 // addVMs describes the assigned VMs.
-func (c *Controller) addVMs(state *capacity.Snapshot, snapshot *config.Snapshot, work load.Fleet, listing platform.VMListing, assignments map[fleet.DataCentreName]map[fleet.VMID]pools.Assignment) {
+func (c *Controller) addVMs(state *capacity.Snapshot, snapshot *config.Snapshot, work load.Fleet, listing backing.VMListing, assignments map[fleet.DataCentreName]map[fleet.VMID]pools.Assignment) {
 	for _, vm := range listing.VMs {
 		a, ok := assignments[vm.DataCentre][vm.ID]
 		if !ok {
@@ -249,7 +249,7 @@
 	if err != nil {
 		return nil // another session has the role now
 	}
-	txn := platform.Txn{Conditions: conditions, Writes: []platform.Write{{Key: WarningsKey, Value: value}}}
+	txn := backing.Txn{Conditions: conditions, Writes: []backing.Write{{Key: WarningsKey, Value: value}}}
 	if _, err := c.o.Table.Commit(ctx, txn); err != nil {
 		return fmt.Errorf("write warnings: %w", err)
 	}
@@ -258,7 +258,7 @@
 }
 
 // Warnings reads the warnings in force; any entry may call it.
-func Warnings(ctx context.Context, table platform.Table) ([]headroom.Warning, error) {
+func Warnings(ctx context.Context, table backing.Table) ([]headroom.Warning, error) {
 	row, err := table.Get(ctx, WarningsKey)
 	if err != nil || row.Version == 0 {
 		return nil, err
--- a/control/control.go
+++ b/control/control.go
@@ -6,9 +6,9 @@
 	"context"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // View is the entry's view of the accepted configuration.
@@ -46,7 +46,7 @@
 	Valid() error
 	// Session returns the condition that fences writes of this session: it
 	// fails once another entry has fenced the session row.
-	Session() platform.Condition
+	Session() backing.Condition
 }
 
 // Record is one entry of a journal page, encoded by its owner.
@@ -58,8 +58,8 @@
 // Journal makes records durable.
 type Journal interface {
 	// Append returns once all records are durable under the own session. After
-	// platform.ErrFenced or platform.ErrUnavailable none of them is durable;
-	// after platform.ErrUnknown they may be.
+	// backing.ErrFenced or backing.ErrUnavailable none of them is durable;
+	// after backing.ErrUnknown they may be.
 	Append(ctx context.Context, records ...Record) error
 }
 
@@ -108,10 +108,10 @@
 	Step    int             `cbor:"3,keyasint"`
 	VM      fleet.VMID      `cbor:"4,keyasint"`
 	// State is the worker's word; it is empty when the worker was lost.
-	State  platform.TaskState `cbor:"5,keyasint"`
-	Body   []byte             `cbor:"6,keyasint,omitempty"`
-	Detail string             `cbor:"7,keyasint,omitempty"`
-	Usage  fleet.Resources    `cbor:"8,keyasint"`
+	State  backing.TaskState `cbor:"5,keyasint"`
+	Body   []byte            `cbor:"6,keyasint,omitempty"`
+	Detail string            `cbor:"7,keyasint,omitempty"`
+	Usage  fleet.Resources   `cbor:"8,keyasint"`
 	// NotStarted is set when it is proved that the task never started.
 	NotStarted bool `cbor:"9,keyasint,omitempty"`
 }
@@ -136,7 +136,7 @@
 	Reserve(ctx context.Context, dc fleet.DataCentreName, req ReserveRequest) (Reservation, error)
 	// Start starts the task of a reservation. A *fleet.Refusal proves that the
 	// task was not started and will not be; any other error leaves that open.
-	Start(ctx context.Context, res Reservation, task platform.Task) error
+	Start(ctx context.Context, res Reservation, task backing.Task) error
 	// Release gives up a reservation that was not started.
 	Release(ctx context.Context, res Reservation)
 	// Cancel stops a running task; its end is reported as usual.
@@ -145,7 +145,7 @@
 	// attempt, under the owner's epoch. known is false while nobody can tell;
 	// a TaskEnd with NotStarted is a proof that the attempt never started and
 	// cannot start any more.
-	Lookup(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) (status platform.TaskStatus, end *TaskEnd, known bool)
+	Lookup(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) (status backing.TaskStatus, end *TaskEnd, known bool)
 }
 
 // Jobs accepts and follows jobs; it hides which entry owns a job's shard.
--- a/control/jobs/bench_test.go
+++ b/control/jobs/bench_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/journal"
@@ -19,8 +21,6 @@
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/control/shards"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 // owner is one entry whose workers complete every task at once, with everything
@@ -56,17 +56,17 @@
 func (o *owner) Cancel(context.Context, fleet.VMID, fleet.AttemptID) error {
 	return nil
 }
-func (o *owner) Lookup(context.Context, fleet.VMID, fleet.AttemptID) (platform.TaskStatus, *control.TaskEnd, bool) {
-	return platform.TaskStatus{State: platform.TaskRunning}, nil, true
+func (o *owner) Lookup(context.Context, fleet.VMID, fleet.AttemptID) (backing.TaskStatus, *control.TaskEnd, bool) {
+	return backing.TaskStatus{State: backing.TaskRunning}, nil, true
 }
 
-func (o *owner) Start(_ context.Context, res control.Reservation, task platform.Task) error {
+func (o *owner) Start(_ context.Context, res control.Reservation, task backing.Task) error {
 	o.starts.Add(1)
 	o.started.Store(task.Job, time.Now())
 	o.busy.Go(func() {
 		end := control.TaskEnd{
 			Job: task.Job, Attempt: task.ID, Step: task.Step, VM: res.VM,
-			State: platform.TaskCompleted, Body: body(task.Job, task.Step, task.ID),
+			State: backing.TaskCompleted, Body: body(task.Job, task.Step, task.ID),
 		}
 		for o.jobs.TaskEnded(context.Background(), end) != nil {
 			time.Sleep(time.Millisecond)
--- a/control/jobs/dispatch.go
+++ b/control/jobs/dispatch.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/admission"
 )
 
@@ -27,7 +27,7 @@
 // start is one job on its way from the queue to a VM.
 type start struct {
 	e       *entry
-	task    platform.Task
+	task    backing.Task
 	request control.ReserveRequest
 	centres []fleet.DataCentreName // in the order in which they are asked
 	res     control.Reservation
@@ -287,7 +287,7 @@
 	step := e.job.Steps[e.Step]
 	s := &start{
 		e: e,
-		task: platform.Task{
+		task: backing.Task{
 			ID: attempt, Job: e.job.ID, Step: e.Step, Command: step.Command, Payload: step.Payload, Need: need,
 		},
 		request: control.ReserveRequest{
@@ -395,7 +395,7 @@
 		m.mu.Unlock()
 		return claimed, nil
 	}
-	outage := errors.Is(err, platform.ErrUnavailable) && !m.options.View.StoreReachable()
+	outage := errors.Is(err, backing.ErrUnavailable) && !m.options.View.StoreReachable()
 	var allowed []*start
 	for _, s := range claimed {
 		if outage && m.goUnrecorded(s.e) {
--- a/control/jobs/ended.go
+++ b/control/jobs/ended.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/retry"
 )
 
@@ -42,7 +42,7 @@
 		}
 		return nil, nil
 	}
-	if end.State == platform.TaskRunning {
+	if end.State == backing.TaskRunning {
 		return nil, nil
 	}
 	vm := e.Claim.VM
@@ -58,9 +58,9 @@
 	case end.NotStarted:
 		m.stats.NotStarted++
 		m.notStarted(e)
-	case end.State == platform.TaskCompleted:
+	case end.State == backing.TaskCompleted:
 		m.completed(e, end)
-	case end.State == platform.TaskCheckpointed:
+	case end.State == backing.TaskCheckpointed:
 		e.Attempts-- // a checkpointed attempt has not failed and goes on elsewhere
 		m.placeAgain(e)
 	case end.State == "":
@@ -256,7 +256,7 @@
 	}
 	e := s.entries[id]
 	if e == nil {
-		return nil, nil, fmt.Errorf("job %s: %w", id, platform.ErrNotFound)
+		return nil, nil, fmt.Errorf("job %s: %w", id, backing.ErrNotFound)
 	}
 	if e.phase == phaseEnded {
 		return e, nil, nil
--- a/control/jobs/forward.go
+++ b/control/jobs/forward.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/shards"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Methods of the peer link.
@@ -91,11 +91,11 @@
 		return reply{Code: answerRefused, Refusal: refusal}
 	case errors.Is(err, shards.ErrNotOwner):
 		return reply{Code: answerNotOwner, Detail: err.Error()}
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrNotFound):
 		return reply{Code: answerNotFound, Detail: err.Error()}
 	case errors.Is(err, errNotDone):
 		return reply{Status: status, Code: answerNotDone}
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, backing.ErrUnknown):
 		return reply{Code: answerUnknown, Detail: err.Error()}
 	default:
 		return reply{Code: answerFailed, Detail: err.Error()}
@@ -104,7 +104,7 @@
 
 // Submit accepts a job at its owner. It returns a *fleet.Refusal only if the
 // job is proved not to have been accepted, and an error that matches
-// platform.ErrUnknown if it may have been; submitting again with the same id
+// backing.ErrUnknown if it may have been; submitting again with the same id
 // is safe.
 func (m *Manager) Submit(ctx context.Context, job fleet.Job) (control.JobStatus, error) {
 	if refusal := check(&job); refusal != nil {
@@ -117,7 +117,7 @@
 }
 
 // Status returns the present status of a job, or an error that matches
-// platform.ErrNotFound.
+// backing.ErrNotFound.
 func (m *Manager) Status(ctx context.Context, id fleet.JobID) (control.JobStatus, error) {
 	return m.call(ctx, id, methodStatus, idRequest{ID: id}, func(context.Context) (control.JobStatus, error) {
 		return m.status(id)
@@ -132,7 +132,7 @@
 			return m.wait(ctx, id)
 		})
 		switch {
-		case err == nil || errors.Is(err, platform.ErrNotFound):
+		case err == nil || errors.Is(err, backing.ErrNotFound):
 			return status, err
 		case ctx.Err() != nil:
 			return status, ctx.Err()
@@ -181,11 +181,11 @@
 		if err == nil || !again(err) {
 			return status, settle(err, unsure)
 		}
-		unsure = unsure || errors.Is(err, platform.ErrUnknown)
+		unsure = unsure || errors.Is(err, backing.ErrUnknown)
 		last = err
 	}
 	if unsure {
-		return control.JobStatus{}, fmt.Errorf("%w: %s for job %s: %w", platform.ErrUnknown, method, id, last)
+		return control.JobStatus{}, fmt.Errorf("%w: %s for job %s: %w", backing.ErrUnknown, method, id, last)
 	}
 	return control.JobStatus{}, &fleet.Refusal{
 		Reason: fleet.ReasonStaleView, Detail: fmt.Sprintf("the owner of the job cannot be reached: %v", last), RetryAfter: viewRetryAfter,
@@ -194,7 +194,7 @@
 
 // again reports whether a call may have a better answer soon.
 func again(err error) bool {
-	return errors.Is(err, shards.ErrNotOwner) || errors.Is(err, platform.ErrUnknown) || errors.Is(err, rpc.ErrUnreachable)
+	return errors.Is(err, shards.ErrNotOwner) || errors.Is(err, backing.ErrUnknown) || errors.Is(err, rpc.ErrUnreachable)
 }
 
 // settle turns a refusal that follows a try without an answer into an unknown
@@ -202,7 +202,7 @@
 func settle(err error, unsure bool) error {
 	var refusal *fleet.Refusal
 	if unsure && errors.As(err, &refusal) {
-		return fmt.Errorf("%w: an earlier try had no answer; now: %s", platform.ErrUnknown, refusal.Error())
+		return fmt.Errorf("%w: an earlier try had no answer; now: %s", backing.ErrUnknown, refusal.Error())
 	}
 	return err
 }
@@ -223,7 +223,7 @@
 	case errors.Is(err, rpc.ErrUnreachable):
 		return control.JobStatus{}, err
 	default:
-		return control.JobStatus{}, fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return control.JobStatus{}, fmt.Errorf("%w: %w", backing.ErrUnknown, err)
 	}
 }
 
@@ -234,17 +234,17 @@
 		return nil
 	case answerRefused:
 		if r.Refusal == nil {
-			return fmt.Errorf("%w: refusal without a reason", platform.ErrUnknown)
+			return fmt.Errorf("%w: refusal without a reason", backing.ErrUnknown)
 		}
 		return r.Refusal
 	case answerNotOwner:
 		return fmt.Errorf("%w: %s", shards.ErrNotOwner, r.Detail)
 	case answerNotFound:
-		return fmt.Errorf("%w: %s", platform.ErrNotFound, r.Detail)
+		return fmt.Errorf("%w: %s", backing.ErrNotFound, r.Detail)
 	case answerNotDone:
 		return errNotDone
 	case answerUnknown:
-		return fmt.Errorf("%w: %s", platform.ErrUnknown, r.Detail)
+		return fmt.Errorf("%w: %s", backing.ErrUnknown, r.Detail)
 	default:
 		return fmt.Errorf("owner of the job: %s", r.Detail)
 	}
@@ -260,7 +260,7 @@
 	}
 	e := s.entries[id]
 	if e == nil || e.phase == phaseSubmitting {
-		return control.JobStatus{}, fmt.Errorf("job %s: %w", id, platform.ErrNotFound)
+		return control.JobStatus{}, fmt.Errorf("job %s: %w", id, backing.ErrNotFound)
 	}
 	return e.status(), nil
 }
@@ -292,7 +292,7 @@
 	}
 	e := s.entries[id]
 	if e == nil {
-		return nil, control.JobStatus{}, fmt.Errorf("job %s: %w", id, platform.ErrNotFound)
+		return nil, control.JobStatus{}, fmt.Errorf("job %s: %w", id, backing.ErrNotFound)
 	}
 	if e.visible() {
 		return nil, e.status(), nil
--- a/control/jobs/jobs_test.go
+++ b/control/jobs/jobs_test.go
@@ -10,10 +10,10 @@
 	"testing/synctest"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/shards"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/sharding"
 )
 
@@ -253,7 +253,7 @@
 		t.Errorf("refusal of the owner: %v", err)
 	}
 	w.network.LoseAnswers(near.id, far.id, 1)
-	if _, err := near.jobs.Submit(ctx, j); !errors.Is(err, platform.ErrUnknown) {
+	if _, err := near.jobs.Submit(ctx, j); !errors.Is(err, backing.ErrUnknown) {
 		t.Errorf("refusal after a try without an answer: %v", err)
 	}
 	w.network.Leave(far.id)
@@ -291,7 +291,7 @@
 	j := job("x", 1, false)
 	n.table.lose = 1
 	n.jobs.options.CallTries = 1
-	if _, err := n.jobs.Submit(context.Background(), j); !errors.Is(err, platform.ErrUnknown) {
+	if _, err := n.jobs.Submit(context.Background(), j); !errors.Is(err, backing.ErrUnknown) {
 		t.Fatalf("submit: %v", err)
 	}
 	n.table.blind = 0
@@ -334,7 +334,7 @@
 		if _, err := n.jobs.cancel(ctx, j.ID); err == nil {
 			t.Fatal("cancels in the state of its former session")
 		}
-		if err := n.jobs.persist(ctx, former); !errors.Is(err, platform.ErrFenced) {
+		if err := n.jobs.persist(ctx, former); !errors.Is(err, backing.ErrFenced) {
 			t.Fatalf("journals state of its former session: %v", err)
 		}
 	}
@@ -376,12 +376,12 @@
 	mustSubmit(t, n, j)
 	w.tick(1, time.Second)
 	first := w.running()[0]
-	failed := w.finish(first, platform.TaskFailed)
+	failed := w.finish(first, backing.TaskFailed)
 	w.report(n, failed)
 	w.tick(3, time.Second)
 	second := w.running()[0]
 	late := failed
-	late.State, late.Body = platform.TaskCompleted, []byte("late")
+	late.State, late.Body = backing.TaskCompleted, []byte("late")
 	for _, end := range []control.TaskEnd{failed, late} {
 		if err := n.jobs.TaskEnded(ctx, end); err != nil {
 			t.Errorf("late report: %v", err)
@@ -390,7 +390,7 @@
 	if status, _ := n.jobs.Status(ctx, j.ID); status.State != control.JobRunning || n.jobs.Stats().LateEnds != 2 {
 		t.Errorf("status %+v, stats %+v", status, n.jobs.Stats())
 	}
-	w.report(n, w.finish(second, platform.TaskCompleted))
+	w.report(n, w.finish(second, backing.TaskCompleted))
 	if status, _ := n.jobs.Status(ctx, j.ID); status.Result == nil || status.Result.Attempt != second {
 		t.Errorf("status %+v", status)
 	}
@@ -406,7 +406,7 @@
 	mustSubmit(t, n, j)
 	for range 6 {
 		w.tick(2, time.Second)
-		w.report(n, w.finish(w.running()[0], platform.TaskCheckpointed))
+		w.report(n, w.finish(w.running()[0], backing.TaskCheckpointed))
 	}
 	w.drain(4)
 	status, err := n.jobs.Status(context.Background(), j.ID)
--- a/control/jobs/persist.go
+++ b/control/jobs/persist.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"sort"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
-	"amaranthfork.example/platform"
 )
 
 // flushBatch bounds the records of one Append.
@@ -22,7 +22,7 @@
 		return err
 	}
 	err = m.options.Journal.AppendIn(ctx, session, records...)
-	outage := errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil
+	outage := errors.Is(err, backing.ErrUnavailable) && ctx.Err() == nil
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i, e := range entries {
@@ -49,7 +49,7 @@
 	for _, e := range entries {
 		s := m.shards[e.shard]
 		if s == nil || s.session != session {
-			return nil, nil, fmt.Errorf("%w: job %s belongs to another session", platform.ErrFenced, e.job.ID)
+			return nil, nil, fmt.Errorf("%w: job %s belongs to another session", backing.ErrFenced, e.job.ID)
 		}
 		r, err := encodeRecord(e.shard, e.record())
 		if err != nil {
--- a/control/jobs/property_test.go
+++ b/control/jobs/property_test.go
@@ -10,9 +10,9 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // model drives a world with random faults and remembers what callers were told.
@@ -60,7 +60,7 @@
 
 // startFaults may lose the answer of a start, hold the start back, refuse it,
 // or pause its sender until another entry has taken its shards over.
-func (m *model) startFaults(n *node, task platform.Task) (lose, delay, refuse bool) {
+func (m *model) startFaults(n *node, task backing.Task) (lose, delay, refuse bool) {
 	if m.t == nil || m.depth > 0 {
 		return false, false, false
 	}
@@ -180,9 +180,9 @@
 		return
 	}
 	id := rapid.SampledFrom(running).Draw(m.t, "attempt")
-	state := rapid.SampledFrom([]platform.TaskState{
-		platform.TaskCompleted, platform.TaskCompleted, platform.TaskCompleted,
-		platform.TaskFailed, platform.TaskCheckpointed, platform.TaskStopped,
+	state := rapid.SampledFrom([]backing.TaskState{
+		backing.TaskCompleted, backing.TaskCompleted, backing.TaskCompleted,
+		backing.TaskFailed, backing.TaskCheckpointed, backing.TaskStopped,
 	}).Draw(m.t, "state")
 	end := m.finish(id, state)
 	m.sent = append(m.sent, end)
@@ -292,7 +292,7 @@
 		total += len(starts)
 		fresh := 0
 		for _, id := range starts {
-			if m.tasks[id].State != platform.TaskCheckpointed {
+			if m.tasks[id].State != backing.TaskCheckpointed {
 				fresh++
 			}
 		}
--- a/control/jobs/resolve.go
+++ b/control/jobs/resolve.go
@@ -10,9 +10,9 @@
 	"sort"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Delays between lookups that nobody could answer.
@@ -95,7 +95,7 @@
 		m.notKnown(ctx, e, open)
 		return
 	}
-	if end == nil && status.State != platform.TaskRunning {
+	if end == nil && status.State != backing.TaskRunning {
 		end = &control.TaskEnd{State: status.State, Body: status.Body, Detail: status.Detail, Usage: status.Usage}
 	}
 	if end != nil {
@@ -144,7 +144,7 @@
 		_, err := m.call(ctx, unit.job, methodHeld, q, func(context.Context) (control.JobStatus, error) {
 			return control.JobStatus{}, m.held(q)
 		})
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, backing.ErrNotFound) {
 			m.takeBack(attempt)
 		}
 	}
@@ -169,7 +169,7 @@
 }
 
 // held returns nil while an attempt is the claim of a job of an own shard, and
-// platform.ErrNotFound once its end is durable.
+// backing.ErrNotFound once its end is durable.
 func (m *Manager) held(q heldRequest) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -181,7 +181,7 @@
 	if e != nil && (e.dirty() || e.Claim != nil && e.Claim.Attempt == q.Attempt) {
 		return nil
 	}
-	return fmt.Errorf("attempt %s: %w", q.Attempt, platform.ErrNotFound)
+	return fmt.Errorf("attempt %s: %w", q.Attempt, backing.ErrNotFound)
 }
 
 // reportDemand tells the limits how many units each team uses and wants here.
--- a/control/jobs/submit.go
+++ b/control/jobs/submit.go
@@ -9,11 +9,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/shards"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/admission"
 )
 
@@ -195,8 +195,8 @@
 	defer m.mu.Unlock()
 	close(e.ready)
 	e.ready = nil
-	if err != nil && !errors.Is(err, platform.ErrUnknown) {
-		outage := errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil
+	if err != nil && !errors.Is(err, backing.ErrUnknown) {
+		outage := errors.Is(err, backing.ErrUnavailable) && ctx.Err() == nil
 		if !outage || !e.job.Idempotent {
 			m.forget(e)
 			return control.JobStatus{}, submitRefusal(err)
@@ -207,7 +207,7 @@
 		if err == nil && e.recorded {
 			return e.status(), nil
 		}
-		return control.JobStatus{}, fmt.Errorf("%w: shard of job %s has moved", platform.ErrUnknown, e.job.ID)
+		return control.JobStatus{}, fmt.Errorf("%w: shard of job %s has moved", backing.ErrUnknown, e.job.ID)
 	}
 	m.stats.Submitted++
 	m.arrived[m.loadKey(e)]++
@@ -216,7 +216,7 @@
 }
 
 func submitRefusal(err error) error {
-	if errors.Is(err, platform.ErrFenced) {
+	if errors.Is(err, backing.ErrFenced) {
 		return &fleet.Refusal{Reason: fleet.ReasonStaleView, Detail: "the session of the job's owner has ended", RetryAfter: viewRetryAfter}
 	}
 	return storeRefusal()
@@ -227,7 +227,7 @@
 	select {
 	case <-known:
 	case <-ctx.Done():
-		return control.JobStatus{}, fmt.Errorf("%w: submission of job %s is not decided", platform.ErrUnknown, e.job.ID)
+		return control.JobStatus{}, fmt.Errorf("%w: submission of job %s is not decided", backing.ErrUnknown, e.job.ID)
 	}
 	m.mu.Lock()
 	held, recorded := m.holds(e), e.recorded
@@ -236,14 +236,14 @@
 		return control.JobStatus{}, fmt.Errorf("first submission was not accepted: %w", shards.ErrNotOwner)
 	}
 	if !recorded {
-		if err := m.persist(ctx, e); err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		if err := m.persist(ctx, e); err != nil && !errors.Is(err, backing.ErrUnavailable) {
 			return control.JobStatus{}, err
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !e.recorded && !e.job.Idempotent {
-		return control.JobStatus{}, fmt.Errorf("%w: record of job %s", platform.ErrUnknown, e.job.ID)
+		return control.JobStatus{}, fmt.Errorf("%w: record of job %s", backing.ErrUnknown, e.job.ID)
 	}
 	return e.status(), nil
 }
--- a/control/jobs/world_test.go
+++ b/control/jobs/world_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/journal"
@@ -17,8 +19,6 @@
 	"amaranthfork.example/control/shards"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 func TestMain(m *testing.M) {
@@ -40,7 +40,7 @@
 	id      string
 	faults  *memory.Faults
 	down    bool // store
-	session platform.Condition
+	session backing.Condition
 	invalid bool
 	stale   bool
 	limit   int
@@ -56,7 +56,7 @@
 
 func (n *node) Self() control.Member            { return control.Member{ID: n.id} }
 func (n *node) Members() control.Members        { return n.w.members }
-func (n *node) Session() platform.Condition     { return n.session }
+func (n *node) Session() backing.Condition      { return n.session }
 func (n *node) Snapshot() *config.Snapshot      { return n.w.snapshot }
 func (n *node) StoreReachable() bool            { return !n.down }
 func (n *node) Demand(fleet.TeamName, int, int) {}
@@ -99,39 +99,39 @@
 // without an answer while the reads after it fail, so that its outcome remains
 // unknown for some time.
 type blindTable struct {
-	platform.Table
+	backing.Table
 	blind int // reads that fail
 	lose  int // commits whose answer is lost
 }
 
-func (t *blindTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *blindTable) Get(ctx context.Context, key string) (backing.Row, error) {
 	if t.blind > 0 {
 		t.blind--
-		return platform.Row{}, platform.ErrUnavailable
+		return backing.Row{}, backing.ErrUnavailable
 	}
 	return t.Table.Get(ctx, key)
 }
 
-func (t *blindTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t *blindTable) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	versions, err := t.Table.Commit(ctx, txn)
 	if err == nil && t.lose > 0 {
 		t.lose--
 		t.blind = 12
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	}
 	return versions, err
 }
 
 // workerTask is what a worker knows of an attempt.
 type workerTask struct {
-	platform.TaskStatus
+	backing.TaskStatus
 	vm fleet.VMID
 }
 
 // pendingStart is a start on its way to a worker.
 type pendingStart struct {
 	res  control.Reservation
-	task platform.Task
+	task backing.Task
 }
 
 // world is the platform, the network and the workers.
@@ -158,7 +158,7 @@
 	free      int
 	largest   fleet.Resources // VM of the pool
 	onReserve func(n *node)
-	onStart   func(n *node, task platform.Task) (lose, delay, refuse bool)
+	onStart   func(n *node, task backing.Task) (lose, delay, refuse bool)
 	faults    []string
 }
 
@@ -174,7 +174,7 @@
 		starts:    map[string][]fleet.AttemptID{},
 		free:      8,
 		largest:   fleet.Resources{MilliCPU: 16000, MemoryMB: 64000},
-		onStart:   func(*node, platform.Task) (bool, bool, bool) { return false, false, false },
+		onStart:   func(*node, backing.Task) (bool, bool, bool) { return false, false, false },
 	}
 	w.snapshot = &config.Snapshot{
 		Revision:    1,
@@ -228,11 +228,11 @@
 // join gives a node a session and enters it into the member list.
 func (w *world) join(n *node) {
 	key := "session/" + n.id
-	versions, err := w.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key}}})
+	versions, err := w.table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: key}}})
 	if err != nil {
 		panic(err)
 	}
-	n.session = platform.Condition{Key: key, Version: versions[0]}
+	n.session = backing.Condition{Key: key, Version: versions[0]}
 	w.members.Version++
 	w.members.List = append(slices.Clone(w.members.List), n.Self())
 }
@@ -255,7 +255,7 @@
 
 // fence ends a session as another entry does it after its TTL.
 func (w *world) fence(n *node) {
-	_, err := w.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: n.session.Key, Delete: true}}})
+	_, err := w.table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: n.session.Key, Delete: true}}})
 	if err != nil {
 		panic(err)
 	}
@@ -317,7 +317,7 @@
 
 func (d *dispatcher) Release(context.Context, control.Reservation) {}
 
-func (d *dispatcher) Start(_ context.Context, res control.Reservation, task platform.Task) error {
+func (d *dispatcher) Start(_ context.Context, res control.Reservation, task backing.Task) error {
 	w := d.n.w
 	lose, delay, refuse := w.onStart(d.n, task)
 	switch {
@@ -347,7 +347,7 @@
 		return true
 	}
 	w.tasks[p.task.ID] = &workerTask{
-		TaskStatus: platform.TaskStatus{ID: p.task.ID, Job: p.task.Job, Step: p.task.Step, State: platform.TaskRunning},
+		TaskStatus: backing.TaskStatus{ID: p.task.ID, Job: p.task.Job, Step: p.task.Step, State: backing.TaskRunning},
 		vm:         p.res.VM,
 	}
 	key := stepKey(p.task.Job, p.task.Step)
@@ -358,34 +358,34 @@
 func stepKey(job fleet.JobID, step int) string { return fmt.Sprintf("%s/%d", job, step) }
 
 func (d *dispatcher) Cancel(_ context.Context, _ fleet.VMID, attempt fleet.AttemptID) error {
-	if t := d.n.w.tasks[attempt]; t != nil && t.State == platform.TaskRunning {
-		t.State = platform.TaskStopped
+	if t := d.n.w.tasks[attempt]; t != nil && t.State == backing.TaskRunning {
+		t.State = backing.TaskStopped
 	}
 	return nil
 }
 
-func (d *dispatcher) Lookup(_ context.Context, vm fleet.VMID, attempt fleet.AttemptID) (platform.TaskStatus, *control.TaskEnd, bool) {
+func (d *dispatcher) Lookup(_ context.Context, vm fleet.VMID, attempt fleet.AttemptID) (backing.TaskStatus, *control.TaskEnd, bool) {
 	w := d.n.w
 	if w.silent {
-		return platform.TaskStatus{}, nil, false
+		return backing.TaskStatus{}, nil, false
 	}
 	t := w.tasks[attempt]
 	if t == nil || w.forgotten[attempt] {
 		w.refused[attempt] = true
-		return platform.TaskStatus{}, &control.TaskEnd{Attempt: attempt, NotStarted: true}, true
+		return backing.TaskStatus{}, &control.TaskEnd{Attempt: attempt, NotStarted: true}, true
 	}
-	if t.State == platform.TaskRunning {
+	if t.State == backing.TaskRunning {
 		return t.TaskStatus, nil, true
 	}
 	if t.State == lost {
-		return platform.TaskStatus{}, nil, false
+		return backing.TaskStatus{}, nil, false
 	}
 	end := t.end()
 	return t.TaskStatus, &end, true
 }
 
 // lost is the state of a task whose worker is gone; reports leave it out.
-const lost platform.TaskState = "lost"
+const lost backing.TaskState = "lost"
 
 func (t *workerTask) end() control.TaskEnd {
 	if t.State == lost {
@@ -403,11 +403,11 @@
 }
 
 // finish ends a running task at its worker.
-func (w *world) finish(id fleet.AttemptID, state platform.TaskState) control.TaskEnd {
+func (w *world) finish(id fleet.AttemptID, state backing.TaskState) control.TaskEnd {
 	t := w.tasks[id]
-	if t.State == platform.TaskRunning {
+	if t.State == backing.TaskRunning {
 		t.State = state
-		if state == platform.TaskCompleted {
+		if state == backing.TaskCompleted {
 			t.Body = body(t.Job, t.Step, id)
 		}
 	}
@@ -422,7 +422,7 @@
 func (w *world) running() []fleet.AttemptID {
 	var ids []fleet.AttemptID
 	for id, t := range w.tasks {
-		if t.State == platform.TaskRunning {
+		if t.State == backing.TaskRunning {
 			ids = append(ids, id)
 		}
 	}
@@ -436,7 +436,7 @@
 	for i := 0; i < rounds && (i < 3 || w.busy()); i++ {
 		w.tick(3, time.Second)
 		for _, id := range w.running() {
-			end := w.finish(id, platform.TaskCompleted)
+			end := w.finish(id, backing.TaskCompleted)
 			w.report(w.nodes[0], end)
 		}
 	}
--- a/control/journal/journal.go
+++ b/control/journal/journal.go
@@ -17,15 +17,15 @@
 	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Options of a Journal. Zero numbers take defaults.
 type Options struct {
-	Table      platform.Table
-	Objects    platform.Objects
+	Table      backing.Table
+	Objects    backing.Objects
 	Membership control.Membership
 	Clock      fleet.Clock
 	// Rate is the bound of page writes per second of all members together.
@@ -112,7 +112,7 @@
 type page struct {
 	session  string
 	sequence uint64
-	txn      platform.Txn
+	txn      backing.Txn
 	value    []byte
 }
 
@@ -149,14 +149,14 @@
 // Append makes records durable. Appends that wait together share a page; an
 // Append that finds no other is flushed at once while the rate allows. A ctx
 // that ends while the records wait takes them back and returns
-// platform.ErrUnavailable; while they are being written it returns
-// platform.ErrUnknown.
+// backing.ErrUnavailable; while they are being written it returns
+// backing.ErrUnknown.
 func (j *Journal) Append(ctx context.Context, records ...control.Record) error {
 	return j.AppendIn(ctx, j.options.Membership.Self().ID, records...)
 }
 
 // AppendIn is Append for records that were made in a session. It returns
-// platform.ErrFenced if the process has a later session by the time of the
+// backing.ErrFenced if the process has a later session by the time of the
 // flush: another entry may have owned the records' shards meanwhile.
 func (j *Journal) AppendIn(ctx context.Context, session string, records ...control.Record) error {
 	if len(records) == 0 {
@@ -193,7 +193,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.bytes+b.bytes > j.options.MaxPending && len(j.pending) > 0 {
-		return fmt.Errorf("%w: %d bytes of journal records wait", platform.ErrUnavailable, j.bytes)
+		return fmt.Errorf("%w: %d bytes of journal records wait", backing.ErrUnavailable, j.bytes)
 	}
 	j.pending = append(j.pending, b)
 	j.bytes += b.bytes
@@ -208,14 +208,14 @@
 		if p == b {
 			j.pending = append(j.pending[:i:i], j.pending[i+1:]...)
 			j.bytes -= b.bytes
-			return fmt.Errorf("%w: journal records were not flushed in time", platform.ErrUnavailable)
+			return fmt.Errorf("%w: journal records were not flushed in time", backing.ErrUnavailable)
 		}
 	}
 	select {
 	case err := <-b.done:
 		return err
 	default:
-		return fmt.Errorf("%w: journal page is being written", platform.ErrUnknown)
+		return fmt.Errorf("%w: journal page is being written", backing.ErrUnknown)
 	}
 }
 
@@ -267,7 +267,7 @@
 		}
 		j.bytes -= b.bytes
 		j.stats.Fenced++
-		b.done <- fmt.Errorf("%w: session %s", platform.ErrFenced, b.session)
+		b.done <- fmt.Errorf("%w: session %s", backing.ErrFenced, b.session)
 	}
 	j.pending = kept
 }
@@ -351,11 +351,11 @@
 		return err
 	}
 	err = j.commit(ctx, p)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, backing.ErrUnknown) {
 		j.doubt = p
 		err = j.settle(ctx)
-		if err != nil && !errors.Is(err, platform.ErrFenced) {
-			return fmt.Errorf("%w: journal page %d", platform.ErrUnknown, p.sequence)
+		if err != nil && !errors.Is(err, backing.ErrFenced) {
+			return fmt.Errorf("%w: journal page %d", backing.ErrUnknown, p.sequence)
 		}
 	}
 	if err == nil {
@@ -374,15 +374,15 @@
 		if errors.Is(err, errAbsent) {
 			err = j.commit(ctx, p)
 		}
-		if err == nil || errors.Is(err, platform.ErrFenced) {
+		if err == nil || errors.Is(err, backing.ErrFenced) {
 			j.settled(p, err)
 			return err
 		}
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, backing.ErrUnavailable) {
 			break
 		}
 	}
-	return fmt.Errorf("%w: journal page %d is not settled", platform.ErrUnavailable, p.sequence)
+	return fmt.Errorf("%w: journal page %d is not settled", backing.ErrUnavailable, p.sequence)
 }
 
 func (j *Journal) settled(p *page, err error) {
@@ -416,7 +416,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	key := pageKey(j.session, j.sequence)
-	txn := platform.Txn{ID: body.Txn, Writes: []platform.Write{{Key: key, Value: value}}}
+	txn := backing.Txn{ID: body.Txn, Writes: []backing.Write{{Key: key, Value: value}}}
 	return &page{session: j.session, sequence: j.sequence, txn: txn, value: value}, len(body.Records), nil
 }
 
@@ -435,9 +435,9 @@
 		if j.options.Membership.Self().ID != p.session {
 			break // the condition belongs to a later session and would not fence this page
 		}
-		p.txn.Conditions = []platform.Condition{session, {Key: key}}
+		p.txn.Conditions = []backing.Condition{session, {Key: key}}
 		err := j.tableCommit(ctx, p.txn)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, backing.ErrConflict) {
 			return err
 		}
 		err = j.readBack(ctx, p)
@@ -451,18 +451,18 @@
 	j.mu.Lock()
 	j.stats.Fenced++
 	j.mu.Unlock()
-	return fmt.Errorf("%w: session %s", platform.ErrFenced, p.session)
+	return fmt.Errorf("%w: session %s", backing.ErrFenced, p.session)
 }
 
-func (j *Journal) tableCommit(ctx context.Context, txn platform.Txn) error {
+func (j *Journal) tableCommit(ctx context.Context, txn backing.Txn) error {
 	ctx, cancel := context.WithTimeout(ctx, j.options.CommitTimeout)
 	defer cancel()
 	_, err := j.options.Table.Commit(ctx, txn)
 	switch {
-	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+	case err == nil, errors.Is(err, backing.ErrConflict), errors.Is(err, backing.ErrUnavailable):
 		return err
 	default:
-		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return fmt.Errorf("%w: %w", backing.ErrUnknown, err)
 	}
 }
 
@@ -474,7 +474,7 @@
 	defer cancel()
 	row, err := j.options.Table.Get(ctx, p.txn.Writes[0].Key)
 	if err != nil {
-		return fmt.Errorf("%w: read page back: %w", platform.ErrUnknown, err)
+		return fmt.Errorf("%w: read page back: %w", backing.ErrUnknown, err)
 	}
 	if row.Version == 0 {
 		return errAbsent
@@ -484,7 +484,7 @@
 		return fmt.Errorf("decode page %s: %w", row.Key, err)
 	}
 	if body.Txn != p.txn.ID {
-		return fmt.Errorf("%w: page %s was written by another process", platform.ErrFenced, row.Key)
+		return fmt.Errorf("%w: page %s was written by another process", backing.ErrFenced, row.Key)
 	}
 	return nil
 }
--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -14,11 +14,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -44,14 +44,14 @@
 	return control.Members{List: make([]control.Member, s.members)}
 }
 
-func (s *session) Session() platform.Condition {
+func (s *session) Session() backing.Condition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return platform.Condition{Key: "session/" + s.id, Version: s.version}
+	return backing.Condition{Key: "session/" + s.id, Version: s.version}
 }
 
-func (s *session) write(w platform.Write) uint64 {
-	versions, err := s.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{w}})
+func (s *session) write(w backing.Write) uint64 {
+	versions, err := s.table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{w}})
 	if err != nil {
 		panic(err)
 	}
@@ -59,13 +59,13 @@
 }
 
 func (s *session) renew() {
-	version := s.write(platform.Write{Key: "session/" + s.id})
+	version := s.write(backing.Write{Key: "session/" + s.id})
 	s.mu.Lock()
 	s.version = version
 	s.mu.Unlock()
 }
 
-func (s *session) fence() { s.write(platform.Write{Key: "session/" + s.id, Delete: true}) }
+func (s *session) fence() { s.write(backing.Write{Key: "session/" + s.id, Delete: true}) }
 
 // never is an After for tests that flush with Tick.
 func never(time.Duration, func()) {}
@@ -80,38 +80,38 @@
 // lossy is a table whose next commits fail as told; a lost request may arrive
 // later.
 type lossy struct {
-	platform.Table
+	backing.Table
 	next    func() string
-	late    []platform.Txn
+	late    []backing.Txn
 	onRange func()
 }
 
-func (l *lossy) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (l *lossy) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	switch l.next() {
 	case "unavailable":
-		return nil, platform.ErrUnavailable
+		return nil, backing.ErrUnavailable
 	case "answer lost":
 		if _, err := l.Table.Commit(ctx, txn); err != nil {
 			return nil, err
 		}
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	case "request late":
 		l.late = append(l.late, txn)
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	case "overtaken":
 		l.arrive()
 	}
 	return l.Table.Commit(ctx, txn)
 }
 
-func (l *lossy) Get(ctx context.Context, key string) (platform.Row, error) {
+func (l *lossy) Get(ctx context.Context, key string) (backing.Row, error) {
 	if l.next() == "unavailable" {
-		return platform.Row{}, platform.ErrUnavailable
+		return backing.Row{}, backing.ErrUnavailable
 	}
 	return l.Table.Get(ctx, key)
 }
 
-func (l *lossy) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (l *lossy) Range(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	rows, err := l.Table.Range(ctx, prefix, after, limit)
 	if l.onRange != nil {
 		l.onRange()
@@ -128,7 +128,7 @@
 }
 
 // contents returns the bodies of all records in the table, in order.
-func contents(t interface{ Fatal(...any) }, table platform.Table) []string {
+func contents(t interface{ Fatal(...any) }, table backing.Table) []string {
 	rows, err := table.Range(context.Background(), "journal/", "", 1<<20)
 	if err != nil {
 		t.Fatal(err)
@@ -171,7 +171,7 @@
 				switch {
 				case err == nil:
 					durable = append(durable, body)
-				case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrFenced):
+				case errors.Is(err, backing.ErrUnavailable) && !errors.Is(err, backing.ErrUnknown), errors.Is(err, backing.ErrFenced):
 					never = append(never, body)
 				default:
 					maybe = append(maybe, body)
@@ -222,16 +222,16 @@
 	}
 	j.options.Membership = s
 	twin := New(Options{Table: l, Membership: s, Clock: &tick{}, Rate: 1e12})
-	if err := twin.Append(ctx, control.Record{Body: []byte("twin")}); !errors.Is(err, platform.ErrFenced) {
+	if err := twin.Append(ctx, control.Record{Body: []byte("twin")}); !errors.Is(err, backing.ErrFenced) {
 		t.Errorf("append over a page of another process in the same session: %v", err)
 	}
 	s.fence()
 	later := New(Options{Table: l, Membership: newSession(table, "later", 1), Clock: &tick{}, Rate: 1e12})
-	if err := later.AppendIn(ctx, "s", control.Record{Body: []byte("former")}); !errors.Is(err, platform.ErrFenced) {
+	if err := later.AppendIn(ctx, "s", control.Record{Body: []byte("former")}); !errors.Is(err, backing.ErrFenced) {
 		t.Errorf("append of a former session: %v", err)
 	}
 	for _, faults = range []string{"", "request late"} {
-		if err := j.Append(ctx, control.Record{Body: []byte("b")}); !errors.Is(err, platform.ErrFenced) {
+		if err := j.Append(ctx, control.Record{Body: []byte("b")}); !errors.Is(err, backing.ErrFenced) {
 			t.Errorf("append after the fence: %v", err)
 		}
 	}
@@ -250,7 +250,7 @@
 	calls int
 }
 
-func (s *stale) Session() platform.Condition {
+func (s *stale) Session() backing.Condition {
 	c := s.session.Session()
 	s.calls++
 	if s.calls == 1 {
@@ -331,12 +331,12 @@
 		synctest.Wait()
 		wg.Go(func() {
 			err := j.Append(ctx, control.Record{Body: make([]byte, 80)})
-			if !errors.Is(err, platform.ErrUnavailable) {
+			if !errors.Is(err, backing.ErrUnavailable) {
 				t.Errorf("abandoned append: %v", err)
 			}
 		})
 		synctest.Wait()
-		if err := j.Append(t.Context(), control.Record{Body: make([]byte, 80)}); !errors.Is(err, platform.ErrUnavailable) {
+		if err := j.Append(t.Context(), control.Record{Body: make([]byte, 80)}); !errors.Is(err, backing.ErrUnavailable) {
 			t.Errorf("append beyond the backlog: %v", err)
 		}
 		wg.Wait()
@@ -350,7 +350,7 @@
 
 // movingObjects lets a checkpoint be replaced between a list and a read.
 type movingObjects struct {
-	platform.Objects
+	backing.Objects
 	beforeGet func()
 }
 
--- a/control/journal/recover.go
+++ b/control/journal/recover.go
@@ -10,8 +10,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
-	"amaranthfork.example/platform"
 )
 
 // rangeRows is the number of rows read or deleted by one call of the table.
@@ -54,7 +54,7 @@
 		keys := rowKeys(rows, end)
 		condition := j.options.Membership.Session()
 		if j.options.Membership.Self().ID != session {
-			return deleted, fmt.Errorf("%w: session %s", platform.ErrFenced, session)
+			return deleted, fmt.Errorf("%w: session %s", backing.ErrFenced, session)
 		}
 		if len(keys) == 0 || !j.allow() {
 			return deleted, nil
@@ -75,7 +75,7 @@
 }
 
 // rowKeys returns the keys of rows below end; an empty end means all.
-func rowKeys(rows []platform.Row, end string) []string {
+func rowKeys(rows []backing.Row, end string) []string {
 	var keys []string
 	for _, row := range rows {
 		if end == "" || row.Key < end {
@@ -85,10 +85,10 @@
 	return keys
 }
 
-func deleteRows(ctx context.Context, table platform.Table, keys []string, id string, conditions ...platform.Condition) error {
-	txn := platform.Txn{ID: id, Conditions: conditions}
+func deleteRows(ctx context.Context, table backing.Table, keys []string, id string, conditions ...backing.Condition) error {
+	txn := backing.Txn{ID: id, Conditions: conditions}
 	for _, key := range keys {
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
+		txn.Writes = append(txn.Writes, backing.Write{Key: key, Delete: true})
 	}
 	_, err := table.Commit(ctx, txn)
 	return err
@@ -109,7 +109,7 @@
 // Recover reads all pages of a session and the newest checkpoints of the given
 // shards. The session must be fenced, or have released the shards. Pages that
 // are deleted meanwhile are covered by the checkpoints, which are read last.
-func Recover(ctx context.Context, table platform.Table, objects platform.Objects, session string, shards []int) (Recovery, error) {
+func Recover(ctx context.Context, table backing.Table, objects backing.Objects, session string, shards []int) (Recovery, error) {
 	r := Recovery{States: map[int][]byte{}}
 	if err := r.readPages(ctx, table, session, shards); err != nil {
 		return Recovery{}, fmt.Errorf("read journal of session %s: %w", session, err)
@@ -120,7 +120,7 @@
 	return r, nil
 }
 
-func (r *Recovery) readPages(ctx context.Context, table platform.Table, session string, shards []int) error {
+func (r *Recovery) readPages(ctx context.Context, table backing.Table, session string, shards []int) error {
 	after := ""
 	for {
 		rows, err := table.Range(ctx, pagePrefix(session), after, rangeRows)
@@ -139,7 +139,7 @@
 	}
 }
 
-func (r *Recovery) addPage(row platform.Row, shards []int) error {
+func (r *Recovery) addPage(row backing.Row, shards []int) error {
 	var body pageBody
 	if err := cbor.Unmarshal(row.Value, &body); err != nil {
 		return fmt.Errorf("decode page %s: %w", row.Key, err)
@@ -155,7 +155,7 @@
 
 // readCheckpoints reads the newest checkpoint of each shard. It lists again
 // while some are replaced between the list and the read.
-func (r *Recovery) readCheckpoints(ctx context.Context, objects platform.Objects, session string, shards []int) error {
+func (r *Recovery) readCheckpoints(ctx context.Context, objects backing.Objects, session string, shards []int) error {
 	for range maxReread {
 		keys, err := objects.List(ctx, "checkpoint/"+session+"/")
 		if err != nil {
@@ -164,7 +164,7 @@
 		replaced := 0
 		for _, shard := range shards {
 			err := r.readCheckpoint(ctx, objects, keys, session, shard)
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, backing.ErrNotFound) {
 				replaced++
 			} else if err != nil {
 				return fmt.Errorf("shard %d: %w", shard, err)
@@ -174,12 +174,12 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%w: checkpoints are replaced faster than they can be read", platform.ErrUnavailable)
+	return fmt.Errorf("%w: checkpoints are replaced faster than they can be read", backing.ErrUnavailable)
 }
 
 // readCheckpoint reads the newest of the listed checkpoints of a shard, if
 // there is one and it was not read before.
-func (r *Recovery) readCheckpoint(ctx context.Context, objects platform.Objects, listed []string, session string, shard int) error {
+func (r *Recovery) readCheckpoint(ctx context.Context, objects backing.Objects, listed []string, session string, shard int) error {
 	newest := ""
 	for _, key := range listed {
 		if strings.HasPrefix(key, shardPrefix(session, shard)) {
@@ -199,8 +199,8 @@
 
 // Sweeper deletes what sessions have left behind that nobody needs any more.
 type Sweeper struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   backing.Table
+	Objects backing.Objects
 	// Referenced reads the sessions whose pages and checkpoints are needed from
 	// the store: the owners of shards and the sources of takeovers.
 	Referenced func(ctx context.Context) (map[string]bool, error)
--- a/control/limits/limits.go
+++ b/control/limits/limits.go
@@ -14,10 +14,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/time/rate"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 const (
@@ -65,7 +65,7 @@
 type Options struct {
 	View       control.View
 	Membership control.Membership
-	Table      platform.Table
+	Table      backing.Table
 	Caller     rpc.Caller
 	Clock      fleet.Clock
 	// Recovered reports whether the jobs of a session that left the member
--- a/control/limits/limits_test.go
+++ b/control/limits/limits_test.go
@@ -14,14 +14,14 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -57,8 +57,8 @@
 	}
 	return nil
 }
-func (e *entry) Session() platform.Condition {
-	return platform.Condition{Key: "session/" + e.id, Version: 1}
+func (e *entry) Session() backing.Condition {
+	return backing.Condition{Key: "session/" + e.id, Version: 1}
 }
 
 type cluster struct {
@@ -68,8 +68,8 @@
 	members control.Members
 	entries []*entry
 	config  *config.Snapshot
-	held    []platform.Txn // commits that are still on their way
-	fault   string         // a commit that raised a row above its limit
+	held    []backing.Txn // commits that are still on their way
+	fault   string        // a commit that raised a row above its limit
 }
 
 // watched checks every commit of an entry and can disturb it.
@@ -80,15 +80,15 @@
 }
 
 // Commit notes a commit that raises the sum of units above the row's limit.
-func (w watched) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (w watched) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	switch e := w.entry; {
 	case e.failCommit:
 		e.failCommit = false
-		return nil, platform.ErrUnavailable
+		return nil, backing.ErrUnavailable
 	case e.holdCommit:
 		e.holdCommit = false
 		w.cluster.held = append(w.cluster.held, txn)
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	case e.beforeCommit != nil:
 		hook := e.beforeCommit
 		e.beforeCommit = nil
@@ -134,7 +134,7 @@
 		id: fmt.Sprintf("e%d", len(c.entries)), cluster: c, faults: &memory.Faults{},
 		snapshot: c.config, valid: true, running: map[fleet.TeamName]int{},
 	}
-	_, _ = c.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: "session/" + e.id}}})
+	_, _ = c.table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: "session/" + e.id}}})
 	router := rpc.NewRouter()
 	e.limits = New(Options{
 		View: e, Membership: e, Table: watched{c.table.Via(e.faults), c, e}, Clock: c.clock, Caller: c.network.Join(e.id, router),
@@ -147,7 +147,7 @@
 // fence ends a session; its tasks stay until they are adopted or lapse.
 func (c *cluster) fence(e *entry) {
 	e.valid = false
-	_, _ = c.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: "session/" + e.id}}})
+	_, _ = c.table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: "session/" + e.id}}})
 	c.network.Leave(e.id)
 	list := slices.DeleteFunc(slices.Clone(c.members.List), func(m control.Member) bool { return m.ID == e.id })
 	c.members = control.Members{Version: c.members.Version + 1, List: list}
@@ -484,7 +484,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := c.table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: Key(team), Value: value}}}); err != nil {
+		if _, err := c.table.Commit(ctx, backing.Txn{Writes: []backing.Write{{Key: Key(team), Value: value}}}); err != nil {
 			t.Fatal(err)
 		}
 		for _, e := range c.entries {
--- a/control/limits/round.go
+++ b/control/limits/round.go
@@ -9,9 +9,9 @@
 	"sort"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/sharding"
 )
 
@@ -172,10 +172,10 @@
 // transaction. After a conflict each team is tried by itself. l.round is held.
 func (l *Limits) change(ctx context.Context, names []fleet.TeamName, propose proposal) error {
 	err := l.tryChange(ctx, names, propose)
-	for i := 1; i < attempts && errors.Is(err, platform.ErrConflict) && len(names) == 1; i++ {
+	for i := 1; i < attempts && errors.Is(err, backing.ErrConflict) && len(names) == 1; i++ {
 		err = l.tryChange(ctx, names, propose)
 	}
-	if !errors.Is(err, platform.ErrConflict) || len(names) == 1 {
+	if !errors.Is(err, backing.ErrConflict) || len(names) == 1 {
 		return err
 	}
 	var errs []error
@@ -187,7 +187,7 @@
 
 // ignoreConflict drops the error of a lost race; the next round tries again.
 func ignoreConflict(err error) error {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, backing.ErrConflict) {
 		return nil
 	}
 	return err
@@ -274,13 +274,13 @@
 
 // prepare builds the transaction. From here on, units that it gives away are
 // not usable.
-func (l *Limits) prepare(names []fleet.TeamName, propose proposal) (platform.Txn, []edit, error) {
+func (l *Limits) prepare(names []fleet.TeamName, propose proposal) (backing.Txn, []edit, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.txns++
-	txn := platform.Txn{
+	txn := backing.Txn{
 		ID:         fmt.Sprintf("%s/limits/%d", l.o.TxnPrefix, l.txns),
-		Conditions: []platform.Condition{l.o.Membership.Session()},
+		Conditions: []backing.Condition{l.o.Membership.Session()},
 	}
 	var edits []edit
 	for _, name := range names {
@@ -292,10 +292,10 @@
 		l.stamp(name, t, &row)
 		value, err := encodeRow(row)
 		if err != nil {
-			return platform.Txn{}, nil, err
+			return backing.Txn{}, nil, err
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: Key(name), Version: t.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: Key(name), Value: value})
+		txn.Conditions = append(txn.Conditions, backing.Condition{Key: Key(name), Version: t.version})
+		txn.Writes = append(txn.Writes, backing.Write{Key: Key(name), Value: value})
 		edits = append(edits, edit{name, row})
 		own := row.Units[l.self]
 		if t.pending {
@@ -323,7 +323,7 @@
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrConflict), errors.Is(err, backing.ErrUnavailable):
 		l.stats.Conflicts++
 		l.abandon(edits)
 		return
--- a/control/load/load_test.go
+++ b/control/load/load_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/jobs"
 	"amaranthfork.example/control/rpc"
@@ -12,7 +13,6 @@
 	"amaranthfork.example/control/slots"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
 )
 
 // members is a fixed member list seen by one of its members.
@@ -21,9 +21,9 @@
 	ids  []string
 }
 
-func (m members) Self() control.Member        { return control.Member{ID: m.self} }
-func (m members) Valid() error                { return nil }
-func (m members) Session() platform.Condition { return platform.Condition{} }
+func (m members) Self() control.Member       { return control.Member{ID: m.self} }
+func (m members) Valid() error               { return nil }
+func (m members) Session() backing.Condition { return backing.Condition{} }
 func (m members) Members() control.Members {
 	var list control.Members
 	for _, id := range m.ids {
--- a/control/member/list.go
+++ b/control/member/list.go
@@ -13,9 +13,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Rows of the table.
@@ -71,8 +71,8 @@
 }
 
 // Condition requires the row to be the one that this list was read from.
-func (l List) Condition() platform.Condition {
-	return platform.Condition{Key: listKey, Version: l.RowVersion}
+func (l List) Condition() backing.Condition {
+	return backing.Condition{Key: listKey, Version: l.RowVersion}
 }
 
 // Settled returns the entries that may coordinate changes.
@@ -229,7 +229,7 @@
 	return 2*yes < all
 }
 
-func decodeList(row platform.Row) (List, error) {
+func decodeList(row backing.Row) (List, error) {
 	var list List
 	if row.Version == 0 {
 		return list, nil
@@ -242,7 +242,7 @@
 }
 
 // writes returns the writes that store the list.
-func (l List) writes() ([]platform.Write, error) {
+func (l List) writes() ([]backing.Write, error) {
 	version, err := cbor.Marshal(l.Version)
 	if err != nil {
 		return nil, fmt.Errorf("encode member list version: %w", err)
@@ -252,5 +252,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode member list: %w", err)
 	}
-	return []platform.Write{{Key: listKey, Value: value}, {Key: versionKey, Value: version}}, nil
+	return []backing.Write{{Key: listKey, Value: value}, {Key: versionKey, Value: version}}, nil
 }
--- a/control/member/member_test.go
+++ b/control/member/member_test.go
@@ -10,12 +10,12 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -26,10 +26,10 @@
 
 type vmList struct{ gone map[string]bool }
 
-func (l *vmList) List(context.Context) (platform.VMListing, error) {
-	var listing platform.VMListing
+func (l *vmList) List(context.Context) (backing.VMListing, error) {
+	var listing backing.VMListing
 	for i := range 200 {
-		vm := platform.EntryVM{ID: fmt.Sprint("vm", i), State: fleet.VMLive}
+		vm := backing.EntryVM{ID: fmt.Sprint("vm", i), State: fleet.VMLive}
 		if l.gone[vm.ID] {
 			vm.State = fleet.VMGone
 		}
@@ -83,7 +83,7 @@
 			if contains(skip, r) {
 				continue
 			}
-			if err := r.Tick(t.Context()); err != nil && !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown) {
+			if err := r.Tick(t.Context()); err != nil && !errors.Is(err, backing.ErrUnavailable) && !errors.Is(err, backing.ErrUnknown) {
 				t.Fatalf("tick of %s: %v", r.Self().ID, err)
 			}
 		}
@@ -134,7 +134,7 @@
 			if !tt.gone && silent.Valid() == nil {
 				t.Error("the session is valid after it was fenced")
 			}
-			if _, err := e.table.Commit(t.Context(), platform.Txn{Conditions: []platform.Condition{session}}); !errors.Is(err, platform.ErrConflict) {
+			if _, err := e.table.Commit(t.Context(), backing.Txn{Conditions: []backing.Condition{session}}); !errors.Is(err, backing.ErrConflict) {
 				t.Errorf("a write of the fenced session gave %v", err)
 			}
 			if err := silent.Tick(t.Context()); !errors.Is(err, member.ErrFenced) {
@@ -299,11 +299,11 @@
 
 // hook runs a function before each commit of a removal.
 type hook struct {
-	platform.Table
+	backing.Table
 	e *entries
 }
 
-func (h *hook) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (h *hook) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	for _, w := range txn.Writes {
 		if w.Delete && h.e.beforeRemoval != nil {
 			h.e.beforeRemoval()
--- a/control/member/registry.go
+++ b/control/member/registry.go
@@ -9,10 +9,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Times of sessions.
@@ -48,9 +48,9 @@
 type Options struct {
 	Self   control.Member // its ID is replaced by NewID at each Join
 	NewID  func() string
-	Table  platform.Table
-	VMs    platform.VMList // optional; without it fenced members count as dead
-	Caller rpc.Caller      // optional; renews through peers while the store is out of reach
+	Table  backing.Table
+	VMs    backing.VMList // optional; without it fenced members count as dead
+	Caller rpc.Caller     // optional; renews through peers while the store is out of reach
 	Clock  fleet.Clock
 	// MajorityTTL is the time without renewal after which members are fenced that
 	// together are the majority and whose VMs are still shown as live. 0 means
@@ -112,18 +112,18 @@
 }
 
 // Session returns the condition that holds while the session is not fenced.
-func (r *Registry) Session() platform.Condition {
+func (r *Registry) Session() backing.Condition {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.condition()
 }
 
-func (r *Registry) condition() platform.Condition {
+func (r *Registry) condition() backing.Condition {
 	if r.sessionVersion == 0 {
 		// No session row has this version, so the condition never holds.
-		return platform.Condition{Key: sessionBase + r.self.ID, Version: ^uint64(0)}
+		return backing.Condition{Key: sessionBase + r.self.ID, Version: ^uint64(0)}
 	}
-	return platform.Condition{Key: sessionBase + r.self.ID, Version: r.sessionVersion}
+	return backing.Condition{Key: sessionBase + r.self.ID, Version: r.sessionVersion}
 }
 
 // Valid returns nil while the session may be used, by the own clock.
@@ -242,7 +242,7 @@
 			return err
 		}
 	}
-	return fmt.Errorf("join: %w after %d attempts", platform.ErrConflict, joinAttempts)
+	return fmt.Errorf("join: %w after %d attempts", backing.ErrConflict, joinAttempts)
 }
 
 // begin takes a new id unless an earlier Join of it has not been completed.
@@ -277,12 +277,12 @@
 	}
 	key := sessionBase + self.ID
 	sent := r.o.Clock.Now()
-	versions, err := r.commit(ctx, platform.Txn{
+	versions, err := r.commit(ctx, backing.Txn{
 		ID:         "join/" + self.ID,
-		Conditions: []platform.Condition{{Key: key}},
-		Writes:     []platform.Write{{Key: key, Value: value}, {Key: heartbeatKey + self.ID, Value: beat}},
+		Conditions: []backing.Condition{{Key: key}},
+		Writes:     []backing.Write{{Key: key, Value: value}, {Key: heartbeatKey + self.ID, Value: beat}},
 	})
-	if errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, backing.ErrUnknown) || errors.Is(err, backing.ErrConflict) {
 		row, getErr := r.get(ctx, key)
 		if getErr == nil && row.Version > 0 {
 			versions, err = []uint64{row.Version}, nil
@@ -306,7 +306,7 @@
 		return err
 	}
 	var added []control.Member
-	var conditions []platform.Condition
+	var conditions []backing.Condition
 	for _, row := range rows {
 		var m control.Member
 		if err := cbor.Unmarshal(row.Value, &m); err != nil {
@@ -314,21 +314,21 @@
 		}
 		if _, ok := list.Find(m.ID); !ok {
 			added = append(added, m)
-			conditions = append(conditions, platform.Condition{Key: row.Key, Version: row.Version})
+			conditions = append(conditions, backing.Condition{Key: row.Key, Version: row.Version})
 		}
 	}
 	return r.store(ctx, "enter/"+r.Self().ID, list, list.with(added), conditions, nil)
 }
 
 // store replaces the list and installs it.
-func (r *Registry) store(ctx context.Context, id string, list, next List, conditions []platform.Condition, writes []platform.Write) error {
+func (r *Registry) store(ctx context.Context, id string, list, next List, conditions []backing.Condition, writes []backing.Write) error {
 	own, err := next.writes()
 	if err != nil {
 		return err
 	}
-	txn := platform.Txn{
+	txn := backing.Txn{
 		ID:         fmt.Sprintf("%s/%d", id, next.Version),
-		Conditions: append([]platform.Condition{list.Condition()}, conditions...),
+		Conditions: append([]backing.Condition{list.Condition()}, conditions...),
 		Writes:     append(own, writes...),
 	}
 	versions, err := r.commit(ctx, txn)
@@ -379,22 +379,22 @@
 		if err != nil {
 			return err
 		}
-		err = r.remove(ctx, list, []string{self.ID}, []platform.Condition{{Key: row.Key, Version: row.Version}}, nil)
+		err = r.remove(ctx, list, []string{self.ID}, []backing.Condition{{Key: row.Key, Version: row.Version}}, nil)
 		if err != nil && !retryable(err) {
 			return fmt.Errorf("leave: %w", err)
 		}
 	}
-	return fmt.Errorf("leave: %w after %d attempts", platform.ErrConflict, joinAttempts)
+	return fmt.Errorf("leave: %w after %d attempts", backing.ErrConflict, joinAttempts)
 }
 
 // remove deletes sessions and takes them from the list. fenced holds the list
 // versions that the members knew; it is nil for members that leave.
-func (r *Registry) remove(ctx context.Context, list List, ids []string, conditions []platform.Condition, fenced map[string]uint64) error {
+func (r *Registry) remove(ctx context.Context, list List, ids []string, conditions []backing.Condition, fenced map[string]uint64) error {
 	gone := map[string]bool{}
-	var writes []platform.Write
+	var writes []backing.Write
 	for _, id := range ids {
 		gone[id] = true
-		writes = append(writes, platform.Write{Key: sessionBase + id, Delete: true}, platform.Write{Key: heartbeatKey + id, Delete: true})
+		writes = append(writes, backing.Write{Key: sessionBase + id, Delete: true}, backing.Write{Key: heartbeatKey + id, Delete: true})
 	}
 	return r.store(ctx, "remove/"+r.Self().ID, list, list.without(gone, fenced != nil, fenced), conditions, writes)
 }
@@ -407,16 +407,16 @@
 }
 
 func retryable(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown)
+	return errors.Is(err, backing.ErrConflict) || errors.Is(err, backing.ErrUnknown)
 }
 
-func (r *Registry) get(ctx context.Context, key string) (platform.Row, error) {
+func (r *Registry) get(ctx context.Context, key string) (backing.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return r.o.Table.Get(ctx, key)
 }
 
-func (r *Registry) commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (r *Registry) commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	versions, err := r.o.Table.Commit(ctx, txn)
@@ -424,18 +424,18 @@
 }
 
 // CommitError returns the error of a commit, where the end of a context counts as
-// platform.ErrUnknown: the table may have got the transaction.
+// backing.ErrUnknown: the table may have got the transaction.
 func CommitError(err error) error {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return fmt.Errorf("%w: %w", backing.ErrUnknown, err)
 	}
 	return err
 }
 
 // rangeAll reads all rows with a prefix.
-func (r *Registry) rangeAll(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (r *Registry) rangeAll(ctx context.Context, prefix string) ([]backing.Row, error) {
 	const page = 500
-	var all []platform.Row
+	var all []backing.Row
 	after := ""
 	for {
 		rows, err := r.rangePage(ctx, prefix, after, page)
@@ -450,7 +450,7 @@
 	}
 }
 
-func (r *Registry) rangePage(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (r *Registry) rangePage(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return r.o.Table.Range(ctx, prefix, after, limit)
--- a/control/member/tick.go
+++ b/control/member/tick.go
@@ -9,9 +9,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 const (
@@ -104,11 +104,11 @@
 	r.mu.Unlock()
 	err := r.commitRenewal(ctx, id, req)
 	direct := err == nil
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, backing.ErrUnavailable) {
 		r.Outage()
 		err = r.renewThroughPeers(ctx, req, err)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, backing.ErrConflict) {
 		r.drop()
 		return ErrFenced
 	}
@@ -124,7 +124,7 @@
 		r.mu.Unlock()
 		return nil
 	}
-	return fmt.Errorf("renewed through a peer: %w", platform.ErrUnavailable)
+	return fmt.Errorf("renewed through a peer: %w", backing.ErrUnavailable)
 }
 
 func (r *Registry) commitRenewal(ctx context.Context, id string, req renewal) error {
@@ -132,10 +132,10 @@
 	if err != nil {
 		return fmt.Errorf("encode heartbeat: %w", err)
 	}
-	_, err = r.commit(ctx, platform.Txn{
+	_, err = r.commit(ctx, backing.Txn{
 		ID:         fmt.Sprintf("renew/%s/%d", id, req.Sequence),
-		Conditions: []platform.Condition{{Key: sessionBase + id, Version: req.Session}},
-		Writes:     []platform.Write{{Key: heartbeatKey + id, Value: value}},
+		Conditions: []backing.Condition{{Key: sessionBase + id, Version: req.Session}},
+		Writes:     []backing.Write{{Key: heartbeatKey + id, Value: value}},
 	})
 	return err
 }
@@ -145,7 +145,7 @@
 
 func (r *Registry) handleRenew(ctx context.Context, from string, req renewal) (struct{}, error) {
 	err := r.commitRenewal(ctx, from, req)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, backing.ErrConflict) {
 		return struct{}{}, &rpc.RemoteError{Code: codeFenced, Message: "the session row has been deleted"}
 	}
 	return struct{}{}, err
@@ -165,7 +165,7 @@
 		}
 		var remote *rpc.RemoteError
 		if errors.As(err, &remote) && remote.Code == codeFenced {
-			return platform.ErrConflict
+			return backing.ErrConflict
 		}
 		r.notVia(peer)
 	}
@@ -239,7 +239,7 @@
 // observe reads the heartbeats of the watched members. It returns the rows that
 // were not renewed for the TTL, and the list version that each member knows if
 // all rows were read.
-func (r *Registry) observe(ctx context.Context) ([]platform.Row, map[string]uint64, error) {
+func (r *Registry) observe(ctx context.Context) ([]backing.Row, map[string]uint64, error) {
 	rows, all, err := r.readHeartbeats(ctx)
 	if err != nil {
 		return nil, nil, fmt.Errorf("read heartbeats: %w", err)
@@ -257,7 +257,7 @@
 }
 
 // listVersions returns the list version in each heartbeat by member id.
-func listVersions(rows []platform.Row) (map[string]uint64, error) {
+func listVersions(rows []backing.Row) (map[string]uint64, error) {
 	versions := make(map[string]uint64, len(rows))
 	for _, row := range rows {
 		var beat heartbeat
@@ -271,7 +271,7 @@
 
 // readHeartbeats reads all rows if a member is silent or new, and those of the
 // successors otherwise.
-func (r *Registry) readHeartbeats(ctx context.Context) (rows []platform.Row, all bool, err error) {
+func (r *Registry) readHeartbeats(ctx context.Context) (rows []backing.Row, all bool, err error) {
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	self := r.self.ID
@@ -292,7 +292,7 @@
 
 // note records the versions of the rows and returns those that have not changed
 // for more than a renewal period and a half.
-func (r *Registry) note(rows []platform.Row) []platform.Row {
+func (r *Registry) note(rows []backing.Row) []backing.Row {
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -300,7 +300,7 @@
 	if w.began.IsZero() {
 		w.began = now
 	}
-	var suspicious []platform.Row
+	var suspicious []backing.Row
 	seen := map[string]observation{}
 	for _, row := range rows {
 		id := strings.TrimPrefix(row.Key, heartbeatKey)
@@ -340,11 +340,11 @@
 
 // expired returns the rows that were not renewed for the TTL, or for fenceGone
 // if the VM is gone.
-func (r *Registry) expired(rows []platform.Row) []platform.Row {
+func (r *Registry) expired(rows []backing.Row) []backing.Row {
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var expired []platform.Row
+	var expired []backing.Row
 	for _, row := range rows {
 		id := strings.TrimPrefix(row.Key, heartbeatKey)
 		limit := TTL
@@ -360,7 +360,7 @@
 
 // fence ends the sessions of silent members. The transaction fails if one of
 // them has renewed or has been fenced since it was observed.
-func (r *Registry) fence(ctx context.Context, silent []platform.Row) error {
+func (r *Registry) fence(ctx context.Context, silent []backing.Row) error {
 	list, err := r.Refresh(ctx)
 	if err != nil {
 		return err
@@ -368,7 +368,7 @@
 	if silent = r.mayFence(list, silent); len(silent) == 0 {
 		return nil
 	}
-	conditions := []platform.Condition{r.Session()}
+	conditions := []backing.Condition{r.Session()}
 	var ids []string
 	known, err := listVersions(silent)
 	if err != nil {
@@ -382,8 +382,8 @@
 		}
 		ids = append(ids, id)
 		conditions = append(conditions,
-			platform.Condition{Key: session.Key, Version: session.Version},
-			platform.Condition{Key: beat.Key, Version: beat.Version})
+			backing.Condition{Key: session.Key, Version: session.Version},
+			backing.Condition{Key: beat.Key, Version: beat.Version})
 	}
 	err = r.remove(ctx, list, ids, conditions, known)
 	if err != nil && !retryable(err) {
@@ -397,10 +397,10 @@
 // member that has been settled for the TTL: otherwise they may be the majority,
 // or may have been until lately, and go on by an outage agreement on a list that
 // does not name this entry.
-func (r *Registry) mayFence(list List, silent []platform.Row) []platform.Row {
+func (r *Registry) mayFence(list List, silent []backing.Row) []backing.Row {
 	now := r.o.Clock.Now()
 	half := r.settledFor(now) >= TTL && r.halfRenew(list)
-	var may []platform.Row
+	var may []backing.Row
 	for _, row := range silent {
 		id := strings.TrimPrefix(row.Key, heartbeatKey)
 		e, listed := list.Find(id)
@@ -458,7 +458,7 @@
 	if !changed {
 		return nil
 	}
-	err := r.store(ctx, "settle/"+r.Self().ID, list, next, []platform.Condition{r.Session()}, nil)
+	err := r.store(ctx, "settle/"+r.Self().ID, list, next, []backing.Condition{r.Session()}, nil)
 	if err != nil && !retryable(err) {
 		return fmt.Errorf("settle members: %w", err)
 	}
--- a/control/pools/budget.go
+++ b/control/pools/budget.go
@@ -7,8 +7,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Cause is why a VM is unavailable.
@@ -157,7 +157,7 @@
 	return byPool, byDC, err
 }
 
-func readBudgets[K ~string](ctx context.Context, table platform.Table, prefix string) (map[K]Budget, error) {
+func readBudgets[K ~string](ctx context.Context, table backing.Table, prefix string) (map[K]Budget, error) {
 	out := map[K]Budget{}
 	err := ReadRows(ctx, table, prefix, func(name string, value []byte) error {
 		var b Budget
--- a/control/pools/cache.go
+++ b/control/pools/cache.go
@@ -8,13 +8,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // CacheOptions configures a cache.
 type CacheOptions struct {
-	Table platform.Table
+	Table backing.Table
 	Clock fleet.Clock
 	// DataCentre is the only one whose assignments are read; "" reads all.
 	DataCentre fleet.DataCentreName
@@ -90,16 +90,16 @@
 	return c.readAt
 }
 
-func (c *Cache) read(ctx context.Context) ([]platform.Row, error) {
+func (c *Cache) read(ctx context.Context) ([]backing.Row, error) {
 	if c.options.DataCentre != "" {
 		key := AssignmentPrefix + string(c.options.DataCentre)
 		r, err := c.options.Table.Get(ctx, key)
 		if err != nil {
 			return nil, fmt.Errorf("read row %q: %w", key, err)
 		}
-		return []platform.Row{r}, nil
+		return []backing.Row{r}, nil
 	}
-	var all []platform.Row
+	var all []backing.Row
 	for after := ""; ; {
 		rows, err := c.options.Table.Range(ctx, AssignmentPrefix, after, pageSize)
 		if err != nil {
@@ -113,7 +113,7 @@
 	}
 }
 
-func (c *Cache) apply(rows []platform.Row, started time.Time) error {
+func (c *Cache) apply(rows []backing.Row, started time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changed := false
--- a/control/pools/controller.go
+++ b/control/pools/controller.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Defaults of the controller.
@@ -28,7 +28,7 @@
 // Role is what the controller needs of its role.
 type Role interface {
 	Tick(ctx context.Context) error
-	Conditions() ([]platform.Condition, error)
+	Conditions() ([]backing.Condition, error)
 	Held() error
 }
 
@@ -37,8 +37,8 @@
 	Ledger      *Ledger
 	Role        Role
 	View        control.View
-	VMList      platform.VMList
-	VMs         platform.VMs
+	VMList      backing.VMList
+	VMs         backing.VMs
 	Dispatch    Dispatch
 	Clock       fleet.Clock
 	GoneAfter   time.Duration
@@ -98,7 +98,7 @@
 
 // reconcile compares the listing with the rows and writes the rows of the data
 // centres that differ.
-func (c *Controller) reconcile(ctx context.Context, listing platform.VMListing, known assignments, budgets map[fleet.DataCentreName]Budget) error {
+func (c *Controller) reconcile(ctx context.Context, listing backing.VMListing, known assignments, budgets map[fleet.DataCentreName]Budget) error {
 	listed := map[fleet.DataCentreName]map[fleet.VMID]fleet.VM{}
 	for dc := range known {
 		listed[dc] = map[fleet.VMID]fleet.VM{}
--- a/control/pools/ledger.go
+++ b/control/pools/ledger.go
@@ -10,9 +10,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // attempts bounds how often a transaction is tried again after a conflict.
@@ -32,7 +32,7 @@
 
 // LedgerOptions configures a ledger.
 type LedgerOptions struct {
-	Table platform.Table
+	Table backing.Table
 	View  control.View
 	Clock fleet.Clock
 }
@@ -46,7 +46,7 @@
 
 // Guard returns conditions that the transaction requires besides the rows that
 // it read. It is called for each attempt.
-type Guard func() ([]platform.Condition, error)
+type Guard func() ([]backing.Condition, error)
 
 // Change is a transaction on the rows of one data centre. All that it reads is
 // a condition of its commit.
@@ -73,7 +73,7 @@
 	var last error
 	for range attempts {
 		c := &Change{ledger: l, ctx: ctx, dataCentre: dc, now: l.options.Clock.Now(), rows: map[string]*row{}}
-		var conditions []platform.Condition
+		var conditions []backing.Condition
 		if guard != nil {
 			var err error
 			if conditions, err = guard(); err != nil {
@@ -84,11 +84,11 @@
 			return err
 		}
 		last = c.commit(conditions)
-		if !errors.Is(last, platform.ErrConflict) && !errors.Is(last, platform.ErrUnknown) {
+		if !errors.Is(last, backing.ErrConflict) && !errors.Is(last, backing.ErrUnknown) {
 			return last
 		}
 	}
-	if errors.Is(last, platform.ErrConflict) {
+	if errors.Is(last, backing.ErrConflict) {
 		return fmt.Errorf("%w: data centre %q", ErrContended, dc)
 	}
 	return last
@@ -124,7 +124,7 @@
 
 // ReadRows reads all rows with a prefix in pages and passes each with its key
 // without the prefix to fn.
-func ReadRows(ctx context.Context, table platform.Table, prefix string, fn func(name string, value []byte) error) error {
+func ReadRows(ctx context.Context, table backing.Table, prefix string, fn func(name string, value []byte) error) error {
 	for after := ""; ; {
 		rows, err := table.Range(ctx, prefix, after, pageSize)
 		if err != nil {
@@ -177,11 +177,11 @@
 // Store marks a loaded row as changed.
 func (c *Change) Store(key string) { c.rows[key].dirty = true }
 
-func (c *Change) commit(conditions []platform.Condition) error {
-	txn := platform.Txn{ID: uuid.NewString(), Conditions: conditions}
+func (c *Change) commit(conditions []backing.Condition) error {
+	txn := backing.Txn{ID: uuid.NewString(), Conditions: conditions}
 	for _, key := range c.order {
 		r := c.rows[key]
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: r.version})
+		txn.Conditions = append(txn.Conditions, backing.Condition{Key: key, Version: r.version})
 		if !r.dirty {
 			continue
 		}
@@ -189,7 +189,7 @@
 		if err != nil {
 			return fmt.Errorf("encode row %q: %w", key, err)
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: value})
+		txn.Writes = append(txn.Writes, backing.Write{Key: key, Value: value})
 	}
 	if len(txn.Writes) == 0 {
 		return nil
--- a/control/pools/moves.go
+++ b/control/pools/moves.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Errors of moves.
@@ -156,7 +156,7 @@
 	if err := c.options.Role.Held(); err != nil {
 		return err
 	}
-	if err := c.options.VMs.Drain(ctx, vm); err != nil && !errors.Is(err, platform.ErrUnknown) {
+	if err := c.options.VMs.Drain(ctx, vm); err != nil && !errors.Is(err, backing.ErrUnknown) {
 		return fmt.Errorf("drain VM %q: %w", vm, err)
 	}
 	idle, err := c.options.Dispatch.Idle(vm)
--- a/control/pools/pools_test.go
+++ b/control/pools/pools_test.go
@@ -10,13 +10,13 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/pools"
 	"amaranthfork.example/control/pools/poolstest"
 	"amaranthfork.example/control/role"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -137,7 +137,7 @@
 			failures := 2
 			w.Hook = func(_ *poolstest.Entry, op string) error {
 				if failures--; op == "release" && failures >= 0 {
-					return platform.ErrUnavailable
+					return backing.ErrUnavailable
 				} else if op != "release" {
 					failures++
 				}
@@ -411,13 +411,13 @@
 			c.step()
 		}
 		if op == "drain" || op == "release" {
-			return platform.ErrUnavailable // the call's time has run out
+			return backing.ErrUnavailable // the call's time has run out
 		}
 	case 4:
 		e.Faults.LoseAnswers(1)
 		e.LoseAnswers = 1
 	case 5:
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	return nil
 }
--- a/control/pools/poolstest/entry.go
+++ b/control/pools/poolstest/entry.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 // Entry is one entry process as seen by its controllers: it is their table,
@@ -20,13 +20,13 @@
 	// Expired makes the own lease invalid by the own clock.
 	Expired bool
 	// LoseAnswers makes the next calls to the VMs take effect and return
-	// platform.ErrUnknown.
+	// backing.ErrUnknown.
 	LoseAnswers int
 	// ReadBytes counts the bytes of the rows that the entry has read.
 	ReadBytes int
 
 	table   *memory.Table
-	session platform.Condition
+	session backing.Condition
 }
 
 // Join starts an entry with a new session.
@@ -34,11 +34,11 @@
 	e := &Entry{World: w, ID: id, Faults: &memory.Faults{}}
 	e.table = w.Table.Via(e.Faults)
 	key := "session/" + id
-	versions, err := w.Table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(id)}}})
+	versions, err := w.Table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: key, Value: []byte(id)}}})
 	if err != nil {
 		panic(err) // the base table has no faults
 	}
-	e.session = platform.Condition{Key: key, Version: versions[0]}
+	e.session = backing.Condition{Key: key, Version: versions[0]}
 	w.members.Version++
 	w.members.List = append(w.members.List[:len(w.members.List):len(w.members.List)], e.Self())
 	return e
@@ -47,7 +47,7 @@
 // Fence ends the session of an entry and removes it from the member list.
 func (w *World) Fence(e *Entry) {
 	e.Expired = true
-	_, err := w.Table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: e.session.Key, Delete: true}}})
+	_, err := w.Table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: e.session.Key, Delete: true}}})
 	if err != nil {
 		panic(err) // the base table has no faults
 	}
@@ -75,11 +75,11 @@
 }
 
 // Session returns the condition that fences the session's writes.
-func (e *Entry) Session() platform.Condition { return e.session }
+func (e *Entry) Session() backing.Condition { return e.session }
 
 func (e *Entry) pass(ctx context.Context, op string) error {
 	if e.Dead || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	if e.World.Hook == nil {
 		return nil
@@ -88,15 +88,15 @@
 		return err
 	}
 	if e.Dead {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	return nil
 }
 
 // Get reads a row.
-func (e *Entry) Get(ctx context.Context, key string) (platform.Row, error) {
+func (e *Entry) Get(ctx context.Context, key string) (backing.Row, error) {
 	if err := e.pass(ctx, "get"); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	row, err := e.table.Get(ctx, key)
 	e.ReadBytes += len(row.Key) + len(row.Value)
@@ -104,7 +104,7 @@
 }
 
 // Range reads rows.
-func (e *Entry) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (e *Entry) Range(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	if err := e.pass(ctx, "range"); err != nil {
 		return nil, err
 	}
@@ -116,7 +116,7 @@
 }
 
 // Commit applies a transaction and audits the rows after it.
-func (e *Entry) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (e *Entry) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	if err := e.pass(ctx, "commit"); err != nil {
 		return nil, err
 	}
@@ -126,9 +126,9 @@
 }
 
 // List returns the lagging VM list.
-func (e *Entry) List(ctx context.Context) (platform.VMListing, error) {
+func (e *Entry) List(ctx context.Context) (backing.VMListing, error) {
 	if err := e.pass(ctx, "list"); err != nil {
-		return platform.VMListing{}, err
+		return backing.VMListing{}, err
 	}
 	return e.World.history[0], nil
 }
@@ -163,14 +163,14 @@
 	}
 	m, ok := e.World.vms[vm]
 	if !ok || m.vm.State == fleet.VMGone {
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	if err := fn(m); err != nil {
 		return err
 	}
 	if e.LoseAnswers > 0 {
 		e.LoseAnswers--
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return nil
 }
--- a/control/pools/poolstest/world.go
+++ b/control/pools/poolstest/world.go
@@ -9,12 +9,12 @@
 	"sort"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/pools"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 // World is the platform and the entries. It is not safe for concurrent use:
@@ -37,7 +37,7 @@
 	Reboots map[fleet.VMID]int
 
 	vms     map[fleet.VMID]*machine
-	history []platform.VMListing
+	history []backing.VMListing
 	members control.Members
 	audited audited
 }
@@ -115,7 +115,7 @@
 // Step lets time pass: reboots and tasks end and a listing is taken.
 func (w *World) Step(d time.Duration) {
 	w.Time = w.Time.Add(d)
-	listing := platform.VMListing{AsOf: w.Time}
+	listing := backing.VMListing{AsOf: w.Time}
 	for _, id := range w.IDs() {
 		m := w.vms[id]
 		if !m.upAt.IsZero() && !w.Time.Before(m.upAt) {
@@ -175,7 +175,7 @@
 func (w *World) reboot(vm fleet.VMID) error {
 	m, ok := w.vms[vm]
 	if !ok || m.vm.State == fleet.VMGone {
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	if state := w.audited.vms[vm].State; state != pools.StateMaintenance {
 		w.violate("reboot of VM %s, which is %s", vm, state)
--- a/control/role/role.go
+++ b/control/role/role.go
@@ -14,8 +14,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/sharding"
 )
 
@@ -28,7 +28,7 @@
 // Options configures a role.
 type Options struct {
 	Name       string
-	Table      platform.Table
+	Table      backing.Table
 	Membership control.Membership
 }
 
@@ -87,7 +87,7 @@
 
 // Conditions returns what every transaction of the role must require. It
 // returns ErrNotHeld, or the refusal of an invalid session.
-func (r *Role) Conditions() ([]platform.Condition, error) {
+func (r *Role) Conditions() ([]backing.Condition, error) {
 	if err := r.options.Membership.Valid(); err != nil {
 		return nil, err
 	}
@@ -96,7 +96,7 @@
 	if r.version == 0 {
 		return nil, fmt.Errorf("%w: %s", ErrNotHeld, r.options.Name)
 	}
-	return []platform.Condition{{Key: r.key(), Version: r.version}}, nil
+	return []backing.Condition{{Key: r.key(), Version: r.version}}, nil
 }
 
 // Held returns nil while the role may be used. Calls that no transaction
@@ -129,12 +129,12 @@
 	return err
 }
 
-func (r *Role) take(ctx context.Context, row platform.Row, next holder) error {
+func (r *Role) take(ctx context.Context, row backing.Row, next holder) error {
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		return fmt.Errorf("encode role %q: %w", r.options.Name, err)
 	}
-	conditions := []platform.Condition{
+	conditions := []backing.Condition{
 		{Key: r.key(), Version: row.Version},
 		r.options.Membership.Session(),
 	}
@@ -142,9 +142,9 @@
 	switch {
 	case err == nil:
 		r.set(versions[0], next.Epoch)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, backing.ErrConflict):
 		return nil // another entry was faster
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, backing.ErrUnknown):
 		r.doubt()
 		return r.readBack(ctx)
 	}
@@ -160,15 +160,15 @@
 	return err
 }
 
-func (r *Role) commit(ctx context.Context, conditions []platform.Condition, value []byte) ([]uint64, error) {
-	return r.options.Table.Commit(ctx, platform.Txn{
+func (r *Role) commit(ctx context.Context, conditions []backing.Condition, value []byte) ([]uint64, error) {
+	return r.options.Table.Commit(ctx, backing.Txn{
 		ID:         uuid.NewString(),
 		Conditions: conditions,
-		Writes:     []platform.Write{{Key: r.key(), Value: value}},
+		Writes:     []backing.Write{{Key: r.key(), Value: value}},
 	})
 }
 
-func (r *Role) read(ctx context.Context) (platform.Row, holder, error) {
+func (r *Role) read(ctx context.Context) (backing.Row, holder, error) {
 	row, err := r.options.Table.Get(ctx, r.key())
 	if err != nil {
 		return row, holder{}, fmt.Errorf("read role %q: %w", r.options.Name, err)
--- a/control/role/role_test.go
+++ b/control/role/role_test.go
@@ -9,12 +9,12 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/pools/poolstest"
 	"amaranthfork.example/control/role"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -40,9 +40,9 @@
 	}
 	epoch := a.role.Epoch()
 	pause()
-	_, err = a.entry.Commit(context.Background(), platform.Txn{
+	_, err = a.entry.Commit(context.Background(), backing.Txn{
 		Conditions: conditions,
-		Writes:     []platform.Write{{Key: "work", Value: []byte(fmt.Sprint(epoch))}},
+		Writes:     []backing.Write{{Key: "work", Value: []byte(fmt.Sprint(epoch))}},
 	})
 	if err == nil {
 		a.acted = epoch
@@ -68,7 +68,7 @@
 			t.Fatalf("role not taken over after fencing: %v, %v", err, b.role.Held())
 		}
 	})
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, backing.ErrConflict) {
 		t.Fatalf("paused holder's commit returned %v", err)
 	}
 	if a.role.Held() == nil {
@@ -103,12 +103,12 @@
 	a, committed := join(w, 2), false
 	w.Hook = func(_ *poolstest.Entry, op string) error {
 		if committed = committed || op == "commit"; committed && op == "get" {
-			return platform.ErrUnavailable
+			return backing.ErrUnavailable
 		}
 		return nil
 	}
 	a.entry.Faults.LoseAnswers(1)
-	if err := a.role.Tick(ctx); !errors.Is(err, platform.ErrUnavailable) || a.role.Held() == nil {
+	if err := a.role.Tick(ctx); !errors.Is(err, backing.ErrUnavailable) || a.role.Held() == nil {
 		t.Fatalf("role in doubt counts as held: %v", err)
 	}
 	w.Hook = nil
--- a/control/shards/manager.go
+++ b/control/shards/manager.go
@@ -10,8 +10,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/sharding"
 )
 
@@ -38,7 +38,7 @@
 
 // Options of a Manager. Zero numbers take defaults.
 type Options struct {
-	Table      platform.Table
+	Table      backing.Table
 	Membership control.Membership
 	Handoff    Handoff
 	Count      int // shards, when the map is made for the first time
@@ -248,12 +248,12 @@
 	m.mu.Lock()
 	version := m.version
 	m.mu.Unlock()
-	versions, err := m.options.Table.Commit(ctx, platform.Txn{
+	versions, err := m.options.Table.Commit(ctx, backing.Txn{
 		ID:         m.options.TxnID(),
-		Conditions: []platform.Condition{m.options.Membership.Session(), {Key: Key, Version: version}},
-		Writes:     []platform.Write{{Key: Key, Value: value}},
+		Conditions: []backing.Condition{m.options.Membership.Session(), {Key: Key, Version: version}},
+		Writes:     []backing.Write{{Key: Key, Value: value}},
 	})
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, backing.ErrConflict) || errors.Is(err, backing.ErrUnknown) {
 		return m.read(ctx)
 	}
 	if err != nil {
--- a/control/shards/shards_test.go
+++ b/control/shards/shards_test.go
@@ -11,10 +11,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 func TestMain(m *testing.M) { os.Exit(fleettest.RunSeeded(m, nil)) }
@@ -37,11 +37,11 @@
 
 // racingTable lets other members act between the read and the write of one.
 type racingTable struct {
-	platform.Table
+	backing.Table
 	race func()
 }
 
-func (r *racingTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (r *racingTable) Commit(ctx context.Context, txn backing.Txn) ([]uint64, error) {
 	if r.race != nil {
 		r.race()
 	}
@@ -53,7 +53,7 @@
 	c       *cluster
 	id      string
 	faults  *memory.Faults
-	session platform.Condition
+	session backing.Condition
 	seen    control.Members // may lag
 	valid   bool
 	manager *Manager
@@ -64,9 +64,9 @@
 	ticking   bool
 }
 
-func (n *node) Self() control.Member        { return control.Member{ID: n.id} }
-func (n *node) Members() control.Members    { return n.seen }
-func (n *node) Session() platform.Condition { return n.session }
+func (n *node) Self() control.Member       { return control.Member{ID: n.id} }
+func (n *node) Members() control.Members   { return n.seen }
+func (n *node) Session() backing.Condition { return n.session }
 
 func (n *node) Valid() error {
 	if !n.valid {
@@ -150,11 +150,11 @@
 	n := &node{c: c, id: fmt.Sprint("n", c.born), faults: &memory.Faults{}, valid: true, state: map[int]int{}}
 	c.kept[n.id] = map[int]int{}
 	key := "session/" + n.id
-	versions, err := c.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key}}})
+	versions, err := c.table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: key}}})
 	if err != nil {
 		c.fail("%v", err)
 	}
-	n.session = platform.Condition{Key: key, Version: versions[0]}
+	n.session = backing.Condition{Key: key, Version: versions[0]}
 	n.manager = New(Options{Table: &racingTable{c.table.Via(n.faults), c.beforeCommit}, Membership: n, Handoff: n, Count: 32, MaxMoving: 2})
 	c.nodes = append(c.nodes, n)
 	c.members.Version++
@@ -175,7 +175,7 @@
 // remove fences a session; its node stays and does not know it yet, but its
 // lease has run out.
 func (c *cluster) remove(n *node) {
-	_, err := c.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: n.session.Key, Delete: true}}})
+	_, err := c.table.Commit(context.Background(), backing.Txn{Writes: []backing.Write{{Key: n.session.Key, Delete: true}}})
 	if err != nil {
 		c.fail("%v", err)
 	}
--- a/control/slots/concurrent_test.go
+++ b/control/slots/concurrent_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // locked serialises the calls of the fake platform.
@@ -19,31 +19,31 @@
 	*world
 }
 
-func (l *locked) Acquire(ctx context.Context, vm fleet.VMID, lease platform.Lease, ttl time.Duration) error {
+func (l *locked) Acquire(ctx context.Context, vm fleet.VMID, lease backing.Lease, ttl time.Duration) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.world.Acquire(ctx, vm, lease, ttl)
 }
 
-func (l *locked) Start(ctx context.Context, vm fleet.VMID, lease platform.Lease, task platform.Task) error {
+func (l *locked) Start(ctx context.Context, vm fleet.VMID, lease backing.Lease, task backing.Task) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.world.Start(ctx, vm, lease, task)
 }
 
-func (l *locked) Tasks(ctx context.Context, vm fleet.VMID, lease platform.Lease) ([]platform.TaskStatus, error) {
+func (l *locked) Tasks(ctx context.Context, vm fleet.VMID, lease backing.Lease) ([]backing.TaskStatus, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.world.Tasks(ctx, vm, lease)
 }
 
-func (l *locked) Forget(ctx context.Context, vm fleet.VMID, lease platform.Lease, ids []fleet.AttemptID) error {
+func (l *locked) Forget(ctx context.Context, vm fleet.VMID, lease backing.Lease, ids []fleet.AttemptID) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.world.Forget(ctx, vm, lease, ids)
 }
 
-func (l *locked) Stop(ctx context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
+func (l *locked) Stop(ctx context.Context, vm fleet.VMID, lease backing.Lease, id fleet.AttemptID) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.world.Stop(ctx, vm, lease, id)
--- a/control/slots/dispatcher.go
+++ b/control/slots/dispatcher.go
@@ -6,10 +6,10 @@
 	"sort"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/sharding"
 )
 
@@ -58,7 +58,7 @@
 		return fault{}
 	case errors.As(err, &refusal):
 		return fault{Reason: refusal.Reason, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter}
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrNotFound):
 		return fault{NotFound: true, Detail: err.Error()}
 	default:
 		return fault{Detail: err.Error()}
@@ -70,7 +70,7 @@
 	case f.Reason != "":
 		return &fleet.Refusal{Reason: f.Reason, Detail: f.Detail, RetryAfter: f.RetryAfter}
 	case f.NotFound:
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	case f.Detail != "":
 		return errors.New(f.Detail)
 	default:
@@ -80,7 +80,7 @@
 
 type startRequest struct {
 	Reservation control.Reservation `cbor:"1,keyasint"`
-	Task        platform.Task       `cbor:"2,keyasint"`
+	Task        backing.Task        `cbor:"2,keyasint"`
 }
 
 type attemptRequest struct {
@@ -89,9 +89,9 @@
 }
 
 type lookupResponse struct {
-	Status platform.TaskStatus `cbor:"1,keyasint"`
-	End    *control.TaskEnd    `cbor:"2,keyasint,omitempty"`
-	Known  bool                `cbor:"3,keyasint"`
+	Status backing.TaskStatus `cbor:"1,keyasint"`
+	End    *control.TaskEnd   `cbor:"2,keyasint,omitempty"`
+	Known  bool               `cbor:"3,keyasint"`
 }
 
 func (s *Slots) register(router *rpc.Router) {
@@ -239,7 +239,7 @@
 }
 
 // Start implements control.Dispatcher.
-func (s *Slots) Start(ctx context.Context, res control.Reservation, task platform.Task) error {
+func (s *Slots) Start(ctx context.Context, res control.Reservation, task backing.Task) error {
 	if res.Owner == s.self {
 		return s.startLocal(ctx, res, task)
 	}
@@ -290,7 +290,7 @@
 
 // Lookup implements control.Dispatcher. A VM that has been missing from the VM
 // list for longer than its tasks can run without a lease counts as lost.
-func (s *Slots) Lookup(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) (platform.TaskStatus, *control.TaskEnd, bool) {
+func (s *Slots) Lookup(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) (backing.TaskStatus, *control.TaskEnd, bool) {
 	owner := s.ownerOf(vm)
 	switch owner {
 	case s.self:
@@ -303,7 +303,7 @@
 	defer cancel()
 	var response lookupResponse
 	if err := s.o.Caller.Call(ctx, owner, methodLookup, attemptRequest{vm, attempt}, &response); err != nil {
-		return platform.TaskStatus{}, nil, false
+		return backing.TaskStatus{}, nil, false
 	}
 	return response.Status, response.End, response.Known
 }
@@ -318,19 +318,19 @@
 	return s.shardMapNow().owner(vm, entry.DataCentre)
 }
 
-func (s *Slots) lookupMissing(vm fleet.VMID, attempt fleet.AttemptID) (platform.TaskStatus, *control.TaskEnd, bool) {
+func (s *Slots) lookupMissing(vm fleet.VMID, attempt fleet.AttemptID) (backing.TaskStatus, *control.TaskEnd, bool) {
 	s.mu.Lock()
 	defer s.unlock()
 	now := s.o.Clock.Now()
 	since, ok := s.missing[vm]
 	if !ok {
 		s.missing[vm] = now
-		return platform.TaskStatus{}, nil, false
+		return backing.TaskStatus{}, nil, false
 	}
 	if now.Sub(since) < lostAfter || now.Sub(s.listedAt) > listUse {
-		return platform.TaskStatus{}, nil, false
+		return backing.TaskStatus{}, nil, false
 	}
-	return platform.TaskStatus{}, &control.TaskEnd{Attempt: attempt, VM: vm, Detail: "VM gone"}, true
+	return backing.TaskStatus{}, &control.TaskEnd{Attempt: attempt, VM: vm, Detail: "VM gone"}, true
 }
 
 // VMStatus asks the owner of a VM for its state.
--- a/control/slots/ends.go
+++ b/control/slots/ends.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Intervals at which an end is reported again until it is acknowledged.
@@ -32,7 +32,7 @@
 	ended bool // ran and was acknowledged
 }
 
-func endOf(vm fleet.VMID, status platform.TaskStatus) control.TaskEnd {
+func endOf(vm fleet.VMID, status backing.TaskStatus) control.TaskEnd {
 	return control.TaskEnd{
 		Job: status.Job, Attempt: status.ID, Step: status.Step, VM: vm,
 		State: status.State, Body: status.Body, Detail: status.Detail, Usage: status.Usage,
@@ -130,7 +130,7 @@
 func (s *Slots) forgetAcked(ctx context.Context) {
 	type batch struct {
 		v     *ownedVM
-		lease platform.Lease
+		lease backing.Lease
 		ids   []fleet.AttemptID
 	}
 	s.mu.Lock()
@@ -149,7 +149,7 @@
 			continue
 		}
 		if byVM[v.id] == nil {
-			byVM[v.id] = &batch{v: v, lease: platform.Lease{Holder: s.self, Epoch: v.epoch}}
+			byVM[v.id] = &batch{v: v, lease: backing.Lease{Holder: s.self, Epoch: v.epoch}}
 		}
 		byVM[v.id].ids = append(byVM[v.id].ids, id)
 	}
--- a/control/slots/fakes_test.go
+++ b/control/slots/fakes_test.go
@@ -10,13 +10,13 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 )
 
@@ -30,10 +30,10 @@
 type worker struct {
 	world   *world
 	vm      fleet.VM
-	lease   platform.Lease
+	lease   backing.Lease
 	highest uint64
 	expires time.Time
-	tasks   map[fleet.AttemptID]*platform.TaskStatus
+	tasks   map[fleet.AttemptID]*backing.TaskStatus
 	down    bool
 	lose    int  // answers of the next calls
 	hold    bool // the next start stays in the network
@@ -43,8 +43,8 @@
 // heldStart is a start that the caller has given up on.
 type heldStart struct {
 	worker *worker
-	lease  platform.Lease
-	task   platform.Task
+	lease  backing.Lease
+	task   backing.Task
 	sent   time.Time
 }
 
@@ -95,7 +95,7 @@
 				ID: id, DataCentre: dc, Rack: fleet.RackName(fmt.Sprintf("%s-r%d", dc, i/4)), State: fleet.VMLive,
 				Slots: 2, Capacity: fleet.Resources{MilliCPU: 4000, MemoryMB: 8192},
 			}
-			w.workers[id] = &worker{world: w, vm: vm, tasks: map[fleet.AttemptID]*platform.TaskStatus{}}
+			w.workers[id] = &worker{world: w, vm: vm, tasks: map[fleet.AttemptID]*backing.TaskStatus{}}
 			w.assigned[id] = Assignment{Pool: "p", State: placement.Active}
 			w.vmIDs = append(w.vmIDs, id)
 		}
@@ -109,8 +109,8 @@
 
 func (w *world) Assignment(vm fleet.VMID) (Assignment, bool) { a, ok := w.assigned[vm]; return a, ok }
 
-func (w *world) List(context.Context) (platform.VMListing, error) {
-	listing := platform.VMListing{AsOf: w.clock.now}
+func (w *world) List(context.Context) (backing.VMListing, error) {
+	listing := backing.VMListing{AsOf: w.clock.now}
 	for _, id := range w.vmIDs {
 		listing.VMs = append(listing.VMs, w.workers[id].vm)
 	}
@@ -135,15 +135,15 @@
 
 func (k *worker) stopAll() {
 	for _, task := range k.tasks {
-		if task.State == platform.TaskRunning {
-			task.State = platform.TaskStopped
+		if task.State == backing.TaskRunning {
+			task.State = backing.TaskStopped
 		}
 	}
 }
 
 func (w *world) running(id fleet.AttemptID) bool {
 	for _, k := range w.workers {
-		if task, ok := k.tasks[id]; ok && task.State == platform.TaskRunning {
+		if task, ok := k.tasks[id]; ok && task.State == backing.TaskRunning {
 			return true
 		}
 	}
@@ -160,7 +160,7 @@
 
 func (k *worker) reach() error {
 	if k.down {
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	return nil
 }
@@ -168,19 +168,19 @@
 func (k *worker) answer() error {
 	if k.lose > 0 {
 		k.lose--
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return nil
 }
 
-func (k *worker) accept(lease platform.Lease) error {
+func (k *worker) accept(lease backing.Lease) error {
 	if lease != k.lease || lease.Epoch < k.highest || !k.world.clock.now.Before(k.expires) {
-		return platform.ErrFenced
+		return backing.ErrFenced
 	}
 	return nil
 }
 
-func (k *worker) start(lease platform.Lease, task platform.Task, sent time.Time) error {
+func (k *worker) start(lease backing.Lease, task backing.Task, sent time.Time) error {
 	w := k.world
 	if err := k.accept(lease); err != nil {
 		return err
@@ -190,7 +190,7 @@
 	}
 	used, need := 1, task.Need
 	for _, other := range k.tasks {
-		if other.State == platform.TaskRunning {
+		if other.State == backing.TaskRunning {
 			used++
 			need = need.Add(other.Need)
 		}
@@ -210,32 +210,32 @@
 		w.failf("%s started on %s, which is draining", task.ID, k.vm.ID)
 	}
 	w.started[task.ID] = k.vm.ID
-	k.tasks[task.ID] = &platform.TaskStatus{ID: task.ID, Job: task.Job, State: platform.TaskRunning, Need: task.Need}
+	k.tasks[task.ID] = &backing.TaskStatus{ID: task.ID, Job: task.Job, State: backing.TaskRunning, Need: task.Need}
 	return nil
 }
 
 func (w *world) worker(vm fleet.VMID) *worker { return w.workers[vm] }
 
-func (w *world) Acquire(_ context.Context, vm fleet.VMID, lease platform.Lease, ttl time.Duration) error {
+func (w *world) Acquire(_ context.Context, vm fleet.VMID, lease backing.Lease, ttl time.Duration) error {
 	k := w.worker(vm)
 	if err := k.reach(); err != nil {
 		return err
 	}
 	live := w.clock.now.Before(k.expires)
 	if lease.Epoch < k.highest || lease.Epoch == k.highest && lease.Holder != k.lease.Holder && live {
-		return platform.ErrFenced
+		return backing.ErrFenced
 	}
 	k.lease, k.highest, k.expires = lease, lease.Epoch, w.clock.now.Add(ttl)
 	return k.answer()
 }
 
-func (w *world) Start(_ context.Context, vm fleet.VMID, lease platform.Lease, task platform.Task) error {
+func (w *world) Start(_ context.Context, vm fleet.VMID, lease backing.Lease, task backing.Task) error {
 	k := w.worker(vm)
 	if err := k.reach(); err != nil {
 		return err
 	}
 	if k.refuse {
-		return platform.ErrRefused
+		return backing.ErrRefused
 	}
 	if k.hold {
 		k.hold = false
@@ -248,7 +248,7 @@
 	return k.answer()
 }
 
-func (w *world) Tasks(_ context.Context, vm fleet.VMID, lease platform.Lease) ([]platform.TaskStatus, error) {
+func (w *world) Tasks(_ context.Context, vm fleet.VMID, lease backing.Lease) ([]backing.TaskStatus, error) {
 	k := w.worker(vm)
 	if err := k.reach(); err != nil {
 		return nil, err
@@ -256,7 +256,7 @@
 	if err := k.accept(lease); err != nil {
 		return nil, err
 	}
-	var list []platform.TaskStatus
+	var list []backing.TaskStatus
 	for _, task := range k.tasks {
 		list = append(list, *task)
 	}
@@ -267,7 +267,7 @@
 	return list, k.answer()
 }
 
-func (w *world) Forget(_ context.Context, vm fleet.VMID, lease platform.Lease, ids []fleet.AttemptID) error {
+func (w *world) Forget(_ context.Context, vm fleet.VMID, lease backing.Lease, ids []fleet.AttemptID) error {
 	k := w.worker(vm)
 	if err := errors.Join(k.reach(), k.accept(lease)); err != nil {
 		return err
@@ -278,28 +278,28 @@
 	return k.answer()
 }
 
-func (w *world) end(vm fleet.VMID, lease platform.Lease, id fleet.AttemptID, state platform.TaskState) error {
+func (w *world) end(vm fleet.VMID, lease backing.Lease, id fleet.AttemptID, state backing.TaskState) error {
 	k := w.worker(vm)
 	if err := errors.Join(k.reach(), k.accept(lease)); err != nil {
 		return err
 	}
 	task, ok := k.tasks[id]
 	if !ok {
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	task.State = state
 	return nil
 }
 
-func (w *world) Checkpoint(_ context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
-	return w.end(vm, lease, id, platform.TaskCheckpointed)
+func (w *world) Checkpoint(_ context.Context, vm fleet.VMID, lease backing.Lease, id fleet.AttemptID) error {
+	return w.end(vm, lease, id, backing.TaskCheckpointed)
 }
 
-func (w *world) Stop(_ context.Context, vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
-	return w.end(vm, lease, id, platform.TaskStopped)
+func (w *world) Stop(_ context.Context, vm fleet.VMID, lease backing.Lease, id fleet.AttemptID) error {
+	return w.end(vm, lease, id, backing.TaskStopped)
 }
 
-func (w *world) Throttle(_ context.Context, vm fleet.VMID, _ platform.Lease, id fleet.AttemptID, milliCPU int64) error {
+func (w *world) Throttle(_ context.Context, vm fleet.VMID, _ backing.Lease, id fleet.AttemptID, milliCPU int64) error {
 	task := w.worker(vm).tasks[id]
 	task.Usage.MilliCPU, task.UsageAt = min(task.Usage.MilliCPU, milliCPU), w.clock.now.Add(time.Second)
 	return nil
@@ -321,8 +321,8 @@
 func (e *entry) StoreReachable() bool       { return true }
 func (e *entry) Self() control.Member       { return e.member }
 func (e *entry) Members() control.Members   { return e.members }
-func (e *entry) Session() platform.Condition {
-	return platform.Condition{}
+func (e *entry) Session() backing.Condition {
+	return backing.Condition{}
 }
 
 func (e *entry) Fresh() error {
@@ -414,11 +414,11 @@
 	}
 }
 
-func (w *world) runningTasks() []*platform.TaskStatus {
-	var list []*platform.TaskStatus
+func (w *world) runningTasks() []*backing.TaskStatus {
+	var list []*backing.TaskStatus
 	for _, id := range w.vmIDs {
 		for _, task := range w.workers[id].tasks {
-			if task.State == platform.TaskRunning {
+			if task.State == backing.TaskRunning {
 				list = append(list, task)
 			}
 		}
@@ -444,6 +444,6 @@
 	}
 }
 
-func task(id fleet.AttemptID) platform.Task {
-	return platform.Task{ID: id, Job: fleet.JobID("job-" + id), Command: "cut"}
+func task(id fleet.AttemptID) backing.Task {
+	return backing.Task{ID: id, Job: fleet.JobID("job-" + id), Command: "cut"}
 }
--- a/control/slots/inspect.go
+++ b/control/slots/inspect.go
@@ -5,9 +5,9 @@
 	"sort"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 )
 
@@ -88,7 +88,7 @@
 }
 
 // Checkpoint asks the worker, through the owner of the VM, to checkpoint a task
-// and stop it. Errors are platform.ErrNotFound and those of the call.
+// and stop it. Errors are backing.ErrNotFound and those of the call.
 func (s *Slots) Checkpoint(ctx context.Context, vm fleet.VMID, attempt fleet.AttemptID) error {
 	owner := s.ownerOf(vm)
 	if owner == s.self {
@@ -114,10 +114,10 @@
 		return errNotOwner
 	}
 	sl := v.slots[attempt]
-	lease := platform.Lease{Holder: s.self, Epoch: v.epoch}
+	lease := backing.Lease{Holder: s.self, Epoch: v.epoch}
 	s.unlock()
 	if sl == nil {
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/control/slots/lease.go
+++ b/control/slots/lease.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // phase is the state of a slot in use.
@@ -177,7 +177,7 @@
 
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.o.Workers.Acquire(ctx, v.id, platform.Lease{Holder: s.self, Epoch: epoch}, LeaseTTL)
+	err := s.o.Workers.Acquire(ctx, v.id, backing.Lease{Holder: s.self, Epoch: epoch}, LeaseTTL)
 
 	s.mu.Lock()
 	defer s.unlock()
@@ -216,9 +216,9 @@
 		if fresh {
 			s.event(EventAcquired, v.id, "", "epoch %d", v.epoch)
 		}
-	case errors.Is(err, platform.ErrFenced):
+	case errors.Is(err, backing.ErrFenced):
 		s.fenced(v, now)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrNotFound):
 	default:
 		v.maybeAt = now
 		v.lastUnknown = true
