--- a/control/slots/owner.go
+++ b/control/slots/owner.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 	"amaranthfork.example/policy/quarantine"
 )
@@ -149,7 +149,7 @@
 }
 
 // startLocal starts the task of a reservation held here.
-func (s *Slots) startLocal(ctx context.Context, res control.Reservation, task platform.Task) error {
+func (s *Slots) startLocal(ctx context.Context, res control.Reservation, task backing.Task) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.mu.Lock()
@@ -161,7 +161,7 @@
 	sl.phase = starting
 	sl.job, sl.step, sl.epoch = task.Job, task.Step, v.epoch
 	task.Need = sl.need
-	lease := platform.Lease{Holder: s.self, Epoch: v.epoch}
+	lease := backing.Lease{Holder: s.self, Epoch: v.epoch}
 	s.stats.WorkerCalls++
 	s.unlock()
 
@@ -179,7 +179,7 @@
 
 // checkStart returns the reserved slot if the task may be started now. Without
 // a slot, a nil error means that the task is running already.
-func (s *Slots) checkStart(ctx context.Context, res control.Reservation, task platform.Task) (*ownedVM, *slot, error) {
+func (s *Slots) checkStart(ctx context.Context, res control.Reservation, task backing.Task) (*ownedVM, *slot, error) {
 	now := s.o.Clock.Now()
 	v := s.vms[res.VM]
 	if _, ended := s.tombstones[task.ID]; ended || s.ends[task.ID] != nil {
@@ -256,14 +256,14 @@
 		sl.ends = now.Add(sl.runTime)
 		s.stats.Started++
 		return nil
-	case errors.Is(err, platform.ErrRefused):
+	case errors.Is(err, backing.ErrRefused):
 		v.refusesTill = now.Add(refusePause)
 		s.event(EventFull, v.id, id, "%v", err)
 		proved = refuse(fleet.ReasonNoCapacity, retrySoon, "worker refused the task")
-	case errors.Is(err, platform.ErrFenced):
+	case errors.Is(err, backing.ErrFenced):
 		s.distrust(v)
 		proved = refuse(fleet.ReasonNoCapacity, retrySoon, "dispatch lease lost")
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrNotFound):
 		proved = refuse(fleet.ReasonNoCapacity, retrySoon, "worker unreachable")
 	default:
 		sl.phase = unknown
@@ -301,14 +301,14 @@
 	sl := v.slots[id]
 	if sl == nil {
 		s.unlock()
-		return platform.ErrNotFound
+		return backing.ErrNotFound
 	}
 	if sl.phase == reserved {
 		delete(v.slots, id)
 		s.bury(id, false)
 	}
 	sl.cancelled = true
-	lease := platform.Lease{Holder: s.self, Epoch: v.epoch}
+	lease := backing.Lease{Holder: s.self, Epoch: v.epoch}
 	stop := sl.phase == running || sl.phase == unknown
 	s.unlock()
 	if !stop {
@@ -317,7 +317,7 @@
 	return s.stop(vm, lease, id)
 }
 
-func (s *Slots) stop(vm fleet.VMID, lease platform.Lease, id fleet.AttemptID) error {
+func (s *Slots) stop(vm fleet.VMID, lease backing.Lease, id fleet.AttemptID) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	return s.o.Workers.Stop(ctx, vm, lease, id)
@@ -325,7 +325,7 @@
 
 // lookup is what the owner says of an attempt.
 type lookup struct {
-	status platform.TaskStatus
+	status backing.TaskStatus
 	end    *control.TaskEnd
 	known  bool
 }
@@ -359,9 +359,9 @@
 	return lookup{end: &end, known: true}
 }
 
-func lookupListed(vm fleet.VMID, status platform.TaskStatus) lookup {
+func lookupListed(vm fleet.VMID, status backing.TaskStatus) lookup {
 	answer := lookup{status: status, known: true}
-	if status.State != platform.TaskRunning {
+	if status.State != backing.TaskRunning {
 		end := endOf(vm, status)
 		answer.end = &end
 	}
@@ -371,36 +371,36 @@
 // lookupMemory answers from memory where that is certain. Otherwise it gives up
 // a reservation of the attempt and returns the lease under which the task list
 // is proof, if no start was sent from here by the time the list arrives.
-func (s *Slots) lookupMemory(vm fleet.VMID, id fleet.AttemptID) (*ownedVM, platform.Lease, lookup, bool) {
+func (s *Slots) lookupMemory(vm fleet.VMID, id fleet.AttemptID) (*ownedVM, backing.Lease, lookup, bool) {
 	s.mu.Lock()
 	defer s.unlock()
 	v := s.vms[vm]
 	if v == nil || s.shardMapNow().owner(vm, v.vm.DataCentre) != s.self {
-		return nil, platform.Lease{}, lookup{}, true
+		return nil, backing.Lease{}, lookup{}, true
 	}
 	if pending := s.ends[id]; pending != nil && !pending.acked {
 		end := pending.end
-		return nil, platform.Lease{}, lookup{status: statusOf(end), end: &end, known: true}, true
+		return nil, backing.Lease{}, lookup{status: statusOf(end), end: &end, known: true}, true
 	}
 	if v.lost {
 		end := control.TaskEnd{Attempt: id, VM: vm, Detail: "worker lost"}
-		return nil, platform.Lease{}, lookup{end: &end, known: true}, true
+		return nil, backing.Lease{}, lookup{end: &end, known: true}, true
 	}
 	if !v.leased(s.o.Clock.Now()) || !v.ready {
-		return nil, platform.Lease{}, lookup{}, true
+		return nil, backing.Lease{}, lookup{}, true
 	}
 	if sl := v.slots[id]; sl != nil && sl.phase == reserved {
 		delete(v.slots, id)
 		s.bury(id, false)
 	}
 	if s.tombstones[id].ended {
-		return nil, platform.Lease{}, lookup{}, true
+		return nil, backing.Lease{}, lookup{}, true
 	}
-	return v, platform.Lease{Holder: s.self, Epoch: v.epoch}, lookup{}, false
+	return v, backing.Lease{Holder: s.self, Epoch: v.epoch}, lookup{}, false
 }
 
-func statusOf(end control.TaskEnd) platform.TaskStatus {
-	return platform.TaskStatus{
+func statusOf(end control.TaskEnd) backing.TaskStatus {
+	return backing.TaskStatus{
 		ID: end.Attempt, Job: end.Job, Step: end.Step, State: end.State, Body: end.Body, Detail: end.Detail, Usage: end.Usage,
 	}
 }
--- a/control/slots/scenario_test.go
+++ b/control/slots/scenario_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 )
 
@@ -58,9 +58,9 @@
 			if status.Running != 1 || !status.Leased {
 				t.Fatalf("after takeover: %+v", status)
 			}
-			k.tasks["a"].State = platform.TaskCompleted
+			k.tasks["a"].State = backing.TaskCompleted
 			w.run(6 * time.Second)
-			if end := w.onlyEnd(t, "a"); end.State != platform.TaskCompleted || len(k.tasks) != 0 {
+			if end := w.onlyEnd(t, "a"); end.State != backing.TaskCompleted || len(k.tasks) != 0 {
 				t.Errorf("end %+v, %d tasks not forgotten", end, len(k.tasks))
 			}
 		}},
@@ -87,7 +87,7 @@
 			if end := w.onlyEnd(t, "a"); !end.NotStarted {
 				t.Errorf("%+v, want the proof that it did not start", end)
 			}
-			if err := k.start(w.held[0].lease, w.held[0].task, w.held[0].sent); !errors.Is(err, platform.ErrFenced) {
+			if err := k.start(w.held[0].lease, w.held[0].task, w.held[0].sent); !errors.Is(err, backing.ErrFenced) {
 				t.Errorf("late start: %v, want fenced", err)
 			}
 		}},
@@ -107,7 +107,7 @@
 			k := w.mustPlace(t, "a")
 			w.vmIDs = nil
 			w.run(lostAfter + 3*time.Second)
-			if end := w.onlyEnd(t, "a"); end.State != "" || k.tasks["a"].State != platform.TaskStopped {
+			if end := w.onlyEnd(t, "a"); end.State != "" || k.tasks["a"].State != backing.TaskStopped {
 				t.Errorf("%+v, worker says %s", end, k.tasks["a"].State)
 			}
 			if _, end, known := w.entries[0].slots.Lookup(ctx, k.vm.ID, "other"); !known || end.NotStarted {
@@ -124,7 +124,7 @@
 		{"end is repeated until acknowledged", 1, 1, 1, func(t *testing.T, w *world) {
 			k := w.mustPlace(t, "a")
 			w.deaf = 2
-			k.tasks["a"].State = platform.TaskCompleted
+			k.tasks["a"].State = backing.TaskCompleted
 			w.run(300 * time.Millisecond)
 			if len(w.ended["a"]) != 0 || len(k.tasks) != 1 {
 				t.Fatal("forgotten without acknowledgement")
@@ -219,7 +219,7 @@
 			}
 			k.tasks["a"].Usage.MemoryMB = 9000
 			w.run(5 * time.Second)
-			if end := w.onlyEnd(t, "a"); end.State != platform.TaskCheckpointed {
+			if end := w.onlyEnd(t, "a"); end.State != backing.TaskCheckpointed {
 				t.Errorf("%+v, want a checkpoint", end)
 			}
 		}},
@@ -231,9 +231,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				state := platform.TaskCompleted
+				state := backing.TaskCompleted
 				if res.VM == bad {
-					state = platform.TaskFailed
+					state = backing.TaskFailed
 				}
 				w.workers[res.VM].tasks[id].State = state
 				w.run(500 * time.Millisecond)
@@ -278,11 +278,11 @@
 			})
 			_ = k.start(w.held[0].lease, w.held[0].task, w.held[0].sent)
 			w.run(2 * time.Second)
-			k.tasks["b"].State = platform.TaskCompleted
+			k.tasks["b"].State = backing.TaskCompleted
 			w.run(time.Second)
 			lookup("c", func() {
 				_, _ = w.place(t, e, "dc00", "c")
-				k.tasks["c"].State = platform.TaskCompleted
+				k.tasks["c"].State = backing.TaskCompleted
 				w.deaf = 1 << 20
 				w.run(time.Second)
 			})
@@ -359,7 +359,7 @@
 			w.onlyEnd(t, "a")
 			k.down = false
 			w.run(2 * time.Second)
-			if err := k.start(w.held[0].lease, w.held[0].task, w.held[0].sent); !errors.Is(err, platform.ErrFenced) {
+			if err := k.start(w.held[0].lease, w.held[0].task, w.held[0].sent); !errors.Is(err, backing.ErrFenced) {
 				t.Errorf("start after its attempt was lost: %v", err)
 			}
 		}},
@@ -387,10 +387,10 @@
 				t.Fatal(err)
 			}
 			w.run(time.Second)
-			if end := w.onlyEnd(t, "a"); end.State != platform.TaskStopped {
+			if end := w.onlyEnd(t, "a"); end.State != backing.TaskStopped {
 				t.Errorf("%+v", end)
 			}
-			if err := w.entries[1].slots.Cancel(ctx, k.vm.ID, "a"); !errors.Is(err, platform.ErrNotFound) {
+			if err := w.entries[1].slots.Cancel(ctx, k.vm.ID, "a"); !errors.Is(err, backing.ErrNotFound) {
 				t.Errorf("second cancel: %v", err)
 			}
 		}},
@@ -502,7 +502,7 @@
 		clear(k.tasks)
 		for j := range (i*31 + step*17) % 8 {
 			task := fleet.AttemptID(fmt.Sprint(id, "/", step, "/", j))
-			k.tasks[task] = &platform.TaskStatus{ID: task, State: platform.TaskRunning, Need: fleet.Resources{MilliCPU: int64(500 * (1 + j)), MemoryMB: 900}}
+			k.tasks[task] = &backing.TaskStatus{ID: task, State: backing.TaskRunning, Need: fleet.Resources{MilliCPU: int64(500 * (1 + j)), MemoryMB: 900}}
 		}
 	}
 }
--- a/control/slots/slots.go
+++ b/control/slots/slots.go
@@ -26,10 +26,10 @@
 	"sync"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 	"amaranthfork.example/policy/quarantine"
 )
@@ -106,8 +106,8 @@
 type Options struct {
 	View       control.View
 	Membership control.Membership
-	Workers    platform.Workers
-	List       platform.VMList
+	Workers    backing.Workers
+	List       backing.VMList
 	Pools      Pools
 	Caller     rpc.Caller
 	Clock      fleet.Clock
--- a/control/slots/slots_test.go
+++ b/control/slots/slots_test.go
@@ -10,10 +10,10 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 )
 
@@ -96,7 +96,7 @@
 			},
 			"complete": func(t *rapid.T) {
 				if list := w.runningTasks(); len(list) > 0 {
-					rapid.SampledFrom(list).Draw(t, "task").State = platform.TaskCompleted
+					rapid.SampledFrom(list).Draw(t, "task").State = backing.TaskCompleted
 				}
 			},
 			"lookup": func(t *rapid.T) {
@@ -227,7 +227,7 @@
 func (w *world) settle(t *rapid.T) {
 	w.run(60 * time.Second)
 	for _, task := range w.runningTasks() {
-		task.State = platform.TaskCompleted
+		task.State = backing.TaskCompleted
 	}
 	w.run(10 * time.Second)
 	if w.fault != "" {
--- a/control/slots/tasks.go
+++ b/control/slots/tasks.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/estimate"
 	"amaranthfork.example/policy/quarantine"
 )
@@ -57,7 +57,7 @@
 	}
 	v.polling = true
 	v.polledAt = s.o.Clock.Now()
-	lease := platform.Lease{Holder: s.self, Epoch: v.epoch}
+	lease := backing.Lease{Holder: s.self, Epoch: v.epoch}
 	s.seq++
 	seq := s.seq
 	s.stats.WorkerCalls++
@@ -72,7 +72,7 @@
 	var actions []estimate.Action
 	switch {
 	case v.dropped || v.epoch != lease.Epoch:
-	case errors.Is(err, platform.ErrFenced):
+	case errors.Is(err, backing.ErrFenced):
 		s.distrust(v)
 	case err == nil:
 		s.applyList(v, list, seq)
@@ -88,11 +88,11 @@
 }
 
 // applyList takes the worker's list, requested at seq under the present epoch.
-func (s *Slots) applyList(v *ownedVM, list []platform.TaskStatus, seq uint64) {
+func (s *Slots) applyList(v *ownedVM, list []backing.TaskStatus, seq uint64) {
 	listed := make(map[fleet.AttemptID]bool, len(list))
 	for _, status := range list {
 		listed[status.ID] = true
-		if status.State == platform.TaskRunning {
+		if status.State == backing.TaskRunning {
 			s.applyRunning(v, status)
 		} else {
 			s.applyEnded(v, status)
@@ -108,7 +108,7 @@
 	v.ready = true
 }
 
-func (s *Slots) applyRunning(v *ownedVM, status platform.TaskStatus) {
+func (s *Slots) applyRunning(v *ownedVM, status backing.TaskStatus) {
 	sl, ok := v.slots[status.ID]
 	if !ok {
 		sl = &slot{need: status.Need, epoch: v.epoch}
@@ -122,7 +122,7 @@
 	sl.usage, sl.usageAt = status.Usage, status.UsageAt
 }
 
-func (s *Slots) applyEnded(v *ownedVM, status platform.TaskStatus) {
+func (s *Slots) applyEnded(v *ownedVM, status backing.TaskStatus) {
 	sl := v.slots[status.ID]
 	if sl != nil {
 		v.activeAt = s.o.Clock.Now()
@@ -155,11 +155,11 @@
 }
 
 func (s *Slots) observe(v *ownedVM, sl *slot, end control.TaskEnd) {
-	if sl.class == "" || end.State != platform.TaskCompleted && end.State != platform.TaskFailed {
+	if sl.class == "" || end.State != backing.TaskCompleted && end.State != backing.TaskFailed {
 		return
 	}
 	s.health.Observe(quarantine.End{
-		VM: v.id, Class: sl.class, Job: end.Job, Failed: end.State == platform.TaskFailed,
+		VM: v.id, Class: sl.class, Job: end.Job, Failed: end.State == backing.TaskFailed,
 	})
 }
 
@@ -189,7 +189,7 @@
 	return actions
 }
 
-func (s *Slots) act(ctx context.Context, v *ownedVM, lease platform.Lease, actions []estimate.Action) {
+func (s *Slots) act(ctx context.Context, v *ownedVM, lease backing.Lease, actions []estimate.Action) {
 	for _, action := range actions {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		kind, err := EventThrottled, error(nil)
--- a/control/upkeep/carryout.go
+++ b/control/upkeep/carryout.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control/pools"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/maintenance"
 )
 
@@ -199,7 +199,7 @@
 func (x *Executor) serve(ctx context.Context, s *state, dc fleet.DataCentreName, d maintenance.Decision, seen entry) error {
 	live := s.listed[d.VM].State == fleet.VMLive
 	err := x.call(ctx, d.VM, x.options.VMs.Release)
-	if err != nil && (live || !errors.Is(err, platform.ErrNotFound)) {
+	if err != nil && (live || !errors.Is(err, backing.ErrNotFound)) {
 		return err
 	}
 	return x.update(ctx, dc, func(c *pools.Change) error {
--- a/control/upkeep/upkeep.go
+++ b/control/upkeep/upkeep.go
@@ -10,10 +10,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/pools"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/maintenance"
 )
 
@@ -51,12 +51,12 @@
 
 // Options configures an executor.
 type Options struct {
-	Table    platform.Table
+	Table    backing.Table
 	Ledger   *pools.Ledger
 	Role     pools.Role
 	View     control.View
-	VMList   platform.VMList
-	VMs      platform.VMs
+	VMList   backing.VMList
+	VMs      backing.VMs
 	Dispatch Dispatch
 	Clock    fleet.Clock
 	// Duration of one VM's maintenance that the rate is computed from; 0 means
@@ -81,7 +81,7 @@
 
 // state is what one round has read.
 type state struct {
-	listing  platform.VMListing
+	listing  backing.VMListing
 	listed   map[fleet.VMID]fleet.VM
 	assigned map[fleet.DataCentreName]map[fleet.VMID]pools.Assignment
 	byPool   map[fleet.PoolName]pools.Budget
--- a/control/upkeep/upkeep_test.go
+++ b/control/upkeep/upkeep_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/pools"
 	"amaranthfork.example/control/pools/poolstest"
@@ -19,7 +20,6 @@
 	"amaranthfork.example/control/upkeep"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform"
 )
 
 // 50 checks take 30 s with the race detector.
@@ -221,13 +221,13 @@
 				_ = round(w, time.Minute, successor)
 			}
 			if op == "drain" || op == "release" || op == "reboot" {
-				return platform.ErrUnavailable // the call's time has run out
+				return backing.ErrUnavailable // the call's time has run out
 			}
 		case "lost answer":
 			e.Faults.LoseAnswers(1)
 			e.LoseAnswers = 1
 		case "unavailable":
-			return platform.ErrUnavailable
+			return backing.ErrUnavailable
 		}
 		return nil
 	}
@@ -372,7 +372,7 @@
 			return nil
 		}
 		if op == "drain" && refusing {
-			return platform.ErrUnavailable
+			return backing.ErrUnavailable
 		}
 		if vms := status(t, other).VMs; op == "commit" && !refusing && undrained == "" && len(vms) > 0 {
 			undrained = vms[0].ID
@@ -587,13 +587,13 @@
 			c.step()
 		}
 		if op == "drain" || op == "release" || op == "reboot" {
-			return platform.ErrUnavailable // the call's time has run out
+			return backing.ErrUnavailable // the call's time has run out
 		}
 	case 4:
 		e.Faults.LoseAnswers(1)
 		e.LoseAnswers = 1
 	case 5:
-		return platform.ErrUnavailable
+		return backing.ErrUnavailable
 	}
 	return nil
 }
--- a/control/view/agree_test.go
+++ b/control/view/agree_test.go
@@ -5,14 +5,14 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/control/rpc/rpctest"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 type clock struct{ now time.Time }
@@ -29,7 +29,7 @@
 func (f *fixed) Members() control.Members     { return f.list.Members() }
 func (f *fixed) List() member.List            { return f.list }
 func (f *fixed) Valid() error                 { return nil }
-func (f *fixed) Session() platform.Condition  { return platform.Condition{} }
+func (f *fixed) Session() backing.Condition   { return backing.Condition{} }
 func (f *fixed) Install(member.List)          {}
 func (f *fixed) Extend(at time.Time)          { f.extended = at }
 func (f *fixed) Outage()                      {}
@@ -38,10 +38,10 @@
 
 type vms struct{ gone []string }
 
-func (v vms) List(context.Context) (platform.VMListing, error) {
-	listing := platform.VMListing{}
+func (v vms) List(context.Context) (backing.VMListing, error) {
+	listing := backing.VMListing{}
 	for _, id := range v.gone {
-		listing.Entries = append(listing.Entries, platform.EntryVM{ID: id, State: fleet.VMGone})
+		listing.Entries = append(listing.Entries, backing.EntryVM{ID: id, State: fleet.VMGone})
 	}
 	return listing, nil
 }
--- a/control/view/load.go
+++ b/control/view/load.go
@@ -9,10 +9,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // changePage is the number of change rows read at once.
@@ -99,7 +99,7 @@
 			continue
 		}
 		value, err := v.o.Objects.Get(ctx, keys[i])
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, backing.ErrNotFound) {
 			continue
 		}
 		if err != nil {
--- a/control/view/view.go
+++ b/control/view/view.go
@@ -12,12 +12,12 @@
 	"sync"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/member"
 	"amaranthfork.example/control/rpc"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // Times of evidence.
@@ -73,9 +73,9 @@
 // Options configure a View.
 type Options struct {
 	Members Members
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMList // optional; without it a silent member prevents agreement
+	Table   backing.Table
+	Objects backing.Objects
+	VMs     backing.VMList // optional; without it a silent member prevents agreement
 	Caller  rpc.Caller
 	Clock   fleet.Clock
 	Builder Builder
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -22,9 +22,9 @@
 
 	"go.uber.org/goleak"
 
+	"amaranthfork.example/backing/httpapi"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
-	"amaranthfork.example/platform/httpapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,21 +13,21 @@
 
 	"go.uber.org/zap"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/cached"
 	"amaranthfork.example/entry/certs"
 	"amaranthfork.example/entry/metrics"
 	"amaranthfork.example/entry/peer"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/cached"
 )
 
 // Platform bundles the platform's services.
 type Platform struct {
-	Table   platform.ConditionalTable
-	Objects platform.Objects
-	VMFeed  platform.VMFeed
-	Workers platform.Workers
-	VMs     platform.VMs
+	Table   backing.ConditionalTable
+	Objects backing.Objects
+	VMFeed  backing.VMFeed
+	Workers backing.Workers
+	VMs     backing.VMs
 }
 
 // Options are the parts of an entry.
@@ -43,8 +43,8 @@
 // Entry is one entry process.
 type Entry struct {
 	o       Options
-	table   platform.Table
-	vmList  platform.VMList
+	table   backing.Table
+	vmList  backing.VMList
 	metrics *metrics.Registry
 	certs   *certs.Reloader
 	peerTLS *tls.Config
--- a/entry/excess.go
+++ b/entry/excess.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // checkpointAgain is the time after which a checkpoint is asked for again when
@@ -47,7 +47,7 @@
 		}
 		p.asked[a.Attempt] = now
 		err := p.slots.Checkpoint(ctx, a.VM, a.Attempt)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, backing.ErrNotFound) {
 			faults = errors.Join(faults, fmt.Errorf("checkpoint %s on %s: %w", a.Attempt, a.VM, err))
 			continue
 		}
--- a/entry/local/local.go
+++ b/entry/local/local.go
@@ -16,12 +16,12 @@
 
 	"go.uber.org/zap"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/httpapi"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/config"
 	"amaranthfork.example/entry"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/httpapi"
-	"amaranthfork.example/platform/memory"
 )
 
 //go:embed fleet/*.yaml
@@ -165,7 +165,7 @@
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	f.Platform.SetEntry(platform.EntryVM{ID: s.VM, DataCentre: dc, State: fleet.VMLive})
+	f.Platform.SetEntry(backing.EntryVM{ID: s.VM, DataCentre: dc, State: fleet.VMLive})
 	p, services := f.connect(s.VM)
 	inner, err := entry.New(entry.Options{
 		Settings: s, Clock: fleet.SystemClock{}, Log: f.o.Log.With(zap.String("vm", s.VM)),
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/config"
 	"amaranthfork.example/control/apply"
 	"amaranthfork.example/control/balance"
@@ -16,7 +17,6 @@
 	"amaranthfork.example/entry/api"
 	"amaranthfork.example/entry/metrics"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 )
 
 // operator carries out operators' requests on a plane.
@@ -57,7 +57,7 @@
 		return api.ApplyResult{Revision: conflict.Winner, Conflict: true, Detail: err.Error()}, nil
 	case errors.As(err, &invalid):
 		return api.ApplyResult{Findings: o.findingsOf(change, invalid)}, nil
-	case errors.Is(err, apply.ErrNoCoordinator), errors.Is(err, apply.ErrStopping), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, apply.ErrNoCoordinator), errors.Is(err, apply.ErrStopping), errors.Is(err, backing.ErrUnavailable):
 		return api.ApplyResult{}, &fleet.Refusal{Reason: fleet.ReasonStoreUnavailable, Detail: err.Error(), RetryAfter: time.Second}
 	case err != nil:
 		return api.ApplyResult{}, err
@@ -216,7 +216,7 @@
 		return &fleet.Refusal{Reason: fleet.ReasonInvalid, Detail: err.Error()}
 	case errors.Is(err, upkeep.ErrBusy), errors.Is(err, pools.ErrContended):
 		return &fleet.Refusal{Reason: fleet.ReasonNoCapacity, Detail: err.Error(), RetryAfter: time.Second}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, backing.ErrUnavailable):
 		return &fleet.Refusal{Reason: fleet.ReasonStoreUnavailable, Detail: err.Error(), RetryAfter: time.Second}
 	}
 	return err
--- a/entry/poolmap.go
+++ b/entry/poolmap.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
+	"amaranthfork.example/backing"
 	"amaranthfork.example/control"
 	"amaranthfork.example/control/pools"
 	"amaranthfork.example/control/slots"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
 	"amaranthfork.example/policy/placement"
 )
 
@@ -34,7 +34,7 @@
 // It keeps those close to the present that this entry serves: its own data
 // centre, and those that have no entries.
 type poolMap struct {
-	table   platform.Table
+	table   backing.Table
 	clock   fleet.Clock
 	members control.Membership
 	view    control.View
@@ -54,7 +54,7 @@
 	served bool
 }
 
-func newPoolMap(table platform.Table, clock fleet.Clock, members control.Membership, view control.View) *poolMap {
+func newPoolMap(table backing.Table, clock fleet.Clock, members control.Membership, view control.View) *poolMap {
 	return &poolMap{table: table, clock: clock, members: members, view: view, centres: map[fleet.DataCentreName]*centreMap{}}
 }
 
--- a/entry/tls_test.go
+++ b/entry/tls_test.go
@@ -9,10 +9,10 @@
 
 	"go.uber.org/zap"
 
+	"amaranthfork.example/backing"
+	"amaranthfork.example/backing/memory"
 	"amaranthfork.example/entry/certs"
 	"amaranthfork.example/fleet"
-	"amaranthfork.example/platform"
-	"amaranthfork.example/platform/memory"
 )
 
 const tlsTimeout = 20 * time.Second
@@ -72,7 +72,7 @@
 	if err := s.Check(); err != nil {
 		t.Fatal(err)
 	}
-	p.SetEntry(platform.EntryVM{ID: vm, DataCentre: "dc-a", State: fleet.VMLive})
+	p.SetEntry(backing.EntryVM{ID: vm, DataCentre: "dc-a", State: fleet.VMLive})
 	node := p.Node()
 	e, err := New(Options{
 		Settings: s, Clock: fleet.SystemClock{}, Log: zap.NewNop(),
