--- a/cmd/amaranthd/main.go
+++ b/cmd/amaranthd/main.go
@@ -16,7 +16,9 @@
 )
 
 func main() {
-	if err := command().Execute(); err != nil {
+	err := command().Execute()
+	process.Flush()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -47,6 +49,7 @@
 	f.DurationVar(&s.StopTimeout, "stop-timeout", s.StopTimeout, "time for running requests after the drain delay")
 	f.IntVar(&s.Shards, "shards", s.Shards, "job shards of the fleet, the same on every entry")
 	envflag.Describe(f)
+	c.AddCommand(platformCommand())
 	c.RunE = func(*cobra.Command, []string) error {
 		if err := envflag.Apply(f); err != nil {
 			return err
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -29,9 +30,15 @@
 		enc.AppendString(t.UTC().Format("2006-01-02T15:04:05.000Z"))
 	}
 	config.MessageKey = "event"
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), zapcore.Lock(os.Stderr), level)), nil
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(config), logSink(), level)), nil
 }
 
+// logSink returns the process's only sink, to standard output.
+var logSink = sync.OnceValue(func() *Sink { return NewSink(os.Stdout) })
+
+// Flush writes the pending lines of the log. It is called once, at the end.
+func Flush() { logSink().Close() }
+
 // Daemon is a process that serves until its context ends and then stops gracefully.
 type Daemon interface {
 	Run(ctx context.Context) error
--- /dev/null
+++ b/node/api.go
@@ -0,0 +1,317 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/catalog"
+	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+// Requests of callers.
+const (
+	// viewLimit is the age from which the view of the operators' declarations
+	// is not acted on. A withdrawn key must stop working within 5 s; the rest is
+	// for the request itself.
+	viewLimit = 3 * time.Second
+	// readyLimit is the age of the view from which this entry asks for no new
+	// connections: two feed calls of 1 s and a margin.
+	readyLimit = 2700 * time.Millisecond
+	// submitLimit is the longest time to a certain answer, half of what callers
+	// usually wait.
+	submitLimit = 1400 * time.Millisecond
+	// statusLimit bounds the read of a status.
+	statusLimit = 1200 * time.Millisecond
+	// refusedAgain is when a caller may try again after the table service has
+	// refused a write or the view is too old.
+	refusedAgain = time.Second
+)
+
+// NotRun is the error of a request that was proved to have had no effect.
+type NotRun struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error returns the reason.
+func (e *NotRun) Error() string { return "not run: " + e.Reason }
+
+// Errors of requests.
+var (
+	// ErrUncertain means that the request may take effect.
+	ErrUncertain = errors.New("outcome is not known yet")
+	// ErrNoQueue means that no queue matches.
+	ErrNoQueue = errors.New("no such queue")
+	// ErrNoJob means that no such job exists.
+	ErrNoJob = errors.New("no such job")
+	// ErrUnauthorized means that the key is not in force.
+	ErrUnauthorized = errors.New("key is not in force")
+)
+
+// Caller is an authorized request's queue and workspace.
+type Caller struct {
+	Queue     *catalog.Queue
+	Workspace string // empty on open queues without a key
+	Rest      string // path after the queue's prefix
+}
+
+// Admit finds the queue of a request and checks its key. It returns *NotRun,
+// ErrNoQueue or ErrUnauthorized.
+func (n *Node) Admit(host, path, key string) (Caller, error) {
+	view, _ := n.operator.Get()
+	if view.Catalog == nil {
+		return Caller{}, &NotRun{"no declarations have been read yet", refusedAgain}
+	}
+	if age := n.clock.Now().Steady - view.CurrentAt; age > viewLimit {
+		n.metrics.add("refused_stale_view")
+		return Caller{}, &NotRun{fmt.Sprintf("declarations were last confirmed %d ms ago", age.Milliseconds()), refusedAgain}
+	}
+	queue, rest := view.Catalog.Match(host, path)
+	if queue == nil {
+		return Caller{}, ErrNoQueue
+	}
+	c := Caller{Queue: queue, Rest: rest}
+	if w := view.Catalog.Authorize(key); w != nil {
+		c.Workspace = w.Name
+	} else if !queue.Open {
+		n.metrics.add("refused_key")
+		return Caller{}, ErrUnauthorized
+	}
+	return c, nil
+}
+
+// BodyLimit returns the size of the largest request body in bytes.
+func (n *Node) BodyLimit() int64 {
+	view, _ := n.operator.Get()
+	if view.Catalog == nil || view.Catalog.Limits.BodyBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return view.Catalog.Limits.BodyBytes
+}
+
+// defaultBodyBytes is the limit while none is declared.
+const defaultBodyBytes = 256 << 10
+
+// Submit stores a job. It returns nil once the job is stored, also if it was
+// stored before, *NotRun if it is certain that it never will be by this
+// request, or ErrUncertain.
+func (n *Node) Submit(ctx context.Context, c Caller, spec *job.Spec) error {
+	began := n.clock.Now()
+	spec.Queue = c.Queue.Name
+	spec.Workspace = c.Workspace
+	spec.AcceptedAt = began.Wall
+	txn, err := submission(c.Queue.Pool, spec)
+	if err != nil {
+		return err
+	}
+	if known, err := n.knownElsewhere(ctx, c, spec.ID); known || err != nil {
+		return err
+	}
+	err = n.submit(ctx, txn)
+	took := n.clock.Now().Steady - began.Steady
+	n.metrics.observe(metricSubmit, c.Queue.Name, took)
+	n.log.Info("submit", zap.String("job", spec.ID), zap.String("queue", c.Queue.Name), zap.String("pool", c.Queue.Pool),
+		zap.String("workspace", c.Workspace), zap.String("outcome", outcomeOf(err)), zap.Duration("took", took))
+	return err
+}
+
+// knownElsewhere reports whether a job was accepted before its queue moved to
+// its present pool.
+func (n *Node) knownElsewhere(ctx context.Context, c Caller, id string) (bool, error) {
+	for _, pool := range n.operator.Former(c.Queue.Name) {
+		if pool == c.Queue.Pool {
+			continue
+		}
+		_, ok, err := n.get(ctx, tables.ProgressKey(pool, id))
+		if err != nil {
+			return false, &NotRun{"table service does not answer", refusedAgain}
+		}
+		if ok {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func submission(pool string, spec *job.Spec) (store.Txn, error) {
+	value, err := job.EncodeSpec(spec)
+	if err != nil {
+		return store.Txn{}, err
+	}
+	progress, err := job.EncodeProgress(&job.Progress{State: job.Queued, Workspace: spec.Workspace})
+	if err != nil {
+		return store.Txn{}, err
+	}
+	key := tables.JobKey(pool, spec.ID)
+	return store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Puts:       []store.Put{{Key: key, Value: value}, {Key: tables.ProgressKey(pool, spec.ID), Value: progress}},
+	}, nil
+}
+
+// submit tries until the outcome is certain or too little time is left.
+func (n *Node) submit(ctx context.Context, txn store.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, submitLimit)
+	defer cancel()
+	uncertain := false
+	for try := 0; ; try++ {
+		tryCtx, cancelTry := context.WithTimeout(ctx, tryLimits[min(try, len(tryLimits)-1)])
+		_, err := n.store.Commit(tryCtx, txn)
+		cancelTry()
+		var conflict *store.ConflictError
+		switch {
+		case err == nil, errors.As(err, &conflict):
+			return nil // stored now, or before by the same id
+		case errors.Is(err, store.ErrUnavailable) && !uncertain:
+			return &NotRun{"table service refuses writes", refusedAgain}
+		case !errors.Is(err, store.ErrUnavailable):
+			uncertain = true
+		}
+		if ctx.Err() != nil {
+			return ErrUncertain
+		}
+		sleep(ctx, followRetry)
+	}
+}
+
+func outcomeOf(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return err.Error()
+}
+
+// Status returns a job's state, ErrNoJob, or *NotRun if it cannot be read now.
+func (n *Node) Status(ctx context.Context, c Caller, id string) (job.State, error) {
+	view, err := n.status(ctx, c, id)
+	if err != nil {
+		n.log.Info("status_not_shown", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.Error(err))
+	}
+	return view.State, err
+}
+
+func (n *Node) status(ctx context.Context, c Caller, id string) (job.StateView, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
+	defer cancel()
+	row, ok, err := n.get(ctx, tables.ProgressKey(c.Queue.Pool, id))
+	if err != nil {
+		return job.StateView{}, &NotRun{"table service does not answer", refusedAgain}
+	}
+	if !ok {
+		return n.statusElsewhere(ctx, c, id)
+	}
+	return c.own(row)
+}
+
+// statusElsewhere looks for a job that was accepted before its queue moved to
+// another pool.
+func (n *Node) statusElsewhere(ctx context.Context, c Caller, id string) (job.StateView, error) {
+	for _, pool := range n.formerPools(c.Queue) {
+		row, ok, err := n.get(ctx, tables.ProgressKey(pool, id))
+		if err != nil {
+			return job.StateView{}, &NotRun{"table service does not answer", refusedAgain}
+		}
+		if ok {
+			return c.own(row)
+		}
+	}
+	return job.StateView{}, ErrNoJob
+}
+
+// own returns the state of a job of the caller's workspace.
+func (c Caller) own(row store.Row) (job.StateView, error) {
+	view, err := job.DecodeState(row.Value)
+	if err != nil {
+		return view, &NotRun{err.Error(), refusedAgain}
+	}
+	if view.Workspace != "" && view.Workspace != c.Workspace {
+		return view, ErrNoJob
+	}
+	return view, nil
+}
+
+// formerPools returns the other pools in which jobs of a queue may be.
+func (n *Node) formerPools(q *catalog.Queue) []string {
+	view, _ := n.operator.Get()
+	var pools []string
+	for _, name := range view.Catalog.PoolNames() {
+		if name != q.Pool {
+			pools = append(pools, name)
+		}
+	}
+	return pools
+}
+
+// get reads a row, and tries once more after a failure.
+func (n *Node) get(ctx context.Context, key store.Key) (store.Row, bool, error) {
+	tryCtx, cancel := context.WithTimeout(ctx, tryLimits[0])
+	row, ok, err := store.Get(tryCtx, n.store, key)
+	cancel()
+	if err == nil || ctx.Err() != nil {
+		return row, ok, err
+	}
+	return store.Get(ctx, n.store, key)
+}
+
+// Cancel ends a job. It returns nil once that is stored, ErrNoJob, *NotRun or
+// ErrUncertain.
+func (n *Node) Cancel(ctx context.Context, c Caller, id string) error {
+	err := n.cancel(ctx, c, id)
+	n.log.Info("cancel", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.String("outcome", outcomeOf(err)))
+	return err
+}
+
+func (n *Node) cancel(ctx context.Context, c Caller, id string) error {
+	pool, err := n.poolOf(ctx, c, id)
+	if err != nil {
+		return err
+	}
+	return n.submit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: tables.CancelKey(pool, id)}},
+		Puts:       []store.Put{{Key: tables.CancelKey(pool, id), Value: []byte{1}}},
+	})
+}
+
+// poolOf returns the pool that holds a job.
+func (n *Node) poolOf(ctx context.Context, c Caller, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
+	defer cancel()
+	for _, pool := range append([]string{c.Queue.Pool}, n.formerPools(c.Queue)...) {
+		row, ok, err := n.get(ctx, tables.ProgressKey(pool, id))
+		if err != nil {
+			return "", &NotRun{"table service does not answer", refusedAgain}
+		}
+		if ok {
+			_, err := c.own(row)
+			return pool, err
+		}
+	}
+	return "", ErrNoJob
+}
+
+// Waiting returns the number of a queue's jobs of which no task has started.
+func (n *Node) Waiting(ctx context.Context, c Caller) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
+	defer cancel()
+	row, ok, err := n.get(ctx, tables.QueueKey(c.Queue.Pool, c.Queue.Name))
+	if err != nil {
+		return 0, &NotRun{"table service does not answer", refusedAgain}
+	}
+	if !ok {
+		return 0, nil
+	}
+	status, err := job.DecodeQueueStatus(row.Value)
+	return status.Waiting, err
+}
+
+// Ready reports whether this entry can take requests now.
+func (n *Node) Ready() bool {
+	view, _ := n.operator.Get()
+	return !n.stopping.Load() && view.Catalog != nil && n.clock.Now().Steady-view.CurrentAt < readyLimit
+}
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/store"
+)
+
+// Following of tables.
+const (
+	// feedMargin is added to the wait of a feed call for its time limit: two
+	// round trips and a slow answer.
+	feedMargin = 700 * time.Millisecond
+	// readLimit bounds a range read; the service answers in 4 ms, and in 240 ms
+	// when it is 60 times slower.
+	readLimit = 700 * time.Millisecond
+	// followRetry is the pause after a failed call.
+	followRetry = 150 * time.Millisecond
+)
+
+// Update is news of a followed table.
+type Update struct {
+	Rows   []store.Row
+	Whole  bool          // the rows are all rows of the partition
+	SentAt time.Duration // when the request of this answer was sent
+}
+
+// follower keeps up with one table.
+type follower struct {
+	store     store.Store
+	clock     Clock
+	log       *zap.Logger
+	table     string
+	partition string        // read as a whole at first
+	wait      time.Duration // of a feed call for the first change
+	pause     time.Duration // between feed calls, so that changes gather
+	deliver   func(Update)
+	version   int64
+	lost      bool
+}
+
+// run follows the table until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	whole := true
+	for ctx.Err() == nil {
+		err := f.step(ctx, whole)
+		switch {
+		case err == nil:
+			whole = false
+			f.regained()
+			sleep(ctx, f.pause)
+		case errors.Is(err, store.ErrHistoryGone):
+			f.log.Info("feed_history_gone", zap.String("table", f.table), zap.Int64("after", f.version))
+			whole = true
+		default:
+			f.failed(ctx, err)
+			sleep(ctx, followRetry)
+		}
+	}
+}
+
+func (f *follower) step(ctx context.Context, whole bool) error {
+	sentAt := f.clock.Now().Steady
+	if whole {
+		ctx, cancel := context.WithTimeout(ctx, 2*readLimit)
+		defer cancel()
+		page, err := store.All(ctx, f.store, f.table, f.partition)
+		if err != nil {
+			return err
+		}
+		if page.Version < f.version {
+			return errStaleRead
+		}
+		f.version = page.Version
+		f.deliver(Update{Rows: page.Rows, Whole: true, SentAt: sentAt})
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.wait+feedMargin)
+	defer cancel()
+	page, err := f.store.Changes(ctx, f.table, f.version, f.wait)
+	if err != nil {
+		return err
+	}
+	if page.Version < f.version {
+		return errStaleRead
+	}
+	f.version = page.Version
+	f.deliver(Update{Rows: page.Rows, SentAt: sentAt})
+	return nil
+}
+
+var errStaleRead = errors.New("answer is older than an earlier one")
+
+func (f *follower) failed(ctx context.Context, err error) {
+	if f.lost || ctx.Err() != nil {
+		return
+	}
+	f.lost = true
+	f.log.Warn("dependency_lost", zap.String("dependency", "table "+f.table), zap.Error(err))
+}
+
+func (f *follower) regained() {
+	if f.lost {
+		f.lost = false
+		f.log.Info("dependency_regained", zap.String("dependency", "table "+f.table), zap.Int64("version", f.version))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Names of histograms.
+const (
+	metricSubmit = "submit_ms"  // by queue
+	metricCommit = "commit_ms"  // transactions of pool owners
+	metricStart  = "start_ms"   // by pool
+	metricStatus = "status_ms"  // by queue
+	metricRenew  = "renewal_ms" // by pool
+	longestTime  = 5 * time.Minute
+	significant  = 2
+	quantileP50  = 50
+	quantileP90  = 90
+	quantileP99  = 99
+	quantileFull = 100
+)
+
+type seriesKey struct{ name, label string }
+
+// metrics holds the counters and histograms of one node.
+type metrics struct {
+	counters *expvar.Map
+
+	mu     sync.Mutex
+	series map[seriesKey]*hdrhistogram.Histogram
+}
+
+func newMetrics() *metrics {
+	return &metrics{counters: new(expvar.Map).Init(), series: map[seriesKey]*hdrhistogram.Histogram{}}
+}
+
+func (m *metrics) add(name string) { m.counters.Add(name, 1) }
+
+func (m *metrics) observe(name, label string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := seriesKey{name, label}
+	h := m.series[k]
+	if h == nil {
+		h = hdrhistogram.New(1, longestTime.Milliseconds(), significant)
+		m.series[k] = h
+	}
+	// A value over the longest time is counted as the longest time.
+	_ = h.RecordValue(min(longestTime, max(time.Millisecond, d)).Milliseconds())
+}
+
+// Quantiles is one histogram as it is served.
+type Quantiles struct {
+	Name  string `json:"name"`
+	Label string `json:"label,omitempty"`
+	Count int64  `json:"count"`
+	P50   int64  `json:"p50"`
+	P90   int64  `json:"p90"`
+	P99   int64  `json:"p99"`
+	Max   int64  `json:"max"`
+}
+
+func (m *metrics) quantiles() []Quantiles {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]Quantiles, 0, len(m.series))
+	for k, h := range m.series {
+		list = append(list, Quantiles{k.name, k.label, h.TotalCount(), h.ValueAtQuantile(quantileP50),
+			h.ValueAtQuantile(quantileP90), h.ValueAtQuantile(quantileP99), h.ValueAtQuantile(quantileFull)})
+	}
+	return list
+}
+
+// ServeHTTP writes the counters and histograms as JSON.
+func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	var counters json.RawMessage = []byte(m.counters.String())
+	_ = json.NewEncoder(w).Encode(map[string]any{"counters": counters, "histograms": m.quantiles()})
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,248 @@
+// Package node is the entry process as a library. Every entry takes requests of
+// callers, and owns some pools, which it schedules. What must last is kept in
+// the table service; entries keep no state of their own.
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/pool"
+	"amaranthfork.example/sched/store"
+)
+
+// fleetPool names the role that orders maintenance and moves of VMs. It is owned
+// like a pool; pools of operators have no colon in front.
+const fleetPool = ":fleet"
+
+// ownerTick is the time between two looks at pools without an owner.
+const ownerTick = 150 * time.Millisecond
+
+// Settings are the parameters of an entry.
+type Settings struct {
+	Self      Member
+	Scheduler pool.Settings
+	Fleet     FleetSettings
+}
+
+// Options are the parts that an entry works with.
+type Options struct {
+	Settings Settings
+	Store    store.Store
+	Workers  Workers
+	Machines Machines
+	Rows     Rows
+	Clock    Clock
+	Log      *zap.Logger
+}
+
+// Node is one entry process.
+type Node struct {
+	settings Settings
+	store    store.Store
+	workers  Workers
+	machines Machines
+	rows     Rows
+	clock    Clock
+	log      *zap.Logger
+	metrics  *metrics
+	operator *operatorView
+	members  *members
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	owned   map[string]bool
+	unowned map[string]time.Duration // since when a pool has no live owner
+	runners sync.WaitGroup
+}
+
+// New returns an entry that is not running yet.
+func New(o Options) *Node {
+	return &Node{
+		settings: o.Settings, store: o.Store, workers: o.Workers, machines: o.Machines, rows: o.Rows,
+		clock: o.Clock, log: o.Log, metrics: newMetrics(),
+		operator: newOperatorView(o.Rows, o.Log),
+		members:  newMembers(o.Store, o.Clock, o.Log, o.Settings.Self),
+		owned:    map[string]bool{}, unowned: map[string]time.Duration{},
+	}
+}
+
+// Metrics serves the counters and histograms.
+func (n *Node) Metrics() http.Handler { return n.metrics }
+
+// Run works until ctx ends, then hands its pools over and returns.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("started", zap.String("boot", n.settings.Self.Boot), zap.String("data_centre", n.settings.Self.Zone))
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { n.operator.run(background, n.follower()) })
+	wg.Go(func() { n.members.beat(background) })
+	wg.Go(func() { n.followMembers(background) })
+	n.ownPools(ctx)
+	n.stopping.Store(true)
+	n.members.Stop()
+	n.runners.Wait()
+	n.log.Info("pools_handed_over")
+	return nil
+}
+
+func (n *Node) follower() follower {
+	return follower{store: n.store, clock: n.clock, log: n.log}
+}
+
+func (n *Node) followMembers(ctx context.Context) {
+	f := n.follower()
+	f.table, f.wait, f.pause, f.deliver = "members", memberWait, memberPause, n.members.update
+	f.run(ctx)
+}
+
+// ownPools claims pools that have no owner until ctx ends.
+func (n *Node) ownPools(ctx context.Context) {
+	sleep(ctx, claimSettle)
+	for ctx.Err() == nil {
+		n.claimFree(ctx)
+		timer := time.NewTimer(ownerTick)
+		select {
+		case <-timer.C:
+		case <-n.members.Changed():
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (n *Node) claimFree(ctx context.Context) {
+	view, _ := n.operator.Get()
+	live, current := n.members.Live()
+	if view.Catalog == nil || !current {
+		n.mu.Lock()
+		clear(n.unowned)
+		n.mu.Unlock()
+		return
+	}
+	owned := map[string]bool{}
+	for _, m := range live {
+		for _, p := range m.Pools {
+			owned[p] = true
+		}
+	}
+	for _, name := range append(view.Catalog.PoolNames(), fleetPool) {
+		if ctx.Err() != nil {
+			return
+		}
+		if n.turn(name, owned[name], live) {
+			n.tryClaim(ctx, name, live)
+		}
+	}
+}
+
+// turn reports whether this entry should claim a pool now.
+func (n *Node) turn(name string, hasOwner bool, live map[string]Member) bool {
+	now := n.clock.Now().Steady
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if hasOwner || n.owned[name] {
+		delete(n.unowned, name)
+		return false
+	}
+	since, known := n.unowned[name]
+	if !known {
+		since = now
+		n.unowned[name] = now
+	}
+	order := claimOrder(name, n.settings.Self.Node, n.withOwn(live))
+	return order >= 0 && now-since >= time.Duration(order)*claimStagger
+}
+
+// withOwn replaces the pools of this entry, which are known before its row is
+// read back.
+func (n *Node) withOwn(live map[string]Member) map[string]Member {
+	self, ok := live[n.settings.Self.Node]
+	if !ok {
+		return live
+	}
+	self.Pools = n.ownedNames()
+	live[n.settings.Self.Node] = self
+	return live
+}
+
+func (n *Node) ownedNames() []string {
+	names := make([]string, 0, len(n.owned))
+	for name := range n.owned {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// claimGrace is the time that a claim has to show in the claimer's member row.
+const claimGrace = 2 * time.Second
+
+func (n *Node) tryClaim(ctx context.Context, name string, live map[string]Member) {
+	before, version, err := readOwner(ctx, n.store, name)
+	if err != nil {
+		n.log.Info("owner_not_read", zap.String("pool", name), zap.Error(err))
+		return
+	}
+	if holder, ok := live[before.Node]; ok && holder.Boot == before.Boot && before.Node != n.settings.Self.Node && n.unownedFor(name) < claimGrace {
+		return // has claimed it and has not said so yet
+	}
+	sentAt := n.clock.Now().Steady
+	callCtx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	o, err := claim(callCtx, n.store, name, n.settings.Self, before, version)
+	if err != nil {
+		n.log.Info("claim_failed", zap.String("pool", name), zap.Error(err))
+		return
+	}
+	n.log.Info("pool_claimed", zap.String("pool", name), zap.Int64("epoch", o.row.Epoch), zap.String("owner_was", before.Node), zap.Int64("version", o.version))
+	n.start(ctx, o, sentAt)
+}
+
+func (n *Node) unownedFor(name string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	since, ok := n.unowned[name]
+	if !ok {
+		return 0
+	}
+	return n.clock.Now().Steady - since
+}
+
+// start schedules a claimed pool until ctx ends or it has another owner.
+func (n *Node) start(ctx context.Context, o *ownership, sentAt time.Duration) {
+	n.setOwned(o.pool, true)
+	n.runners.Go(func() {
+		var err error
+		if o.pool == fleetPool {
+			err = newFleetController(n, o, sentAt).run(ctx)
+		} else {
+			err = newRunner(n, o, sentAt).run(ctx)
+		}
+		n.setOwned(o.pool, false)
+		if err != nil && !errors.Is(err, context.Canceled) {
+			n.log.Warn("pool_lost", zap.String("pool", o.pool), zap.Int64("epoch", o.row.Epoch), zap.Error(err))
+		}
+	})
+}
+
+func (n *Node) setOwned(name string, owned bool) {
+	n.mu.Lock()
+	if owned {
+		n.owned[name] = true
+	} else {
+		delete(n.owned, name)
+	}
+	delete(n.unowned, name)
+	names := n.ownedNames()
+	n.mu.Unlock()
+	n.members.SetPools(names)
+}
--- /dev/null
+++ b/node/operator.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/catalog"
+)
+
+// Following of the operators' table.
+const (
+	// operatorWait is the wait of a feed call. Each answer proves that the view
+	// was current when its request was sent, so it bounds the age of the proof.
+	operatorWait = time.Second
+)
+
+// View is what this process knows of the operators' declarations.
+type View struct {
+	Catalog   *catalog.Catalog // nil until the first one was read
+	Evacuated map[string]bool
+	Waves     []Wave
+	// CurrentAt is the steady time at which the view was proved to be current.
+	CurrentAt time.Duration
+}
+
+// operatorView follows the operators' table.
+type operatorView struct {
+	rows Rows
+	log  *zap.Logger
+
+	mu      sync.Mutex
+	byName  map[string]OperatorRow
+	view    View
+	changed chan struct{}
+	former  map[string][]string // pools that queues had earlier in this process's life
+}
+
+func newOperatorView(rows Rows, log *zap.Logger) *operatorView {
+	return &operatorView{rows: rows, log: log, byName: map[string]OperatorRow{}, changed: make(chan struct{}), former: map[string][]string{}}
+}
+
+// Get returns the view and a channel that is closed when it changes.
+func (o *operatorView) Get() (View, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.view, o.changed
+}
+
+func (o *operatorView) update(u Update) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.view.CurrentAt = max(o.view.CurrentAt, u.SentAt)
+	if len(u.Rows) == 0 && !u.Whole {
+		return
+	}
+	if u.Whole {
+		o.byName = map[string]OperatorRow{}
+	}
+	for _, row := range u.Rows {
+		if row.Removed {
+			delete(o.byName, row.Name)
+			continue
+		}
+		decoded, err := o.rows.DecodeOperator(row)
+		if err != nil {
+			o.log.Warn("operator_row_unreadable", zap.String("row", row.Name), zap.Int64("version", row.Version), zap.Error(err))
+			continue
+		}
+		o.byName[row.Name] = decoded
+	}
+	o.rebuild()
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *operatorView) rebuild() {
+	evacuated := map[string]bool{}
+	var waves []Wave
+	for _, row := range o.byName {
+		switch {
+		case row.Catalog != nil:
+			o.adopt(row.Catalog)
+		case row.Evacuated != "":
+			evacuated[row.Evacuated] = true
+		case row.Wave != nil:
+			waves = append(waves, *row.Wave)
+		}
+	}
+	if len(evacuated) != len(o.view.Evacuated) {
+		o.log.Info("data_centres_out", zap.Int("count", len(evacuated)), zap.Any("names", keys(evacuated)))
+	}
+	o.view.Evacuated = evacuated
+	o.view.Waves = waves
+}
+
+// adopt puts a catalog in force unless a newer one already is.
+func (o *operatorView) adopt(c *catalog.Catalog) {
+	if o.view.Catalog != nil && c.Version <= o.view.Catalog.Version {
+		return
+	}
+	if o.view.Catalog != nil {
+		o.noteMoves(o.view.Catalog, c)
+	}
+	o.view.Catalog = c
+	o.log.Info("catalog_in_force", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)),
+		zap.Int("pools", len(c.Pools)), zap.Int("workspaces", len(c.Workspaces)))
+}
+
+// noteMoves remembers the pools that queues leave: jobs stay where they were
+// accepted.
+func (o *operatorView) noteMoves(before, after *catalog.Catalog) {
+	for name, q := range before.Queues {
+		moved := after.Queues[name]
+		if moved == nil || moved.Pool == q.Pool {
+			continue
+		}
+		o.former[name] = append(o.former[name], q.Pool)
+		o.log.Info("queue_moved", zap.String("queue", name), zap.String("from", q.Pool), zap.String("to", moved.Pool))
+	}
+}
+
+// Former returns the pools that a queue had earlier in this process's life.
+func (o *operatorView) Former(queue string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.former[queue]
+}
+
+func (o *operatorView) run(ctx context.Context, f follower) {
+	f.table = o.rows.OperatorTable()
+	f.wait = operatorWait
+	f.deliver = o.update
+	f.run(ctx)
+}
+
+func keys(m map[string]bool) []string {
+	list := make([]string, 0, len(m))
+	for k := range m {
+		list = append(list, k)
+	}
+	return list
+}
--- /dev/null
+++ b/node/ownership.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"sort"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+// Claims of pools that have no owner.
+const (
+	// claimSettle is the time after a start before the first claim, so that
+	// entries that start together share the pools.
+	claimSettle = 900 * time.Millisecond
+	// claimStagger is the head start of each better placed entry.
+	claimStagger = 500 * time.Millisecond
+	claimLimit   = 800 * time.Millisecond // of one call
+)
+
+// ownerRow tells who schedules a pool. It is rewritten by each transaction of
+// the owner, so that its version orders them: a transaction that is carried out
+// late, or by an earlier owner, fails its condition.
+type ownerRow struct {
+	Node  string `cbor:"1,keyasint"` // empty if released
+	Boot  string `cbor:"2,keyasint,omitempty"`
+	Epoch int64  `cbor:"3,keyasint"` // rises with each claim; the fencing token on VMs
+	Batch int64  `cbor:"4,keyasint"` // counts the owner's transactions
+}
+
+// ownership is a claim of a pool and the state of its chain of transactions.
+type ownership struct {
+	store   store.Store
+	pool    string
+	row     ownerRow
+	version int64 // of the owner's row
+}
+
+// errDeposed means that another process owns the pool.
+var errDeposed = errors.New("pool has another owner")
+
+// readOwner reads who owns a pool; a row that does not exist has version 0.
+func readOwner(ctx context.Context, s store.Store, pool string) (ownerRow, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	row, ok, err := store.Get(ctx, s, tables.OwnerKey(pool))
+	if err != nil || !ok {
+		return ownerRow{}, 0, err
+	}
+	owner, err := decodeOwner(row)
+	return owner, row.Version, err
+}
+
+func decodeOwner(row store.Row) (ownerRow, error) {
+	var owner ownerRow
+	if err := cbor.Unmarshal(row.Value, &owner); err != nil {
+		return ownerRow{}, fmt.Errorf("owner row: %w", err)
+	}
+	return owner, nil
+}
+
+// claim makes this process the owner of a pool whose row is at a version.
+func claim(ctx context.Context, s store.Store, pool string, self Member, before ownerRow, version int64) (*ownership, error) {
+	o := &ownership{store: s, pool: pool, version: version,
+		row: ownerRow{Node: before.Node, Boot: before.Boot, Epoch: before.Epoch, Batch: before.Batch}}
+	next := ownerRow{Node: self.Node, Boot: self.Boot, Epoch: before.Epoch + 1}
+	if err := o.write(ctx, next, store.Txn{}); err != nil {
+		return nil, err
+	}
+	return o, nil
+}
+
+// commit writes a transaction of the owner. It tries until the outcome is
+// certain, the pool has another owner (errDeposed), or ctx ends.
+func (o *ownership) commit(ctx context.Context, txn store.Txn) error {
+	next := o.row
+	next.Batch++
+	return o.write(ctx, next, txn)
+}
+
+// release gives the pool up, so that another process claims it at once.
+func (o *ownership) release(ctx context.Context) error {
+	next := o.row
+	next.Node, next.Boot = "", ""
+	next.Batch++
+	return o.write(ctx, next, store.Txn{})
+}
+
+// Time limits of one try of a transaction. A lost answer costs the first limit;
+// the later ones let a service that is 60 times slower than usual answer.
+var tryLimits = [...]time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
+
+// commitRetry is the pause after a refused try.
+const commitRetry = 100 * time.Millisecond
+
+func (o *ownership) write(ctx context.Context, next ownerRow, txn store.Txn) error {
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return err
+	}
+	key := tables.OwnerKey(o.pool)
+	txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: o.version})
+	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
+	for try := 0; ; try++ {
+		version, err := o.try(ctx, txn, tryLimits[min(try, len(tryLimits)-1)])
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			o.row, o.version = next, version
+			return nil
+		case errors.As(err, &conflict):
+			return o.resolve(conflict, next)
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+		sleep(ctx, commitRetry)
+	}
+}
+
+func (o *ownership) try(ctx context.Context, txn store.Txn, limit time.Duration) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return o.store.Commit(ctx, txn)
+}
+
+// resolve tells whether an earlier try of the same transaction was carried out.
+func (o *ownership) resolve(conflict *store.ConflictError, next ownerRow) error {
+	row, ok := conflict.Find(tables.OwnerKey(o.pool))
+	if !ok {
+		return errDeposed
+	}
+	current, err := decodeOwner(row)
+	if err != nil || current != next {
+		return errDeposed
+	}
+	o.row, o.version = next, row.Version
+	return nil
+}
+
+// claimOrder returns the position of a node among the live members that may
+// claim a pool: fewest pools first, then by hash. It is -1 if the node may not.
+func claimOrder(pool, node string, live map[string]Member) int {
+	type candidate struct {
+		name  string
+		pools int
+		hash  uint64
+	}
+	var list []candidate
+	for name, m := range live {
+		if !m.Stopping {
+			list = append(list, candidate{name, len(m.Pools), hash64(pool, name)})
+		}
+	}
+	sort.Slice(list, func(i, k int) bool {
+		if list[i].pools != list[k].pools {
+			return list[i].pools < list[k].pools
+		}
+		return list[i].hash < list[k].hash
+	})
+	for i, c := range list {
+		if c.name == node {
+			return i
+		}
+	}
+	return -1
+}
+
+func hash64(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, part := range parts {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/node/runner.go
@@ -0,0 +1,485 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/pool"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+// Scheduling of a pool by its owner.
+const (
+	// ownerRenew is the longest time between two transactions of an owner.
+	ownerRenew = time.Second
+	// startBound is the age of the last confirmed transaction from which an
+	// owner starts nothing: below the time after which it may be replaced.
+	startBound = 2 * time.Second
+	// renewBound is the age from which an owner renews no leases either, so
+	// that a later owner knows when runs that it cannot reach have lapsed. It
+	// lets runs go on during outages of the table service.
+	renewBound = 6 * time.Second
+	// cycleInterval is the least time between two transactions, so that ends
+	// and starts share one.
+	cycleInterval = 8 * time.Millisecond
+	// idleCycle is the longest time between two looks at the queues.
+	idleCycle = 250 * time.Millisecond
+	// releaseLimit bounds the last transaction of a planned stop.
+	releaseLimit = 1500 * time.Millisecond
+	requestWait  = 5 * time.Second // of a feed call for new requests
+	// requestPause lets requests gather; it bounds the feed calls of an owner.
+	requestPause  = 5 * time.Millisecond
+	discoverWait  = time.Second
+	discoverPause = 300 * time.Millisecond // a drain must be seen within 2 s
+	cordonWait    = 5 * time.Second
+)
+
+// runner schedules one pool as its owner.
+type runner struct {
+	node  *Node
+	log   *zap.Logger
+	owner *ownership
+	pool  *pool.Pool
+	name  string
+
+	events    chan func(*pool.Pool)
+	ended     chan struct{} // closed when the scheduler takes no more events
+	sessions  map[string]*session
+	confirmed atomic.Int64 // send time of the last confirmed transaction, steady ns
+	caps      *capShares
+	batches   chan batchResult
+	lastSent  time.Duration
+	inFlight  bool
+	ownerLost error
+}
+
+type batchResult struct {
+	batch  pool.Batch
+	sentAt time.Duration
+	err    error
+}
+
+func newRunner(n *Node, o *ownership, sentAt time.Duration) *runner {
+	r := &runner{
+		node: n, owner: o, name: o.pool,
+		log:    n.log.With(zap.String("pool", o.pool), zap.Int64("epoch", o.row.Epoch)),
+		events: make(chan func(*pool.Pool), 1024), ended: make(chan struct{}), sessions: map[string]*session{},
+		batches: make(chan batchResult, 1),
+	}
+	r.confirmed.Store(int64(sentAt))
+	r.lastSent = sentAt
+	settings := n.settings.Scheduler
+	settings.Pool = o.pool
+	settings.InheritedLease = renewBound + time.Duration(float64(settings.Lease)/(1-clockDrift)) + leaseMargin
+	r.pool = pool.New(settings, r.log, n.clock.Now())
+	r.caps = newCapShares(n, o.pool, r.log)
+	return r
+}
+
+// run recovers the pool's state and schedules until ctx ends or the pool has
+// another owner.
+func (r *runner) run(ctx context.Context) error {
+	began := r.node.clock.Now().Steady
+	version, err := r.recover(ctx)
+	if err != nil {
+		return fmt.Errorf("recover pool %s: %w", r.name, err)
+	}
+	r.log.Info("pool_taken_over", zap.Duration("took", r.node.clock.Now().Steady-began), zap.Int64("version", version))
+	// What the scheduler has begun goes on until its last transaction.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer close(r.ended)
+	r.follow(inner, version)
+	err = r.loop(inner, ctx)
+	if err == nil && r.node.clock.Now().Steady-time.Duration(r.confirmed.Load()) < renewBound {
+		r.release()
+	}
+	return err
+}
+
+// deliver runs a function in the scheduler's loop.
+func (r *runner) deliver(f func(*pool.Pool)) {
+	select {
+	case r.events <- f:
+	case <-r.ended:
+	}
+}
+
+// recover reads the pool's jobs, progress and figures.
+func (r *runner) recover(ctx context.Context) (int64, error) {
+	requests, err := r.readAll(ctx, tables.Requests(r.name))
+	if err != nil {
+		return 0, err
+	}
+	progress, err := r.readAll(ctx, tables.Progress)
+	if err != nil {
+		return 0, err
+	}
+	queues, err := r.readAll(ctx, tables.Queues)
+	if err != nil {
+		return 0, err
+	}
+	stored := make(map[string]*job.Progress, len(progress.Rows))
+	for _, row := range progress.Rows {
+		p, err := job.DecodeProgress(row.Value)
+		if err != nil {
+			r.log.Error("progress_row_unreadable", zap.String("job", row.Name), zap.Error(err))
+			continue
+		}
+		stored[row.Name] = p
+	}
+	r.pool.Advance(r.node.clock.Now())
+	for _, row := range queues.Rows {
+		if status, err := job.DecodeQueueStatus(row.Value); err == nil {
+			r.pool.RestoreQueue(row.Name, status.Waiting)
+		}
+	}
+	for _, row := range requests.Rows {
+		r.request(r.pool, row, stored)
+	}
+	return requests.Version, nil
+}
+
+// readAll reads a table's rows of the pool, and tries again while the service
+// fails.
+func (r *runner) readAll(ctx context.Context, table string) (store.Page, error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, 2*readLimit)
+		page, err := store.All(callCtx, r.node.store, table, r.name)
+		cancel()
+		if err == nil && page.Version < r.owner.version {
+			err = errStaleRead
+		}
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+		r.log.Info("recovery_read_failed", zap.String("table", table), zap.Error(err))
+		sleep(ctx, followRetry)
+	}
+}
+
+// request takes a row of the pool's requests. stored holds progress at
+// takeover, and is nil for requests that arrive later.
+func (r *runner) request(p *pool.Pool, row store.Row, stored map[string]*job.Progress) {
+	if row.Partition != r.name || row.Removed {
+		return
+	}
+	if id, cancelled := tables.CancelledJob(row.Name); cancelled {
+		p.Cancel(id)
+		return
+	}
+	spec, err := job.DecodeSpec(row.Value)
+	if err != nil {
+		r.log.Error("job_row_unreadable", zap.String("job", row.Name), zap.Error(err))
+		return
+	}
+	if progress := stored[row.Name]; progress != nil {
+		p.Restore(spec, progress)
+		return
+	}
+	p.Accept(spec)
+}
+
+// follow starts the followers that feed the scheduler.
+func (r *runner) follow(ctx context.Context, version int64) {
+	n := r.node
+	requests := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Requests(r.name), partition: r.name,
+		wait: requestWait, pause: requestPause, deliver: func(u Update) {
+			r.deliver(func(p *pool.Pool) {
+				for _, row := range u.Rows {
+					r.request(p, row, nil)
+				}
+			})
+		}}
+	requests.version = version
+	go requests.run(ctx)
+	discovery := &follower{store: n.store, clock: n.clock, log: r.log, table: n.rows.VMTable(),
+		wait: discoverWait, pause: discoverPause, deliver: r.discovered()}
+	go discovery.run(ctx)
+	cordons := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Cordons, partition: fleetPool,
+		wait: cordonWait, deliver: r.cordoned()}
+	go cordons.run(ctx)
+	go r.caps.follow(ctx)
+}
+
+// discovered returns the handler of the discovery table. Rows of other pools
+// matter too: a VM that now reports another pool has left this one.
+func (r *runner) discovered() func(Update) {
+	mine := map[string]bool{}
+	return func(u Update) {
+		var seen []pool.VM
+		var gone []string
+		present := map[string]bool{}
+		for _, row := range u.Rows {
+			listed, ok := r.decodeVM(row)
+			if ok && listed.Pool == r.name {
+				seen = append(seen, listed.VM)
+				present[row.Name] = true
+				mine[row.Name] = true
+				continue
+			}
+			if mine[row.Name] {
+				gone = append(gone, row.Name)
+				delete(mine, row.Name)
+			}
+		}
+		if u.Whole {
+			for name := range mine {
+				if !present[name] {
+					gone = append(gone, name)
+					delete(mine, name)
+				}
+			}
+		}
+		r.deliver(func(p *pool.Pool) {
+			for _, v := range seen {
+				p.ObserveVM(v)
+			}
+			for _, name := range gone {
+				p.ForgetVM(name)
+			}
+		})
+	}
+}
+
+func (r *runner) decodeVM(row store.Row) (ListedVM, bool) {
+	if row.Removed {
+		return ListedVM{}, false
+	}
+	listed, err := r.node.rows.DecodeVM(row)
+	if err != nil {
+		r.log.Debug("vm_row_unreadable", zap.String("row", row.Name), zap.Error(err))
+		return ListedVM{}, false
+	}
+	return listed, true
+}
+
+func (r *runner) cordoned() func(Update) {
+	cordons := map[string]string{}
+	return func(u Update) {
+		if len(u.Rows) == 0 && !u.Whole {
+			return
+		}
+		if u.Whole {
+			clear(cordons)
+		}
+		for _, row := range u.Rows {
+			if row.Removed {
+				delete(cordons, row.Name)
+				continue
+			}
+			if c, err := decodeCordon(row.Value); err == nil {
+				cordons[row.Name] = c.VM
+			}
+		}
+		snapshot := make(map[string]string, len(cordons))
+		for machine, vm := range cordons {
+			snapshot[machine] = vm
+		}
+		r.deliver(func(p *pool.Pool) { p.Cordon(snapshot) })
+	}
+}
+
+// loop is the scheduler's only goroutine. It returns nil when life ends, and an
+// error when the pool has another owner.
+func (r *runner) loop(ctx, life context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var configured <-chan struct{}
+	for {
+		view, changed := r.node.operator.Get()
+		if configured != changed {
+			configured = changed
+			r.configure(view)
+		}
+		select {
+		case f := <-r.events:
+			r.pool.Advance(r.node.clock.Now())
+			f(r.pool)
+			r.drainEvents()
+		case result := <-r.batches:
+			if err := r.committed(ctx, result); err != nil {
+				return err
+			}
+		case <-timer.C:
+		case <-configured:
+			continue
+		case <-life.Done():
+			r.settle()
+			return nil
+		}
+		if r.pool.Deposed() {
+			return errDeposed
+		}
+		timer.Reset(r.cycle(ctx))
+	}
+}
+
+// drainEvents handles what has gathered, so that one cycle serves it all.
+func (r *runner) drainEvents() {
+	for range cap(r.events) {
+		select {
+		case f := <-r.events:
+			f(r.pool)
+		default:
+			return
+		}
+	}
+}
+
+func (r *runner) configure(view View) {
+	r.pool.SetEvacuated(view.Evacuated)
+	if view.Catalog != nil {
+		r.pool.Configure(view.Catalog)
+		r.caps.configure(view.Catalog)
+	}
+}
+
+// cycle sends commands and, if none is under way, the next transaction. It
+// returns the time until the next look.
+func (r *runner) cycle(ctx context.Context) time.Duration {
+	now := r.node.clock.Now()
+	r.pool.Advance(now)
+	r.syncSessions(ctx)
+	if r.inFlight {
+		r.send(ctx, r.pool.Commands())
+		return idleCycle
+	}
+	if wait := cycleInterval - (now.Steady - r.lastSent); wait > 0 {
+		r.send(ctx, r.pool.Commands())
+		return wait
+	}
+	r.caps.apply(r.pool, now.Steady)
+	batch := r.pool.Cycle()
+	r.caps.want(ctx, r.pool.Wants(), now.Steady)
+	r.send(ctx, r.pool.Commands())
+	if batch.Empty() && now.Steady-r.lastSent < ownerRenew {
+		return r.pool.NextDue(idleCycle)
+	}
+	r.inFlight = true
+	r.lastSent = now.Steady
+	go r.commit(ctx, batch, now.Steady)
+	return idleCycle
+}
+
+func (r *runner) commit(ctx context.Context, batch pool.Batch, sentAt time.Duration) {
+	err := r.owner.commit(ctx, store.Txn{Puts: batch.Puts, Deletes: batch.Deletes})
+	r.batches <- batchResult{batch, sentAt, err}
+}
+
+func (r *runner) committed(ctx context.Context, result batchResult) error {
+	r.inFlight = false
+	if result.err != nil {
+		return result.err
+	}
+	now := r.node.clock.Now()
+	r.pool.Advance(now)
+	r.confirmed.Store(int64(result.sentAt))
+	r.node.metrics.observe(metricCommit, "", now.Steady-result.sentAt)
+	r.send(ctx, r.pool.Committed(result.batch))
+	for _, vm := range r.pool.VMs() {
+		if s := r.sessions[vm.ID]; s != nil {
+			s.setSeen(vm.Seen)
+		}
+	}
+	return nil
+}
+
+// settle waits for the transaction under way, so that the release is the last.
+func (r *runner) settle() {
+	if !r.inFlight {
+		return
+	}
+	select {
+	case result := <-r.batches:
+		r.ownerLost = result.err
+	case <-time.After(releaseLimit):
+		r.ownerLost = errors.New("transaction under way at stop")
+	}
+}
+
+func (r *runner) release() {
+	if r.ownerLost != nil && !errors.Is(r.ownerLost, context.Canceled) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+	defer cancel()
+	if err := r.owner.release(ctx); err != nil {
+		r.log.Warn("pool_not_released", zap.Error(err))
+		return
+	}
+	r.log.Info("pool_released")
+}
+
+// mayRenew reports whether this owner may extend leases.
+func (r *runner) mayRenew() bool {
+	return r.node.clock.Now().Steady-time.Duration(r.confirmed.Load()) < renewBound
+}
+
+// mayStart reports whether this owner may start runs.
+func (r *runner) mayStart() bool {
+	return r.node.clock.Now().Steady-time.Duration(r.confirmed.Load()) < startBound
+}
+
+// syncSessions opens a session for each new VM and closes those of VMs that are
+// gone.
+func (r *runner) syncSessions(ctx context.Context) {
+	vms := r.pool.VMs()
+	known := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		if vm.Address == "" {
+			continue
+		}
+		known[vm.ID] = true
+		if s := r.sessions[vm.ID]; s != nil && s.ref.Address == vm.Address {
+			continue
+		}
+		r.openSession(ctx, vm)
+	}
+	for id, s := range r.sessions {
+		if !known[id] {
+			s.stop()
+			delete(r.sessions, id)
+		}
+	}
+}
+
+func (r *runner) openSession(ctx context.Context, vm pool.VMAddress) {
+	if old := r.sessions[vm.ID]; old != nil {
+		old.stop()
+	}
+	sessionCtx, cancel := context.WithCancel(ctx)
+	s := &session{
+		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
+		token: r.owner.row.Epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
+		recorded: make(chan struct{}, 1), stop: cancel, slots: make(chan struct{}, ordersAtOnce),
+		mayRenew: r.mayRenew, mayStart: r.mayStart,
+	}
+	s.seen.Store(vm.Seen)
+	r.sessions[vm.ID] = s
+	go s.run(sessionCtx)
+}
+
+func (r *runner) send(ctx context.Context, commands []pool.Command) {
+	for _, c := range commands {
+		s := r.sessions[c.VM]
+		if s == nil {
+			r.log.Info("order_without_session", zap.String("task", c.Task), zap.String("vm", c.VM))
+			r.pool.Started(c, pool.StartLate, 0)
+			continue
+		}
+		if c.Kind == pool.Start && !r.mayStart() {
+			r.log.Info("start_withheld", zap.String("task", c.Task), zap.Duration("confirmed_age", r.node.clock.Now().Steady-time.Duration(r.confirmed.Load())))
+			r.pool.Started(c, pool.StartLate, 0)
+			continue
+		}
+		go s.carry(ctx, c)
+	}
+}
--- /dev/null
+++ b/node/session.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/pool"
+)
+
+// Renewals of leases.
+const (
+	// renewWait is how long a worker holds a renewal that has nothing to list.
+	// Twice this is below the age at which a VM gets no new work.
+	renewWait = time.Second
+	// renewMargin is added to the wait for the time limit of the call.
+	renewMargin = 700 * time.Millisecond
+	// renewPause lets ends gather before the next renewal; it bounds the calls
+	// to a busy worker at 25 a second.
+	renewPause = 40 * time.Millisecond
+	// renewRetry is the pause after a renewal without an answer.
+	renewRetry = 200 * time.Millisecond
+	// recordLimit is the longest that a renewal waits for ends to be recorded
+	// before it goes out without taking note of them.
+	recordLimit = 600 * time.Millisecond
+	// clockDrift is the most that a worker's clock is slow, relative.
+	clockDrift = 0.02
+	// leaseMargin covers rounding of clocks to milliseconds.
+	leaseMargin = 20 * time.Millisecond
+	orderLimit  = 800 * time.Millisecond // of a start, stop or pace
+	// ordersAtOnce bounds the calls to one worker; a start takes 2 to 3 ms.
+	ordersAtOnce = 3
+)
+
+// session carries the orders of one pool owner to one VM and renews its leases.
+type session struct {
+	ref     WorkerRef
+	workers Workers
+	clock   Clock
+	log     *zap.Logger
+	token   int64
+	lease   time.Duration
+	deliver func(func(*pool.Pool)) // runs a function in the scheduler's loop
+
+	seen     atomic.Int64 // ends up to this number are recorded
+	recorded chan struct{}
+	stop     context.CancelFunc
+	slots    chan struct{}
+	mayRenew func() bool
+	mayStart func() bool
+
+	mu      sync.Mutex
+	clockMS int64         // of the worker, at clockAt
+	clockAt time.Duration // when the answer with it arrived
+	born    int64
+	silent  bool
+}
+
+// deadline returns the lease deadline on the worker's clock, and the bound on
+// the steady clock of this process at which everything under it has ended. It
+// is false until the worker's clock is known.
+func (s *session) deadline(now time.Duration) (deadline int64, bound time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clockAt == 0 {
+		return 0, 0, false
+	}
+	elapsed := time.Duration(float64(now-s.clockAt) * (1 - clockDrift))
+	deadline = s.clockMS + (elapsed + s.lease).Milliseconds()
+	bound = now + time.Duration(float64(s.lease)/(1-clockDrift)) + leaseMargin
+	return deadline, bound, true
+}
+
+func (s *session) sawClock(clockMS, born int64, at time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clockMS, s.clockAt = clockMS, at
+	if born != 0 {
+		s.born = born
+	}
+}
+
+// run renews the VM's leases until ctx ends.
+func (s *session) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !s.mayRenew() {
+			sleep(ctx, renewRetry)
+			continue
+		}
+		pause := renewPause
+		if highest, ok := s.renew(ctx); !ok {
+			pause = renewRetry
+		} else if highest > s.seen.Load() {
+			s.awaitRecord(ctx, highest)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// awaitRecord waits until the ends of the last listing are recorded.
+func (s *session) awaitRecord(ctx context.Context, highest int64) {
+	timer := time.NewTimer(recordLimit)
+	defer timer.Stop()
+	for s.seen.Load() < highest {
+		select {
+		case <-s.recorded:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// setSeen tells that ends up to a number are recorded.
+func (s *session) setSeen(n int64) {
+	if s.seen.Swap(n) == n {
+		return
+	}
+	select {
+	case s.recorded <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) renew(ctx context.Context) (highest int64, ok bool) {
+	sentAt := s.clock.Now().Steady
+	r := Renewal{Token: s.token, Seen: s.seen.Load(), Wait: renewWait}
+	if deadline, bound, known := s.deadline(sentAt); known {
+		r.Deadline = deadline
+		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
+	} else {
+		r.Wait = 0 // the first renewal only learns the clock and the listing
+	}
+	callCtx, cancel := context.WithTimeout(ctx, r.Wait+renewMargin)
+	answer, err := s.workers.Renew(callCtx, s.ref, r)
+	cancel()
+	if err != nil {
+		s.renewFailed(ctx, err)
+		return 0, false
+	}
+	at := s.clock.Now().Steady
+	s.sawClock(answer.Clock, answer.Born, at)
+	s.answered()
+	listing := pool.Listing{VM: s.ref.ID, Born: answer.Born, SentAt: sentAt, At: at,
+		Running: answer.Running, Ended: answer.Ended, Complete: len(answer.Ended) < maxListedEnds}
+	for _, end := range answer.Ended {
+		highest = max(highest, end.Sequence)
+	}
+	s.deliver(func(p *pool.Pool) { p.Listed(listing) })
+	return highest, true
+}
+
+// maxListedEnds is the number of ends that one answer lists at most.
+const maxListedEnds = 500
+
+func (s *session) renewFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, ErrFenced) {
+		s.deliver(func(p *pool.Pool) { p.Depose(s.ref.ID) })
+		return
+	}
+	s.mu.Lock()
+	was := s.silent
+	s.silent = true
+	s.mu.Unlock()
+	if !was {
+		s.log.Warn("dependency_lost", zap.String("dependency", "vm "+s.ref.ID), zap.String("address", s.ref.Address), zap.Error(err))
+	}
+	s.deliver(func(p *pool.Pool) { p.Silent(s.ref.ID) })
+}
+
+func (s *session) answered() {
+	s.mu.Lock()
+	was := s.silent
+	s.silent = false
+	s.mu.Unlock()
+	if was {
+		s.log.Info("dependency_regained", zap.String("dependency", "vm "+s.ref.ID))
+	}
+}
+
+// carry sends a command and delivers its result.
+func (s *session) carry(ctx context.Context, c pool.Command) {
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	callCtx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	switch c.Kind {
+	case pool.Start:
+		s.start(callCtx, c)
+	case pool.Stop:
+		err := s.workers.Stop(callCtx, s.ref, c.Task, c.Run, s.token)
+		at := s.clock.Now().Steady
+		s.deliver(func(p *pool.Pool) { p.Stopped(c, err == nil, at) })
+	case pool.Pace:
+		if err := s.workers.Pace(callCtx, s.ref, c.Task, c.Run, c.Percent, s.token); err != nil {
+			s.log.Info("pace_failed", zap.String("task", c.Task), zap.String("vm", c.VM), zap.Error(err))
+			s.deliver(func(p *pool.Pool) { p.PaceFailed(c) })
+		}
+	}
+}
+
+func (s *session) start(ctx context.Context, c pool.Command) {
+	result := pool.StartLate // nothing is sent without a lease deadline
+	if deadline, bound, ok := s.deadline(s.clock.Now().Steady); ok && s.mayStart() {
+		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
+		result = s.workers.Start(ctx, s.ref, StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
+			Deadline: deadline, Token: s.token, Checkpoint: c.Checkpoint, Ticket: c.Ticket})
+	}
+	at := s.clock.Now().Steady
+	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
+}
--- /dev/null
+++ b/sched/catalog/catalog.go
@@ -0,0 +1,139 @@
+// Package catalog holds one version of the declared queues, pools and
+// workspaces, and answers which queue a request belongs to and who may use it.
+package catalog
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"amaranthfork.example/fleet"
+)
+
+// Queue is a declared queue.
+type Queue struct {
+	Name        string
+	Host        string
+	Prefix      string // path prefix of its requests
+	Pool        string
+	Timeout     time.Duration // longest handling of a request
+	Target      time.Duration // time to completion that is granted on top of the work
+	Stretch     float64       // factor on the longest chain of work in the objective
+	Priority    int           // 0 comes first
+	MaxAttempts int           // failed runs of a task before the job fails; 0 means no bound
+	Open        bool          // requests need no key
+	Advice      *Advice       // nil if every VM of the pool may run the queue's steps
+}
+
+// Advice describes an advisor that tells which VMs may run a step.
+type Advice struct {
+	Decision time.Duration // of one call
+	PerVM    time.Duration // more for each VM that is asked about
+	Validity time.Duration // of a ticket
+}
+
+// Pool is a declared pool.
+type Pool struct {
+	Name         string
+	GuardsRoom   bool // its workers refuse what does not fit
+	Standby      bool // its VMs are switched off and cost nothing
+	MaxConns     int
+	HealthPath   string
+	ColdStart    time.Duration
+	ColdRequests float64
+}
+
+// Workspace is a declared workspace.
+type Workspace struct {
+	Name   string
+	Weight float64 // its share when the fleet is full
+	Cap    fleet.Resources
+	Keys   []string
+}
+
+// Limits bound requests of callers.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Catalog is one version of the declarations. It is immutable.
+type Catalog struct {
+	Version    int64
+	Queues     map[string]*Queue
+	Pools      map[string]*Pool
+	Workspaces map[string]*Workspace
+	Limits     Limits
+
+	byHost map[string][]*Queue // longest prefix first
+	byKey  map[string]*Workspace
+}
+
+// New indexes the declarations.
+func New(version int64, queues []*Queue, pools []*Pool, workspaces []*Workspace, limits Limits) *Catalog {
+	c := &Catalog{
+		Version:    version,
+		Queues:     make(map[string]*Queue, len(queues)),
+		Pools:      make(map[string]*Pool, len(pools)),
+		Workspaces: make(map[string]*Workspace, len(workspaces)),
+		Limits:     limits,
+		byHost:     map[string][]*Queue{},
+		byKey:      map[string]*Workspace{},
+	}
+	for _, q := range queues {
+		c.Queues[q.Name] = q
+		host := strings.ToLower(q.Host)
+		c.byHost[host] = append(c.byHost[host], q)
+	}
+	for _, list := range c.byHost {
+		sort.Slice(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for _, p := range pools {
+		c.Pools[p.Name] = p
+	}
+	for _, w := range workspaces {
+		c.Workspaces[w.Name] = w
+		for _, key := range w.Keys {
+			c.byKey[key] = w
+		}
+	}
+	return c
+}
+
+// Match returns the queue of a request, and the rest of the path after the
+// queue's prefix. The queue is nil if none matches.
+func (c *Catalog) Match(host, path string) (*Queue, string) {
+	host = strings.ToLower(host)
+	list, ok := c.byHost[host]
+	if !ok {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			list = c.byHost[host[:i]]
+		}
+	}
+	for _, q := range list {
+		if strings.HasPrefix(path, q.Prefix) {
+			return q, path[len(q.Prefix):]
+		}
+	}
+	return nil, ""
+}
+
+// Authorize returns the workspace of a key, or nil if the key is not in force.
+func (c *Catalog) Authorize(key string) *Workspace {
+	if key == "" {
+		return nil
+	}
+	return c.byKey[key]
+}
+
+// PoolNames returns the names of all pools in order.
+func (c *Catalog) PoolNames() []string {
+	names := make([]string, 0, len(c.Pools))
+	for name := range c.Pools {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/sched/job/spec.go
@@ -0,0 +1,133 @@
+// Package job holds the description of a submitted job, its progress and their
+// stored form.
+package job
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"amaranthfork.example/fleet"
+)
+
+// Limits of a job description. They keep one job within one store row.
+const (
+	MaxPayloadBytes = 4000   // task_spec of the platform's job interface
+	MaxSteps        = 64     // far above the widest known job; bounds the dependency check
+	MaxTasks        = 10_000 // of all occurrences that may be open; keeps the progress row under 64 KiB
+	IDLength        = 16
+)
+
+// Step is a set of like tasks.
+type Step struct {
+	Count       int             `cbor:"1,keyasint"`
+	Need        fleet.Resources `cbor:"2,keyasint"` // for one task
+	Estimate    time.Duration   `cbor:"3,keyasint,omitempty"`
+	After       []int           `cbor:"4,keyasint,omitempty"` // indexes of earlier steps
+	Checkpoints bool            `cbor:"5,keyasint,omitempty"` // saves its progress
+	Gang        bool            `cbor:"6,keyasint,omitempty"` // all tasks run together or not at all
+	SameRack    bool            `cbor:"7,keyasint,omitempty"` // slower when spread over racks
+	Label       string          `cbor:"8,keyasint,omitempty"` // label that the VM must have
+	NearRack    string          `cbor:"9,keyasint,omitempty"` // rack of the step's data; slower elsewhere
+	MaxPerVM    int             `cbor:"10,keyasint,omitempty"`
+	Speculative bool            `cbor:"11,keyasint,omitempty"` // copies of a task may run in parallel
+	LongRunning bool            `cbor:"12,keyasint,omitempty"` // runs until the job is cancelled
+	Image       string          `cbor:"13,keyasint,omitempty"` // tasks of one image behave alike
+	LatencyGoal time.Duration   `cbor:"14,keyasint,omitempty"` // tail response time of a serving task
+	Fills       bool            `cbor:"15,keyasint,omitempty"` // runs on processor time that others leave unused
+	MayMiss     int             `cbor:"16,keyasint,omitempty"` // tasks that planned actions may make unavailable at a time
+}
+
+// Spec is a job as its caller submitted it.
+type Spec struct {
+	ID          string        `cbor:"1,keyasint"`
+	Queue       string        `cbor:"2,keyasint"`
+	Workspace   string        `cbor:"3,keyasint,omitempty"` // empty on open queues
+	Payload     string        `cbor:"4,keyasint,omitempty"`
+	Steps       []Step        `cbor:"5,keyasint"`
+	Repetitions int           `cbor:"6,keyasint,omitempty"` // 0 means that the job runs once, at once
+	FirstRun    int64         `cbor:"7,keyasint,omitempty"` // Unix milliseconds
+	Interval    time.Duration `cbor:"8,keyasint,omitempty"`
+	AcceptedAt  int64         `cbor:"9,keyasint,omitempty"` // Unix milliseconds, at the accepting entry
+}
+
+// Occurrences returns how many times the steps run.
+func (s *Spec) Occurrences() int {
+	return max(1, s.Repetitions)
+}
+
+// Due returns the time from which an occurrence may start, in Unix
+// milliseconds; 0 means at once.
+func (s *Spec) Due(occurrence int) int64 {
+	if s.Repetitions == 0 {
+		return 0
+	}
+	return s.FirstRun + int64(occurrence)*s.Interval.Milliseconds()
+}
+
+// LongRunning reports whether a step of the job runs until it is cancelled.
+func (s *Spec) LongRunning() bool {
+	for i := range s.Steps {
+		if s.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// ValidID reports whether id is 16 lower or upper case hexadecimal digits.
+func ValidID(id string) bool {
+	if len(id) != IDLength {
+		return false
+	}
+	return strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
+
+// Check returns the first fault of a job description, naming its field, or nil.
+func (s *Spec) Check() error {
+	if !ValidID(s.ID) {
+		return fmt.Errorf("id: want %d hexadecimal digits", IDLength)
+	}
+	if len(s.Payload) > MaxPayloadBytes {
+		return fmt.Errorf("payload: %d bytes, at most %d", len(s.Payload), MaxPayloadBytes)
+	}
+	if len(s.Steps) == 0 {
+		return fmt.Errorf("steps: empty")
+	}
+	if len(s.Steps) > MaxSteps {
+		return fmt.Errorf("steps: %d, at most %d", len(s.Steps), MaxSteps)
+	}
+	if s.Repetitions < 0 || s.Interval < 0 || s.FirstRun < 0 {
+		return fmt.Errorf("repetitions: negative schedule")
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
+			return fmt.Errorf("steps[%d].%w", i, err)
+		}
+		tasks += s.Steps[i].Count
+	}
+	if tasks > MaxTasks || tasks*s.Occurrences() > MaxTasks {
+		return fmt.Errorf("steps: %d tasks in %d occurrences, at most %d", tasks, s.Occurrences(), MaxTasks)
+	}
+	return nil
+}
+
+func (s *Step) check(index int) error {
+	if s.Count <= 0 || s.Count > MaxTasks {
+		return fmt.Errorf("count: %d is not between 1 and %d", s.Count, MaxTasks)
+	}
+	if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
+		return fmt.Errorf("resources: negative")
+	}
+	if s.Estimate < 0 || s.MaxPerVM < 0 || s.MayMiss < 0 || s.LatencyGoal < 0 {
+		return fmt.Errorf("limits: negative")
+	}
+	for _, earlier := range s.After {
+		// Only earlier steps may be named, so dependencies have no cycle.
+		if earlier < 0 || earlier >= index {
+			return fmt.Errorf("after: step %d is not an earlier step", earlier)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/sched/pool/batch.go
@@ -0,0 +1,308 @@
+package pool
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+const (
+	// maxBatchEntries leaves room for the owner's row in a transaction.
+	maxBatchEntries = store.MaxTxnEntries - 4
+	// maxBatchBytes keeps a transaction under 1 MB once it is encoded as text.
+	maxBatchBytes = 600 << 10
+	// queueInterval is the least time between two publications of a queue's
+	// figures, half of the 2 s that they may be old.
+	queueInterval = 700 * time.Millisecond
+	// maxForgotten bounds the finished jobs that one batch deletes.
+	maxForgotten = 10
+)
+
+// Batch is one transaction's worth of changes and what follows from it.
+type Batch struct {
+	Puts    []store.Put
+	Deletes []store.Key
+
+	starts []startRecord
+	seen   map[string]int64 // numbers of recorded ends, by VM
+	bytes  int
+}
+
+type startRecord struct {
+	task *task
+	run  int
+}
+
+// Empty reports whether there is nothing to write.
+func (b *Batch) Empty() bool { return len(b.Puts) == 0 && len(b.Deletes) == 0 }
+
+func (b *Batch) full() bool {
+	return len(b.Puts)+len(b.Deletes) >= maxBatchEntries || b.bytes >= maxBatchBytes
+}
+
+func (b *Batch) put(k store.Key, value []byte) {
+	b.Puts = append(b.Puts, store.Put{Key: k, Value: value})
+	b.bytes += len(value)
+}
+
+// Cycle plans and returns the changes to write. The next call must follow
+// Committed, or the pool must be given up.
+func (p *Pool) Cycle() Batch {
+	p.vacate()
+	p.plan()
+	b := Batch{seen: map[string]int64{}}
+	p.addJobs(&b)
+	if !b.full() {
+		// Every change up to here is in the batch, so all ends are recorded.
+		for id, v := range p.vms {
+			if v.seen > v.durable {
+				b.seen[id] = v.seen
+			}
+		}
+	}
+	p.addQueues(&b)
+	p.addEmptied(&b)
+	p.forget(&b)
+	return b
+}
+
+// Busy reports whether ends wait to be recorded or jobs to be written.
+func (p *Pool) Busy() bool {
+	for _, v := range p.vms {
+		if v.seen > v.durable {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) addJobs(b *Batch) {
+	for _, j := range p.jobs {
+		if !j.dirty {
+			continue
+		}
+		if b.full() {
+			return
+		}
+		value, err := job.EncodeProgress(p.progress(j))
+		if err != nil {
+			p.log.Error("progress_not_encoded", zap.String("job", j.spec.ID), zap.Error(err))
+			continue
+		}
+		b.put(tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
+		j.dirty = false
+		p.addStarts(b, j)
+	}
+}
+
+func (p *Pool) addStarts(b *Batch, j *jobState) {
+	if j.active == 0 {
+		return
+	}
+	for _, o := range j.open {
+		for _, step := range o.tasks {
+			for _, t := range step {
+				if t.phase == placed {
+					b.starts = append(b.starts, startRecord{t, t.run})
+				}
+			}
+		}
+	}
+}
+
+// progress returns the stored form of a job's state.
+func (p *Pool) progress(j *jobState) *job.Progress {
+	r := &job.Progress{State: j.state, FirstOpen: j.firstOpen, FinishedAt: j.finishedAt, Workspace: j.spec.Workspace}
+	if j.state.Final() {
+		return r
+	}
+	for _, o := range j.open {
+		stored := job.Occurrence{Number: o.number}
+		for _, step := range o.tasks {
+			for _, t := range step {
+				stored.Tasks = append(stored.Tasks, t.stored())
+			}
+		}
+		r.Occurrences = append(r.Occurrences, stored)
+	}
+	return r
+}
+
+func (t *task) stored() job.Task {
+	s := job.Task{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+	switch {
+	case t.phase == done:
+		s.State = job.TaskDone
+		s.Checkpoint = ""
+	case t.active():
+		s.State = job.TaskActive
+		s.VM = t.vm.ID
+		s.Born = t.vm.Born
+	}
+	return s
+}
+
+func (p *Pool) addQueues(b *Batch) {
+	counts := p.waitingJobs()
+	for queue := range p.queueCounts {
+		if _, ok := counts[queue]; !ok {
+			counts[queue] = 0
+		}
+	}
+	for queue, n := range counts {
+		last, published := p.queueCounts[queue]
+		if published && last == n || p.now.Steady-p.queueAt[queue] < queueInterval && published || b.full() {
+			continue
+		}
+		value, err := job.EncodeQueueStatus(job.QueueStatus{Waiting: n, AsOf: p.now.Wall})
+		if err != nil {
+			p.log.Error("queue_status_not_encoded", zap.String("queue", queue), zap.Error(err))
+			continue
+		}
+		b.put(tables.QueueKey(p.settings.Pool, queue), value)
+		p.queueCounts[queue] = n
+		p.queueAt[queue] = p.now.Steady
+	}
+}
+
+// addEmptied reports cordoned VMs that hold nothing any more, and deletes the
+// reports of cordons that are gone.
+func (p *Pool) addEmptied(b *Batch) {
+	for _, v := range p.vms {
+		if !v.cordoned || v.emptied || len(v.tasks) > 0 || !v.listed || b.full() {
+			continue
+		}
+		v.emptied = true
+		b.put(tables.EmptiedKey(p.settings.Pool, v.Machine), []byte(v.ID))
+		p.log.Info("vm_emptied", zap.String("vm", v.ID), zap.String("machine", v.Machine))
+	}
+	for machine := range p.emptyGone {
+		if b.full() {
+			return
+		}
+		b.Deletes = append(b.Deletes, tables.EmptiedKey(p.settings.Pool, machine))
+		delete(p.emptyGone, machine)
+	}
+}
+
+// forget deletes jobs whose state need not be known any more.
+func (p *Pool) forget(b *Batch) {
+	for n := 0; n < maxForgotten && len(p.finished) > 0; n++ {
+		j := p.finished[0]
+		age := time.Duration(p.now.Wall-j.finishedAt) * time.Millisecond
+		if age < p.settings.StatusKept || j.active > 0 || len(b.Puts)+len(b.Deletes)+3 > maxBatchEntries {
+			return
+		}
+		id := j.spec.ID
+		b.Deletes = append(b.Deletes, tables.JobKey(p.settings.Pool, id), tables.CancelKey(p.settings.Pool, id), tables.ProgressKey(p.settings.Pool, id))
+		delete(p.jobs, id)
+		p.finished = p.finished[1:]
+	}
+}
+
+// Committed releases what waited for a batch to be durable.
+func (p *Pool) Committed(b Batch) []Command {
+	for id, seen := range b.seen {
+		if v := p.vms[id]; v != nil {
+			v.durable = max(v.durable, seen)
+		}
+	}
+	var starts []Command
+	for _, r := range b.starts {
+		t := r.task
+		if t.phase != placed || t.run != r.run {
+			continue
+		}
+		if !p.stillAllowed(t) {
+			p.close(t, waiting)
+			continue
+		}
+		t.phase = starting
+		t.since = p.now.Steady
+		p.stats.Starts++
+		p.logPlaced(t)
+		starts = append(starts, Command{Kind: Start, VM: t.vm.ID, Address: t.vm.Address, Task: t.name, Run: t.run,
+			Payload: t.occ.job.spec.Payload, Checkpoint: t.checkpoint})
+	}
+	return starts
+}
+
+// stillAllowed checks what may have changed while the record was written.
+func (p *Pool) stillAllowed(t *task) bool {
+	v := t.vm
+	return !t.occ.job.state.Final() && v.listed && v.fenced && !v.Draining && !v.cordoned && !p.evacuated[v.DataCentre]
+}
+
+// Restore adds a job with its stored progress, at takeover. A nil progress is
+// that of a job which no owner has seen yet.
+func (p *Pool) Restore(spec *job.Spec, progress *job.Progress) {
+	if _, known := p.jobs[spec.ID]; known {
+		return
+	}
+	j := p.add(spec)
+	if progress == nil {
+		j.dirty = true
+		return
+	}
+	j.state = progress.State
+	j.begun = progress.State != job.Queued
+	j.firstOpen = progress.FirstOpen
+	j.nextOpen = progress.FirstOpen
+	j.finishedAt = progress.FinishedAt
+	if j.state.Final() {
+		p.finished = append(p.finished, j)
+		return
+	}
+	for _, stored := range progress.Occurrences {
+		o := p.newOccurrence(j, stored.Number, spec.Due(stored.Number))
+		p.restoreTasks(o, stored.Tasks)
+		j.open = append(j.open, o)
+		j.nextOpen = max(j.nextOpen, stored.Number+1)
+	}
+}
+
+func (p *Pool) restoreTasks(o *occurrence, stored []job.Task) {
+	i := 0
+	for s := range o.tasks {
+		for _, t := range o.tasks[s] {
+			if i >= len(stored) {
+				return
+			}
+			p.restoreTask(t, stored[i])
+			i++
+		}
+	}
+}
+
+func (p *Pool) restoreTask(t *task, s job.Task) {
+	t.run, t.failures, t.checkpoint = s.Run, s.Failures, s.Checkpoint
+	switch s.State {
+	case job.TaskDone:
+		t.phase = done
+		t.occ.left[t.step]--
+	case job.TaskActive:
+		v := p.vms[s.VM]
+		if v == nil {
+			v = &vm{VM: VM{ID: s.VM, Born: s.Born}, tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady}
+			p.vms[s.VM] = v
+		}
+		if s.Born != 0 && v.Born != 0 && s.Born != v.Born {
+			return // the worker that ran it has ended
+		}
+		if v.Born == 0 {
+			v.Born = s.Born
+		}
+		v.leaseUntil = max(v.leaseUntil, p.now.Steady+p.settings.InheritedLease)
+		p.attach(t, v)
+		t.phase = unsettled
+		t.inherited = true
+		t.since = p.now.Steady
+	}
+}
+
+// RestoreQueue tells the figure that was published last, at takeover.
+func (p *Pool) RestoreQueue(queue string, waiting int) { p.queueCounts[queue] = waiting }
--- /dev/null
+++ b/sched/store/memstore/memstore.go
@@ -0,0 +1,158 @@
+// Package memstore is a stand-in for the table service, with outages and lost
+// answers that tests switch on.
+package memstore
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"amaranthfork.example/sched/store"
+)
+
+// Store keeps rows in memory. The zero value is not usable; call New.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[store.Key]store.Row
+	log     []store.Row // changes in order
+	version int64
+	oldest  int64 // changes up to this version are forgotten
+	changed chan struct{}
+
+	down     bool
+	loseNext int
+	pageSize int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), pageSize: 500}
+}
+
+// SetDown makes every call return ErrUnavailable.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// LoseAnswers makes the next n commits take effect and return ErrUnknown.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseNext = n
+}
+
+// Forget drops the history of changes.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.version
+	s.log = nil
+}
+
+// Commit implements store.Store.
+func (s *Store) Commit(_ context.Context, txn store.Txn) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, store.ErrUnavailable
+	}
+	if conflict := s.check(txn); conflict != nil {
+		return 0, conflict
+	}
+	s.version++
+	for _, put := range txn.Puts {
+		row := store.Row{Key: put.Key, Value: append([]byte(nil), put.Value...), Version: s.version}
+		s.rows[put.Key] = row
+		s.log = append(s.log, row)
+	}
+	for _, key := range txn.Deletes {
+		delete(s.rows, key)
+		s.log = append(s.log, store.Row{Key: key, Version: s.version, Removed: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.loseNext > 0 {
+		s.loseNext--
+		return 0, store.ErrUnknown
+	}
+	return s.version, nil
+}
+
+func (s *Store) check(txn store.Txn) error {
+	failed := false
+	var current []store.Row
+	for _, c := range txn.Conditions {
+		row, ok := s.rows[c.Key]
+		if ok {
+			current = append(current, row)
+		}
+		if row.Version != c.Version {
+			failed = true
+		}
+	}
+	if failed {
+		return &store.ConflictError{Current: current}
+	}
+	return nil
+}
+
+// Range implements store.Store.
+func (s *Store) Range(_ context.Context, table, partition, from, to string) (store.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Page{}, store.ErrUnavailable
+	}
+	page := store.Page{Version: s.version}
+	for key, row := range s.rows {
+		if key.Table == table && key.Partition == partition && key.Name >= from && (to == "" || key.Name < to) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Name < page.Rows[j].Name })
+	if len(page.Rows) > s.pageSize {
+		page.Rows, page.More = page.Rows[:s.pageSize], true
+	}
+	return page, nil
+}
+
+// Changes implements store.Store.
+func (s *Store) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := s.since(table, after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return store.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) since(table string, after int64) (store.Page, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Page{}, nil, store.ErrUnavailable
+	}
+	if after < s.oldest {
+		return store.Page{}, nil, store.ErrHistoryGone
+	}
+	page := store.Page{Version: s.version}
+	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
+	for _, row := range s.log[first:] {
+		if row.Table == table {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, s.changed, nil
+}
--- /dev/null
+++ b/sched/store/store.go
@@ -0,0 +1,131 @@
+// Package store declares the table service that the scheduler keeps its state
+// in: rows in tables and partitions, conditional transactions, and a feed of
+// changes.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Errors of the table service.
+var (
+	// ErrUnavailable means that the call had no effect.
+	ErrUnavailable = errors.New("table service unavailable")
+	// ErrUnknown means that the call may take effect, now or later.
+	ErrUnknown = errors.New("outcome of transaction unknown")
+	// ErrHistoryGone means that changes after the given version are no longer kept.
+	ErrHistoryGone = errors.New("history of changes no longer available")
+)
+
+// ConflictError means that a condition of a transaction did not hold and
+// nothing was written.
+type ConflictError struct {
+	Current []Row // the rows of the conditions that exist
+}
+
+// Error names the conflicting rows.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("condition failed; %d rows of the conditions exist", len(e.Current))
+}
+
+// Find returns the current row of a key, or false if it does not exist.
+func (e *ConflictError) Find(k Key) (Row, bool) {
+	for _, row := range e.Current {
+		if row.Key == k {
+			return row, true
+		}
+	}
+	return Row{}, false
+}
+
+// Key names a row.
+type Key struct {
+	Table     string
+	Partition string
+	Name      string
+}
+
+// Row is a row at a version. Versions come from one counter of the service that
+// rises with each transaction.
+type Row struct {
+	Key
+	Value   []byte
+	Version int64
+	Removed bool // in changes: the row was deleted
+}
+
+// Condition requires a row to be at a version; 0 requires that it is absent.
+type Condition struct {
+	Key     Key
+	Version int64
+}
+
+// Put writes a row.
+type Put struct {
+	Key   Key
+	Value []byte
+}
+
+// MaxTxnEntries is the number of conditions, puts and deletes of one transaction.
+const MaxTxnEntries = 100
+
+// Txn is atomic. All its keys share one partition.
+type Txn struct {
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []Key
+}
+
+// Page is the answer to a range read.
+type Page struct {
+	Rows    []Row
+	More    bool
+	Version int64 // newest version of the service at the time of the read
+}
+
+// Store is the table service. Calls return ErrUnavailable, ErrUnknown (Commit
+// only), ErrHistoryGone (Changes only), *ConflictError (Commit only) or an
+// error of the context.
+type Store interface {
+	// Commit applies a transaction and returns its version.
+	Commit(ctx context.Context, txn Txn) (int64, error)
+	// Range reads rows of a partition of a table from name from (inclusive) to
+	// name to (exclusive; empty means the end) in ascending order.
+	Range(ctx context.Context, table, partition, from, to string) (Page, error)
+	// Changes returns the rows of a table that changed after a version. It
+	// waits up to wait for the first change.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
+}
+
+// Get reads one row. The second result is false if the row does not exist.
+func Get(ctx context.Context, s Store, k Key) (Row, bool, error) {
+	page, err := s.Range(ctx, k.Table, k.Partition, k.Name, k.Name+"\x00")
+	if err != nil || len(page.Rows) == 0 {
+		return Row{}, false, err
+	}
+	return page.Rows[0], true, nil
+}
+
+// All reads every row of a partition of a table. The version is that of the
+// first page, so following changes after it misses none.
+func All(ctx context.Context, s Store, table, partition string) (Page, error) {
+	var all Page
+	from := ""
+	for {
+		page, err := s.Range(ctx, table, partition, from, "")
+		if err != nil {
+			return Page{}, err
+		}
+		if all.Version == 0 {
+			all.Version = page.Version
+		}
+		all.Rows = append(all.Rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return all, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Name + "\x00"
+	}
+}
