Carry out maintenance waves through cordons

Change: pool owners publish their load; one holder empties VMs by cordon rows, notes each order before it is sent, and keeps the wave's limit.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -2,12 +2,39 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"amaranthfork.example/sched/fleetplan"
 	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+// Control of the fleet.
+const (
+	// fleetTick is the time between two looks at the plan.
+	fleetTick = 120 * time.Millisecond
+	// listInterval and idleList are the times between two readings of the
+	// inventory, while orders are under way and while nothing happens.
+	listInterval = 700 * time.Millisecond
+	idleList     = 4 * time.Second
+	// orderRetry is the pause after an order without a certain answer.
+	orderRetry = 600 * time.Millisecond
+	// loadWait is the wait of a feed call for published loads.
+	loadWait  = 2 * time.Second
+	loadPause = 60 * time.Millisecond
+	// emptyTime is how long emptying a VM usually takes: the rest of a task, a
+	// stop, and two rows.
+	emptyTime = 2 * time.Second
+	// waveGone is the time after which a machine that the inventory does not
+	// list any more counts as gone.
+	waveGone = 3 * time.Second
 )
 
 // FleetSettings are the parameters of maintenance and moves.
@@ -18,37 +45,548 @@
 	Calls    float64       // orders that the platform takes a second
 }
 
-// cordonRow asks a pool's owner to empty a VM.
+// cordonRow asks a pool's owner to empty a VM, and notes that an order for its
+// machine may have been sent.
 type cordonRow struct {
-	VM   string `cbor:"1,keyasint"` // the life that is to be emptied
-	Pool string `cbor:"2,keyasint"`
-	Wave string `cbor:"3,keyasint,omitempty"`
-	At   int64  `cbor:"4,keyasint"` // Unix milliseconds
+	VM      string `cbor:"1,keyasint"` // the life that is to be emptied
+	Pool    string `cbor:"2,keyasint"`
+	Wave    string `cbor:"3,keyasint,omitempty"`
+	Target  string `cbor:"4,keyasint,omitempty"`
+	Since   int64  `cbor:"5,keyasint"` // Unix milliseconds
+	Ordered bool   `cbor:"6,keyasint,omitempty"`
 }
 
 func decodeCordon(b []byte) (cordonRow, error) {
 	var c cordonRow
-	err := cbor.Unmarshal(b, &c)
-	return c, err
+	if err := cbor.Unmarshal(b, &c); err != nil {
+		return cordonRow{}, fmt.Errorf("cordon row: %w", err)
+	}
+	return c, nil
+}
+
+// waveRow tells how far a wave is.
+type waveRow struct {
+	Began    int64    `cbor:"1,keyasint"` // Unix milliseconds
+	Done     []string `cbor:"2,keyasint,omitempty"`
+	Complete bool     `cbor:"3,keyasint,omitempty"`
 }
 
-// fleetController orders maintenance of VMs.
+type waveState struct {
+	row     waveRow
+	written bool // the row is stored
+	shown   string
+}
+
+// machineOrder is the answer to an order for a machine.
+type machineOrder struct {
+	machine string
+	err     error
+}
+
+// fleetController orders maintenance and moves of VMs. One process holds the
+// role at a time; every order is noted in the cordon's row before it is sent.
 type fleetController struct {
 	node  *Node
 	log   *zap.Logger
 	owner *ownership
+	plan  fleetplan.Settings
+	since time.Duration // start of the role
+
+	machines map[string]fleetplan.Machine
+	states   map[string]MachineState
+	missing  map[string]time.Duration // since when a machine of a wave is not listed
+	listedAt time.Duration
+	listing  bool
+	lists    chan listResult
+	orders   chan machineOrder
+	pending  map[string]bool          // machines with a call under way
+	retryAt  map[string]time.Duration // by machine
+	orderAt  map[string]time.Duration // when the last call was sent
+	acked    map[string]time.Duration // when the platform confirmed the order
+
+	loads   *loadTable
+	cordons map[string]fleetplan.Cordon
+	waves   map[string]*waveState
 }
 
-func newFleetController(n *Node, o *ownership, _ time.Duration) *fleetController {
-	return &fleetController{node: n, owner: o, log: n.log.With(zap.String("role", "fleet"), zap.Int64("epoch", o.row.Epoch))}
+type listResult struct {
+	machines []Machine
+	sentAt   time.Duration
+	err      error
 }
 
+func newFleetController(n *Node, o *ownership, sentAt time.Duration) *fleetController {
+	f := &fleetController{
+		node: n, owner: o, log: n.log.With(zap.String("role", "fleet"), zap.Int64("epoch", o.row.Epoch)), since: sentAt,
+		plan:     fleetplan.Settings{MaintenanceTime: n.settings.Fleet.Upkeep, EmptyTime: emptyTime, MoveTime: n.settings.Fleet.Move},
+		machines: map[string]fleetplan.Machine{}, states: map[string]MachineState{}, missing: map[string]time.Duration{},
+		lists: make(chan listResult, 1), orders: make(chan machineOrder, 64),
+		pending: map[string]bool{}, retryAt: map[string]time.Duration{}, orderAt: map[string]time.Duration{}, acked: map[string]time.Duration{},
+		cordons: map[string]fleetplan.Cordon{}, waves: map[string]*waveState{},
+	}
+	f.loads = newLoadTable(n, f.log)
+	return f
+}
+
+// run works until ctx ends or the role has another holder.
 func (f *fleetController) run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := f.recover(ctx); err != nil {
+		return err
+	}
+	go f.loads.follow(inner)
+	lastCommit := f.since
 	for ctx.Err() == nil {
-		if err := f.owner.commit(ctx, store.Txn{}); err != nil {
-			return err
+		f.collect(inner)
+		txn := f.decide(inner)
+		now := f.node.clock.Now().Steady
+		if len(txn.Puts)+len(txn.Deletes) > 0 || now-lastCommit > ownerRenew {
+			if err := f.commit(inner, txn); err != nil {
+				return err
+			}
+			lastCommit = now
+		}
+		f.sendOrders(inner, lastCommit)
+		f.await(ctx)
+	}
+	return f.owner.release(inner)
+}
+
+// await waits for news or the next look.
+func (f *fleetController) await(ctx context.Context) {
+	timer := time.NewTimer(fleetTick)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.loads.changed():
+	case <-ctx.Done():
+	}
+}
+
+// recover reads the cordons and waves of an earlier holder.
+func (f *fleetController) recover(ctx context.Context) error {
+	for ctx.Err() == nil {
+		cordons, err := store.All(ctx, f.node.store, tables.Cordons, fleetPool)
+		if err == nil {
+			var waves store.Page
+			waves, err = store.All(ctx, f.node.store, tables.Waves, fleetPool)
+			if err == nil {
+				f.restore(cordons.Rows, waves.Rows)
+				return nil
+			}
+		}
+		f.log.Info("recovery_read_failed", zap.Error(err))
+		sleep(ctx, followRetry)
+	}
+	return ctx.Err()
+}
+
+func (f *fleetController) restore(cordons, waves []store.Row) {
+	for _, row := range cordons {
+		c, err := decodeCordon(row.Value)
+		if err != nil {
+			f.log.Error("cordon_row_unreadable", zap.String("machine", row.Name), zap.Error(err))
+			continue
+		}
+		f.cordons[row.Name] = c.cordon(row.Name, row.Version)
+	}
+	for _, row := range waves {
+		var w waveRow
+		if err := cbor.Unmarshal(row.Value, &w); err != nil {
+			f.log.Error("wave_row_unreadable", zap.String("wave", row.Name), zap.Error(err))
+			continue
+		}
+		f.waves[row.Name] = &waveState{row: w, written: true}
+	}
+	f.log.Info("role_taken_over", zap.Int("cordons", len(f.cordons)), zap.Int("waves", len(f.waves)))
+}
+
+func (c cordonRow) cordon(machine string, version int64) fleetplan.Cordon {
+	return fleetplan.Cordon{Machine: machine, VM: c.VM, Pool: c.Pool, Purpose: fleetplan.Purpose{Wave: c.Wave, Target: c.Target},
+		Since: c.Since, Version: version, Ordered: c.Ordered}
+}
+
+func rowOf(c fleetplan.Cordon) cordonRow {
+	return cordonRow{VM: c.VM, Pool: c.Pool, Wave: c.Purpose.Wave, Target: c.Purpose.Target, Since: c.Since, Ordered: c.Ordered}
+}
+
+// collect takes the answers that have come in, and asks for the inventory when
+// it is time.
+func (f *fleetController) collect(ctx context.Context) {
+	for {
+		select {
+		case result := <-f.lists:
+			f.listed(result)
+		case order := <-f.orders:
+			f.ordered(order)
+		default:
+			f.askList(ctx)
+			return
 		}
-		sleep(ctx, ownerRenew)
 	}
+}
+
+func (f *fleetController) askList(ctx context.Context) {
+	now := f.node.clock.Now().Steady
+	interval := idleList
+	if len(f.cordons) > 0 || f.waveOpen() {
+		interval = listInterval
+	}
+	if f.listing || f.listedAt > 0 && now-f.listedAt < interval {
+		return
+	}
+	f.listing = true
+	go func() {
+		machines, err := f.node.machines.List(ctx)
+		f.lists <- listResult{machines, now, err}
+	}()
+}
+
+func (f *fleetController) waveOpen() bool {
+	view, _ := f.node.operator.Get()
+	for _, w := range view.Waves {
+		if s := f.waves[w.ID]; s == nil || !s.row.Complete {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleetController) listed(result listResult) {
+	f.listing = false
+	f.listedAt = f.node.clock.Now().Steady
+	if result.err != nil {
+		f.log.Warn("inventory_not_read", zap.Error(result.err))
+		return
+	}
+	f.machines = make(map[string]fleetplan.Machine, len(result.machines))
+	for _, m := range result.machines {
+		rack := ""
+		if len(m.Labels) > 0 {
+			rack = m.Labels[len(m.Labels)-1]
+		}
+		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Rack: rack, Up: m.State == MachineUp}
+		f.states[m.Name] = m.State
+		delete(f.missing, m.Name)
+	}
+	for name := range f.acked {
+		if f.returned(name, result.sentAt) {
+			f.acked[name] = -1
+		}
+	}
+}
+
+// returned reports whether a machine is back from what was ordered, by a list
+// that was asked for at a time. A machine on standby has no worker that could
+// tell its lives apart.
+func (f *fleetController) returned(name string, listedAt time.Duration) bool {
+	acked, m, c := f.acked[name], f.machines[name], f.cordons[name]
+	if acked < 0 || listedAt < acked || !m.Up {
+		return false
+	}
+	takes := f.plan.MaintenanceTime
+	if c.Purpose.Target != "" {
+		takes = f.plan.MoveTime
+	}
+	return m.VM != c.VM || listedAt-acked > takes
+}
+
+// begun notes that a machine's maintenance has begun.
+func (f *fleetController) begun(c fleetplan.Cordon) {
+	if state := f.waves[c.Purpose.Wave]; state != nil && !slices.Contains(state.row.Done, c.Machine) {
+		state.row.Done = append(state.row.Done, c.Machine)
+		state.written = false
+	}
+}
+
+// ordered takes the answer to an order.
+func (f *fleetController) ordered(o machineOrder) {
+	delete(f.pending, o.machine)
+	c, ok := f.cordons[o.machine]
+	if !ok {
+		return
+	}
+	now := f.node.clock.Now().Steady
+	f.log.Info("machine_order_answered", zap.String("machine", o.machine), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target), zap.Error(o.err))
+	switch {
+	case o.err == nil:
+		f.acked[o.machine] = now
+		f.begun(c)
+	case errors.Is(o.err, ErrNotOfWave):
+		f.acked[o.machine] = -1 // nothing to do
+	default:
+		f.retryAt[o.machine] = now + orderRetry
+	}
+}
+
+// decide returns the changes of cordons and waves to record.
+func (f *fleetController) decide(context.Context) store.Txn {
+	var txn store.Txn
+	if f.listedAt == 0 || len(f.machines) == 0 {
+		return txn
+	}
+	s := f.snapshot()
+	f.endCordons(&txn)
+	f.recordWaves(&txn, s)
+	for _, d := range fleetplan.PlanWaves(s, f.plan) {
+		f.cordon(&txn, d)
+	}
+	f.markOrders(&txn, s)
+	return txn
+}
+
+func (f *fleetController) snapshot() *fleetplan.Snapshot {
+	view, _ := f.node.operator.Get()
+	s := &fleetplan.Snapshot{
+		Now: f.node.clock.Now().Wall, Machines: f.machines, Loads: f.loads.all(), Cordons: maps.Clone(f.cordons),
+		Standby: map[string]bool{}, Out: view.Evacuated,
+	}
+	if view.Catalog != nil {
+		for name, p := range view.Catalog.Pools {
+			s.Standby[name] = p.Standby
+		}
+	}
+	for _, w := range view.Waves {
+		if state := f.waveOf(w, s.Now); !state.row.Complete {
+			s.Waves = append(s.Waves, f.planned(w, state))
+		}
+	}
+	return s
+}
+
+func (f *fleetController) waveOf(w Wave, now int64) *waveState {
+	state := f.waves[w.ID]
+	if state == nil {
+		state = &waveState{row: waveRow{Began: now}}
+		f.waves[w.ID] = state
+		f.log.Info("wave_seen", zap.String("wave", w.ID), zap.Int("machines", len(w.Machines)), zap.Duration("within", w.Within), zap.Int("at_once", w.AtOnce))
+	}
+	return state
+}
+
+func (f *fleetController) planned(w Wave, state *waveState) fleetplan.Wave {
+	planned := fleetplan.Wave{ID: w.ID, Machines: w.Machines, AtOnce: max(1, w.AtOnce),
+		Deadline: state.row.Began + w.Within.Milliseconds(), Done: map[string]bool{}, Down: map[string]bool{}}
+	for _, name := range state.row.Done {
+		planned.Done[name] = true
+	}
+	for name, c := range f.cordons {
+		if c.Purpose.Wave == w.ID && c.Ordered {
+			planned.Down[name] = true
+		}
+	}
+	return planned
+}
+
+// endCordons removes cordons whose order has taken effect or whose machine is
+// gone.
+func (f *fleetController) endCordons(txn *store.Txn) {
+	now := f.node.clock.Now().Steady
+	for name, c := range f.cordons {
+		m, exists := f.machines[name]
+		switch {
+		case f.acked[name] < 0:
+			f.uncordon(txn, c, "order has taken effect")
+		case !exists:
+			if f.missing[name] == 0 {
+				f.missing[name] = now
+			}
+			if now-f.missing[name] > waveGone && !f.pending[name] {
+				f.uncordon(txn, c, "machine is gone")
+			}
+		case !c.Ordered && m.VM != c.VM:
+			f.uncordon(txn, c, "machine has another life")
+		}
+	}
+}
+
+func (f *fleetController) uncordon(txn *store.Txn, c fleetplan.Cordon, reason string) {
+	f.log.Info("cordon_ended", zap.String("machine", c.Machine), zap.String("vm", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target),
+		zap.String("reason", reason), zap.Int64("age_ms", f.node.clock.Now().Wall-c.Since))
+	txn.Deletes = append(txn.Deletes, tables.CordonKey(fleetPool, c.Machine))
+	delete(f.cordons, c.Machine)
+	delete(f.acked, c.Machine)
+	delete(f.retryAt, c.Machine)
+	delete(f.missing, c.Machine)
+}
+
+// recordWaves stores how far waves are.
+func (f *fleetController) recordWaves(txn *store.Txn, s *fleetplan.Snapshot) {
+	for i := range s.Waves {
+		w := &s.Waves[i]
+		state := f.waves[w.ID]
+		if len(w.Left(s.Machines)) == 0 && f.goneLongEnough(w) && !state.row.Complete {
+			state.row.Complete = true
+			state.written = false
+			f.log.Info("wave_complete", zap.String("wave", w.ID), zap.Int64("left_ms", w.Deadline-s.Now))
+		}
+		if state.written {
+			continue
+		}
+		value, err := cbor.Marshal(state.row)
+		if err != nil {
+			f.log.Error("wave_not_encoded", zap.Error(err))
+			continue
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: tables.WaveKey(fleetPool, w.ID), Value: value})
+		state.written = true
+	}
+}
+
+// goneLongEnough reports whether the machines of a wave that are not listed
+// have been missing for so long that they count as gone.
+func (f *fleetController) goneLongEnough(w *fleetplan.Wave) bool {
+	now := f.node.clock.Now().Steady
+	all := true
+	for _, name := range w.Machines {
+		if _, exists := f.machines[name]; exists || w.Done[name] {
+			continue
+		}
+		if f.missing[name] == 0 {
+			f.missing[name] = now
+		}
+		all = all && now-f.missing[name] > waveGone
+	}
+	return all
+}
+
+func (f *fleetController) cordon(txn *store.Txn, d fleetplan.Decision) {
+	if len(txn.Puts)+len(txn.Deletes) >= store.MaxTxnEntries-4 {
+		return
+	}
+	c := fleetplan.Cordon{Machine: d.Machine.Name, VM: d.Machine.VM, Pool: d.Machine.Pool, Purpose: d.Purpose, Since: f.node.clock.Now().Wall}
+	f.log.Info("cordon", zap.String("machine", c.Machine), zap.String("vm", c.VM), zap.String("pool", c.Pool),
+		zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target), zap.String("reason", d.Reason))
+	f.putCordon(txn, c)
+}
+
+func (f *fleetController) putCordon(txn *store.Txn, c fleetplan.Cordon) {
+	value, err := cbor.Marshal(rowOf(c))
+	if err != nil {
+		f.log.Error("cordon_not_encoded", zap.Error(err))
+		return
+	}
+	txn.Puts = append(txn.Puts, store.Put{Key: tables.CordonKey(fleetPool, c.Machine), Value: value})
+	c.Version = 0 // known once it is stored
+	f.cordons[c.Machine] = c
+}
+
+// markOrders notes the orders that are about to be sent.
+func (f *fleetController) markOrders(txn *store.Txn, s *fleetplan.Snapshot) {
+	for _, c := range s.Cordons {
+		if _, still := f.cordons[c.Machine]; !still || c.Ordered || c.Version == 0 || !s.Empty(c) || !f.mayOrder() {
+			continue
+		}
+		if c.Purpose.Wave != "" && f.downIn(c.Purpose.Wave) >= f.atOnce(c.Purpose.Wave) {
+			continue
+		}
+		if len(txn.Puts)+len(txn.Deletes) >= store.MaxTxnEntries-4 {
+			return
+		}
+		c.Ordered = true
+		f.putCordon(txn, c)
+	}
+}
+
+func (f *fleetController) downIn(wave string) int {
+	n := 0
+	for _, c := range f.cordons {
+		if c.Purpose.Wave == wave && c.Ordered {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleetController) atOnce(wave string) int {
+	view, _ := f.node.operator.Get()
+	for _, w := range view.Waves {
+		if w.ID == wave {
+			return max(1, w.AtOnce)
+		}
+	}
+	return 0
+}
+
+// mayOrder reports whether orders of an earlier holder are long enough ago.
+func (f *fleetController) mayOrder() bool {
+	return f.owner.row.Epoch == 1 || f.node.clock.Now().Steady-f.since > f.node.settings.Fleet.HandOver+orderLimit
+}
+
+// commit stores the changes, and then shows the state of waves to operators.
+func (f *fleetController) commit(ctx context.Context, txn store.Txn) error {
+	if err := f.owner.commit(ctx, txn); err != nil {
+		return err
+	}
+	for _, put := range txn.Puts {
+		if c, ok := f.cordons[put.Key.Name]; ok && put.Key.Table == tables.Cordons {
+			c.Version = f.owner.version
+			f.cordons[put.Key.Name] = c
+		}
+	}
+	f.showWaves(ctx)
 	return nil
 }
+
+func (f *fleetController) showWaves(ctx context.Context) {
+	for id, state := range f.waves {
+		put, err := f.node.rows.WaveStatus(id, state.row.Complete)
+		if err != nil || !state.written || state.shown == string(put.Value) {
+			continue
+		}
+		if f.showWave(ctx, put) {
+			state.shown = string(put.Value)
+			f.log.Info("wave_shown", zap.String("wave", id), zap.Bool("complete", state.row.Complete))
+		}
+	}
+}
+
+// showWave writes a wave's state under the version of what is shown, so that a
+// late write does not undo a newer one.
+func (f *fleetController) showWave(ctx context.Context, put store.Put) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	row, _, err := store.Get(ctx, f.node.store, put.Key)
+	if err == nil && string(row.Value) == string(put.Value) {
+		return true
+	}
+	if err == nil {
+		_, err = f.node.store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: put.Key, Version: row.Version}}, Puts: []store.Put{put}})
+	}
+	if err != nil {
+		f.log.Info("wave_not_shown", zap.Error(err))
+	}
+	return err == nil
+}
+
+// sendOrders sends the orders that are noted, and repeats those without a
+// certain answer.
+func (f *fleetController) sendOrders(ctx context.Context, confirmed time.Duration) {
+	now := f.node.clock.Now().Steady
+	if now-confirmed > startBound {
+		return
+	}
+	for name, c := range f.cordons {
+		if !c.Ordered || c.Version == 0 || f.pending[name] || f.acked[name] != 0 || now < f.retryAt[name] || !f.mayOrder() {
+			continue
+		}
+		f.pending[name] = true
+		f.log.Info("machine_order", zap.String("machine", name), zap.String("vm", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target))
+		go f.order(ctx, c)
+	}
+}
+
+func (f *fleetController) order(ctx context.Context, c fleetplan.Cordon) {
+	holder, token := f.node.settings.Self.Node, f.owner.row.Epoch
+	var err error
+	if c.Purpose.Wave != "" {
+		err = f.node.machines.Maintain(ctx, c.Machine, c.Purpose.Wave, holder, token)
+	} else {
+		err = f.node.machines.Move(ctx, c.Machine, c.Purpose.Target, holder, token)
+	}
+	select {
+	case f.orders <- machineOrder{c.Machine, err}:
+	case <-ctx.Done():
+	}
+}
--- a/node/runner.go
+++ b/node/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -114,15 +115,15 @@
 
 // recover reads the pool's jobs, progress and figures.
 func (r *runner) recover(ctx context.Context) (int64, error) {
-	requests, err := r.readAll(ctx, tables.Requests(r.name))
+	requests, err := r.readAll(ctx, tables.Requests(r.name), r.name)
 	if err != nil {
 		return 0, err
 	}
-	progress, err := r.readAll(ctx, tables.Progress)
+	progress, err := r.readAll(ctx, tables.Progress, r.name)
 	if err != nil {
 		return 0, err
 	}
-	queues, err := r.readAll(ctx, tables.Queues)
+	queues, err := r.readAll(ctx, tables.Queues, r.name)
 	if err != nil {
 		return 0, err
 	}
@@ -135,7 +136,16 @@
 		}
 		stored[row.Name] = p
 	}
+	cordonRows, err := r.readAll(ctx, tables.Cordons, fleetPool)
+	if err != nil {
+		return 0, err
+	}
+	cordons := map[string]pool.Cordon{}
+	for _, row := range cordonRows.Rows {
+		r.takeCordon(cordons, row)
+	}
 	r.pool.Advance(r.node.clock.Now())
+	r.pool.Cordon(cordons)
 	for _, row := range queues.Rows {
 		if status, err := job.DecodeQueueStatus(row.Value); err == nil {
 			r.pool.RestoreQueue(row.Name, status.Waiting)
@@ -147,12 +157,12 @@
 	return requests.Version, nil
 }
 
-// readAll reads a table's rows of the pool, and tries again while the service
+// readAll reads a partition of a table, and tries again while the service
 // fails.
-func (r *runner) readAll(ctx context.Context, table string) (store.Page, error) {
+func (r *runner) readAll(ctx context.Context, table, partition string) (store.Page, error) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, 2*readLimit)
-		page, err := store.All(callCtx, r.node.store, table, r.name)
+		page, err := store.All(callCtx, r.node.store, table, partition)
 		cancel()
 		if err == nil && page.Version < r.owner.version {
 			err = errStaleRead
@@ -262,7 +272,7 @@
 }
 
 func (r *runner) cordoned() func(Update) {
-	cordons := map[string]string{}
+	cordons := map[string]pool.Cordon{}
 	return func(u Update) {
 		if len(u.Rows) == 0 && !u.Whole {
 			return
@@ -271,22 +281,26 @@
 			clear(cordons)
 		}
 		for _, row := range u.Rows {
-			if row.Removed {
-				delete(cordons, row.Name)
-				continue
-			}
-			if c, err := decodeCordon(row.Value); err == nil {
-				cordons[row.Name] = c.VM
-			}
-		}
-		snapshot := make(map[string]string, len(cordons))
-		for machine, vm := range cordons {
-			snapshot[machine] = vm
+			r.takeCordon(cordons, row)
 		}
+		snapshot := maps.Clone(cordons)
 		r.deliver(func(p *pool.Pool) { p.Cordon(snapshot) })
 	}
 }
 
+func (r *runner) takeCordon(cordons map[string]pool.Cordon, row store.Row) {
+	if row.Removed {
+		delete(cordons, row.Name)
+		return
+	}
+	c, err := decodeCordon(row.Value)
+	if err != nil {
+		r.log.Error("cordon_row_unreadable", zap.String("machine", row.Name), zap.Error(err))
+		return
+	}
+	cordons[row.Name] = pool.Cordon{VM: c.VM, Version: row.Version}
+}
+
 // loop is the scheduler's only goroutine. It returns nil when life ends, and an
 // error when the pool has another owner.
 func (r *runner) loop(ctx, life context.Context) error {
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -65,7 +65,7 @@
 		}
 	}
 	p.addQueues(&b)
-	p.addEmptied(&b)
+	p.addLoad(&b)
 	p.forget(&b)
 	return b
 }
@@ -169,24 +169,20 @@
 	}
 }
 
-// addEmptied reports cordoned VMs that hold nothing any more, and deletes the
-// reports of cordons that are gone.
-func (p *Pool) addEmptied(b *Batch) {
-	for _, v := range p.vms {
-		if !v.cordoned || v.emptied || len(v.tasks) > 0 || !v.listed || b.full() {
-			continue
-		}
-		v.emptied = true
-		b.put(tables.EmptiedKey(p.settings.Pool, v.Machine), []byte(v.ID))
-		p.log.Info("vm_emptied", zap.String("vm", v.ID), zap.String("machine", v.Machine))
+// addLoad publishes the pool's load from time to time, and at once when a
+// cordoned VM has become empty.
+func (p *Pool) addLoad(b *Batch) {
+	if b.full() || !p.loadNews && p.now.Steady-p.loadAt < loadInterval {
+		return
 	}
-	for machine := range p.emptyGone {
-		if b.full() {
-			return
-		}
-		b.Deletes = append(b.Deletes, tables.EmptiedKey(p.settings.Pool, machine))
-		delete(p.emptyGone, machine)
+	value, err := EncodeLoad(p.Load())
+	if err != nil {
+		p.log.Error("load_not_encoded", zap.Error(err))
+		return
 	}
+	b.put(tables.LoadKey(p.settings.Pool), value)
+	p.loadAt = p.now.Steady
+	p.loadNews = false
 }
 
 // forget deletes jobs whose state need not be known any more.
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -20,7 +20,7 @@
 
 	catalog   catalogView
 	evacuated map[string]bool   // data centres in which nothing may start
-	cordons   map[string]string // VM id by machine, of VMs that are to be emptied
+	cordons   map[string]Cordon // by machine, of VMs that are to be emptied
 	allots    map[string]allotment
 	usage     map[string]fleet.Resources // by workspace, until the end of a run is listed
 
@@ -32,14 +32,15 @@
 
 	runs map[string]*runModel // run time against estimate, by queue
 
-	commands    []Command // ready to be sent
-	queueCounts map[string]int
-	queueAt     map[string]time.Duration
-	emptyNews   map[string]bool // machines whose empty report is to be written
-	emptyGone   map[string]bool // machines whose empty report is to be deleted
-	wants       map[string]fleet.Resources
-	stats       Stats
-	deposed     bool
+	commands     []Command // ready to be sent
+	queueCounts  map[string]int
+	queueAt      map[string]time.Duration
+	loadAt       time.Duration // last publication of the load
+	loadNews     bool          // a cordoned VM has become empty
+	acceptedWork float64       // core-seconds accepted since takeover
+	wants        map[string]fleet.Resources
+	stats        Stats
+	deposed      bool
 }
 
 // Stats are counters since the owner took over the pool.
@@ -51,12 +52,12 @@
 func New(s Settings, log *zap.Logger, now Time) *Pool {
 	return &Pool{
 		settings: s, log: log, now: now, startedAt: now,
-		evacuated: map[string]bool{}, cordons: map[string]string{},
+		evacuated: map[string]bool{}, cordons: map[string]Cordon{},
 		allots: map[string]allotment{}, usage: map[string]fleet.Resources{},
 		jobs: map[string]*jobState{}, stopping: map[*task]struct{}{}, vms: map[string]*vm{},
 		runs:        map[string]*runModel{},
 		queueCounts: map[string]int{}, queueAt: map[string]time.Duration{},
-		emptyNews: map[string]bool{}, emptyGone: map[string]bool{}, wants: map[string]fleet.Resources{},
+		wants: map[string]fleet.Resources{},
 	}
 }
 
@@ -93,25 +94,30 @@
 // Used returns what the runs of a workspace hold.
 func (p *Pool) Used(workspace string) fleet.Resources { return p.usage[workspace] }
 
-// Cordon tells which VMs (id by machine) are to be emptied for maintenance.
-func (p *Pool) Cordon(cordons map[string]string) {
-	for machine := range p.cordons {
-		if _, still := cordons[machine]; !still {
-			p.emptyGone[machine] = true
-			delete(p.emptyNews, machine)
-		}
-	}
+// Cordon asks for one life of a machine to be emptied.
+type Cordon struct {
+	VM      string
+	Version int64 // of the cordon's row
+}
+
+// Cordon tells which VMs, by machine, are to be emptied.
+func (p *Pool) Cordon(cordons map[string]Cordon) {
 	p.cordons = cordons
 	for _, v := range p.vms {
 		was := v.cordoned
-		v.cordoned = cordons[v.Machine] == v.ID && v.Machine != ""
+		v.cordoned = p.isCordoned(v.VM)
 		if v.cordoned != was {
-			v.emptied = false
-			p.log.Info("vm_cordon", zap.String("vm", v.ID), zap.String("machine", v.Machine), zap.Bool("cordoned", v.cordoned))
+			p.loadNews = true
+			p.log.Info("vm_cordon", zap.String("vm", v.ID), zap.String("machine", v.Machine), zap.Bool("cordoned", v.cordoned), zap.Int("tasks", len(v.tasks)))
 		}
 	}
 }
 
+func (p *Pool) isCordoned(v VM) bool {
+	c, ok := p.cordons[v.Machine]
+	return ok && v.Machine != "" && c.VM == v.ID
+}
+
 // Accept adds a stored job. A job that is already known is ignored.
 func (p *Pool) Accept(spec *job.Spec) {
 	if _, known := p.jobs[spec.ID]; known {
@@ -119,10 +125,24 @@
 	}
 	j := p.add(spec)
 	j.dirty = true
+	p.acceptedWork += p.workOf(spec)
 	p.log.Info("job_accepted", zap.String("job", spec.ID), zap.String("queue", spec.Queue),
 		zap.String("workspace", spec.Workspace), zap.Int64("age_ms", p.now.Wall-spec.AcceptedAt))
 }
 
+// workOf returns the core-seconds of one occurrence of a job, without tasks
+// that last.
+func (p *Pool) workOf(spec *job.Spec) float64 {
+	work := 0.0
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		if !s.LongRunning && !s.Fills {
+			work += float64(s.Count) * p.expected(spec.Queue, s).Seconds() * float64(s.Need.MilliCPU) / 1000
+		}
+	}
+	return work
+}
+
 func (p *Pool) add(spec *job.Spec) *jobState {
 	j := &jobState{spec: spec, acceptedAt: p.now}
 	if spec.AcceptedAt > 0 {
@@ -212,6 +232,9 @@
 			t.vm.serving--
 		}
 		delete(t.vm.tasks, t)
+		if t.vm.cordoned && len(t.vm.tasks) == 0 {
+			p.loadNews = true
+		}
 		t.vm = nil
 		t.occ.job.active--
 	}
@@ -245,7 +268,7 @@
 	}
 	v.VM = seen
 	v.listed = true
-	v.cordoned = seen.Machine != "" && p.cordons[seen.Machine] == seen.ID
+	v.cordoned = p.isCordoned(seen)
 }
 
 // ForgetVM tells that discovery no longer lists a VM. Its runs are given up
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -117,7 +117,6 @@
 	refusedAt  time.Duration // last refusal for want of room or health
 	backoff    time.Duration // no starts until then
 	cordoned   bool
-	emptied    bool // an empty report for the cordon is recorded
 	drainSeen  time.Duration
 	health     vmHealth
 }
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -17,7 +17,8 @@
 	Members  = "members"  // the entries that run
 	Caps     = "caps"     // parts of workspaces' caps, by pool
 	Cordons  = "cordons"  // VMs that are to be emptied for maintenance
-	Emptied  = "emptied"  // reports that a cordoned VM is empty
+	Loads    = "loads"    // published load of each pool
+	Waves    = "waves"    // how far maintenance waves are
 )
 
 // requestTables is the number of tables that requests are spread over, so that
@@ -73,7 +74,18 @@
 	return store.Key{Table: Caps, Partition: Caps, Name: workspace}
 }
 
-// EmptiedKey names the report that a VM's machine is empty.
-func EmptiedKey(pool, machine string) store.Key {
-	return store.Key{Table: Emptied, Partition: pool, Name: machine}
+// LoadKey names the row of a pool's published load.
+func LoadKey(pool string) store.Key {
+	return store.Key{Table: Loads, Partition: pool, Name: "load"}
+}
+
+// CordonKey names the row that asks for a machine's VM to be emptied. The rows
+// are in the partition of the role that orders maintenance and moves.
+func CordonKey(role, machine string) store.Key {
+	return store.Key{Table: Cordons, Partition: role, Name: machine}
+}
+
+// WaveKey names the row of a maintenance wave.
+func WaveKey(role, wave string) store.Key {
+	return store.Key{Table: Waves, Partition: role, Name: wave}
 }
