Keep a run whose start is under way when its VM has no lease yet

Change: only confirmed and unsettled runs lapse; orders under way at a restart of a worker under its id are settled first.

--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -47,7 +47,8 @@
 		}
 		if len(v.tasks) > 0 {
 			for _, t := range v.sortedTasks() {
-				if t.phase != placed {
+				// A start that is under way brings a lease of its own.
+				if t.phase == running || t.phase == unsettled {
 					p.lose(t, "lease lapsed on a VM that does not answer")
 				}
 			}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -290,6 +290,14 @@
 func (p *Pool) newLife(v *vm, born int64) {
 	p.log.Info("vm_restarted", zap.String("vm", v.ID), zap.Int64("born_was", v.Born), zap.Int64("born", born), zap.Int("tasks", len(v.tasks)))
 	for _, t := range v.sortedTasks() {
+		if t.phase == starting || t.phase == unsettled {
+			// The order may still reach the new life, which has the same id.
+			t.phase = unsettled
+			t.since = p.now.Steady
+			t.inherited = false
+			t.stopSent, t.stopAnswer = 0, 0
+			continue
+		}
 		p.lose(t, "worker restarted")
 	}
 	v.Born = born
