--- a/node/session.go
+++ b/node/session.go
@@ -130,11 +130,14 @@
 func (s *session) renew(ctx context.Context) (highest int64, ok bool) {
 	sentAt := s.clock.Now().Steady
 	r := Renewal{Token: s.token, Seen: s.seen.Load(), Wait: renewWait}
-	if deadline, bound, known := s.deadline(sentAt); known {
+	if deadline, bound, known := s.deadline(sentAt); known && !s.isSilent() {
 		r.Deadline = deadline
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
 	} else {
-		r.Wait = 0 // the first renewal only learns the clock and the listing
+		// The first renewal only learns the clock and the listing. One after a
+		// call without an answer extends nothing, so that the runs of a VM that
+		// is lost can be given up.
+		r.Wait = 0
 	}
 	callCtx, cancel := context.WithTimeout(ctx, r.Wait+renewMargin)
 	answer, err := s.workers.Renew(callCtx, s.ref, r)
@@ -176,6 +179,12 @@
 	s.deliver(func(p *pool.Pool) { p.Silent(s.ref.ID) })
 }
 
+func (s *session) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *session) answered() {
 	s.mu.Lock()
 	was := s.silent
