Record when the runs on silent VMs lapse

Change: the bound is recorded on the table service's clock; leases are extended again only after the record is gone; a released pool waits for one lease only.

--- a/node/caps.go
+++ b/node/caps.go
@@ -201,10 +201,12 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, capWriteTime)
 		defer cancel()
-		version, err = c.node.store.Commit(ctx, store.Txn{
+		var receipt store.Receipt
+		receipt, err = c.node.store.Commit(ctx, store.Txn{
 			Conditions: []store.Condition{{Key: key, Version: version}},
 			Puts:       []store.Put{{Key: key, Value: value}},
 		})
+		version = receipt.Version
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/members.go
+++ b/node/members.go
@@ -197,10 +197,11 @@
 	key := tables.MemberKey(m.self.Node)
 	ctx, cancel := context.WithTimeout(ctx, beatLimit)
 	defer cancel()
-	written, err := m.store.Commit(ctx, store.Txn{
+	receipt, err := m.store.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: key, Version: version}},
 		Puts:       []store.Put{{Key: key, Value: value}},
 	})
+	written := receipt.Version
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		row, _ := conflict.Find(key)
--- a/node/node.go
+++ b/node/node.go
@@ -198,13 +198,13 @@
 	sentAt := n.clock.Now().Steady
 	callCtx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
-	o, err := claim(callCtx, n.store, name, n.settings.Self, before, version)
+	o, err := claim(callCtx, n.store, n.clock, name, n.settings.Self, before, version)
 	if err != nil {
 		n.log.Info("claim_failed", zap.String("pool", name), zap.Error(err))
 		return
 	}
 	n.log.Info("pool_claimed", zap.String("pool", name), zap.Int64("epoch", o.row.Epoch), zap.String("owner_was", before.Node), zap.Int64("version", o.version))
-	n.start(ctx, o, sentAt)
+	n.start(ctx, o, before.Node == "", sentAt)
 }
 
 func (n *Node) unownedFor(name string) time.Duration {
@@ -217,15 +217,15 @@
 	return n.clock.Now().Steady - since
 }
 
-// start schedules a claimed pool until ctx ends or it has another owner.
-func (n *Node) start(ctx context.Context, o *ownership, sentAt time.Duration) {
+// start schedules a claimed pool, which its earlier owner has released or not, until ctx ends or it has another owner.
+func (n *Node) start(ctx context.Context, o *ownership, released bool, sentAt time.Duration) {
 	n.setOwned(o.pool, true)
 	n.runners.Go(func() {
 		var err error
 		if o.pool == fleetPool {
 			err = newFleetController(n, o, sentAt).run(ctx)
 		} else {
-			err = newRunner(n, o, sentAt).run(ctx)
+			err = newRunner(n, o, released, sentAt).run(ctx)
 		}
 		n.setOwned(o.pool, false)
 		if err != nil && !errors.Is(err, context.Canceled) {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -40,6 +40,24 @@
 	pool    string
 	row     ownerRow
 	version int64 // of the owner's row
+	clock   Clock
+	service serviceClock
+}
+
+// serviceClock relates the steady clock of the table service to that of this
+// process, by one answer.
+type serviceClock struct {
+	sentAt, answeredAt time.Duration // of this process
+	time               time.Duration // of the service, read between the two
+}
+
+// late returns the service's time by which a moment has passed for certain.
+func (c serviceClock) late(local time.Duration) time.Duration { return c.time + local - c.sentAt }
+
+// local returns this process's time by which a moment of the service has passed
+// for certain.
+func (c serviceClock) local(service time.Duration) time.Duration {
+	return c.answeredAt + service - c.time
 }
 
 // errDeposed means that another process owns the pool.
@@ -66,8 +84,8 @@
 }
 
 // claim makes this process the owner of a pool whose row is at a version.
-func claim(ctx context.Context, s store.Store, pool string, self Member, before ownerRow, version int64) (*ownership, error) {
-	o := &ownership{store: s, pool: pool, version: version,
+func claim(ctx context.Context, s store.Store, clock Clock, pool string, self Member, before ownerRow, version int64) (*ownership, error) {
+	o := &ownership{store: s, clock: clock, pool: pool, version: version,
 		row: ownerRow{Node: before.Node, Boot: before.Boot, Epoch: before.Epoch, Batch: before.Batch}}
 	next := ownerRow{Node: self.Node, Boot: self.Boot, Epoch: before.Epoch + 1}
 	if err := o.write(ctx, next, store.Txn{}); err != nil {
@@ -108,11 +126,11 @@
 	txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: o.version})
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
 	for try := 0; ; try++ {
-		version, err := o.try(ctx, txn, tryLimits[min(try, len(tryLimits)-1)])
+		receipt, err := o.try(ctx, txn, tryLimits[min(try, len(tryLimits)-1)])
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
-			o.row, o.version = next, version
+			o.row, o.version = next, receipt.Version
 			return nil
 		case errors.As(err, &conflict):
 			return o.resolve(conflict, next)
@@ -123,10 +141,15 @@
 	}
 }
 
-func (o *ownership) try(ctx context.Context, txn store.Txn, limit time.Duration) (int64, error) {
+func (o *ownership) try(ctx context.Context, txn store.Txn, limit time.Duration) (store.Receipt, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return o.store.Commit(ctx, txn)
+	sentAt := o.clock.Now().Steady
+	receipt, err := o.store.Commit(ctx, txn)
+	if err == nil {
+		o.service = serviceClock{sentAt, o.clock.Now().Steady, receipt.Time}
+	}
+	return receipt, err
 }
 
 // resolve tells whether an earlier try of the same transaction was carried out.
--- a/node/runner.go
+++ b/node/runner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -67,7 +68,7 @@
 	err    error
 }
 
-func newRunner(n *Node, o *ownership, sentAt time.Duration) *runner {
+func newRunner(n *Node, o *ownership, released bool, sentAt time.Duration) *runner {
 	r := &runner{
 		node: n, owner: o, name: o.pool,
 		log:    n.log.With(zap.String("pool", o.pool), zap.Int64("epoch", o.row.Epoch)),
@@ -78,7 +79,11 @@
 	r.lastSent = sentAt
 	settings := n.settings.Scheduler
 	settings.Pool = o.pool
-	settings.InheritedLease = renewBound + time.Duration(float64(settings.Lease)/(1-clockDrift)) + leaseMargin
+	settings.LeaseBound = time.Duration(float64(settings.Lease)/(1-clockDrift)) + leaseMargin
+	settings.InheritedLease = settings.LeaseBound
+	if !released {
+		settings.InheritedLease += renewBound // the earlier owner may go on renewing
+	}
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
 	return r
@@ -99,7 +104,8 @@
 	defer close(r.ended)
 	r.follow(inner, version)
 	err = r.loop(inner, ctx)
-	if err == nil && r.node.clock.Now().Steady-time.Duration(r.confirmed.Load()) < renewBound {
+	if err == nil && r.mayRenew() {
+		r.confirmed.Store(math.MinInt64 / 2) // nothing is renewed after the release
 		r.release()
 	}
 	return err
@@ -144,8 +150,13 @@
 	for _, row := range cordonRows.Rows {
 		r.takeCordon(cordons, row)
 	}
+	leases, err := r.readAll(ctx, tables.Leases, r.name)
+	if err != nil {
+		return 0, err
+	}
 	r.pool.Advance(r.node.clock.Now())
 	r.pool.Cordon(cordons)
+	r.restoreLeases(leases.Rows)
 	for _, row := range queues.Rows {
 		if status, err := job.DecodeQueueStatus(row.Value); err == nil {
 			r.pool.RestoreQueue(row.Name, status.Waiting)
@@ -175,6 +186,21 @@
 	}
 }
 
+// restoreLeases reads when the runs on VMs lapse that the earlier owner could
+// not reach.
+func (r *runner) restoreLeases(rows []store.Row) {
+	for _, row := range rows {
+		bounds, err := pool.DecodeLeases(row.Value)
+		if err != nil {
+			r.log.Error("lease_row_unreadable", zap.Error(err))
+			continue
+		}
+		for vm, at := range bounds {
+			r.pool.RestoreLease(vm, r.owner.service.local(at))
+		}
+	}
+}
+
 // request takes a row of the pool's requests. stored holds progress at
 // takeover, and is nil for requests that arrive later.
 func (r *runner) request(p *pool.Pool, row store.Row, stored map[string]*job.Progress) {
@@ -371,6 +397,7 @@
 		return wait
 	}
 	r.caps.apply(r.pool, now.Steady)
+	r.pool.SetServiceClock(r.owner.service.late(0))
 	batch := r.pool.Cycle()
 	r.caps.want(ctx, r.pool.Wants(), now.Steady)
 	r.send(ctx, r.pool.Commands())
@@ -401,6 +428,7 @@
 	for _, vm := range r.pool.VMs() {
 		if s := r.sessions[vm.ID]; s != nil {
 			s.setSeen(vm.Seen)
+			s.mayExtend.Store(vm.Extend)
 		}
 	}
 	return nil
@@ -477,6 +505,7 @@
 		mayRenew: r.mayRenew, mayStart: r.mayStart,
 	}
 	s.seen.Store(vm.Seen)
+	s.mayExtend.Store(vm.Extend)
 	r.sessions[vm.ID] = s
 	go s.run(sessionCtx)
 }
--- a/node/session.go
+++ b/node/session.go
@@ -46,12 +46,13 @@
 	lease   time.Duration
 	deliver func(func(*pool.Pool)) // runs a function in the scheduler's loop
 
-	seen     atomic.Int64 // ends up to this number are recorded
-	recorded chan struct{}
-	stop     context.CancelFunc
-	slots    chan struct{}
-	mayRenew func() bool
-	mayStart func() bool
+	seen      atomic.Int64 // ends up to this number are recorded
+	mayExtend atomic.Bool  // no lease bound is recorded for a later owner
+	recorded  chan struct{}
+	stop      context.CancelFunc
+	slots     chan struct{}
+	mayRenew  func() bool
+	mayStart  func() bool
 
 	mu      sync.Mutex
 	clockMS int64         // of the worker, at clockAt
@@ -130,7 +131,7 @@
 func (s *session) renew(ctx context.Context) (highest int64, ok bool) {
 	sentAt := s.clock.Now().Steady
 	r := Renewal{Token: s.token, Seen: s.seen.Load(), Wait: renewWait}
-	if deadline, bound, known := s.deadline(sentAt); known && !s.isSilent() {
+	if deadline, bound, known := s.deadline(sentAt); known && !s.isSilent() && s.mayExtend.Load() {
 		r.Deadline = deadline
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
 	} else {
@@ -222,7 +223,10 @@
 
 func (s *session) start(ctx context.Context, c pool.Command) {
 	result := pool.StartLate // nothing is sent without a lease deadline
-	if deadline, bound, ok := s.deadline(s.clock.Now().Steady); ok && s.mayStart() {
+	deadline, bound, ok := s.deadline(s.clock.Now().Steady)
+	// The checks follow the deadline: a bound that is recorded once the VM is
+	// silent covers every deadline that was taken before.
+	if ok && s.mayStart() && !s.isSilent() && s.mayExtend.Load() {
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
 		result = s.workers.Start(ctx, s.ref, StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
 			Deadline: deadline, Token: s.token, Checkpoint: c.Checkpoint, Ticket: c.Ticket})
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -1,8 +1,10 @@
 package pool
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"amaranthfork.example/sched/job"
@@ -30,6 +32,7 @@
 	starts []startRecord
 	seen   map[string]int64 // numbers of recorded ends, by VM
 	bytes  int
+	leases map[string]int64 // recorded lease bounds; nil if they are not in the batch
 }
 
 type startRecord struct {
@@ -65,6 +68,7 @@
 		}
 	}
 	p.addQueues(&b)
+	p.addLeases(&b)
 	p.addLoad(&b)
 	p.forget(&b)
 	return b
@@ -169,6 +173,72 @@
 	}
 }
 
+// addLeases records when the runs on silent VMs lapse, so that a later owner
+// need not wait anew. Their leases are not extended while a bound is recorded.
+func (p *Pool) addLeases(b *Batch) {
+	if !p.leaseNews || b.full() {
+		return
+	}
+	bounds := map[string]int64{}
+	for id, v := range p.vms {
+		if v.recorded > 0 {
+			bounds[id] = (v.recorded + p.serviceOffset).Milliseconds()
+		}
+	}
+	value, err := cbor.Marshal(bounds)
+	if err != nil {
+		p.log.Error("leases_not_encoded", zap.Error(err))
+		return
+	}
+	b.put(tables.LeaseKey(p.settings.Pool), value)
+	b.leases = bounds
+	for id := range bounds {
+		p.storedLeases[id] = true
+	}
+	p.leaseNews = false
+}
+
+// DecodeLeases reads recorded lease bounds, on the clock of the table service.
+func DecodeLeases(b []byte) (map[string]time.Duration, error) {
+	var stored map[string]int64
+	if err := cbor.Unmarshal(b, &stored); err != nil {
+		return nil, fmt.Errorf("lease row: %w", err)
+	}
+	bounds := make(map[string]time.Duration, len(stored))
+	for vm, ms := range stored {
+		bounds[vm] = time.Duration(ms+1) * time.Millisecond
+	}
+	return bounds, nil
+}
+
+// SetServiceClock tells what to add to this process's steady clock to get a
+// time of the table service that is not too early.
+func (p *Pool) SetServiceClock(offset time.Duration) { p.serviceOffset = offset }
+
+// RestoreLease tells, before jobs are restored, when the runs on a VM lapse that
+// the earlier owner could not reach.
+func (p *Pool) RestoreLease(id string, until time.Duration) {
+	v := p.inheritedVM(id, 0)
+	v.recorded = max(until, 1)
+	p.storedLeases[id] = true
+	v.leaseUntil = until
+	v.silent = true
+}
+
+// inheritedVM returns a VM that an earlier owner has used.
+func (p *Pool) inheritedVM(id string, born int64) *vm {
+	v := p.vms[id]
+	if v == nil {
+		v = &vm{VM: VM{ID: id, Born: born}, tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady}
+		v.leaseUntil = p.now.Steady + p.settings.InheritedLease
+		p.vms[id] = v
+	}
+	if v.Born == 0 {
+		v.Born = born
+	}
+	return v
+}
+
 // addLoad publishes the pool's load from time to time, and at once when a
 // cordoned VM has become empty.
 func (p *Pool) addLoad(b *Batch) {
@@ -207,6 +277,12 @@
 			v.durable = max(v.durable, seen)
 		}
 	}
+	if b.leases != nil {
+		clear(p.storedLeases)
+		for id := range b.leases {
+			p.storedLeases[id] = true
+		}
+	}
 	var starts []Command
 	for _, r := range b.starts {
 		t := r.task
@@ -281,18 +357,10 @@
 		t.phase = done
 		t.occ.left[t.step]--
 	case job.TaskActive:
-		v := p.vms[s.VM]
-		if v == nil {
-			v = &vm{VM: VM{ID: s.VM, Born: s.Born}, tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady}
-			p.vms[s.VM] = v
-		}
+		v := p.inheritedVM(s.VM, s.Born)
 		if s.Born != 0 && v.Born != 0 && s.Born != v.Born {
 			return // the worker that ran it has ended
 		}
-		if v.Born == 0 {
-			v.Born = s.Born
-		}
-		v.leaseUntil = max(v.leaseUntil, p.now.Steady+p.settings.InheritedLease)
 		p.attach(t, v)
 		t.phase = unsettled
 		t.inherited = true
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -29,6 +29,11 @@
 		p.log.Info("vm_fenced", zap.String("vm", v.ID), zap.Int("running", len(l.Running)), zap.Int("ended", len(l.Ended)))
 	}
 	v.lastAnswer = l.At
+	v.silent = false
+	if v.recorded != 0 {
+		v.recorded = 0
+		p.leaseNews = true
+	}
 	listed := make(map[*task]bool, len(l.Running))
 	for _, end := range l.Ended {
 		p.ended(v, end, listed)
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -41,7 +41,7 @@
 
 // expireLeases gives up runs on VMs whose leases have lapsed for certain.
 func (p *Pool) expireLeases() {
-	for id, v := range p.vms {
+	for _, v := range p.vms {
 		if p.now.Steady <= v.leaseUntil {
 			continue
 		}
@@ -54,7 +54,7 @@
 			}
 		}
 		if !v.listed && len(v.tasks) == 0 {
-			delete(p.vms, id)
+			p.remove(v)
 		}
 	}
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -32,15 +32,18 @@
 
 	runs map[string]*runModel // run time against estimate, by queue
 
-	commands     []Command // ready to be sent
-	queueCounts  map[string]int
-	queueAt      map[string]time.Duration
-	loadAt       time.Duration // last publication of the load
-	loadNews     bool          // a cordoned VM has become empty
-	acceptedWork float64       // core-seconds accepted since takeover
-	wants        map[string]fleet.Resources
-	stats        Stats
-	deposed      bool
+	commands      []Command // ready to be sent
+	queueCounts   map[string]int
+	queueAt       map[string]time.Duration
+	loadAt        time.Duration   // last publication of the load
+	leaseNews     bool            // recorded lease bounds have changed
+	storedLeases  map[string]bool // VMs of which a bound may be stored
+	serviceOffset time.Duration   // of the table service's clock
+	loadNews      bool            // a cordoned VM has become empty
+	acceptedWork  float64         // core-seconds accepted since takeover
+	wants         map[string]fleet.Resources
+	stats         Stats
+	deposed       bool
 }
 
 // Stats are counters since the owner took over the pool.
@@ -57,7 +60,7 @@
 		jobs: map[string]*jobState{}, stopping: map[*task]struct{}{}, vms: map[string]*vm{},
 		runs:        map[string]*runModel{},
 		queueCounts: map[string]int{}, queueAt: map[string]time.Duration{},
-		wants: map[string]fleet.Resources{},
+		wants: map[string]fleet.Resources{}, storedLeases: map[string]bool{},
 	}
 }
 
@@ -282,7 +285,14 @@
 	p.log.Info("vm_left", zap.String("vm", id), zap.Int("tasks", len(v.tasks)),
 		zap.Duration("lease_left", v.leaseUntil-p.now.Steady))
 	if len(v.tasks) == 0 {
-		delete(p.vms, id)
+		p.remove(v)
+	}
+}
+
+func (p *Pool) remove(v *vm) {
+	delete(p.vms, v.ID)
+	if v.recorded != 0 {
+		p.leaseNews = true
 	}
 }
 
@@ -333,9 +343,16 @@
 
 // Silent tells that a VM has not answered.
 func (p *Pool) Silent(id string) {
-	if v := p.vms[id]; v != nil {
-		v.backoff = max(v.backoff, p.now.Steady+silentBackoff)
+	v := p.vms[id]
+	if v == nil {
+		return
+	}
+	v.backoff = max(v.backoff, p.now.Steady+silentBackoff)
+	if !v.silent && len(v.tasks) > 0 {
+		v.recorded = p.now.Steady + p.settings.LeaseBound
+		p.leaseNews = true
 	}
+	v.silent = true
 }
 
 // silentBackoff is the time without starts after a call without an answer: one
@@ -354,7 +371,7 @@
 func (p *Pool) VMs() []VMAddress {
 	list := make([]VMAddress, 0, len(p.vms))
 	for _, v := range p.vms {
-		list = append(list, VMAddress{ID: v.ID, Address: v.Address, Seen: v.durable, Busy: len(v.tasks) > 0, Listed: v.listed})
+		list = append(list, VMAddress{ID: v.ID, Address: v.Address, Seen: v.durable, Extend: !p.storedLeases[v.ID]})
 	}
 	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
 	return list
@@ -364,6 +381,5 @@
 type VMAddress struct {
 	ID, Address string
 	Seen        int64
-	Busy        bool
-	Listed      bool
+	Extend      bool // its leases may be extended
 }
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -118,6 +118,8 @@
 	backoff    time.Duration // no starts until then
 	cordoned   bool
 	drainSeen  time.Duration
+	silent     bool          // the last renewal was not answered
+	recorded   time.Duration // bound of its leases that a later owner may rely on; 0 if none
 	health     vmHealth
 }
 
@@ -136,6 +138,7 @@
 type Settings struct {
 	Pool            string
 	Lease           time.Duration // of runs on VMs
+	LeaseBound      time.Duration // Lease on this process's clock, whatever the VM's clock does
 	InheritedLease  time.Duration // longest time that runs of an earlier owner may go on unreached
 	StopGrace       time.Duration // longest time of a stop
 	CheckpointEvery time.Duration
--- a/sched/store/memstore/memstore.go
+++ b/sched/store/memstore/memstore.go
@@ -23,11 +23,12 @@
 	down     bool
 	loseNext int
 	pageSize int
+	began    time.Time
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), pageSize: 500}
+	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), pageSize: 500, began: time.Now()}
 }
 
 // SetDown makes every call return ErrUnavailable.
@@ -53,14 +54,14 @@
 }
 
 // Commit implements store.Store.
-func (s *Store) Commit(_ context.Context, txn store.Txn) (int64, error) {
+func (s *Store) Commit(_ context.Context, txn store.Txn) (store.Receipt, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, store.ErrUnavailable
+		return store.Receipt{}, store.ErrUnavailable
 	}
 	if conflict := s.check(txn); conflict != nil {
-		return 0, conflict
+		return store.Receipt{}, conflict
 	}
 	s.version++
 	for _, put := range txn.Puts {
@@ -76,9 +77,9 @@
 	s.changed = make(chan struct{})
 	if s.loseNext > 0 {
 		s.loseNext--
-		return 0, store.ErrUnknown
+		return store.Receipt{}, store.ErrUnknown
 	}
-	return s.version, nil
+	return store.Receipt{Version: s.version, Time: time.Since(s.began)}, nil
 }
 
 func (s *Store) check(txn store.Txn) error {
@@ -106,7 +107,7 @@
 	if s.down {
 		return store.Page{}, store.ErrUnavailable
 	}
-	page := store.Page{Version: s.version}
+	page := store.Page{Version: s.version, Time: time.Since(s.began)}
 	for key, row := range s.rows {
 		if key.Table == table && key.Partition == partition && key.Name >= from && (to == "" || key.Name < to) {
 			page.Rows = append(page.Rows, row)
@@ -147,7 +148,7 @@
 	if after < s.oldest {
 		return store.Page{}, nil, store.ErrHistoryGone
 	}
-	page := store.Page{Version: s.version}
+	page := store.Page{Version: s.version, Time: time.Since(s.began)}
 	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
 	for _, row := range s.log[first:] {
 		if row.Table == table {
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -79,19 +79,26 @@
 	Deletes    []Key
 }
 
+// Receipt is the answer to a transaction that took effect.
+type Receipt struct {
+	Version int64
+	Time    time.Duration // on the steady clock of the service
+}
+
 // Page is the answer to a range read.
 type Page struct {
 	Rows    []Row
 	More    bool
-	Version int64 // newest version of the service at the time of the read
+	Version int64         // newest version of the service at the time of the read
+	Time    time.Duration // on the steady clock of the service
 }
 
 // Store is the table service. Calls return ErrUnavailable, ErrUnknown (Commit
 // only), ErrHistoryGone (Changes only), *ConflictError (Commit only) or an
 // error of the context.
 type Store interface {
-	// Commit applies a transaction and returns its version.
-	Commit(ctx context.Context, txn Txn) (int64, error)
+	// Commit applies a transaction.
+	Commit(ctx context.Context, txn Txn) (Receipt, error)
 	// Range reads rows of a partition of a table from name from (inclusive) to
 	// name to (exclusive; empty means the end) in ascending order.
 	Range(ctx context.Context, table, partition, from, to string) (Page, error)
@@ -120,7 +127,7 @@
 			return Page{}, err
 		}
 		if all.Version == 0 {
-			all.Version = page.Version
+			all.Version, all.Time = page.Version, page.Time
 		}
 		all.Rows = append(all.Rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -18,6 +18,7 @@
 	Caps     = "caps"     // parts of workspaces' caps, by pool
 	Cordons  = "cordons"  // VMs that are to be emptied for maintenance
 	Loads    = "loads"    // published load of each pool
+	Leases   = "leases"   // when runs on VMs lapse that their owner cannot reach
 	Waves    = "waves"    // how far maintenance waves are
 )
 
@@ -79,6 +80,11 @@
 	return store.Key{Table: Loads, Partition: pool, Name: "load"}
 }
 
+// LeaseKey names the row of a pool's recorded lease bounds.
+func LeaseKey(pool string) store.Key {
+	return store.Key{Table: Leases, Partition: pool, Name: "bounds"}
+}
+
 // CordonKey names the row that asks for a machine's VM to be emptied. The rows
 // are in the partition of the role that orders maintenance and moves.
 func CordonKey(role, machine string) store.Key {
