Make claims certain and patient, and tell at once that a stopping entry owns nothing

Change: a claim is tried until its outcome is certain; time limits and head starts follow the usual time of a transaction; a last member row is written.

--- a/node/api.go
+++ b/node/api.go
@@ -161,7 +161,7 @@
 	defer cancel()
 	uncertain := false
 	for try := 0; ; try++ {
-		tryCtx, cancelTry := context.WithTimeout(ctx, tryLimits[min(try, len(tryLimits)-1)])
+		tryCtx, cancelTry := context.WithTimeout(ctx, n.store.Patience(try))
 		_, err := n.store.Commit(tryCtx, txn)
 		cancelTry()
 		var conflict *store.ConflictError
@@ -250,7 +250,7 @@
 
 // get reads a row, and tries once more after a failure.
 func (n *Node) get(ctx context.Context, key store.Key) (store.Row, bool, error) {
-	tryCtx, cancel := context.WithTimeout(ctx, tryLimits[0])
+	tryCtx, cancel := context.WithTimeout(ctx, n.store.Patience(0))
 	row, ok, err := store.Get(tryCtx, n.store, key)
 	cancel()
 	if err == nil || ctx.Err() != nil {
--- a/node/members.go
+++ b/node/members.go
@@ -183,6 +183,22 @@
 	}
 }
 
+// leaveLimit bounds the last write of the own row.
+const leaveLimit = 1500 * time.Millisecond
+
+// leave publishes that this process owns nothing any more, so that its pools
+// are claimed without waiting for its row to grow old.
+func (m *members) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		if err := m.write(ctx); err == nil {
+			return
+		}
+		sleep(ctx, followRetry)
+	}
+}
+
 // write renews the own row. The condition keeps a write that is carried out
 // late from undoing a newer one.
 func (m *members) write(ctx context.Context) error {
--- a/node/node.go
+++ b/node/node.go
@@ -46,7 +46,7 @@
 // Node is one entry process.
 type Node struct {
 	settings Settings
-	store    store.Store
+	store    *timedStore
 	workers  Workers
 	machines Machines
 	rows     Rows
@@ -60,17 +60,25 @@
 	mu      sync.Mutex
 	owned   map[string]bool
 	unowned map[string]time.Duration // since when a pool has no live owner
+	claims  map[string]seenClaim     // claims by others that their rows do not show yet
 	runners sync.WaitGroup
 }
 
+// seenClaim is a claim that was read from an owner's row.
+type seenClaim struct {
+	epoch int64
+	at    time.Duration
+}
+
 // New returns an entry that is not running yet.
 func New(o Options) *Node {
+	timed := &timedStore{Store: o.Store, clock: o.Clock}
 	return &Node{
-		settings: o.Settings, store: o.Store, workers: o.Workers, machines: o.Machines, rows: o.Rows,
+		settings: o.Settings, store: timed, workers: o.Workers, machines: o.Machines, rows: o.Rows,
 		clock: o.Clock, log: o.Log, metrics: newMetrics(),
 		operator: newOperatorView(o.Rows, o.Log),
-		members:  newMembers(o.Store, o.Clock, o.Log, o.Settings.Self),
-		owned:    map[string]bool{}, unowned: map[string]time.Duration{},
+		members:  newMembers(timed, o.Clock, o.Log, o.Settings.Self),
+		owned:    map[string]bool{}, unowned: map[string]time.Duration{}, claims: map[string]seenClaim{},
 	}
 }
 
@@ -90,6 +98,7 @@
 	n.stopping.Store(true)
 	n.members.Stop()
 	n.runners.Wait()
+	n.members.leave(background)
 	n.log.Info("pools_handed_over")
 	return nil
 }
@@ -159,7 +168,7 @@
 		n.unowned[name] = now
 	}
 	order := claimOrder(name, n.settings.Self.Node, n.withOwn(live))
-	return order >= 0 && now-since >= time.Duration(order)*claimStagger
+	return order >= 0 && now-since >= time.Duration(order)*(claimStagger+claimSlow*n.store.Usual())
 }
 
 // withOwn replaces the pools of this entry, which are known before its row is
@@ -183,20 +192,37 @@
 	return names
 }
 
-// claimGrace is the time that a claim has to show in the claimer's member row.
+// claimGrace is the time that a claim has to show in the claimer's member row,
+// on top of the usual time of a transaction several times over.
 const claimGrace = 2 * time.Second
 
+// recentClaim reports whether a live member has claimed a pool so recently that
+// its row need not show it yet.
+func (n *Node) recentClaim(name string, owner ownerRow, live map[string]Member) bool {
+	holder, ok := live[owner.Node]
+	if !ok || holder.Boot != owner.Boot || owner.Node == n.settings.Self.Node {
+		return false
+	}
+	now := n.clock.Now().Steady
+	seen := n.claims[name]
+	if seen.epoch != owner.Epoch {
+		n.claims[name] = seenClaim{owner.Epoch, now}
+		return true
+	}
+	return now-seen.at < claimGrace+2*claimSlow*n.store.Usual()
+}
+
 func (n *Node) tryClaim(ctx context.Context, name string, live map[string]Member) {
 	before, version, err := readOwner(ctx, n.store, name)
 	if err != nil {
 		n.log.Info("owner_not_read", zap.String("pool", name), zap.Error(err))
 		return
 	}
-	if holder, ok := live[before.Node]; ok && holder.Boot == before.Boot && before.Node != n.settings.Self.Node && n.unownedFor(name) < claimGrace {
-		return // has claimed it and has not said so yet
+	if n.recentClaim(name, before, live) {
+		return
 	}
 	sentAt := n.clock.Now().Steady
-	callCtx, cancel := context.WithTimeout(ctx, claimLimit)
+	callCtx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
 	o, err := claim(callCtx, n.store, n.clock, name, n.settings.Self, before, version)
 	if err != nil {
@@ -207,16 +233,6 @@
 	n.start(ctx, o, before.Node == "", sentAt)
 }
 
-func (n *Node) unownedFor(name string) time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	since, ok := n.unowned[name]
-	if !ok {
-		return 0
-	}
-	return n.clock.Now().Steady - since
-}
-
 // start schedules a claimed pool, which its earlier owner has released or not, until ctx ends or it has another owner.
 func (n *Node) start(ctx context.Context, o *ownership, released bool, sentAt time.Duration) {
 	n.setOwned(o.pool, true)
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -21,7 +21,14 @@
 	claimSettle = 900 * time.Millisecond
 	// claimStagger is the head start of each better placed entry.
 	claimStagger = 500 * time.Millisecond
-	claimLimit   = 800 * time.Millisecond // of one call
+	claimLimit   = 1500 * time.Millisecond // of one read
+	// claimTime bounds a claim. It is tried until its outcome is certain, since
+	// one that takes effect after it was given up leaves the pool without a
+	// scheduler.
+	claimTime = 6 * time.Second
+	// claimSlow is added to the head start, relative to the usual time of a
+	// transaction.
+	claimSlow = 4
 )
 
 // ownerRow tells who schedules a pool. It is rewritten by each transaction of
@@ -36,7 +43,7 @@
 
 // ownership is a claim of a pool and the state of its chain of transactions.
 type ownership struct {
-	store   store.Store
+	store   *timedStore
 	pool    string
 	row     ownerRow
 	version int64 // of the owner's row
@@ -84,7 +91,7 @@
 }
 
 // claim makes this process the owner of a pool whose row is at a version.
-func claim(ctx context.Context, s store.Store, clock Clock, pool string, self Member, before ownerRow, version int64) (*ownership, error) {
+func claim(ctx context.Context, s *timedStore, clock Clock, pool string, self Member, before ownerRow, version int64) (*ownership, error) {
 	o := &ownership{store: s, clock: clock, pool: pool, version: version,
 		row: ownerRow{Node: before.Node, Boot: before.Boot, Epoch: before.Epoch, Batch: before.Batch}}
 	next := ownerRow{Node: self.Node, Boot: self.Boot, Epoch: before.Epoch + 1}
@@ -110,10 +117,6 @@
 	return o.write(ctx, next, store.Txn{})
 }
 
-// Time limits of one try of a transaction. A lost answer costs the first limit;
-// the later ones let a service that is 60 times slower than usual answer.
-var tryLimits = [...]time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
-
 // commitRetry is the pause after a refused try.
 const commitRetry = 100 * time.Millisecond
 
@@ -126,7 +129,7 @@
 	txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: o.version})
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
 	for try := 0; ; try++ {
-		receipt, err := o.try(ctx, txn, tryLimits[min(try, len(tryLimits)-1)])
+		receipt, err := o.try(ctx, txn, o.store.Patience(try))
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
