Move VMs between pools by demand and expected turns

Change: a demand model from accepted work, the expectation of the next turn, and a planner for moves from standby and surplus and back; tasks that last are kept on few VMs.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -23,7 +23,7 @@
 	// listInterval and idleList are the times between two readings of the
 	// inventory, while orders are under way and while nothing happens.
 	listInterval = 700 * time.Millisecond
-	idleList     = 4 * time.Second
+	idleList     = 2 * time.Second
 	// orderRetry is the pause after an order without a certain answer.
 	orderRetry = 600 * time.Millisecond
 	// loadWait is the wait of a feed call for published loads.
@@ -32,6 +32,9 @@
 	// emptyTime is how long emptying a VM usually takes: the rest of a task, a
 	// stop, and two rows.
 	emptyTime = 2 * time.Second
+	// moveGivenUp is the time after which a VM that cannot be emptied goes on in
+	// its pool.
+	moveGivenUp = 3 * time.Second
 	// waveGone is the time after which a machine that the inventory does not
 	// list any more counts as gone.
 	waveGone = 3 * time.Second
@@ -107,6 +110,7 @@
 	loads   *loadTable
 	cordons map[string]fleetplan.Cordon
 	waves   map[string]*waveState
+	moves   *fleetplan.MovePlanner
 }
 
 type listResult struct {
@@ -123,6 +127,7 @@
 		lists: make(chan listResult, 1), orders: make(chan machineOrder, 64),
 		pending: map[string]bool{}, retryAt: map[string]time.Duration{}, orderAt: map[string]time.Duration{}, acked: map[string]time.Duration{},
 		cordons: map[string]fleetplan.Cordon{}, waves: map[string]*waveState{},
+		moves: fleetplan.NewMovePlanner(),
 	}
 	f.loads = newLoadTable(n, f.log)
 	return f
@@ -331,6 +336,10 @@
 	f.recordWaves(&txn, s)
 	for _, d := range fleetplan.PlanWaves(s, f.plan) {
 		f.cordon(&txn, d)
+		s.Cordons[d.Machine.Name] = f.cordons[d.Machine.Name]
+	}
+	for _, d := range f.moves.Plan(s, f.plan) {
+		f.cordon(&txn, d)
 	}
 	f.markOrders(&txn, s)
 	return txn
@@ -395,6 +404,8 @@
 			if now-f.missing[name] > waveGone && !f.pending[name] {
 				f.uncordon(txn, c, "machine is gone")
 			}
+		case !c.Ordered && c.Purpose.Target != "" && f.node.clock.Now().Wall-c.Since > moveGivenUp.Milliseconds():
+			f.uncordon(txn, c, "could not be emptied in time")
 		case !c.Ordered && m.VM != c.VM:
 			f.uncordon(txn, c, "machine has another life")
 		}
--- /dev/null
+++ b/sched/fleetplan/moves.go
@@ -0,0 +1,256 @@
+package fleetplan
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"amaranthfork.example/sched/pool"
+)
+
+// Moves between pools.
+const (
+	// joinTime is the time from a VM's arrival until it gets work: it has to be
+	// discovered, and its leases and listing have to be taken over.
+	joinTime = 500 * time.Millisecond
+	// leastVMs stay in each pool, so that tasks that last can be apart and a
+	// lost VM leaves another.
+	leastVMs = 3
+	// maxMoves bounds the VMs that move at a time.
+	maxMoves = 24
+	// idleBeforeStandby is the time that a VM must not have been needed before
+	// it is switched off: two moves cost as much as some 2.5 s of a VM.
+	idleBeforeStandby = 5000 // ms
+)
+
+// MovePlanner decides moves. It remembers since when pools have had more VMs
+// than they need.
+type MovePlanner struct {
+	Demand  *Demand
+	surplus map[string]int64 // since when, by pool; Unix milliseconds
+}
+
+// NewMovePlanner returns a planner that has seen nothing.
+func NewMovePlanner() *MovePlanner {
+	return &MovePlanner{Demand: NewDemand(), surplus: map[string]int64{}}
+}
+
+type poolBooks struct {
+	name     string
+	have     float64 // cores that are there or on their way
+	vms      int
+	needNow  float64
+	needSoon float64
+	donors   []donor
+}
+
+type donor struct {
+	machine Machine
+	load    pool.VMLoad
+}
+
+// Plan returns the VMs to move.
+func (m *MovePlanner) Plan(s *Snapshot, settings Settings) []Decision {
+	m.Demand.Observe(s.Loads, s.Standby)
+	lead := settings.MoveTime + joinTime
+	books := m.books(s, lead)
+	size := vmSize(s)
+	if size <= 0 || len(books) == 0 {
+		return nil
+	}
+	moving := 0
+	for _, c := range s.Cordons {
+		if c.Purpose.Target != "" {
+			moving++
+		}
+	}
+	decisions := m.fill(s, books, size, maxMoves-moving)
+	return append(decisions, m.retire(s, books, size, maxMoves-moving-len(decisions))...)
+}
+
+// vmSize returns the usual processors of a VM.
+func vmSize(s *Snapshot) float64 {
+	total, n := int64(0), 0
+	for _, l := range s.Loads {
+		for _, v := range l.VMs {
+			total += v.Capacity
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return float64(total) / float64(n) / 1000
+}
+
+// books sums up what each pool has and needs.
+func (m *MovePlanner) books(s *Snapshot, lead time.Duration) map[string]*poolBooks {
+	books := map[string]*poolBooks{}
+	size := vmSize(s)
+	for name, l := range s.Loads {
+		if s.Standby[name] {
+			continue
+		}
+		b := &poolBooks{name: name}
+		lasting := 0.0
+		for _, v := range l.VMs {
+			machine, known := s.Machines[v.Machine]
+			_, cordoned := s.Cordons[v.Machine]
+			if !known || machine.VM != v.VM || cordoned || !v.Usable {
+				continue
+			}
+			b.have += float64(v.Capacity) / 1000
+			b.vms++
+			if v.Lasting > 0 {
+				lasting += float64(v.Used) / 1000
+			} else if machine.Up {
+				b.donors = append(b.donors, donor{machine, v})
+			}
+		}
+		b.needNow = lasting + m.Demand.Need(name, l, s.Now)
+		b.needSoon = lasting + m.Demand.Need(name, l, s.Now+lead.Milliseconds())
+		sort.Slice(b.donors, func(i, k int) bool {
+			if b.donors[i].load.Used != b.donors[k].load.Used {
+				return b.donors[i].load.Used < b.donors[k].load.Used
+			}
+			return b.donors[i].machine.Name < b.donors[k].machine.Name
+		})
+		books[name] = b
+	}
+	addArrivals(s, books, size)
+	return books
+}
+
+// addArrivals counts the VMs that are on their way to a pool.
+func addArrivals(s *Snapshot, books map[string]*poolBooks, size float64) {
+	counted := map[string]bool{}
+	for _, c := range s.Cordons {
+		target := c.Purpose.Target
+		if target == "" && c.Ordered {
+			target = c.Pool // comes back from maintenance
+		}
+		if b := books[target]; b != nil {
+			b.have += size
+			b.vms++
+			counted[c.Machine] = true
+		}
+	}
+	for name, machine := range s.Machines {
+		b := books[machine.Pool]
+		if b == nil || counted[name] {
+			continue
+		}
+		if _, listed := s.vmLoad(machine); !listed && (machine.VM != "" || !machine.Up) {
+			if _, cordoned := s.Cordons[name]; !cordoned {
+				b.have += size
+				b.vms++
+			}
+		}
+	}
+}
+
+// fill moves VMs to pools that will need them, from standby first, then from
+// pools that have more than they need.
+func (m *MovePlanner) fill(s *Snapshot, books map[string]*poolBooks, size float64, room int) []Decision {
+	standby := standbyMachines(s)
+	var decisions []Decision
+	for _, b := range byDeficit(books) {
+		missing := int(math.Round((b.needSoon - b.have) / size))
+		for ; missing > 0 && len(decisions) < room; missing-- {
+			if len(standby) > 0 {
+				decisions = append(decisions, Decision{standby[0], Purpose{Target: b.name}, "standby to a pool in need"})
+				standby = standby[1:]
+				continue
+			}
+			machine, ok := takeSurplus(books, b.name, size)
+			if !ok {
+				break
+			}
+			decisions = append(decisions, Decision{machine, Purpose{Target: b.name}, "surplus to a pool in need"})
+		}
+	}
+	return decisions
+}
+
+func byDeficit(books map[string]*poolBooks) []*poolBooks {
+	list := make([]*poolBooks, 0, len(books))
+	for _, b := range books {
+		list = append(list, b)
+	}
+	sort.Slice(list, func(i, k int) bool {
+		a, b := list[i].needSoon-list[i].have, list[k].needSoon-list[k].have
+		if a != b {
+			return a > b
+		}
+		return list[i].name < list[k].name
+	})
+	return list
+}
+
+// spare returns the processors that a pool does not need now or soon.
+func (b *poolBooks) spare() float64 { return b.have - max(b.needNow, b.needSoon) }
+
+// takeSurplus takes the emptiest VM of the pool that has most to spare.
+func takeSurplus(books map[string]*poolBooks, except string, size float64) (Machine, bool) {
+	var best *poolBooks
+	for _, b := range books {
+		if b.name == except || len(b.donors) == 0 || b.vms <= leastVMs || b.spare() < size {
+			continue
+		}
+		if best == nil || b.spare() > best.spare() || b.spare() == best.spare() && b.name < best.name {
+			best = b
+		}
+	}
+	if best == nil {
+		return Machine{}, false
+	}
+	return best.take(), true
+}
+
+func (b *poolBooks) take() Machine {
+	d := b.donors[0]
+	b.donors = b.donors[1:]
+	b.vms--
+	b.have -= float64(d.load.Capacity) / 1000
+	return d.machine
+}
+
+func standbyMachines(s *Snapshot) []Machine {
+	var list []Machine
+	for name, machine := range s.Machines {
+		if _, cordoned := s.Cordons[name]; s.Standby[machine.Pool] && machine.Up && !cordoned && !s.Out[machine.DataCentre] {
+			list = append(list, machine)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Name < list[k].Name })
+	return list
+}
+
+// retire switches off VMs that have not been needed for some time.
+func (m *MovePlanner) retire(s *Snapshot, books map[string]*poolBooks, size float64, room int) []Decision {
+	target := ""
+	for name, on := range s.Standby {
+		if on && (target == "" || name < target) {
+			target = name
+		}
+	}
+	var decisions []Decision
+	for _, b := range byDeficit(books) {
+		if b.spare() < 2*size || b.vms <= leastVMs || target == "" {
+			delete(m.surplus, b.name)
+			continue
+		}
+		since, known := m.surplus[b.name]
+		if !known {
+			m.surplus[b.name] = s.Now
+			continue
+		}
+		if s.Now-since < idleBeforeStandby {
+			continue
+		}
+		for b.spare() >= 2*size && b.vms > leastVMs && len(b.donors) > 0 && len(decisions) < room && b.donors[0].load.Tasks == 0 {
+			decisions = append(decisions, Decision{b.take(), Purpose{Target: target}, "not needed for some time"})
+		}
+	}
+	return decisions
+}
--- a/sched/pool/load.go
+++ b/sched/pool/load.go
@@ -48,11 +48,11 @@
 func EncodeLoad(l Load) ([]byte, error) { return cbor.Marshal(l) }
 
 // loadInterval is the time between two publications of a pool's load.
-const loadInterval = 400 * time.Millisecond
+const loadInterval = 300 * time.Millisecond
 
 // Load returns the pool's present load.
 func (p *Pool) Load() Load {
-	l := Load{At: p.now.Wall, Accepted: p.acceptedWork}
+	l := Load{At: p.now.Wall, Accepted: p.acceptedWork, Epoch: p.startedAt.Wall}
 	for _, v := range p.vms {
 		if !v.listed {
 			continue
@@ -72,15 +72,10 @@
 
 func (p *Pool) vmLoad(v *vm) VMLoad {
 	load := VMLoad{VM: v.ID, Machine: v.Machine, Capacity: v.Capacity.MilliCPU, Used: v.used.MilliCPU,
-		Tasks: len(v.tasks), Usable: p.usable(v)}
+		Tasks: len(v.tasks), Lasting: v.lasting, Usable: p.usable(v)}
 	if v.cordoned {
 		load.Cordon = p.cordons[v.Machine].Version
 	}
-	for t := range v.tasks {
-		if t.spec().LongRunning {
-			load.Lasting++
-		}
-	}
 	return load
 }
 
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -90,9 +90,18 @@
 	weightRack    = 4.0
 	weightSpread  = 3.0
 	weightBalance = 1.0
+	weightPack    = 2.0
 	weightHealth  = 6.0
 )
 
+// lastingShare is 1 for a VM that other tasks that last are on.
+func lastingShare(v *vm) float64 {
+	if v.lasting > 0 {
+		return 1
+	}
+	return 0
+}
+
 func (p *Pool) score(t *task, v *vm) float64 {
 	spec := t.spec()
 	score := weightBalance * freeShare(v)
@@ -108,6 +117,12 @@
 	if spec.Fills {
 		score -= weightSpread * (float64(v.serving) + fillShare(v))
 	}
+	if spec.LongRunning && spec.LatencyGoal == 0 {
+		// Tasks that last are kept on few VMs, so that the others can move.
+		score += weightPack * lastingShare(v)
+	} else if !spec.LongRunning && v.lasting > 0 {
+		score += weightPack * 0.1
+	}
 	score -= weightHealth * v.health.suspicion(p.now.Steady)
 	return score
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -217,6 +217,9 @@
 	if t.spec().LatencyGoal > 0 {
 		v.serving++
 	}
+	if t.spec().LongRunning {
+		v.lasting++
+	}
 	t.occ.job.active++
 }
 
@@ -234,6 +237,9 @@
 		if t.spec().LatencyGoal > 0 {
 			t.vm.serving--
 		}
+		if t.spec().LongRunning {
+			t.vm.lasting--
+		}
 		delete(t.vm.tasks, t)
 		if t.vm.cordoned && len(t.vm.tasks) == 0 {
 			p.loadNews = true
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -110,6 +110,7 @@
 	used       fleet.Resources
 	fillCPU    int64 // thousandths of a core that filling tasks ask for
 	serving    int   // tasks with a latency goal
+	lasting    int   // tasks that run until their job is cancelled
 	tasks      map[*task]struct{}
 	seen       int64 // ends up to this number are processed
 	durable    int64 // ends up to this number are recorded
