--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -111,6 +111,7 @@
 	cordons map[string]fleetplan.Cordon
 	waves   map[string]*waveState
 	moves   *fleetplan.MovePlanner
+	booksAt time.Duration
 }
 
 type listResult struct {
@@ -342,9 +343,27 @@
 		f.cordon(&txn, d)
 	}
 	f.markOrders(&txn, s)
+	f.logBooks(s)
 	return txn
 }
 
+// booksInterval is the time between two log lines on what a pool has and needs.
+const booksInterval = time.Second
+
+func (f *fleetController) logBooks(s *fleetplan.Snapshot) {
+	now := f.node.clock.Now().Steady
+	if now-f.booksAt < booksInterval {
+		return
+	}
+	f.booksAt = now
+	next, expected := f.moves.Demand.Expected()
+	for _, b := range f.moves.Books(s, f.plan) {
+		f.log.Info("pool_books", zap.String("pool", b.Pool), zap.Int("vms", b.VMs), zap.Int("have", int(b.Have)), zap.Int("need_now", int(b.NeedNow)),
+			zap.Int("need_soon", int(b.NeedSoon)), zap.Int("rate", int(b.Rate)), zap.Int("mean", int(b.MeanRate)), zap.Bool("turn", b.Turn),
+			zap.Int64("load_age_ms", s.Now-s.Loads[b.Pool].At), zap.Bool("expected_next", expected && next.Pool == b.Pool))
+	}
+}
+
 func (f *fleetController) snapshot() *fleetplan.Snapshot {
 	view, _ := f.node.operator.Get()
 	s := &fleetplan.Snapshot{
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -68,6 +68,31 @@
 	return append(decisions, m.retire(s, books, size, maxMoves-moving-len(decisions))...)
 }
 
+// Book is what one pool has and needs, in processors, for the log.
+type Book struct {
+	Pool           string
+	Have           float64
+	NeedNow        float64
+	NeedSoon       float64
+	VMs            int
+	Rate, MeanRate float64
+	Turn           bool
+}
+
+// Books returns the figures that the next plan starts from, by pool.
+func (m *MovePlanner) Books(s *Snapshot, settings Settings) []Book {
+	var list []Book
+	for name, b := range m.books(s, settings.MoveTime+joinTime) {
+		book := Book{Pool: name, Have: b.have, NeedNow: b.needNow, NeedSoon: b.needSoon, VMs: b.vms}
+		if p := m.Demand.pools[name]; p != nil {
+			book.Rate, book.MeanRate, book.Turn = p.rate, p.mean, p.active
+		}
+		list = append(list, book)
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Pool < list[k].Pool })
+	return list
+}
+
 // vmSize returns the usual processors of a VM.
 func vmSize(s *Snapshot) float64 {
 	total, n := int64(0), 0
