--- a/sched/fleetplan/demand.go
+++ b/sched/fleetplan/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"amaranthfork.example/sched/pool"
@@ -10,12 +11,21 @@
 // Demand model. Arrival rates are core-seconds of work accepted a second, so
 // they are the processors that a pool needs to keep up.
 const (
-	rateWindow = 900  // ms over which the present rate is measured
+	rateWindow = 700  // ms over which the present rate is measured
 	meanTime   = 12e3 // ms, time constant of the mean rate
 	// turnFactor is how far above its mean a pool's rate is during its turn.
 	turnFactor = 2.0
-	// turnShare is the least rate of a turn, as a share of the pool's capacity.
-	turnShare = 0.35
+	// turnShare is the least rate of a turn, as a share of the whole fleet.
+	turnShare = 0.1
+	// firstPeak is the rate that a turn is expected to reach, as a share of the
+	// whole fleet, before any turn has been seen to its end.
+	firstPeak = 0.4
+	// riseTime is the time in ms within which a turn reaches its peak.
+	riseTime = 2500
+	// expectEarly and expectLate are the times in ms before and after its
+	// expected start during which a turn is prepared for.
+	expectEarly = 500
+	expectLate  = 1800
 	// turnEnds is the share of the peak below which a turn has ended.
 	turnEnds = 0.35
 	// steadyShare bounds how far the last intervals between turns may differ
@@ -57,13 +67,16 @@
 type Demand struct {
 	pools map[string]*poolDemand
 	turns []Turn
+	fleet float64 // processors of all VMs
 }
 
 // NewDemand returns a model that has seen nothing.
 func NewDemand() *Demand { return &Demand{pools: map[string]*poolDemand{}} }
 
-// Observe takes the published loads of pools that are not on standby.
-func (d *Demand) Observe(loads map[string]pool.Load, standby map[string]bool) {
+// Observe takes the published loads of pools that are not on standby, and the
+// processors of the whole fleet.
+func (d *Demand) Observe(loads map[string]pool.Load, standby map[string]bool, fleet float64) {
+	d.fleet = fleet
 	names := make([]string, 0, len(loads))
 	for name := range loads {
 		if !standby[name] {
@@ -123,7 +136,7 @@
 		}
 		return
 	}
-	if p.rate < turnShare*capacityOf(l) || p.rate < turnFactor*p.mean {
+	if p.rate < turnShare*d.fleet || p.rate < turnFactor*p.mean {
 		return
 	}
 	p.active = true
@@ -135,21 +148,16 @@
 	}
 }
 
-func capacityOf(l pool.Load) float64 {
-	total := int64(0)
-	for _, v := range l.VMs {
-		total += v.Capacity
-	}
-	return float64(total) / 1000
-}
-
 // interval returns the time between turns, or 0 if they are not regular.
 func (d *Demand) interval() int64 {
 	n := len(d.turns)
-	if n < 3 {
+	if n < 2 {
 		return 0
 	}
 	last := d.turns[n-1].Start - d.turns[n-2].Start
+	if n == 2 {
+		return last
+	}
 	before := d.turns[n-2].Start - d.turns[n-3].Start
 	if math.Abs(float64(last-before)) > steadyShare*float64(max(last, before)) {
 		return 0
@@ -157,64 +165,79 @@
 	return (last + before) / 2
 }
 
-// Expected returns the next turn if turns come regularly and it is clear whose
-// it is: pools take turns, so it is the one whose last turn is longest ago.
-func (d *Demand) Expected() (Turn, bool) {
+// Expected returns the pools that may have the next turn, and when it should
+// begin. Pools take turns, so these are the ones that have had none yet, or else
+// the one whose last turn is longest ago. There are none while turns do not come
+// regularly, or once the next one is overdue.
+func (d *Demand) Expected(now int64) (pools []string, start int64) {
 	interval := d.interval()
 	if interval <= 0 {
-		return Turn{}, false
+		return nil, 0
+	}
+	start = d.turns[len(d.turns)-1].Start + interval
+	if now > start+expectLate {
+		return nil, 0
 	}
 	last := map[string]int64{}
 	for _, t := range d.turns {
 		last[t.Pool] = t.Start
 	}
-	next, never := "", 0
+	oldest := ""
 	for name := range d.pools {
 		at, had := last[name]
-		switch {
-		case !had:
-			never++
-			next = name
-		case never == 0 && (next == "" || at < last[next] || at == last[next] && name < next):
-			next = name
+		if !had {
+			pools = append(pools, name)
+			continue
+		}
+		if oldest == "" || at < last[oldest] || at == last[oldest] && name < oldest {
+			oldest = name
 		}
 	}
-	if never > 1 || next == "" {
-		return Turn{}, false
+	if len(pools) == 0 && oldest != "" {
+		pools = append(pools, oldest)
 	}
-	return Turn{next, d.turns[len(d.turns)-1].Start + interval}, true
+	sort.Strings(pools)
+	return pools, start
 }
 
 // peakOf returns the rate that a turn of a pool is expected to reach: that of its
-// own last turn, or the highest of the others.
+// own last turn, the highest of the others, or a share of the fleet.
 func (d *Demand) peakOf(name string) float64 {
 	if p := d.pools[name]; p != nil && p.peaks > 0 {
 		return p.peaks
 	}
 	highest := 0.0
 	for _, p := range d.pools {
-		highest = max(highest, p.peaks, p.peak)
+		highest = max(highest, p.peaks)
 	}
-	return highest
+	if highest > 0 {
+		return highest
+	}
+	return firstPeak * d.fleet
 }
 
 // Need returns the processors that a pool needs at a time, without its tasks
 // that last.
-func (d *Demand) Need(name string, l pool.Load, at int64) float64 {
+func (d *Demand) Need(name string, l pool.Load, now, at int64) float64 {
 	p := d.pools[name]
 	if p == nil {
 		return 0
 	}
 	rate := p.rate
-	interval := d.interval()
-	if p.active {
-		rate = max(rate, p.peak)
-		if interval > 0 && at > p.started+interval {
-			rate = min(p.rate, p.mean)
-		}
-	}
-	if turn, ok := d.Expected(); ok && turn.Pool == name && at >= turn.Start && at < turn.Start+interval {
+	if p.active && now < p.started+riseTime {
 		rate = max(rate, d.peakOf(name))
+	} else if p.active {
+		rate = max(rate, 0.7*p.peak)
+	}
+	need := rate*rateHeadroom + max(0, l.Backlog-rate)/backlogTime
+	return max(need, d.prepared(name, now, at))
+}
+
+// prepared returns what a pool should have because its turn may begin.
+func (d *Demand) prepared(name string, now, at int64) float64 {
+	pools, start := d.Expected(now)
+	if !slices.Contains(pools, name) || at < start-expectEarly {
+		return 0
 	}
-	return rate*rateHeadroom + max(0, l.Backlog-rate)/backlogTime
+	return d.peakOf(name) / float64(len(pools))
 }
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -13,14 +13,16 @@
 	// joinTime is the time from a VM's arrival until it gets work: it has to be
 	// discovered, and its leases and listing have to be taken over.
 	joinTime = 500 * time.Millisecond
-	// leastVMs stay in each pool, so that tasks that last can be apart and a
-	// lost VM leaves another.
-	leastVMs = 3
+	// leastVMs stay in each pool, so that a lost VM leaves another.
+	leastVMs = 2
 	// maxMoves bounds the VMs that move at a time.
 	maxMoves = 24
 	// idleBeforeStandby is the time that a VM must not have been needed before
 	// it is switched off: two moves cost as much as some 2.5 s of a VM.
-	idleBeforeStandby = 5000 // ms
+	idleBeforeStandby = 2500 // ms
+	// settleTime is the time without any turn after which VMs are switched off
+	// all the same: before the first turn nobody knows which pool will need them.
+	settleTime = 12000 // ms
 )
 
 // MovePlanner decides moves. It remembers since when pools have had more VMs
@@ -28,6 +30,7 @@
 type MovePlanner struct {
 	Demand  *Demand
 	surplus map[string]int64 // since when, by pool; Unix milliseconds
+	began   int64            // time of the first plan, Unix milliseconds
 }
 
 // NewMovePlanner returns a planner that has seen nothing.
@@ -37,6 +40,7 @@
 
 type poolBooks struct {
 	name     string
+	least    int     // VMs that stay
 	have     float64 // cores that are there or on their way
 	vms      int
 	needNow  float64
@@ -51,10 +55,13 @@
 
 // Plan returns the VMs to move.
 func (m *MovePlanner) Plan(s *Snapshot, settings Settings) []Decision {
-	m.Demand.Observe(s.Loads, s.Standby)
+	size := vmSize(s)
+	m.Demand.Observe(s.Loads, s.Standby, size*float64(len(s.Machines)))
+	if m.began == 0 {
+		m.began = s.Now
+	}
 	lead := settings.MoveTime + joinTime
 	books := m.books(s, lead)
-	size := vmSize(s)
 	if size <= 0 || len(books) == 0 {
 		return nil
 	}
@@ -116,7 +123,7 @@
 		if s.Standby[name] {
 			continue
 		}
-		b := &poolBooks{name: name}
+		b := &poolBooks{name: name, least: max(leastVMs, l.LeastVMs)}
 		lasting := 0.0
 		for _, v := range l.VMs {
 			machine, known := s.Machines[v.Machine]
@@ -132,8 +139,8 @@
 				b.donors = append(b.donors, donor{machine, v})
 			}
 		}
-		b.needNow = lasting + m.Demand.Need(name, l, s.Now)
-		b.needSoon = lasting + m.Demand.Need(name, l, s.Now+lead.Milliseconds())
+		b.needNow = lasting + m.Demand.Need(name, l, s.Now, s.Now)
+		b.needSoon = lasting + m.Demand.Need(name, l, s.Now, s.Now+lead.Milliseconds())
 		sort.Slice(b.donors, func(i, k int) bool {
 			if b.donors[i].load.Used != b.donors[k].load.Used {
 				return b.donors[i].load.Used < b.donors[k].load.Used
@@ -219,7 +226,7 @@
 func takeSurplus(books map[string]*poolBooks, except string, size float64) (Machine, bool) {
 	var best *poolBooks
 	for _, b := range books {
-		if b.name == except || len(b.donors) == 0 || b.vms <= leastVMs || b.spare() < size {
+		if b.name == except || len(b.donors) == 0 || b.vms <= b.least || b.spare() < size {
 			continue
 		}
 		if best == nil || b.spare() > best.spare() || b.spare() == best.spare() && b.name < best.name {
@@ -232,6 +239,12 @@
 	return best.take(), true
 }
 
+// keep reports whether a pool's VMs stay although it does not need them yet:
+// no turn has been seen, and its own may be the first.
+func (m *MovePlanner) keep(s *Snapshot, _ string) bool {
+	return len(m.Demand.turns) == 0 && s.Now-m.began < settleTime
+}
+
 func (b *poolBooks) take() Machine {
 	d := b.donors[0]
 	b.donors = b.donors[1:]
@@ -261,7 +274,7 @@
 	}
 	var decisions []Decision
 	for _, b := range byDeficit(books) {
-		if b.spare() < 2*size || b.vms <= leastVMs || target == "" {
+		if b.spare() < size || b.vms <= b.least || target == "" || m.keep(s, b.name) {
 			delete(m.surplus, b.name)
 			continue
 		}
@@ -273,7 +286,7 @@
 		if s.Now-since < idleBeforeStandby {
 			continue
 		}
-		for b.spare() >= 2*size && b.vms > leastVMs && len(b.donors) > 0 && len(decisions) < room && b.donors[0].load.Tasks == 0 {
+		for b.spare() >= size && b.vms > b.least && len(b.donors) > 0 && len(decisions) < room && b.donors[0].load.Tasks == 0 {
 			decisions = append(decisions, Decision{b.take(), Purpose{Target: target}, "not needed for some time"})
 		}
 	}
--- a/sched/pool/load.go
+++ b/sched/pool/load.go
@@ -33,6 +33,7 @@
 	Accepted float64  `cbor:"4,keyasint,omitempty"` // core-seconds accepted since the owner took over
 	VMs      []VMLoad `cbor:"5,keyasint,omitempty"`
 	Epoch    int64    `cbor:"6,keyasint,omitempty"` // of the owner
+	LeastVMs int      `cbor:"7,keyasint,omitempty"` // that tasks which last and must be apart need
 }
 
 // DecodeLoad reads a published load.
@@ -61,6 +62,7 @@
 	}
 	sort.Slice(l.VMs, func(i, k int) bool { return l.VMs[i].VM < l.VMs[k].VM })
 	for _, j := range p.open {
+		l.LeastVMs = max(l.LeastVMs, leastVMs(j))
 		for _, o := range j.open {
 			ready, work := p.occurrenceLoad(o)
 			l.Ready += ready
@@ -70,6 +72,18 @@
 	return l
 }
 
+// leastVMs returns how many VMs the tasks of a job that last must be spread over.
+func leastVMs(j *jobState) int {
+	least := 0
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		if s.LongRunning && s.MaxPerVM > 0 && !j.state.Final() {
+			least = max(least, (s.Count+s.MaxPerVM-1)/s.MaxPerVM)
+		}
+	}
+	return least
+}
+
 func (p *Pool) vmLoad(v *vm) VMLoad {
 	load := VMLoad{VM: v.ID, Machine: v.Machine, Capacity: v.Capacity.MilliCPU, Used: v.used.MilliCPU,
 		Tasks: len(v.tasks), Lasting: v.lasting, Usable: p.usable(v)}
