Move tasks that last only where there is a place for them

Change: such a task is stopped only if another VM can take it; a pool whose lasting task has no place asks for one more VM.

--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -187,7 +187,7 @@
 	standby := standbyMachines(s)
 	var decisions []Decision
 	for _, b := range byDeficit(books) {
-		missing := int(math.Round((b.needSoon - b.have) / size))
+		missing := max(int(math.Round((b.needSoon-b.have)/size)), b.least-b.vms)
 		for ; missing > 0 && len(decisions) < room; missing-- {
 			if len(standby) > 0 {
 				decisions = append(decisions, Decision{standby[0], Purpose{Target: b.name}, "standby to a pool in need"})
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -55,6 +55,7 @@
 // Cycle plans and returns the changes to write. The next call must follow
 // Committed, or the pool must be given up.
 func (p *Pool) Cycle() Batch {
+	p.stuck = false
 	p.vacate()
 	p.plan()
 	b := Batch{seen: map[string]int64{}}
--- a/sched/pool/load.go
+++ b/sched/pool/load.go
@@ -61,6 +61,14 @@
 		l.VMs = append(l.VMs, p.vmLoad(v))
 	}
 	sort.Slice(l.VMs, func(i, k int) bool { return l.VMs[i].VM < l.VMs[k].VM })
+	if p.stuck {
+		for _, v := range l.VMs {
+			if v.Usable {
+				l.LeastVMs++
+			}
+		}
+		l.LeastVMs++
+	}
 	for _, j := range p.open {
 		l.LeastVMs = max(l.LeastVMs, leastVMs(j))
 		for _, o := range j.open {
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -244,6 +244,9 @@
 		}
 		v := p.choose(t, reserved)
 		if v == nil {
+			if r.lasting {
+				p.stuck = true
+			}
 			if r.lasting && len(reserved) < maxReserved {
 				p.reserve(t, reserved)
 			}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -40,6 +40,7 @@
 	storedLeases  map[string]bool // VMs of which a bound may be stored
 	serviceOffset time.Duration   // of the table service's clock
 	loadNews      bool            // a cordoned VM has become empty
+	stuck         bool            // a task that lasts has no place on any VM
 	acceptedWork  float64         // core-seconds accepted since takeover
 	wants         map[string]fleet.Resources
 	stats         Stats
--- a/sched/pool/vacate.go
+++ b/sched/pool/vacate.go
@@ -31,7 +31,7 @@
 		return // runs to its end: stopping one member breaks all
 	case spec.LongRunning && v.Draining:
 		p.sendStop(t, "vm drains")
-	case spec.LongRunning && p.mayStop(t):
+	case spec.LongRunning && p.mayStop(t) && p.hasPlace(t):
 		p.sendStop(t, "vm is emptied")
 	case spec.LongRunning:
 		return
@@ -40,6 +40,16 @@
 	}
 }
 
+// hasPlace reports whether another VM could take a task now. Otherwise the owner
+// asks for one more VM.
+func (p *Pool) hasPlace(t *task) bool {
+	if t.stopSent > 0 || p.choose(t, nil) != nil {
+		return true
+	}
+	p.stuck = true
+	return false
+}
+
 // mayStop reports whether stopping a task keeps the availability budget of its
 // step: fewer than MayMiss others may be away.
 func (p *Pool) mayStop(t *task) bool {
