Try a task again on VMs on which it has failed, and blame jobs that fail everywhere

Change: such VMs are avoided for a second and preferred last after that; a VM is quarantined after failures of two different jobs, and not by a job that has failed on several VMs without any success.

--- a/sched/pool/learn.go
+++ b/sched/pool/learn.go
@@ -43,8 +43,8 @@
 		return
 	}
 	if cause == EndFailed {
-		if v.health.failed(p.now.Steady) {
-			p.log.Warn("vm_quarantined", zap.String("vm", v.ID), zap.Int("failures", v.health.failures))
+		if !t.occ.job.suspect(v) && v.health.failed(p.now.Steady, t.occ.job.spec.ID) {
+			p.log.Warn("vm_quarantined", zap.String("vm", v.ID), zap.Int("jobs", len(v.health.failures)), zap.Duration("for", v.health.until-p.now.Steady))
 		}
 		return
 	}
@@ -52,6 +52,7 @@
 		return
 	}
 	v.health.succeeded()
+	t.occ.job.doneTasks++
 	estimate := spec.Estimate
 	if estimate <= 0 {
 		estimate = defaultRun
@@ -69,23 +70,37 @@
 	m.ratio += gain * (ratio - m.ratio)
 }
 
+// suspect reports whether a job rather than its VMs is to blame for failures:
+// it has failed on several VMs and nothing of it has ever been done.
+func (j *jobState) suspect(v *vm) bool {
+	if j.failedVMs == nil {
+		j.failedVMs = map[string]bool{}
+	}
+	j.failedVMs[v.ID] = true
+	return j.doneTasks == 0 && len(j.failedVMs) >= failuresToQuarantine
+}
+
 // vmHealth is evidence against a VM from the runs that it fails.
 type vmHealth struct {
-	failures int // in a row, without a success between
+	failures map[string]bool // jobs that failed in a row, without a success between
 	until    time.Duration
 	probes   int // quarantines so far
 }
 
 // Quarantine of VMs that fail what they start.
 const (
-	failuresToQuarantine = 2
+	failuresToQuarantine = 2 // different jobs
+	refusedTime          = time.Second
 	quarantineTime       = 4 * time.Second // faults of VMs last some seconds
 	maxQuarantine        = 16 * time.Second
 )
 
-func (h *vmHealth) failed(now time.Duration) bool {
-	h.failures++
-	if h.failures < failuresToQuarantine || now < h.until {
+func (h *vmHealth) failed(now time.Duration, job string) bool {
+	if h.failures == nil {
+		h.failures = map[string]bool{}
+	}
+	h.failures[job] = true
+	if len(h.failures) < failuresToQuarantine || now < h.until {
 		return false
 	}
 	h.until = now + min(maxQuarantine, quarantineTime<<min(2, h.probes))
@@ -93,10 +108,11 @@
 	return true
 }
 
-func (h *vmHealth) refused(now time.Duration) { h.failed(now) }
+// refused notes that a VM refuses work because it is not healthy.
+func (h *vmHealth) refused(now time.Duration) { h.until = max(h.until, now+refusedTime) }
 
 func (h *vmHealth) succeeded() {
-	h.failures = 0
+	h.failures = nil
 	h.probes = 0
 }
 
@@ -105,5 +121,5 @@
 // suspicion is 0 for a VM without recent failures and 1 for one that would be
 // quarantined by the next failure.
 func (h *vmHealth) suspicion(time.Duration) float64 {
-	return min(1, float64(h.failures)/float64(failuresToQuarantine))
+	return min(1, float64(len(h.failures))/float64(failuresToQuarantine))
 }
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -31,12 +31,12 @@
 	if spec.MaxPerVM > 0 && t.siblingsOn(v) >= spec.MaxPerVM {
 		return false
 	}
-	return !t.failedOn[v.ID] || t.spec().LongRunning && p.now.Steady-t.lastRunEnd > failedElsewhere
+	return !t.failedOn[v.ID] || p.now.Steady-t.lastRunEnd > failedElsewhere
 }
 
-// failedElsewhere is how long a task that lasts stays away from a VM on which
-// it has failed.
-const failedElsewhere = 3 * time.Second
+// failedElsewhere is how long a task stays away from VMs on which it has
+// failed. After that it prefers others, but a pool may have no other.
+const failedElsewhere = time.Second
 
 // siblingsOn counts the runs of t's step and occurrence on v.
 func (t *task) siblingsOn(v *vm) int {
@@ -92,6 +92,7 @@
 	weightBalance = 1.0
 	weightPack    = 2.0
 	weightHealth  = 6.0
+	weightFailed  = 10.0
 )
 
 // lastingShare is 1 for a VM that other tasks that last are on.
@@ -123,6 +124,9 @@
 	} else if !spec.LongRunning && v.lasting > 0 {
 		score += weightPack * 0.1
 	}
+	if t.failedOn[v.ID] {
+		score -= weightFailed
+	}
 	score -= weightHealth * v.health.suspicion(p.now.Steady)
 	return score
 }
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -308,6 +308,48 @@
 	}
 }
 
+// Guards against LOST on lantern-sched trouble-2 --seed 471934269064: a task that
+// has failed on each VM of a small pool still gets its remaining attempts.
+func TestTaskThatFailedOnEveryVMIsTriedAgain(t *testing.T) {
+	w := newWorld(t)
+	w.addVM("a", 4000)
+	spec := shortJob(1)
+	w.submit(spec)
+	w.settle()
+	w.end(w.workers["a"], spec.ID+".0.0.0", pool.EndFailed)
+	for range 5 {
+		w.advance(500 * time.Millisecond)
+		w.settle()
+	}
+	if w.where(spec.ID+".0.0.0") != "a" {
+		t.Fatal("not tried again on the only VM")
+	}
+}
+
+// Guards against a pool that stops because one hopeless job fails everywhere.
+func TestHopelessJobDoesNotQuarantineItsVMs(t *testing.T) {
+	w := newWorld(t)
+	w.addVM("a", 4000)
+	w.addVM("b", 4000)
+	bad := shortJob(6)
+	w.submit(bad)
+	for range 20 {
+		w.settle()
+		for _, worker := range w.sortedWorkers() {
+			for _, name := range sortedNames(worker.running) {
+				w.end(worker, name, pool.EndFailed)
+			}
+		}
+		w.advance(300 * time.Millisecond)
+	}
+	good := shortJob(8)
+	w.submit(good)
+	w.settle()
+	if len(w.workers["a"].running) != 4 || len(w.workers["b"].running) != 4 {
+		t.Fatalf("%d and %d tasks run, want 4 on each VM", len(w.workers["a"].running), len(w.workers["b"].running))
+	}
+}
+
 // Guards against cancelled jobs that run on.
 func TestCancelStopsRuns(t *testing.T) {
 	w := newWorld(t)
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -22,7 +22,7 @@
 		for i := range 3 {
 			w.addVM(fmt.Sprintf("vm%d", i), 4000)
 		}
-		late := []pool.Command{}
+		late := []lateOrder{}
 		steps := rapid.IntRange(10, 60).Draw(t, "steps")
 		for range steps {
 			w.randomEvent(t, &late)
@@ -31,7 +31,7 @@
 	})
 }
 
-func (w *world) randomEvent(t *rapid.T, late *[]pool.Command) {
+func (w *world) randomEvent(t *rapid.T, late *[]lateOrder) {
 	switch rapid.IntRange(0, 11).Draw(t, "event") {
 	case 0:
 		w.submit(randomJob(t))
@@ -68,7 +68,7 @@
 }
 
 // cycleWithFaults loses some orders, and keeps some to be carried out late.
-func (w *world) cycleWithFaults(t *rapid.T, late *[]pool.Command) {
+func (w *world) cycleWithFaults(t *rapid.T, late *[]lateOrder) {
 	commands := append(w.commit(), w.p.Commands()...)
 	for _, c := range commands {
 		switch rapid.IntRange(0, 3).Draw(t, "fate") {
@@ -84,7 +84,7 @@
 			if c.Kind == pool.Start {
 				w.p.LeaseGranted(c.VM, w.now.Steady+testLease+120*time.Millisecond)
 				w.p.Started(c, pool.StartUnknown, w.now.Steady)
-				*late = append(*late, c)
+				*late = append(*late, lateOrder{c, w.now.Steady + testLease})
 				continue
 			}
 			w.p.Stopped(c, false, w.now.Steady)
@@ -94,11 +94,19 @@
 	}
 }
 
+// lateOrder is a start that is held up. Workers refuse it after its lease
+// deadline.
+type lateOrder struct {
+	pool.Command
+	deadline time.Duration
+}
+
 // lateOrders carries out orders that were held up, where their lease deadline
 // and their fencing token still hold.
-func (w *world) lateOrders(late []pool.Command) {
-	for _, c := range late {
-		if worker := w.workers[c.VM]; !worker.down && c.Run > worker.highest[c.Task] {
+func (w *world) lateOrders(late []lateOrder) {
+	for _, order := range late {
+		c := order.Command
+		if worker := w.workers[c.VM]; !worker.down && c.Run > worker.highest[c.Task] && w.now.Steady < order.deadline {
 			if _, there := worker.running[c.Task]; !there {
 				w.start(worker, c)
 			}
@@ -122,30 +130,15 @@
 	for name := range worker.running {
 		delete(worker.running, name)
 	}
-	for _, e := range worker.ends {
-		// Ends that were not listed are lost with the worker; a done task runs
-		// again, and a failure does not count.
-		if e.Cause == pool.EndDone {
-			w.forgetDone(e.Task)
-		}
-		if e.Cause == pool.EndFailed {
-			w.failures[e.Task]--
-		}
-	}
+	w.unlisted(worker) // ends that were not recorded are lost with the worker
 	worker.vm.Born++
-	worker.ends, worker.next = nil, 0
+	worker.ends, worker.next, worker.lifted = nil, 0, 0
 	worker.highest = map[string]int{}
 	worker.lease = 0
 	w.p.Silent(worker.vm.ID) // the renewal that waits there is cut off
 }
 
-// forgetDone allows a task to run again unless its end was recorded.
-func (w *world) forgetDone(task string) {
-	if !w.recordedDone(task) {
-		delete(w.done, task)
-	}
-}
-
+// recordedDone reports whether the end of a task is recorded.
 func (w *world) recordedDone(name string) bool {
 	for _, spec := range w.specs {
 		for s := range spec.Steps {
@@ -161,7 +154,7 @@
 
 // replaceOwner gives the pool to a new owner. Orders of the old one are refused
 // from the new owner's first renewal on.
-func (w *world) replaceOwner(t *rapid.T, late *[]pool.Command) {
+func (w *world) replaceOwner(t *rapid.T, late *[]lateOrder) {
 	if rapid.Bool().Draw(t, "late orders first") {
 		w.lateOrders(*late)
 	}
@@ -171,7 +164,7 @@
 }
 
 // heal ends all faults and checks that every job ends.
-func (w *world) heal(t *rapid.T, late []pool.Command) {
+func (w *world) heal(t *rapid.T, late []lateOrder) {
 	w.lateOrders(late)
 	for _, worker := range w.workers {
 		worker.down = false
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -91,6 +91,8 @@
 	active     int  // runs that may be on VMs
 	dirty      bool
 	finishedAt int64
+	doneTasks  int             // since this owner took over
+	failedVMs  map[string]bool // on which tasks have failed
 }
 
 func (j *jobState) occurrence(number int) *occurrence {
--- a/sched/pool/world_test.go
+++ b/sched/pool/world_test.go
@@ -43,6 +43,7 @@
 	highest map[string]int // run that was ended or stopped, by task
 	down    bool
 	lease   time.Duration
+	lifted  int64 // failures up to this end do not count any more
 }
 
 // failer is the part of a test that the world needs; rapid has its own.
@@ -150,16 +151,32 @@
 	}
 }
 
-// lapse ends what a worker's lease no longer covers.
+// lapse ends what a worker's lease no longer covers. Ends that nobody has taken
+// note of before do not bind later starts: RULES.md counts an end only if the
+// lease has not lapsed between the end and the note of it.
 func (w *world) lapse(worker *worker) {
-	if w.now.Steady < worker.lease || len(worker.running) == 0 {
+	if w.now.Steady < worker.lease {
 		return
 	}
+	w.unlisted(worker)
 	for _, name := range sortedNames(worker.running) {
 		w.end(worker, name, pool.EndLapsed)
 	}
 }
 
+// unlisted lifts the bounds of ends that were not recorded.
+func (w *world) unlisted(worker *worker) {
+	for _, e := range worker.ends {
+		switch {
+		case e.Cause == pool.EndDone && !w.recordedDone(e.Task):
+			delete(w.done, e.Task)
+		case e.Cause == pool.EndFailed && e.Sequence > worker.lifted:
+			w.failures[e.Task]--
+			worker.lifted = e.Sequence
+		}
+	}
+}
+
 func sortedNames(m map[string]pool.RunState) []string {
 	var names []string
 	for name := range m {
