--- a/node/runner.go
+++ b/node/runner.go
@@ -500,7 +500,7 @@
 	sessionCtx, cancel := context.WithCancel(ctx)
 	s := &session{
 		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
-		token: r.owner.row.Epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
+		epoch: r.owner.row.Epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
 		recorded: make(chan struct{}, 1), stop: cancel, slots: make(chan struct{}, ordersAtOnce),
 		mayRenew: r.mayRenew, mayStart: r.mayStart,
 	}
--- a/node/session.go
+++ b/node/session.go
@@ -42,7 +42,7 @@
 	workers Workers
 	clock   Clock
 	log     *zap.Logger
-	token   int64
+	epoch   int64
 	lease   time.Duration
 	deliver func(func(*pool.Pool)) // runs a function in the scheduler's loop
 
@@ -57,6 +57,7 @@
 	mu      sync.Mutex
 	clockMS int64         // of the worker, at clockAt
 	clockAt time.Duration // when the answer with it arrived
+	lives   int64         // of the worker, as seen by this session
 	born    int64
 	silent  bool
 }
@@ -80,11 +81,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.clockMS, s.clockAt = clockMS, at
+	if born != 0 && s.born != 0 && born != s.born {
+		s.lives = min(s.lives+1, tokensPerEpoch-1)
+	}
 	if born != 0 {
 		s.born = born
 	}
 }
 
+// tokensPerEpoch leaves room in the fencing token for the lives of a worker.
+const tokensPerEpoch = 1000
+
+// token returns the fencing token of orders. A worker that has restarted under
+// its id knows no token, so each life gets a higher one, which keeps out orders
+// for the earlier life that are carried out late.
+func (s *session) token() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch*tokensPerEpoch + s.lives
+}
+
 // run renews the VM's leases until ctx ends.
 func (s *session) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -130,7 +146,7 @@
 
 func (s *session) renew(ctx context.Context) (highest int64, ok bool) {
 	sentAt := s.clock.Now().Steady
-	r := Renewal{Token: s.token, Seen: s.seen.Load(), Wait: renewWait}
+	r := Renewal{Token: s.token(), Seen: s.seen.Load(), Wait: renewWait}
 	if deadline, bound, known := s.deadline(sentAt); known && !s.isSilent() && s.mayExtend.Load() {
 		r.Deadline = deadline
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
@@ -215,11 +231,11 @@
 	case pool.Start:
 		s.start(callCtx, c)
 	case pool.Stop:
-		err := s.workers.Stop(callCtx, s.ref, c.Task, c.Run, s.token)
+		err := s.workers.Stop(callCtx, s.ref, c.Task, c.Run, s.token())
 		at := s.clock.Now().Steady
 		s.deliver(func(p *pool.Pool) { p.Stopped(c, err == nil, at) })
 	case pool.Pace:
-		if err := s.workers.Pace(callCtx, s.ref, c.Task, c.Run, c.Percent, s.token); err != nil {
+		if err := s.workers.Pace(callCtx, s.ref, c.Task, c.Run, c.Percent, s.token()); err != nil {
 			s.log.Info("pace_failed", zap.String("task", c.Task), zap.String("vm", c.VM), zap.Error(err))
 			s.deliver(func(p *pool.Pool) { p.PaceFailed(c) })
 		}
@@ -234,7 +250,7 @@
 	if ok && s.mayStart() && !s.isSilent() && s.mayExtend.Load() {
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
 		result = s.workers.Start(ctx, s.ref, StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
-			Deadline: deadline, Token: s.token, Checkpoint: c.Checkpoint, Ticket: c.Ticket})
+			Deadline: deadline, Token: s.token(), Checkpoint: c.Checkpoint, Ticket: c.Ticket})
 	}
 	at := s.clock.Now().Steady
 	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -34,6 +34,9 @@
 		v.recorded = 0
 		p.leaseNews = true
 	}
+	if l.Complete {
+		p.forgetStrays(v)
+	}
 	listed := make(map[*task]bool, len(l.Running))
 	for _, end := range l.Ended {
 		p.ended(v, end, listed)
@@ -216,10 +219,20 @@
 		p.log.Warn("stray_run_ignored", zap.String("task", r.Task), zap.Int("run", r.Run), zap.String("vm", v.ID))
 		return
 	}
+	p.strays[r.Task] = v
 	p.log.Info("stray_run_stopped", zap.String("task", r.Task), zap.Int("run", r.Run), zap.String("vm", v.ID))
 	p.command(Command{Kind: Stop, VM: v.ID, Address: v.Address, Task: r.Task, Run: r.Run})
 }
 
+// forgetStrays drops what an earlier listing of v has shown.
+func (p *Pool) forgetStrays(v *vm) {
+	for name, on := range p.strays {
+		if on == v {
+			delete(p.strays, name)
+		}
+	}
+}
+
 // absent settles the runs that a complete listing does not show.
 func (p *Pool) absent(v *vm, l Listing, listed map[*task]bool) {
 	for _, t := range v.sortedTasks() {
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -117,7 +117,7 @@
 		}
 		var tasks []*task
 		for _, t := range o.tasks[s] {
-			if t.phase == waiting {
+			if t.phase == waiting && p.strays[t.name] == nil {
 				tasks = append(tasks, t)
 			}
 		}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -27,7 +27,8 @@
 	jobs     map[string]*jobState
 	open     []*jobState // jobs that are not final, by acceptance
 	stopping map[*task]struct{}
-	finished []*jobState // final jobs by finish time
+	strays   map[string]*vm // VMs that list runs of tasks which are not wanted there, by task
+	finished []*jobState    // final jobs by finish time
 	vms      map[string]*vm
 
 	runs map[string]*runModel // run time against estimate, by queue
@@ -58,7 +59,7 @@
 		settings: s, log: log, now: now, startedAt: now,
 		evacuated: map[string]bool{}, cordons: map[string]Cordon{},
 		allots: map[string]allotment{}, usage: map[string]fleet.Resources{},
-		jobs: map[string]*jobState{}, stopping: map[*task]struct{}{}, vms: map[string]*vm{},
+		jobs: map[string]*jobState{}, stopping: map[*task]struct{}{}, strays: map[string]*vm{}, vms: map[string]*vm{},
 		runs:        map[string]*runModel{},
 		queueCounts: map[string]int{}, queueAt: map[string]time.Duration{},
 		wants: map[string]fleet.Resources{}, storedLeases: map[string]bool{},
@@ -297,6 +298,7 @@
 }
 
 func (p *Pool) remove(v *vm) {
+	p.forgetStrays(v)
 	delete(p.vms, v.ID)
 	if v.recorded != 0 {
 		p.leaseNews = true
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -385,6 +385,7 @@
 	if len(a.running) != 3 {
 		t.Fatalf("%d tasks on a, want 3", len(a.running))
 	}
+	w.settled()
 	w.p.Cordon(map[string]pool.Cordon{"m-a": {VM: "a", Version: 7}})
 	w.settle()
 	if len(a.running) != 3 {
@@ -423,6 +424,33 @@
 	}
 }
 
+// Guards against AVAIL on lantern-sched scale-1: an owner that has just taken
+// over does not know which stops of the earlier owner are under way.
+func TestNoStopsRightAfterTakeover(t *testing.T) {
+	w := newWorld(t)
+	w.addVM("a", 8000)
+	w.addVM("b", 8000)
+	spec := lastingJob(3, 0, 1)
+	w.submit(spec)
+	w.settle()
+	on := w.where(spec.ID + ".0.0.0")
+	w.settled()
+	w.restart()
+	w.p.Cordon(map[string]pool.Cordon{"m-" + on: {VM: on, Version: 7}})
+	w.settle()
+	if len(w.workers[on].running) != 3 {
+		t.Fatal("a task was stopped right after a takeover")
+	}
+	w.settled()
+	for range 5 {
+		w.settle()
+		w.advance(100 * time.Millisecond)
+	}
+	if len(w.workers[on].running) != 0 {
+		t.Fatal("the VM is not emptied later")
+	}
+}
+
 // Guards against starts in a data centre that is out, on VMs that drain and
 // beyond the number of tasks for each VM.
 func TestPlacesThatAreNotAllowed(t *testing.T) {
--- a/sched/pool/vacate.go
+++ b/sched/pool/vacate.go
@@ -40,6 +40,10 @@
 	}
 }
 
+// takeoverCalm is the time after a takeover, on top of the longest time of a
+// stop, in which all VMs have been fenced against the earlier owner.
+const takeoverCalm = 1500 * time.Millisecond
+
 // hasPlace reports whether another VM could take a task now. Otherwise the owner
 // asks for one more VM.
 func (p *Pool) hasPlace(t *task) bool {
@@ -56,6 +60,9 @@
 	if t.stopSent > 0 {
 		return true // has been counted
 	}
+	if p.now.Steady-p.startedAt.Steady < p.settings.StopGrace+takeoverCalm {
+		return false // stops of the earlier owner may still be under way
+	}
 	limit := max(1, t.spec().MayMiss)
 	away := 0
 	for _, other := range t.occ.tasks[t.step] {
--- a/sched/pool/world_test.go
+++ b/sched/pool/world_test.go
@@ -382,3 +382,12 @@
 	}
 	return len(progress.Occurrences) > 0 && progress.Occurrences[0].Tasks[position].State == job.TaskDone
 }
+
+// settled lets the time pass in which a new owner stops nothing of its own
+// accord, while leases are renewed.
+func (w *world) settled() {
+	for range 6 {
+		w.advance(500 * time.Millisecond)
+		w.settle()
+	}
+}
