Bound inherited leases by the owner's row, and hand orders over machine by machine

Change: each transaction of an owner carries its time; leases are renewed for 3.5 s after the last one; ended orders are recorded for the next holder, which waits for just these machines.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -26,6 +26,10 @@
 	idleList     = 2 * time.Second
 	// orderRetry is the pause after an order without a certain answer.
 	orderRetry = 600 * time.Millisecond
+	// orderTime is the longest that an order for a machine is under way.
+	orderTime = 2 * time.Second
+	// handOverMargin covers the way of an order to the platform.
+	handOverMargin = 300 * time.Millisecond
 	// loadWait is the wait of a feed call for published loads.
 	loadWait  = 2 * time.Second
 	loadPause = 60 * time.Millisecond
@@ -111,7 +115,10 @@
 	cordons map[string]fleetplan.Cordon
 	waves   map[string]*waveState
 	moves   *fleetplan.MovePlanner
-	booksAt time.Duration
+
+	recent    recentRow                // orders that have ended
+	notBefore map[string]time.Duration // by machine: orders of an earlier holder
+	booksAt   time.Duration
 }
 
 type listResult struct {
@@ -128,7 +135,7 @@
 		lists: make(chan listResult, 1), orders: make(chan machineOrder, 64),
 		pending: map[string]bool{}, retryAt: map[string]time.Duration{}, orderAt: map[string]time.Duration{}, acked: map[string]time.Duration{},
 		cordons: map[string]fleetplan.Cordon{}, waves: map[string]*waveState{},
-		moves: fleetplan.NewMovePlanner(),
+		moves: fleetplan.NewMovePlanner(), recent: recentRow{}, notBefore: map[string]time.Duration{},
 	}
 	f.loads = newLoadTable(n, f.log)
 	return f
@@ -197,7 +204,14 @@
 		}
 		f.cordons[row.Name] = c.cordon(row.Name, row.Version)
 	}
+	recent := recentRow{}
 	for _, row := range waves {
+		if row.Name == recentName {
+			if err := cbor.Unmarshal(row.Value, &recent); err != nil {
+				f.log.Error("orders_row_unreadable", zap.Error(err))
+			}
+			continue
+		}
 		var w waveRow
 		if err := cbor.Unmarshal(row.Value, &w); err != nil {
 			f.log.Error("wave_row_unreadable", zap.String("wave", row.Name), zap.Error(err))
@@ -205,7 +219,9 @@
 		}
 		f.waves[row.Name] = &waveState{row: w, written: true}
 	}
-	f.log.Info("role_taken_over", zap.Int("cordons", len(f.cordons)), zap.Int("waves", len(f.waves)))
+	f.recent = recent
+	f.holdBack(recent)
+	f.log.Info("role_taken_over", zap.Int("held_back", len(f.notBefore)), zap.Int("cordons", len(f.cordons)), zap.Int("waves", len(f.waves)))
 }
 
 func (c cordonRow) cordon(machine string, version int64) fleetplan.Cordon {
@@ -435,6 +451,9 @@
 	f.log.Info("cordon_ended", zap.String("machine", c.Machine), zap.String("vm", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target),
 		zap.String("reason", reason), zap.Int64("age_ms", f.node.clock.Now().Wall-c.Since))
 	txn.Deletes = append(txn.Deletes, tables.CordonKey(fleetPool, c.Machine))
+	if c.Ordered {
+		f.noteOrder(txn, c.Machine)
+	}
 	delete(f.cordons, c.Machine)
 	delete(f.acked, c.Machine)
 	delete(f.retryAt, c.Machine)
@@ -505,7 +524,7 @@
 // markOrders notes the orders that are about to be sent.
 func (f *fleetController) markOrders(txn *store.Txn, s *fleetplan.Snapshot) {
 	for _, c := range s.Cordons {
-		if _, still := f.cordons[c.Machine]; !still || c.Ordered || c.Version == 0 || !s.Empty(c) || !f.mayOrder() {
+		if _, still := f.cordons[c.Machine]; !still || c.Ordered || c.Version == 0 || !s.Empty(c) || !f.mayOrder(c.Machine) {
 			continue
 		}
 		if c.Purpose.Wave != "" && f.downIn(c.Purpose.Wave) >= f.atOnce(c.Purpose.Wave) {
@@ -539,11 +558,53 @@
 	return 0
 }
 
-// mayOrder reports whether orders of an earlier holder are long enough ago.
-func (f *fleetController) mayOrder() bool {
-	return f.owner.row.Epoch == 1 || f.node.clock.Now().Steady-f.since > f.node.settings.Fleet.HandOver+orderLimit
+// recentRow tells when orders for machines have ended, on the clock of the table
+// service, for the next holder of the role.
+type recentRow map[string]int64
+
+// recentKept is the time after which an order no longer matters to another
+// holder; it is above every hand-over time.
+const recentKept = 20 * time.Second
+
+// mayOrder reports whether orders of an earlier holder for a machine are long
+// enough ago.
+func (f *fleetController) mayOrder(machine string) bool {
+	return f.node.clock.Now().Steady > f.notBefore[machine]
+}
+
+// holdBack keeps this holder from ordering machines for which an earlier holder
+// may have sent orders shortly before.
+func (f *fleetController) holdBack(recent recentRow) {
+	handOver := f.node.settings.Fleet.HandOver + handOverMargin
+	for machine, at := range recent {
+		f.notBefore[machine] = f.owner.service.local(time.Duration(at)*time.Millisecond) + handOver
+	}
+	for machine, c := range f.cordons {
+		if c.Ordered {
+			f.notBefore[machine] = f.node.clock.Now().Steady + handOver + orderTime
+		}
+	}
 }
 
+// noteOrder remembers that an order for a machine has just ended.
+func (f *fleetController) noteOrder(txn *store.Txn, machine string) {
+	now := f.owner.service.late(f.node.clock.Now().Steady)
+	f.recent[machine] = now.Milliseconds()
+	maps.DeleteFunc(f.recent, func(_ string, at int64) bool { return now.Milliseconds()-at > recentKept.Milliseconds() })
+	value, err := cbor.Marshal(f.recent)
+	if err != nil {
+		f.log.Error("orders_not_encoded", zap.Error(err))
+		return
+	}
+	key := tables.WaveKey(fleetPool, recentName)
+	txn.Puts = slices.DeleteFunc(txn.Puts, func(p store.Put) bool { return p.Key == key })
+	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
+}
+
+// recentName names the row of recent orders among the waves; waves are named by
+// numbers.
+const recentName = "recent-orders"
+
 // commit stores the changes, and then shows the state of waves to operators.
 func (f *fleetController) commit(ctx context.Context, txn store.Txn) error {
 	if err := f.owner.commit(ctx, txn); err != nil {
@@ -598,7 +659,7 @@
 		return
 	}
 	for name, c := range f.cordons {
-		if !c.Ordered || c.Version == 0 || f.pending[name] || f.acked[name] != 0 || now < f.retryAt[name] || !f.mayOrder() {
+		if !c.Ordered || c.Version == 0 || f.pending[name] || f.acked[name] != 0 || now < f.retryAt[name] || !f.mayOrder(name) {
 			continue
 		}
 		f.pending[name] = true
--- a/node/node.go
+++ b/node/node.go
@@ -213,35 +213,35 @@
 }
 
 func (n *Node) tryClaim(ctx context.Context, name string, live map[string]Member) {
-	before, version, err := readOwner(ctx, n.store, name)
+	o, err := readOwner(ctx, n.store, name)
 	if err != nil {
 		n.log.Info("owner_not_read", zap.String("pool", name), zap.Error(err))
 		return
 	}
-	if n.recentClaim(name, before, live) {
+	if n.recentClaim(name, o.row, live) {
 		return
 	}
-	sentAt := n.clock.Now().Steady
+	before, renewedUntil, sentAt := o.row.Node, o.renewedUntil(), n.clock.Now().Steady
 	callCtx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	o, err := claim(callCtx, n.store, n.clock, name, n.settings.Self, before, version)
-	if err != nil {
+	if err := o.claim(callCtx, n.settings.Self); err != nil {
 		n.log.Info("claim_failed", zap.String("pool", name), zap.Error(err))
 		return
 	}
-	n.log.Info("pool_claimed", zap.String("pool", name), zap.Int64("epoch", o.row.Epoch), zap.String("owner_was", before.Node), zap.Int64("version", o.version))
-	n.start(ctx, o, before.Node == "", sentAt)
+	n.log.Info("pool_claimed", zap.String("pool", name), zap.Int64("epoch", o.row.Epoch), zap.String("owner_was", before), zap.Duration("renewed_for", renewedUntil-sentAt), zap.Int64("version", o.version))
+	n.start(ctx, o, renewedUntil, sentAt)
 }
 
-// start schedules a claimed pool, which its earlier owner has released or not, until ctx ends or it has another owner.
-func (n *Node) start(ctx context.Context, o *ownership, released bool, sentAt time.Duration) {
+// start schedules a claimed pool, whose earlier owner may have renewed leases up
+// to a time, until ctx ends or it has another owner.
+func (n *Node) start(ctx context.Context, o *ownership, renewedUntil, sentAt time.Duration) {
 	n.setOwned(o.pool, true)
 	n.runners.Go(func() {
 		var err error
 		if o.pool == fleetPool {
 			err = newFleetController(n, o, sentAt).run(ctx)
 		} else {
-			err = newRunner(n, o, released, sentAt).run(ctx)
+			err = newRunner(n, o, renewedUntil, sentAt).run(ctx)
 		}
 		n.setOwned(o.pool, false)
 		if err != nil && !errors.Is(err, context.Canceled) {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/store"
 	"amaranthfork.example/sched/tables"
 )
@@ -39,6 +40,7 @@
 	Boot  string `cbor:"2,keyasint,omitempty"`
 	Epoch int64  `cbor:"3,keyasint"` // rises with each claim; the fencing token on VMs
 	Batch int64  `cbor:"4,keyasint"` // counts the owner's transactions
+	At    int64  `cbor:"5,keyasint"` // when it was sent, ms on the service's clock, not too early
 }
 
 // ownership is a claim of a pool and the state of its chain of transactions.
@@ -70,16 +72,24 @@
 // errDeposed means that another process owns the pool.
 var errDeposed = errors.New("pool has another owner")
 
-// readOwner reads who owns a pool; a row that does not exist has version 0.
-func readOwner(ctx context.Context, s store.Store, pool string) (ownerRow, int64, error) {
+// readOwner reads who owns a pool, as an ownership that is not claimed yet; a row
+// that does not exist has version 0.
+func readOwner(ctx context.Context, s *timedStore, pool string) (*ownership, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
-	row, ok, err := store.Get(ctx, s, tables.OwnerKey(pool))
-	if err != nil || !ok {
-		return ownerRow{}, 0, err
+	key := tables.OwnerKey(pool)
+	sentAt := s.clock.Now().Steady
+	page, err := s.Range(ctx, key.Table, key.Partition, key.Name, key.Name+"\x00")
+	if err != nil {
+		return nil, err
+	}
+	o := &ownership{store: s, pool: pool, clock: s.clock, service: serviceClock{sentAt, s.clock.Now().Steady, page.Time}}
+	if len(page.Rows) == 0 {
+		return o, nil
 	}
-	owner, err := decodeOwner(row)
-	return owner, row.Version, err
+	o.version = page.Rows[0].Version
+	o.row, err = decodeOwner(page.Rows[0])
+	return o, err
 }
 
 func decodeOwner(row store.Row) (ownerRow, error) {
@@ -90,15 +100,18 @@
 	return owner, nil
 }
 
-// claim makes this process the owner of a pool whose row is at a version.
-func claim(ctx context.Context, s *timedStore, clock Clock, pool string, self Member, before ownerRow, version int64) (*ownership, error) {
-	o := &ownership{store: s, clock: clock, pool: pool, version: version,
-		row: ownerRow{Node: before.Node, Boot: before.Boot, Epoch: before.Epoch, Batch: before.Batch}}
-	next := ownerRow{Node: self.Node, Boot: self.Boot, Epoch: before.Epoch + 1}
-	if err := o.write(ctx, next, store.Txn{}); err != nil {
-		return nil, err
+// claim makes this process the owner of a pool whose row was read.
+func (o *ownership) claim(ctx context.Context, self Member) error {
+	return o.write(ctx, ownerRow{Node: self.Node, Boot: self.Boot, Epoch: o.row.Epoch + 1}, store.Txn{})
+}
+
+// renewedUntil returns when the owner of the row stops renewing leases for
+// certain, on this process's clock.
+func (o *ownership) renewedUntil() time.Duration {
+	if o.row.Node == "" || o.row.At == 0 {
+		return o.clock.Now().Steady // released, or never owned
 	}
-	return o, nil
+	return o.service.local(time.Duration(o.row.At)*time.Millisecond) + renewBound
 }
 
 // commit writes a transaction of the owner. It tries until the outcome is
@@ -121,6 +134,7 @@
 const commitRetry = 100 * time.Millisecond
 
 func (o *ownership) write(ctx context.Context, next ownerRow, txn store.Txn) error {
+	next.At = job.Millis(o.service.late(o.clock.Now().Steady))
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		return err
--- a/node/ownership_test.go
+++ b/node/ownership_test.go
@@ -23,12 +23,11 @@
 
 func mustClaim(t *testing.T, s *timedStore, self Member) *ownership {
 	t.Helper()
-	before, version, err := readOwner(t.Context(), s, "p")
+	o, err := readOwner(t.Context(), s, "p")
 	if err != nil {
 		t.Fatal(err)
 	}
-	o, err := claim(t.Context(), s, s.clock, "p", self, before, version)
-	if err != nil {
+	if err := o.claim(t.Context(), self); err != nil {
 		t.Fatal(err)
 	}
 	return o
--- a/node/runner.go
+++ b/node/runner.go
@@ -25,9 +25,9 @@
 	// owner starts nothing: below the time after which it may be replaced.
 	startBound = 2 * time.Second
 	// renewBound is the age from which an owner renews no leases either, so
-	// that a later owner knows when runs that it cannot reach have lapsed. It
-	// lets runs go on during outages of the table service.
-	renewBound = 6 * time.Second
+	// that a later owner knows when runs that it cannot reach have lapsed. With
+	// the lease, runs outlast an outage of the table service of 8 s.
+	renewBound = 3500 * time.Millisecond
 	// cycleInterval is the least time between two transactions, so that ends
 	// and starts share one.
 	cycleInterval = 8 * time.Millisecond
@@ -68,7 +68,7 @@
 	err    error
 }
 
-func newRunner(n *Node, o *ownership, released bool, sentAt time.Duration) *runner {
+func newRunner(n *Node, o *ownership, renewedUntil, sentAt time.Duration) *runner {
 	r := &runner{
 		node: n, owner: o, name: o.pool,
 		log:    n.log.With(zap.String("pool", o.pool), zap.Int64("epoch", o.row.Epoch)),
@@ -80,10 +80,7 @@
 	settings := n.settings.Scheduler
 	settings.Pool = o.pool
 	settings.LeaseBound = time.Duration(float64(settings.Lease)/(1-clockDrift)) + leaseMargin
-	settings.InheritedLease = settings.LeaseBound
-	if !released {
-		settings.InheritedLease += renewBound // the earlier owner may go on renewing
-	}
+	settings.InheritedLease = max(renewedUntil, n.clock.Now().Steady) + settings.LeaseBound
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
 	return r
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -230,7 +230,7 @@
 	v := p.vms[id]
 	if v == nil {
 		v = &vm{VM: VM{ID: id}, tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady}
-		v.leaseUntil = p.now.Steady + p.settings.InheritedLease
+		v.leaseUntil = p.settings.InheritedLease
 		p.vms[id] = v
 	}
 	return v
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -142,7 +142,7 @@
 	Pool            string
 	Lease           time.Duration // of runs on VMs
 	LeaseBound      time.Duration // Lease on this process's clock, whatever the VM's clock does
-	InheritedLease  time.Duration // longest time that runs of an earlier owner may go on unreached
+	InheritedLease  time.Duration // time on this process's clock at which unreached runs of an earlier owner have lapsed
 	StopGrace       time.Duration // longest time of a stop
 	CheckpointEvery time.Duration
 	Restore         time.Duration // time to resume from a checkpoint
--- a/sched/pool/world_test.go
+++ b/sched/pool/world_test.go
@@ -29,7 +29,7 @@
 
 func testSettings() pool.Settings {
 	return pool.Settings{
-		Pool: testPool, Lease: testLease, LeaseBound: testLease + 120*time.Millisecond, InheritedLease: 11 * time.Second,
+		Pool: testPool, Lease: testLease, LeaseBound: testLease + 120*time.Millisecond,
 		StopGrace: 900 * time.Millisecond, StatusKept: 150 * time.Second, FarFactor: 1.5,
 	}
 }
@@ -81,7 +81,9 @@
 
 // restart gives the pool to a new owner, which knows only what was committed.
 func (w *world) restart() {
-	w.p = pool.New(testSettings(), zap.NewNop(), w.now)
+	settings := testSettings()
+	settings.InheritedLease = w.now.Steady + 11*time.Second
+	w.p = pool.New(settings, zap.NewNop(), w.now)
 	w.p.Configure(w.catalog)
 	if value, ok := w.rows[tables.LeaseKey(testPool)]; ok {
 		bounds, err := pool.DecodeLeases(value)
