Find turns only in a known fleet, and publish bursts at once

Change: no turn before the fleet is known, a higher share for a turn, loads are published early in a burst; fewer calls by longer pauses.

--- a/node/members.go
+++ b/node/members.go
@@ -20,7 +20,7 @@
 	memberBeat    = 700 * time.Millisecond
 	memberTimeout = 2300 * time.Millisecond // three beats and a slow write
 	memberWait    = time.Second             // of a feed call
-	memberPause   = 200 * time.Millisecond
+	memberPause   = 350 * time.Millisecond
 	// memberGap is the time without an answer of the table service after which
 	// the ages of members say nothing.
 	memberGap = 1200 * time.Millisecond
--- a/node/runner.go
+++ b/node/runner.go
@@ -30,7 +30,7 @@
 	renewBound = 3500 * time.Millisecond
 	// cycleInterval is the least time between two transactions, so that ends
 	// and starts share one.
-	cycleInterval = 8 * time.Millisecond
+	cycleInterval = 12 * time.Millisecond
 	// idleCycle is the longest time between two looks at the queues.
 	idleCycle = 250 * time.Millisecond
 	// releaseLimit bounds the last transaction of a planned stop.
--- a/sched/fleetplan/demand.go
+++ b/sched/fleetplan/demand.go
@@ -16,7 +16,7 @@
 	// turnFactor is how far above its mean a pool's rate is during its turn.
 	turnFactor = 2.0
 	// turnShare is the least rate of a turn, as a share of the whole fleet.
-	turnShare = 0.1
+	turnShare = 0.15
 	// firstPeak is the rate that a turn is expected to reach, as a share of the
 	// whole fleet, before any turn has been seen to its end.
 	firstPeak = 0.4
@@ -136,7 +136,7 @@
 		}
 		return
 	}
-	if p.rate < turnShare*d.fleet || p.rate < turnFactor*p.mean {
+	if d.fleet <= 0 || p.rate < turnShare*d.fleet || p.rate < turnFactor*p.mean {
 		return
 	}
 	p.active = true
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -249,6 +249,7 @@
 	}
 	b.put(tables.LoadKey(p.settings.Pool), value)
 	p.loadAt = p.now.Steady
+	p.publishedWork = p.acceptedWork
 	p.loadNews = false
 }
 
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -42,6 +42,7 @@
 	serviceOffset time.Duration   // of the table service's clock
 	loadNews      bool            // a cordoned VM has become empty
 	stuck         bool            // a task that lasts has no place on any VM
+	publishedWork float64         // acceptedWork at the last publication of the load
 	acceptedWork  float64         // core-seconds accepted since takeover
 	wants         map[string]fleet.Resources
 	stats         Stats
@@ -131,10 +132,20 @@
 	j := p.add(spec)
 	j.dirty = true
 	p.acceptedWork += p.workOf(spec)
+	if p.acceptedWork-p.publishedWork > newsWork && p.now.Steady-p.loadAt > newsInterval {
+		p.loadNews = true
+	}
 	p.log.Info("job_accepted", zap.String("job", spec.ID), zap.String("queue", spec.Queue),
 		zap.String("workspace", spec.Workspace), zap.Int64("age_ms", p.now.Wall-spec.AcceptedAt))
 }
 
+// A load is published early when much work has been accepted since the last one,
+// so that VMs come at the start of a burst.
+const (
+	newsWork     = 40.0 // core-seconds
+	newsInterval = 100 * time.Millisecond
+)
+
 // workOf returns the core-seconds of one occurrence of a job, without tasks
 // that last.
 func (p *Pool) workOf(spec *job.Spec) float64 {
