--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,7 @@
 	Store    store.Store
 	Workers  Workers
 	Machines Machines
+	Advisor  Advisor // nil if there is none
 	Rows     Rows
 	Clock    Clock
 	Log      *zap.Logger
@@ -49,6 +50,8 @@
 	store    *timedStore
 	workers  Workers
 	machines Machines
+	advisor  Advisor
+	advising chan struct{} // held during a call to the advisor
 	rows     Rows
 	clock    Clock
 	log      *zap.Logger
@@ -75,6 +78,7 @@
 	timed := &timedStore{Store: o.Store, clock: o.Clock}
 	return &Node{
 		settings: o.Settings, store: timed, workers: o.Workers, machines: o.Machines, rows: o.Rows,
+		advisor: o.Advisor, advising: make(chan struct{}, 1),
 		clock: o.Clock, log: o.Log, metrics: newMetrics(),
 		operator: newOperatorView(o.Rows, o.Log),
 		members:  newMembers(timed, o.Clock, o.Log, o.Settings.Self),
--- a/node/runner.go
+++ b/node/runner.go
@@ -509,6 +509,10 @@
 
 func (r *runner) send(ctx context.Context, commands []pool.Command) {
 	for _, c := range commands {
+		if c.Kind == pool.Advise {
+			go r.advise(ctx, c)
+			continue
+		}
 		s := r.sessions[c.VM]
 		if s == nil {
 			r.log.Info("order_without_session", zap.String("task", c.Task), zap.String("vm", c.VM))
@@ -523,3 +527,30 @@
 		go s.carry(ctx, c)
 	}
 }
+
+// advise asks the advisor, which serves one call of this process at a time.
+func (r *runner) advise(ctx context.Context, c pool.Command) {
+	select {
+	case r.node.advising <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-r.node.advising }()
+	sentAt := r.node.clock.Now().Steady
+	tickets, validity, err := r.askAdvisor(ctx, c)
+	if err != nil {
+		r.log.Info("advice_missing", zap.String("step", c.Task), zap.Error(err))
+	}
+	r.deliver(func(p *pool.Pool) { p.Advised(c, tickets, validity, sentAt, err == nil) })
+}
+
+var errNoAdvisor = errors.New("the settings name no advisor")
+
+func (r *runner) askAdvisor(ctx context.Context, c pool.Command) ([]pool.Ticket, time.Duration, error) {
+	if r.node.advisor == nil {
+		return nil, 0, errNoAdvisor
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Limit)
+	defer cancel()
+	return r.node.advisor.Advise(ctx, c.Task, c.VMs)
+}
--- a/node/worker.go
+++ b/node/worker.go
@@ -68,6 +68,14 @@
 	Pace(ctx context.Context, w WorkerRef, task string, run, percent int, token int64) error
 }
 
+// Advisor tells which VMs may run a step. It serves one call of a process at a
+// time.
+type Advisor interface {
+	// Advise returns the VMs among ids that may run the step, with tickets that
+	// are valid for the returned time from the call on.
+	Advise(ctx context.Context, step string, ids []string) ([]pool.Ticket, time.Duration, error)
+}
+
 // ListedVM is a worker in the discovery table.
 type ListedVM struct {
 	Pool string
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -287,7 +287,8 @@
 		if t.phase != placed || t.run != r.run {
 			continue
 		}
-		if !p.stillAllowed(t) {
+		ticketValue, hasTicket := p.ticketFor(t, t.vm)
+		if !p.stillAllowed(t) || !hasTicket {
 			p.close(t, waiting)
 			continue
 		}
@@ -296,7 +297,7 @@
 		p.stats.Starts++
 		p.logPlaced(t)
 		starts = append(starts, Command{Kind: Start, VM: t.vm.ID, Address: t.vm.Address, Task: t.name, Run: t.run,
-			Payload: t.occ.job.spec.Payload, Checkpoint: t.checkpoint})
+			Payload: t.occ.job.spec.Payload, Checkpoint: t.checkpoint, Ticket: ticketValue})
 	}
 	return starts
 }
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -295,6 +295,9 @@
 		p.stats.NoRoom++
 	}
 	p.stats.Requeued++
+	if result == StartNoTicket {
+		p.dropTicket(t, v)
+	}
 	p.close(t, waiting)
 	pause := refusedBackoff
 	if result == StartUnhealthy {
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -75,6 +75,9 @@
 		if reserved[v] || !p.usable(v) || !t.fits(v) || !p.allowed(t, v) {
 			continue
 		}
+		if _, ok := p.ticketFor(t, v); !ok {
+			continue
+		}
 		score := p.score(t, v)
 		if best == nil || score > bestScore || score == bestScore && v.ID < best.ID {
 			best, bestScore = v, score
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -238,12 +238,13 @@
 		p.placeGang(r, reserved)
 		return
 	}
-	for _, t := range r.tasks {
+	for i, t := range r.tasks {
 		if !p.withinCap(r.job.spec.Workspace, spec.Need) {
 			return
 		}
 		v := p.choose(t, reserved)
 		if v == nil {
+			p.ask(t, len(r.tasks)-i)
 			if r.lasting {
 				p.stuck = true
 			}
@@ -294,6 +295,7 @@
 		t.run = run // members of a gang share the number of their run
 		v := p.choose(t, reserved)
 		if v == nil {
+			p.ask(t, len(r.tasks))
 			for _, member := range r.tasks {
 				if member.phase == placed {
 					p.unplace(member)
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -59,6 +59,7 @@
 	tasks  [][]*task // by step
 	left   []int     // by step: tasks that are not done
 	opened Time
+	advice []*adviceState // by step; nil where no advisor was needed yet
 }
 
 // ready reports whether all tasks of the steps before step are done.
--- a/sched/pool/types.go
+++ b/sched/pool/types.go
@@ -113,6 +113,9 @@
 	Checkpoint string // starts only
 	Ticket     string // starts only
 	Percent    int    // paces only
+
+	VMs   []string      // advice only: the VMs that are asked about
+	Limit time.Duration // advice only: time limit of the call
 }
 
 // CommandKind tells what a command orders.
@@ -123,6 +126,7 @@
 	Start CommandKind = iota
 	Stop
 	Pace
+	Advise // asks the advisor; Task is the step's name
 )
 
 // TaskName returns the name of a task on the VMs.
