--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -355,7 +355,7 @@
 		f.cordon(&txn, d)
 		s.Cordons[d.Machine.Name] = f.cordons[d.Machine.Name]
 	}
-	for _, d := range f.moves.Plan(s, f.plan) {
+	for _, d := range f.moves.Plan(s) {
 		f.cordon(&txn, d)
 	}
 	f.markOrders(&txn, s)
@@ -372,10 +372,10 @@
 		return
 	}
 	f.booksAt = now
-	next, _ := f.moves.Demand.Expected(s.Now)
-	for _, b := range f.moves.Books(s, f.plan) {
-		f.log.Info("pool_books", zap.String("pool", b.Pool), zap.Int("vms", b.VMs), zap.Int("have", int(b.Have)), zap.Int("need_now", int(b.NeedNow)),
-			zap.Int("need_soon", int(b.NeedSoon)), zap.Int("rate", int(b.Rate)), zap.Int("mean", int(b.MeanRate)), zap.Bool("turn", b.Turn),
+	next := f.moves.Demand.Expected(s.Now)
+	for _, b := range f.moves.Books(s) {
+		f.log.Info("pool_books", zap.String("pool", b.Pool), zap.Int("vms", b.VMs), zap.Int("have", int(b.Have)), zap.Int("need", int(b.Need)),
+			zap.Int("rate", int(b.Rate)), zap.Int("mean", int(b.MeanRate)), zap.Bool("turn", b.Turn),
 			zap.Int64("load_age_ms", s.Now-s.Loads[b.Pool].At), zap.Bool("expected_next", slices.Contains(next, b.Pool)))
 	}
 }
--- a/sched/fleetplan/demand.go
+++ b/sched/fleetplan/demand.go
@@ -22,15 +22,13 @@
 	firstPeak = 0.4
 	// riseTime is the time in ms within which a turn reaches its peak.
 	riseTime = 2500
-	// expectEarly and expectLate are the times in ms before and after its
-	// expected start during which a turn is prepared for.
-	expectEarly = 500
-	expectLate  = 1800
+	// expectTime is the time in ms after the end of a turn during which the next
+	// one is prepared for.
+	expectTime = 4500
+	// maxExpected is the most pools that are prepared at a time.
+	maxExpected = 3
 	// turnEnds is the share of the peak below which a turn has ended.
 	turnEnds = 0.35
-	// steadyShare bounds how far the last intervals between turns may differ
-	// for the next one to be expected.
-	steadyShare = 0.3
 	// backlogTime is the time in seconds within which a backlog should be done.
 	backlogTime = 2.0
 	// rateHeadroom covers estimates that are too low and room that is left over
@@ -68,6 +66,7 @@
 	pools map[string]*poolDemand
 	turns []Turn
 	fleet float64 // processors of all VMs
+	ended int64   // end of the last turn, Unix milliseconds
 }
 
 // NewDemand returns a model that has seen nothing.
@@ -132,6 +131,7 @@
 		p.peak = max(p.peak, p.rate)
 		if p.rate < turnEnds*p.peak {
 			p.active = false
+			d.ended = l.At
 			p.peaks = max(p.peak, 0.7*p.peaks)
 		}
 		return
@@ -148,56 +148,39 @@
 	}
 }
 
-// interval returns the time between turns, or 0 if they are not regular.
-func (d *Demand) interval() int64 {
-	n := len(d.turns)
-	if n < 2 {
-		return 0
-	}
-	last := d.turns[n-1].Start - d.turns[n-2].Start
-	if n == 2 {
-		return last
-	}
-	before := d.turns[n-2].Start - d.turns[n-3].Start
-	if math.Abs(float64(last-before)) > steadyShare*float64(max(last, before)) {
-		return 0
-	}
-	return (last + before) / 2
-}
-
-// Expected returns the pools that may have the next turn, and when it should
-// begin. Pools take turns, so these are the ones that have had none yet, or else
-// the one whose last turn is longest ago. There are none while turns do not come
-// regularly, or once the next one is overdue.
-func (d *Demand) Expected(now int64) (pools []string, start int64) {
-	interval := d.interval()
-	if interval <= 0 {
-		return nil, 0
-	}
-	start = d.turns[len(d.turns)-1].Start + interval
-	if now > start+expectLate {
-		return nil, 0
+// Expected returns the pools that may have the next turn. Turns follow each
+// other: for some time after one has ended, the next may begin at any of the
+// pools that have had none yet, or else at the one whose last turn is longest
+// ago. There are none while a turn lasts, or if too many pools may be next.
+func (d *Demand) Expected(now int64) []string {
+	if d.ended == 0 || now > d.ended+expectTime {
+		return nil
 	}
 	last := map[string]int64{}
 	for _, t := range d.turns {
 		last[t.Pool] = t.Start
 	}
+	var pools []string
 	oldest := ""
-	for name := range d.pools {
+	for name, p := range d.pools {
 		at, had := last[name]
-		if !had {
+		switch {
+		case p.active:
+			return nil
+		case !had:
 			pools = append(pools, name)
-			continue
-		}
-		if oldest == "" || at < last[oldest] || at == last[oldest] && name < oldest {
+		case oldest == "" || at < last[oldest] || at == last[oldest] && name < oldest:
 			oldest = name
 		}
 	}
 	if len(pools) == 0 && oldest != "" {
 		pools = append(pools, oldest)
 	}
+	if len(pools) > maxExpected {
+		return nil
+	}
 	sort.Strings(pools)
-	return pools, start
+	return pools
 }
 
 // peakOf returns the rate that a turn of a pool is expected to reach: that of its
@@ -216,9 +199,8 @@
 	return firstPeak * d.fleet
 }
 
-// Need returns the processors that a pool needs at a time, without its tasks
-// that last.
-func (d *Demand) Need(name string, l pool.Load, now, at int64) float64 {
+// Need returns the processors that a pool needs, without its tasks that last.
+func (d *Demand) Need(name string, l pool.Load, now int64) float64 {
 	p := d.pools[name]
 	if p == nil {
 		return 0
@@ -230,13 +212,13 @@
 		rate = max(rate, 0.7*p.peak)
 	}
 	need := rate*rateHeadroom + max(0, l.Backlog-rate)/backlogTime
-	return max(need, d.prepared(name, now, at))
+	return max(need, d.prepared(name, now))
 }
 
 // prepared returns what a pool should have because its turn may begin.
-func (d *Demand) prepared(name string, now, at int64) float64 {
-	pools, start := d.Expected(now)
-	if !slices.Contains(pools, name) || at < start-expectEarly {
+func (d *Demand) prepared(name string, now int64) float64 {
+	pools := d.Expected(now)
+	if !slices.Contains(pools, name) {
 		return 0
 	}
 	return d.peakOf(name) / float64(len(pools))
--- a/sched/fleetplan/fleetplan_test.go
+++ b/sched/fleetplan/fleetplan_test.go
@@ -67,14 +67,14 @@
 	m := fleetplan.NewMovePlanner()
 	for range 4 {
 		f.tick(nil)
-		if d := m.Plan(&f.Snapshot, planSettings); len(d) != 0 {
+		if d := m.Plan(&f.Snapshot); len(d) != 0 {
 			t.Fatalf("%d moves before any demand", len(d))
 		}
 	}
 	moved := map[string]int{}
 	for range 4 {
 		f.tick(map[string]float64{"a": 300, "b": 3, "c": 3})
-		for target, n := range targets(m.Plan(&f.Snapshot, planSettings)) {
+		for target, n := range targets(m.Plan(&f.Snapshot)) {
 			moved[target] += n
 		}
 		if moved["a"] > 0 {
@@ -86,6 +86,28 @@
 	}
 }
 
+// Guards against the slow start of the next turn on both sites: right after one
+// has ended, idle VMs wait at the pools that may be next, not where they were.
+func TestNextTurnIsPrepared(t *testing.T) {
+	f := newFleet(map[string]int{"a": 16, "b": 3, "c": 3}, 0)
+	m := fleetplan.NewMovePlanner()
+	for range 12 {
+		f.tick(map[string]float64{"a": 200})
+		m.Plan(&f.Snapshot)
+	}
+	moved := map[string]int{}
+	for range 8 {
+		f.tick(nil)
+		for _, d := range m.Plan(&f.Snapshot) {
+			moved[d.Purpose.Target]++
+			f.Cordons[d.Machine.Name] = fleetplan.Cordon{Machine: d.Machine.Name, VM: d.Machine.VM, Pool: d.Machine.Pool, Purpose: d.Purpose}
+		}
+	}
+	if moved["b"] < 3 || moved["c"] < 3 {
+		t.Fatalf("moves by target %v, want some to b and to c", moved)
+	}
+}
+
 // Guards against a pool that is emptied so far that its tasks which last have
 // no place apart from each other.
 func TestPoolsKeepTheVMsThatTheyNeed(t *testing.T) {
@@ -97,7 +119,7 @@
 	taken := 0
 	for range 6 {
 		f.tick(map[string]float64{"a": 400})
-		for _, d := range m.Plan(&f.Snapshot, planSettings) {
+		for _, d := range m.Plan(&f.Snapshot) {
 			if d.Machine.Pool == "b" {
 				taken++
 				f.Cordons[d.Machine.Name] = fleetplan.Cordon{Machine: d.Machine.Name, VM: d.Machine.VM, Pool: "b", Purpose: d.Purpose}
@@ -118,7 +140,7 @@
 	f.Loads["a"] = load
 	m := fleetplan.NewMovePlanner()
 	f.tick(nil)
-	if n := targets(m.Plan(&f.Snapshot, planSettings))["a"]; n != 1 {
+	if n := targets(m.Plan(&f.Snapshot))["a"]; n != 1 {
 		t.Fatalf("%d VMs move to a, want 1", n)
 	}
 }
@@ -129,12 +151,12 @@
 	m := fleetplan.NewMovePlanner()
 	for range 10 {
 		f.tick(map[string]float64{"a": 300})
-		m.Plan(&f.Snapshot, planSettings)
+		m.Plan(&f.Snapshot)
 	}
 	off := 0
 	for range 30 {
 		f.tick(nil)
-		for _, d := range m.Plan(&f.Snapshot, planSettings) {
+		for _, d := range m.Plan(&f.Snapshot) {
 			if d.Purpose.Target == "spare" {
 				off++
 				f.Cordons[d.Machine.Name] = fleetplan.Cordon{Machine: d.Machine.Name, VM: d.Machine.VM, Pool: d.Machine.Pool, Purpose: d.Purpose}
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -3,16 +3,12 @@
 import (
 	"math"
 	"sort"
-	"time"
 
 	"amaranthfork.example/sched/pool"
 )
 
 // Moves between pools.
 const (
-	// joinTime is the time from a VM's arrival until it gets work: it has to be
-	// discovered, and its leases and listing have to be taken over.
-	joinTime = 500 * time.Millisecond
 	// leastVMs stay in each pool, so that a lost VM leaves another.
 	leastVMs = 2
 	// maxMoves bounds the VMs that move at a time.
@@ -39,13 +35,12 @@
 }
 
 type poolBooks struct {
-	name     string
-	least    int     // VMs that stay
-	have     float64 // cores that are there or on their way
-	vms      int
-	needNow  float64
-	needSoon float64
-	donors   []donor
+	name   string
+	least  int     // VMs that stay
+	have   float64 // cores that are there or on their way
+	vms    int
+	need   float64
+	donors []donor
 }
 
 type donor struct {
@@ -54,14 +49,13 @@
 }
 
 // Plan returns the VMs to move.
-func (m *MovePlanner) Plan(s *Snapshot, settings Settings) []Decision {
+func (m *MovePlanner) Plan(s *Snapshot) []Decision {
 	size := vmSize(s)
 	m.Demand.Observe(s.Loads, s.Standby, size*float64(len(s.Machines)))
 	if m.began == 0 {
 		m.began = s.Now
 	}
-	lead := settings.MoveTime + joinTime
-	books := m.books(s, lead)
+	books := m.books(s)
 	if size <= 0 || len(books) == 0 {
 		return nil
 	}
@@ -79,18 +73,17 @@
 type Book struct {
 	Pool           string
 	Have           float64
-	NeedNow        float64
-	NeedSoon       float64
+	Need           float64
 	VMs            int
 	Rate, MeanRate float64
 	Turn           bool
 }
 
 // Books returns the figures that the next plan starts from, by pool.
-func (m *MovePlanner) Books(s *Snapshot, settings Settings) []Book {
+func (m *MovePlanner) Books(s *Snapshot) []Book {
 	var list []Book
-	for name, b := range m.books(s, settings.MoveTime+joinTime) {
-		book := Book{Pool: name, Have: b.have, NeedNow: b.needNow, NeedSoon: b.needSoon, VMs: b.vms}
+	for name, b := range m.books(s) {
+		book := Book{Pool: name, Have: b.have, Need: b.need, VMs: b.vms}
 		if p := m.Demand.pools[name]; p != nil {
 			book.Rate, book.MeanRate, book.Turn = p.rate, p.mean, p.active
 		}
@@ -116,7 +109,7 @@
 }
 
 // books sums up what each pool has and needs.
-func (m *MovePlanner) books(s *Snapshot, lead time.Duration) map[string]*poolBooks {
+func (m *MovePlanner) books(s *Snapshot) map[string]*poolBooks {
 	books := map[string]*poolBooks{}
 	size := vmSize(s)
 	for name, l := range s.Loads {
@@ -139,8 +132,7 @@
 				b.donors = append(b.donors, donor{machine, v})
 			}
 		}
-		b.needNow = lasting + m.Demand.Need(name, l, s.Now, s.Now)
-		b.needSoon = lasting + m.Demand.Need(name, l, s.Now, s.Now+lead.Milliseconds())
+		b.need = lasting + m.Demand.Need(name, l, s.Now)
 		sort.Slice(b.donors, func(i, k int) bool {
 			if b.donors[i].load.Used != b.donors[k].load.Used {
 				return b.donors[i].load.Used < b.donors[k].load.Used
@@ -187,7 +179,7 @@
 	standby := standbyMachines(s)
 	var decisions []Decision
 	for _, b := range byDeficit(books) {
-		missing := max(int(math.Round((b.needSoon-b.have)/size)), b.least-b.vms)
+		missing := max(int(math.Round((b.need-b.have)/size)), b.least-b.vms)
 		for ; missing > 0 && len(decisions) < room; missing-- {
 			if len(standby) > 0 {
 				decisions = append(decisions, Decision{standby[0], Purpose{Target: b.name}, "standby to a pool in need"})
@@ -210,7 +202,7 @@
 		list = append(list, b)
 	}
 	sort.Slice(list, func(i, k int) bool {
-		a, b := list[i].needSoon-list[i].have, list[k].needSoon-list[k].have
+		a, b := list[i].need-list[i].have, list[k].need-list[k].have
 		if a != b {
 			return a > b
 		}
@@ -219,8 +211,8 @@
 	return list
 }
 
-// spare returns the processors that a pool does not need now or soon.
-func (b *poolBooks) spare() float64 { return b.have - max(b.needNow, b.needSoon) }
+// spare returns the processors that a pool does not need.
+func (b *poolBooks) spare() float64 { return b.have - b.need }
 
 // takeSurplus takes the emptiest VM of the pool that has most to spare.
 func takeSurplus(books map[string]*poolBooks, except string, size float64) (Machine, bool) {
