--- a/sched/fleetplan/demand.go
+++ b/sched/fleetplan/demand.go
@@ -24,7 +24,7 @@
 	riseTime = 2500
 	// expectTime is the time in ms after the end of a turn during which the next
 	// one is prepared for.
-	expectTime = 4500
+	expectTime = 3500
 	// maxExpected is the most pools that are prepared at a time.
 	maxExpected = 3
 	// turnEnds is the share of the peak below which a turn has ended.
@@ -211,12 +211,12 @@
 	} else if p.active {
 		rate = max(rate, 0.7*p.peak)
 	}
-	need := rate*rateHeadroom + max(0, l.Backlog-rate)/backlogTime
-	return max(need, d.prepared(name, now))
+	return rate*rateHeadroom + max(0, l.Backlog-rate)/backlogTime
 }
 
-// prepared returns what a pool should have because its turn may begin.
-func (d *Demand) prepared(name string, now int64) float64 {
+// Prepared returns the processors that a pool should have because its turn may
+// begin.
+func (d *Demand) Prepared(name string, now int64) float64 {
 	pools := d.Expected(now)
 	if !slices.Contains(pools, name) {
 		return 0
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -40,6 +40,7 @@
 	have   float64 // cores that are there or on their way
 	vms    int
 	need   float64
+	ready  float64 // that it should have because its turn may begin
 	donors []donor
 }
 
@@ -133,6 +134,7 @@
 			}
 		}
 		b.need = lasting + m.Demand.Need(name, l, s.Now)
+		b.ready = lasting + m.Demand.Prepared(name, s.Now)
 		sort.Slice(b.donors, func(i, k int) bool {
 			if b.donors[i].load.Used != b.donors[k].load.Used {
 				return b.donors[i].load.Used < b.donors[k].load.Used
@@ -193,6 +195,22 @@
 			decisions = append(decisions, Decision{machine, Purpose{Target: b.name}, "surplus to a pool in need"})
 		}
 	}
+	return m.prepare(books, size, room, decisions)
+}
+
+// prepare moves VMs that are paid for and not needed to pools whose turn may
+// begin. VMs on standby stay there until they are needed.
+func (m *MovePlanner) prepare(books map[string]*poolBooks, size float64, room int, decisions []Decision) []Decision {
+	for _, b := range byDeficit(books) {
+		for missing := int((b.ready - b.have) / size); missing > 0 && len(decisions) < room; missing-- {
+			machine, ok := takeSurplus(books, b.name, size)
+			if !ok {
+				return decisions
+			}
+			b.have += size
+			decisions = append(decisions, Decision{machine, Purpose{Target: b.name}, "surplus to a pool whose turn may begin"})
+		}
+	}
 	return decisions
 }
 
@@ -212,7 +230,7 @@
 }
 
 // spare returns the processors that a pool does not need.
-func (b *poolBooks) spare() float64 { return b.have - b.need }
+func (b *poolBooks) spare() float64 { return b.have - max(b.need, b.ready) }
 
 // takeSurplus takes the emptiest VM of the pool that has most to spare.
 func takeSurplus(books map[string]*poolBooks, except string, size float64) (Machine, bool) {
