--- a/sched/fleetplan/fleetplan.go
+++ b/sched/fleetplan/fleetplan.go
@@ -110,7 +110,7 @@
 }
 
 // waveSlack is the share of the time of a wave that the plan leaves unused.
-const waveSlack = 0.35
+const waveSlack = 0.5
 
 // PlanWaves returns the VMs to empty next for maintenance.
 func PlanWaves(s *Snapshot, settings Settings) []Decision {
