--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -451,6 +451,37 @@
 	}
 }
 
+// Guards against AVAIL on lantern-sched hunt-a947-15: a stop that was lost must
+// not let a later stop of the same run pass over the availability budget.
+func TestLostStopIsNotCountedForEver(t *testing.T) {
+	w := newWorld(t)
+	w.addVM("a", 8000)
+	w.addVM("b", 8000)
+	spec := lastingJob(3, 0, 1)
+	w.submit(spec)
+	w.settle()
+	on := w.where(spec.ID + ".0.0.0")
+	w.settled()
+	cordon := map[string]pool.Cordon{"m-" + on: {VM: on, Version: 7}}
+	w.p.Cordon(cordon)
+	w.commit()
+	if stops := w.p.Commands(); len(stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(stops))
+	}
+	w.p.Cordon(nil) // the stop is lost, and the VM is left alone
+	w.settled()
+	lost := w.where(spec.ID + ".0.0.0")
+	w.end(w.workers[lost], spec.ID+".0.0.2", pool.EndFailed)
+	w.renewAll()
+	w.p.Cordon(cordon)
+	w.commit()
+	for _, c := range w.p.Commands() {
+		if c.Kind == pool.Stop {
+			t.Fatalf("%s is stopped while another task of its step is away", c.Task)
+		}
+	}
+}
+
 // Guards against starts in a data centre that is out, on VMs that drain and
 // beyond the number of tasks for each VM.
 func TestPlacesThatAreNotAllowed(t *testing.T) {
--- a/sched/pool/vacate.go
+++ b/sched/pool/vacate.go
@@ -47,7 +47,7 @@
 // hasPlace reports whether another VM could take a task now. Otherwise the owner
 // asks for one more VM.
 func (p *Pool) hasPlace(t *task) bool {
-	if t.stopSent > 0 || p.choose(t, nil) != nil {
+	if t.stopPending(p.now.Steady) || p.choose(t, nil) != nil {
 		return true
 	}
 	p.stuck = true
@@ -57,7 +57,7 @@
 // mayStop reports whether stopping a task keeps the availability budget of its
 // step: fewer than MayMiss others may be away.
 func (p *Pool) mayStop(t *task) bool {
-	if t.stopSent > 0 {
+	if t.stopPending(p.now.Steady) {
 		return true // has been counted
 	}
 	if p.now.Steady-p.startedAt.Steady < p.settings.StopGrace+takeoverCalm {
@@ -79,7 +79,13 @@
 
 // atWork reports whether a lasting task is known to serve.
 func (t *task) atWork(now time.Duration) bool {
-	return t.phase == running && t.percent >= fullPace && t.stopSent == 0 && now-t.loadAt < answerTooOld
+	return t.phase == running && t.percent >= fullPace && !t.stopPending(now) && now-t.loadAt < answerTooOld
+}
+
+// stopPending reports whether a stop of the task's run may still take effect. A
+// run that is listed long after a stop was sent goes on: the stop was lost.
+func (t *task) stopPending(now time.Duration) bool {
+	return t.stopSent > 0 && now-t.stopSent < 2*stopRepeat
 }
 
 // runLeft is the expected rest of a task's run.
