Scale moves with the fleet and give pools to the largest entries

Cause: on the grown sites at most 24 of 350 VMs moved at a time; with a share instead, a transaction of over 100 entries was refused and tried for ever; the owners of busy pools sat on entries of 0.19 core. Change: half of the fleet may move, orders keep to 80% of the platform's rate, transactions are bounded, a call that the store rejects is not repeated, claims go by pools for each processor share.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -118,6 +118,8 @@
 
 	recent    recentRow                // orders that have ended
 	notBefore map[string]time.Duration // by machine: orders of an earlier holder
+	budget    float64                  // orders that may be sent now
+	budgetAt  time.Duration
 	booksAt   time.Duration
 }
 
@@ -352,8 +354,9 @@
 	f.endCordons(&txn)
 	f.recordWaves(&txn, s)
 	for _, d := range fleetplan.PlanWaves(s, f.plan) {
-		f.cordon(&txn, d)
-		s.Cordons[d.Machine.Name] = f.cordons[d.Machine.Name]
+		if f.cordon(&txn, d) {
+			s.Cordons[d.Machine.Name] = f.cordons[d.Machine.Name]
+		}
 	}
 	for _, d := range f.moves.Plan(s) {
 		f.cordon(&txn, d)
@@ -428,6 +431,9 @@
 func (f *fleetController) endCordons(txn *store.Txn) {
 	now := f.node.clock.Now().Steady
 	for name, c := range f.cordons {
+		if entries(txn) >= maxEnded {
+			return // the others follow in the next transaction
+		}
 		m, exists := f.machines[name]
 		switch {
 		case f.acked[name] < 0:
@@ -447,6 +453,15 @@
 	}
 }
 
+// maxEnded bounds the cordons that one transaction ends, so that it has room for
+// new ones.
+const maxEnded = store.MaxTxnEntries / 2
+
+// maxChanges leaves room for the owner's row, waves and recent orders.
+const maxChanges = store.MaxTxnEntries - 8
+
+func entries(txn *store.Txn) int { return len(txn.Conditions) + len(txn.Puts) + len(txn.Deletes) }
+
 func (f *fleetController) uncordon(txn *store.Txn, c fleetplan.Cordon, reason string) {
 	f.log.Info("cordon_ended", zap.String("machine", c.Machine), zap.String("vm", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target),
 		zap.String("reason", reason), zap.Int64("age_ms", f.node.clock.Now().Wall-c.Since))
@@ -500,14 +515,15 @@
 	return all
 }
 
-func (f *fleetController) cordon(txn *store.Txn, d fleetplan.Decision) {
-	if len(txn.Puts)+len(txn.Deletes) >= store.MaxTxnEntries-4 {
-		return
+func (f *fleetController) cordon(txn *store.Txn, d fleetplan.Decision) bool {
+	if entries(txn) >= maxChanges {
+		return false
 	}
 	c := fleetplan.Cordon{Machine: d.Machine.Name, VM: d.Machine.VM, Pool: d.Machine.Pool, Purpose: d.Purpose, Since: f.node.clock.Now().Wall}
 	f.log.Info("cordon", zap.String("machine", c.Machine), zap.String("vm", c.VM), zap.String("pool", c.Pool),
 		zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target), zap.String("reason", d.Reason))
 	f.putCordon(txn, c)
+	return true
 }
 
 func (f *fleetController) putCordon(txn *store.Txn, c fleetplan.Cordon) {
@@ -530,7 +546,7 @@
 		if c.Purpose.Wave != "" && f.downIn(c.Purpose.Wave) >= f.atOnce(c.Purpose.Wave) {
 			continue
 		}
-		if len(txn.Puts)+len(txn.Deletes) >= store.MaxTxnEntries-4 {
+		if entries(txn) >= maxChanges {
 			return
 		}
 		c.Ordered = true
@@ -662,12 +678,35 @@
 		if !c.Ordered || c.Version == 0 || f.pending[name] || f.acked[name] != 0 || now < f.retryAt[name] || !f.mayOrder(name) {
 			continue
 		}
+		if !f.spend(now) {
+			return
+		}
 		f.pending[name] = true
 		f.log.Info("machine_order", zap.String("machine", name), zap.String("vm", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target))
 		go f.order(ctx, c)
 	}
 }
 
+// callShare is the share of the platform's rate of orders that is used, so that
+// none is refused.
+const callShare = 0.8
+
+// spend takes an order from the platform's rate, and reports whether there was
+// one left.
+func (f *fleetController) spend(now time.Duration) bool {
+	rate := callShare * f.node.settings.Fleet.Calls
+	if rate <= 0 {
+		return true
+	}
+	f.budget = min(rate, f.budget+rate*(now-f.budgetAt).Seconds())
+	f.budgetAt = now
+	if f.budget < 1 {
+		return false
+	}
+	f.budget--
+	return true
+}
+
 func (f *fleetController) order(ctx context.Context, c fleetplan.Cordon) {
 	holder, token := f.node.settings.Self.Node, f.owner.row.Epoch
 	var err error
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -151,6 +151,8 @@
 			return nil
 		case errors.As(err, &conflict):
 			return o.resolve(conflict, next)
+		case errors.Is(err, store.ErrInvalid):
+			return err
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
@@ -183,23 +185,27 @@
 	return nil
 }
 
+// leastWeight stands for members whose processor share is not known.
+const leastWeight = 0.1
+
 // claimOrder returns the position of a node among the live members that may
-// claim a pool: fewest pools first, then by hash. It is -1 if the node may not.
+// claim a pool: fewest pools for its processor share first, then by hash. It is
+// -1 if the node may not.
 func claimOrder(pool, node string, live map[string]Member) int {
 	type candidate struct {
-		name  string
-		pools int
-		hash  uint64
+		name string
+		load float64 // pools for each processor share, with the new one
+		hash uint64
 	}
 	var list []candidate
 	for name, m := range live {
 		if !m.Stopping {
-			list = append(list, candidate{name, len(m.Pools), hash64(pool, name)})
+			list = append(list, candidate{name, float64(len(m.Pools)+1) / max(m.Weight, leastWeight), hash64(pool, name)})
 		}
 	}
 	sort.Slice(list, func(i, k int) bool {
-		if list[i].pools != list[k].pools {
-			return list[i].pools < list[k].pools
+		if list[i].load != list[k].load {
+			return list[i].load < list[k].load
 		}
 		return list[i].hash < list[k].hash
 	})
--- a/node/ownership_test.go
+++ b/node/ownership_test.go
@@ -102,6 +102,11 @@
 	live := map[string]Member{
 		"a": {Node: "a", Pools: []string{"x", "y"}}, "b": {Node: "b"}, "c": {Node: "c", Pools: []string{"z"}}, "d": {Node: "d", Stopping: true},
 	}
+	live["e"] = Member{Node: "e", Weight: 0.8}
+	if got := claimOrder("p", "e", live); got != 0 {
+		t.Errorf("position of the largest entry is %d, want 0", got)
+	}
+	delete(live, "e")
 	for node, want := range map[string]int{"b": 0, "c": 1, "a": 2, "d": -1, "unknown": -1} {
 		if got := claimOrder("p", node, live); got != want {
 			t.Errorf("position of %s is %d, want %d", node, got, want)
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -11,8 +11,9 @@
 const (
 	// leastVMs stay in each pool, so that a lost VM leaves another.
 	leastVMs = 2
-	// maxMoves bounds the VMs that move at a time.
-	maxMoves = 24
+	// mostMoving is the share of the fleet that may move at a time: a turn needs
+	// up to half of it.
+	mostMoving = 0.5
 	// idleBeforeStandby is the time that a VM must not have been needed before
 	// it is switched off: two moves cost as much as some 2.5 s of a VM.
 	idleBeforeStandby = 2500 // ms
@@ -66,8 +67,9 @@
 			moving++
 		}
 	}
-	decisions := m.fill(s, books, size, maxMoves-moving)
-	return append(decisions, m.retire(s, books, size, maxMoves-moving-len(decisions))...)
+	room := int(mostMoving*float64(len(s.Machines))) - moving
+	decisions := m.fill(s, books, size, room)
+	return append(decisions, m.retire(s, books, size, room-len(decisions))...)
 }
 
 // Book is what one pool has and needs, in processors, for the log.
@@ -201,19 +203,32 @@
 // prepare moves VMs that are paid for and not needed to pools whose turn may
 // begin. VMs on standby stay there until they are needed.
 func (m *MovePlanner) prepare(books map[string]*poolBooks, size float64, room int, decisions []Decision) []Decision {
-	for _, b := range byDeficit(books) {
-		for missing := int((b.ready - b.have) / size); missing > 0 && len(decisions) < room; missing-- {
-			machine, ok := takeSurplus(books, b.name, size)
-			if !ok {
-				return decisions
-			}
-			b.have += size
-			decisions = append(decisions, Decision{machine, Purpose{Target: b.name}, "surplus to a pool whose turn may begin"})
+	for len(decisions) < room {
+		b := leastReady(books)
+		if b == nil || b.ready-b.have < size {
+			return decisions
+		}
+		machine, ok := takeSurplus(books, b.name, size)
+		if !ok {
+			return decisions
 		}
+		b.have += size
+		decisions = append(decisions, Decision{machine, Purpose{Target: b.name}, "surplus to a pool whose turn may begin"})
 	}
 	return decisions
 }
 
+// leastReady returns the pool that lacks most of what it should have.
+func leastReady(books map[string]*poolBooks) *poolBooks {
+	var least *poolBooks
+	for _, b := range books {
+		if least == nil || b.ready-b.have > least.ready-least.have || b.ready-b.have == least.ready-least.have && b.name < least.name {
+			least = b
+		}
+	}
+	return least
+}
+
 func byDeficit(books map[string]*poolBooks) []*poolBooks {
 	list := make([]*poolBooks, 0, len(books))
 	for _, b := range books {
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -14,6 +14,8 @@
 var (
 	// ErrUnavailable means that the call had no effect.
 	ErrUnavailable = errors.New("table service unavailable")
+	// ErrInvalid means that the service does not accept the call, now or later.
+	ErrInvalid = errors.New("table service rejects the call")
 	// ErrUnknown means that the call may take effect, now or later.
 	ErrUnknown = errors.New("outcome of transaction unknown")
 	// ErrHistoryGone means that changes after the given version are no longer kept.
@@ -93,7 +95,7 @@
 	Time    time.Duration // on the steady clock of the service
 }
 
-// Store is the table service. Calls return ErrUnavailable, ErrUnknown (Commit
+// Store is the table service. Calls return ErrUnavailable, ErrInvalid, ErrUnknown (Commit
 // only), ErrHistoryGone (Changes only), *ConflictError (Commit only) or an
 // error of the context.
 type Store interface {
