Let requests of callers share transactions, and answer within the caller's time

Change: requests that arrive while a transaction is under way share the next; a busy store is tried again, one that refuses is reported at once.

--- a/cmd/amaranth-platform/main.go
+++ b/cmd/amaranth-platform/main.go
@@ -40,7 +40,9 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := newCommand().ExecuteContext(ctx); err != nil {
+	err := newCommand().ExecuteContext(ctx)
+	process.Flush()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "amaranth-platform:", err)
 		os.Exit(1)
 	}
--- a/cmd/amaranth/main.go
+++ b/cmd/amaranth/main.go
@@ -26,7 +26,9 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
+	err := command().ExecuteContext(ctx)
+	process.Flush()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/cmd/internal/session/processes_test.go
+++ b/cmd/internal/session/processes_test.go
@@ -59,7 +59,7 @@
 func (w *world) spawn(name string, args ...string) *process {
 	w.t.Helper()
 	p := &process{cmd: exec.Command(name, args...), over: make(chan error, 1)}
-	stderr, err := p.cmd.StderrPipe()
+	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 		w.t.Fatal(err)
 	}
 	go func() {
-		lines := bufio.NewScanner(stderr)
+		lines := bufio.NewScanner(stdout)
 		for lines.Scan() {
 			p.mu.Lock()
 			p.log = append(p.log, lines.Text())
--- a/node/api.go
+++ b/node/api.go
@@ -16,13 +16,12 @@
 
 // Requests of callers.
 const (
-	// viewLimit is the age from which the view of the operators' declarations
-	// is not acted on. A withdrawn key must stop working within 5 s; the rest is
-	// for the request itself.
-	viewLimit = 3 * time.Second
-	// readyLimit is the age of the view from which this entry asks for no new
-	// connections: two feed calls of 1 s and a margin.
-	readyLimit = 2700 * time.Millisecond
+	// defaultViewLimit is the age from which the view of the operators'
+	// declarations is not acted on, where the settings give none.
+	defaultViewLimit = 3 * time.Second
+	// readyShare is the share of that age from which this entry asks for no new
+	// connections: more than two feed calls of 1 s at 3 s.
+	readyShare = 0.9
 	// submitLimit is the longest time to a certain answer, half of what callers
 	// usually wait.
 	submitLimit = 1400 * time.Millisecond
@@ -68,7 +67,7 @@
 	if view.Catalog == nil {
 		return Caller{}, &NotRun{"no declarations have been read yet", refusedAgain}
 	}
-	if age := n.clock.Now().Steady - view.CurrentAt; age > viewLimit {
+	if age := n.clock.Now().Steady - view.CurrentAt; age > n.viewLimit() {
 		n.metrics.add("refused_stale_view")
 		return Caller{}, &NotRun{fmt.Sprintf("declarations were last confirmed %d ms ago", age.Milliseconds()), refusedAgain}
 	}
@@ -86,6 +85,13 @@
 	return c, nil
 }
 
+func (n *Node) viewLimit() time.Duration {
+	if n.settings.ViewLimit > 0 {
+		return n.settings.ViewLimit
+	}
+	return defaultViewLimit
+}
+
 // BodyLimit returns the size of the largest request body in bytes.
 func (n *Node) BodyLimit() int64 {
 	view, _ := n.operator.Get()
@@ -113,7 +119,7 @@
 	if known, err := n.knownElsewhere(ctx, c, spec.ID); known || err != nil {
 		return err
 	}
-	err = n.submit(ctx, txn)
+	err = n.submit(ctx, c.Queue.Pool, txn)
 	took := n.clock.Now().Steady - began.Steady
 	n.metrics.observe(metricSubmit, c.Queue.Name, took)
 	n.log.Info("submit", zap.String("job", spec.ID), zap.String("queue", c.Queue.Name), zap.String("pool", c.Queue.Pool),
@@ -155,29 +161,16 @@
 	}, nil
 }
 
-// submit tries until the outcome is certain or too little time is left.
-func (n *Node) submit(ctx context.Context, txn store.Txn) error {
-	ctx, cancel := context.WithTimeout(ctx, submitLimit)
-	defer cancel()
-	uncertain := false
-	for try := 0; ; try++ {
-		tryCtx, cancelTry := context.WithTimeout(ctx, n.store.Patience(try))
-		_, err := n.store.Commit(tryCtx, txn)
-		cancelTry()
-		var conflict *store.ConflictError
-		switch {
-		case err == nil, errors.As(err, &conflict):
-			return nil // stored now, or before by the same id
-		case errors.Is(err, store.ErrUnavailable) && !uncertain:
-			return &NotRun{"table service refuses writes", refusedAgain}
-		case !errors.Is(err, store.ErrUnavailable):
-			uncertain = true
-		}
-		if ctx.Err() != nil {
-			return ErrUncertain
-		}
-		sleep(ctx, followRetry)
+// submit stores a request of a caller in its pool's partition.
+func (n *Node) submit(ctx context.Context, pool string, txn store.Txn) error {
+	n.mu.Lock()
+	b := n.writes[pool]
+	if b == nil {
+		b = &writeBatcher{store: n.store}
+		n.writes[pool] = b
 	}
+	n.mu.Unlock()
+	return b.add(ctx, txn)
 }
 
 func outcomeOf(err error) string {
@@ -189,7 +182,9 @@
 
 // Status returns a job's state, ErrNoJob, or *NotRun if it cannot be read now.
 func (n *Node) Status(ctx context.Context, c Caller, id string) (job.State, error) {
+	began := n.clock.Now().Steady
 	view, err := n.status(ctx, c, id)
+	n.metrics.observe(metricStatus, c.Queue.Name, n.clock.Now().Steady-began)
 	if err != nil {
 		n.log.Info("status_not_shown", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.Error(err))
 	}
@@ -272,7 +267,7 @@
 	if err != nil {
 		return err
 	}
-	return n.submit(ctx, store.Txn{
+	return n.submit(ctx, pool, store.Txn{
 		Conditions: []store.Condition{{Key: tables.CancelKey(pool, id)}},
 		Puts:       []store.Put{{Key: tables.CancelKey(pool, id), Value: []byte{1}}},
 	})
@@ -313,5 +308,5 @@
 // Ready reports whether this entry can take requests now.
 func (n *Node) Ready() bool {
 	view, _ := n.operator.Get()
-	return !n.stopping.Load() && view.Catalog != nil && n.clock.Now().Steady-view.CurrentAt < readyLimit
+	return !n.stopping.Load() && view.Catalog != nil && n.clock.Now().Steady-view.CurrentAt < time.Duration(readyShare*float64(n.viewLimit()))
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -12,11 +12,10 @@
 
 // Names of histograms.
 const (
-	metricSubmit = "submit_ms"  // by queue
-	metricCommit = "commit_ms"  // transactions of pool owners
-	metricStart  = "start_ms"   // by pool
-	metricStatus = "status_ms"  // by queue
-	metricRenew  = "renewal_ms" // by pool
+	metricSubmit = "submit_ms" // by queue
+	metricCommit = "commit_ms" // transactions of pool owners
+	metricStart  = "start_ms"  // by pool
+	metricStatus = "status_ms" // by queue
 	longestTime  = 5 * time.Minute
 	significant  = 2
 	quantileP50  = 50
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	Self      Member
 	Scheduler pool.Settings
 	Fleet     FleetSettings
+	ViewLimit time.Duration // age from which declarations are not acted on; 0 means defaultViewLimit
 }
 
 // Options are the parts that an entry works with.
@@ -63,6 +64,7 @@
 	mu      sync.Mutex
 	owned   map[string]bool
 	unowned map[string]time.Duration // since when a pool has no live owner
+	writes  map[string]*writeBatcher // requests of callers, by pool
 	claims  map[string]seenClaim     // claims by others that their rows do not show yet
 	runners sync.WaitGroup
 }
@@ -82,7 +84,7 @@
 		clock: o.Clock, log: o.Log, metrics: newMetrics(),
 		operator: newOperatorView(o.Rows, o.Log),
 		members:  newMembers(timed, o.Clock, o.Log, o.Settings.Self),
-		owned:    map[string]bool{}, unowned: map[string]time.Duration{}, claims: map[string]seenClaim{},
+		owned:    map[string]bool{}, unowned: map[string]time.Duration{}, claims: map[string]seenClaim{}, writes: map[string]*writeBatcher{},
 	}
 }
 
--- a/node/runner.go
+++ b/node/runner.go
@@ -499,7 +499,7 @@
 		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
 		epoch: r.owner.row.Epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
 		recorded: make(chan struct{}, 1), stop: cancel, slots: make(chan struct{}, ordersAtOnce),
-		mayRenew: r.mayRenew, mayStart: r.mayStart,
+		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics,
 	}
 	s.seen.Store(vm.Seen)
 	s.mayExtend.Store(vm.Extend)
--- a/node/session.go
+++ b/node/session.go
@@ -42,6 +42,8 @@
 	workers Workers
 	clock   Clock
 	log     *zap.Logger
+	pool    string
+	metrics *metrics
 	epoch   int64
 	lease   time.Duration
 	deliver func(func(*pool.Pool)) // runs a function in the scheduler's loop
@@ -244,13 +246,15 @@
 
 func (s *session) start(ctx context.Context, c pool.Command) {
 	result := pool.StartLate // nothing is sent without a lease deadline
-	deadline, bound, ok := s.deadline(s.clock.Now().Steady)
+	began := s.clock.Now().Steady
+	deadline, bound, ok := s.deadline(began)
 	// The checks follow the deadline: a bound that is recorded once the VM is
 	// silent covers every deadline that was taken before.
 	if ok && s.mayStart() && !s.isSilent() && s.mayExtend.Load() {
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
 		result = s.workers.Start(ctx, s.ref, StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
 			Deadline: deadline, Token: s.token(), Checkpoint: c.Checkpoint, Ticket: c.Ticket})
+		s.metrics.observe(metricStart, s.pool, s.clock.Now().Steady-began)
 	}
 	at := s.clock.Now().Steady
 	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
--- /dev/null
+++ b/node/writes.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"amaranthfork.example/sched/store"
+)
+
+// maxWritesInBatch bounds the requests of one transaction: each has a condition
+// and two rows, of up to some 5 KB.
+const maxWritesInBatch = 30
+
+// write is one request of a caller that is to be stored: rows that must not
+// exist yet.
+type write struct {
+	txn  store.Txn
+	done chan error // buffered; nil once the rows exist
+
+	inFlight  bool // a try is under way
+	unsure    bool // a try had no certain outcome, and may take effect later
+	abandoned bool // its caller does not wait any more
+}
+
+// writeBatcher stores requests of callers in one partition. Requests that arrive
+// while a transaction is under way share the next one, so that a slow table
+// service carries many with one transaction.
+type writeBatcher struct {
+	store *timedStore
+
+	mu      sync.Mutex
+	pending []*write
+	running bool
+}
+
+// add stores a request. It returns nil once its rows exist, *NotRun if they were
+// certainly not written, or ErrUncertain.
+func (b *writeBatcher) add(ctx context.Context, txn store.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, submitLimit)
+	defer cancel()
+	w := &write{txn: txn, done: make(chan error, 1)}
+	b.mu.Lock()
+	b.pending = append(b.pending, w)
+	if !b.running {
+		b.running = true
+		go b.run()
+	}
+	b.mu.Unlock()
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return b.abandon(w)
+	}
+}
+
+// abandon ends the wait for a request.
+func (b *writeBatcher) abandon(w *write) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case err := <-w.done:
+		return err
+	default:
+	}
+	w.abandoned = true
+	if w.inFlight || w.unsure {
+		return ErrUncertain
+	}
+	return &NotRun{"table service is too slow", refusedAgain}
+}
+
+// run writes what is pending until nothing is left.
+func (b *writeBatcher) run() {
+	for try := 0; ; try++ {
+		batch := b.next()
+		if len(batch) == 0 {
+			return
+		}
+		if b.commit(batch, try) {
+			try = -1
+		}
+	}
+}
+
+// next takes the requests of the next transaction. Requests that were never sent
+// and whose callers have gone are dropped.
+func (b *writeBatcher) next() []*write {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var batch, rest []*write
+	for _, w := range b.pending {
+		switch {
+		case w.abandoned:
+		case len(batch) < maxWritesInBatch:
+			w.inFlight = true
+			batch = append(batch, w)
+		default:
+			rest = append(rest, w)
+		}
+	}
+	b.pending = rest
+	b.running = len(batch) > 0
+	return batch
+}
+
+// commit tries one transaction, and reports whether its outcome was certain.
+func (b *writeBatcher) commit(batch []*write, try int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), b.store.Patience(try))
+	defer cancel()
+	var txn store.Txn
+	for _, w := range batch {
+		txn.Conditions = append(txn.Conditions, w.txn.Conditions...)
+		txn.Puts = append(txn.Puts, w.txn.Puts...)
+	}
+	_, err := b.store.Commit(ctx, txn)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		finish(batch, nil)
+	case errors.As(err, &conflict):
+		b.again(resolved(batch, conflict))
+	case errors.Is(err, store.ErrBusy):
+		b.again(batch)
+		time.Sleep(followRetry)
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrInvalid):
+		b.refused(batch)
+	default:
+		for _, w := range batch {
+			w.unsure = true
+		}
+		b.again(batch)
+		return false
+	}
+	return true
+}
+
+// resolved answers the requests whose rows exist, by this or an earlier request
+// with the same id, and returns the others.
+func resolved(batch []*write, conflict *store.ConflictError) []*write {
+	var rest []*write
+	for _, w := range batch {
+		if _, exists := conflict.Find(w.txn.Conditions[0].Key); exists {
+			w.done <- nil
+			continue
+		}
+		rest = append(rest, w)
+	}
+	return rest
+}
+
+func finish(batch []*write, err error) {
+	for _, w := range batch {
+		w.done <- err
+	}
+}
+
+// refused answers the requests that were certainly not written, and keeps those
+// of which an earlier try may still take effect.
+func (b *writeBatcher) refused(batch []*write) {
+	var rest []*write
+	for _, w := range batch {
+		if w.unsure {
+			rest = append(rest, w)
+			continue
+		}
+		w.done <- &NotRun{"table service refuses writes", refusedAgain}
+	}
+	b.again(rest)
+	if len(rest) > 0 {
+		time.Sleep(followRetry)
+	}
+}
+
+// again puts requests back whose try is over.
+func (b *writeBatcher) again(batch []*write) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range batch {
+		w.inFlight = false
+	}
+	b.pending = append(batch, b.pending...)
+}
--- /dev/null
+++ b/node/writes_test.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+// scriptedStore answers transactions by a script, and counts them.
+type scriptedStore struct {
+	store.Store
+	mu      sync.Mutex
+	answers []error // of the next transactions; later ones go to Store
+	delay   time.Duration
+	commits int
+}
+
+func (s *scriptedStore) Commit(ctx context.Context, txn store.Txn) (store.Receipt, error) {
+	s.mu.Lock()
+	s.commits++
+	var answer error
+	scripted := len(s.answers) > 0
+	if scripted {
+		answer, s.answers = s.answers[0], s.answers[1:]
+	}
+	s.mu.Unlock()
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return store.Receipt{}, fmt.Errorf("%w: %w", store.ErrUnknown, ctx.Err())
+	}
+	if scripted {
+		return store.Receipt{}, answer
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+func newBatcher(delay time.Duration, answers ...error) (*writeBatcher, *scriptedStore) {
+	mem, _ := newTestStore()
+	s := &scriptedStore{Store: mem, delay: delay, answers: answers}
+	return &writeBatcher{store: &timedStore{Store: s, clock: NewBootClock()}}, s
+}
+
+func jobTxn(id int) store.Txn {
+	key := tables.JobKey("p", fmt.Sprintf("%016x", id))
+	return store.Txn{Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte("job")}}}
+}
+
+// Guards against the load of a burst on a store that is 60 times slower (the day
+// deploy/days/store.toml): one transaction for each job is more than a partition
+// carries, and most jobs were refused.
+func TestBurstSharesTransactions(t *testing.T) {
+	b, s := newBatcher(100 * time.Millisecond)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			if err := b.add(t.Context(), jobTxn(i)); err != nil {
+				t.Errorf("job %d: %v", i, err)
+			}
+		})
+	}
+	wg.Wait()
+	if s.commits > 5 {
+		t.Errorf("%d transactions for 60 jobs that came together", s.commits)
+	}
+}
+
+// Guards against one repeated id that fails the other jobs of its transaction.
+func TestRepeatedIDDoesNotFailOthers(t *testing.T) {
+	b, _ := newBatcher(20 * time.Millisecond)
+	if err := b.add(t.Context(), jobTxn(1)); err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			if err := b.add(t.Context(), jobTxn(i)); err != nil {
+				t.Errorf("job %d: %v", i, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a refusal that is not true: after a lost answer the write may
+// have taken effect, so a later refusal proves nothing.
+func TestRefusalAfterLostAnswerIsNotNotRun(t *testing.T) {
+	lost := errors.New("connection broken")
+	b, _ := newBatcher(0, fmt.Errorf("%w: %w", store.ErrUnknown, lost), store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable,
+		store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	if err := b.add(ctx, jobTxn(1)); !errors.Is(err, ErrUncertain) {
+		t.Fatalf("%v, want uncertain", err)
+	}
+}
+
+// Guards against a caller that waits for its time limit although the store has
+// refused at once.
+func TestRefusalIsAnsweredAtOnce(t *testing.T) {
+	b, _ := newBatcher(0, store.ErrUnavailable)
+	began := time.Now()
+	var notRun *NotRun
+	if err := b.add(t.Context(), jobTxn(1)); !errors.As(err, &notRun) || notRun.RetryAfter <= 0 {
+		t.Fatalf("%v, want not run with a time to come back", err)
+	}
+	if time.Since(began) > submitLimit/2 {
+		t.Fatal("held for too long")
+	}
+}
+
+// Guards against a lost answer that is reported as a failure although the rows
+// exist.
+func TestLostAnswerOfASubmission(t *testing.T) {
+	mem, s := newTestStore()
+	mem.LoseAnswers(1)
+	b := &writeBatcher{store: s}
+	if err := b.add(t.Context(), jobTxn(1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against refusing what a store that is only busy would take.
+func TestBusyStoreIsTriedAgain(t *testing.T) {
+	b, _ := newBatcher(0, store.ErrBusy)
+	if err := b.add(t.Context(), jobTxn(1)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -140,17 +140,12 @@
 
 // Settings are the scheduler's parameters.
 type Settings struct {
-	Pool            string
-	Lease           time.Duration // of runs on VMs
-	LeaseBound      time.Duration // Lease on this process's clock, whatever the VM's clock does
-	InheritedLease  time.Duration // time on this process's clock at which unreached runs of an earlier owner have lapsed
-	StopGrace       time.Duration // longest time of a stop
-	CheckpointEvery time.Duration
-	Restore         time.Duration // time to resume from a checkpoint
-	FarFactor       float64       // run time away from the data, relative
-	StatusKept      time.Duration // finished jobs stay known this long
-	NoticeMillis    time.Duration // how long a task away counts against its availability budget
-	EarlyStart      time.Duration // starts may come this much before their time
+	Pool           string
+	Lease          time.Duration // of runs on VMs
+	LeaseBound     time.Duration // Lease on this process's clock, whatever the VM's clock does
+	InheritedLease time.Duration // time on this process's clock at which unreached runs of an earlier owner have lapsed
+	StopGrace      time.Duration // longest time of a stop
+	StatusKept     time.Duration // finished jobs stay known this long
 }
 
 // allotment is a workspace's part of its cap that this pool may use.
--- a/sched/pool/world_test.go
+++ b/sched/pool/world_test.go
@@ -30,7 +30,7 @@
 func testSettings() pool.Settings {
 	return pool.Settings{
 		Pool: testPool, Lease: testLease, LeaseBound: testLease + 120*time.Millisecond,
-		StopGrace: 900 * time.Millisecond, StatusKept: 150 * time.Second, FarFactor: 1.5,
+		StopGrace: 900 * time.Millisecond, StatusKept: 150 * time.Second,
 	}
 }
 
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -22,6 +22,9 @@
 	ErrHistoryGone = errors.New("history of changes no longer available")
 )
 
+// ErrBusy means that the call had no effect because the service is over its rate.
+var ErrBusy = fmt.Errorf("%w: over its rate", ErrUnavailable)
+
 // ConflictError means that a condition of a transaction did not hold and
 // nothing was written.
 type ConflictError struct {
