--- a/node/members.go
+++ b/node/members.go
@@ -17,10 +17,13 @@
 // the takeover this stays below the lease of runs on VMs (5 s), so that they go
 // on while their owner is replaced.
 const (
-	memberBeat    = 700 * time.Millisecond
-	memberTimeout = 2300 * time.Millisecond // three beats and a slow write
-	memberWait    = time.Second             // of a feed call
-	memberPause   = 350 * time.Millisecond
+	memberBeat    = 500 * time.Millisecond
+	memberTimeout = 1700 * time.Millisecond // three beats and a slow write
+	// memberSlow is added to the timeout, relative to the usual time of a
+	// transaction.
+	memberSlow  = 6
+	memberWait  = time.Second // of a feed call
+	memberPause = 350 * time.Millisecond
 	// memberGap is the time without an answer of the table service after which
 	// the ages of members say nothing.
 	memberGap = 1200 * time.Millisecond
@@ -46,7 +49,7 @@
 
 // members follows and renews the rows of the entries.
 type members struct {
-	store store.Store
+	store *timedStore
 	clock Clock
 	log   *zap.Logger
 	self  Member
@@ -59,7 +62,7 @@
 	poke    chan struct{}
 }
 
-func newMembers(s store.Store, clock Clock, log *zap.Logger, self Member) *members {
+func newMembers(s *timedStore, clock Clock, log *zap.Logger, self Member) *members {
 	return &members{store: s, clock: clock, log: log, self: self, known: map[string]*memberState{},
 		changed: make(chan struct{}), poke: make(chan struct{}, 1)}
 }
@@ -95,7 +98,7 @@
 	defer m.mu.Unlock()
 	live = make(map[string]Member, len(m.known))
 	for name, state := range m.known {
-		if now-state.changedAt < memberTimeout {
+		if now-state.changedAt < memberTimeout+memberSlow*m.store.Usual() {
 			live[name] = state.Member
 		}
 	}
--- a/node/runner.go
+++ b/node/runner.go
@@ -20,10 +20,10 @@
 // Scheduling of a pool by its owner.
 const (
 	// ownerRenew is the longest time between two transactions of an owner.
-	ownerRenew = time.Second
+	ownerRenew = 700 * time.Millisecond
 	// startBound is the age of the last confirmed transaction from which an
 	// owner starts nothing: below the time after which it may be replaced.
-	startBound = 2 * time.Second
+	startBound = 1500 * time.Millisecond
 	// renewBound is the age from which an owner renews no leases either, so
 	// that a later owner knows when runs that it cannot reach have lapsed. With
 	// the lease, runs outlast an outage of the table service of 8 s.
