--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -100,7 +99,6 @@
 	since time.Duration // start of the role
 
 	machines map[string]fleetplan.Machine
-	states   map[string]MachineState
 	missing  map[string]time.Duration // since when a machine of a wave is not listed
 	listedAt time.Duration
 	listing  bool
@@ -108,8 +106,7 @@
 	orders   chan machineOrder
 	pending  map[string]bool          // machines with a call under way
 	retryAt  map[string]time.Duration // by machine
-	orderAt  map[string]time.Duration // when the last call was sent
-	acked    map[string]time.Duration // when the platform confirmed the order
+	acked    map[string]time.Duration // when the platform confirmed the order, or effectSeen
 
 	loads   *loadTable
 	cordons map[string]fleetplan.Cordon
@@ -123,6 +120,9 @@
 	booksAt   time.Duration
 }
 
+// effectSeen marks an order whose effect the inventory has shown.
+const effectSeen time.Duration = -1
+
 type listResult struct {
 	machines []Machine
 	sentAt   time.Duration
@@ -133,9 +133,9 @@
 	f := &fleetController{
 		node: n, owner: o, log: n.log.With(zap.String("role", "fleet"), zap.Int64("epoch", o.row.Epoch)), since: sentAt,
 		plan:     fleetplan.Settings{MaintenanceTime: n.settings.Fleet.Upkeep, EmptyTime: emptyTime, MoveTime: n.settings.Fleet.Move},
-		machines: map[string]fleetplan.Machine{}, states: map[string]MachineState{}, missing: map[string]time.Duration{},
+		machines: map[string]fleetplan.Machine{}, missing: map[string]time.Duration{},
 		lists: make(chan listResult, 1), orders: make(chan machineOrder, 64),
-		pending: map[string]bool{}, retryAt: map[string]time.Duration{}, orderAt: map[string]time.Duration{}, acked: map[string]time.Duration{},
+		pending: map[string]bool{}, retryAt: map[string]time.Duration{}, acked: map[string]time.Duration{},
 		cordons: map[string]fleetplan.Cordon{}, waves: map[string]*waveState{},
 		moves: fleetplan.NewMovePlanner(), recent: recentRow{}, notBefore: map[string]time.Duration{},
 	}
@@ -154,7 +154,7 @@
 	lastCommit := f.since
 	for ctx.Err() == nil {
 		f.collect(inner)
-		txn := f.decide(inner)
+		txn := f.decide()
 		now := f.node.clock.Now().Steady
 		if len(txn.Puts)+len(txn.Deletes) > 0 || now-lastCommit > ownerRenew {
 			if err := f.commit(inner, txn); err != nil {
@@ -181,20 +181,16 @@
 
 // recover reads the cordons and waves of an earlier holder.
 func (f *fleetController) recover(ctx context.Context) error {
-	for ctx.Err() == nil {
-		cordons, err := store.All(ctx, f.node.store, tables.Cordons, fleetPool)
-		if err == nil {
-			var waves store.Page
-			waves, err = store.All(ctx, f.node.store, tables.Waves, fleetPool)
-			if err == nil {
-				f.restore(cordons.Rows, waves.Rows)
-				return nil
-			}
-		}
-		f.log.Info("recovery_read_failed", zap.Error(err))
-		sleep(ctx, followRetry)
+	cordons, err := f.owner.readAll(ctx, tables.Cordons, f.log)
+	if err != nil {
+		return err
 	}
-	return ctx.Err()
+	waves, err := f.owner.readAll(ctx, tables.Waves, f.log)
+	if err != nil {
+		return err
+	}
+	f.restore(cordons.Rows, waves.Rows)
+	return nil
 }
 
 func (f *fleetController) restore(cordons, waves []store.Row) {
@@ -267,16 +263,6 @@
 	}()
 }
 
-func (f *fleetController) waveOpen() bool {
-	view, _ := f.node.operator.Get()
-	for _, w := range view.Waves {
-		if s := f.waves[w.ID]; s == nil || !s.row.Complete {
-			return true
-		}
-	}
-	return false
-}
-
 func (f *fleetController) listed(result listResult) {
 	f.listing = false
 	f.listedAt = f.node.clock.Now().Steady
@@ -291,61 +277,17 @@
 			rack = m.Labels[len(m.Labels)-1]
 		}
 		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Rack: rack, Up: m.State == MachineUp}
-		f.states[m.Name] = m.State
 		delete(f.missing, m.Name)
 	}
 	for name := range f.acked {
 		if f.returned(name, result.sentAt) {
-			f.acked[name] = -1
+			f.acked[name] = effectSeen
 		}
 	}
 }
 
-// returned reports whether a machine is back from what was ordered, by a list
-// that was asked for at a time. A machine on standby has no worker that could
-// tell its lives apart.
-func (f *fleetController) returned(name string, listedAt time.Duration) bool {
-	acked, m, c := f.acked[name], f.machines[name], f.cordons[name]
-	if acked < 0 || listedAt < acked || !m.Up {
-		return false
-	}
-	takes := f.plan.MaintenanceTime
-	if c.Purpose.Target != "" {
-		takes = f.plan.MoveTime
-	}
-	return m.VM != c.VM || listedAt-acked > takes
-}
-
-// begun notes that a machine's maintenance has begun.
-func (f *fleetController) begun(c fleetplan.Cordon) {
-	if state := f.waves[c.Purpose.Wave]; state != nil && !slices.Contains(state.row.Done, c.Machine) {
-		state.row.Done = append(state.row.Done, c.Machine)
-		state.written = false
-	}
-}
-
-// ordered takes the answer to an order.
-func (f *fleetController) ordered(o machineOrder) {
-	delete(f.pending, o.machine)
-	c, ok := f.cordons[o.machine]
-	if !ok {
-		return
-	}
-	now := f.node.clock.Now().Steady
-	f.log.Info("machine_order_answered", zap.String("machine", o.machine), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target), zap.Error(o.err))
-	switch {
-	case o.err == nil:
-		f.acked[o.machine] = now
-		f.begun(c)
-	case errors.Is(o.err, ErrNotOfWave):
-		f.acked[o.machine] = -1 // nothing to do
-	default:
-		f.retryAt[o.machine] = now + orderRetry
-	}
-}
-
 // decide returns the changes of cordons and waves to record.
-func (f *fleetController) decide(context.Context) store.Txn {
+func (f *fleetController) decide() store.Txn {
 	var txn store.Txn
 	if f.listedAt == 0 || len(f.machines) == 0 {
 		return txn
@@ -402,30 +344,6 @@
 	return s
 }
 
-func (f *fleetController) waveOf(w Wave, now int64) *waveState {
-	state := f.waves[w.ID]
-	if state == nil {
-		state = &waveState{row: waveRow{Began: now}}
-		f.waves[w.ID] = state
-		f.log.Info("wave_seen", zap.String("wave", w.ID), zap.Int("machines", len(w.Machines)), zap.Duration("within", w.Within), zap.Int("at_once", w.AtOnce))
-	}
-	return state
-}
-
-func (f *fleetController) planned(w Wave, state *waveState) fleetplan.Wave {
-	planned := fleetplan.Wave{ID: w.ID, Machines: w.Machines, AtOnce: max(1, w.AtOnce),
-		Deadline: state.row.Began + w.Within.Milliseconds(), Done: map[string]bool{}, Down: map[string]bool{}}
-	for _, name := range state.row.Done {
-		planned.Done[name] = true
-	}
-	for name, c := range f.cordons {
-		if c.Purpose.Wave == w.ID && c.Ordered {
-			planned.Down[name] = true
-		}
-	}
-	return planned
-}
-
 // endCordons removes cordons whose order has taken effect or whose machine is
 // gone.
 func (f *fleetController) endCordons(txn *store.Txn) {
@@ -436,7 +354,7 @@
 		}
 		m, exists := f.machines[name]
 		switch {
-		case f.acked[name] < 0:
+		case f.acked[name] == effectSeen:
 			f.uncordon(txn, c, "order has taken effect")
 		case !exists:
 			if f.missing[name] == 0 {
@@ -475,46 +393,6 @@
 	delete(f.missing, c.Machine)
 }
 
-// recordWaves stores how far waves are.
-func (f *fleetController) recordWaves(txn *store.Txn, s *fleetplan.Snapshot) {
-	for i := range s.Waves {
-		w := &s.Waves[i]
-		state := f.waves[w.ID]
-		if len(w.Left(s.Machines)) == 0 && f.goneLongEnough(w) && !state.row.Complete {
-			state.row.Complete = true
-			state.written = false
-			f.log.Info("wave_complete", zap.String("wave", w.ID), zap.Int64("left_ms", w.Deadline-s.Now))
-		}
-		if state.written {
-			continue
-		}
-		value, err := cbor.Marshal(state.row)
-		if err != nil {
-			f.log.Error("wave_not_encoded", zap.Error(err))
-			continue
-		}
-		txn.Puts = append(txn.Puts, store.Put{Key: tables.WaveKey(fleetPool, w.ID), Value: value})
-		state.written = true
-	}
-}
-
-// goneLongEnough reports whether the machines of a wave that are not listed
-// have been missing for so long that they count as gone.
-func (f *fleetController) goneLongEnough(w *fleetplan.Wave) bool {
-	now := f.node.clock.Now().Steady
-	all := true
-	for _, name := range w.Machines {
-		if _, exists := f.machines[name]; exists || w.Done[name] {
-			continue
-		}
-		if f.missing[name] == 0 {
-			f.missing[name] = now
-		}
-		all = all && now-f.missing[name] > waveGone
-	}
-	return all
-}
-
 func (f *fleetController) cordon(txn *store.Txn, d fleetplan.Decision) bool {
 	if entries(txn) >= maxChanges {
 		return false
@@ -554,73 +432,6 @@
 	}
 }
 
-func (f *fleetController) downIn(wave string) int {
-	n := 0
-	for _, c := range f.cordons {
-		if c.Purpose.Wave == wave && c.Ordered {
-			n++
-		}
-	}
-	return n
-}
-
-func (f *fleetController) atOnce(wave string) int {
-	view, _ := f.node.operator.Get()
-	for _, w := range view.Waves {
-		if w.ID == wave {
-			return max(1, w.AtOnce)
-		}
-	}
-	return 0
-}
-
-// recentRow tells when orders for machines have ended, on the clock of the table
-// service, for the next holder of the role.
-type recentRow map[string]int64
-
-// recentKept is the time after which an order no longer matters to another
-// holder; it is above every hand-over time.
-const recentKept = 20 * time.Second
-
-// mayOrder reports whether orders of an earlier holder for a machine are long
-// enough ago.
-func (f *fleetController) mayOrder(machine string) bool {
-	return f.node.clock.Now().Steady > f.notBefore[machine]
-}
-
-// holdBack keeps this holder from ordering machines for which an earlier holder
-// may have sent orders shortly before.
-func (f *fleetController) holdBack(recent recentRow) {
-	handOver := f.node.settings.Fleet.HandOver + handOverMargin
-	for machine, at := range recent {
-		f.notBefore[machine] = f.owner.service.local(time.Duration(at)*time.Millisecond) + handOver
-	}
-	for machine, c := range f.cordons {
-		if c.Ordered {
-			f.notBefore[machine] = f.node.clock.Now().Steady + handOver + orderTime
-		}
-	}
-}
-
-// noteOrder remembers that an order for a machine has just ended.
-func (f *fleetController) noteOrder(txn *store.Txn, machine string) {
-	now := f.owner.service.late(f.node.clock.Now().Steady)
-	f.recent[machine] = now.Milliseconds()
-	maps.DeleteFunc(f.recent, func(_ string, at int64) bool { return now.Milliseconds()-at > recentKept.Milliseconds() })
-	value, err := cbor.Marshal(f.recent)
-	if err != nil {
-		f.log.Error("orders_not_encoded", zap.Error(err))
-		return
-	}
-	key := tables.WaveKey(fleetPool, recentName)
-	txn.Puts = slices.DeleteFunc(txn.Puts, func(p store.Put) bool { return p.Key == key })
-	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
-}
-
-// recentName names the row of recent orders among the waves; waves are named by
-// numbers.
-const recentName = "recent-orders"
-
 // commit stores the changes, and then shows the state of waves to operators.
 func (f *fleetController) commit(ctx context.Context, txn store.Txn) error {
 	if err := f.owner.commit(ctx, txn); err != nil {
@@ -635,88 +446,3 @@
 	f.showWaves(ctx)
 	return nil
 }
-
-func (f *fleetController) showWaves(ctx context.Context) {
-	for id, state := range f.waves {
-		put, err := f.node.rows.WaveStatus(id, state.row.Complete)
-		if err != nil || !state.written || state.shown == string(put.Value) {
-			continue
-		}
-		if f.showWave(ctx, put) {
-			state.shown = string(put.Value)
-			f.log.Info("wave_shown", zap.String("wave", id), zap.Bool("complete", state.row.Complete))
-		}
-	}
-}
-
-// showWave writes a wave's state under the version of what is shown, so that a
-// late write does not undo a newer one.
-func (f *fleetController) showWave(ctx context.Context, put store.Put) bool {
-	ctx, cancel := context.WithTimeout(ctx, claimLimit)
-	defer cancel()
-	row, _, err := store.Get(ctx, f.node.store, put.Key)
-	if err == nil && string(row.Value) == string(put.Value) {
-		return true
-	}
-	if err == nil {
-		_, err = f.node.store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: put.Key, Version: row.Version}}, Puts: []store.Put{put}})
-	}
-	if err != nil {
-		f.log.Info("wave_not_shown", zap.Error(err))
-	}
-	return err == nil
-}
-
-// sendOrders sends the orders that are noted, and repeats those without a
-// certain answer.
-func (f *fleetController) sendOrders(ctx context.Context, confirmed time.Duration) {
-	now := f.node.clock.Now().Steady
-	if now-confirmed > startBound {
-		return
-	}
-	for name, c := range f.cordons {
-		if !c.Ordered || c.Version == 0 || f.pending[name] || f.acked[name] != 0 || now < f.retryAt[name] || !f.mayOrder(name) {
-			continue
-		}
-		if !f.spend(now) {
-			return
-		}
-		f.pending[name] = true
-		f.log.Info("machine_order", zap.String("machine", name), zap.String("vm", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target))
-		go f.order(ctx, c)
-	}
-}
-
-// callShare is the share of the platform's rate of orders that is used, so that
-// none is refused.
-const callShare = 0.8
-
-// spend takes an order from the platform's rate, and reports whether there was
-// one left.
-func (f *fleetController) spend(now time.Duration) bool {
-	rate := callShare * f.node.settings.Fleet.Calls
-	if rate <= 0 {
-		return true
-	}
-	f.budget = min(rate, f.budget+rate*(now-f.budgetAt).Seconds())
-	f.budgetAt = now
-	if f.budget < 1 {
-		return false
-	}
-	f.budget--
-	return true
-}
-
-func (f *fleetController) order(ctx context.Context, c fleetplan.Cordon) {
-	holder, token := f.node.settings.Self.Node, f.owner.row.Epoch
-	var err error
-	if c.Purpose.Wave != "" {
-		err = f.node.machines.Maintain(ctx, c.Machine, c.Purpose.Wave, holder, token)
-	} else {
-		err = f.node.machines.Move(ctx, c.Machine, c.Purpose.Target, holder, token)
-	}
-	select {
-	case f.orders <- machineOrder{c.Machine, err}:
-	case <-ctx.Done():
-	}
-}
--- a/node/members.go
+++ b/node/members.go
@@ -32,14 +32,14 @@
 
 // Member is the row of an entry.
 type Member struct {
-	Node     string   `cbor:"1,keyasint"`
-	Boot     string   `cbor:"2,keyasint"` // different at each start of the process
-	Beat     int64    `cbor:"3,keyasint"`
-	Stopping bool     `cbor:"4,keyasint,omitempty"`
-	Pools    []string `cbor:"5,keyasint,omitempty"` // that it schedules
-	Address  string   `cbor:"6,keyasint,omitempty"` // host:port for other entries
-	Weight   float64  `cbor:"7,keyasint,omitempty"` // processor share
-	Zone     string   `cbor:"8,keyasint,omitempty"`
+	Node        string   `cbor:"1,keyasint"`
+	Incarnation string   `cbor:"2,keyasint"` // different at each start of the process
+	Beat        int64    `cbor:"3,keyasint"`
+	Stopping    bool     `cbor:"4,keyasint,omitempty"`
+	Pools       []string `cbor:"5,keyasint,omitempty"` // that it schedules
+	Address     string   `cbor:"6,keyasint,omitempty"` // host:port for other entries
+	Weight      float64  `cbor:"7,keyasint,omitempty"` // processor share
+	Zone        string   `cbor:"8,keyasint,omitempty"`
 }
 
 type memberState struct {
@@ -154,10 +154,10 @@
 		m.known[row.Name] = &memberState{member, now}
 		return
 	}
-	if known.Boot != member.Boot {
-		m.log.Info("member_restarted", zap.String("member", row.Name), zap.String("boot", member.Boot))
+	if known.Incarnation != member.Incarnation {
+		m.log.Info("member_restarted", zap.String("member", row.Name), zap.String("incarnation", member.Incarnation))
 	}
-	if !whole || known.Beat != member.Beat || known.Boot != member.Boot {
+	if !whole || known.Beat != member.Beat || known.Incarnation != member.Incarnation {
 		known.changedAt = now
 	}
 	known.Member = member
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"expvar"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"amaranthfork.example/sched/pool"
 )
 
 // Names of histograms.
@@ -31,11 +34,12 @@
 	counters *expvar.Map
 
 	mu     sync.Mutex
+	pools  map[string]pool.Stats // of the pools that this entry schedules
 	series map[seriesKey]*hdrhistogram.Histogram
 }
 
 func newMetrics() *metrics {
-	return &metrics{counters: new(expvar.Map).Init(), series: map[seriesKey]*hdrhistogram.Histogram{}}
+	return &metrics{counters: new(expvar.Map).Init(), series: map[seriesKey]*hdrhistogram.Histogram{}, pools: map[string]pool.Stats{}}
 }
 
 func (m *metrics) add(name string) { m.counters.Add(name, 1) }
@@ -53,6 +57,19 @@
 	_ = h.RecordValue(min(longestTime, max(time.Millisecond, d)).Milliseconds())
 }
 
+// setPool publishes the counters of a scheduler.
+func (m *metrics) setPool(name string, s pool.Stats) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pools[name] = s
+}
+
+func (m *metrics) poolStats() map[string]pool.Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.pools)
+}
+
 // Quantiles is one histogram as it is served.
 type Quantiles struct {
 	Name  string `json:"name"`
@@ -79,5 +96,5 @@
 func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	var counters json.RawMessage = []byte(m.counters.String())
-	_ = json.NewEncoder(w).Encode(map[string]any{"counters": counters, "histograms": m.quantiles()})
+	_ = json.NewEncoder(w).Encode(map[string]any{"counters": counters, "pools": m.poolStats(), "histograms": m.quantiles()})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -93,7 +93,7 @@
 
 // Run works until ctx ends, then hands its pools over and returns.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Info("started", zap.String("boot", n.settings.Self.Boot), zap.String("data_centre", n.settings.Self.Zone))
+	n.log.Info("started", zap.String("incarnation", n.settings.Self.Incarnation), zap.String("data_centre", n.settings.Self.Zone))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var wg sync.WaitGroup
@@ -206,7 +206,7 @@
 // its row need not show it yet.
 func (n *Node) recentClaim(name string, owner ownerRow, live map[string]Member) bool {
 	holder, ok := live[owner.Node]
-	if !ok || holder.Boot != owner.Boot || owner.Node == n.settings.Self.Node {
+	if !ok || holder.Incarnation != owner.Incarnation || owner.Node == n.settings.Self.Node {
 		return false
 	}
 	now := n.clock.Now().Steady
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
 
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/store"
@@ -36,11 +37,11 @@
 // the owner, so that its version orders them: a transaction that is carried out
 // late, or by an earlier owner, fails its condition.
 type ownerRow struct {
-	Node  string `cbor:"1,keyasint"` // empty if released
-	Boot  string `cbor:"2,keyasint,omitempty"`
-	Epoch int64  `cbor:"3,keyasint"` // rises with each claim; the fencing token on VMs
-	Batch int64  `cbor:"4,keyasint"` // counts the owner's transactions
-	At    int64  `cbor:"5,keyasint"` // when it was sent, ms on the service's clock, not too early
+	Node        string `cbor:"1,keyasint"` // empty if released
+	Incarnation string `cbor:"2,keyasint,omitempty"`
+	Epoch       int64  `cbor:"3,keyasint"` // rises with each claim; the fencing token on VMs
+	Batch       int64  `cbor:"4,keyasint"` // counts the owner's transactions
+	At          int64  `cbor:"5,keyasint"` // when it was sent, ms on the service's clock, not too early
 }
 
 // ownership is a claim of a pool and the state of its chain of transactions.
@@ -102,7 +103,7 @@
 
 // claim makes this process the owner of a pool whose row was read.
 func (o *ownership) claim(ctx context.Context, self Member) error {
-	return o.write(ctx, ownerRow{Node: self.Node, Boot: self.Boot, Epoch: o.row.Epoch + 1}, store.Txn{})
+	return o.write(ctx, ownerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: o.row.Epoch + 1}, store.Txn{})
 }
 
 // renewedUntil returns when the owner of the row stops renewing leases for
@@ -125,7 +126,7 @@
 // release gives the pool up, so that another process claims it at once.
 func (o *ownership) release(ctx context.Context) error {
 	next := o.row
-	next.Node, next.Boot = "", ""
+	next.Node, next.Incarnation = "", ""
 	next.Batch++
 	return o.write(ctx, next, store.Txn{})
 }
@@ -225,3 +226,26 @@
 	}
 	return h.Sum64()
 }
+
+// readAll reads the owner's partition of a table.
+func (o *ownership) readAll(ctx context.Context, table string, log *zap.Logger) (store.Page, error) {
+	return o.readPartition(ctx, table, o.pool, log)
+}
+
+// readPartition reads a partition of a table as it is after the claim, and tries
+// again while the service fails. The error is that of the context.
+func (o *ownership) readPartition(ctx context.Context, table, partition string, log *zap.Logger) (store.Page, error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, 2*readLimit)
+		page, err := store.All(callCtx, o.store, table, partition)
+		cancel()
+		if err == nil && page.Version < o.version {
+			err = errStaleRead
+		}
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+		log.Info("recovery_read_failed", zap.String("table", table), zap.Error(err))
+		sleep(ctx, followRetry)
+	}
+}
--- a/node/ownership_test.go
+++ b/node/ownership_test.go
@@ -34,8 +34,8 @@
 }
 
 var (
-	nodeA = Member{Node: "a", Boot: "1"}
-	nodeB = Member{Node: "b", Boot: "2"}
+	nodeA = Member{Node: "a", Incarnation: "1"}
+	nodeB = Member{Node: "b", Incarnation: "2"}
 )
 
 // Guards against an owner that writes after it was replaced.
@@ -149,14 +149,14 @@
 	}
 }
 
-// Guards against a process with an old boot that blocks the row of its node.
+// Guards against a process with an old incarnation that blocks the row of its node.
 func TestMemberRowIsTakenOverByTheNextBoot(t *testing.T) {
 	_, s := newTestStore()
 	first := newMembers(s, s.clock, testLog, nodeA)
 	if err := first.write(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	second := newMembers(s, s.clock, testLog, Member{Node: "a", Boot: "9"})
+	second := newMembers(s, s.clock, testLog, Member{Node: "a", Incarnation: "9"})
 	if err := second.write(t.Context()); !errors.Is(err, errMemberChanged) {
 		t.Fatalf("first write: %v", err)
 	}
--- a/node/runner.go
+++ b/node/runner.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"sync/atomic"
 	"time"
@@ -118,15 +117,15 @@
 
 // recover reads the pool's jobs, progress and figures.
 func (r *runner) recover(ctx context.Context) (int64, error) {
-	requests, err := r.readAll(ctx, tables.Requests(r.name), r.name)
+	requests, err := r.owner.readAll(ctx, tables.Requests(r.name), r.log)
 	if err != nil {
 		return 0, err
 	}
-	progress, err := r.readAll(ctx, tables.Progress, r.name)
+	progress, err := r.owner.readAll(ctx, tables.Progress, r.log)
 	if err != nil {
 		return 0, err
 	}
-	queues, err := r.readAll(ctx, tables.Queues, r.name)
+	queues, err := r.owner.readAll(ctx, tables.Queues, r.log)
 	if err != nil {
 		return 0, err
 	}
@@ -139,7 +138,7 @@
 		}
 		stored[row.Name] = p
 	}
-	cordonRows, err := r.readAll(ctx, tables.Cordons, fleetPool)
+	cordonRows, err := r.owner.readPartition(ctx, tables.Cordons, fleetPool, r.log)
 	if err != nil {
 		return 0, err
 	}
@@ -147,7 +146,7 @@
 	for _, row := range cordonRows.Rows {
 		r.takeCordon(cordons, row)
 	}
-	leases, err := r.readAll(ctx, tables.Leases, r.name)
+	leases, err := r.owner.readAll(ctx, tables.Leases, r.log)
 	if err != nil {
 		return 0, err
 	}
@@ -165,24 +164,6 @@
 	return requests.Version, nil
 }
 
-// readAll reads a partition of a table, and tries again while the service
-// fails.
-func (r *runner) readAll(ctx context.Context, table, partition string) (store.Page, error) {
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, 2*readLimit)
-		page, err := store.All(callCtx, r.node.store, table, partition)
-		cancel()
-		if err == nil && page.Version < r.owner.version {
-			err = errStaleRead
-		}
-		if err == nil || ctx.Err() != nil {
-			return page, err
-		}
-		r.log.Info("recovery_read_failed", zap.String("table", table), zap.Error(err))
-		sleep(ctx, followRetry)
-	}
-}
-
 // restoreLeases reads when the runs on VMs lapse that the earlier owner could
 // not reach.
 func (r *runner) restoreLeases(rows []store.Row) {
@@ -198,132 +179,6 @@
 	}
 }
 
-// request takes a row of the pool's requests. stored holds progress at
-// takeover, and is nil for requests that arrive later.
-func (r *runner) request(p *pool.Pool, row store.Row, stored map[string]*job.Progress) {
-	if row.Partition != r.name || row.Removed {
-		return
-	}
-	if id, cancelled := tables.CancelledJob(row.Name); cancelled {
-		p.Cancel(id)
-		return
-	}
-	spec, err := job.DecodeSpec(row.Value)
-	if err != nil {
-		r.log.Error("job_row_unreadable", zap.String("job", row.Name), zap.Error(err))
-		return
-	}
-	if progress := stored[row.Name]; progress != nil {
-		p.Restore(spec, progress)
-		return
-	}
-	p.Accept(spec)
-}
-
-// follow starts the followers that feed the scheduler.
-func (r *runner) follow(ctx context.Context, version int64) {
-	n := r.node
-	requests := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Requests(r.name), partition: r.name,
-		wait: requestWait, pause: requestPause, deliver: func(u Update) {
-			r.deliver(func(p *pool.Pool) {
-				for _, row := range u.Rows {
-					r.request(p, row, nil)
-				}
-			})
-		}}
-	requests.version = version
-	go requests.run(ctx)
-	discovery := &follower{store: n.store, clock: n.clock, log: r.log, table: n.rows.VMTable(),
-		wait: discoverWait, pause: discoverPause, deliver: r.discovered()}
-	go discovery.run(ctx)
-	cordons := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Cordons, partition: fleetPool,
-		wait: cordonWait, deliver: r.cordoned()}
-	go cordons.run(ctx)
-	go r.caps.follow(ctx)
-}
-
-// discovered returns the handler of the discovery table. Rows of other pools
-// matter too: a VM that now reports another pool has left this one.
-func (r *runner) discovered() func(Update) {
-	mine := map[string]bool{}
-	return func(u Update) {
-		var seen []pool.VM
-		var gone []string
-		present := map[string]bool{}
-		for _, row := range u.Rows {
-			listed, ok := r.decodeVM(row)
-			if ok && listed.Pool == r.name {
-				seen = append(seen, listed.VM)
-				present[row.Name] = true
-				mine[row.Name] = true
-				continue
-			}
-			if mine[row.Name] {
-				gone = append(gone, row.Name)
-				delete(mine, row.Name)
-			}
-		}
-		if u.Whole {
-			for name := range mine {
-				if !present[name] {
-					gone = append(gone, name)
-					delete(mine, name)
-				}
-			}
-		}
-		r.deliver(func(p *pool.Pool) {
-			for _, v := range seen {
-				p.ObserveVM(v)
-			}
-			for _, name := range gone {
-				p.ForgetVM(name)
-			}
-		})
-	}
-}
-
-func (r *runner) decodeVM(row store.Row) (ListedVM, bool) {
-	if row.Removed {
-		return ListedVM{}, false
-	}
-	listed, err := r.node.rows.DecodeVM(row)
-	if err != nil {
-		r.log.Debug("vm_row_unreadable", zap.String("row", row.Name), zap.Error(err))
-		return ListedVM{}, false
-	}
-	return listed, true
-}
-
-func (r *runner) cordoned() func(Update) {
-	cordons := map[string]pool.Cordon{}
-	return func(u Update) {
-		if len(u.Rows) == 0 && !u.Whole {
-			return
-		}
-		if u.Whole {
-			clear(cordons)
-		}
-		for _, row := range u.Rows {
-			r.takeCordon(cordons, row)
-		}
-		snapshot := maps.Clone(cordons)
-		r.deliver(func(p *pool.Pool) { p.Cordon(snapshot) })
-	}
-}
-
-func (r *runner) takeCordon(cordons map[string]pool.Cordon, row store.Row) {
-	if row.Removed {
-		delete(cordons, row.Name)
-		return
-	}
-	c, err := decodeCordon(row.Value)
-	if err != nil {
-		r.log.Error("cordon_row_unreadable", zap.String("machine", row.Name), zap.Error(err))
-		return
-	}
-	cordons[row.Name] = pool.Cordon{VM: c.VM, Version: row.Version}
-}
-
 // loop is the scheduler's only goroutine. It returns nil when life ends, and an
 // error when the pool has another owner.
 func (r *runner) loop(ctx, life context.Context) error {
@@ -422,6 +277,7 @@
 	r.confirmed.Store(int64(result.sentAt))
 	r.node.metrics.observe(metricCommit, "", now.Steady-result.sentAt)
 	r.send(ctx, r.pool.Committed(result.batch))
+	r.node.metrics.setPool(r.name, r.pool.Stats())
 	for _, vm := range r.pool.VMs() {
 		if s := r.sessions[vm.ID]; s != nil {
 			s.setSeen(vm.Seen)
--- /dev/null
+++ b/node/runnerfeeds.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"maps"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/pool"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+// request takes a row of the pool's requests. stored holds progress at
+// takeover, and is nil for requests that arrive later.
+func (r *runner) request(p *pool.Pool, row store.Row, stored map[string]*job.Progress) {
+	if row.Partition != r.name || row.Removed {
+		return
+	}
+	if id, cancelled := tables.CancelledJob(row.Name); cancelled {
+		p.Cancel(id)
+		return
+	}
+	spec, err := job.DecodeSpec(row.Value)
+	if err != nil {
+		r.log.Error("job_row_unreadable", zap.String("job", row.Name), zap.Error(err))
+		return
+	}
+	if progress := stored[row.Name]; progress != nil {
+		p.Restore(spec, progress)
+		return
+	}
+	p.Accept(spec)
+}
+
+// follow starts the followers that feed the scheduler.
+func (r *runner) follow(ctx context.Context, version int64) {
+	n := r.node
+	requests := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Requests(r.name), partition: r.name,
+		wait: requestWait, pause: requestPause, deliver: func(u Update) {
+			r.deliver(func(p *pool.Pool) {
+				for _, row := range u.Rows {
+					r.request(p, row, nil)
+				}
+			})
+		}}
+	requests.version = version
+	go requests.run(ctx)
+	discovery := &follower{store: n.store, clock: n.clock, log: r.log, table: n.rows.VMTable(),
+		wait: discoverWait, pause: discoverPause, deliver: r.discovered()}
+	go discovery.run(ctx)
+	cordons := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Cordons, partition: fleetPool,
+		wait: cordonWait, deliver: r.cordoned()}
+	go cordons.run(ctx)
+	go r.caps.follow(ctx)
+}
+
+// discovered returns the handler of the discovery table. Rows of other pools
+// matter too: a VM that now reports another pool has left this one.
+func (r *runner) discovered() func(Update) {
+	mine := map[string]bool{}
+	return func(u Update) {
+		var seen []pool.VM
+		var gone []string
+		present := map[string]bool{}
+		for _, row := range u.Rows {
+			listed, ok := r.decodeVM(row)
+			if ok && listed.Pool == r.name {
+				seen = append(seen, listed.VM)
+				present[row.Name] = true
+				mine[row.Name] = true
+				continue
+			}
+			if mine[row.Name] {
+				gone = append(gone, row.Name)
+				delete(mine, row.Name)
+			}
+		}
+		if u.Whole {
+			for name := range mine {
+				if !present[name] {
+					gone = append(gone, name)
+					delete(mine, name)
+				}
+			}
+		}
+		r.deliver(func(p *pool.Pool) {
+			for _, v := range seen {
+				p.ObserveVM(v)
+			}
+			for _, name := range gone {
+				p.ForgetVM(name)
+			}
+		})
+	}
+}
+
+func (r *runner) decodeVM(row store.Row) (ListedVM, bool) {
+	if row.Removed {
+		return ListedVM{}, false
+	}
+	listed, err := r.node.rows.DecodeVM(row)
+	if err != nil {
+		r.log.Debug("vm_row_unreadable", zap.String("row", row.Name), zap.Error(err))
+		return ListedVM{}, false
+	}
+	return listed, true
+}
+
+func (r *runner) cordoned() func(Update) {
+	cordons := map[string]pool.Cordon{}
+	return func(u Update) {
+		if len(u.Rows) == 0 && !u.Whole {
+			return
+		}
+		if u.Whole {
+			clear(cordons)
+		}
+		for _, row := range u.Rows {
+			r.takeCordon(cordons, row)
+		}
+		snapshot := maps.Clone(cordons)
+		r.deliver(func(p *pool.Pool) { p.Cordon(snapshot) })
+	}
+}
+
+func (r *runner) takeCordon(cordons map[string]pool.Cordon, row store.Row) {
+	if row.Removed {
+		delete(cordons, row.Name)
+		return
+	}
+	c, err := decodeCordon(row.Value)
+	if err != nil {
+		r.log.Error("cordon_row_unreadable", zap.String("machine", row.Name), zap.Error(err))
+		return
+	}
+	cordons[row.Name] = pool.Cordon{VM: c.VM, Version: row.Version}
+}
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -75,16 +75,6 @@
 	return b
 }
 
-// Busy reports whether ends wait to be recorded or jobs to be written.
-func (p *Pool) Busy() bool {
-	for _, v := range p.vms {
-		if v.seen > v.durable {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Pool) addJobs(b *Batch) {
 	for _, j := range p.jobs {
 		if !j.dirty {
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -305,7 +305,6 @@
 		v.health.refused(p.now.Steady)
 	}
 	v.backoff = p.now.Steady + pause
-	v.refusedAt = p.now.Steady
 }
 
 // Stopped takes the answer to a stop; ok is false if there was none.
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"amaranthfork.example/fleet"
 )
 
 // usable reports whether v may get new work at all.
@@ -157,14 +155,3 @@
 	}
 	return ""
 }
-
-// FreeRoom sums what is free on usable VMs.
-func (p *Pool) FreeRoom() fleet.Resources {
-	var free fleet.Resources
-	for _, v := range p.vms {
-		if p.usable(v) {
-			free = free.Add(v.free())
-		}
-	}
-	return free
-}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -25,8 +25,7 @@
 	usage     map[string]fleet.Resources // by workspace, until the end of a run is listed
 
 	jobs     map[string]*jobState
-	open     []*jobState // jobs that are not final, by acceptance
-	stopping map[*task]struct{}
+	open     []*jobState    // jobs that are not final, by acceptance
 	strays   map[string]*vm // VMs that list runs of tasks which are not wanted there, by task
 	finished []*jobState    // final jobs by finish time
 	vms      map[string]*vm
@@ -60,7 +59,7 @@
 		settings: s, log: log, now: now, startedAt: now,
 		evacuated: map[string]bool{}, cordons: map[string]Cordon{},
 		allots: map[string]allotment{}, usage: map[string]fleet.Resources{},
-		jobs: map[string]*jobState{}, stopping: map[*task]struct{}{}, strays: map[string]*vm{}, vms: map[string]*vm{},
+		jobs: map[string]*jobState{}, strays: map[string]*vm{}, vms: map[string]*vm{},
 		runs:        map[string]*runModel{},
 		queueCounts: map[string]int{}, queueAt: map[string]time.Duration{},
 		wants: map[string]fleet.Resources{}, storedLeases: map[string]bool{},
@@ -201,14 +200,12 @@
 	case placed: // never sent
 		p.close(t, waiting)
 	case starting, running, unsettled:
-		p.stopping[t] = struct{}{}
 		p.sendStop(t, reason)
 	}
 }
 
 func (p *Pool) sendStop(t *task, reason string) {
 	t.stopSent = p.now.Steady
-	t.stopReason = reason
 	p.stats.Stops++
 	p.command(Command{Kind: Stop, VM: t.vm.ID, Address: t.vm.Address, Task: t.name, Run: t.run})
 	p.log.Info("run_stop", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.String("reason", reason))
@@ -260,12 +257,11 @@
 		t.vm = nil
 		t.occ.job.active--
 	}
-	delete(p.stopping, t)
 	t.phase = next
 	t.since = p.now.Steady
 	t.lastRunEnd = p.now.Steady
 	t.stopSent, t.stopAnswer, t.inherited = 0, 0, false
-	t.overGoalFrom, t.load, t.percent, t.pace = 0, 0, 0, 100
+	t.load, t.percent, t.pace = 0, 0, 100
 	t.occ.job.dirty = true
 }
 
@@ -282,7 +278,6 @@
 		p.newLife(v, seen.Born)
 	}
 	if seen.Draining && !v.Draining {
-		v.drainSeen = p.now.Steady
 		p.log.Info("vm_draining", zap.String("vm", seen.ID), zap.Duration("left", seen.DrainLeft), zap.Int("tasks", len(v.tasks)))
 	}
 	if seen.Born == 0 {
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -35,16 +35,14 @@
 	stopSent   time.Duration // 0 if no stop was sent for this run
 	stopAnswer time.Duration // 0 if no stop was answered
 	inherited  bool          // started under an earlier owner
-	stopReason string
-
-	percent      int
-	progressAt   time.Duration // when percent last rose
-	pace         int           // percent of its share that the task may use
-	load         int64
-	loadAt       time.Duration
-	overGoalFrom time.Duration // 0 while under its latency goal
-	lastRunEnd   time.Duration
-	failedOn     map[string]bool // VMs on which runs have failed
+
+	percent    int
+	progressAt time.Duration // when percent last rose
+	pace       int           // percent of its share that the task may use
+	load       int64
+	loadAt     time.Duration
+	lastRunEnd time.Duration
+	failedOn   map[string]bool // VMs on which runs have failed
 }
 
 // active reports whether a run of the task may be on its VM.
@@ -118,10 +116,8 @@
 	seen       int64 // ends up to this number are processed
 	durable    int64 // ends up to this number are recorded
 	lastAnswer time.Duration
-	refusedAt  time.Duration // last refusal for want of room or health
 	backoff    time.Duration // no starts until then
 	cordoned   bool
-	drainSeen  time.Duration
 	silent     bool          // the last renewal was not answered
 	recorded   time.Duration // bound of its leases that a later owner may rely on; 0 if none
 	health     vmHealth
