Set the pace of fillers anew after a takeover, and test the pace control

Cause: found while writing its tests: a new owner took every filler for unpaced, so one that the earlier owner had paused or slowed stayed so for good. Change: the pace of an inherited run is unknown until it is ordered.

--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -352,6 +352,7 @@
 		p.attach(t, v)
 		t.phase = unsettled
 		t.inherited = true
+		t.pace = unknownPace
 		t.since = p.now.Steady
 	}
 }
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -340,6 +340,6 @@
 		return
 	}
 	if t := p.find(v, c.Task, c.Run); t != nil && t.pace == c.Percent {
-		t.pace = -1
+		t.pace = unknownPace
 	}
 }
--- a/sched/pool/share.go
+++ b/sched/pool/share.go
@@ -9,12 +9,14 @@
 // Pace control of tasks that fill. Fillers are cut as soon as a serving task
 // beside them is over its goal, and given back in steps while it is well below.
 const (
-	paceCut      = 0.3  // factor at the first listing over the goal
-	paceRise     = 20   // points for each listing below the goal
-	calmShare    = 0.75 // of the goal, below which fillers get more
-	minPace      = 10   // below it fillers are stopped altogether
-	fullPace     = 100
-	paceInterval = 700 * time.Millisecond // loads are figures of the last half second
+	paceCut   = 0.3  // factor at the first listing over the goal
+	paceRise  = 20   // points for each listing below the goal
+	calmShare = 0.75 // of the goal, below which fillers get more
+	minPace   = 10   // below it fillers are stopped altogether
+	fullPace  = 100
+	// unknownPace stands for a pace that an earlier owner may have ordered, or
+	// whose order was not confirmed.
+	unknownPace = -1
 )
 
 // observeLoads adjusts the fillers of a VM to the serving tasks beside them.
@@ -42,7 +44,7 @@
 // nextPace returns the pace of a filler, given the worst serving task beside it
 // as a share of its goal.
 func nextPace(pace int, worst float64) int {
-	if pace < 0 { // not known: the last order was not confirmed
+	if pace == unknownPace {
 		pace = minPace
 	}
 	switch {
--- a/sched/pool/world_test.go
+++ b/sched/pool/world_test.go
@@ -65,12 +65,13 @@
 	failures  map[string]int
 	startsOf  map[string]int
 	cancelled map[string]bool
+	paces     map[string]int // last pace that was ordered, by task
 	log       []string
 }
 
 func newWorld(t failer) *world {
 	w := &world{t: t, now: pool.Time{Wall: 1_700_000_000_000, Steady: time.Minute}, workers: map[string]*worker{},
-		rows: map[store.Key][]byte{}, done: map[string]bool{}, failures: map[string]int{}, startsOf: map[string]int{}, cancelled: map[string]bool{}}
+		rows: map[store.Key][]byte{}, done: map[string]bool{}, failures: map[string]int{}, startsOf: map[string]int{}, cancelled: map[string]bool{}, paces: map[string]int{}}
 	w.catalog = catalog.New(1, []*catalog.Queue{
 		{Name: "short", Pool: testPool, Stretch: 1.6, Target: 600 * time.Millisecond, MaxAttempts: 3},
 		{Name: "service", Pool: testPool, Stretch: 2, Target: 2 * time.Second},
@@ -267,6 +268,8 @@
 	case pool.Stop:
 		w.stop(worker, c)
 		w.p.Stopped(c, true, w.now.Steady)
+	case pool.Pace:
+		w.paces[c.Task] = c.Percent
 	}
 }
 
