Send orders only while they are fresh, stops apart from starts

The stop that settles an unanswered start waited for one of three slots that hung starts hold for 0.8 s each. Meanwhile the late run could begin, be at work and then be ended by that stop while another task of its step was away.

Change: stops and paces have slots of their own, and an order that has waited for 250 ms is given back: a start goes to another VM, a stop is decided anew by a later listing.

--- /dev/null
+++ b/node/fakes_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/pool"
+)
+
+// fakeWorkers records orders. Calls of a kind that hangs are answered by the end
+// of their time limit.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	hang    map[pool.CommandKind]bool
+	orders  []fakeOrder
+	renewal func(Renewal) (RenewalAnswer, error)
+	renewed []Renewal
+}
+
+type fakeOrder struct {
+	kind     pool.CommandKind
+	task     string
+	run      int
+	token    int64
+	deadline int64
+}
+
+func (f *fakeWorkers) record(ctx context.Context, o fakeOrder) error {
+	f.mu.Lock()
+	f.orders = append(f.orders, o)
+	hang := f.hang[o.kind]
+	f.mu.Unlock()
+	if !hang {
+		return nil
+	}
+	<-ctx.Done()
+	return ErrNoAnswer
+}
+
+func (f *fakeWorkers) sent(kind pool.CommandKind, task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, o := range f.orders {
+		if o.kind == kind && o.task == task {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fakeWorkers) Renew(_ context.Context, _ WorkerRef, r Renewal) (RenewalAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renewed = append(f.renewed, r)
+	if f.renewal != nil {
+		return f.renewal(r)
+	}
+	return RenewalAnswer{Clock: 1000, Born: 1}, nil
+}
+
+func (f *fakeWorkers) Start(ctx context.Context, _ WorkerRef, o StartOrder) pool.StartResult {
+	if f.record(ctx, fakeOrder{pool.Start, o.Task, o.Run, o.Token, o.Deadline}) != nil {
+		return pool.StartUnknown
+	}
+	return pool.StartAccepted
+}
+
+func (f *fakeWorkers) Stop(ctx context.Context, _ WorkerRef, task string, run int, token int64) error {
+	return f.record(ctx, fakeOrder{kind: pool.Stop, task: task, run: run, token: token})
+}
+
+func (f *fakeWorkers) Pace(ctx context.Context, _ WorkerRef, task string, run, _ int, token int64) error {
+	return f.record(ctx, fakeOrder{kind: pool.Pace, task: task, run: run, token: token})
+}
+
+// newTestSession returns a session whose owner may start and renew.
+func newTestSession(t *testing.T, workers Workers) *session {
+	t.Helper()
+	always := func() bool { return true }
+	s := &session{ref: WorkerRef{ID: "vm1", Address: "vm1:80"}, workers: workers, clock: NewBootClock(), log: zap.NewNop(),
+		pool: "p", metrics: newMetrics(), epoch: 3, lease: 5 * time.Second, deliver: func(func(*pool.Pool)) {},
+		recorded: make(chan struct{}, 1), slots: newOrderSlots(), mayRenew: always, mayStart: always}
+	s.mayExtend.Store(true)
+	if _, ok := s.renew(t.Context()); !ok {
+		t.Fatal("the first renewal failed")
+	}
+	return s
+}
+
+// command returns an order that is issued now.
+func (s *session) command(kind pool.CommandKind, task string) pool.Command {
+	return pool.Command{Kind: kind, VM: s.ref.ID, Address: s.ref.Address, Task: task, Run: 1, IssuedAt: s.clock.Now().Steady}
+}
--- a/node/runner.go
+++ b/node/runner.go
@@ -354,7 +354,7 @@
 	s := &session{
 		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
 		epoch: r.owner.row.Epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
-		recorded: make(chan struct{}, 1), stop: cancel, slots: make(chan struct{}, ordersAtOnce),
+		recorded: make(chan struct{}, 1), stop: cancel, slots: newOrderSlots(),
 		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics,
 	}
 	s.seen.Store(vm.Seen)
@@ -372,12 +372,12 @@
 		s := r.sessions[c.VM]
 		if s == nil {
 			r.log.Info("order_without_session", zap.String("task", c.Task), zap.String("vm", c.VM))
-			r.pool.Started(c, pool.StartLate, 0)
+			r.pool.NotSent(c)
 			continue
 		}
 		if c.Kind == pool.Start && !r.mayStart() {
 			r.log.Info("start_withheld", zap.String("task", c.Task), zap.Duration("confirmed_age", r.node.clock.Now().Steady-time.Duration(r.confirmed.Load())))
-			r.pool.Started(c, pool.StartLate, 0)
+			r.pool.NotSent(c)
 			continue
 		}
 		go s.carry(ctx, c)
--- a/node/session.go
+++ b/node/session.go
@@ -32,10 +32,31 @@
 	// leaseMargin covers rounding of clocks to milliseconds.
 	leaseMargin = 20 * time.Millisecond
 	orderLimit  = 800 * time.Millisecond // of a start, stop or pace
-	// ordersAtOnce bounds the calls to one worker; a start takes 2 to 3 ms.
-	ordersAtOnce = 3
+	// startsAtOnce and stopsAtOnce bound the calls to one worker; one takes 2 to
+	// 3 ms. Stops do not share the slots of starts, which a worker may leave
+	// unanswered.
+	startsAtOnce = 3
+	stopsAtOnce  = 2 // paces among them
+	// orderFresh is the longest that an order may wait for its slot. A listing
+	// that is older than this may no longer tell what runs on the VM, and
+	// another VM may take the task instead.
+	orderFresh = 250 * time.Millisecond
 )
 
+// orderSlots bound the orders that are under way to one worker.
+type orderSlots struct{ starts, stops chan struct{} }
+
+func newOrderSlots() orderSlots {
+	return orderSlots{make(chan struct{}, startsAtOnce), make(chan struct{}, stopsAtOnce)}
+}
+
+func (o orderSlots) of(kind pool.CommandKind) chan struct{} {
+	if kind == pool.Start {
+		return o.starts
+	}
+	return o.stops
+}
+
 // session carries the orders of one pool owner to one VM and renews its leases.
 type session struct {
 	ref     WorkerRef
@@ -52,7 +73,7 @@
 	mayExtend atomic.Bool  // no lease bound is recorded for a later owner
 	recorded  chan struct{}
 	stop      context.CancelFunc
-	slots     chan struct{}
+	slots     orderSlots
 	mayRenew  func() bool
 	mayStart  func() bool
 
@@ -219,14 +240,27 @@
 	}
 }
 
-// carry sends a command and delivers its result.
+// carry sends a command and delivers its result. One that is too old by then is
+// not sent.
 func (s *session) carry(ctx context.Context, c pool.Command) {
+	slots := s.slots.of(c.Kind)
+	fresh := time.NewTimer(c.IssuedAt + orderFresh - s.clock.Now().Steady)
+	defer fresh.Stop()
 	select {
-	case s.slots <- struct{}{}:
+	case <-fresh.C:
+		s.notSent(c)
+		return
+	default:
+	}
+	select {
+	case slots <- struct{}{}:
+	case <-fresh.C:
+		s.notSent(c)
+		return
 	case <-ctx.Done():
 		return
 	}
-	defer func() { <-s.slots }()
+	defer func() { <-slots }()
 	callCtx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
 	switch c.Kind {
@@ -244,6 +278,13 @@
 	}
 }
 
+// notSent gives an order back that has waited for too long.
+func (s *session) notSent(c pool.Command) {
+	s.log.Info("order_not_sent", zap.String("task", c.Task), zap.Int("run", c.Run), zap.String("vm", c.VM), zap.Stringer("kind", c.Kind),
+		zap.Duration("age", s.clock.Now().Steady-c.IssuedAt))
+	s.deliver(func(p *pool.Pool) { p.NotSent(c) })
+}
+
 func (s *session) start(ctx context.Context, c pool.Command) {
 	result := pool.StartLate // nothing is sent without a lease deadline
 	began := s.clock.Now().Steady
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -307,6 +307,17 @@
 	v.backoff = p.now.Steady + pause
 }
 
+// NotSent takes back an order that was never sent. A stop is decided anew by a
+// listing after stopRepeat.
+func (p *Pool) NotSent(c Command) {
+	switch c.Kind {
+	case Start:
+		p.Started(c, StartLate, p.now.Steady)
+	case Pace:
+		p.PaceFailed(c)
+	}
+}
+
 // Stopped takes the answer to a stop; ok is false if there was none.
 func (p *Pool) Stopped(c Command, ok bool, at time.Duration) {
 	v := p.vms[c.VM]
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -211,7 +211,10 @@
 	p.log.Info("run_stop", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.String("reason", reason))
 }
 
-func (p *Pool) command(c Command) { p.commands = append(p.commands, c) }
+func (p *Pool) command(c Command) {
+	c.IssuedAt = p.now.Steady
+	p.commands = append(p.commands, c)
+}
 
 // attach gives a run of t the room on v.
 func (p *Pool) attach(t *task, v *vm) {
--- a/sched/pool/types.go
+++ b/sched/pool/types.go
@@ -109,10 +109,11 @@
 	Address    string
 	Task       string
 	Run        int
-	Payload    string // starts only
-	Checkpoint string // starts only
-	Ticket     string // starts only
-	Percent    int    // paces only
+	Payload    string        // starts only
+	Checkpoint string        // starts only
+	Ticket     string        // starts only
+	Percent    int           // paces only
+	IssuedAt   time.Duration // when it was decided, on the steady clock
 
 	VMs   []string      // advice only: the VMs that are asked about
 	Limit time.Duration // advice only: time limit of the call
@@ -129,6 +130,11 @@
 	Advise // asks the advisor; Task is the step's name
 )
 
+var commandNames = [...]string{"start", "stop", "pace", "advise"}
+
+// String returns the kind's name in logs.
+func (k CommandKind) String() string { return commandNames[k] }
+
 // TaskName returns the name of a task on the VMs.
 func TaskName(id string, occurrence, step, index int) string {
 	b := make([]byte, 0, len(id)+12)
