Look for a job over pools in one place, drop unused parameters

Change: node.locate serves submissions, states and cancels; the advice of a step is looked up once for each task.

Tests of node, sched and platform pass.

--- a/node/api.go
+++ b/node/api.go
@@ -116,7 +116,8 @@
 	if err != nil {
 		return err
 	}
-	if known, err := n.knownElsewhere(ctx, c, spec.ID); known || err != nil {
+	// The job may have been accepted before its queue moved to its present pool.
+	if _, _, err := n.locate(ctx, spec.ID, n.operator.Former(c.Queue.Name)); !errors.Is(err, ErrNoJob) {
 		return err
 	}
 	err = n.submit(ctx, c.Queue.Pool, txn)
@@ -127,22 +128,51 @@
 	return err
 }
 
-// knownElsewhere reports whether a job was accepted before its queue moved to
-// its present pool.
-func (n *Node) knownElsewhere(ctx context.Context, c Caller, id string) (bool, error) {
-	for _, pool := range n.operator.Former(c.Queue.Name) {
-		if pool == c.Queue.Pool {
-			continue
-		}
-		_, ok, err := n.get(ctx, tables.ProgressKey(pool, id))
+// locate returns the pool that holds a job, and the job's progress. The error is
+// ErrNoJob if none of the pools does, or *NotRun.
+func (n *Node) locate(ctx context.Context, id string, pools []string) (string, store.Row, error) {
+	for _, pool := range pools {
+		row, ok, err := n.get(ctx, tables.ProgressKey(pool, id))
 		if err != nil {
-			return false, &NotRun{"table service does not answer", refusedAgain}
+			return "", row, &NotRun{"table service does not answer", refusedAgain}
 		}
 		if ok {
-			return true, nil
+			return pool, row, nil
+		}
+	}
+	return "", store.Row{}, ErrNoJob
+}
+
+// ofCaller returns the pool that holds a job of the caller's workspace, and its
+// state.
+func (n *Node) ofCaller(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusLimit)
+	defer cancel()
+	pool, row, err := n.locate(ctx, id, n.poolsOf(c.Queue))
+	if err != nil {
+		return "", job.StateView{}, err
+	}
+	view, err := job.DecodeState(row.Value)
+	if err != nil {
+		return "", view, &NotRun{err.Error(), refusedAgain}
+	}
+	if view.Workspace != "" && view.Workspace != c.Workspace {
+		return "", view, ErrNoJob
+	}
+	return pool, view, nil
+}
+
+// poolsOf returns the pools in which jobs of a queue may be: its present one
+// first.
+func (n *Node) poolsOf(q *catalog.Queue) []string {
+	view, _ := n.operator.Get()
+	pools := []string{q.Pool}
+	for _, name := range view.Catalog.PoolNames() {
+		if name != q.Pool {
+			pools = append(pools, name)
 		}
 	}
-	return false, nil
+	return pools
 }
 
 func submission(pool string, spec *job.Spec) (store.Txn, error) {
@@ -183,7 +213,7 @@
 // Status returns a job's state, ErrNoJob, or *NotRun if it cannot be read now.
 func (n *Node) Status(ctx context.Context, c Caller, id string) (job.State, error) {
 	began := n.clock.Now().Steady
-	view, err := n.status(ctx, c, id)
+	_, view, err := n.ofCaller(ctx, c, id)
 	n.metrics.observe(metricStatus, c.Queue.Name, n.clock.Now().Steady-began)
 	if err != nil {
 		n.log.Info("status_not_shown", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.Error(err))
@@ -191,58 +221,6 @@
 	return view.State, err
 }
 
-func (n *Node) status(ctx context.Context, c Caller, id string) (job.StateView, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusLimit)
-	defer cancel()
-	row, ok, err := n.get(ctx, tables.ProgressKey(c.Queue.Pool, id))
-	if err != nil {
-		return job.StateView{}, &NotRun{"table service does not answer", refusedAgain}
-	}
-	if !ok {
-		return n.statusElsewhere(ctx, c, id)
-	}
-	return c.own(row)
-}
-
-// statusElsewhere looks for a job that was accepted before its queue moved to
-// another pool.
-func (n *Node) statusElsewhere(ctx context.Context, c Caller, id string) (job.StateView, error) {
-	for _, pool := range n.formerPools(c.Queue) {
-		row, ok, err := n.get(ctx, tables.ProgressKey(pool, id))
-		if err != nil {
-			return job.StateView{}, &NotRun{"table service does not answer", refusedAgain}
-		}
-		if ok {
-			return c.own(row)
-		}
-	}
-	return job.StateView{}, ErrNoJob
-}
-
-// own returns the state of a job of the caller's workspace.
-func (c Caller) own(row store.Row) (job.StateView, error) {
-	view, err := job.DecodeState(row.Value)
-	if err != nil {
-		return view, &NotRun{err.Error(), refusedAgain}
-	}
-	if view.Workspace != "" && view.Workspace != c.Workspace {
-		return view, ErrNoJob
-	}
-	return view, nil
-}
-
-// formerPools returns the other pools in which jobs of a queue may be.
-func (n *Node) formerPools(q *catalog.Queue) []string {
-	view, _ := n.operator.Get()
-	var pools []string
-	for _, name := range view.Catalog.PoolNames() {
-		if name != q.Pool {
-			pools = append(pools, name)
-		}
-	}
-	return pools
-}
-
 // get reads a row, and tries once more after a failure.
 func (n *Node) get(ctx context.Context, key store.Key) (store.Row, bool, error) {
 	tryCtx, cancel := context.WithTimeout(ctx, n.store.Patience(0))
@@ -263,7 +241,7 @@
 }
 
 func (n *Node) cancel(ctx context.Context, c Caller, id string) error {
-	pool, err := n.poolOf(ctx, c, id)
+	pool, _, err := n.ofCaller(ctx, c, id)
 	if err != nil {
 		return err
 	}
@@ -273,23 +251,6 @@
 	})
 }
 
-// poolOf returns the pool that holds a job.
-func (n *Node) poolOf(ctx context.Context, c Caller, id string) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusLimit)
-	defer cancel()
-	for _, pool := range append([]string{c.Queue.Pool}, n.formerPools(c.Queue)...) {
-		row, ok, err := n.get(ctx, tables.ProgressKey(pool, id))
-		if err != nil {
-			return "", &NotRun{"table service does not answer", refusedAgain}
-		}
-		if ok {
-			_, err := c.own(row)
-			return pool, err
-		}
-	}
-	return "", ErrNoJob
-}
-
 // Waiting returns the number of a queue's jobs of which no task has started.
 func (n *Node) Waiting(ctx context.Context, c Caller) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusLimit)
--- a/node/caps.go
+++ b/node/caps.go
@@ -112,7 +112,7 @@
 }
 
 // apply tells the scheduler its parts.
-func (c *capShares) apply(p *pool.Pool, _ time.Duration) {
+func (c *capShares) apply(p *pool.Pool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.catalog == nil {
--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -272,11 +272,7 @@
 	}
 	f.machines = make(map[string]fleetplan.Machine, len(result.machines))
 	for _, m := range result.machines {
-		rack := ""
-		if len(m.Labels) > 0 {
-			rack = m.Labels[len(m.Labels)-1]
-		}
-		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Rack: rack, Up: m.State == MachineUp}
+		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Up: m.State == MachineUp}
 		delete(f.missing, m.Name)
 	}
 	for name := range f.acked {
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"amaranthfork.example/sched/pool"
 	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
 )
 
 // fleetPool names the role that orders maintenance and moves of VMs. It is owned
@@ -115,7 +116,7 @@
 
 func (n *Node) followMembers(ctx context.Context) {
 	f := n.follower()
-	f.table, f.wait, f.pause, f.deliver = "members", memberWait, memberPause, n.members.update
+	f.table, f.wait, f.pause, f.deliver = tables.Members, memberWait, memberPause, n.members.update
 	f.run(ctx)
 }
 
--- a/node/runner.go
+++ b/node/runner.go
@@ -248,7 +248,7 @@
 		r.send(ctx, r.pool.Commands())
 		return wait
 	}
-	r.caps.apply(r.pool, now.Steady)
+	r.caps.apply(r.pool)
 	r.pool.SetServiceClock(r.owner.service.late(0))
 	batch := r.pool.Cycle()
 	r.caps.want(ctx, r.pool.Wants(), now.Steady)
--- a/sched/fleetplan/fleetplan.go
+++ b/sched/fleetplan/fleetplan.go
@@ -17,7 +17,6 @@
 	Pool       string
 	VM         string // id of its present life, empty if it has none
 	DataCentre string
-	Rack       string
 	Up         bool
 }
 
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -264,9 +264,9 @@
 	return best.take(), true
 }
 
-// keep reports whether a pool's VMs stay although it does not need them yet:
-// no turn has been seen, and its own may be the first.
-func (m *MovePlanner) keep(s *Snapshot, _ string) bool {
+// keep reports whether VMs stay although their pools do not need them yet: no
+// turn has been seen, and any pool's may be the first.
+func (m *MovePlanner) keep(s *Snapshot) bool {
 	return len(m.Demand.turns) == 0 && s.Now-m.began < settleTime
 }
 
@@ -299,7 +299,7 @@
 	}
 	var decisions []Decision
 	for _, b := range byDeficit(books) {
-		if b.spare() < size || b.vms <= b.least || target == "" || m.keep(s, b.name) {
+		if b.spare() < size || b.vms <= b.least || target == "" || m.keep(s) {
 			delete(m.surplus, b.name)
 			continue
 		}
--- a/sched/pool/advice.go
+++ b/sched/pool/advice.go
@@ -58,14 +58,13 @@
 }
 
 // ticketFor returns a ticket that is still valid for a start on v. It is true
-// without a ticket where none is needed.
-func (p *Pool) ticketFor(t *task, v *vm) (string, bool) {
-	a := p.adviceOf(t)
+// without a ticket for a step that needs no advice (nil).
+func (a *adviceState) ticketFor(v *vm, now time.Duration) (string, bool) {
 	if a == nil {
 		return "", true
 	}
 	got, ok := a.good[v.ID]
-	return got.value, ok && got.until-p.now.Steady > ticketMargin
+	return got.value, ok && got.until-now > ticketMargin
 }
 
 // ask asks the advisor about VMs that could run a step now, if tasks of it have
@@ -99,7 +98,7 @@
 		if forbidden && born == v.Born || !p.usable(v) || !t.fits(v) || !p.allowed(t, v) {
 			continue
 		}
-		if got, ok := a.good[v.ID]; ok && got.until-p.now.Steady > ticketMargin {
+		if _, ok := a.ticketFor(v, p.now.Steady); ok {
 			continue
 		}
 		list = append(list, v)
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -277,7 +277,7 @@
 		if t.phase != placed || t.run != r.run {
 			continue
 		}
-		ticketValue, hasTicket := p.ticketFor(t, t.vm)
+		ticketValue, hasTicket := p.adviceOf(t).ticketFor(t.vm, p.now.Steady)
 		if !p.stillAllowed(t) || !hasTicket {
 			p.close(t, waiting)
 			continue
--- a/sched/pool/learn.go
+++ b/sched/pool/learn.go
@@ -120,6 +120,6 @@
 
 // suspicion is 0 for a VM without recent failures and 1 for one that would be
 // quarantined by the next failure.
-func (h *vmHealth) suspicion(time.Duration) float64 {
+func (h *vmHealth) suspicion() float64 {
 	return min(1, float64(len(h.failures))/float64(failuresToQuarantine))
 }
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -69,11 +69,12 @@
 func (p *Pool) choose(t *task, reserved map[*vm]bool) *vm {
 	var best *vm
 	var bestScore float64
+	advice := p.adviceOf(t)
 	for _, v := range p.vms {
 		if reserved[v] || !p.usable(v) || !t.fits(v) || !p.allowed(t, v) {
 			continue
 		}
-		if _, ok := p.ticketFor(t, v); !ok {
+		if _, ok := advice.ticketFor(v, p.now.Steady); !ok {
 			continue
 		}
 		score := p.score(t, v)
@@ -128,7 +129,7 @@
 	if t.failedOn[v.ID] {
 		score -= weightFailed
 	}
-	score -= weightHealth * v.health.suspicion(p.now.Steady)
+	score -= weightHealth * v.health.suspicion()
 	return score
 }
 
