Place steps of jobs that have begun first, and give them up later

Cause: at the start of a turn the pool has a quarter of the VMs that it needs. The order by deadline alone let second steps wait behind new jobs, and a job whose estimate was too high was put last although half of it was done.

Change: among jobs that can still meet their objective, those that have begun come first; one that has begun counts as lost only when half of its remaining estimate does not fit any more.

--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -10,9 +10,16 @@
 	"amaranthfork.example/sched/job"
 )
 
-// feasibleMargin is added to the work that remains when deciding whether a job
-// can still meet its objective: the delay of one record, start and listing.
-const feasibleMargin = 150 * time.Millisecond
+// Whether a job can still meet its objective.
+const (
+	// feasibleMargin is added to the work that remains: the delay of one record,
+	// start and listing.
+	feasibleMargin = 150 * time.Millisecond
+	// begunShare is the share of the remaining estimate that a job which has
+	// begun must have time for. Estimates are off by half, and the work that is
+	// done would be lost (docs/MEASUREMENTS.md, section 8).
+	begunShare = 0.5
+)
 
 // step work that is ready to be placed.
 type readyStep struct {
@@ -22,9 +29,9 @@
 	tasks    []*task
 	priority int
 	lasting  bool
-	feasible bool
+	begun    bool          // a task of the occurrence has been started
+	feasible bool          // the objective can still be met
 	deadline time.Duration // objective, on the steady clock
-	work     float64       // core-seconds that remain of the occurrence
 }
 
 // plan opens occurrences that are due and places ready tasks.
@@ -133,22 +140,39 @@
 	if first == len(ready) {
 		return ready
 	}
-	left, chain, work := p.outlook(o)
+	left, chain := p.outlook(o)
 	deadline := o.opened.Steady + chain
 	if q != nil {
 		deadline = o.opened.Steady + time.Duration(float64(chain)*max(1, q.Stretch)) + q.Target
 	}
+	need := left + feasibleMargin
+	begun := o.begun()
+	if begun {
+		need = time.Duration(begunShare * float64(left))
+	}
 	for i := first; i < len(ready); i++ {
 		ready[i].deadline = deadline
-		ready[i].work = work
-		ready[i].feasible = p.now.Steady+left+feasibleMargin <= deadline
+		ready[i].begun = begun
+		ready[i].feasible = p.now.Steady+need <= deadline
 	}
 	return ready
 }
 
+// begun reports whether a task has been started.
+func (o *occurrence) begun() bool {
+	for _, step := range o.tasks {
+		for _, t := range step {
+			if t.run > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // outlook estimates, for an occurrence, the longest chain of work that is left,
-// the whole longest chain, and the core-seconds left.
-func (p *Pool) outlook(o *occurrence) (left, chain time.Duration, work float64) {
+// and the whole longest chain.
+func (p *Pool) outlook(o *occurrence) (left, chain time.Duration) {
 	steps := o.job.spec.Steps
 	ends := make([]time.Duration, len(steps))
 	endsLeft := make([]time.Duration, len(steps))
@@ -163,16 +187,17 @@
 		endsLeft[s] = fromLeft
 		if o.left[s] > 0 {
 			endsLeft[s] = fromLeft + estimate
-			work += float64(o.left[s]) * estimate.Seconds() * float64(steps[s].Need.MilliCPU) / 1000
 		}
 		chain = max(chain, ends[s])
 		left = max(left, endsLeft[s])
 	}
-	return left, chain, work
+	return left, chain
 }
 
 // order sorts ready steps: tasks that last first, since they earn all the time,
-// then jobs that can still meet their objective by deadline, then the others.
+// then jobs that can still meet their objective, then the others. Jobs that have
+// begun come first among those of one priority, so that an overload leaves as few
+// as possible half done.
 func (p *Pool) order(ready []readyStep) {
 	sort.SliceStable(ready, func(i, k int) bool {
 		a, b := &ready[i], &ready[k]
@@ -185,6 +210,9 @@
 		if a.priority != b.priority {
 			return a.priority < b.priority
 		}
+		if a.begun != b.begun {
+			return a.begun
+		}
 		return a.deadline < b.deadline
 	})
 }
