Tell turns from bursts, keep what is known of them, waves around draining VMs

Change: the end of a turn is seen over 1.2 s against the mean of the turn; bursts below a third of the usual work are forgotten; pools that may be next get 1.5 times an even share for 5 s; turns are stored in the table demand; loads are dated by their arrival; pools short of VMs for lasting tasks come first; draining VMs are left out of waves, and an order that was refused for certain is undone.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -108,10 +108,17 @@
 	retryAt  map[string]time.Duration // by machine
 	acked    map[string]time.Duration // when the platform confirmed the order, or effectSeen
 
+	uncertain map[string]bool // machines with an order that may still take effect
+	refused   map[string]bool // machines whose order has had no effect for certain
+
 	loads   *loadTable
 	cordons map[string]fleetplan.Cordon
 	waves   map[string]*waveState
 	moves   *fleetplan.MovePlanner
+	turns   struct { // as stored last
+		count int
+		ended int64
+	}
 
 	recent    recentRow                // orders that have ended
 	notBefore map[string]time.Duration // by machine: orders of an earlier holder
@@ -136,6 +143,7 @@
 		machines: map[string]fleetplan.Machine{}, missing: map[string]time.Duration{},
 		lists: make(chan listResult, 1), orders: make(chan machineOrder, 64),
 		pending: map[string]bool{}, retryAt: map[string]time.Duration{}, acked: map[string]time.Duration{},
+		uncertain: map[string]bool{}, refused: map[string]bool{},
 		cordons: map[string]fleetplan.Cordon{}, waves: map[string]*waveState{},
 		moves: fleetplan.NewMovePlanner(), recent: recentRow{}, notBefore: map[string]time.Duration{},
 	}
@@ -189,7 +197,12 @@
 	if err != nil {
 		return err
 	}
+	demand, err := f.owner.readAll(ctx, tables.Demand, f.log)
+	if err != nil {
+		return err
+	}
 	f.restore(cordons.Rows, waves.Rows)
+	f.restoreDemand(demand.Rows)
 	return nil
 }
 
@@ -222,6 +235,45 @@
 	f.log.Info("role_taken_over", zap.Int("held_back", len(f.notBefore)), zap.Int("cordons", len(f.cordons)), zap.Int("waves", len(f.waves)))
 }
 
+// serviceOffset returns what to add to a time of day of this process, in ms, to
+// get a time of the table service, which later holders of the role share.
+func (f *fleetController) serviceOffset() int64 {
+	now := f.node.clock.Now()
+	return f.owner.service.late(now.Steady).Milliseconds() - now.Wall
+}
+
+func (f *fleetController) restoreDemand(rows []store.Row) {
+	for _, row := range rows {
+		var m fleetplan.Memory
+		if err := cbor.Unmarshal(row.Value, &m); err != nil {
+			f.log.Error("demand_row_unreadable", zap.Error(err))
+			continue
+		}
+		f.moves.Demand.Restore(m.Shift(-f.serviceOffset()))
+		f.log.Info("demand_restored", zap.Int("turns", len(m.Turns)), zap.Int64("last_ended_ms_ago", f.node.clock.Now().Wall+f.serviceOffset()-m.Ended))
+	}
+}
+
+// recordDemand stores what has been learnt when a turn begins or ends.
+func (f *fleetController) recordDemand(txn *store.Txn) {
+	m := f.moves.Demand.Memory()
+	if len(m.Turns) == f.turns.count && m.Ended == f.turns.ended {
+		return
+	}
+	value, err := cbor.Marshal(m.Shift(f.serviceOffset()))
+	if err != nil {
+		f.log.Error("demand_not_encoded", zap.Error(err))
+		return
+	}
+	last := fleetplan.Turn{}
+	if n := len(m.Turns); n > 0 {
+		last = m.Turns[n-1]
+	}
+	f.log.Info("turns", zap.Int("known", len(m.Turns)), zap.String("last", last.Pool), zap.Bool("ended", m.Ended != f.turns.ended))
+	f.turns.count, f.turns.ended = len(m.Turns), m.Ended
+	txn.Puts = append(txn.Puts, store.Put{Key: tables.DemandKey(fleetPool), Value: value})
+}
+
 func (c cordonRow) cordon(machine string, version int64) fleetplan.Cordon {
 	return fleetplan.Cordon{Machine: machine, VM: c.VM, Pool: c.Pool, Purpose: fleetplan.Purpose{Wave: c.Wave, Target: c.Target},
 		Since: c.Since, Version: version, Ordered: c.Ordered}
@@ -299,6 +351,7 @@
 	for _, d := range f.moves.Plan(s) {
 		f.cordon(&txn, d)
 	}
+	f.recordDemand(&txn)
 	f.markOrders(&txn, s)
 	f.logBooks(s)
 	return txn
@@ -344,6 +397,7 @@
 // gone.
 func (f *fleetController) endCordons(txn *store.Txn) {
 	now := f.node.clock.Now().Steady
+	draining := f.drainingVMs()
 	for name, c := range f.cordons {
 		if entries(txn) >= maxEnded {
 			return // the others follow in the next transaction
@@ -361,12 +415,29 @@
 			}
 		case !c.Ordered && c.Purpose.Target != "" && f.node.clock.Now().Wall-c.Since > moveGivenUp.Milliseconds():
 			f.uncordon(txn, c, "could not be emptied in time")
+		case !c.Ordered && draining[name]:
+			f.uncordon(txn, c, "machine leaves its pool on its own")
+		case f.refused[name]:
+			f.uncordon(txn, c, "machine was busy")
 		case !c.Ordered && m.VM != c.VM:
 			f.uncordon(txn, c, "machine has another life")
 		}
 	}
 }
 
+// drainingVMs returns the machines whose present life leaves its pool on its own.
+func (f *fleetController) drainingVMs() map[string]bool {
+	list := map[string]bool{}
+	for _, load := range f.loads.all() {
+		for _, v := range load.VMs {
+			if v.Draining && f.machines[v.Machine].VM == v.VM {
+				list[v.Machine] = true
+			}
+		}
+	}
+	return list
+}
+
 // maxEnded bounds the cordons that one transaction ends, so that it has room for
 // new ones.
 const maxEnded = store.MaxTxnEntries / 2
@@ -385,6 +456,8 @@
 	}
 	delete(f.cordons, c.Machine)
 	delete(f.acked, c.Machine)
+	delete(f.refused, c.Machine)
+	delete(f.uncertain, c.Machine)
 	delete(f.retryAt, c.Machine)
 	delete(f.missing, c.Machine)
 }
--- a/node/fleetorders.go
+++ b/node/fleetorders.go
@@ -61,7 +61,12 @@
 		f.begun(c)
 	case errors.Is(o.err, ErrNotOfWave):
 		f.acked[o.machine] = effectSeen // there is nothing to do
+	case errors.Is(o.err, ErrBusy) && !f.uncertain[o.machine]:
+		f.refused[o.machine] = true // another machine may take its place
+	case errors.Is(o.err, ErrBusy), errors.Is(o.err, ErrRefused):
+		f.retryAt[o.machine] = now + orderRetry
 	default:
+		f.uncertain[o.machine] = true
 		f.retryAt[o.machine] = now + orderRetry
 	}
 }
@@ -81,6 +86,7 @@
 	}
 	for machine, c := range f.cordons {
 		if c.Ordered {
+			f.uncertain[machine] = true
 			f.notBefore[machine] = f.node.clock.Now().Steady + handOver + orderTime
 		}
 	}
--- a/node/loads.go
+++ b/node/loads.go
@@ -17,13 +17,14 @@
 	node *Node
 	log  *zap.Logger
 
-	mu    sync.Mutex
-	loads map[string]pool.Load
-	news  chan struct{}
+	mu       sync.Mutex
+	loads    map[string]pool.Load
+	versions map[string]int64 // of the rows, by pool
+	news     chan struct{}
 }
 
 func newLoadTable(n *Node, log *zap.Logger) *loadTable {
-	return &loadTable{node: n, log: log, loads: map[string]pool.Load{}, news: make(chan struct{})}
+	return &loadTable{node: n, log: log, loads: map[string]pool.Load{}, versions: map[string]int64{}, news: make(chan struct{})}
 }
 
 func (l *loadTable) all() map[string]pool.Load {
@@ -69,5 +70,12 @@
 		l.log.Error("load_row_unreadable", zap.String("pool", row.Partition), zap.Error(err))
 		return
 	}
+	if row.Version == l.versions[row.Partition] {
+		return
+	}
+	l.versions[row.Partition] = row.Version
+	// Its arrival takes the place of its time, which is on the clock of another
+	// VM: decisions use one clock.
+	load.At = l.node.clock.Now().Wall
 	l.loads[row.Partition] = load
 }
--- a/sched/fleetplan/demand.go
+++ b/sched/fleetplan/demand.go
@@ -11,31 +11,46 @@
 // Demand model. Arrival rates are core-seconds of work accepted a second, so
 // they are the processors that a pool needs to keep up.
 const (
-	rateWindow = 700  // ms over which the present rate is measured
-	meanTime   = 12e3 // ms, time constant of the mean rate
-	// turnFactor is how far above its mean a pool's rate is during its turn.
+	// rateWindow is the time in ms over which the present rate is measured to see
+	// that a turn begins: a few publications of the load.
+	rateWindow = 700
+	// endWindow is the same to see that a turn has ended. Few large jobs make up a
+	// turn, so that over a shorter time it seems to end between two of them.
+	endWindow = 1200
+	meanTime  = 12e3 // ms, time constant of the mean rate
+	// turnFactor is how far above its mean a pool's rate is when a turn begins.
 	turnFactor = 2.0
 	// turnShare is the least rate of a turn, as a share of the whole fleet.
 	turnShare = 0.15
-	// firstPeak is the rate that a turn is expected to reach, as a share of the
+	// leastTurn is the time in ms that a turn lasts at least.
+	leastTurn = 2000
+	// smallTurn is the share of the usual work of a turn below which one was only
+	// a burst, and does not say which pool's turn is next.
+	smallTurn = 0.33
+	// firstPeak is the rate that a turn is expected to have, as a share of the
 	// whole fleet, before any turn has been seen to its end.
 	firstPeak = 0.4
-	// riseTime is the time in ms within which a turn reaches its peak.
-	riseTime = 2500
+	// riseTime is the time in ms for which a turn is taken to be as usual.
+	riseTime = 2000
 	// expectTime is the time in ms after the end of a turn during which the next
 	// one is prepared for.
-	expectTime = 3500
+	expectTime = 5000
 	// maxExpected is the most pools that are prepared at a time.
 	maxExpected = 3
-	// turnEnds is the share of the peak below which a turn has ended.
-	turnEnds = 0.35
+	// preparedShare is what each of the pools that may be next gets, relative to
+	// an even share of a turn's usual rate.
+	preparedShare = 1.5
+	// turnEnds is the share of a turn's mean rate below which it has ended.
+	turnEnds = 0.5
+	// turnGain is the weight of the last turn in what is usual.
+	turnGain = 0.5
 	// backlogTime is the time in seconds within which a backlog should be done.
-	backlogTime = 2.0
+	backlogTime = 3.0
 	// rateHeadroom covers estimates that are too low and room that is left over
 	// between tasks.
 	rateHeadroom = 1.15
 	maxTurns     = 32 // kept
-	maxSamples   = 16
+	maxSamples   = 24 // above endWindow at the usual interval of loads and as many early ones
 )
 
 type sample struct {
@@ -46,19 +61,20 @@
 type poolDemand struct {
 	samples []sample
 	epoch   int64
-	rate    float64 // cores, over the last window
+	rate    float64 // processors, over rateWindow
 	mean    float64
-	seen    int64 // time of the first sample
-	active  bool
-	peak    float64 // of the present or last turn
-	peaks   float64 // highest rate of a turn, decaying
-	started int64
+
+	active  bool    // has its turn
+	started int64   // of its turn, Unix milliseconds
+	before  float64 // accepted before its turn
+	inTurn  float64 // mean rate of its turn so far
+	usual   float64 // rate of its turns
 }
 
 // Turn is a time at which one pool's demand was far above its mean.
 type Turn struct {
-	Pool  string
-	Start int64 // Unix milliseconds
+	Pool  string `cbor:"1,keyasint"`
+	Start int64  `cbor:"2,keyasint"` // Unix milliseconds
 }
 
 // Demand follows the demand of all pools and expects their turns.
@@ -67,6 +83,7 @@
 	turns []Turn
 	fleet float64 // processors of all VMs
 	ended int64   // end of the last turn, Unix milliseconds
+	work  float64 // core-seconds of a usual turn
 }
 
 // NewDemand returns a model that has seen nothing.
@@ -91,12 +108,15 @@
 func (d *Demand) observe(name string, l pool.Load) {
 	p := d.pools[name]
 	if p == nil {
-		p = &poolDemand{seen: l.At}
+		p = &poolDemand{}
 		d.pools[name] = p
 	}
 	if l.Epoch != p.epoch {
+		// A new owner counts from zero: the turn so far is taken to have been as
+		// it was.
 		p.epoch = l.Epoch
-		p.samples = nil // a new owner counts from zero
+		p.samples = nil
+		p.before = l.Accepted - p.inTurn*float64(l.At-p.started)/1000
 	}
 	if n := len(p.samples); n > 0 && p.samples[n-1].at >= l.At {
 		return
@@ -105,46 +125,124 @@
 	if len(p.samples) > maxSamples {
 		p.samples = p.samples[1:]
 	}
-	p.measure(l.At)
+	p.measure()
 	d.follow(name, p, l)
 }
 
-// measure updates the present and the mean rate.
-func (p *poolDemand) measure(now int64) {
+// over returns the rate over the last ms.
+func (p *poolDemand) over(window int64) float64 {
+	last := p.samples[len(p.samples)-1]
 	first := 0
-	for first < len(p.samples)-2 && p.samples[first+1].at <= now-rateWindow {
+	for first < len(p.samples)-2 && p.samples[first+1].at <= last.at-window {
 		first++
 	}
-	last := p.samples[len(p.samples)-1]
 	elapsed := last.at - p.samples[first].at
 	if elapsed <= 0 {
+		return 0
+	}
+	return (last.accepted - p.samples[first].accepted) / (float64(elapsed) / 1000)
+}
+
+// measure updates the present rate, the mean, and that of the turn.
+func (p *poolDemand) measure() {
+	n := len(p.samples)
+	if n < 2 {
 		return
 	}
-	p.rate = (last.accepted - p.samples[first].accepted) / (float64(elapsed) / 1000)
-	step := float64(last.at - p.samples[len(p.samples)-2].at)
+	now := p.samples[n-1]
+	p.rate = p.over(rateWindow)
+	step := float64(now.at - p.samples[n-2].at)
 	p.mean += (p.rate - p.mean) * (1 - math.Exp(-step/meanTime))
+	if p.active {
+		p.inTurn = (now.accepted - p.before) / (float64(max(rateWindow, now.at-p.started)) / 1000)
+	}
 }
 
 // follow notes the start and end of the pool's turn.
 func (d *Demand) follow(name string, p *poolDemand, l pool.Load) {
-	if p.active {
-		p.peak = max(p.peak, p.rate)
-		if p.rate < turnEnds*p.peak {
-			p.active = false
-			d.ended = l.At
-			p.peaks = max(p.peak, 0.7*p.peaks)
+	switch {
+	case p.active && l.At-max(p.started+leastTurn-endWindow, p.samples[0].at) >= endWindow && p.over(endWindow) < turnEnds*p.inTurn:
+		p.active = false
+		d.turnEnded(name, p, l)
+	case !p.active && d.fleet > 0 && p.rate >= turnShare*d.fleet && p.rate >= turnFactor*p.mean:
+		p.active = true
+		p.started = l.At - rateWindow/2
+		p.before = l.Accepted - p.rate*rateWindow/1000
+		p.inTurn = p.rate
+		d.turns = append(d.turns, Turn{name, p.started})
+		if len(d.turns) > maxTurns {
+			d.turns = d.turns[1:]
 		}
-		return
 	}
-	if d.fleet <= 0 || p.rate < turnShare*d.fleet || p.rate < turnFactor*p.mean {
+}
+
+// turnEnded learns from a turn, unless it was only a burst.
+func (d *Demand) turnEnded(name string, p *poolDemand, l pool.Load) {
+	work := l.Accepted - p.before
+	if work < smallTurn*d.work {
+		d.turns = slices.DeleteFunc(d.turns, func(t Turn) bool { return t.Pool == name && t.Start == p.started })
 		return
 	}
-	p.active = true
-	p.peak = p.rate
-	p.started = l.At - rateWindow/2
-	d.turns = append(d.turns, Turn{name, p.started})
-	if len(d.turns) > maxTurns {
-		d.turns = d.turns[1:]
+	d.ended = l.At
+	rate := work / (float64(l.At-p.started-endWindow/2) / 1000)
+	if p.usual == 0 {
+		p.usual = rate
+	}
+	if d.work == 0 {
+		d.work = work
+	}
+	p.usual += turnGain * (rate - p.usual)
+	d.work += turnGain * (work - d.work)
+}
+
+// Memory is what a later holder of the role needs to know of the demand.
+type Memory struct {
+	Turns []Turn             `cbor:"1,keyasint,omitempty"`
+	Usual map[string]float64 `cbor:"2,keyasint,omitempty"` // rate of a pool's turns
+	Work  float64            `cbor:"3,keyasint,omitempty"` // core-seconds of a usual turn
+	Ended int64              `cbor:"4,keyasint,omitempty"` // end of the last turn, ms
+}
+
+// Shift returns the memory with its times moved by some ms, for another clock.
+func (m Memory) Shift(ms int64) Memory {
+	m.Turns = slices.Clone(m.Turns)
+	for i := range m.Turns {
+		m.Turns[i].Start += ms
+	}
+	if m.Ended != 0 {
+		m.Ended += ms
+	}
+	return m
+}
+
+// Memory returns what has been learnt. It changes when a turn begins or ends.
+func (d *Demand) Memory() Memory {
+	m := Memory{Turns: slices.Clone(d.turns), Usual: map[string]float64{}, Work: d.work, Ended: d.ended}
+	for name, p := range d.pools {
+		if p.usual > 0 {
+			m.Usual[name] = p.usual
+		}
+	}
+	return m
+}
+
+// Restore goes on from what an earlier holder of the role has learnt. A turn
+// that had not ended goes on.
+func (d *Demand) Restore(m Memory) {
+	d.turns, d.work, d.ended = slices.Clone(m.Turns), m.Work, m.Ended
+	for name, usual := range m.Usual {
+		d.pools[name] = &poolDemand{usual: usual}
+	}
+	for _, t := range m.Turns {
+		if t.Start <= m.Ended {
+			continue
+		}
+		p := d.pools[t.Pool]
+		if p == nil {
+			p = &poolDemand{}
+			d.pools[t.Pool] = p
+		}
+		p.active, p.started, p.inTurn = true, t.Start, d.usualRate(t.Pool)
 	}
 }
 
@@ -183,15 +281,15 @@
 	return pools
 }
 
-// peakOf returns the rate that a turn of a pool is expected to reach: that of its
-// own last turn, the highest of the others, or a share of the fleet.
-func (d *Demand) peakOf(name string) float64 {
-	if p := d.pools[name]; p != nil && p.peaks > 0 {
-		return p.peaks
+// usualRate returns the rate that a turn of a pool is expected to have: that of
+// its own turns, the highest of the others, or a share of the fleet.
+func (d *Demand) usualRate(name string) float64 {
+	if p := d.pools[name]; p != nil && p.usual > 0 {
+		return p.usual
 	}
 	highest := 0.0
 	for _, p := range d.pools {
-		highest = max(highest, p.peaks)
+		highest = max(highest, p.usual)
 	}
 	if highest > 0 {
 		return highest
@@ -207,9 +305,9 @@
 	}
 	rate := p.rate
 	if p.active && now < p.started+riseTime {
-		rate = max(rate, d.peakOf(name))
+		rate = max(rate, d.usualRate(name))
 	} else if p.active {
-		rate = max(rate, 0.7*p.peak)
+		rate = max(p.over(endWindow), p.inTurn)
 	}
 	return rate*rateHeadroom + max(0, l.Backlog-rate)/backlogTime
 }
@@ -221,5 +319,5 @@
 	if !slices.Contains(pools, name) {
 		return 0
 	}
-	return d.peakOf(name) / float64(len(pools))
+	return preparedShare * d.usualRate(name) / float64(len(pools))
 }
--- a/sched/fleetplan/fleetplan.go
+++ b/sched/fleetplan/fleetplan.go
@@ -94,6 +94,12 @@
 	return ok && load.Empty(c.Version)
 }
 
+// Draining reports whether a machine's present life leaves its pool on its own.
+func (s *Snapshot) Draining(m Machine) bool {
+	load, ok := s.vmLoad(m)
+	return ok && load.Draining
+}
+
 // Decision is a VM that is to be emptied.
 type Decision struct {
 	Machine Machine
@@ -133,7 +139,7 @@
 			pending[c.Pool]++
 			continue
 		}
-		if m := s.Machines[name]; m.Up && !w.Down[name] {
+		if m := s.Machines[name]; m.Up && !w.Down[name] && !s.Draining(m) {
 			candidates = append(candidates, m)
 		}
 	}
--- a/sched/fleetplan/fleetplan_test.go
+++ b/sched/fleetplan/fleetplan_test.go
@@ -246,3 +246,96 @@
 		}
 	}
 }
+
+// Guards against a wave that waits for a VM which leaves its pool on its own, or
+// orders maintenance for it, which is refused (lantern-sched scale-1).
+func TestWaveLeavesDrainingVMsAlone(t *testing.T) {
+	f := newFleet(map[string]int{"a": 2}, 0)
+	load := f.Loads["a"]
+	load.VMs[0].Draining, load.VMs[0].Usable = true, false
+	f.Loads["a"] = load
+	f.Waves = []fleetplan.Wave{{ID: "1", Machines: []string{"m-a-00", "m-a-01"}, AtOnce: 2, Deadline: f.Now + 3000, Done: map[string]bool{}, Down: map[string]bool{}}}
+	decisions := fleetplan.PlanWaves(&f.Snapshot, planSettings)
+	if len(decisions) != 1 || decisions[0].Machine.Name != "m-a-01" {
+		t.Fatalf("decisions %v, want m-a-01 alone", decisions)
+	}
+	if f.Empty(fleetplan.Cordon{Machine: "m-a-00", VM: "i-m-a-00", Pool: "a", Version: 3}) {
+		t.Fatal("a VM that drains counts as ready for maintenance")
+	}
+}
+
+// Guards against a pool whose lasting task has no place and that comes behind a
+// pool in its turn, which takes every VM that there is (lantern-sched scale-1: a
+// wave was late by 9 s).
+func TestPoolThatAsksForAnotherVMComesFirst(t *testing.T) {
+	f := newFleet(map[string]int{"a": 10, "b": 3}, 2)
+	load := f.Loads["b"]
+	load.LeastVMs = 4
+	f.Loads["b"] = load
+	m := fleetplan.NewMovePlanner()
+	moved := map[string]int{}
+	for range 4 {
+		f.tick(map[string]float64{"a": 600})
+		for target, n := range targets(m.Plan(&f.Snapshot)) {
+			moved[target] += n
+		}
+		if moved["a"] > 0 {
+			break
+		}
+	}
+	if moved["b"] != 1 {
+		t.Fatalf("moves by target %v, want one to b", moved)
+	}
+}
+
+// Guards against a new holder of the role that knows no turns: the next one
+// would find no VMs, as after the loss of all entries on lantern-sched scale-2.
+func TestDemandSurvivesItsHolder(t *testing.T) {
+	f := newFleet(map[string]int{"a": 10, "b": 3, "c": 3}, 4)
+	first := fleetplan.NewMovePlanner()
+	play := func(m *fleetplan.MovePlanner, ticks int, rates map[string]float64) {
+		for range ticks {
+			f.tick(rates)
+			m.Plan(&f.Snapshot)
+		}
+	}
+	play(first, 12, map[string]float64{"a": 250})
+	play(first, 8, nil)
+	play(first, 12, map[string]float64{"b": 250})
+
+	// In the middle of b's turn.
+	const shift = 1234
+	second := fleetplan.NewMovePlanner()
+	second.Demand.Restore(first.Demand.Memory().Shift(shift).Shift(-shift))
+	play(second, 1, map[string]float64{"b": 250})
+	if got := second.Demand.Need("b", f.Loads["b"], f.Now); got < 200 {
+		t.Fatalf("b needs %.0f processors in its turn, by a holder that has just begun", got)
+	}
+	play(second, 6, nil)
+	if got := second.Demand.Expected(f.Now); !slices.Equal(got, []string{"c"}) {
+		t.Fatalf("pools that may be next: %v, want c alone", got)
+	}
+}
+
+// Guards against a burst that is taken for a turn: the pool that had it would
+// not be prepared for its own (lantern-sched scale-2, where a pool got 5 of 30
+// VMs at the start of its turn).
+func TestBurstIsNoTurn(t *testing.T) {
+	f := newFleet(map[string]int{"a": 10, "b": 3}, 4)
+	m := fleetplan.NewMovePlanner()
+	play := func(ticks int, rates map[string]float64) {
+		for range ticks {
+			f.tick(rates)
+			m.Plan(&f.Snapshot)
+		}
+	}
+	play(16, map[string]float64{"a": 300})
+	play(10, nil)
+	play(2, map[string]float64{"b": 200})
+	play(10, nil)
+	play(16, map[string]float64{"a": 300})
+	play(6, nil)
+	if got := m.Demand.Expected(f.Now); !slices.Equal(got, []string{"b"}) {
+		t.Fatalf("pools that may be next: %v, want b, which has had no turn", got)
+	}
+}
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -180,24 +180,42 @@
 // fill moves VMs to pools that will need them, from standby first, then from
 // pools that have more than they need.
 func (m *MovePlanner) fill(s *Snapshot, books map[string]*poolBooks, size float64, room int) []Decision {
-	standby := standbyMachines(s)
-	var decisions []Decision
+	f := filling{books: books, size: size, room: room, standby: standbyMachines(s)}
 	for _, b := range byDeficit(books) {
-		missing := max(int(math.Round((b.need-b.have)/size)), b.least-b.vms)
-		for ; missing > 0 && len(decisions) < room; missing-- {
-			if len(standby) > 0 {
-				decisions = append(decisions, Decision{standby[0], Purpose{Target: b.name}, "standby to a pool in need"})
-				standby = standby[1:]
-				continue
-			}
-			machine, ok := takeSurplus(books, b.name, size)
+		// Tasks that last and have no place come before any queue.
+		f.give(b, b.least-b.vms)
+	}
+	for _, b := range byDeficit(books) {
+		f.give(b, int(math.Round((b.need-b.have)/size)))
+	}
+	return m.prepare(books, size, room, f.decisions)
+}
+
+// filling collects the VMs that pools in need get.
+type filling struct {
+	books     map[string]*poolBooks
+	size      float64
+	room      int // decisions that may be made
+	standby   []Machine
+	decisions []Decision
+}
+
+func (f *filling) give(b *poolBooks, missing int) {
+	for ; missing > 0 && len(f.decisions) < f.room; missing-- {
+		d := Decision{Purpose: Purpose{Target: b.name}, Reason: "standby to a pool in need"}
+		if len(f.standby) > 0 {
+			d.Machine, f.standby = f.standby[0], f.standby[1:]
+		} else {
+			machine, ok := takeSurplus(f.books, b.name, f.size)
 			if !ok {
-				break
+				return
 			}
-			decisions = append(decisions, Decision{machine, Purpose{Target: b.name}, "surplus to a pool in need"})
+			d.Machine, d.Reason = machine, "surplus to a pool in need"
 		}
+		b.vms++
+		b.have += f.size
+		f.decisions = append(f.decisions, d)
 	}
-	return m.prepare(books, size, room, decisions)
 }
 
 // prepare moves VMs that are paid for and not needed to pools whose turn may
--- a/sched/pool/load.go
+++ b/sched/pool/load.go
@@ -19,11 +19,14 @@
 	Lasting  int   // tasks that run until their job is cancelled
 	Cordon   int64 // version of the cordon that is kept; 0 if none
 	Usable   bool  // gets new work
+	Draining bool  // leaves its pool on its own
 }
 
 // Empty reports whether the owner keeps a cordon of the given version and has
-// nothing on the VM.
-func (l VMLoad) Empty(cordon int64) bool { return l.Cordon == cordon && cordon > 0 && l.Tasks == 0 }
+// nothing on the VM, which stays in its pool.
+func (l VMLoad) Empty(cordon int64) bool {
+	return l.Cordon == cordon && cordon > 0 && l.Tasks == 0 && !l.Draining
+}
 
 // Load is what a pool's owner publishes for decisions on the whole fleet.
 type Load struct {
@@ -94,7 +97,7 @@
 
 func (p *Pool) vmLoad(v *vm) VMLoad {
 	load := VMLoad{VM: v.ID, Machine: v.Machine, Capacity: v.Capacity.MilliCPU, Used: v.used.MilliCPU,
-		Tasks: len(v.tasks), Lasting: v.lasting, Usable: p.usable(v)}
+		Tasks: len(v.tasks), Lasting: v.lasting, Usable: p.usable(v), Draining: v.Draining}
 	if v.cordoned {
 		load.Cordon = p.cordons[v.Machine].Version
 	}
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -20,6 +20,7 @@
 	Loads    = "loads"    // published load of each pool
 	Leases   = "leases"   // when runs on VMs lapse that their owner cannot reach
 	Waves    = "waves"    // how far maintenance waves are
+	Demand   = "demand"   // what the holder of moves has learnt of the demand
 )
 
 // requestTables is the number of tables that requests are spread over, so that
@@ -91,6 +92,11 @@
 	return store.Key{Table: Cordons, Partition: role, Name: machine}
 }
 
+// DemandKey names the row of what the holder of a role has learnt of the demand.
+func DemandKey(role string) store.Key {
+	return store.Key{Table: Demand, Partition: role, Name: "turns"}
+}
+
 // WaveKey names the row of a maintenance wave.
 func WaveKey(role, wave string) store.Key {
 	return store.Key{Table: Waves, Partition: role, Name: wave}
