Store which orders for machines the platform has confirmed

Cause: a new holder of the role for moves and maintenance did not know which orders had been confirmed to the one before. It held all of them back for 5.3 s and repeated them, and began anew at each further change of the holder.

Change: the cordon's row tells when the platform confirmed the order; a new holder holds back only orders without a confirmation. A planned stop waits for up to 400 ms for answers and stores them. Tests of the controller on stand-ins for the table service and the inventory (the first fails without the change).

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -60,6 +60,9 @@
 	Target  string `cbor:"4,keyasint,omitempty"`
 	Since   int64  `cbor:"5,keyasint"` // Unix milliseconds
 	Ordered bool   `cbor:"6,keyasint,omitempty"`
+	// Confirmed is when the platform confirmed the order, in ms of the table
+	// service's clock; 0 if it has not.
+	Confirmed int64 `cbor:"7,keyasint,omitempty"`
 }
 
 func decodeCordon(b []byte) (cordonRow, error) {
@@ -110,6 +113,7 @@
 
 	uncertain map[string]bool // machines with an order that may still take effect
 	refused   map[string]bool // machines whose order has had no effect for certain
+	confirmed map[string]bool // machines whose confirmation is not stored yet
 
 	loads   *loadTable
 	cordons map[string]fleetplan.Cordon
@@ -143,7 +147,7 @@
 		machines: map[string]fleetplan.Machine{}, missing: map[string]time.Duration{},
 		lists: make(chan listResult, 1), orders: make(chan machineOrder, 64),
 		pending: map[string]bool{}, retryAt: map[string]time.Duration{}, acked: map[string]time.Duration{},
-		uncertain: map[string]bool{}, refused: map[string]bool{},
+		uncertain: map[string]bool{}, refused: map[string]bool{}, confirmed: map[string]bool{},
 		cordons: map[string]fleetplan.Cordon{}, waves: map[string]*waveState{},
 		moves: fleetplan.NewMovePlanner(), recent: recentRow{}, notBefore: map[string]time.Duration{},
 	}
@@ -173,9 +177,37 @@
 		f.sendOrders(inner, lastCommit)
 		f.await(ctx)
 	}
+	if err := f.settle(inner); err != nil {
+		return err
+	}
 	return f.owner.release(inner)
 }
 
+// settleLimit bounds the wait for answers before the role is handed over.
+const settleLimit = 400 * time.Millisecond
+
+// settle waits for the answers to the calls under way, and stores what they say
+// for the next holder.
+func (f *fleetController) settle(ctx context.Context) error {
+	timer := time.NewTimer(settleLimit)
+	defer timer.Stop()
+	for len(f.pending) > 0 {
+		select {
+		case order := <-f.orders:
+			f.ordered(order)
+		case <-timer.C:
+			clear(f.pending)
+		}
+	}
+	var txn store.Txn
+	f.recordWaves(&txn, f.snapshot())
+	f.recordConfirmed(&txn)
+	if entries(&txn) == 0 {
+		return nil
+	}
+	return f.commit(ctx, txn)
+}
+
 // await waits for news or the next look.
 func (f *fleetController) await(ctx context.Context) {
 	timer := time.NewTimer(fleetTick)
@@ -214,6 +246,9 @@
 			continue
 		}
 		f.cordons[row.Name] = c.cordon(row.Name, row.Version)
+		if c.Confirmed != 0 {
+			f.acked[row.Name] = f.owner.service.local(time.Duration(c.Confirmed) * time.Millisecond)
+		}
 	}
 	recent := recentRow{}
 	for _, row := range waves {
@@ -351,6 +386,7 @@
 	for _, d := range f.moves.Plan(s) {
 		f.cordon(&txn, d)
 	}
+	f.recordConfirmed(&txn)
 	f.recordDemand(&txn)
 	f.markOrders(&txn, s)
 	f.logBooks(s)
@@ -457,6 +493,7 @@
 	delete(f.cordons, c.Machine)
 	delete(f.acked, c.Machine)
 	delete(f.refused, c.Machine)
+	delete(f.confirmed, c.Machine)
 	delete(f.uncertain, c.Machine)
 	delete(f.retryAt, c.Machine)
 	delete(f.missing, c.Machine)
@@ -474,7 +511,11 @@
 }
 
 func (f *fleetController) putCordon(txn *store.Txn, c fleetplan.Cordon) {
-	value, err := cbor.Marshal(rowOf(c))
+	row := rowOf(c)
+	if at := f.acked[c.Machine]; at > 0 {
+		row.Confirmed = f.owner.service.late(at).Milliseconds()
+	}
+	value, err := cbor.Marshal(row)
 	if err != nil {
 		f.log.Error("cordon_not_encoded", zap.Error(err))
 		return
@@ -484,6 +525,20 @@
 	f.cordons[c.Machine] = c
 }
 
+// recordConfirmed stores which orders the platform has confirmed, so that a later
+// holder of the role neither repeats them nor holds back.
+func (f *fleetController) recordConfirmed(txn *store.Txn) {
+	for name := range f.confirmed {
+		if entries(txn) >= maxChanges {
+			return
+		}
+		delete(f.confirmed, name)
+		if c, ok := f.cordons[name]; ok {
+			f.putCordon(txn, c)
+		}
+	}
+}
+
 // markOrders notes the orders that are about to be sent.
 func (f *fleetController) markOrders(txn *store.Txn, s *fleetplan.Snapshot) {
 	for _, c := range s.Cordons {
--- /dev/null
+++ b/node/fleetctl_test.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/catalog"
+	"amaranthfork.example/sched/pool"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/store/memstore"
+	"amaranthfork.example/sched/tables"
+)
+
+// fakeMachines is an inventory whose moves and maintenance take effect at once.
+type fakeMachines struct {
+	mu       sync.Mutex
+	machines map[string]Machine
+	orders   []string // machine and target or wave
+	answer   error    // of orders, instead of carrying them out
+}
+
+func (f *fakeMachines) List(context.Context) ([]Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Machine
+	for _, m := range f.machines {
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+func (f *fakeMachines) Move(_ context.Context, machine, target, _ string, _ int64) error {
+	return f.order(machine, machine+" to "+target, target)
+}
+
+func (f *fakeMachines) Maintain(_ context.Context, machine, wave, _ string, _ int64) error {
+	return f.order(machine, machine+" in wave "+wave, "")
+}
+
+func (f *fakeMachines) order(machine, name, target string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, name)
+	if f.answer != nil {
+		return f.answer
+	}
+	m := f.machines[machine]
+	m.Worker += "'"
+	if target != "" {
+		m.Pool = target
+	}
+	f.machines[machine] = m
+	return nil
+}
+
+func (f *fakeMachines) ordered() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
+// fleetWorld is a fleet of a pool a with two VMs and a standby pool with four.
+type fleetWorld struct {
+	t        *testing.T
+	clock    *testClock
+	mem      *memstore.Store
+	store    *timedStore
+	machines *fakeMachines
+	accepted float64
+}
+
+func newFleetWorld(t *testing.T) *fleetWorld {
+	w := &fleetWorld{t: t, clock: &testClock{pool.Time{Steady: time.Minute, Wall: 1_700_000_000_000}}, mem: memstore.New(), machines: &fakeMachines{machines: map[string]Machine{}}}
+	w.store = &timedStore{Store: w.mem, clock: w.clock}
+	for _, name := range []string{"a1", "a2"} {
+		w.machines.machines[name] = Machine{Name: name, Pool: "a", State: MachineUp, Worker: "i-" + name}
+	}
+	for _, name := range []string{"s1", "s2", "s3", "s4"} {
+		w.machines.machines[name] = Machine{Name: name, Pool: "spare", State: MachineUp}
+	}
+	return w
+}
+
+// holder claims the role for a new process.
+func (w *fleetWorld) holder(name string) *fleetController {
+	w.t.Helper()
+	n := New(Options{Settings: Settings{Self: Member{Node: name, Incarnation: name},
+		Fleet: FleetSettings{HandOver: 3 * time.Second, Upkeep: 2 * time.Second, Move: 1500 * time.Millisecond}},
+		Store: w.mem, Machines: w.machines, Clock: w.clock, Log: zap.NewNop()})
+	n.operator.view = View{Catalog: catalog.New(1, nil, []*catalog.Pool{{Name: "a"}, {Name: "spare", Standby: true}}, nil, catalog.Limits{})}
+	o, err := readOwner(w.t.Context(), w.store, fleetPool)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if err := o.claim(w.t.Context(), n.settings.Self); err != nil {
+		w.t.Fatal(err)
+	}
+	f := newFleetController(n, o, w.clock.now.Steady)
+	if err := f.recover(w.t.Context()); err != nil {
+		w.t.Fatal(err)
+	}
+	return f
+}
+
+// ask publishes that pool a needs some processors.
+func (w *fleetWorld) ask(f *fleetController, cores float64) {
+	load := pool.Load{Epoch: 1, Backlog: 3 * cores, Accepted: w.accepted}
+	for _, name := range []string{"a1", "a2"} {
+		load.VMs = append(load.VMs, pool.VMLoad{VM: "i-" + name, Machine: name, Capacity: 16_000, Usable: true, Tasks: 1, Used: 8000})
+	}
+	value, err := pool.EncodeLoad(load)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	f.loads.update(Update{Rows: []store.Row{{Key: tables.LoadKey("a"), Value: value, Version: w.clock.now.Wall}}})
+}
+
+// tick lets a holder look once, after its calls have been answered.
+func (w *fleetWorld) tick(f *fleetController) {
+	w.t.Helper()
+	w.clock.now = w.clock.now.Add(fleetTick)
+	w.answered(f)
+	f.collect(w.t.Context())
+	w.answered(f)
+	f.collect(w.t.Context())
+	if err := f.commit(w.t.Context(), f.decide()); err != nil {
+		w.t.Fatal(err)
+	}
+	f.sendOrders(w.t.Context(), w.clock.now.Steady)
+}
+
+// answered waits until the calls under way have their answers.
+func (w *fleetWorld) answered(f *fleetController) {
+	w.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for f.listing && len(f.lists) == 0 || len(f.orders) < len(f.pending) {
+		if time.Now().After(deadline) {
+			w.t.Fatal("calls are not answered")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a holder of the role that holds back, or repeats, what the
+// platform has confirmed to an earlier one: with entries that are replaced one
+// after the other, no VM moved for 12 s (lantern-sched trouble-2).
+func TestConfirmedMovesOutliveTheirHolder(t *testing.T) {
+	w := newFleetWorld(t)
+	first := w.holder("first")
+	w.ask(first, 64)
+	for range 4 {
+		w.tick(first)
+	}
+	if n := w.machines.ordered(); n < 2 {
+		t.Fatalf("%d moves", n)
+	}
+	moved := w.machines.ordered()
+	second := w.holder("second")
+	if len(second.cordons) == 0 {
+		t.Fatal("no order is under way")
+	}
+	w.tick(second)
+	w.tick(second)
+	if len(second.cordons) != 0 || w.machines.ordered() != moved {
+		t.Fatalf("%d cordons are left, %d orders after %d", len(second.cordons), w.machines.ordered(), moved)
+	}
+}
+
+// Guards against orders of two holders for one machine within the time that the
+// platform asks for: an order that was not confirmed is repeated after it.
+func TestUnconfirmedOrderIsHeldBack(t *testing.T) {
+	w := newFleetWorld(t)
+	w.machines.answer = ErrNoAnswer
+	first := w.holder("first")
+	w.ask(first, 64)
+	for range 4 {
+		w.tick(first)
+	}
+	sent := w.machines.ordered()
+	if sent == 0 {
+		t.Fatal("no orders")
+	}
+	second := w.holder("second")
+	began := w.clock.now.Steady
+	for w.clock.now.Steady-began < 3*time.Second {
+		w.tick(second)
+		if w.machines.ordered() != sent {
+			t.Fatalf("an order was sent %v after the hand-over", w.clock.now.Steady-began)
+		}
+	}
+	w.machines.answer = nil
+	for w.clock.now.Steady-began < 8*time.Second {
+		w.tick(second)
+	}
+	if w.machines.ordered() == sent {
+		t.Fatal("the orders were not repeated")
+	}
+}
+
+// Guards against a machine that stays reserved after its order was refused for
+// certain, and against an order that is given up although it may take effect.
+func TestRefusedOrderIsUndoneOnlyIfCertain(t *testing.T) {
+	for _, test := range []struct {
+		answers []error
+		kept    bool
+	}{
+		{[]error{ErrBusy}, false},
+		{[]error{ErrNoAnswer, ErrBusy}, true},
+	} {
+		w := newFleetWorld(t)
+		f := w.holder("first")
+		w.ask(f, 64)
+		for _, answer := range test.answers {
+			w.machines.answer = answer
+			sent := w.machines.ordered()
+			for range 10 {
+				w.tick(f)
+				if w.machines.ordered() > sent {
+					break
+				}
+			}
+		}
+		w.answered(f)
+		f.collect(t.Context())
+		kept := 0
+		for name := range f.cordons {
+			if !f.refused[name] {
+				kept++
+			}
+		}
+		if (kept > 0) != test.kept {
+			t.Errorf("answers %v: %d cordons kept", test.answers, kept)
+		}
+	}
+}
+
+// Guards against a planned stop that leaves answered orders unconfirmed, so that
+// the next holder holds back.
+func TestPlannedStopStoresConfirmations(t *testing.T) {
+	w := newFleetWorld(t)
+	first := w.holder("first")
+	w.ask(first, 64)
+	w.tick(first)
+	for len(first.pending) == 0 {
+		w.tick(first)
+	}
+	if err := first.settle(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	second := w.holder("second")
+	for name, c := range second.cordons {
+		if c.Ordered && second.acked[name] == 0 {
+			t.Errorf("the order for %s is not confirmed", name)
+		}
+	}
+}
--- a/node/fleetorders.go
+++ b/node/fleetorders.go
@@ -58,6 +58,7 @@
 	switch {
 	case o.err == nil:
 		f.acked[o.machine] = now
+		f.confirmed[o.machine] = true
 		f.begun(c)
 	case errors.Is(o.err, ErrNotOfWave):
 		f.acked[o.machine] = effectSeen // there is nothing to do
@@ -85,7 +86,10 @@
 		f.notBefore[machine] = f.owner.service.local(time.Duration(at)*time.Millisecond) + handOver
 	}
 	for machine, c := range f.cordons {
-		if c.Ordered {
+		switch at := f.acked[machine]; {
+		case at != 0:
+			f.notBefore[machine] = max(f.notBefore[machine], at+handOver)
+		case c.Ordered:
 			f.uncertain[machine] = true
 			f.notBefore[machine] = f.node.clock.Now().Steady + handOver + orderTime
 		}
