Look for moved VMs more often just when they may come

Cause: a VM that has moved to a pool stood unseen for up to 0.3 s, the pause of the owner's feed of the discovery table, at the start of a turn when many come.

Change: the owner knows from the cordons which machines are on their way, and looks every 50 ms from 0.2 s before they may come.

--- a/node/follow.go
+++ b/node/follow.go
@@ -38,6 +38,7 @@
 	partition string        // read as a whole at first
 	wait      time.Duration // of a feed call for the first change
 	pause     time.Duration // between feed calls, so that changes gather
+	hurry     func() bool   // if it is true, hurriedPause takes the place of pause; may be nil
 	deliver   func(Update)
 	version   int64
 	lost      bool
@@ -52,7 +53,7 @@
 		case err == nil:
 			whole = false
 			f.regained()
-			sleep(ctx, f.pause)
+			sleep(ctx, f.pauseNow())
 		case errors.Is(err, store.ErrHistoryGone):
 			f.log.Info("feed_history_gone", zap.String("table", f.table), zap.Int64("after", f.version))
 			whole = true
@@ -63,6 +64,17 @@
 	}
 }
 
+// hurriedPause is the pause while a change is expected: a twentieth of the time
+// that a VM needs to move.
+const hurriedPause = 50 * time.Millisecond
+
+func (f *follower) pauseNow() time.Duration {
+	if f.hurry != nil && f.hurry() {
+		return min(f.pause, hurriedPause)
+	}
+	return f.pause
+}
+
 func (f *follower) step(ctx context.Context, whole bool) error {
 	sentAt := f.clock.Now().Steady
 	if whole {
--- a/node/runner.go
+++ b/node/runner.go
@@ -55,6 +55,7 @@
 	sessions  map[string]*session
 	confirmed atomic.Int64 // send time of the last confirmed transaction, steady ns
 	caps      *capShares
+	arrivals  *arrivals
 	batches   chan batchResult
 	lastSent  time.Duration
 	inFlight  bool
@@ -82,6 +83,7 @@
 	settings.InheritedLease = max(renewedUntil, n.clock.Now().Steady) + settings.LeaseBound
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
+	r.arrivals = newArrivals(n.clock, n.settings.Fleet.Move)
 	return r
 }
 
--- a/node/runnerfeeds.go
+++ b/node/runnerfeeds.go
@@ -48,7 +48,7 @@
 	requests.version = version
 	go requests.run(ctx)
 	discovery := &follower{store: n.store, clock: n.clock, log: r.log, table: n.rows.VMTable(),
-		wait: discoverWait, pause: discoverPause, deliver: r.discovered()}
+		wait: discoverWait, pause: discoverPause, deliver: r.discovered(), hurry: r.arrivals.near}
 	go discovery.run(ctx)
 	cordons := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Cordons, partition: fleetPool,
 		wait: cordonWait, deliver: r.cordoned()}
@@ -128,6 +128,7 @@
 func (r *runner) takeCordon(cordons map[string]pool.Cordon, row store.Row) {
 	if row.Removed {
 		delete(cordons, row.Name)
+		r.arrivals.forget(row.Name)
 		return
 	}
 	c, err := decodeCordon(row.Value)
@@ -136,4 +137,7 @@
 		return
 	}
 	cordons[row.Name] = pool.Cordon{VM: c.VM, Version: row.Version}
+	if c.Target == r.name && c.Ordered {
+		r.arrivals.expect(row.Name)
+	}
 }
