Order machines on standby in the transaction that decides on them

Cause: the order for a machine on standby, which has nothing to be emptied of, waited for the next look of the holder, up to 0.12 s at the start of each turn.

Change: its cordon is stored as ordered at once, within the limit of its wave.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -379,12 +379,12 @@
 	f.endCordons(&txn)
 	f.recordWaves(&txn, s)
 	for _, d := range fleetplan.PlanWaves(s, f.plan) {
-		if f.cordon(&txn, d) {
+		if f.cordon(&txn, s, d) {
 			s.Cordons[d.Machine.Name] = f.cordons[d.Machine.Name]
 		}
 	}
 	for _, d := range f.moves.Plan(s) {
-		f.cordon(&txn, d)
+		f.cordon(&txn, s, d)
 	}
 	f.recordConfirmed(&txn)
 	f.recordDemand(&txn)
@@ -499,17 +499,27 @@
 	delete(f.missing, c.Machine)
 }
 
-func (f *fleetController) cordon(txn *store.Txn, d fleetplan.Decision) bool {
+// cordon notes a decision. A machine on standby has nothing to be emptied of, so
+// that its order is noted with it.
+func (f *fleetController) cordon(txn *store.Txn, s *fleetplan.Snapshot, d fleetplan.Decision) bool {
 	if entries(txn) >= maxChanges {
 		return false
 	}
 	c := fleetplan.Cordon{Machine: d.Machine.Name, VM: d.Machine.VM, Pool: d.Machine.Pool, Purpose: d.Purpose, Since: f.node.clock.Now().Wall}
 	f.log.Info("cordon", zap.String("machine", c.Machine), zap.String("vm", c.VM), zap.String("pool", c.Pool),
 		zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target), zap.String("reason", d.Reason))
+	c.Ordered = s.Standby[c.Pool] && f.mayOrderNow(c)
 	f.putCordon(txn, c)
 	return true
 }
 
+// mayOrderNow reports whether the order for a machine may be sent: neither
+// orders of an earlier holder nor the limit of its wave are in the way.
+func (f *fleetController) mayOrderNow(c fleetplan.Cordon) bool {
+	wave := c.Purpose.Wave
+	return f.mayOrder(c.Machine) && (wave == "" || f.downIn(wave) < f.atOnce(wave))
+}
+
 func (f *fleetController) putCordon(txn *store.Txn, c fleetplan.Cordon) {
 	row := rowOf(c)
 	if at := f.acked[c.Machine]; at > 0 {
@@ -542,10 +552,7 @@
 // markOrders notes the orders that are about to be sent.
 func (f *fleetController) markOrders(txn *store.Txn, s *fleetplan.Snapshot) {
 	for _, c := range s.Cordons {
-		if _, still := f.cordons[c.Machine]; !still || c.Ordered || c.Version == 0 || !s.Empty(c) || !f.mayOrder(c.Machine) {
-			continue
-		}
-		if c.Purpose.Wave != "" && f.downIn(c.Purpose.Wave) >= f.atOnce(c.Purpose.Wave) {
+		if _, still := f.cordons[c.Machine]; !still || c.Ordered || c.Version == 0 || !s.Empty(c) || !f.mayOrderNow(c) {
 			continue
 		}
 		if entries(txn) >= maxChanges {
--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -258,3 +258,21 @@
 		}
 	}
 }
+
+// Guards against a tick that is lost at the start of each turn: a machine on
+// standby is ordered in the transaction that decides on it.
+func TestStandbyMachineIsOrderedAtOnce(t *testing.T) {
+	w := newFleetWorld(t)
+	f := w.holder("first")
+	w.ask(f, 64)
+	for range 4 {
+		w.tick(f)
+		w.answered(f)
+		if decided, sent := len(f.cordons), w.machines.ordered(); decided != sent {
+			t.Fatalf("%d decided, %d ordered in the same look", decided, sent)
+		}
+	}
+	if w.machines.ordered() == 0 {
+		t.Fatal("nothing was ordered")
+	}
+}
