Keep VMs on for 25 s before the first turn

Cause: on the grown sites traffic starts 14 s after the entries. After 12 s without a turn the VMs were switched off down to what lasting tasks need, just before the first turn came: 21 VMs of 290 in its pool.

Change: 25 s instead of 12 s.

--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -19,7 +19,7 @@
 	idleBeforeStandby = 1200 // ms
 	// settleTime is the time without any turn after which VMs are switched off
 	// all the same: before the first turn nobody knows which pool will need them.
-	settleTime = 12000 // ms
+	settleTime = 25000 // ms
 )
 
 // MovePlanner decides moves. It remembers since when pools have had more VMs
