Put jobs beyond their workspace's share behind others

Cause: the order of the queues knew no shares: one workspace that sends many times its usual (hot_tenant) takes the whole pool, and the jobs of others are late.

Change: a workspace's weight is the jobs a second that it may send; those beyond, with a burst of one second, come after the others of their priority. They run when there is room. Test of that load; without the change 30 of 30 jobs of the hot workspace came before the calm one's.

--- /dev/null
+++ b/sched/pool/fair_test.go
@@ -0,0 +1,60 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/catalog"
+	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/pool"
+)
+
+// Guards against one workspace that sends many times its share and takes the
+// whole pool, so that the jobs of others are late (the load hot_tenant).
+func TestJobsBeyondTheShareWaitBehindOthers(t *testing.T) {
+	w := newWorld(t)
+	w.catalog = catalog.New(2, []*catalog.Queue{{Name: "short", Pool: testPool, Stretch: 1.6, Target: 10 * time.Second}},
+		[]*catalog.Pool{{Name: testPool, GuardsRoom: true}},
+		[]*catalog.Workspace{{Name: "hot", Weight: 5}, {Name: "calm", Weight: 5}}, catalog.Limits{})
+	w.p.Configure(w.catalog)
+	w.addVM("a", 2000)
+	send := func(workspace string) *job.Spec {
+		spec := shortJob(1)
+		spec.Workspace = workspace
+		spec.Steps[0].Need = fleet.Resources{MilliCPU: 1000}
+		w.submit(spec)
+		return spec
+	}
+	var hot []*job.Spec
+	for range 30 {
+		hot = append(hot, send("hot"))
+	}
+	calm := []*job.Spec{send("calm"), send("calm")}
+	w.settle()
+	// The hot workspace uses its share of 5 jobs, then the calm one's come.
+	for len(w.workers["a"].running) > 0 && w.where(pool.TaskName(calm[1].ID, 0, 0, 0)) == "" {
+		w.end(w.workers["a"], sortedNames(w.workers["a"].running)[0], pool.EndDone)
+		w.settle()
+	}
+	started := 0
+	for _, spec := range hot {
+		if w.startsOf[pool.TaskName(spec.ID, 0, 0, 0)] > 0 {
+			started++
+		}
+	}
+	if started > 6 {
+		t.Fatalf("%d jobs of the hot workspace came before the calm one's, its share is 5", started)
+	}
+	for range len(hot) {
+		for _, name := range sortedNames(w.workers["a"].running) {
+			w.end(w.workers["a"], name, pool.EndDone)
+		}
+		w.settle()
+	}
+	for _, spec := range hot {
+		if w.state(spec.ID) != job.Succeeded {
+			t.Fatalf("job %s of the hot workspace never ran", spec.ID)
+		}
+	}
+}
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -197,7 +197,7 @@
 // order sorts ready steps: tasks that last first, since they earn all the time,
 // then jobs that can still meet their objective, then the others. Jobs that have
 // begun come first among those of one priority, so that an overload leaves as few
-// as possible half done.
+// as possible half done. Jobs beyond their workspace's share come after the others.
 func (p *Pool) order(ready []readyStep) {
 	sort.SliceStable(ready, func(i, k int) bool {
 		a, b := &ready[i], &ready[k]
@@ -213,6 +213,9 @@
 		if a.begun != b.begun {
 			return a.begun
 		}
+		if a.job.overShare != b.job.overShare {
+			return !a.job.overShare
+		}
 		return a.deadline < b.deadline
 	})
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -30,7 +30,8 @@
 	finished []*jobState    // final jobs by finish time
 	vms      map[string]*vm
 
-	runs map[string]*runModel // run time against estimate, by queue
+	runs   map[string]*runModel // run time against estimate, by queue
+	shares map[string]*share    // by workspace
 
 	commands      []Command // ready to be sent
 	queueCounts   map[string]int
@@ -61,6 +62,7 @@
 		allots: map[string]allotment{}, usage: map[string]fleet.Resources{},
 		jobs: map[string]*jobState{}, strays: map[string]*vm{}, vms: map[string]*vm{},
 		runs:        map[string]*runModel{},
+		shares:      map[string]*share{},
 		queueCounts: map[string]int{}, queueAt: map[string]time.Duration{},
 		wants: map[string]fleet.Resources{}, storedLeases: map[string]bool{},
 	}
@@ -130,12 +132,13 @@
 	}
 	j := p.add(spec)
 	j.dirty = true
+	j.overShare = !spec.LongRunning() && p.overShare(spec.Workspace)
 	p.acceptedWork += p.workOf(spec)
 	if p.acceptedWork-p.publishedWork > newsWork && p.now.Steady-p.loadAt > newsInterval {
 		p.loadNews = true
 	}
 	p.log.Info("job_accepted", zap.String("job", spec.ID), zap.String("queue", spec.Queue),
-		zap.String("workspace", spec.Workspace), zap.Int64("age_ms", p.now.Wall-spec.AcceptedAt))
+		zap.String("workspace", spec.Workspace), zap.Int64("age_ms", p.now.Wall-spec.AcceptedAt), zap.Bool("over_share", j.overShare))
 }
 
 // A load is published early when much work has been accepted since the last one,
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -87,6 +87,7 @@
 	nextOpen   int           // number of the next occurrence to open
 	acceptedAt Time
 	begun      bool // a task has started
+	overShare  bool // beyond its workspace's share of jobs
 	active     int  // runs that may be on VMs
 	dirty      bool
 	finishedAt int64
