--- a/sched/pool/overload_test.go
+++ b/sched/pool/overload_test.go
@@ -20,11 +20,10 @@
 // times and estimates are drawn like those of the users' short jobs.
 type turnLoad struct {
 	*world
-	random  *rand.Rand
-	takes   map[string]time.Duration // run time of a task
-	ends    map[string]time.Duration // when a running task ends
-	jobs    map[string]*turnJob
-	average float64 // core-seconds of a job
+	random *rand.Rand
+	takes  map[string]time.Duration // run time of a task
+	ends   map[string]time.Duration // when a running task ends
+	jobs   map[string]*turnJob
 }
 
 type turnJob struct {
