Bound the hand-over of the fleet role

Cause, found when reading the diff: the holder's last transactions were tried for as long as the table service did not answer, so that a planned stop during an outage lasted until the kill. The time of a confirmation from before the start of the process was not stored again.

The test runs into its time limit without the bound.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -177,10 +177,18 @@
 		f.sendOrders(inner, lastCommit)
 		f.await(ctx)
 	}
-	if err := f.settle(inner); err != nil {
+	return f.handOver(inner)
+}
+
+// handOver gives the role up. It does not wait for a table service that does not
+// answer: the next holder then waits for this process's row to grow old.
+func (f *fleetController) handOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
+	defer cancel()
+	if err := f.settle(ctx); err != nil {
 		return err
 	}
-	return f.owner.release(inner)
+	return f.owner.release(ctx)
 }
 
 // settleLimit bounds the wait for answers before the role is handed over.
@@ -522,7 +530,7 @@
 
 func (f *fleetController) putCordon(txn *store.Txn, c fleetplan.Cordon) {
 	row := rowOf(c)
-	if at := f.acked[c.Machine]; at > 0 {
+	if at := f.acked[c.Machine]; at != 0 && at != effectSeen {
 		row.Confirmed = f.owner.service.late(at).Milliseconds()
 	}
 	value, err := cbor.Marshal(row)
--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -276,3 +276,23 @@
 		t.Fatal("nothing was ordered")
 	}
 }
+
+// Guards against a planned stop that waits for a table service which does not
+// answer, until the platform kills the process.
+func TestHandOverDoesNotWaitForTheTableService(t *testing.T) {
+	w := newFleetWorld(t)
+	f := w.holder("first")
+	w.ask(f, 64)
+	w.tick(f)
+	for len(f.pending) == 0 {
+		w.tick(f)
+	}
+	f.owner.store = &timedStore{Store: &scriptedStore{Store: w.mem, delay: time.Minute}, clock: NewBootClock()}
+	began := time.Now()
+	if err := f.handOver(t.Context()); err == nil {
+		t.Fatal("handed over without an answer")
+	}
+	if took := time.Since(began); took > 2*releaseLimit {
+		t.Fatalf("the hand-over took %v", took)
+	}
+}
