A pool whose part of a cap is zero asks for one again

The cap of a workspace was lowered, and the part of one pool was cut to zero (event=cap_share milli_cpu=0 at 19.4 s). The check whether a need is above the part took a part of 0 for no limit, as it is for a cap, so that the pool never asked again and eight jobs waited for ever.

Change: a comparison of its own for parts. The test fails without the change.

--- a/node/caps.go
+++ b/node/caps.go
@@ -135,6 +135,14 @@
 		limit.Accelerators > 0 && amount.Accelerators > limit.Accelerators
 }
 
+// lacks reports whether a need is above a part of a cap. Unlike a cap, a part of
+// 0 allows nothing; what the cap does not limit is never lacking.
+func lacks(need, part, limit fleet.Resources) bool {
+	return limit.MilliCPU > 0 && need.MilliCPU > part.MilliCPU ||
+		limit.MemoryMB > 0 && need.MemoryMB > part.MemoryMB ||
+		limit.Accelerators > 0 && need.Accelerators > part.Accelerators
+}
+
 // want asks for what the scheduler needs, and gives back what it does not.
 func (c *capShares) want(ctx context.Context, wants map[string]fleet.Resources, now time.Duration) {
 	c.mu.Lock()
@@ -168,7 +176,7 @@
 	base := w.Cap.Scale(0.5 / float64(max(1, len(c.catalog.Pools))))
 	asked := least(atLeast(need.Scale(capHeadroom), base), free)
 	asked.Accelerators = min(max(need.Accelerators, mine.Accelerators), free.Accelerators)
-	if !present || over(need, mine) && (asked.MilliCPU > mine.MilliCPU || asked.MemoryMB > mine.MemoryMB || asked.Accelerators > mine.Accelerators) {
+	if !present || lacks(need, mine, w.Cap) && (asked.MilliCPU > mine.MilliCPU || asked.MemoryMB > mine.MemoryMB || asked.Accelerators > mine.Accelerators) {
 		return atLeast(asked, least(mine, free)), true
 	}
 	if mine.MilliCPU <= atLeast(need.Scale(capSurplus), base).MilliCPU {
--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -61,3 +61,19 @@
 		t.Fatalf("part is %d, want the 200 that the other pool leaves", next.MilliCPU)
 	}
 }
+
+// Guards against a pool whose part of a cap has been cut to nothing and that
+// never asks again: its jobs waited for ever (LOST on lantern-sched-grown,
+// deploy/days/store.toml --vary --seed 460056424358).
+func TestPoolWithoutAPartAsksForOne(t *testing.T) {
+	c, w := testShares(1000)
+	s := &capState{row: capRow{"mine": cpu(0), "other": cpu(300)}}
+	next, change := c.next(s, w, cpu(200), cpu(0), 0)
+	if !change || next.MilliCPU < 200 {
+		t.Fatalf("asks for %d (change %v), needs 200", next.MilliCPU, change)
+	}
+	s.row["mine"] = fleet.Resources{MilliCPU: 500} // no memory
+	if next, change = c.next(s, w, cpu(200), cpu(0), 0); !change || next.MemoryMB < 200 {
+		t.Fatalf("asks for %d MB (change %v), needs 200", next.MemoryMB, change)
+	}
+}
