--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -585,3 +585,46 @@
 		t.Fatalf("wants %d, need is 8000", want)
 	}
 }
+
+// Guards against a stop that is repeated without a look at the other tasks of
+// its step: one of them may have gone since the first (AVAIL on lantern-sched).
+func TestRepeatedStopKeepsTheBudget(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.addVM("a", 4000), w.addVM("b", 4000)
+	spec := lastingJob(2, 1, 1)
+	w.submit(spec)
+	w.settle()
+	w.settled()
+	w.addVM("c", 4000)
+	w.settle()
+	w.p.Cordon(map[string]pool.Cordon{"m-a": {VM: "a", Version: 1}})
+	stops := func() int {
+		n := 0
+		w.p.Cycle()
+		for _, c := range w.p.Commands() {
+			if c.Kind == pool.Stop {
+				n++ // and is lost
+			}
+		}
+		return n
+	}
+	if stops() != 1 {
+		t.Fatal("the VM is not emptied")
+	}
+	b.down = true
+	wait := func() {
+		for range 2 {
+			w.advance(700 * time.Millisecond)
+			w.renewAll()
+		}
+	}
+	wait()
+	stops() // the other task was listed 1.4 s ago
+	wait()
+	if len(a.running) != 1 {
+		t.Fatal("the task is not on its VM any more")
+	}
+	if n := stops(); n != 0 {
+		t.Fatal("stopped again while the other task is on a VM that does not answer")
+	}
+}
--- a/sched/pool/vacate.go
+++ b/sched/pool/vacate.go
@@ -55,11 +55,9 @@
 }
 
 // mayStop reports whether stopping a task keeps the availability budget of its
-// step: fewer than MayMiss others may be away.
+// step: fewer than MayMiss others may be away. A stop that is repeated is checked
+// anew, since others may have gone meanwhile.
 func (p *Pool) mayStop(t *task) bool {
-	if t.stopPending(p.now.Steady) {
-		return true // has been counted
-	}
 	if p.now.Steady-p.startedAt.Steady < p.settings.StopGrace+takeoverCalm {
 		return false // stops of the earlier owner may still be under way
 	}
