--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -367,7 +367,7 @@
 	}
 	f.machines = make(map[string]fleetplan.Machine, len(result.machines))
 	for _, m := range result.machines {
-		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Up: m.State == MachineUp}
+		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Up: m.Up}
 		delete(f.missing, m.Name)
 	}
 	for name := range f.acked {
@@ -384,7 +384,7 @@
 		return txn
 	}
 	s := f.snapshot()
-	f.endCordons(&txn)
+	f.endCordons(&txn, s)
 	f.recordWaves(&txn, s)
 	for _, d := range fleetplan.PlanWaves(s, f.plan) {
 		if f.cordon(&txn, s, d) {
@@ -439,9 +439,8 @@
 
 // endCordons removes cordons whose order has taken effect or whose machine is
 // gone.
-func (f *fleetController) endCordons(txn *store.Txn) {
+func (f *fleetController) endCordons(txn *store.Txn, s *fleetplan.Snapshot) {
 	now := f.node.clock.Now().Steady
-	draining := f.drainingVMs()
 	for name, c := range f.cordons {
 		if entries(txn) >= maxEnded {
 			return // the others follow in the next transaction
@@ -459,7 +458,7 @@
 			}
 		case !c.Ordered && c.Purpose.Target != "" && f.node.clock.Now().Wall-c.Since > moveGivenUp.Milliseconds():
 			f.uncordon(txn, c, "could not be emptied in time")
-		case !c.Ordered && draining[name]:
+		case !c.Ordered && s.Draining(m):
 			f.uncordon(txn, c, "machine leaves its pool on its own")
 		case f.refused[name]:
 			f.uncordon(txn, c, "machine was busy")
@@ -469,19 +468,6 @@
 	}
 }
 
-// drainingVMs returns the machines whose present life leaves its pool on its own.
-func (f *fleetController) drainingVMs() map[string]bool {
-	list := map[string]bool{}
-	for _, load := range f.loads.all() {
-		for _, v := range load.VMs {
-			if v.Draining && f.machines[v.Machine].VM == v.VM {
-				list[v.Machine] = true
-			}
-		}
-	}
-	return list
-}
-
 // maxEnded bounds the cordons that one transaction ends, so that it has room for
 // new ones.
 const maxEnded = store.MaxTxnEntries / 2
--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -77,10 +77,10 @@
 	w := &fleetWorld{t: t, clock: &testClock{pool.Time{Steady: time.Minute, Wall: 1_700_000_000_000}}, mem: memstore.New(), machines: &fakeMachines{machines: map[string]Machine{}}}
 	w.store = &timedStore{Store: w.mem, clock: w.clock}
 	for _, name := range []string{"a1", "a2"} {
-		w.machines.machines[name] = Machine{Name: name, Pool: "a", State: MachineUp, Worker: "i-" + name}
+		w.machines.machines[name] = Machine{Name: name, Pool: "a", Up: true, Worker: "i-" + name}
 	}
 	for _, name := range []string{"s1", "s2", "s3", "s4"} {
-		w.machines.machines[name] = Machine{Name: name, Pool: "spare", State: MachineUp}
+		w.machines.machines[name] = Machine{Name: name, Pool: "spare", Up: true}
 	}
 	return w
 }
@@ -133,6 +133,15 @@
 	f.sendOrders(w.t.Context(), w.clock.now.Steady)
 }
 
+// tickUntilOrdered lets a holder look until it has sent an order.
+func (w *fleetWorld) tickUntilOrdered(f *fleetController) {
+	w.t.Helper()
+	w.tick(f)
+	for len(f.pending) == 0 {
+		w.tick(f)
+	}
+}
+
 // answered waits until the calls under way have their answers.
 func (w *fleetWorld) answered(f *fleetController) {
 	w.t.Helper()
@@ -244,10 +253,7 @@
 	w := newFleetWorld(t)
 	first := w.holder("first")
 	w.ask(first, 64)
-	w.tick(first)
-	for len(first.pending) == 0 {
-		w.tick(first)
-	}
+	w.tickUntilOrdered(first)
 	if err := first.settle(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -283,10 +289,7 @@
 	w := newFleetWorld(t)
 	f := w.holder("first")
 	w.ask(f, 64)
-	w.tick(f)
-	for len(f.pending) == 0 {
-		w.tick(f)
-	}
+	w.tickUntilOrdered(f)
 	f.owner.store = &timedStore{Store: &scriptedStore{Store: w.mem, delay: time.Minute}, clock: NewBootClock()}
 	began := time.Now()
 	if err := f.handOver(t.Context()); err == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -229,7 +229,9 @@
 		return
 	}
 	before, renewedUntil, sentAt := o.row.Node, o.renewedUntil(), n.clock.Now().Steady
-	callCtx, cancel := context.WithTimeout(outlast(ctx, releaseLimit), claimTime)
+	longer, stop := outlast(ctx, releaseLimit)
+	defer stop()
+	callCtx, cancel := context.WithTimeout(longer, claimTime)
 	defer cancel()
 	if err := o.claim(callCtx, n.settings.Self); err != nil {
 		n.log.Info("claim_failed", zap.String("pool", name), zap.Error(err))
@@ -245,11 +247,15 @@
 	n.start(ctx, o, renewedUntil, sentAt)
 }
 
-// outlast returns a context that ends some time after ctx does.
-func outlast(ctx context.Context, d time.Duration) context.Context {
+// outlast returns a context that ends some time after ctx does, or when its
+// function is called.
+func outlast(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	longer, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	context.AfterFunc(ctx, func() { time.AfterFunc(d, cancel) })
-	return longer
+	forget := context.AfterFunc(ctx, func() { time.AfterFunc(d, cancel) })
+	return longer, func() {
+		forget()
+		cancel()
+	}
 }
 
 // start schedules a claimed pool, whose earlier owner may have renewed leases up
--- a/node/runner.go
+++ b/node/runner.go
@@ -159,9 +159,12 @@
 	r.pool.Cordon(cordons)
 	r.restoreLeases(leases.Rows)
 	for _, row := range queues.Rows {
-		if status, err := job.DecodeQueueStatus(row.Value); err == nil {
-			r.pool.RestoreQueue(row.Name, status.Waiting)
+		status, err := job.DecodeQueueStatus(row.Value)
+		if err != nil {
+			r.log.Error("queue_row_unreadable", zap.String("queue", row.Name), zap.Error(err))
+			continue
 		}
+		r.pool.RestoreQueue(row.Name, status.Waiting)
 	}
 	for _, row := range requests.Rows {
 		r.request(r.pool, row, stored)
--- a/node/session.go
+++ b/node/session.go
@@ -243,15 +243,14 @@
 // carry sends a command and delivers its result. One that is too old by then is
 // not sent.
 func (s *session) carry(ctx context.Context, c pool.Command) {
-	slots := s.slots.of(c.Kind)
-	fresh := time.NewTimer(c.IssuedAt + orderFresh - s.clock.Now().Steady)
-	defer fresh.Stop()
-	select {
-	case <-fresh.C:
+	left := c.IssuedAt + orderFresh - s.clock.Now().Steady
+	if left <= 0 {
 		s.notSent(c)
 		return
-	default:
 	}
+	slots := s.slots.of(c.Kind)
+	fresh := time.NewTimer(left)
+	defer fresh.Stop()
 	select {
 	case slots <- struct{}{}:
 	case <-fresh.C:
--- a/node/worker.go
+++ b/node/worker.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"amaranthfork.example/fleet"
 	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/pool"
 	"amaranthfork.example/sched/store"
@@ -113,26 +112,12 @@
 	WaveStatus(wave string, complete bool) (store.Put, error)
 }
 
-// MachineState is a machine's state in the fleet's inventory.
-type MachineState string
-
-// States of machines.
-const (
-	MachineUp      MachineState = "up"
-	MachineMoving  MachineState = "moving"
-	MachineUpkeep  MachineState = "upkeep"
-	MachineDown    MachineState = "down"
-	MachineUnknown MachineState = ""
-)
-
 // Machine is a VM in the fleet's inventory.
 type Machine struct {
 	Name       string
 	Pool       string
-	State      MachineState
+	Up         bool // neither moving, in maintenance nor down
 	DataCentre string
-	Labels     []string
-	Capacity   fleet.Resources
 	Worker     string // id of its present life, empty if none
 }
 
--- a/sched/pool/load.go
+++ b/sched/pool/load.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		if !spec.LongRunning {
-			work += float64(o.left[s]) * p.expected(o.job.spec.Queue, spec).Seconds() * float64(spec.Need.MilliCPU) / 1000
+			work += p.stepWork(o.job.spec.Queue, spec, o.left[s])
 		}
 		if !o.ready(s) {
 			continue
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"amaranthfork.example/fleet"
 )
 
 // usable reports whether v may get new work at all.
@@ -47,13 +49,16 @@
 	return n
 }
 
-// fits reports whether t's need is free on v.
-func (t *task) fits(v *vm) bool {
+// fits reports whether t's room is free on v.
+func (t *task) fits(v *vm) bool { return t.room().Fits(v.free()) }
+
+// room returns what t takes of a VM. Processors of tasks that fill do not count.
+func (t *task) room() fleet.Resources {
 	need := t.spec().Need
 	if t.spec().Fills {
 		need.MilliCPU = 0
 	}
-	return need.Fits(v.free())
+	return need
 }
 
 func (p *Pool) sortedVMs() []*vm {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -155,12 +155,17 @@
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
 		if !s.LongRunning && !s.Fills {
-			work += float64(s.Count) * p.expected(spec.Queue, s).Seconds() * float64(s.Need.MilliCPU) / 1000
+			work += p.stepWork(spec.Queue, s, s.Count)
 		}
 	}
 	return work
 }
 
+// stepWork returns the core-seconds of n tasks of a step.
+func (p *Pool) stepWork(queue string, s *job.Step, n int) float64 {
+	return float64(n) * p.expected(queue, s).Seconds() * float64(s.Need.MilliCPU) / 1000
+}
+
 func (p *Pool) add(spec *job.Spec) *jobState {
 	j := &jobState{spec: spec, acceptedAt: p.now}
 	if spec.AcceptedAt > 0 {
@@ -227,9 +232,8 @@
 	p.usage[t.occ.job.spec.Workspace] = p.usage[t.occ.job.spec.Workspace].Add(need)
 	if t.spec().Fills {
 		v.fillCPU += need.MilliCPU
-		need.MilliCPU = 0
 	}
-	v.used = v.used.Add(need)
+	v.used = v.used.Add(t.room())
 	if t.spec().LatencyGoal > 0 {
 		v.serving++
 	}
@@ -247,9 +251,8 @@
 		p.usage[workspace] = p.usage[workspace].Sub(need)
 		if t.spec().Fills {
 			t.vm.fillCPU -= need.MilliCPU
-			need.MilliCPU = 0
 		}
-		t.vm.used = t.vm.used.Sub(need)
+		t.vm.used = t.vm.used.Sub(t.room())
 		if t.spec().LatencyGoal > 0 {
 			t.vm.serving--
 		}
