--- a/node/api.go
+++ b/node/api.go
@@ -54,34 +54,38 @@
 	ErrUnauthorized = errors.New("key is not in force")
 )
 
-// Caller is the queue and the workspace of an authorized request.
+// Caller is the queue and the workspace of an authorized request, with the
+// declarations by which it was judged.
 type Caller struct {
-	Queue      *catalog.Queue
-	Workspace  string // empty on open queues if the key is missing or not in force
-	PathSuffix string // path after the queue's prefix
+	Queue          *catalog.Queue
+	Workspace      string        // empty on open queues if the key is missing or not in force
+	PathSuffix     string        // path after the queue's prefix
+	CatalogVersion int64         // 0 if no declarations have been read yet
+	ViewAge        time.Duration // since the declarations were last proved to be current
 }
 
 // Admit finds the queue of a request and checks its key. The error is
-// *NotRunError, ErrNoQueue or ErrUnauthorized.
+// *NotRunError, ErrNoQueue or ErrUnauthorized; CatalogVersion and ViewAge are set
+// with each error too.
 func (n *Node) Admit(host, path, key string) (Caller, error) {
 	view, _ := n.operator.Get()
 	if view.Catalog == nil {
 		return Caller{}, &NotRunError{"no declarations have been read yet", refusalRetryAfter}
 	}
-	if age := n.clock.Now().Steady - view.CurrentAt; age > n.maxViewAge() {
+	c := Caller{CatalogVersion: view.Catalog.Version, ViewAge: n.clock.Now().Steady - view.CurrentAt}
+	if c.ViewAge > n.maxViewAge() {
 		n.metrics.add("refused_stale_view")
-		return Caller{}, &NotRunError{fmt.Sprintf("declarations were last confirmed %d ms ago", age.Milliseconds()), refusalRetryAfter}
+		return c, &NotRunError{fmt.Sprintf("declarations were last confirmed %d ms ago", c.ViewAge.Milliseconds()), refusalRetryAfter}
 	}
-	queue, rest := view.Catalog.Match(host, path)
-	if queue == nil {
-		return Caller{}, ErrNoQueue
+	c.Queue, c.PathSuffix = view.Catalog.Match(host, path)
+	if c.Queue == nil {
+		return c, ErrNoQueue
 	}
-	c := Caller{Queue: queue, PathSuffix: rest}
 	if w := view.Catalog.Authorize(key); w != nil {
 		c.Workspace = w.Name
-	} else if !queue.Open {
+	} else if !c.Queue.Open {
 		n.metrics.add("refused_key")
-		return Caller{}, ErrUnauthorized
+		return c, ErrUnauthorized
 	}
 	return c, nil
 }
