Reproduce CONFIG: an entry that catches up judges requests by old declarations

What callers saw: 404 for a queue that had been declared more than 3 s before.

Change: the in-memory table service limits its answers to 500 rows and 1 MB, also those of the feed, whose version then is that of the last row; the platform's does so in the incident's logs (version 6228 after 7852, one jump from configuration 15 to 89).

--- a/sched/store/memstore/memstore.go
+++ b/sched/store/memstore/memstore.go
@@ -22,16 +22,34 @@
 
 	down          bool
 	answersToLose int // of the next commits
-	pageSize      int // rows in an answer of Range
 	startedAt     time.Time
 
 	txnTime time.Duration        // of each transaction; a partition carries them out one after another
 	idleAt  map[string]time.Time // by partition: when its last transaction ends
 }
 
+// Limits of one answer of Range and Changes.
+const (
+	maxPageRows  = 500
+	maxPageBytes = 1 << 20 // of the values
+)
+
+// pageLength returns how many of rows, the first ones, fit into one answer: at least
+// one.
+func pageLength(rows []store.Row) int {
+	size := 0
+	for i, row := range rows {
+		size += len(row.Value)
+		if i == maxPageRows || i > 0 && size > maxPageBytes {
+			return i
+		}
+	}
+	return len(rows)
+}
+
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), pageSize: 500, startedAt: time.Now(), idleAt: map[string]time.Time{}}
+	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), startedAt: time.Now(), idleAt: map[string]time.Time{}}
 }
 
 // SetDown sets whether every call returns ErrUnavailable.
@@ -159,8 +177,8 @@
 		}
 	}
 	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Name < page.Rows[j].Name })
-	if len(page.Rows) > s.pageSize {
-		page.Rows, page.More = page.Rows[:s.pageSize], true
+	if n := pageLength(page.Rows); n < len(page.Rows) {
+		page.Rows, page.More = page.Rows[:n], true
 	}
 	return page, nil
 }
@@ -200,5 +218,9 @@
 			page.Rows = append(page.Rows, row)
 		}
 	}
+	if n := pageLength(page.Rows); n < len(page.Rows) {
+		page.Rows = page.Rows[:n]
+		page.Version = page.Rows[n-1].Version
+	}
 	return page, s.changed, nil
 }
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -99,7 +99,7 @@
 type Page struct {
 	Rows    []Row
 	More    bool          // the range has more rows
-	Version int64         // latest version of the service at the time of the read
+	Version int64         // latest version of the service at the time of the read, or of the last row if Changes has not returned all rows
 	Time    time.Duration // of the read, on the monotonic clock of the service
 }
 
@@ -112,8 +112,10 @@
 	// Range reads the rows of a partition of a table whose names are at least from
 	// and, unless to is empty, less than to, in ascending order of their names.
 	Range(ctx context.Context, table, partition, from, to string) (Page, error)
-	// Changes returns the rows of a table that changed after a version. If there
-	// are none, it waits for the first change, at most for wait.
+	// Changes returns the rows of a table that changed after a version, in the order
+	// of the changes. If there are none, it waits for the first change, at most for
+	// wait. An answer with rows may hold only the first of the changes; nothing in it
+	// tells.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 }
 
