Date the view of the declarations only by answers that show that nothing is missing

What callers saw: 404 for a queue that had been declared 3.2 s before (CONFIG).

Cause: the feed of the table service returns the changes since a version in parts of about 1 MB, and nothing in an answer tells that more are waiting. An entry that had been cut off took each answer for all changes, dated its view by the time of the call, became ready and judged requests by declarations that were 6 s old. Class: a partial answer taken for a complete one.

Change: an update carries the time until which it is complete. A read of the whole partition has one, and an answer of the feed without rows. After an answer with rows the follower of the operators' table asks again at once and without waiting; until an answer has no rows the view keeps its date, and requests are refused with 503 when that is 3 s old.

Why this works: an answer without rows for the version that the follower has reached cannot leave anything out.

Before: TestEntryThatCatchesUpDoesNotJudgeByOldDeclarations fails, 404 by version 18 of 40. After: it passes.

--- a/node/follow.go
+++ b/node/follow.go
@@ -28,9 +28,11 @@
 
 // Update is an answer about a followed table.
 type Update struct {
-	Rows   []store.Row   // the changed rows, or all of them if Whole
-	Whole  bool          // Rows has all rows of the partition
-	SentAt time.Duration // when the request was sent, steady clock
+	Rows  []store.Row // the changed rows, or all of them if Whole
+	Whole bool        // Rows has all rows of the partition
+	// CurrentAt is a time on the steady clock: this update and the earlier ones hold
+	// all changes until then. It is 0 if more changes may be waiting.
+	CurrentAt time.Duration
 }
 
 // follower reads a partition of a table and then follows the changes of the
@@ -44,11 +46,13 @@
 	wait         time.Duration        // how long a feed call waits for the first change
 	pause        time.Duration        // between feed calls, so that changes accumulate
 	pauseNow     func() time.Duration // replaces pause if it is set
+	confirm      bool                 // after an answer with rows, ask at once for more: only an answer without rows shows that there are none
 	expectChange func() bool          // while it returns true, the pause is at most expectedChangePause; may be nil
 	active       func() bool          // while it returns false, nothing is read, and the next read is one of the whole partitions; may be nil
 	deliver      func(Update)
 	version      int64 // of the last answer; older answers are rejected
 	failing      bool  // the last call failed
+	incomplete   bool  // the last answer had rows, and more changes may be waiting
 }
 
 // run follows the table until ctx ends.
@@ -65,7 +69,9 @@
 		case err == nil:
 			whole = false
 			f.recordSuccess()
-			sleep(ctx, f.currentPause())
+			if !f.confirm || !f.incomplete {
+				sleep(ctx, f.currentPause())
+			}
 		case errors.Is(err, store.ErrHistoryGone):
 			f.log.Info("feed_history_gone", zap.String("table", f.table), zap.Int64("after", f.version))
 			whole = true
@@ -103,21 +109,29 @@
 		if page.Version < f.version {
 			return errStaleRead
 		}
-		f.version = page.Version
-		f.deliver(Update{Rows: page.Rows, Whole: true, SentAt: sentAt})
+		f.version, f.incomplete = page.Version, false
+		f.deliver(Update{Rows: page.Rows, Whole: true, CurrentAt: sentAt})
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+feedTimeoutMargin)
 	defer cancel()
-	page, err := f.store.Changes(ctx, f.table, f.version, f.wait)
+	wait := f.wait
+	if f.confirm && f.incomplete {
+		wait = 0
+	}
+	page, err := f.store.Changes(ctx, f.table, f.version, wait)
 	if err != nil {
 		return err
 	}
 	if page.Version < f.version {
 		return errStaleRead
 	}
-	f.version = page.Version
-	f.deliver(Update{Rows: page.Rows, SentAt: sentAt})
+	f.version, f.incomplete = page.Version, len(page.Rows) > 0
+	update := Update{Rows: page.Rows}
+	if !f.incomplete {
+		update.CurrentAt = sentAt
+	}
+	f.deliver(update)
 	return nil
 }
 
--- a/node/operator.go
+++ b/node/operator.go
@@ -12,9 +12,9 @@
 
 // Following of the operators' table.
 const (
-	// operatorWait is the wait of a feed call. Each answer proves that the view
-	// was current when the request was sent, so the wait bounds the age of the
-	// evidence.
+	// operatorWait is the wait of a feed call. Each answer without changes proves
+	// that the view was current when the request was sent, so the wait bounds the age
+	// of the evidence.
 	operatorWait = time.Second
 )
 
@@ -54,7 +54,7 @@
 func (o *operatorView) update(u Update) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.view.CurrentAt = max(o.view.CurrentAt, u.SentAt)
+	o.view.CurrentAt = max(o.view.CurrentAt, u.CurrentAt)
 	if len(u.Rows) == 0 && !u.Whole {
 		return
 	}
@@ -135,6 +135,7 @@
 func (o *operatorView) run(ctx context.Context, f follower) {
 	f.table = o.rows.OperatorTable()
 	f.wait = operatorWait
+	f.confirm = true
 	f.deliver = o.update
 	f.run(ctx)
 }
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -48,7 +48,7 @@
 func newOperatorFollower(rows store.Store, clock Clock) (*Node, *follower) {
 	n := New(Options{Settings: Settings{Self: nodeA}, Store: rows, Rows: configRows{}, Clock: clock, Log: testLog})
 	f := n.newFollower()
-	f.table, f.deliver = "op", n.operator.update
+	f.table, f.confirm, f.deliver = "op", true, n.operator.update
 	return n, &f
 }
 
