Read the newest declarations after a cut instead of each missed version

Cause: the follower went on with the feed from the version that it had, which returns every version in between.

Change: after 2 s without an answer the follower of the operators' table reads its rows as a whole.

--- a/node/follow.go
+++ b/node/follow.go
@@ -47,12 +47,14 @@
 	pause        time.Duration        // between feed calls, so that changes accumulate
 	pauseNow     func() time.Duration // replaces pause if it is set
 	confirm      bool                 // after an answer with rows, ask at once for more: only an answer without rows shows that there are none
+	rereadAfter  time.Duration        // after this time without an answer the whole partitions are read again instead of all missed changes; 0 means never
 	expectChange func() bool          // while it returns true, the pause is at most expectedChangePause; may be nil
 	active       func() bool          // while it returns false, nothing is read, and the next read is one of the whole partitions; may be nil
 	deliver      func(Update)
-	version      int64 // of the last answer; older answers are rejected
-	failing      bool  // the last call failed
-	incomplete   bool  // the last answer had rows, and more changes may be waiting
+	version      int64         // of the last answer; older answers are rejected
+	answeredAt   time.Duration // of the last answer, steady clock
+	failing      bool          // the last call failed
+	incomplete   bool          // the last answer had rows, and more changes may be waiting
 }
 
 // run follows the table until ctx ends.
@@ -68,6 +70,7 @@
 		switch {
 		case err == nil:
 			whole = false
+			f.answeredAt = f.clock.Now().Steady
 			f.recordSuccess()
 			if !f.confirm || !f.incomplete {
 				sleep(ctx, f.currentPause())
@@ -77,6 +80,7 @@
 			whole = true
 		default:
 			f.recordFailure(ctx, err)
+			whole = whole || f.rereadAfter > 0 && f.clock.Now().Steady-f.answeredAt > f.rereadAfter
 			sleep(ctx, retryPause)
 		}
 	}
--- a/node/operator.go
+++ b/node/operator.go
@@ -16,6 +16,9 @@
 	// that the view was current when the request was sent, so the wait bounds the age
 	// of the evidence.
 	operatorWait = time.Second
+	// operatorRereadAfter is longer than the time between two answers in calm. The
+	// newest declarations are one row of up to 64 KB; each missed version is another.
+	operatorRereadAfter = 2 * time.Second
 )
 
 // View is this process's copy of the operators' declarations.
@@ -136,6 +139,7 @@
 	f.table = o.rows.OperatorTable()
 	f.wait = operatorWait
 	f.confirm = true
+	f.rereadAfter = operatorRereadAfter
 	f.deliver = o.update
 	f.run(ctx)
 }
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"amaranthfork.example/sched/catalog"
@@ -85,3 +88,67 @@
 	}
 	t.Fatalf("the entry has not caught up after %d answers", newest)
 }
+
+// cutStore is a table service that can be cut off. It counts the bytes of the rows in
+// its answers.
+type cutStore struct {
+	store.Store
+	cut   atomic.Bool
+	bytes atomic.Int64
+}
+
+func (c *cutStore) answer(page store.Page, err error) (store.Page, error) {
+	if c.cut.Load() {
+		return store.Page{}, store.ErrUnavailable
+	}
+	for _, row := range page.Rows {
+		c.bytes.Add(int64(len(row.Value)))
+	}
+	return page, err
+}
+
+func (c *cutStore) Range(ctx context.Context, table, partition, from, to string) (store.Page, error) {
+	return c.answer(c.Store.Range(ctx, table, partition, from, to))
+}
+
+func (c *cutStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
+	return c.answer(c.Store.Changes(ctx, table, after, wait))
+}
+
+// timeClock follows time.Now, which a synctest bubble controls.
+type timeClock struct{ start time.Time }
+
+func (c timeClock) Now() pool.Time {
+	return pool.Time{Steady: time.Since(c.start), Wall: time.Now().UnixMilli()}
+}
+
+// Guards against an entry that stays out of service after a cut, because it reads each
+// version of the declarations that it has missed instead of the newest one: over a
+// narrow link 40 versions of 60 KB take seconds.
+func TestEntryReadsTheNewestDeclarationsAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := memstore.New()
+		service := &cutStore{Store: rows}
+		n, f := newOperatorFollower(service, timeClock{time.Now()})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go n.operator.run(ctx, *f)
+		writeConfig(t, rows, 1)
+		time.Sleep(2 * time.Second)
+		service.cut.Store(true)
+		const newest = 40
+		for version := int64(2); version <= newest; version++ {
+			time.Sleep(250 * time.Millisecond)
+			writeConfig(t, rows, version)
+		}
+		service.bytes.Store(0)
+		service.cut.Store(false)
+		time.Sleep(time.Second)
+		if caller, err := n.Admit("h", "/q40/", ""); err != nil {
+			t.Errorf("request for a queue of version %d, a second after the cut: %v by version %d", newest, err, caller.CatalogVersion)
+		}
+		if got := service.bytes.Load(); got > 2*configRowBytes {
+			t.Errorf("the entry has read %d bytes after the cut, want at most 2 rows of %d", got, configRowBytes)
+		}
+	})
+}
