Stop judging requests by old declarations when the newest cannot be decoded

Change: the view keeps its date while the newest version of the row that holds the catalog cannot be decoded, so that requests are refused with 503 after 3 s.

Before: TestUnreadableDeclarationsEndTheUseOfOldOnes fails, the request is admitted 10 s later. After: it passes, and the next readable version ends the refusals.

--- a/node/operator.go
+++ b/node/operator.go
@@ -39,6 +39,8 @@
 	mu          sync.Mutex
 	byName      map[string]OperatorRow // decoded rows
 	view        View
+	catalogRow  string              // name of the row that holds the catalog
+	unreadable  bool                // the newest version of that row cannot be decoded
 	changed     chan struct{}       // closed at the next change of the view
 	formerPools map[string][]string // by queue: pools that it has left since this process started
 }
@@ -57,10 +59,16 @@
 func (o *operatorView) update(u Update) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.view.CurrentAt = max(o.view.CurrentAt, u.CurrentAt)
-	if len(u.Rows) == 0 && !u.Whole {
-		return
+	if len(u.Rows) > 0 || u.Whole {
+		o.apply(u)
+	}
+	if !o.unreadable {
+		o.view.CurrentAt = max(o.view.CurrentAt, u.CurrentAt)
 	}
+}
+
+// apply applies the rows of an update. The caller holds mu.
+func (o *operatorView) apply(u Update) {
 	if u.Whole {
 		o.byName = map[string]OperatorRow{}
 	}
@@ -72,8 +80,12 @@
 		decoded, err := o.rows.DecodeOperator(row)
 		if err != nil {
 			o.log.Warn("operator_row_unreadable", zap.String("row", row.Name), zap.Int64("version", row.Version), zap.Error(err))
+			o.unreadable = o.unreadable || row.Name == o.catalogRow
 			continue
 		}
+		if decoded.Catalog != nil {
+			o.catalogRow, o.unreadable = row.Name, false
+		}
 		o.byName[row.Name] = decoded
 	}
 	o.rebuild()
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -89,6 +89,44 @@
 	t.Fatalf("the entry has not caught up after %d answers", newest)
 }
 
+// Guards against keys and queues of old declarations that stay in force for good: a new
+// version that cannot be decoded was skipped, and the view was held to be current.
+func TestUnreadableDeclarationsEndTheUseOfOldOnes(t *testing.T) {
+	rows := memstore.New()
+	clock := &testClock{now: pool.Time{Steady: time.Minute}}
+	n, f := newOperatorFollower(rows, clock)
+	writeConfig(t, rows, 1)
+	if err := f.poll(t.Context(), true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := n.Admit("h", "/q1/", ""); err != nil {
+		t.Fatalf("request for a declared queue: %v", err)
+	}
+	if _, err := rows.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: store.Key{Table: "op", Name: "config"}, Value: []byte("?")}}}); err != nil {
+		t.Fatal(err)
+	}
+	f.wait = 0
+	for range 10 {
+		if err := f.poll(t.Context(), false); err != nil {
+			t.Fatal(err)
+		}
+		clock.advance(time.Second)
+	}
+	var notRun *NotRunError
+	if _, err := n.Admit("h", "/q1/", ""); !errors.As(err, &notRun) {
+		t.Errorf("request 10 s after a version that cannot be decoded: %v, want *NotRunError", err)
+	}
+	writeConfig(t, rows, 2)
+	for range 2 {
+		if err := f.poll(t.Context(), false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := n.Admit("h", "/q2/", ""); err != nil {
+		t.Errorf("request after the next version: %v", err)
+	}
+}
+
 // cutStore is a table service that can be cut off. It counts the bytes of the rows in
 // its answers.
 type cutStore struct {
