Reproduce BUDGET: a task that crashes its VMs is started again and again

The test plays a job with one such task and a job a second beside it, on eight VMs that are back as other workers 3.4 s after a crash, with no takeover and with one at 3, 8 and 12 s.

--- /dev/null
+++ b/sched/pool/crash_test.go
@@ -0,0 +1,141 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/pool"
+)
+
+// Times of a VM that crashes, as on the users' platform.
+const (
+	crashRestart = 3400 * time.Millisecond // until its machine is back as another worker
+	crashUnlist  = 4500 * time.Millisecond // until discovery drops its row
+)
+
+// crashDay is a harness in which some tasks crash each VM that starts them.
+type crashDay struct {
+	*harness
+	deadly  func(task string) bool
+	crashes map[string]int // by task: crashes of VMs on which it was
+	late    map[string]int // by task: starts after three such crashes
+	lives   int            // number of workers so far
+	pending []crashEvent
+}
+
+// crashEvent is what follows a crash at a time.
+type crashEvent struct {
+	at time.Duration
+	do func()
+}
+
+func newCrashDay(t testingT, vms int, deadly func(task string) bool) *crashDay {
+	d := &crashDay{harness: newHarness(t), deadly: deadly, crashes: map[string]int{}, late: map[string]int{}}
+	for i := range vms {
+		d.addLife(fmt.Sprintf("m-%d", i))
+	}
+	d.settle()
+	return d
+}
+
+// addLife adds a worker on a machine.
+func (d *crashDay) addLife(machine string) {
+	d.lives++
+	id := fmt.Sprintf("i-%03d", d.lives)
+	w := &worker{vm: pool.VM{ID: id, Machine: machine, Address: id + ":80", DataCentre: "dc-a", Rack: "r1",
+		Capacity: fleet.Resources{MilliCPU: 16000, MemoryMB: 64 << 10}, StartedMS: d.now.Wall},
+		running: map[string]pool.RunState{}, highestEndedRun: map[string]int{}}
+	d.workers[id] = w
+	d.scheduler.ObserveVM(w.vm)
+}
+
+// step runs a cycle, crashes the VMs that have started a deadly task, ends the runs that
+// have lasted runTime and advances the time.
+func (d *crashDay) step(runTime time.Duration, started map[string]time.Duration) {
+	d.onStart = func(task string) {
+		started[task] = d.now.Steady
+		if d.crashes[task] >= 3 {
+			d.late[task]++
+		}
+	}
+	d.cycle()
+	for _, w := range d.sortedWorkers() {
+		for _, name := range sortedNames(w.running) {
+			if d.deadly(name) && !w.down {
+				d.crash(w)
+			}
+		}
+	}
+	d.advance(100 * time.Millisecond)
+	due := d.pending
+	d.pending = nil
+	for _, e := range due {
+		if e.at > d.now.Steady {
+			d.pending = append(d.pending, e)
+			continue
+		}
+		e.do()
+	}
+	for _, w := range d.sortedWorkers() {
+		for _, name := range sortedNames(w.running) {
+			if !w.down && d.now.Steady-started[name] >= runTime {
+				d.end(w, name, pool.EndDone)
+			}
+		}
+	}
+	d.renewAll()
+}
+
+// crash ends a worker with all that runs on it. Its machine comes back as another one.
+func (d *crashDay) crash(w *worker) {
+	for name := range w.running {
+		d.crashes[name]++
+		delete(w.running, name)
+	}
+	d.dropUnrecordedEnds(w)
+	w.ends, w.down = nil, true
+	d.pending = append(d.pending,
+		crashEvent{d.now.Steady + crashRestart, func() { d.addLife(w.vm.Machine) }},
+		crashEvent{d.now.Steady + crashUnlist, func() {
+			delete(d.workers, w.vm.ID)
+			d.scheduler.ForgetVM(w.vm.ID)
+		}})
+}
+
+// Guards against a task that crashes VM after VM: nothing counted the crashes, and the
+// task was started again as often as its leases expired. The owner is replaced once.
+func TestTaskThatCrashesItsVMsIsGivenUp(t *testing.T) {
+	for _, takeoverAt := range []time.Duration{0, 3 * time.Second, 8 * time.Second, 12 * time.Second} {
+		d := newCrashDay(t, 8, func(task string) bool { return task == pool.TaskName("0000000000000001", 0, 0, 0) })
+		deadly := shortJob(6)
+		d.submit(deadly)
+		started := map[string]time.Duration{}
+		began := d.now.Steady
+		for d.now.Steady < began+60*time.Second {
+			at := d.now.Steady - began
+			if takeoverAt > 0 && at == takeoverAt {
+				d.takeover()
+			}
+			if at < 40*time.Second && at%time.Second == 0 {
+				d.submit(shortJob(6))
+			}
+			d.step(700*time.Millisecond, started)
+		}
+		for task, n := range d.late {
+			if n >= 3 {
+				t.Errorf("takeover at %v: %s was started %d times after three VMs had crashed under it", takeoverAt, task, n)
+			}
+		}
+		if got := d.state(deadly.ID); got != job.Failed {
+			t.Errorf("takeover at %v: the job with a task that crashes its VMs is %v, want failed", takeoverAt, got)
+		}
+		for _, spec := range d.specs[1:] {
+			if got := d.state(spec.ID); got != job.Succeeded {
+				t.Errorf("takeover at %v: job %s is %v, want succeeded: none of its tasks crashes a VM", takeoverAt, spec.ID, got)
+			}
+		}
+	}
+}
