Count the VMs that crash under a task, and give its job up after three

Cause: a run whose VM was lost counted as nobody's fault, however often. Attempts were counted only by ends that a VM lists as failed, and a VM that has crashed lists nothing. Class: a failure without an answer is not counted as one.

Change: a VM has crashed if its machine is in use by a later incarnation, under another id or the same, and it was not being emptied. The crash counts against the tasks with a confirmed run on it, or against a task that had it for itself; also if the runs had been given up before, when their leases ended. The counts are in the progress row, so a later owner knows them. After three, the job fails with the task as the reason. Long-running tasks are started again as before.

Why this works: the third crash under a task ends its job before another start, unless its evidence comes after the lease bound; then one start more.

The format of the progress row has a new optional key 6; rows without it are read, and earlier builds skip it. A new counter Crashed.

--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -59,6 +59,14 @@
 	Tasks  []Task   // of all steps, in order
 }
 
+// TaskCrashes is the stored number of VMs that have crashed under a task.
+type TaskCrashes struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int      // number of the occurrence
+	Task       int      // position of the task in the occurrence
+	Crashes    int
+}
+
 // Progress is the stored progress of a job. Occurrences that are not due yet are
 // absent; those numbered below FirstOpen are complete.
 type Progress struct {
@@ -67,6 +75,8 @@
 	Occurrences []Occurrence `cbor:"3,keyasint,omitempty"`
 	FinishedMS  int64        `cbor:"4,keyasint,omitempty"` // Unix milliseconds
 	Workspace   string       `cbor:"5,keyasint,omitempty"` // of the job; empty on open queues
+
+	Crashes []TaskCrashes `cbor:"6,keyasint,omitempty"` // of tasks that are not done; earlier builds do not write it
 }
 
 var decoder = func() cbor.DecMode {
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -125,6 +125,9 @@
 		stored := job.Occurrence{Number: o.number}
 		for _, step := range o.tasks {
 			for _, t := range step {
+				if t.crashes > 0 && t.phase != done {
+					r.Crashes = append(r.Crashes, job.TaskCrashes{Occurrence: o.number, Task: len(stored.Tasks), Crashes: t.crashes})
+				}
 				stored.Tasks = append(stored.Tasks, t.stored())
 			}
 		}
@@ -342,7 +345,7 @@
 // have changed while the record was written.
 func (p *Pool) stillAllowed(t *task) bool {
 	v := t.vm
-	return !t.occ.job.state.Final() && v.listed && v.fenced && !v.Draining && !v.cordoned && !p.evacuated[v.DataCentre] && !p.leaseBoundPending(v)
+	return !t.occ.job.state.Final() && v.listed && !v.replaced && v.fenced && !v.Draining && !v.cordoned && !p.evacuated[v.DataCentre] && !p.leaseBoundPending(v)
 }
 
 // Restore adds a job with its stored progress at takeover. progress is nil for a
@@ -367,13 +370,19 @@
 	}
 	for _, stored := range progress.Occurrences {
 		o := p.newOccurrence(j, stored.Number, spec.Due(stored.Number))
-		p.restoreTasks(o, stored.Tasks)
+		p.restoreTasks(o, stored.Tasks, progress.Crashes)
 		j.open = append(j.open, o)
 		j.nextOpen = max(j.nextOpen, stored.Number+1)
 	}
 }
 
-func (p *Pool) restoreTasks(o *occurrence, stored []job.Task) {
+func (p *Pool) restoreTasks(o *occurrence, stored []job.Task, crashes []job.TaskCrashes) {
+	crashesByTask := map[int]int{}
+	for _, c := range crashes {
+		if c.Occurrence == o.number {
+			crashesByTask[c.Task] = c.Crashes
+		}
+	}
 	i := 0
 	for s := range o.tasks {
 		for _, t := range o.tasks[s] {
@@ -381,6 +390,7 @@
 				return
 			}
 			p.restoreTask(t, stored[i])
+			t.crashes = crashesByTask[i]
 			i++
 		}
 	}
--- a/sched/pool/crash_test.go
+++ b/sched/pool/crash_test.go
@@ -139,3 +139,83 @@
 		}
 	}
 }
+
+// Guards against a job that is given up because its VMs were silent, or were restarted as
+// planned: neither is a crash. The machine of VM a comes back as another VM, n times.
+func TestOnlyCrashesCountAgainstATask(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(d *crashDay, w *worker) // what happens to the VM of the task
+		want job.State
+	}{
+		"crash, back before its lease ends": {func(d *crashDay, w *worker) {
+			d.crash(w)
+		}, job.Failed},
+		"crash, back after its lease has ended": {func(d *crashDay, w *worker) {
+			d.crash(w)
+			d.pending[0].at += 4 * time.Second
+		}, job.Failed},
+		"silent for longer than its lease": {func(d *crashDay, w *worker) {
+			w.down = true
+			d.pending = append(d.pending, crashEvent{d.now.Steady + 8*time.Second, func() { w.down = false }})
+		}, job.Running},
+		"restarted while it is cordoned": {func(d *crashDay, w *worker) {
+			d.scheduler.SetCordons(map[string]pool.Cordon{w.vm.Machine: {VM: w.vm.ID}})
+			d.crash(w)
+		}, job.Running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newCrashDay(t, 6, func(string) bool { return false })
+			spec := shortJob(1)
+			d.submit(spec)
+			task := pool.TaskName(spec.ID, 0, 0, 0)
+			started := map[string]time.Duration{}
+			for range 3 {
+				for range 120 {
+					d.step(time.Hour, started)
+				}
+				if w := d.workers[d.vmOf(task)]; w != nil {
+					test.end(d, w)
+				}
+			}
+			for range 120 {
+				d.step(time.Hour, started)
+			}
+			if got := d.state(spec.ID); got != test.want {
+				t.Errorf("job is %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a job that is given up for crashes of VMs on which its task never was:
+// its starts, beside another, had no answer.
+func TestStartWithoutAnswerIsNoCrash(t *testing.T) {
+	d := newCrashDay(t, 1, func(string) bool { return false })
+	spec := shortJob(2)
+	d.submit(spec)
+	starts := 0
+	for range 100 {
+		d.advance(100 * time.Millisecond)
+		d.renewAll()
+		unanswered := 0
+		for _, c := range d.commit() {
+			if c.Kind == pool.Start {
+				d.scheduler.LeaseGranted(c.VM, d.now.Steady+testLease)
+				d.scheduler.Started(c, pool.StartUnconfirmed, d.now.Steady)
+				unanswered++
+			}
+		}
+		starts += unanswered
+		if unanswered == 2 {
+			w := d.sortedWorkers()[0]
+			delete(d.workers, w.vm.ID)
+			d.addLife(w.vm.Machine)
+		}
+	}
+	if got := d.state(spec.ID); got.Final() {
+		t.Errorf("job is %v, want one that is not given up", got)
+	}
+	if starts < 8 {
+		t.Errorf("%d starts, want at least 8", starts)
+	}
+}
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -67,6 +67,7 @@
 	doneTasks      map[string]bool // tasks that must not start again: a run has ended as done
 	failuresByTask map[string]int
 	startsByTask   map[string]int
+	setbacks       map[string]int // by task: failed ends, crashes of its VM, and starts without an answer, which may meet a crash
 	cancelled      map[string]bool
 	throttles      map[string]int // by task: last throttle that was set, in percent
 	log            []string
@@ -77,7 +78,7 @@
 
 func newHarness(t testingT) *harness {
 	h := &harness{t: t, now: pool.Time{Wall: 1_700_000_000_000, Steady: time.Minute}, workers: map[string]*worker{},
-		rows: map[store.Key][]byte{}, doneTasks: map[string]bool{}, failuresByTask: map[string]int{}, startsByTask: map[string]int{}, cancelled: map[string]bool{}, throttles: map[string]int{}}
+		rows: map[store.Key][]byte{}, doneTasks: map[string]bool{}, failuresByTask: map[string]int{}, startsByTask: map[string]int{}, setbacks: map[string]int{}, cancelled: map[string]bool{}, throttles: map[string]int{}}
 	h.catalog = catalog.New(1, []*catalog.Queue{
 		{Name: "short", Pool: testPool, Stretch: 1.6, Target: 600 * time.Millisecond, MaxAttempts: 3},
 		{Name: "service", Pool: testPool, Stretch: 2, Target: 2 * time.Second},
@@ -371,6 +372,7 @@
 		h.doneTasks[name] = true
 	case pool.EndFailed:
 		h.failuresByTask[name]++
+		h.setbacks[name]++
 	}
 }
 
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -28,6 +28,7 @@
 		v.fenced = true
 		p.log.Info("vm_fenced", zap.String("vm", v.ID), zap.Int("running", len(l.Running)), zap.Int("ended", len(l.Ended)))
 	}
+	p.forgetLost(v)
 	v.lastAnswer = l.At
 	v.listingSentAt = l.SentAt
 	v.unanswered = false
@@ -204,6 +205,7 @@
 		return
 	}
 	listed[t] = true
+	t.crashedUnder = false
 	if t.phase != running {
 		p.confirm(t, l.At)
 	}
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -88,6 +88,7 @@
 			continue
 		}
 		if len(v.tasks) > 0 {
+			p.rememberLost(v)
 			for _, t := range v.sortedTasks() {
 				// A start that is being sent grants a lease of its own.
 				if t.phase == running || t.phase == unconfirmed {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -53,15 +53,16 @@
 	publishedCoreSeconds float64                    // acceptedCoreSeconds at the last load report
 	acceptedCoreSeconds  float64                    // work accepted since takeover
 	demand               map[string]fleet.Resources // by workspace with a cap
+	lostRuns             []lostRun                  // runs that were given up on VMs that may have crashed
 	stats                Stats
 	deposed              bool
 }
 
 // Stats are counters since the owner took over the pool: starts sent, ends of runs
 // listed, failed runs, runs lost without a listed end, starts refused by a VM, stops
-// sent, and starts refused for lack of room.
+// sent, starts refused for lack of room, and runs under which a VM has crashed.
 type Stats struct {
-	Starts, Ends, Failed, Lost, Requeued, Stops, NoRoom int64
+	Starts, Ends, Failed, Lost, Requeued, Stops, NoRoom, Crashed int64
 }
 
 // New returns a scheduler without jobs or VMs.
@@ -301,7 +302,7 @@
 	t.phase = next
 	t.since = p.now.Steady
 	t.lastRunEnd = p.now.Steady
-	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.lostOn = 0, 0, false, nil
+	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.crashedUnder, t.lostOn = 0, 0, false, false, nil
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
 	t.occ.job.dirty = true
 }
@@ -328,9 +329,13 @@
 	if v.Address != seen.Address {
 		p.vmsChanged()
 	}
+	first := !v.listed || v.Machine != seen.Machine
 	v.VM = seen
 	v.listed = true
 	v.cordoned = p.isCordoned(seen)
+	if first {
+		p.observeRestart(v)
+	}
 }
 
 // ForgetVM marks a VM as no longer listed by discovery. Its runs are given up
@@ -362,6 +367,11 @@
 // which runs are its own; the others ended with the earlier incarnation.
 func (p *Pool) newIncarnation(v *vm, startedMS int64) {
 	p.log.Info("vm_restarted", zap.String("vm", v.ID), zap.Int64("previous_incarnation", v.StartedMS), zap.Int64("incarnation", startedMS), zap.Int("tasks", len(v.tasks)))
+	if !v.Draining && !v.cordoned {
+		for _, t := range v.suspects() {
+			t.crashedUnder = true
+		}
+	}
 	for t := range v.tasks {
 		if t.phase == starting || t.phase == unconfirmed {
 			// The start may still reach the new incarnation.
@@ -391,9 +401,12 @@
 func (p *Pool) markLost(t *task, reason string) {
 	p.stats.Lost++
 	p.log.Info("run_lost", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.String("reason", reason))
-	on := t.vm
+	on, crashed := t.vm, t.crashedUnder
 	p.endRun(t, waiting)
 	t.lostOn = on
+	if crashed {
+		p.countCrash(t, on)
+	}
 }
 
 // LeaseGranted extends the lease of the runs on a VM. until is the latest time on
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -73,6 +73,7 @@
 	for _, c := range commands {
 		switch rapid.IntRange(0, 3).Draw(t, "fate") {
 		case 0: // executed; the answer to a start is lost
+			h.setbacks[c.Task]++
 			if worker := h.workers[c.VM]; c.Kind == pool.Start && !worker.down {
 				h.scheduler.LeaseGranted(c.VM, h.now.Steady+testLease+120*time.Millisecond)
 				h.start(worker, c)
@@ -82,6 +83,7 @@
 			h.execute(c)
 		case 1: // lost; a start may arrive later
 			if c.Kind == pool.Start {
+				h.setbacks[c.Task]++
 				h.scheduler.LeaseGranted(c.VM, h.now.Steady+testLease+120*time.Millisecond)
 				h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
 				*delayed = append(*delayed, delayedStart{c, h.now.Steady + testLease})
@@ -130,6 +132,7 @@
 func (h *harness) restartWorker(worker *worker) {
 	for name := range worker.running {
 		delete(worker.running, name)
+		h.setbacks[name]++
 	}
 	h.dropUnrecordedEnds(worker) // ends that are not durable are lost with the incarnation
 	worker.vm.StartedMS++
@@ -183,5 +186,21 @@
 		if got := h.state(spec.ID); got != job.Succeeded && got != job.Failed {
 			t.Fatalf("job %s is %v after all faults have ended", spec.ID, got)
 		}
+		if h.state(spec.ID) == job.Failed && !h.hasCauseToFail(spec) {
+			t.Fatalf("job %s has failed, and no task of it has had three failures or crashes: %v", spec.ID, h.setbacks)
+		}
 	}
 }
+
+// hasCauseToFail reports whether a task of a job has failed three times, or VMs have
+// crashed under it so often.
+func (h *harness) hasCauseToFail(spec *job.Spec) bool {
+	for s := range spec.Steps {
+		for i := range spec.Steps[s].Count {
+			if h.setbacks[pool.TaskName(spec.ID, 0, s, i)] >= 3 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -29,6 +29,7 @@
 	phase    phase
 	run      int // number of the newest run; 0 before the first
 	failures int // failed runs; a gang counts them at its first member
+	crashes  int // VMs that have crashed under a run of the task
 	vm       *vm
 
 	checkpoint     string
@@ -37,6 +38,7 @@
 	stopSentAt     time.Duration // 0 if no stop was sent for the newest run
 	stopAnsweredAt time.Duration // 0 if no stop was answered
 	inherited      bool          // the newest run was started by an earlier owner
+	crashedUnder   bool          // its VM has restarted under its id, which counts against the task if the run is lost
 	lostOn         *vm           // where the newest run was given up; nil if it was not
 
 	progressPercent int
@@ -113,6 +115,7 @@
 type vm struct {
 	VM
 	listed             bool          // known to discovery
+	replaced           bool          // its machine has started again as another VM
 	fenced             bool          // this incarnation has answered under this owner's fencing token
 	leaseUntil         time.Duration // latest time at which the leases of its runs have expired
 	used               fleet.Resources
