Acknowledge ends of runs only to the incarnation that has listed them

Cause: the number of recorded ends was kept for a VM, whatever its incarnation. When a worker restarted under its id while a record was being written, or between two records, the old number was acknowledged to the new incarnation, which then forgot ends that no owner had seen. Their tasks would have run again.

Change: the number is kept with the start of the incarnation, in the scheduler's batch and in the client of the VM.

Before: TestEndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext and TestAcknowledgementsEndWithTheIncarnation fail (ends up to 1, 7 and 8 acknowledged). After: both pass. TestRenewalWaitsForRecords passes the incarnation along and checks as much as before.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -322,7 +322,7 @@
 	r.node.metrics.setPoolStats(r.name, r.pool.Stats())
 	for _, vm := range r.pool.RenewalTargets() {
 		if v := r.vmClients[vm.ID]; v != nil {
-			v.setAcknowledged(vm.AcknowledgedEnds)
+			v.setAcknowledged(vm.StartedMS, vm.AcknowledgedEnds)
 			v.mayExtend.Store(vm.ExtendLeases)
 		}
 	}
@@ -409,6 +409,7 @@
 		recorded: make(chan struct{}, 1), stop: cancel, slots: newOrderSlots(),
 		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics,
 	}
+	v.startedMS = vm.StartedMS
 	v.acknowledged.Store(vm.AcknowledgedEnds)
 	v.mayExtend.Store(vm.ExtendLeases)
 	r.vmClients[vm.ID] = v
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -114,6 +114,7 @@
 	s.clockMS, s.clockAt = clockMS, answeredAt
 	if startedMS != 0 && s.startedMS != 0 && startedMS != s.startedMS {
 		s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
+		s.acknowledged.Store(0) // ends are numbered from the start again
 	}
 	if startedMS != 0 {
 		s.startedMS = startedMS
@@ -166,10 +167,15 @@
 	}
 }
 
-// setAcknowledged sets the sequence number up to which ends of runs are
-// recorded, and wakes awaitRecorded.
-func (s *vmClient) setAcknowledged(n int64) {
-	if s.acknowledged.Swap(n) == n {
+// setAcknowledged sets the sequence number up to which the ends that an incarnation
+// of the worker has listed are recorded, and wakes awaitRecorded. startedMS is the
+// start of that incarnation; 0 if unknown.
+func (s *vmClient) setAcknowledged(startedMS, n int64) {
+	s.mu.Lock()
+	earlier := startedMS != 0 && s.startedMS != 0 && startedMS != s.startedMS
+	changed := !earlier && s.acknowledged.Swap(n) != n
+	s.mu.Unlock()
+	if !changed {
 		return
 	}
 	select {
--- a/node/vmclient_test.go
+++ b/node/vmclient_test.go
@@ -106,6 +106,30 @@
 	}
 }
 
+// Guards against work that is run again after it was done: after a restart of a worker
+// under its id, the number of ends recorded before was acknowledged to the new
+// incarnation, which forgot ends that nobody had seen.
+func TestAcknowledgementsEndWithTheIncarnation(t *testing.T) {
+	workers := &fakeWorkers{}
+	s := newTestVMClient(t, workers)
+	s.setAcknowledged(1, 7)
+	workers.renewal = func(Renewal) (RenewalAnswer, error) { return RenewalAnswer{ClockMS: 5, StartedMS: 2}, nil }
+	for range 2 {
+		if _, ok := s.renew(t.Context()); !ok {
+			t.Fatal("renewal failed")
+		}
+	}
+	s.setAcknowledged(1, 8) // the scheduler has not seen the restart yet
+	if _, ok := s.renew(t.Context()); !ok {
+		t.Fatal("renewal failed")
+	}
+	for i, r := range workers.renewed[len(workers.renewed)-2:] {
+		if r.AcknowledgedEnds != 0 {
+			t.Errorf("renewal %d after the restart acknowledges ends up to %d", i+2, r.AcknowledgedEnds)
+		}
+	}
+}
+
 // Guards against a deposed owner that continues: a worker that rejects its
 // fencing token deposes it.
 func TestFencedRenewalDeposesOwner(t *testing.T) {
@@ -132,7 +156,7 @@
 	}
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		s.setAcknowledged(7)
+		s.setAcknowledged(1, 7)
 	}()
 	s.awaitRecorded(t.Context(), highest)
 	if s.acknowledged.Load() != 7 {
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -28,9 +28,16 @@
 	Deletes []store.Key
 
 	starts      []startRecord
-	endsDurable map[string]int64 // by VM: ends up to this sequence number are durable with the batch
-	bytes       int              // total size of the values in Puts
-	leaseBounds map[string]int64 // by VM: lease bound in ms on the table service's clock; nil if the batch has none
+	endsDurable map[string]durableEnds // by VM
+	bytes       int                    // total size of the values in Puts
+	leaseBounds map[string]int64       // by VM: lease bound in ms on the table service's clock; nil if the batch has none
+}
+
+// durableEnds are the ends of one incarnation of a VM, up to a sequence number, that are
+// durable with a batch.
+type durableEnds struct {
+	startedMS int64 // of the incarnation, Unix milliseconds
+	upTo      int64
 }
 
 // startRecord is a start that waits for its batch to become durable.
@@ -59,7 +66,7 @@
 	p.findCandidates()
 	p.drainVMs()
 	p.plan()
-	b := Batch{endsDurable: map[string]int64{}}
+	b := Batch{endsDurable: map[string]durableEnds{}}
 	// The few rows that other processes wait for come first, so that many progress
 	// rows do not displace them.
 	p.addQueues(&b)
@@ -71,7 +78,7 @@
 		// with it.
 		for id, v := range p.vms {
 			if v.endsProcessed > v.endsDurable {
-				b.endsDurable[id] = v.endsProcessed
+				b.endsDurable[id] = durableEnds{v.StartedMS, v.endsProcessed}
 			}
 		}
 	}
@@ -310,8 +317,8 @@
 // depended on it.
 func (p *Pool) Committed(b Batch) []Command {
 	for id, durable := range b.endsDurable {
-		if v := p.vms[id]; v != nil {
-			v.endsDurable = max(v.endsDurable, durable)
+		if v := p.vms[id]; v != nil && v.StartedMS == durable.startedMS {
+			v.endsDurable = max(v.endsDurable, durable.upTo)
 		}
 	}
 	if b.leaseBounds != nil {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -460,7 +460,7 @@
 		if v.unanswered {
 			acknowledged = 0 // the next answer may come from another incarnation, whose sequence numbers restart
 		}
-		list = append(list, RenewalTarget{ID: v.ID, Address: v.Address, AcknowledgedEnds: acknowledged, ExtendLeases: !p.storedLeaseBounds[v.ID]})
+		list = append(list, RenewalTarget{ID: v.ID, Address: v.Address, StartedMS: v.StartedMS, AcknowledgedEnds: acknowledged, ExtendLeases: !p.storedLeaseBounds[v.ID]})
 	}
 	return list
 }
@@ -468,6 +468,7 @@
 // RenewalTarget is a VM whose leases must be renewed.
 type RenewalTarget struct {
 	ID, Address      string
+	StartedMS        int64 // start of the incarnation that has listed the ends, Unix milliseconds; 0 if unknown
 	AcknowledgedEnds int64 // ends up to this sequence number are acknowledged: they are durable
 	ExtendLeases     bool  // the renewal may extend the leases
 }
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -305,6 +305,27 @@
 	}
 }
 
+// Guards against work that is run again after it was done: the record of an end became
+// durable just after its worker had restarted under its id, and its sequence number was
+// acknowledged to the new incarnation, which then forgot ends that nobody had seen.
+func TestEndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	spec := shortJob(2)
+	h.submit(spec)
+	h.settle()
+	h.end(a, spec.ID+".0.0.0", pool.EndDone)
+	h.renew("a")
+	batch := h.scheduler.Cycle() // holds the end, and is not durable yet
+	a.vm.StartedMS, a.lastSequence, a.ends = 2, 0, nil
+	a.running, a.highestEndedRun = map[string]pool.RunState{}, map[string]int{}
+	h.renew("a")
+	h.scheduler.Committed(batch)
+	if got := h.scheduler.RenewalTargets()[0].AcknowledgedEnds; got != 0 {
+		t.Fatalf("ends up to %d are acknowledged to an incarnation that has listed none", got)
+	}
+}
+
 // Guards against one faulty VM that makes a whole job fail: tasks that failed there
 // run elsewhere, and the VM gets no new work.
 func TestFailingVMIsQuarantined(t *testing.T) {
