Count a late end as done also if an earlier owner had given its run up

Cause: where a run was given up is known to its owner only. After a change of the owner the end as done of such a run, listed by a VM that was silent before, was acknowledged without being used, and the task was started again.

Change: an end as done of a task's newest run counts while the task waits, on whatever VM it was. Other ends do not, since they may have been recorded before.

Before: TestEndOfAGivenUpRunCountsForTheNextOwner fails, two starts. After: one start.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -80,14 +80,19 @@
 	return t
 }
 
-// findGivenUpRun returns the named task if the given run is its newest one and was given
-// up on v, and nil otherwise.
-func (p *Pool) findGivenUpRun(v *vm, name string, run int) *task {
-	t := p.findTask(name)
-	if t == nil || t.phase != waiting || t.lostOn != v || t.run != run {
+// findGivenUpRun returns the task of an end that v lists if the run is the task's newest
+// one and was given up, and nil otherwise. An earlier owner may have given it up: its
+// record does not tell on which VM, so only an end as done, which cannot have been
+// recorded before, is taken for one.
+func (p *Pool) findGivenUpRun(v *vm, e RunEnd) *task {
+	t := p.findTask(e.Task)
+	if t == nil || t.phase != waiting || t.run != e.Run {
 		return nil
 	}
-	return t
+	if t.lostOn == v || t.lostOn == nil && e.Cause == EndDone {
+		return t
+	}
+	return nil
 }
 
 // handleEnd handles one listed end. It adds the task to listed if the end is that
@@ -102,7 +107,7 @@
 	}
 	v.endsProcessed = e.Sequence
 	if t == nil {
-		t = p.findGivenUpRun(v, e.Task, e.Run)
+		t = p.findGivenUpRun(v, e)
 	}
 	if t == nil {
 		return
--- a/sched/pool/silence_test.go
+++ b/sched/pool/silence_test.go
@@ -168,3 +168,33 @@
 		t.Errorf("job is %v, want succeeded", got)
 	}
 }
+
+// Guards against work that is run again although it was done, after a change of the
+// owner: the earlier owner had given the run up on a silent VM, and the next one did not
+// know where, so that it acknowledged the run's end without using it.
+func TestEndOfAGivenUpRunCountsForTheNextOwner(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	spec := shortJob(1)
+	h.submit(spec)
+	h.settle()
+	task := pool.TaskName(spec.ID, 0, 0, 0)
+	if h.vmOf(task) != "a" {
+		t.Fatal("the task did not start on a")
+	}
+	h.end(a, task, pool.EndDone)
+	a.down = true
+	for range 60 {
+		h.advance(100 * time.Millisecond)
+		h.renewAll()
+		h.cycle()
+	}
+	a.down = false
+	h.takeover()
+	h.settle()
+	h.advance(time.Second)
+	h.settle()
+	if h.state(spec.ID) != job.Succeeded || h.startsByTask[task] != 1 {
+		t.Errorf("job is %v after %d starts, want succeeded after 1", h.state(spec.ID), h.startsByTask[task])
+	}
+}
