Start nothing beside a run of unknown size where workers do not check their capacity

A run that the owner does not know, left by an earlier owner, was told to stop and not counted.

Before: TestUnknownRunsTakeRoomWhereWorkersDoNotCheckIt fails. After: it passes.

--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -12,12 +12,35 @@
 	if !v.listed || v.replaced || !v.fenced || v.Draining || v.cordoned || p.evacuated[v.DataCentre] {
 		return false
 	}
+	if !p.checksAdmission() && p.holdsOrphan(v) {
+		return false // orphan runs take room that is not known
+	}
 	if p.now.Steady < v.noStartsUntil || p.now.Steady-v.lastAnswer > maxAnswerAge || p.leaseBoundPending(v) {
 		return false
 	}
 	return !v.health.quarantined(p.now.Steady)
 }
 
+// checksAdmission reports whether the pool's workers refuse tasks that do not fit. While
+// no catalog tells, it is assumed that they do not.
+func (p *Pool) checksAdmission() bool {
+	if p.catalog.Catalog == nil {
+		return false
+	}
+	declared := p.catalog.Pools[p.settings.Pool]
+	return declared != nil && declared.ChecksAdmission
+}
+
+// holdsOrphan reports whether the last listings of v have shown an orphan run.
+func (p *Pool) holdsOrphan(v *vm) bool {
+	for _, on := range p.orphans {
+		if on == v {
+			return true
+		}
+	}
+	return false
+}
+
 // leaseBoundPending reports whether a lease bound of v is recorded for a later
 // owner or about to be. A start would grant a lease beyond the bound.
 func (p *Pool) leaseBoundPending(v *vm) bool { return v.unanswered || p.storedLeaseBounds[v.ID] }
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/pool"
 	"amaranthfork.example/sched/tables"
@@ -744,3 +745,33 @@
 		t.Fatal("stopped again while the other task is on a VM that does not answer")
 	}
 }
+
+// Guards against a VM that is filled beyond its capacity where workers do not check it: a
+// run that the owner does not know, and has told to stop, still takes room there.
+func TestUnknownRunsTakeRoomWhereWorkersDoNotCheckIt(t *testing.T) {
+	h := newHarness(t)
+	h.catalog = catalog.New(2, []*catalog.Queue{{Name: "short", Pool: testPool, Stretch: 1.6, Target: 600 * time.Millisecond}},
+		[]*catalog.Pool{{Name: testPool, ChecksAdmission: false}}, nil, catalog.Limits{})
+	h.scheduler.Configure(h.catalog)
+	a := h.addVM("a", 4000)
+	unknown := "00000000000000ff.0.0.0"
+	a.running[unknown] = pool.RunState{Task: unknown, Run: 1, ProgressPercent: 50}
+	h.renew("a")
+	h.scheduler.Commands() // the stop of the unknown run is under way
+	h.submit(shortJob(4))
+	for range 3 {
+		h.advance(300 * time.Millisecond)
+		h.renew("a")
+		for _, c := range h.commit() {
+			if c.Kind == pool.Start {
+				t.Fatalf("%s started beside a run of unknown size", c.Task)
+			}
+		}
+		h.scheduler.Commands()
+	}
+	h.end(a, unknown, pool.EndStopped)
+	h.settle()
+	if h.starts != 4 {
+		t.Errorf("%d starts after the unknown run has ended, want 4", h.starts)
+	}
+}
