Count one run for one crash only, and doubtful crashes as possible causes

Jobs were also given up for VMs that had crashed after the leases of the runs had ended, and for starts without an answer on VMs that had crashed before.

Change: endIncarnation clears what a restart had noted. Runs that were given up before their machine came back, and starts without an answer of a task alone on its VM, are possible causes (five are needed), not likely ones (three).

The new check of the property test (a failed job has a task with three failures, crashes or doubtful crashes) counts ends that were lost with a worker, runs that lapsed and unanswered starts as doubtful: the traces show that their owner cannot tell.

--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -31,24 +31,22 @@
 const (
 	notBlamed     blame = iota
 	possibleCause       // its run was on the VM
-	likelyCause         // and was started right before the crash, or had the VM for itself
+	likelyCause         // and was started right before the crash, or had the VM to itself
 )
 
 // blameFor returns what a crash of t's VM tells about t. A start without an answer may
-// not have arrived, unless nothing else can have caused the crash.
+// not have arrived; it is blamed only if nothing else was on the VM.
 func (t *task) blameFor() blame {
 	v := t.vm
+	alone := len(v.tasks) == 1
+	startedLast := v.contactLostAt > 0 && v.contactLostAt-t.since < crashWindow
 	switch {
-	case t.phase == placed:
-		return notBlamed
-	case len(v.tasks) == 1:
-		return likelyCause
-	case t.phase != running:
-		return notBlamed
-	case v.contactLostAt > 0 && v.contactLostAt-t.since < crashWindow:
+	case t.phase == running && (alone || startedLast):
 		return likelyCause
+	case t.phase == running, t.phase != placed && alone:
+		return possibleCause
 	}
-	return possibleCause
+	return notBlamed
 }
 
 // suspect is a task that may have caused a crash.
@@ -110,6 +108,7 @@
 			p.endRun(t, waiting)
 			continue
 		}
+		t.blame = notBlamed // the run is counted once, below
 		p.markLost(t, "its machine has restarted")
 	}
 	if planned {
@@ -121,7 +120,8 @@
 }
 
 // rememberLost records the runs that are about to be given up on v, which does not answer,
-// until it is known whether it has crashed.
+// until it is known whether it has crashed. They are possible causes only, since it may
+// crash after their leases have ended.
 func (p *Pool) rememberLost(v *vm) {
 	kept := p.lostRuns[:0]
 	for _, l := range p.lostRuns {
@@ -131,7 +131,7 @@
 	}
 	for _, s := range v.suspects() {
 		if s.task.phase != starting { // a start that is being sent is not given up
-			kept = append(kept, lostRun{s, v, p.now.Steady})
+			kept = append(kept, lostRun{suspect{s.task, possibleCause}, v, p.now.Steady})
 		}
 	}
 	p.lostRuns = kept
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -269,6 +269,7 @@
 	worker := h.workers[c.VM]
 	if worker == nil || worker.down {
 		if c.Kind == pool.Start {
+			h.setbacks[c.Task]++
 			h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
 		}
 		return
@@ -370,6 +371,8 @@
 	switch cause {
 	case pool.EndDone:
 		h.doneTasks[name] = true
+	case pool.EndLeaseExpired:
+		h.setbacks[name]++ // its VM may crash later
 	case pool.EndFailed:
 		h.failuresByTask[name]++
 		h.setbacks[name]++
