Let the feed of the in-memory table service return whole transactions

Found in the last read of the change: an answer that ended in the middle of a transaction lost the rest of it, since the next call begins after its version.

--- a/sched/store/memstore/memstore.go
+++ b/sched/store/memstore/memstore.go
@@ -47,6 +47,21 @@
 	return len(rows)
 }
 
+// wholeTransactions returns the largest number of the first rows that ends a transaction
+// and is at most n, or the length of the first transaction if that is longer.
+func wholeTransactions(rows []store.Row, n int) int {
+	endsTxn := func(n int) bool { return n == len(rows) || rows[n].Version != rows[n-1].Version }
+	for shorter := n; shorter > 0; shorter-- {
+		if endsTxn(shorter) {
+			return shorter
+		}
+	}
+	for n < len(rows) && !endsTxn(max(1, n)) {
+		n++
+	}
+	return n
+}
+
 // New returns an empty store.
 func New() *Store {
 	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), startedAt: time.Now(), idleAt: map[string]time.Time{}}
@@ -218,7 +233,7 @@
 			page.Rows = append(page.Rows, row)
 		}
 	}
-	if n := pageLength(page.Rows); n < len(page.Rows) {
+	if n := wholeTransactions(page.Rows, pageLength(page.Rows)); n < len(page.Rows) {
 		page.Rows = page.Rows[:n]
 		page.Version = page.Rows[n-1].Version
 	}
