--- a/review/world/world.go
+++ b/review/world/world.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strings"
@@ -808,6 +809,25 @@
 	fmt.Println("logs are kept in", w.dir)
 }
 
+// playLimit is the longest time of a case.
+const playLimit = 115 * time.Second
+
+// endEarly ends all processes of the case, with exit code 2, at a signal or after playLimit.
+func (w *world) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case s := <-signals:
+			w.rec.say("the case is ended early: %v", s)
+		case <-time.After(playLimit):
+			w.rec.say("the case has taken longer than %v", playLimit)
+		}
+		w.close()
+		os.Exit(2)
+	}()
+}
+
 // cases are the scenarios by name. Each returns what breaks the rule.
 var cases = map[string]func(*world) ([]string, error){}
 
@@ -830,6 +850,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	w.endEarly()
 	broken, err := play(w)
 	code := 0
 	switch {
