--- a/review/world/world.go
+++ b/review/world/world.go
@@ -339,16 +339,24 @@
 	return address, nil
 }
 
-// Ports of the entries are below those that the system gives to outgoing connections.
+// Ports of the entries are below those that the system gives to outgoing connections. Each
+// process of this program begins with a place of its own, so that several can play at once.
 const (
-	firstPort = 12000
-	lastPort  = 30000
+	firstPort     = 12000
+	lastPort      = 30000
+	portsOfAWorld = 60
 )
 
-// freeAddress returns an address of the loopback interface that was free just now.
+var nextPort = firstPort + os.Getpid()*portsOfAWorld%(lastPort-firstPort)
+
+// freeAddress returns an address of the loopback interface that was free just now, and that
+// it has not returned before. It is for one goroutine at a time.
 func freeAddress() (string, int, error) {
-	for range 100 {
-		port := firstPort + rand.IntN(lastPort-firstPort)
+	for range lastPort - firstPort {
+		port := nextPort
+		if nextPort++; nextPort == lastPort {
+			nextPort = firstPort
+		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
