Store each job under its id, so that a job stays one job when its route moves

Cause: a job was stored under a key that contains its pool, and the condition "the row does not exist" protects only that key. The look-up in the pools that a queue had left used a list in the memory of each process, which entries that start later do not have, and which forgot a route that was absent from one version of the declarations; and between look-up and write an entry with other declarations could store the job elsewhere.

Change: the row of the table "jobs" under the job's id names its pool. It is written in the same transaction as the request, on the condition that it does not exist; both are in a partition that depends on the id alone. Status and cancellation find the pool by it. It is deleted with the request. Owners read the requests of earlier builds too; a job that is stored in both ways is one job. The list of former pools is gone.

--- a/node/api.go
+++ b/node/api.go
@@ -121,10 +121,6 @@
 	if err != nil {
 		return err
 	}
-	// The job may have been accepted before its queue moved to its current pool.
-	if _, _, err := n.locate(ctx, spec.ID, n.operator.FormerPools(c.Queue.Name)); !errors.Is(err, ErrNoJob) {
-		return err
-	}
 	err = n.storeRequest(ctx, txn)
 	took := n.clock.Now().Steady - began.Steady
 	n.metrics.observe(metricSubmit, c.Queue.Name, took)
@@ -133,44 +129,72 @@
 	return err
 }
 
-// locate returns the pool that holds a job, and the job's state. The error is
-// ErrNoJob if none of the pools holds it, or *NotRunError if a read failed.
-func (n *Node) locate(ctx context.Context, id string, pools []string) (string, job.StateView, error) {
-	for _, pool := range pools {
-		state, err := n.readState(ctx, pool, id)
+// locate returns the pool that holds a job of a queue, and the job's state. The error is
+// ErrNoJob if no pool holds it, or *NotRunError if a read failed.
+func (n *Node) locate(ctx context.Context, id string, q *catalog.Queue) (string, job.StateView, error) {
+	// The progress in the queue's current pool answers most requests with one read.
+	state, err := n.recordedState(ctx, q.Pool, id)
+	if !errors.Is(err, ErrNoJob) {
+		return q.Pool, state, err
+	}
+	location, err := n.readLocation(ctx, id)
+	if errors.Is(err, ErrNoJob) {
+		return n.locateByProgress(ctx, id, q)
+	}
+	if err != nil {
+		return "", job.StateView{}, err
+	}
+	if location.Pool != q.Pool {
+		state, err := n.recordedState(ctx, location.Pool, id)
 		if !errors.Is(err, ErrNoJob) {
-			return pool, state, err
+			return location.Pool, state, err
 		}
 	}
-	return "", job.StateView{}, ErrNoJob
+	// The pool's owner has not recorded the job's progress yet.
+	return location.Pool, job.StateView{State: job.Queued, Workspace: location.Workspace}, nil
 }
 
-// readState returns the state of a job of a pool, with the errors of locate. A job
-// whose progress the pool's owner has not recorded yet is queued.
-func (n *Node) readState(ctx context.Context, pool, id string) (job.StateView, error) {
-	row, ok, err := n.getRow(ctx, tables.ProgressKey(pool, id))
-	if err != nil {
-		return job.StateView{}, &NotRunError{"table service does not answer", refusalRetryAfter}
-	}
-	if ok {
-		state, err := job.DecodeState(row.Value)
-		if err != nil {
-			return state, &NotRunError{err.Error(), refusalRetryAfter}
+// locateByProgress searches the other pools for a job without a location, which an
+// earlier build has accepted. Its results are those of locate.
+func (n *Node) locateByProgress(ctx context.Context, id string, q *catalog.Queue) (string, job.StateView, error) {
+	view, _ := n.operator.Get()
+	for _, pool := range view.Catalog.PoolNames() {
+		if pool == q.Pool {
+			continue
+		}
+		state, err := n.recordedState(ctx, pool, id)
+		if !errors.Is(err, ErrNoJob) {
+			return pool, state, err
 		}
-		return state, nil
 	}
-	row, ok, err = n.getRow(ctx, tables.JobKey(pool, id))
+	return "", job.StateView{}, ErrNoJob
+}
+
+// recordedState returns the state of a job as the owner of a pool has recorded it. The
+// errors are those of locate.
+func (n *Node) recordedState(ctx context.Context, pool, id string) (job.StateView, error) {
+	return readDecoded(ctx, n, tables.ProgressKey(pool, id), job.DecodeState)
+}
+
+func (n *Node) readLocation(ctx context.Context, id string) (job.Location, error) {
+	return readDecoded(ctx, n, tables.LocationKey(id), job.DecodeLocation)
+}
+
+// readDecoded reads a row about a job and decodes it. The error is ErrNoJob if the row
+// does not exist, or *NotRunError.
+func readDecoded[T any](ctx context.Context, n *Node, key store.Key, decode func([]byte) (T, error)) (T, error) {
+	var decoded T
+	row, ok, err := n.getRow(ctx, key)
 	if err != nil {
-		return job.StateView{}, &NotRunError{"table service does not answer", refusalRetryAfter}
+		return decoded, &NotRunError{"table service does not answer", refusalRetryAfter}
 	}
 	if !ok {
-		return job.StateView{}, ErrNoJob
+		return decoded, ErrNoJob
 	}
-	spec, err := job.DecodeSpec(row.Value)
-	if err != nil {
-		return job.StateView{}, &NotRunError{err.Error(), refusalRetryAfter}
+	if decoded, err = decode(row.Value); err != nil {
+		return decoded, &NotRunError{err.Error(), refusalRetryAfter}
 	}
-	return job.StateView{State: job.Queued, Workspace: spec.Workspace}, nil
+	return decoded, nil
 }
 
 // callerJob returns the pool that holds a job, and the job's state. Jobs of
@@ -178,7 +202,7 @@
 func (n *Node) callerJob(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	pool, view, err := n.locate(ctx, id, n.candidatePools(c.Queue))
+	pool, view, err := n.locate(ctx, id, c.Queue)
 	if err != nil {
 		return "", job.StateView{}, err
 	}
@@ -188,28 +212,22 @@
 	return pool, view, nil
 }
 
-// candidatePools returns the pools that may hold jobs of a queue, its current
-// one first.
-func (n *Node) candidatePools(q *catalog.Queue) []string {
-	view, _ := n.operator.Get()
-	pools := []string{q.Pool}
-	for _, name := range view.Catalog.PoolNames() {
-		if name != q.Pool {
-			pools = append(pools, name)
-		}
-	}
-	return pools
-}
-
-// submissionTxn returns the transaction that stores a job, on the condition
-// that it does not exist yet.
+// submissionTxn returns the transaction that stores a job in a pool, on the condition
+// that no pool holds it.
 func submissionTxn(pool string, spec *job.Spec) (store.Txn, error) {
 	value, err := job.EncodeSpec(spec)
 	if err != nil {
 		return store.Txn{}, err
 	}
-	key := tables.JobKey(pool, spec.ID)
-	return store.Txn{Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key, Value: value}}}, nil
+	location, err := job.EncodeLocation(job.Location{Pool: pool, Workspace: spec.Workspace})
+	if err != nil {
+		return store.Txn{}, err
+	}
+	key := tables.LocationKey(spec.ID)
+	return store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Puts:       []store.Put{{Key: key, Value: location}, {Key: tables.JobKey(pool, spec.ID), Value: value}},
+	}, nil
 }
 
 // storeRequest stores a caller's request in the partition of its condition. Its
--- a/node/caps.go
+++ b/node/caps.go
@@ -73,7 +73,7 @@
 }
 
 func (c *capShares) follow(ctx context.Context) {
-	f := &follower{store: c.node.store, clock: c.node.clock, log: c.log, table: tables.Caps, partitions: []string{tables.Caps},
+	f := &follower{store: c.node.store, clock: c.node.clock, log: c.log, table: tables.Caps, spans: store.Partitions(tables.Caps),
 		wait: capWait, pause: capPause, deliver: c.update}
 	f.run(ctx)
 }
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -21,8 +21,8 @@
 	maxExpiredJobs = 400
 	expiryTimeout  = 2 * time.Second // of one transaction
 	// maxJobsPerExpiryTxn bounds the jobs of one transaction: each has a condition and
-	// two deletes.
-	maxJobsPerExpiryTxn = store.MaxTxnEntries / 3
+	// three deletes.
+	maxJobsPerExpiryTxn = store.MaxTxnEntries / 4
 )
 
 // requestExpiry is the state of the deletion of expired requests.
@@ -44,22 +44,23 @@
 	}
 	r.expiry.running = true
 	r.node.spawn("expiry", func() {
-		var deleted, kept []string
-		for _, txn := range expiryTxns(r.name, expired) {
+		kept := map[string]bool{} // jobs of which a request may still exist
+		for _, txn := range expiryTxns(expired) {
 			if err := r.deleteRequests(ctx, txn); err != nil {
 				r.log.Info("requests_not_deleted", zap.Int("jobs", len(txn.ids)), zap.Error(err))
-				kept = append(kept, txn.ids...)
-				continue
+				for _, id := range txn.ids {
+					kept[id] = true
+				}
 			}
-			deleted = append(deleted, txn.ids...)
 		}
 		r.deliver(func(p *pool.Pool) {
 			r.expiry.running = false
-			for _, id := range deleted {
-				p.RequestsDeleted(id)
-			}
-			for _, id := range kept {
-				p.RequestsNotDeleted(id)
+			for _, spec := range expired {
+				if kept[spec.ID] {
+					p.RequestsNotDeleted(spec.ID)
+				} else {
+					p.RequestsDeleted(spec.ID)
+				}
 			}
 		})
 	})
@@ -71,28 +72,28 @@
 	ids []string // of the jobs
 }
 
-// expiryTxns returns the transactions that delete the requests of jobs. The condition
-// on the version of a job's row keeps a transaction that is carried out late from
-// deleting a later job of the same id.
-func expiryTxns(pool string, jobs []*job.Spec) []expiryTxn {
+// expiryTxns returns the transactions that delete the requests of jobs and their
+// locations. The condition on the version of a job's row keeps a transaction that is
+// carried out late from deleting a later job of the same id.
+func expiryTxns(jobs []*job.Spec) []expiryTxn {
 	open := map[string]*expiryTxn{} // by partition
 	var full []expiryTxn
 	for _, spec := range jobs {
-		partition := spec.Stored.Partition
-		txn := open[partition]
-		if txn == nil {
-			txn = &expiryTxn{}
-			open[partition] = txn
-		}
-		request := store.Key{Table: tables.Requests(pool), Partition: partition, Name: spec.ID}
-		cancel := tables.CancelKey(pool, spec.ID)
-		cancel.Partition = partition
-		txn.Conditions = append(txn.Conditions, store.Condition{Key: request, Version: spec.Stored.Version})
-		txn.Deletes = append(txn.Deletes, request, cancel)
-		txn.ids = append(txn.ids, spec.ID)
-		if len(txn.ids) == maxJobsPerExpiryTxn {
-			full = append(full, *txn)
-			delete(open, partition)
+		for _, request := range spec.Stored {
+			partition := request.Key.Partition
+			txn := open[partition]
+			if txn == nil {
+				txn = &expiryTxn{}
+				open[partition] = txn
+			}
+			txn.Conditions = append(txn.Conditions, request)
+			txn.Deletes = append(txn.Deletes, request.Key)
+			txn.Deletes = append(txn.Deletes, tables.StoredRequestKeys(request.Key, spec.ID)...)
+			txn.ids = append(txn.ids, spec.ID)
+			if len(txn.ids) == maxJobsPerExpiryTxn {
+				full = append(full, *txn)
+				delete(open, partition)
+			}
 		}
 	}
 	for _, txn := range open {
@@ -119,7 +120,9 @@
 func (r *poolController) deleteOrphanedProgress(requests []store.Row, stored map[string]*job.Progress) {
 	present := make(map[string]bool, len(requests))
 	for _, row := range requests {
-		present[row.Name] = true
+		if id, cancel, ok := tables.ParseRequest(r.name, row.Key); ok && !cancel {
+			present[id] = true
+		}
 	}
 	for id, progress := range stored {
 		switch {
--- a/node/follow.go
+++ b/node/follow.go
@@ -35,21 +35,20 @@
 	CurrentAt time.Duration
 }
 
-// follower reads a partition of a table and then follows the changes of the
-// table.
+// follower reads spans of a table and then follows the changes of the table.
 type follower struct {
 	store        store.Store
 	clock        Clock
 	log          *zap.Logger
 	table        string
-	partitions   []string             // read as a whole first; none means the one without a name
+	spans        []store.Span         // read as a whole first; none means the partition without a name
 	wait         time.Duration        // how long a feed call waits for the first change
 	pause        time.Duration        // between feed calls, so that changes accumulate
 	pauseNow     func() time.Duration // replaces pause if it is set
 	confirm      bool                 // after an answer with rows, ask at once for more: only an answer without rows shows that there are none
-	rereadAfter  time.Duration        // after this time without an answer the whole partitions are read again instead of all missed changes; 0 means never
+	rereadAfter  time.Duration        // after this time without an answer the spans are read again instead of all missed changes; 0 means never
 	expectChange func() bool          // while it returns true, the pause is at most expectedChangePause; may be nil
-	active       func() bool          // while it returns false, nothing is read, and the next read is one of the whole partitions; may be nil
+	active       func() bool          // while it returns false, nothing is read, and the next read is one of the whole spans; may be nil
 	deliver      func(Update)
 	version      int64         // of the last answer; older answers are rejected
 	answeredAt   time.Duration // of the last answer, steady clock
@@ -100,13 +99,13 @@
 	return f.pause
 }
 
-// poll makes one read of the whole partition, or one feed call, and delivers
+// poll makes one read of the whole spans, or one feed call, and delivers
 // the answer. It returns errStaleRead if the answer is older than an earlier
 // one.
 func (f *follower) poll(ctx context.Context, whole bool) error {
 	sentAt := f.clock.Now().Steady
 	if whole {
-		page, err := readPartitions(ctx, f.store, f.table, f.partitions)
+		page, err := readSpans(ctx, f.store, f.table, f.spans)
 		if err != nil {
 			return err
 		}
@@ -139,27 +138,32 @@
 	return nil
 }
 
-// readPartitions reads partitions of a table as a whole. The version is the lowest of
-// the reads, so that a feed of the changes after it misses none.
-func readPartitions(ctx context.Context, s store.Store, table string, partitions []string) (store.Page, error) {
+// maxParallelReads bounds the reads of spans at the same time, so that connections to the
+// table service are left for other calls.
+const maxParallelReads = 13
+
+// readSpans reads spans of a table as a whole. The version is the lowest of the reads, so
+// that a feed of the changes after it misses none.
+func readSpans(ctx context.Context, s store.Store, table string, spans []store.Span) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
 	defer cancel()
-	switch len(partitions) {
+	switch len(spans) {
 	case 0:
-		return store.All(ctx, s, table, "")
+		return store.All(ctx, s, table, store.Span{})
 	case 1:
-		return store.All(ctx, s, table, partitions[0])
+		return store.All(ctx, s, table, spans[0])
 	}
-	pages := make([]store.Page, len(partitions))
+	pages := make([]store.Page, len(spans))
 	group, ctx := errgroup.WithContext(ctx)
-	for i, partition := range partitions {
+	group.SetLimit(maxParallelReads)
+	for i, span := range spans {
 		group.Go(func() (err error) {
 			defer func() {
 				if cause := recover(); cause != nil {
-					err = fmt.Errorf("panic while reading %s of table %s: %v", partition, table, cause)
+					err = fmt.Errorf("panic while reading %s of table %s: %v", span.Partition, table, cause)
 				}
 			}()
-			pages[i], err = store.All(ctx, s, table, partition)
+			pages[i], err = store.All(ctx, s, table, span)
 			return err
 		})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,7 @@
 
 func (n *Node) followMembers(ctx context.Context) {
 	f := n.newFollower()
-	f.table, f.partitions, f.wait, f.pauseNow, f.deliver = tables.Members, tables.MemberPartitions(), memberWait, n.members.feedPause, n.members.update
+	f.table, f.spans, f.wait, f.pauseNow, f.deliver = tables.Members, tables.MemberSpans(), memberWait, n.members.feedPause, n.members.update
 	f.run(ctx)
 }
 
--- a/node/operator.go
+++ b/node/operator.go
@@ -36,17 +36,16 @@
 	rows Rows
 	log  *zap.Logger
 
-	mu          sync.Mutex
-	byName      map[string]OperatorRow // decoded rows
-	view        View
-	catalogRow  string              // name of the row that holds the catalog
-	unreadable  bool                // the newest version of that row cannot be decoded
-	changed     chan struct{}       // closed at the next change of the view
-	formerPools map[string][]string // by queue: pools that it has left since this process started
+	mu         sync.Mutex
+	byName     map[string]OperatorRow // decoded rows
+	view       View
+	catalogRow string        // name of the row that holds the catalog
+	unreadable bool          // the newest version of that row cannot be decoded
+	changed    chan struct{} // closed at the next change of the view
 }
 
 func newOperatorView(rows Rows, log *zap.Logger) *operatorView {
-	return &operatorView{rows: rows, log: log, byName: map[string]OperatorRow{}, changed: make(chan struct{}), formerPools: map[string][]string{}}
+	return &operatorView{rows: rows, log: log, byName: map[string]OperatorRow{}, changed: make(chan struct{})}
 }
 
 // Get returns the view and a channel that is closed when it changes.
@@ -119,34 +118,23 @@
 		return
 	}
 	if o.view.Catalog != nil {
-		o.recordQueueMoves(o.view.Catalog, c)
+		o.logQueueMoves(o.view.Catalog, c)
 	}
 	o.view.Catalog = c
 	o.log.Info("catalog_in_force", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)),
 		zap.Int("pools", len(c.Pools)), zap.Int("workspaces", len(c.Workspaces)))
 }
 
-// recordQueueMoves records the pools that queues leave, since jobs stay in the
-// pool in which they were accepted.
-func (o *operatorView) recordQueueMoves(before, after *catalog.Catalog) {
+// logQueueMoves logs the queues that leave their pools. Jobs stay in the pool in which
+// they were accepted.
+func (o *operatorView) logQueueMoves(before, after *catalog.Catalog) {
 	for name, q := range before.Queues {
-		moved := after.Queues[name]
-		if moved == nil || moved.Pool == q.Pool {
-			continue
+		if moved := after.Queues[name]; moved != nil && moved.Pool != q.Pool {
+			o.log.Info("queue_moved", zap.String("queue", name), zap.String("from", q.Pool), zap.String("to", moved.Pool))
 		}
-		o.formerPools[name] = append(o.formerPools[name], q.Pool)
-		o.log.Info("queue_moved", zap.String("queue", name), zap.String("from", q.Pool), zap.String("to", moved.Pool))
 	}
 }
 
-// FormerPools returns the pools that a queue has left since this process
-// started.
-func (o *operatorView) FormerPools(queue string) []string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.formerPools[queue]
-}
-
 func (o *operatorView) run(ctx context.Context, f follower) {
 	f.table = o.rows.OperatorTable()
 	f.wait = operatorWait
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -246,16 +246,16 @@
 	return h.Sum64()
 }
 
-// readOwnPartition reads this pool's partition of a table; see readPartitions.
+// readOwnPartition reads this pool's partition of a table; see readSpans.
 func (o *ownership) readOwnPartition(ctx context.Context, table string, log *zap.Logger) (store.Page, error) {
-	return o.readPartitions(ctx, table, []string{o.pool}, log)
+	return o.readSpans(ctx, table, store.Partitions(o.pool), log)
 }
 
-// readPartitions reads partitions of a table as of the claim or later. It
-// retries while the service fails, and returns an error only if ctx ends.
-func (o *ownership) readPartitions(ctx context.Context, table string, partitions []string, log *zap.Logger) (store.Page, error) {
+// readSpans reads spans of a table as of the claim or later. It retries while
+// the service fails, and returns an error only if ctx ends.
+func (o *ownership) readSpans(ctx context.Context, table string, spans []store.Span, log *zap.Logger) (store.Page, error) {
 	for {
-		page, err := readPartitions(ctx, o.store, table, partitions)
+		page, err := readSpans(ctx, o.store, table, spans)
 		if err == nil && page.Version < o.version {
 			err = errStaleRead
 		}
--- a/node/ownership_test.go
+++ b/node/ownership_test.go
@@ -145,7 +145,7 @@
 		}
 	}
 	heartbeat(other)
-	page, err := readPartitions(t.Context(), mem, tables.Members, tables.MemberPartitions())
+	page, err := readSpans(t.Context(), mem, tables.Members, tables.MemberSpans())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/partitions_test.go
+++ b/node/partitions_test.go
@@ -140,8 +140,8 @@
 		}
 	}
 	var jobs []*job.Spec
-	for _, partition := range tables.RequestPartitions("p") {
-		page, err := store.All(t.Context(), mem, tables.Requests("p"), partition)
+	for _, span := range tables.RequestSpans("p") {
+		page, err := store.All(t.Context(), mem, tables.Requests("p"), span)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -150,7 +150,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			spec.Stored = job.StoredAt{Partition: row.Partition, Version: row.Version}
+			spec.Stored = []store.Condition{{Key: row.Key, Version: row.Version}}
 			jobs = append(jobs, spec)
 		}
 	}
@@ -161,7 +161,7 @@
 	for try, lost := range []int{1, 0} { // the second try meets what the first has deleted
 		mem.LoseAnswers(lost)
 		failed := 0
-		for _, txn := range expiryTxns("p", jobs) {
+		for _, txn := range expiryTxns(jobs) {
 			if err := r.deleteRequests(t.Context(), txn); err != nil {
 				failed++
 			}
@@ -170,10 +170,15 @@
 			t.Fatalf("try %d: %d transactions failed, want %d", try, failed, lost)
 		}
 	}
+	for i := range 40 {
+		if _, ok, _ := store.Get(t.Context(), mem, tables.LocationKey(fmt.Sprintf("%016x", i))); ok {
+			t.Fatalf("the location of job %d is left", i)
+		}
+	}
 	if err := n.Submit(t.Context(), c, oneStepJob(fmt.Sprintf("%016x", 7))); err != nil {
 		t.Fatal(err)
 	}
-	for _, txn := range expiryTxns("p", jobs) {
+	for _, txn := range expiryTxns(jobs) {
 		_ = r.deleteRequests(t.Context(), txn) // as if carried out late
 	}
 	if _, ok, _ := store.Get(t.Context(), mem, tables.JobKey("p", fmt.Sprintf("%016x", 7))); !ok {
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -72,12 +72,11 @@
 	arrivals    *arrivals
 	expiry      requestExpiry
 
-	requestPartitions []string
-	commitResults     chan commitResult
-	lastCommitSentAt  time.Duration // steady clock
-	cycleInterval     time.Duration // least time between two transactions
-	committing        bool          // a transaction is under way
-	stopErr           error         // error of the transaction that was under way at the stop
+	commitResults    chan commitResult
+	lastCommitSentAt time.Duration // steady clock
+	cycleInterval    time.Duration // least time between two transactions
+	committing       bool          // a transaction is under way
+	stopErr          error         // error of the transaction that was under way at the stop
 }
 
 type commitResult struct {
@@ -93,7 +92,7 @@
 		node: n, owner: o, name: o.pool,
 		log:    n.log.With(zap.String("pool", o.pool), zap.Int64("epoch", o.row.Epoch)),
 		events: make(chan func(*pool.Pool), 1024), done: make(chan struct{}), vmClients: map[string]*vmClient{},
-		commitResults: make(chan commitResult, 1), requestPartitions: tables.RequestPartitions(o.pool),
+		commitResults: make(chan commitResult, 1),
 	}
 	r.confirmedAt.Store(int64(sentAt))
 	r.lastCommitSentAt = sentAt
@@ -143,7 +142,7 @@
 // figures, cordons and lease bounds. It returns the version of the requests
 // that were read.
 func (r *poolController) recover(ctx context.Context) (int64, error) {
-	requests, err := r.owner.readPartitions(ctx, tables.Requests(r.name), r.requestPartitions, r.log)
+	requests, err := r.owner.readSpans(ctx, tables.Requests(r.name), tables.RequestSpans(r.name), r.log)
 	if err != nil {
 		return 0, err
 	}
@@ -164,7 +163,7 @@
 		}
 		stored[row.Name] = p
 	}
-	cordonRows, err := r.owner.readPartitions(ctx, tables.Cordons, []string{fleetPool}, r.log)
+	cordonRows, err := r.owner.readSpans(ctx, tables.Cordons, store.Partitions(fleetPool), r.log)
 	if err != nil {
 		return 0, err
 	}
--- a/node/poolfeeds.go
+++ b/node/poolfeeds.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
-	"slices"
 
 	"go.uber.org/zap"
 
@@ -17,20 +17,24 @@
 // holds the jobs' progress at takeover; it is nil for requests that arrive
 // later.
 func (r *poolController) applyRequest(p *pool.Pool, row store.Row, stored map[string]*job.Progress) {
-	if row.Removed || !slices.Contains(r.requestPartitions, row.Partition) {
+	id, cancel, ok := tables.ParseRequest(r.name, row.Key)
+	if row.Removed || !ok {
 		return
 	}
-	if id, cancelled := tables.CancelledJob(row.Name); cancelled {
+	if cancel {
 		p.Cancel(id)
 		return
 	}
 	spec, err := job.DecodeSpec(row.Value)
+	if err == nil && spec.ID != id {
+		err = fmt.Errorf("job row: it describes job %s", spec.ID)
+	}
 	if err != nil {
-		r.log.Error("job_row_unreadable", zap.String("job", row.Name), zap.Error(err))
+		r.log.Error("job_row_unreadable", zap.String("job", id), zap.Error(err))
 		return
 	}
-	spec.Stored = job.StoredAt{Partition: row.Partition, Version: row.Version}
-	if progress := stored[row.Name]; progress != nil {
+	spec.Stored = []store.Condition{{Key: row.Key, Version: row.Version}}
+	if progress := stored[id]; progress != nil {
 		p.Restore(spec, progress)
 		return
 	}
@@ -41,7 +45,7 @@
 // Answers about requests that are older than version are rejected.
 func (r *poolController) startFollowers(ctx context.Context, version int64) {
 	n := r.node
-	requests := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Requests(r.name), partitions: r.requestPartitions,
+	requests := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Requests(r.name), spans: tables.RequestSpans(r.name),
 		wait: requestWait, pause: requestPause, deliver: func(u Update) {
 			r.deliver(func(p *pool.Pool) {
 				for _, row := range u.Rows {
@@ -54,7 +58,7 @@
 	discovery := &follower{store: n.store, clock: n.clock, log: r.log, table: n.rows.VMTable(),
 		wait: discoverWait, pause: discoverPause, deliver: r.vmUpdateHandler(), expectChange: r.arrivals.imminent}
 	n.spawn("discovery of "+r.name, func() { n.keepRunning(ctx, "discovery of "+r.name, discovery.run) })
-	cordons := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Cordons, partitions: []string{fleetPool},
+	cordons := &follower{store: n.store, clock: n.clock, log: r.log, table: tables.Cordons, spans: store.Partitions(fleetPool),
 		wait: cordonWait, deliver: r.cordonUpdateHandler()}
 	n.spawn("cordons of "+r.name, func() { n.keepRunning(ctx, "cordons of "+r.name, cordons.run) })
 	n.spawn("caps", func() { n.keepRunning(ctx, "caps", r.caps.follow) })
--- a/node/recover_test.go
+++ b/node/recover_test.go
@@ -94,7 +94,7 @@
 		fleet.restoreDemand([]store.Row{row})
 		r := newPoolController(n, o, 0, 0)
 		r.restoreLeases([]store.Row{row})
-		row.Partition = r.requestPartitions[0]
+		row.Partition = r.name
 		r.applyRequest(r.pool, row, nil)
 		if progress, err := job.DecodeProgress(value); err == nil {
 			spec := oneStepJob(row.Name)
--- a/sched/job/encodings_test.go
+++ b/sched/job/encodings_test.go
@@ -16,6 +16,7 @@
 		"progress":     new(Progress),
 		"state":        new(StateView),
 		"queue status": new(QueueStatus),
+		"location":     new(Location),
 	}, cbor.Marshal, cbor.Unmarshal)
 }
 
--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -105,6 +105,29 @@
 	return s, nil
 }
 
+// Location names the pool that holds a job. It is stored under the job's id alone, so
+// that a job stays one job when its queue moves to another pool.
+type Location struct {
+	Pool      string `cbor:"1,keyasint"`
+	Workspace string `cbor:"2,keyasint,omitempty"` // of the job; empty on open queues
+}
+
+// EncodeLocation returns the stored form of a job's location.
+func EncodeLocation(l Location) ([]byte, error) { return cbor.Marshal(l) }
+
+// DecodeLocation decodes the stored form of a job's location. It returns an error for a
+// malformed one.
+func DecodeLocation(b []byte) (Location, error) {
+	var l Location
+	if err := decoder.Unmarshal(b, &l); err != nil {
+		return Location{}, fmt.Errorf("location row: %w", err)
+	}
+	if l.Pool == "" {
+		return Location{}, fmt.Errorf("location row: no pool")
+	}
+	return l, nil
+}
+
 // EncodeProgress returns the stored form of a job's progress.
 func EncodeProgress(p *Progress) ([]byte, error) { return cbor.Marshal(p) }
 
--- a/sched/job/spec.go
+++ b/sched/job/spec.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/store"
 )
 
 // Limits of a job description. They keep the row of a job within the size that the
@@ -51,13 +52,7 @@
 	Interval    time.Duration `cbor:"8,keyasint,omitempty"` // between the starts of two repetitions
 	AcceptedMS  int64         `cbor:"9,keyasint,omitempty"` // Unix milliseconds, at the accepting entry
 
-	Stored StoredAt `cbor:"-"` // the row that the description was read from
-}
-
-// StoredAt says where the row with a job's description is.
-type StoredAt struct {
-	Partition string
-	Version   int64 // 0 if the description was not read from a row
+	Stored []store.Condition `cbor:"-"` // the rows that the description was read from
 }
 
 // Occurrences returns how many times the steps run, at least 1.
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -358,7 +358,7 @@
 // Restore adds a job with its stored progress at takeover. progress is nil for a
 // job that no owner has recorded yet.
 func (p *Pool) Restore(spec *job.Spec, progress *job.Progress) {
-	if _, known := p.jobs[spec.ID]; known {
+	if p.knows(spec) {
 		return
 	}
 	j := p.add(spec)
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -9,6 +10,7 @@
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/store"
 )
 
 // Pool is the scheduler of one pool. It is not safe for concurrent use.
@@ -157,9 +159,10 @@
 	return ok && v.Machine != "" && c.VM == v.ID
 }
 
-// Accept adds a job that is already durable. A known job is ignored.
+// Accept adds a job that is already durable. Of a known job, only the rows that hold it
+// are added.
 func (p *Pool) Accept(spec *job.Spec) {
-	if _, known := p.jobs[spec.ID]; known {
+	if p.knows(spec) {
 		return
 	}
 	j := p.add(spec)
@@ -173,6 +176,22 @@
 		zap.String("workspace", spec.Workspace), zap.Int64("age_ms", p.now.Wall-spec.AcceptedMS), zap.Bool("over_share", j.overShare))
 }
 
+// knows reports whether a job is known. It adds the rows that hold the description to
+// those of the known one: a job that was stored both by an earlier build and by this one
+// is in two rows, and both must be deleted before its progress.
+func (p *Pool) knows(spec *job.Spec) bool {
+	j := p.jobs[spec.ID]
+	if j == nil {
+		return false
+	}
+	for _, row := range spec.Stored {
+		if !slices.ContainsFunc(j.spec.Stored, func(known store.Condition) bool { return known.Key == row.Key }) {
+			j.spec.Stored = append(j.spec.Stored, row)
+		}
+	}
+	return true
+}
+
 // A load report is published early when much work has been accepted since the
 // last one, so that the pool gets VMs at the start of a burst.
 const (
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -129,14 +129,28 @@
 	return page.Rows[0], true, nil
 }
 
-// All reads every row of a partition of a table. The version is that of the first
-// page, so that a feed of the changes after it misses none. Errors are those of
-// Store.
-func All(ctx context.Context, s Store, table, partition string) (Page, error) {
+// Span is a range of the rows of a partition, by their names.
+type Span struct {
+	Partition string
+	From, To  string // To is excluded; empty means no limit
+}
+
+// Partitions returns the spans of whole partitions.
+func Partitions(names ...string) []Span {
+	spans := make([]Span, len(names))
+	for i, name := range names {
+		spans[i].Partition = name
+	}
+	return spans
+}
+
+// All reads every row of a span of a table. The version is that of the first page, so
+// that a feed of the changes after it misses none. Errors are those of Store.
+func All(ctx context.Context, s Store, table string, span Span) (Page, error) {
 	var all Page
-	from := ""
+	from := span.From
 	for {
-		page, err := s.Range(ctx, table, partition, from, "")
+		page, err := s.Range(ctx, table, span.Partition, from, span.To)
 		if err != nil {
 			return Page{}, err
 		}
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -5,17 +5,19 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strings"
 
 	"amaranthfork.example/sched/store"
 )
 
 // Tables of the entries. The rows that a pool's owner writes are in the partition
-// with the pool's name. Requests of callers are spread over several others, so that
-// the transactions of many entries do not delay those of the owner: a partition
+// with the pool's name. Requests of callers are spread over several others by job, so
+// that the transactions of many entries do not delay those of the owner: a partition
 // carries out its transactions one after another.
 const (
 	Owners   = "owners"   // owner of each pool; rewritten by each transaction of the owner
+	Jobs     = "jobs"     // pool of each accepted job
 	Progress = "progress" // progress of each job
 	Queues   = "queues"   // published status of each queue
 	Members  = "members"  // running entries
@@ -37,53 +39,108 @@
 	return fmt.Sprintf("requests-%02d", hash32(pool)%requestTableCount)
 }
 
-// requestPartitionCount is the number of partitions of a pool's requests. With 8, a
-// pool can accept some 1,600 jobs per second.
-const requestPartitionCount = 8
+// jobPartitionCount is the number of partitions that jobs are spread over. With 16, all
+// pools together can accept some 3,200 batches of jobs per second.
+const jobPartitionCount = 16
 
-// RequestPartitions returns the partitions that may hold requests of a pool. The
-// partition with the pool's name is that of its owner; earlier builds stored requests
-// there.
-func RequestPartitions(pool string) []string {
+func nthJobPartition(n uint32) string { return fmt.Sprintf("jobs-%02d", n) }
+
+// jobPartition returns the partition of a job's location and of the requests about it.
+// It depends on the job alone: a submission that arrives again meets the same rows
+// whichever pool its queue has moved to.
+func jobPartition(id string) string { return nthJobPartition(hash32(id) % jobPartitionCount) }
+
+// RequestSpans returns the spans of a pool's table of requests that may hold requests of
+// the pool.
+func RequestSpans(pool string) []store.Span {
+	list := store.Partitions(legacyRequestPartitions(pool)...)
+	prefix := requestPrefix(pool)
+	for i := range jobPartitionCount {
+		list = append(list, store.Span{Partition: nthJobPartition(uint32(i)), From: prefix, To: afterPrefix(prefix)})
+	}
+	return list
+}
+
+// legacyPartitionCount is the number of partitions, besides that with the pool's name, in
+// which earlier builds stored the requests of a pool, under names without the pool.
+const legacyPartitionCount = 8
+
+func legacyRequestPartitions(pool string) []string {
 	list := []string{pool}
-	for i := range requestPartitionCount {
-		list = append(list, nthRequestPartition(pool, uint32(i)))
+	for i := range legacyPartitionCount {
+		list = append(list, fmt.Sprintf("%s#%d", pool, i+1))
 	}
 	return list
 }
 
-func nthRequestPartition(pool string, n uint32) string { return fmt.Sprintf("%s#%d", pool, n+1) }
+// maxPoolInName is the longest name of a pool that is a part of a row's name, so that the
+// row's name stays within the 200 bytes that the service allows. For a longer one its hash
+// is used.
+const maxPoolInName = 150
 
-// requestPartition returns the partition of the requests about a job, which depends
-// only on the job, so that all entries store a repeated submission in the same row.
-func requestPartition(pool, id string) string {
-	return nthRequestPartition(pool, hash32(id)%requestPartitionCount)
+// requestPrefix begins the names of the rows of a pool's requests.
+func requestPrefix(pool string) string {
+	if len(pool) > maxPoolInName {
+		h := fnv.New64a()
+		h.Write([]byte(pool))
+		return fmt.Sprintf("%016x/", h.Sum64())
+	}
+	return pool + "/"
 }
 
+// afterPrefix returns the first name after all names that begin with a prefix, which
+// ends with a slash.
+func afterPrefix(prefix string) string { return prefix[:len(prefix)-1] + string(rune('/'+1)) }
+
 func hash32(s string) uint32 {
 	h := fnv.New32a()
 	h.Write([]byte(s))
 	return h.Sum32()
 }
 
-// cancelSuffix after a job's id names the row that cancels the job.
+// cancelSuffix after a job's name names the row that cancels the job.
 const cancelSuffix = "/cancel"
 
-// JobKey returns the key of a submitted job.
+// LocationKey returns the key of the row that names the pool of a job. It exists as long
+// as the request of the job.
+func LocationKey(id string) store.Key {
+	return store.Key{Table: Jobs, Partition: jobPartition(id), Name: id}
+}
+
+// JobKey returns the key of a submitted job. It is in the partition of its location.
 func JobKey(pool, id string) store.Key {
-	return store.Key{Table: Requests(pool), Partition: requestPartition(pool, id), Name: id}
+	return store.Key{Table: Requests(pool), Partition: jobPartition(id), Name: requestPrefix(pool) + id}
 }
 
 // CancelKey returns the key of the row that cancels a job. It is in the partition of
 // the job.
 func CancelKey(pool, id string) store.Key {
-	return store.Key{Table: Requests(pool), Partition: requestPartition(pool, id), Name: id + cancelSuffix}
+	key := JobKey(pool, id)
+	key.Name += cancelSuffix
+	return key
 }
 
-// CancelledJob returns the id of the job that the row of the given name cancels. The
-// result is false for the row of a submitted job.
-func CancelledJob(name string) (string, bool) {
-	return strings.CutSuffix(name, cancelSuffix)
+// ParseRequest returns the id of the job that a row of a pool's table of requests is
+// about, and whether the row cancels it. ok is false for requests of other pools.
+func ParseRequest(pool string, key store.Key) (id string, cancel, ok bool) {
+	name, ok := strings.CutPrefix(key.Name, requestPrefix(pool))
+	if !ok && !slices.Contains(legacyRequestPartitions(pool), key.Partition) {
+		return "", false, false
+	}
+	id, cancel = strings.CutSuffix(name, cancelSuffix)
+	return id, cancel, !strings.Contains(id, "/")
+}
+
+// StoredRequestKeys returns the keys of the rows about a job beside its request, whose
+// key is given: all of them are in the partition of the request.
+func StoredRequestKeys(request store.Key, id string) []store.Key {
+	cancel := request
+	cancel.Name += cancelSuffix
+	keys := []store.Key{cancel}
+	if request.Name != id { // earlier builds stored no location
+		keys = append(keys, LocationKey(id))
+	}
+	return keys
 }
 
 // ProgressKey returns the key of a job's progress.
@@ -106,11 +163,11 @@
 // while the table service is slow.
 const memberPartitionCount = 16
 
-// MemberPartitions returns the partitions of the members' rows.
-func MemberPartitions() []string {
-	list := make([]string, memberPartitionCount)
+// MemberSpans returns the spans of the members' rows.
+func MemberSpans() []store.Span {
+	list := make([]store.Span, memberPartitionCount)
 	for i := range list {
-		list[i] = nthMemberPartition(uint32(i))
+		list[i].Partition = nthMemberPartition(uint32(i))
 	}
 	return list
 }
