Count waiting jobs in pools that their queue has left

Cause: an entry read the number that the owner of the queue's present pool publishes; the jobs stay in the pool in which they were accepted.

TestWaitingJobsAreCountedAfterAMove fails with the reading part taken out ("0 waiting jobs while the queue is in s, want 7").

Change: the owner of a pool writes how many jobs wait there for queues that are no longer assigned to it, in one small partition that entries read with the number of the present pool, at most every 0.5 s. Each row is written on the condition of its version; the next owner takes the rows over, also those of queues that have moved back.

--- a/node/api.go
+++ b/node/api.go
@@ -302,11 +302,15 @@
 	if err != nil {
 		return 0, &NotRunError{"table service does not answer", refusalRetryAfter}
 	}
+	waiting, err := n.waitingElsewhere(ctx, c.Queue.Name, c.Queue.Pool)
+	if err != nil {
+		return 0, &NotRunError{"table service does not answer", refusalRetryAfter}
+	}
 	if !ok {
-		return 0, nil
+		return waiting, nil
 	}
 	status, err := job.DecodeQueueStatus(row.Value)
-	return status.Waiting, err
+	return waiting + status.Waiting, err
 }
 
 // Ready reports whether this entry can take requests now.
--- a/node/moved_test.go
+++ b/node/moved_test.go
@@ -172,3 +172,64 @@
 		}
 	}
 }
+
+// Guards against a backlog that nobody counts (MIXED): its queue has moved, and only the
+// owner of the pool that it has left knows the waiting jobs. Another owner follows, then the
+// queue moves on, and back.
+func TestWaitingJobsAreCountedAfterAMove(t *testing.T) {
+	mem, s := newTestStore()
+	clock := s.clock.(*testClock)
+	waitingAt := func(pool string) int {
+		t.Helper()
+		clock.advance(2 * movedQueuesAge)
+		n, caller := entryWithQueueIn(pool, mem, clock) // has just started
+		waiting, err := n.Waiting(t.Context(), caller)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return waiting
+	}
+	before, caller := entryWithQueueIn("p", mem, clock)
+	for i := range 7 {
+		if err := before.Submit(t.Context(), caller, oneStepJob(fmt.Sprintf("%016x", i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	own := func(now string, cancel int) {
+		t.Helper()
+		n, _ := entryWithQueueIn(now, mem, clock)
+		r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, 0)
+		if _, err := r.recover(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		r.pool.Configure(n.operator.view.Catalog)
+		for i := range cancel {
+			r.pool.Cancel(fmt.Sprintf("%016x", i))
+		}
+		batch := r.pool.Cycle()
+		if err := r.owner.commit(t.Context(), store.Txn{Puts: batch.Puts}); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.movedQueues.write(t.Context(), r.pool.WaitingElsewhere()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	own("p", 0)
+	if got := waitingAt("p"); got != 7 {
+		t.Fatalf("%d waiting jobs before the move, want 7", got)
+	}
+	for _, now := range []string{"r", "r", "s"} {
+		own(now, 0)
+		if got := waitingAt(now); got != 7 {
+			t.Errorf("%d waiting jobs while the queue is in %s, want 7", got, now)
+		}
+	}
+	own("s", 3)
+	if got := waitingAt("s"); got != 4 {
+		t.Errorf("%d waiting jobs after three were cancelled, want 4", got)
+	}
+	own("p", 0)
+	if got := waitingAt("p"); got != 4 {
+		t.Errorf("%d waiting jobs after the queue has moved back, want 4", got)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -72,8 +72,9 @@
 	owned        map[string]bool          // pools that this entry owns
 	unownedSince map[string]time.Duration // by pool: when it was first seen without a live owner, steady clock
 	batchers     map[string]*writeBatcher // callers' requests that are not stored yet, by partition
-	seenClaims   map[string]seenClaim     // by pool: claims that the claimers' member rows may not show yet; for claimLoop only
-	controllers  sync.WaitGroup           // of the owned pools and the fleet role
+	movedQueues  movedQueueCache
+	seenClaims   map[string]seenClaim // by pool: claims that the claimers' member rows may not show yet; for claimLoop only
+	controllers  sync.WaitGroup       // of the owned pools and the fleet role
 }
 
 // seenClaim is a claim of another entry that was read from an owner's row.
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -71,6 +71,7 @@
 	caps        *capShares
 	arrivals    *arrivals
 	expiry      requestExpiry
+	movedQueues *movedQueues
 
 	commitResults    chan commitResult
 	lastCommitSentAt time.Duration // steady clock
@@ -102,6 +103,7 @@
 	settings.InheritedLeaseBound = max(renewedUntil, n.clock.Now().Steady) + settings.LeaseBound
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
+	r.movedQueues = newMovedQueues(n, o.pool, r.log)
 	r.arrivals = newArrivals(n.clock, n.settings.Fleet.MoveTime)
 	return r
 }
@@ -284,6 +286,9 @@
 	r.deleteExpiredRequests(ctx, now.Steady)
 	batch := r.pool.Cycle()
 	r.cycleInterval = cycleIntervalFor(r.node.clock.Now().Steady - now.Steady)
+	if r.movedQueues.due(now.Steady) {
+		r.movedQueues.publish(ctx, r.pool.WaitingElsewhere())
+	}
 	r.caps.requestShares(ctx, r.pool.Demand(), now.Steady)
 	r.dispatch(ctx, r.pool.Commands())
 	if batch.Empty() && now.Steady-r.lastCommitSentAt < ownerRenewInterval {
--- a/sched/job/encodings_test.go
+++ b/sched/job/encodings_test.go
@@ -17,6 +17,7 @@
 		"state":        new(StateView),
 		"queue status": new(QueueStatus),
 		"location":     new(Location),
+		"moved queue":  new(MovedQueue),
 	}, cbor.Marshal, cbor.Unmarshal)
 }
 
--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -163,6 +163,25 @@
 	AsOf    int64 `cbor:"2,keyasint"` // Unix milliseconds
 }
 
+// MovedQueue is what a pool's owner publishes about a queue that has left the pool while
+// jobs of it waited there.
+type MovedQueue struct {
+	Queue   string `cbor:"1,keyasint"`
+	Pool    string `cbor:"2,keyasint"` // the pool that it has left
+	Waiting int    `cbor:"3,keyasint"` // jobs in that pool of which no task has started
+}
+
+// EncodeMovedQueue returns the stored form of a moved queue.
+func EncodeMovedQueue(q MovedQueue) ([]byte, error) { return cbor.Marshal(q) }
+
+// DecodeMovedQueue decodes the stored form of a moved queue. It returns an error for a
+// malformed one.
+func DecodeMovedQueue(b []byte) (MovedQueue, error) {
+	var q MovedQueue
+	err := decoder.Unmarshal(b, &q)
+	return q, err
+}
+
 // EncodeQueueStatus returns the stored form of a queue's status.
 func EncodeQueueStatus(q QueueStatus) ([]byte, error) { return cbor.Marshal(q) }
 
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -181,6 +181,18 @@
 	}
 }
 
+// WaitingElsewhere returns the numbers of waiting jobs of the queues that are no longer
+// assigned to this pool, by queue. Queues without waiting jobs are left out.
+func (p *Pool) WaitingElsewhere() map[string]int {
+	counts := map[string]int{}
+	for queue, n := range p.waitingJobs() {
+		if q := p.catalog.queue(queue); n > 0 && (q == nil || q.Pool != p.settings.Pool) {
+			counts[queue] = n
+		}
+	}
+	return counts
+}
+
 // addLeaseBounds records the lease bounds of VMs that have not answered, so that
 // a later owner need not wait for a full lease again. Leases are not extended
 // while a bound is recorded.
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -81,9 +81,7 @@
 // requestPrefix begins the names of the rows of a pool's requests.
 func requestPrefix(pool string) string {
 	if len(pool) > maxPoolInName {
-		h := fnv.New64a()
-		h.Write([]byte(pool))
-		return fmt.Sprintf("%016x/", h.Sum64())
+		return hash64(pool) + "/"
 	}
 	return pool + "/"
 }
@@ -98,6 +96,13 @@
 	return h.Sum32()
 }
 
+// hash64 returns a hash in 16 hexadecimal digits.
+func hash64(s string) string {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
 // cancelSuffix after a job's name names the row that cancels the job.
 const cancelSuffix = "/cancel"
 
@@ -153,6 +158,20 @@
 	return store.Key{Table: Queues, Partition: pool, Name: queue}
 }
 
+// movedQueuesPartition holds the rows of queues that have left pools, which all entries
+// read together.
+const movedQueuesPartition = "moved"
+
+// MovedQueues returns the span of the rows of queues that have left pools.
+func MovedQueues() store.Span { return store.Span{Partition: movedQueuesPartition} }
+
+// MovedQueueKey returns the key of the row that says how many jobs wait in a pool for a
+// queue that has left it. The names may be too long for a key together, so it holds their
+// hashes.
+func MovedQueueKey(pool, queue string) store.Key {
+	return store.Key{Table: Queues, Partition: movedQueuesPartition, Name: hash64(queue) + "/" + hash64(pool)}
+}
+
 // OwnerKey returns the key of the row that names a pool's owner.
 func OwnerKey(pool string) store.Key {
 	return store.Key{Table: Owners, Partition: pool, Name: "owner"}
