--- a/node/api.go
+++ b/node/api.go
@@ -50,6 +50,8 @@
 	ErrNoQueue = errors.New("no such queue")
 	// ErrNoJob means that no such job exists.
 	ErrNoJob = errors.New("no such job")
+	// ErrTooLarge means that the description of a job is too large to be stored.
+	ErrTooLarge = errors.New("job description is too large")
 	// ErrUnauthorized means that the key is not in force.
 	ErrUnauthorized = errors.New("key is not in force")
 )
@@ -110,8 +112,8 @@
 const defaultBodyBytes = 256 << 10
 
 // Submit stores a job. It returns nil once the job is stored, also if it was
-// stored before; *NotRunError if this request will certainly not store it; or
-// ErrUnconfirmed.
+// stored before; *NotRunError if this request will certainly not store it; ErrTooLarge;
+// or ErrUnconfirmed.
 func (n *Node) Submit(ctx context.Context, c Caller, spec *job.Spec) error {
 	began := n.clock.Now()
 	spec.Queue = c.Queue.Name
@@ -121,6 +123,10 @@
 	if err != nil {
 		return err
 	}
+	if err := txn.Check(n.settings.Scheduler.MaxRowBytes()); err != nil {
+		n.log.Info("submit", zap.String("job", spec.ID), zap.String("queue", c.Queue.Name), zap.String("outcome", ErrTooLarge.Error()), zap.Error(err))
+		return fmt.Errorf("%w: %w", ErrTooLarge, err)
+	}
 	err = n.storeRequest(ctx, txn)
 	took := n.clock.Now().Steady - began.Steady
 	n.metrics.observe(metricSubmit, c.Queue.Name, took)
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -128,7 +128,7 @@
 		switch {
 		case present[id]:
 		case progress.State.Final():
-			r.pool.DeleteProgress(id)
+			r.pool.DeleteProgress(id, progress)
 		default:
 			r.log.Error("progress_without_request", zap.String("job", id))
 		}
--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		fx.t.Fatal(err)
 	}
-	f.loadReports.update(Update{Rows: []store.Row{{Key: tables.LoadKey("a"), Value: value, Version: fx.clock.Now().Wall}}})
+	f.loadReports.update(Update{Rows: []store.Row{{Key: tables.LoadKey("a", 0), Value: value, Version: fx.clock.Now().Wall}}})
 }
 
 // step runs one cycle of a holder after its calls have been answered.
--- a/node/loadreports.go
+++ b/node/loadreports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -17,14 +18,20 @@
 	node *Node
 	log  *zap.Logger
 
-	mu       sync.Mutex
-	reports  map[string]pool.LoadReport // by pool
-	versions map[string]int64           // of the rows, by pool
-	change   chan struct{}              // closed at the next change
+	mu      sync.Mutex
+	rows    map[store.Key]loadRow
+	reports map[string]pool.LoadReport // by pool
+	change  chan struct{}              // closed at the next change
+}
+
+// loadRow is a row of a load report.
+type loadRow struct {
+	report  pool.LoadReport
+	version int64
 }
 
 func newLoadReportTable(n *Node, log *zap.Logger) *loadReportTable {
-	return &loadReportTable{node: n, log: log, reports: map[string]pool.LoadReport{}, versions: map[string]int64{}, change: make(chan struct{})}
+	return &loadReportTable{node: n, log: log, rows: map[store.Key]loadRow{}, reports: map[string]pool.LoadReport{}, change: make(chan struct{})}
 }
 
 func (l *loadReportTable) all() map[string]pool.LoadReport {
@@ -61,21 +68,41 @@
 }
 
 func (l *loadReportTable) applyRow(row store.Row) {
+	name := row.Partition
 	if row.Removed {
-		delete(l.reports, row.Partition)
+		delete(l.rows, row.Key)
+		delete(l.reports, name)
 		return
 	}
 	report, err := pool.DecodeLoadReport(row.Value)
 	if err != nil {
-		l.log.Error("load_row_unreadable", zap.String("pool", row.Partition), zap.Error(err))
+		l.log.Error("load_row_unreadable", zap.String("pool", name), zap.String("row", row.Name), zap.Error(err))
 		return
 	}
-	if row.Version == l.versions[row.Partition] {
+	if row.Version == l.rows[row.Key].version {
 		return
 	}
-	l.versions[row.Partition] = row.Version
+	l.rows[row.Key] = loadRow{report, row.Version}
+	l.assemble(name)
+}
+
+// assemble puts the report of a pool in force if all its rows are known. They are written
+// in one transaction and have one version.
+func (l *loadReportTable) assemble(name string) {
+	first, ok := l.rows[tables.LoadKey(name, 0)]
+	if !ok {
+		return
+	}
+	report := first.report
+	for i := range report.MoreRows {
+		more := l.rows[tables.LoadKey(name, i+1)]
+		if more.version != first.version {
+			return
+		}
+		report.VMs = append(slices.Clip(report.VMs), more.report.VMs...)
+	}
 	// The time of arrival replaces the report's time, which is on the clock of
 	// another VM: decisions use a single clock.
 	report.AtMS = l.node.clock.Now().Wall
-	l.reports[row.Partition] = report
+	l.reports[name] = report
 }
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -156,15 +156,7 @@
 	if err != nil {
 		return 0, err
 	}
-	stored := make(map[string]*job.Progress, len(progress.Rows))
-	for _, row := range progress.Rows {
-		p, err := job.DecodeProgress(row.Value)
-		if err != nil {
-			r.log.Error("progress_row_unreadable", zap.String("job", row.Name), zap.Error(err))
-			continue
-		}
-		stored[row.Name] = p
-	}
+	stored := pool.DecodeStoredProgress(progress.Rows, r.log)
 	cordonRows, err := r.owner.readSpans(ctx, tables.Cordons, store.Partitions(fleetPool), r.log)
 	if err != nil {
 		return 0, err
@@ -315,6 +307,10 @@
 
 func (r *poolController) committed(ctx context.Context, result commitResult) error {
 	r.committing = false
+	if errors.Is(result.err, store.ErrInvalid) && r.pool.Refused(result.batch, result.err) {
+		r.node.metrics.add("batches_refused")
+		return nil
+	}
 	if result.err != nil {
 		return result.err
 	}
--- a/node/writes.go
+++ b/node/writes.go
@@ -9,9 +9,14 @@
 	"amaranthfork.example/sched/store"
 )
 
-// maxWritesInBatch bounds the requests in one transaction. Each has a condition
-// and two rows of up to about 5 KB.
-const maxWritesInBatch = 30
+const (
+	// maxWritesInBatch bounds the requests in one transaction. Each has a condition
+	// and two rows.
+	maxWritesInBatch = 30
+	// maxWriteBytesInBatch bounds the values in one transaction, so that it stays under
+	// store.MaxTxnBytes once it is encoded as text.
+	maxWriteBytesInBatch = 600 << 10
+)
 
 // pendingWrite is a caller's request that is not stored yet. Its rows must not
 // exist yet.
@@ -22,6 +27,16 @@
 	inFlight    bool // a try is under way
 	unconfirmed bool // a try had no certain outcome and may take effect later
 	abandoned   bool // its caller no longer waits
+	alone       bool // must not share a transaction: one that it shared was rejected
+}
+
+// size returns the size of the values to write, in bytes.
+func (w *pendingWrite) size() int {
+	n := 0
+	for _, put := range w.txn.Puts {
+		n += len(put.Value)
+	}
+	return n
 }
 
 // writeBatcher stores callers' requests in one partition. Requests that arrive
@@ -91,12 +106,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var batch, rest []*pendingWrite
+	bytes := 0
 	for _, w := range b.pending {
 		switch {
 		case w.abandoned:
-		case len(batch) < maxWritesInBatch:
+		case len(batch) == 0 || len(batch) < maxWritesInBatch && bytes+w.size() <= maxWriteBytesInBatch && !w.alone && !batch[0].alone:
 			w.inFlight = true
 			batch = append(batch, w)
+			bytes += w.size()
 		default:
 			rest = append(rest, w)
 		}
@@ -125,6 +142,12 @@
 	case errors.Is(err, store.ErrBusy):
 		b.requeue(batch)
 		time.Sleep(retryPause)
+	case errors.Is(err, store.ErrInvalid) && len(batch) > 1:
+		// One of the requests is at fault.
+		for _, w := range batch {
+			w.alone = true
+		}
+		b.requeue(batch)
 	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrInvalid):
 		b.answerRefused(batch)
 	default:
--- a/node/writes_test.go
+++ b/node/writes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -48,8 +49,9 @@
 	return &writeBatcher{store: newTimedStore(s, NewBootClock())}, s
 }
 
+// jobTxn returns the transaction of a job in a partition that is the same for all jobs.
 func jobTxn(id int) store.Txn {
-	key := tables.JobKey("p", fmt.Sprintf("%016x", id))
+	key := store.Key{Table: tables.Requests("p"), Partition: "jobs", Name: fmt.Sprintf("%016x", id)}
 	return store.Txn{Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte("job")}}}
 }
 
@@ -136,3 +138,40 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against one request that the table service rejects and that fails the requests of
+// other callers in its transaction, and against transactions above the permitted size.
+func TestRejectedRequestDoesNotFailOthers(t *testing.T) {
+	b, _ := newBatcher(20 * time.Millisecond)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			txn := jobTxn(i)
+			txn.Puts[0].Value = make([]byte, 64<<10) // 30 of them are over the size of a transaction
+			if i == 7 {
+				txn.Puts[0].Value = make([]byte, 64<<10+1)
+			}
+			err := b.submit(t.Context(), txn)
+			var notRun *NotRunError
+			if i == 7 && !errors.As(err, &notRun) {
+				t.Errorf("request with a row that is too large: %v, want *NotRunError", err)
+			}
+			if i != 7 && err != nil {
+				t.Errorf("job %d: %v", i, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a caller that tries again and again to submit a job whose description can
+// never be stored.
+func TestDescriptionThatDoesNotFitIsRefusedForGood(t *testing.T) {
+	mem, s := newTestStore()
+	n := newEntry("a", mem, s.clock)
+	spec := oneStepJob("00000000000000aa")
+	spec.Steps[0].Image = strings.Repeat("i", 64<<10)
+	if err := n.Submit(t.Context(), Caller{Queue: n.operator.view.Catalog.Queues["q"]}, spec); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("%v, want ErrTooLarge", err)
+	}
+}
--- a/sched/job/encodings_test.go
+++ b/sched/job/encodings_test.go
@@ -14,6 +14,7 @@
 	fleettest.CheckEncodings(t, "encodings", map[string]any{
 		"spec":         new(Spec),
 		"progress":     new(Progress),
+		"part":         new(ProgressPart),
 		"state":        new(StateView),
 		"queue status": new(QueueStatus),
 		"location":     new(Location),
--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -79,6 +79,27 @@
 	Workspace   string       `cbor:"5,keyasint,omitempty"` // of the job; empty on open queues
 
 	Crashes []TaskCrashes `cbor:"6,keyasint,omitempty"` // of tasks that are not done; earlier builds do not write it
+
+	// NextOpen is set if the tasks are in parts, in rows of their own: occurrences from
+	// FirstOpen to before it are open.
+	NextOpen int `cbor:"7,keyasint,omitempty"`
+
+	Parts map[int]*ProgressPart `cbor:"-"` // the stored parts, by number; newer than Occurrences
+}
+
+// ProgressPart is the stored progress of some tasks of a job whose tasks do not fit into
+// one row.
+type ProgressPart struct {
+	Ranges  []TaskRange   `cbor:"1,keyasint"`
+	Crashes []TaskCrashes `cbor:"2,keyasint,omitempty"` // of these tasks
+}
+
+// TaskRange is the stored progress of successive tasks of one occurrence.
+type TaskRange struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int      // number of the occurrence
+	First      int      // position of the first task in the occurrence
+	Tasks      []Task
 }
 
 var decoder = func() cbor.DecMode {
@@ -141,6 +162,19 @@
 	return p, nil
 }
 
+// EncodeProgressPart returns the stored form of a part of a job's progress.
+func EncodeProgressPart(p *ProgressPart) ([]byte, error) { return cbor.Marshal(p) }
+
+// DecodeProgressPart decodes the stored form of a part of a job's progress. It returns an
+// error for a malformed one.
+func DecodeProgressPart(b []byte) (*ProgressPart, error) {
+	p := new(ProgressPart)
+	if err := decoder.Unmarshal(b, p); err != nil {
+		return nil, fmt.Errorf("progress part row: %w", err)
+	}
+	return p, nil
+}
+
 // StateView is the part of a job's progress that status requests need.
 type StateView struct {
 	State     State  `cbor:"1,keyasint"`
--- a/sched/job/spec.go
+++ b/sched/job/spec.go
@@ -16,7 +16,7 @@
 const (
 	MaxPayloadBytes = 4000   // limit of task_spec in the platform's job interface
 	MaxSteps        = 64     // far above the steps of any known job; bounds the dependency check
-	MaxTasks        = 10_000 // over all occurrences that may be open; keeps the progress row under 64 KiB
+	MaxTasks        = 10_000 // over all occurrences that may be open; bounds the memory of a pool's owner
 	IDLength        = 16     // hexadecimal digits
 )
 
@@ -69,6 +69,15 @@
 	return s.FirstRunMS + int64(occurrence)*s.Interval.Milliseconds()
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s *Spec) Tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // LongRunning reports whether the job has a long-running step.
 func (s *Spec) LongRunning() bool {
 	for i := range s.Steps {
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,6 +33,8 @@
 	endsDurable map[string]durableEnds // by VM
 	bytes       int                    // total size of the values in Puts
 	leaseBounds map[string]int64       // by VM: lease bound in ms on the table service's clock; nil if the batch has none
+	items       []item                 // what the rows are about
+	jobParts    map[*jobState][]int    // the jobs with rows in the batch, and which of their parts
 }
 
 // durableEnds are the ends of one incarnation of a VM, up to a sequence number, that are
@@ -53,32 +57,56 @@
 	return len(b.Puts)+len(b.Deletes) >= maxBatchEntries || b.bytes >= maxBatchBytes
 }
 
-func (b *Batch) put(k store.Key, value []byte) {
+// put adds a row about an item.
+func (b *Batch) put(about item, k store.Key, value []byte) {
 	b.Puts = append(b.Puts, store.Put{Key: k, Value: value})
 	b.bytes += len(value)
+	b.addItem(about)
+}
+
+func (b *Batch) addItem(about item) {
+	if !slices.Contains(b.items, about) {
+		b.items = append(b.items, about)
+	}
 }
 
 // Cycle places ready tasks and returns the changes to write. The caller passes
-// the batch to Committed once it is durable, before the next call of Cycle. If
-// the write fails, the caller must give up the pool.
+// the batch to Committed once it is durable, or to Refused if the table service rejects
+// it, before the next call of Cycle. If the write fails for another reason, the caller
+// must give up the pool.
 func (p *Pool) Cycle() Batch {
 	p.needsAnotherVM = false
 	p.findCandidates()
 	p.drainVMs()
 	p.plan()
-	b := Batch{endsDurable: map[string]durableEnds{}}
+	for {
+		b := p.collectBatch()
+		if !b.Empty() || len(p.suspects) == 0 {
+			return b
+		}
+		p.suspects = p.suspects[1:] // nothing is left to write about the group
+	}
+}
+
+// collectBatch returns the changes to write.
+func (p *Pool) collectBatch() Batch {
+	b := Batch{endsDurable: map[string]durableEnds{}, jobParts: map[*jobState][]int{}}
 	// The few rows that other processes wait for come first, so that many progress
 	// rows do not displace them.
 	p.addQueues(&b)
 	p.addLeaseBounds(&b)
 	p.addLoadReport(&b)
 	p.addJobs(&b)
-	if !b.full() {
-		// The batch holds all changes so far, so all processed ends become durable
-		// with it.
+	if !b.full() && len(p.suspects) == 0 {
+		// The batch holds all changes so far but those that are held back, so the other
+		// ends that are processed become durable with it.
 		for id, v := range p.vms {
-			if v.endsProcessed > v.endsDurable {
-				b.endsDurable[id] = durableEnds{v.StartedMS, v.endsProcessed}
+			upTo := v.endsProcessed
+			if v.firstHeldEnd > 0 {
+				upTo = min(upTo, v.firstHeldEnd-1)
+			}
+			if upTo > v.endsDurable {
+				b.endsDurable[id] = durableEnds{v.StartedMS, upTo}
 			}
 		}
 	}
@@ -86,79 +114,11 @@
 	return b
 }
 
-// addJobs adds the progress rows of changed jobs, and the starts that depend on
-// them, while there is room.
-func (p *Pool) addJobs(b *Batch) {
-	for _, j := range p.jobs {
-		if !j.dirty {
-			continue
-		}
-		if b.full() {
-			return
-		}
-		value, err := job.EncodeProgress(p.progress(j))
-		if err != nil {
-			p.log.Error("progress_not_encoded", zap.String("job", j.spec.ID), zap.Error(err))
-			continue
-		}
-		b.put(tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
-		j.dirty = false
-		p.addStarts(b, j)
-	}
-}
-
-func (p *Pool) addStarts(b *Batch, j *jobState) {
-	if j.active == 0 {
-		return
-	}
-	for _, o := range j.open {
-		for _, step := range o.tasks {
-			for _, t := range step {
-				if t.phase == placed {
-					b.starts = append(b.starts, startRecord{t, t.run})
-				}
-			}
-		}
-	}
-}
-
-// progress returns a job's state as its progress row holds it.
-func (p *Pool) progress(j *jobState) *job.Progress {
-	r := &job.Progress{State: j.state, FirstOpen: j.firstOpen, FinishedMS: j.finishedAtMS, Workspace: j.spec.Workspace}
-	if j.state.Final() {
-		return r
-	}
-	for _, o := range j.open {
-		stored := job.Occurrence{Number: o.number}
-		for _, step := range o.tasks {
-			for _, t := range step {
-				if t.crashes > 0 && t.phase != done {
-					r.Crashes = append(r.Crashes, job.TaskCrashes{Occurrence: o.number, Task: len(stored.Tasks), Crashes: t.crashes, Certain: t.certainCrashes, Likely: t.likelyCrashes})
-				}
-				stored.Tasks = append(stored.Tasks, t.stored())
-			}
-		}
-		r.Occurrences = append(r.Occurrences, stored)
-	}
-	return r
-}
-
-// stored returns a task's state as the progress row holds it.
-func (t *task) stored() job.Task {
-	s := job.Task{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
-	switch {
-	case t.phase == done:
-		s.State = job.TaskDone
-		s.Checkpoint = ""
-	case t.active():
-		s.State = job.TaskActive
-		s.VM = t.vm.ID
-	}
-	return s
-}
-
 // addQueues publishes the numbers of waiting jobs that have changed.
 func (p *Pool) addQueues(b *Batch) {
+	if !p.mayWrite(queueItem) {
+		return
+	}
 	counts := p.waitingJobs()
 	for queue := range p.publishedWaiting {
 		if _, ok := counts[queue]; !ok {
@@ -175,7 +135,7 @@
 			p.log.Error("queue_status_not_encoded", zap.String("queue", queue), zap.Error(err))
 			continue
 		}
-		b.put(tables.QueueKey(p.settings.Pool, queue), value)
+		b.put(queueItem, tables.QueueKey(p.settings.Pool, queue), value)
 		p.publishedWaiting[queue] = n
 		p.queuePublishedAt[queue] = p.now.Steady
 	}
@@ -193,17 +153,27 @@
 	return counts
 }
 
+// leaseEntryBytes is the largest encoded size of a lease bound, beside the id of its VM:
+// two headers and a number.
+const leaseEntryBytes = 12
+
 // addLeaseBounds records the lease bounds of VMs that have not answered, so that
 // a later owner need not wait for a full lease again. Leases are not extended
 // while a bound is recorded.
 func (p *Pool) addLeaseBounds(b *Batch) {
-	if !p.leaseBoundsChanged || b.full() {
+	if !p.leaseBoundsChanged || b.full() || !p.mayWrite(leaseItem) {
 		return
 	}
+	// A bound that does not fit is left out: a later owner then waits until
+	// InheritedLeaseBound, which is later.
 	bounds := map[string]int64{}
-	for id, v := range p.vms {
-		if v.leaseBound > 0 {
-			bounds[id] = (v.leaseBound + p.serviceClockOffset).Milliseconds()
+	size := 0
+	for _, v := range p.sortedVMs() {
+		if v.leaseBound == 0 {
+			continue
+		}
+		if size += len(v.ID) + leaseEntryBytes; size <= p.rowBytes() {
+			bounds[v.ID] = (v.leaseBound + p.serviceClockOffset).Milliseconds()
 		}
 	}
 	value, err := cbor.Marshal(bounds)
@@ -211,7 +181,7 @@
 		p.log.Error("lease_bounds_not_encoded", zap.Error(err))
 		return
 	}
-	b.put(tables.LeaseKey(p.settings.Pool), value)
+	b.put(leaseItem, tables.LeaseKey(p.settings.Pool), value)
 	b.leaseBounds = bounds
 	for id := range bounds {
 		p.storedLeaseBounds[id] = true
@@ -263,15 +233,17 @@
 // addLoadReport publishes a load report every loadReportInterval, and earlier when
 // loadReportDue is set, for example because a cordoned VM has become empty.
 func (p *Pool) addLoadReport(b *Batch) {
-	if b.full() || !p.loadReportDue && p.now.Steady-p.loadPublishedAt < loadReportInterval {
+	if b.full() || !p.mayWrite(loadItem) || !p.loadReportDue && p.now.Steady-p.loadPublishedAt < loadReportInterval {
 		return
 	}
-	value, err := EncodeLoadReport(p.LoadReport())
+	rows, err := encodeLoadRows(p.LoadReport(), p.rowBytes())
 	if err != nil {
 		p.log.Error("load_report_not_encoded", zap.Error(err))
 		return
 	}
-	b.put(tables.LoadKey(p.settings.Pool), value)
+	for i, row := range rows {
+		b.put(loadItem, tables.LoadKey(p.settings.Pool, i), row)
+	}
 	p.loadPublishedAt = p.now.Steady
 	p.publishedCoreSeconds = p.acceptedCoreSeconds
 	p.loadReportDue = false
@@ -311,16 +283,36 @@
 	}
 }
 
-// DeleteProgress has the progress of a job that the scheduler does not know deleted
-// with one of the next batches.
-func (p *Pool) DeleteProgress(id string) { p.deletableJobs = append(p.deletableJobs, id) }
+// DeleteProgress has the stored progress of a job that the scheduler does not know deleted
+// with the next batches.
+func (p *Pool) DeleteProgress(id string, stored *job.Progress) {
+	p.deletableJobs = append(p.deletableJobs, id)
+	p.deleteParts(id, slices.Collect(maps.Keys(stored.Parts)))
+}
+
+// deleteParts has parts of a job's progress deleted with the next batches.
+func (p *Pool) deleteParts(id string, parts []int) {
+	for _, part := range parts {
+		p.deletableRows = append(p.deletableRows, tables.ProgressPartKey(p.settings.Pool, id, part))
+	}
+}
 
-// deleteProgress deletes the progress of expired jobs whose requests are deleted.
+// deleteProgress deletes the progress of expired jobs whose requests are deleted, and
+// parts that are not needed any more.
 func (p *Pool) deleteProgress(b *Batch) {
+	if !p.mayWrite(deleteItem) {
+		return
+	}
+	for len(p.deletableRows) > 0 && !b.full() {
+		b.Deletes = append(b.Deletes, p.deletableRows[0])
+		p.deletableRows = p.deletableRows[1:]
+		b.addItem(deleteItem)
+	}
 	for len(p.deletableJobs) > 0 && !b.full() {
 		id := p.deletableJobs[0]
 		p.deletableJobs = p.deletableJobs[1:]
 		b.Deletes = append(b.Deletes, tables.ProgressKey(p.settings.Pool, id))
+		b.addItem(deleteItem)
 		delete(p.jobs, id)
 	}
 }
@@ -328,6 +320,9 @@
 // Committed handles a batch that has become durable and returns the starts that
 // depended on it.
 func (p *Pool) Committed(b Batch) []Command {
+	if len(p.suspects) > 0 {
+		p.suspects = p.suspects[1:] // the group is written
+	}
 	for id, durable := range b.endsDurable {
 		if v := p.vms[id]; v != nil && v.StartedMS == durable.startedMS {
 			v.endsDurable = max(v.endsDurable, durable.upTo)
@@ -367,73 +362,6 @@
 	return !t.occ.job.state.Final() && v.listed && !v.replaced && v.fenced && !v.Draining && !v.cordoned && !p.evacuated[v.DataCentre] && !p.leaseBoundPending(v)
 }
 
-// Restore adds a job with its stored progress at takeover. progress is nil for a
-// job that no owner has recorded yet.
-func (p *Pool) Restore(spec *job.Spec, progress *job.Progress) {
-	if p.knows(spec) {
-		return
-	}
-	j := p.add(spec)
-	if progress == nil {
-		j.dirty = true
-		return
-	}
-	j.state = progress.State
-	j.started = progress.State != job.Queued
-	j.firstOpen = progress.FirstOpen
-	j.nextOpen = progress.FirstOpen
-	j.finishedAtMS = progress.FinishedMS
-	if j.state.Final() {
-		p.finishedJobs = append(p.finishedJobs, j)
-		return
-	}
-	for _, stored := range progress.Occurrences {
-		o := p.newOccurrence(j, stored.Number, spec.Due(stored.Number))
-		p.restoreTasks(o, stored.Tasks, progress.Crashes)
-		j.open = append(j.open, o)
-		j.nextOpen = max(j.nextOpen, stored.Number+1)
-	}
-}
-
-func (p *Pool) restoreTasks(o *occurrence, stored []job.Task, crashes []job.TaskCrashes) {
-	crashesByTask := map[int]job.TaskCrashes{}
-	for _, c := range crashes {
-		if c.Occurrence == o.number {
-			crashesByTask[c.Task] = c
-		}
-	}
-	i := 0
-	for s := range o.tasks {
-		for _, t := range o.tasks[s] {
-			if i >= len(stored) {
-				return
-			}
-			p.restoreTask(t, stored[i])
-			stored := crashesByTask[i]
-			t.crashes, t.certainCrashes, t.likelyCrashes = stored.Crashes, stored.Certain, stored.Likely
-			i++
-		}
-	}
-}
-
-func (p *Pool) restoreTask(t *task, s job.Task) {
-	t.run, t.failures, t.checkpoint = s.Run, s.Failures, s.Checkpoint
-	switch s.State {
-	case job.TaskDone:
-		t.phase = done
-		t.occ.remaining[t.step]--
-	case job.TaskActive:
-		// The run may be on a later incarnation of the worker than the one that it
-		// was placed on, since a start names only the id. The listing shows it.
-		v := p.inheritedVM(s.VM)
-		p.assign(t, v)
-		t.phase = unconfirmed
-		t.inherited = true
-		t.throttlePercent = unknownThrottle
-		t.since = p.now.Steady
-	}
-}
-
 // RestoreQueue sets, at takeover, the last published number of a queue's waiting
 // jobs.
 func (p *Pool) RestoreQueue(queue string, waiting int) { p.publishedWaiting[queue] = waiting }
--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -185,7 +185,7 @@
 	if s.blame == likelyCause {
 		t.likelyCrashes++
 	}
-	j.dirty = true
+	t.markDirty()
 	p.stats.Crashed++
 	p.log.Info("vm_crashed_under_task", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", v.ID),
 		zap.Int("crashes", t.crashes), zap.Int("certain", t.certainCrashes), zap.Int("likely_cause_of", t.likelyCrashes))
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -71,6 +71,9 @@
 	cancelled      map[string]bool
 	throttles      map[string]int // by task: last throttle that was set, in percent
 	log            []string
+	rowBytes       int                      // largest value of a row; 0 means the default
+	refuses        func(put store.Put) bool // whether the table service rejects a row; may be nil
+	refused        int                      // transactions that were rejected
 
 	losesAnswer func(task string) bool // whether the answer to a start that was carried out is lost; may be nil
 
@@ -92,6 +95,7 @@
 // takeover replaces the owner by a new one, which knows only the durable rows.
 func (h *harness) takeover() {
 	settings := testSettings()
+	settings.RowBytes = h.rowBytes
 	settings.InheritedLeaseBound = h.now.Steady + 11*time.Second
 	h.scheduler = pool.New(settings, zap.NewNop(), h.now)
 	h.scheduler.Configure(h.catalog)
@@ -104,16 +108,13 @@
 			h.scheduler.RestoreLease(id, bound)
 		}
 	}
+	stored := h.storedProgress()
 	for _, spec := range h.specs {
-		value, ok := h.rows[tables.ProgressKey(testPool, spec.ID)]
-		if !ok {
+		progress := stored[spec.ID]
+		if progress == nil {
 			h.scheduler.Accept(spec)
 			continue
 		}
-		progress, err := job.DecodeProgress(value)
-		if err != nil {
-			h.t.Fatalf("progress row: %v", err)
-		}
 		h.scheduler.Restore(spec, progress)
 		if h.cancelled[spec.ID] {
 			h.scheduler.Cancel(spec.ID)
@@ -124,6 +125,23 @@
 	}
 }
 
+// storedProgress decodes the durable progress of all jobs.
+func (h *harness) storedProgress() map[string]*job.Progress {
+	var rows []store.Row
+	for key, value := range h.rows {
+		if key.Table == tables.Progress {
+			rows = append(rows, store.Row{Key: key, Value: value})
+		}
+	}
+	stored := pool.DecodeStoredProgress(rows, zap.NewNop())
+	for _, row := range rows {
+		if id, _, ok := tables.ParseProgress(row.Name); !ok || stored[id] == nil {
+			h.t.Fatalf("progress row %s is unreadable", row.Name)
+		}
+	}
+	return stored
+}
+
 func (h *harness) sortedWorkers() []*worker {
 	var list []*worker
 	for _, worker := range h.workers {
@@ -213,6 +231,13 @@
 // commit makes the next batch durable and returns the starts that depended on it.
 func (h *harness) commit() []pool.Command {
 	batch := h.scheduler.Cycle()
+	if err := h.check(batch); err != nil {
+		h.refused++
+		if !h.scheduler.Refused(batch, err) {
+			h.t.Fatalf("batch refused: %v", err)
+		}
+		return nil
+	}
 	for _, put := range batch.Puts {
 		h.rows[put.Key] = put.Value
 	}
@@ -222,6 +247,23 @@
 	return h.scheduler.Committed(batch)
 }
 
+// check returns the error with which the table service rejects a batch and the owner's
+// row, or nil.
+func (h *harness) check(b pool.Batch) error {
+	owner := store.Put{Key: tables.OwnerKey(testPool), Value: make([]byte, 200)}
+	txn := store.Txn{Conditions: []store.Condition{{Key: owner.Key}}, Puts: append([]store.Put{owner}, b.Puts...), Deletes: b.Deletes}
+	for _, put := range b.Puts {
+		if h.refuses != nil && h.refuses(put) {
+			return store.ErrInvalid
+		}
+	}
+	rowBytes := h.rowBytes
+	if rowBytes == 0 {
+		rowBytes = 64 << 10
+	}
+	return txn.Check(rowBytes)
+}
+
 // renew renews a worker's leases, if permitted, and passes its listing to the
 // scheduler.
 func (h *harness) renew(id string) {
@@ -426,14 +468,10 @@
 
 // taskDone reports whether a task is recorded as done.
 func (h *harness) taskDone(spec *job.Spec, step, index int) bool {
-	value, ok := h.rows[tables.ProgressKey(testPool, spec.ID)]
-	if !ok {
+	progress := h.storedProgress()[spec.ID]
+	if progress == nil {
 		return false
 	}
-	progress, err := job.DecodeProgress(value)
-	if err != nil {
-		h.t.Fatalf("%v", err)
-	}
 	if progress.State == job.Succeeded {
 		return true
 	}
@@ -441,6 +479,13 @@
 	for s := range step {
 		position += spec.Steps[s].Count
 	}
+	for _, part := range progress.Parts {
+		for _, r := range part.Ranges {
+			if r.Occurrence == 0 && r.First <= position && position < r.First+len(r.Tasks) {
+				return r.Tasks[position-r.First].State == job.TaskDone
+			}
+		}
+	}
 	return len(progress.Occurrences) > 0 && progress.Occurrences[0].Tasks[position].State == job.TaskDone
 }
 
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -112,6 +112,9 @@
 	if t == nil {
 		return
 	}
+	if p.heldBack[t.occ.job.spec.ID] && v.firstHeldEnd == 0 {
+		v.firstHeldEnd = e.Sequence
+	}
 	p.stats.Ends++
 	p.log.Info("run_ended", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", v.ID),
 		zap.String("cause", string(e.Cause)), zap.Int64("sequence", e.Sequence), zap.Duration("after", p.now.Steady-t.since))
@@ -133,10 +136,11 @@
 // of a gang share one.
 func (p *Pool) setCheckpoint(t *task, checkpoint string) {
 	t.checkpoint = checkpoint
-	t.occ.job.dirty = true
+	t.markDirty()
 	if t.spec().Gang {
 		for _, member := range t.occ.tasks[t.step] {
 			member.checkpoint = checkpoint
+			member.markDirty()
 		}
 	}
 }
@@ -168,11 +172,17 @@
 }
 
 func (p *Pool) occurrenceDone(o *occurrence) {
-	j := o.job
-	p.log.Info("occurrence_done", zap.String("job", j.spec.ID), zap.Int("occurrence", o.number))
+	p.log.Info("occurrence_done", zap.String("job", o.job.spec.ID), zap.Int("occurrence", o.number))
+	p.closeCompleted(o.job)
+}
+
+// closeCompleted drops the first open occurrences that are complete, and ends the job
+// after the last one.
+func (p *Pool) closeCompleted(j *jobState) {
 	for len(j.open) > 0 && j.open[0].number == j.firstOpen && j.open[0].complete() {
 		j.open = j.open[1:]
 		j.firstOpen++
+		j.dirty = true
 	}
 	if j.firstOpen >= j.spec.Occurrences() && !j.state.Final() {
 		p.finish(j, job.Succeeded, "all tasks are done")
@@ -195,6 +205,7 @@
 		counted = t.occ.tasks[t.step][0] // the first member counts for the whole gang
 	}
 	counted.failures++
+	counted.markDirty()
 	p.endRun(t, waiting)
 	q := p.catalog.queue(j.spec.Queue)
 	if q != nil && q.MaxAttempts > 0 && counted.failures >= q.MaxAttempts && !j.state.Final() {
--- a/sched/pool/load.go
+++ b/sched/pool/load.go
@@ -41,6 +41,7 @@
 	Epoch               int64    `cbor:"6,keyasint,omitempty"` // of the owner: when it took over, Unix milliseconds
 	MinVMs              int      `cbor:"7,keyasint,omitempty"` // minimum number of VMs for the long-running tasks
 	LateCoreSeconds     float64  `cbor:"8,keyasint,omitempty"` // remaining core-seconds of jobs that will be late
+	MoreRows            int      `cbor:"9,keyasint,omitempty"` // further rows, with more VMs, of the same transaction
 }
 
 // VM returns the load of the VM with an id. The result is false if the report does
@@ -65,6 +66,38 @@
 // EncodeLoadReport encodes a load report.
 func EncodeLoadReport(l LoadReport) ([]byte, error) { return cbor.Marshal(l) }
 
+// encodeLoadRows encodes a load report as rows of at most rowBytes. The first row holds the
+// whole report except some VMs, and the others those VMs.
+func encodeLoadRows(l LoadReport, rowBytes int) ([][]byte, error) {
+	vms := l.VMs
+	for n := 1; ; n *= 2 {
+		perRow := max(1, (len(vms)+n-1)/n)
+		chunks := slices.Collect(slices.Chunk(vms, perRow))
+		if len(chunks) == 0 {
+			chunks = [][]VMLoad{nil}
+		}
+		l.MoreRows = len(chunks) - 1
+		rows := make([][]byte, len(chunks))
+		fits := true
+		for i, chunk := range chunks {
+			report := LoadReport{VMs: chunk}
+			if i == 0 {
+				report = l
+				report.VMs = chunk
+			}
+			row, err := EncodeLoadReport(report)
+			if err != nil {
+				return nil, err
+			}
+			rows[i] = row
+			fits = fits && len(row) <= rowBytes
+		}
+		if fits || perRow == 1 {
+			return rows, nil
+		}
+	}
+}
+
 // loadReportInterval is the time between two load reports of a pool.
 const loadReportInterval = 300 * time.Millisecond
 
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -112,6 +112,9 @@
 			continue
 		}
 		kept = append(kept, j)
+		if p.heldBack[j.spec.ID] {
+			continue
+		}
 		p.openDue(j)
 		for _, o := range j.open {
 			p.collectOccurrence(o)
@@ -141,10 +144,12 @@
 	} else {
 		o.openedAt = j.acceptedAt
 	}
+	position := 0
 	for s := range j.spec.Steps {
 		tasks := make([]*task, j.spec.Steps[s].Count)
 		for i := range tasks {
-			tasks[i] = &task{occ: o, step: s, index: i, name: TaskName(j.spec.ID, number, s, i), throttlePercent: 100}
+			tasks[i] = &task{occ: o, step: s, index: i, position: position, name: TaskName(j.spec.ID, number, s, i), throttlePercent: 100}
+			position++
 		}
 		o.tasks = append(o.tasks, tasks)
 		o.remaining = append(o.remaining, len(tasks))
@@ -427,7 +432,7 @@
 	}
 	t.since, t.placedAt = p.now.Steady, p.now.Steady
 	t.throttlePercent = 100
-	t.occ.job.dirty = true
+	t.markDirty()
 }
 
 // NextDue returns the time until the next occurrence is due, at most limit.
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -38,7 +38,10 @@
 	vmsVersion   int64
 	candidates   candidates
 
-	deletableJobs []string // ids of expired jobs whose requests are deleted
+	deletableJobs []string    // ids of expired jobs whose requests are deleted
+	deletableRows []store.Key // parts of the progress of finished jobs
+	suspects      [][]item    // groups of items of a refused batch, which are written one group after the other
+	heldBack      map[item]bool
 
 	runTimes  map[string]*runTimeModel // actual run times relative to their estimates, by queue
 	jobShares map[string]*tokenBucket  // by workspace
@@ -77,7 +80,7 @@
 		runTimes:         map[string]*runTimeModel{},
 		jobShares:        map[string]*tokenBucket{},
 		publishedWaiting: map[string]int{}, queuePublishedAt: map[string]time.Duration{},
-		demand: map[string]fleet.Resources{}, storedLeaseBounds: map[string]bool{},
+		demand: map[string]fleet.Resources{}, storedLeaseBounds: map[string]bool{}, heldBack: map[item]bool{},
 	}
 }
 
@@ -323,7 +326,7 @@
 	t.lastRunEnd = p.now.Steady
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame, t.lostOn = 0, 0, false, notBlamed, nil
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
-	t.occ.job.dirty = true
+	t.markDirty()
 }
 
 // ObserveVM updates a VM from its present entry in discovery.
@@ -401,7 +404,7 @@
 		}
 	}
 	v.StartedMS = startedMS
-	v.endsProcessed, v.endsDurable = 0, 0
+	v.endsProcessed, v.endsDurable, v.firstHeldEnd = 0, 0, 0
 	v.fenced = false
 	v.health = vmHealth{}
 }
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -483,7 +483,7 @@
 	if len(h.workers["b"].running) != 3 {
 		t.Fatalf("%d tasks on b, want 3", len(h.workers["b"].running))
 	}
-	load, err := pool.DecodeLoadReport(h.rows[tables.LoadKey(testPool)])
+	load, err := pool.DecodeLoadReport(h.rows[tables.LoadKey(testPool, 0)])
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/sched/pool/record.go
@@ -0,0 +1,440 @@
+package pool
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/tables"
+)
+
+const (
+	// defaultRowBytes is the largest value of a row unless the settings give another.
+	defaultRowBytes = 64 << 10
+	// tasksPerPart is the number of tasks in one part of a job's progress. A part with the
+	// longest ids of VMs, 200 bytes, takes a quarter of a row.
+	tasksPerPart = 64
+)
+
+// MaxRowBytes returns the largest value of a row.
+func (s *Settings) MaxRowBytes() int {
+	if s.RowBytes > 0 {
+		return s.RowBytes
+	}
+	return defaultRowBytes
+}
+
+func (p *Pool) rowBytes() int { return p.settings.MaxRowBytes() }
+
+// progressParts is how the progress of a job is stored: in one row, or if that would be
+// too large, in one row without tasks and in parts. A part holds tasksPerPart tasks,
+// counted over all occurrences.
+type progressParts struct {
+	used   bool         // the tasks are in parts
+	dirty  []int        // parts to be recorded again, in the order in which they changed
+	stored map[int]bool // parts that may exist in the table service
+	row    []byte       // the row without tasks as it was last recorded; nil if unknown
+}
+
+func (s *progressParts) markDirty(part int) {
+	if !slices.Contains(s.dirty, part) {
+		s.dirty = append(s.dirty, part)
+	}
+}
+
+// part returns the number of the part that holds t.
+func (t *task) part() int {
+	return (t.occ.number*t.occ.job.spec.Tasks() + t.position) / tasksPerPart
+}
+
+// markDirty has the progress of t recorded again.
+func (t *task) markDirty() {
+	j := t.occ.job
+	j.dirty = true
+	if j.parts.used {
+		j.parts.markDirty(t.part())
+	}
+}
+
+// addJobs adds the progress rows of changed jobs, and the starts that depend on
+// them, while there is room.
+func (p *Pool) addJobs(b *Batch) {
+	for id, j := range p.jobs {
+		if !j.dirty || !p.mayWrite(id) {
+			continue
+		}
+		if b.full() {
+			return
+		}
+		if err := p.addJob(b, j); err != nil {
+			p.log.Error("progress_not_encoded", zap.String("job", id), zap.Error(err))
+		}
+	}
+}
+
+// addJob adds the rows of one job while there is room.
+func (p *Pool) addJob(b *Batch, j *jobState) error {
+	if j.parts.used && !j.state.Final() {
+		return p.addParts(b, j)
+	}
+	value, err := job.EncodeProgress(p.progress(j))
+	if err != nil {
+		return err
+	}
+	if len(value) > p.rowBytes() && !j.state.Final() {
+		p.useParts(j)
+		return p.addParts(b, j)
+	}
+	b.put(j.spec.ID, tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
+	b.jobParts[j] = nil
+	j.dirty = false
+	if j.state.Final() {
+		// The tasks are no longer needed. A later batch may delete the parts, no earlier one.
+		p.deleteParts(j.spec.ID, slices.Collect(maps.Keys(j.parts.stored)))
+		j.parts = progressParts{}
+	}
+	for _, o := range j.open {
+		for _, step := range o.tasks {
+			b.addStarts(step)
+		}
+	}
+	return nil
+}
+
+// addStarts adds the starts of the tasks that have been placed.
+func (b *Batch) addStarts(tasks []*task) {
+	for _, t := range tasks {
+		if t.phase == placed {
+			b.starts = append(b.starts, startRecord{t, t.run})
+		}
+	}
+}
+
+// useParts stores the progress of a job in parts from now on.
+func (p *Pool) useParts(j *jobState) {
+	p.log.Info("progress_in_parts", zap.String("job", j.spec.ID), zap.Int("tasks", j.spec.Tasks()), zap.Int("occurrences", len(j.open)))
+	j.parts.used = true
+	if j.parts.stored == nil {
+		j.parts.stored = map[int]bool{}
+	}
+	for _, o := range j.open {
+		for _, step := range o.tasks {
+			for _, t := range step {
+				if !t.untouched() {
+					t.markDirty()
+				}
+			}
+		}
+	}
+}
+
+// untouched reports whether the stored state of t is that of a task without a row.
+func (t *task) untouched() bool {
+	return t.phase == waiting && t.run == 0 && t.failures == 0 && t.crashes == 0 && t.checkpoint == ""
+}
+
+// addParts adds the changed parts of a job, and then its row without tasks, while there is
+// room. That row comes last: it may replace one that holds the tasks.
+func (p *Pool) addParts(b *Batch, j *jobState) error {
+	b.jobParts[j] = nil
+	var placedLater []*task // in steps that depend on others
+	for len(j.parts.dirty) > 0 && !b.full() {
+		number := j.parts.dirty[0]
+		tasks := j.tasksOfPart(number)
+		value, err := p.encodePart(j, tasks)
+		if err != nil {
+			return err
+		}
+		b.put(j.spec.ID, tables.ProgressPartKey(p.settings.Pool, j.spec.ID, number), value)
+		b.jobParts[j] = append(b.jobParts[j], number)
+		j.parts.dirty = j.parts.dirty[1:]
+		j.parts.stored[number] = true
+		for _, t := range tasks {
+			if len(t.spec().After) > 0 {
+				placedLater = append(placedLater, t)
+			} else {
+				b.addStarts([]*task{t})
+			}
+		}
+	}
+	if len(j.parts.dirty) > 0 {
+		// The ends of the steps before them may be in the parts that are left.
+		for _, t := range placedLater {
+			if t.phase == placed {
+				t.markDirty()
+			}
+		}
+		return nil
+	}
+	b.addStarts(placedLater)
+	if b.full() {
+		return nil
+	}
+	value, err := job.EncodeProgress(&job.Progress{State: j.state, FirstOpen: j.firstOpen, NextOpen: j.nextOpen, Workspace: j.spec.Workspace})
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(value, j.parts.row) {
+		b.put(j.spec.ID, tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
+		j.parts.row = value
+	}
+	j.dirty = false
+	return nil
+}
+
+// tasksOfPart returns the tasks of a part that belong to open occurrences, in order.
+func (j *jobState) tasksOfPart(number int) []*task {
+	perOccurrence := j.spec.Tasks()
+	first, end := number*tasksPerPart, (number+1)*tasksPerPart
+	var list []*task
+	for n := first / perOccurrence; n*perOccurrence < end; n++ {
+		o := j.occurrence(n)
+		if o == nil {
+			continue
+		}
+		for _, step := range o.tasks {
+			before := n*perOccurrence + step[0].position // number of the step's first task
+			from, to := max(0, first-before), min(len(step), end-before)
+			if from < to {
+				list = append(list, step[from:to]...)
+			}
+		}
+	}
+	return list
+}
+
+// encodePart returns the stored form of successive tasks.
+func (p *Pool) encodePart(j *jobState, tasks []*task) ([]byte, error) {
+	part := &job.ProgressPart{}
+	for i, t := range tasks {
+		if i == 0 || tasks[i-1].occ != t.occ {
+			part.Ranges = append(part.Ranges, job.TaskRange{Occurrence: t.occ.number, First: t.position})
+		}
+		r := &part.Ranges[len(part.Ranges)-1]
+		r.Tasks = append(r.Tasks, t.stored())
+		if c, ok := t.storedCrashes(); ok {
+			part.Crashes = append(part.Crashes, c)
+		}
+	}
+	value, err := job.EncodeProgressPart(part)
+	if err != nil || len(value) <= p.rowBytes() {
+		return value, err
+	}
+	// Only checkpoints have no limit of their own. Without them, tasks begin again after
+	// the loss of their VM and of this owner.
+	dropped := 0
+	for i := range part.Ranges {
+		for k := range part.Ranges[i].Tasks {
+			if c := &part.Ranges[i].Tasks[k].Checkpoint; len(*c) > p.rowBytes()/(4*tasksPerPart) {
+				*c = ""
+				dropped++
+			}
+		}
+	}
+	p.log.Warn("checkpoints_not_recorded", zap.String("job", j.spec.ID), zap.Int("tasks", dropped), zap.Int("bytes", len(value)))
+	return job.EncodeProgressPart(part)
+}
+
+// progress returns a job's state as its progress row holds it with all tasks.
+func (p *Pool) progress(j *jobState) *job.Progress {
+	r := &job.Progress{State: j.state, FirstOpen: j.firstOpen, FinishedMS: j.finishedAtMS, Workspace: j.spec.Workspace}
+	if j.state.Final() {
+		return r
+	}
+	for _, o := range j.open {
+		stored := job.Occurrence{Number: o.number}
+		for _, step := range o.tasks {
+			for _, t := range step {
+				if c, ok := t.storedCrashes(); ok {
+					r.Crashes = append(r.Crashes, c)
+				}
+				stored.Tasks = append(stored.Tasks, t.stored())
+			}
+		}
+		r.Occurrences = append(r.Occurrences, stored)
+	}
+	return r
+}
+
+// stored returns a task's state as the progress row holds it.
+func (t *task) stored() job.Task {
+	s := job.Task{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+	switch {
+	case t.phase == done:
+		s.State = job.TaskDone
+		s.Checkpoint = ""
+	case t.active():
+		s.State = job.TaskActive
+		s.VM = t.vm.ID
+	}
+	return s
+}
+
+// storedCrashes returns the numbers of crashes under a task as the progress row holds
+// them. The result is false if the row does not need them.
+func (t *task) storedCrashes() (job.TaskCrashes, bool) {
+	return job.TaskCrashes{Occurrence: t.occ.number, Task: t.position, Crashes: t.crashes, Certain: t.certainCrashes, Likely: t.likelyCrashes},
+		t.crashes > 0 && t.phase != done
+}
+
+// DecodeStoredProgress returns the progress of jobs, by id, from all rows of the table of
+// progress. Rows that are malformed are logged and left out.
+func DecodeStoredProgress(rows []store.Row, log *zap.Logger) map[string]*job.Progress {
+	stored := map[string]*job.Progress{}
+	parts := map[string]map[int]*job.ProgressPart{}
+	for _, row := range rows {
+		id, number, ok := tables.ParseProgress(row.Name)
+		switch {
+		case !ok:
+			log.Error("progress_row_unreadable", zap.String("row", row.Name))
+		case number < 0:
+			progress, err := job.DecodeProgress(row.Value)
+			if err != nil {
+				log.Error("progress_row_unreadable", zap.String("job", id), zap.Error(err))
+				continue
+			}
+			stored[id] = progress
+		default:
+			part, err := job.DecodeProgressPart(row.Value)
+			if err != nil {
+				log.Error("progress_row_unreadable", zap.String("job", id), zap.Int("part", number), zap.Error(err))
+				continue
+			}
+			if parts[id] == nil {
+				parts[id] = map[int]*job.ProgressPart{}
+			}
+			parts[id][number] = part
+		}
+	}
+	for id := range parts {
+		if stored[id] == nil {
+			stored[id] = &job.Progress{} // its row was to follow the parts
+		}
+		stored[id].Parts = parts[id]
+	}
+	return stored
+}
+
+// Restore adds a job with its stored progress at takeover. progress is nil for a
+// job that no owner has recorded yet.
+func (p *Pool) Restore(spec *job.Spec, progress *job.Progress) {
+	if p.knows(spec) {
+		return
+	}
+	j := p.add(spec)
+	if progress == nil {
+		j.dirty = true
+		return
+	}
+	j.state = progress.State
+	j.started = progress.State != job.Queued
+	j.firstOpen = progress.FirstOpen
+	j.nextOpen = progress.FirstOpen
+	j.finishedAtMS = progress.FinishedMS
+	if j.state.Final() {
+		p.finishedJobs = append(p.finishedJobs, j)
+		p.deleteParts(spec.ID, slices.Collect(maps.Keys(progress.Parts)))
+		return
+	}
+	for _, stored := range mergeParts(spec, progress) {
+		o := p.newOccurrence(j, stored.Number, spec.Due(stored.Number))
+		j.open = append(j.open, o)
+		p.restoreTasks(o, stored.tasks, stored.crashes)
+		j.nextOpen = stored.Number + 1
+	}
+	if progress.NextOpen > 0 || len(progress.Parts) > 0 {
+		j.parts = progressParts{used: true, stored: map[int]bool{}}
+		for number := range progress.Parts {
+			j.parts.stored[number] = true
+		}
+		if len(progress.Occurrences) > 0 {
+			p.useParts(j) // the row with tasks has not been replaced yet
+		}
+	}
+	p.closeCompleted(j) // the tasks may have been recorded before the row
+}
+
+// storedOccurrence is the stored progress of an occurrence.
+type storedOccurrence struct {
+	Number  int
+	tasks   []job.Task
+	crashes map[int]job.TaskCrashes // by position of the task
+}
+
+// mergeParts returns the stored progress of the open occurrences, in order. Parts are
+// newer than what the row of the job holds.
+func mergeParts(spec *job.Spec, progress *job.Progress) []storedOccurrence {
+	next := progress.NextOpen
+	for _, o := range progress.Occurrences {
+		next = max(next, o.Number+1)
+	}
+	for _, part := range progress.Parts {
+		for _, r := range part.Ranges {
+			next = max(next, r.Occurrence+1)
+		}
+	}
+	var open []storedOccurrence
+	for n := progress.FirstOpen; n < min(next, spec.Occurrences()); n++ {
+		open = append(open, storedOccurrence{Number: n, tasks: make([]job.Task, spec.Tasks()), crashes: map[int]job.TaskCrashes{}})
+	}
+	find := func(number int) *storedOccurrence {
+		if i := number - progress.FirstOpen; i >= 0 && i < len(open) {
+			return &open[i]
+		}
+		return &storedOccurrence{crashes: map[int]job.TaskCrashes{}} // complete, or not one of the job
+	}
+	for _, o := range progress.Occurrences {
+		copy(find(o.Number).tasks, o.Tasks)
+	}
+	for _, c := range progress.Crashes {
+		find(c.Occurrence).crashes[c.Task] = c
+	}
+	for _, part := range progress.Parts {
+		for _, r := range part.Ranges {
+			o := find(r.Occurrence)
+			if r.First < 0 || r.First > len(o.tasks) {
+				continue
+			}
+			copy(o.tasks[r.First:], r.Tasks)
+			for i := range r.Tasks {
+				delete(o.crashes, r.First+i)
+			}
+		}
+		for _, c := range part.Crashes {
+			find(c.Occurrence).crashes[c.Task] = c
+		}
+	}
+	return open
+}
+
+func (p *Pool) restoreTasks(o *occurrence, stored []job.Task, crashes map[int]job.TaskCrashes) {
+	for _, step := range o.tasks {
+		for _, t := range step {
+			p.restoreTask(t, stored[t.position])
+			c := crashes[t.position]
+			t.crashes, t.certainCrashes, t.likelyCrashes = c.Crashes, c.Certain, c.Likely
+		}
+	}
+}
+
+func (p *Pool) restoreTask(t *task, s job.Task) {
+	t.run, t.failures, t.checkpoint = s.Run, s.Failures, s.Checkpoint
+	switch s.State {
+	case job.TaskDone:
+		t.phase = done
+		t.occ.remaining[t.step]--
+	case job.TaskActive:
+		// The run may be on a later incarnation of the worker than the one that it
+		// was placed on, since a start names only the id. The listing shows it.
+		v := p.inheritedVM(s.VM)
+		p.assign(t, v)
+		t.phase = unconfirmed
+		t.inherited = true
+		t.throttlePercent = unknownThrottle
+		t.since = p.now.Steady
+	}
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -25,6 +25,7 @@
 	occ      *occurrence
 	step     int
 	index    int
+	position int // among all tasks of the occurrence
 	name     string
 	phase    phase
 	run      int // number of the newest run; 0 before the first
@@ -96,22 +97,23 @@
 	open         []*occurrence // opened occurrences from firstOpen on, ascending by number
 	nextOpen     int           // number of the next occurrence to open
 	acceptedAt   Time
-	started      bool            // a task has started
-	overShare    bool            // accepted beyond its workspace's share of jobs per second
-	active       int             // number of runs that may be on VMs
-	dirty        bool            // its progress must be recorded again
+	started      bool // a task has started
+	overShare    bool // accepted beyond its workspace's share of jobs per second
+	active       int  // number of runs that may be on VMs
+	dirty        bool // its progress must be recorded again
+	parts        progressParts
 	finishedAtMS int64           // Unix milliseconds
 	doneTasks    int             // tasks done since this owner took over
 	failedVMs    map[string]bool // VMs on which tasks of the job have failed
 }
 
+// occurrence returns an open occurrence, nil if it is not open.
 func (j *jobState) occurrence(number int) *occurrence {
-	for _, o := range j.open {
-		if o.number == number {
-			return o
-		}
+	i := number - j.firstOpen // open occurrences have successive numbers
+	if i < 0 || i >= len(j.open) {
+		return nil
 	}
-	return nil
+	return j.open[i]
 }
 
 // vm is a VM with its leases, its runs and its health.
@@ -128,6 +130,7 @@
 	tasks              map[*task]struct{}
 	endsProcessed      int64 // ends up to this sequence number are processed
 	endsDurable        int64 // ends up to this sequence number are durable
+	firstHeldEnd       int64 // first end that is held back with the record of its job; 0 if there is none
 	lastAnswer         time.Duration
 	listingSentAt      time.Duration // when the request of the last listing was sent
 	noStartsUntil      time.Duration
@@ -158,6 +161,7 @@
 	InheritedLeaseBound time.Duration // lease bound, on the steady clock, of the runs that an earlier owner started
 	StopGrace           time.Duration // longest time that a stop can take
 	StatusRetention     time.Duration // how long finished jobs stay known
+	RowBytes            int           // largest value of a row; 0 means defaultRowBytes
 }
 
 // capShare is the part of a workspace's cap that this pool may use.
--- a/sched/store/memstore/memstore.go
+++ b/sched/store/memstore/memstore.go
@@ -28,6 +28,9 @@
 	idleAt  map[string]time.Time // by partition: when its last transaction ends
 }
 
+// maxRowBytes is the largest value of a row.
+const maxRowBytes = 64 << 10
+
 // Limits of one answer of Range and Changes.
 const (
 	maxPageRows  = 500
@@ -138,6 +141,9 @@
 	if s.down {
 		return store.Receipt{}, store.ErrUnavailable
 	}
+	if err := txn.Check(maxRowBytes); err != nil {
+		return store.Receipt{}, err
+	}
 	if conflict := s.findConflict(txn); conflict != nil {
 		return store.Receipt{}, conflict
 	}
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -89,6 +89,51 @@
 	Deletes    []Key
 }
 
+// Limits of the service.
+const (
+	MaxTxnBytes  = 1_000_000 // of a transaction, encoded as text
+	MaxNameBytes = 200       // of the name of a table, a partition or a row
+)
+
+// entryBytes is what a condition, a put or a delete takes beside its names and its value,
+// when it is encoded as text.
+const entryBytes = 60
+
+// Check returns an error that wraps ErrInvalid if the transaction breaks a limit of a
+// service whose rows hold at most rowBytes, or nil.
+func (t *Txn) Check(rowBytes int) error {
+	entries := len(t.Conditions) + len(t.Puts) + len(t.Deletes)
+	if entries > MaxTxnEntries {
+		return fmt.Errorf("%w: %d entries, at most %d", ErrInvalid, entries, MaxTxnEntries)
+	}
+	keys := make([]Key, 0, entries)
+	for _, c := range t.Conditions {
+		keys = append(keys, c.Key)
+	}
+	size := 0
+	for _, p := range t.Puts {
+		if len(p.Value) > rowBytes {
+			return fmt.Errorf("%w: row %s has %d bytes, at most %d", ErrInvalid, p.Key.Name, len(p.Value), rowBytes)
+		}
+		size += (len(p.Value) + 2) / 3 * 4 // base64
+		keys = append(keys, p.Key)
+	}
+	keys = append(keys, t.Deletes...)
+	for _, k := range keys {
+		if max(len(k.Table), len(k.Partition), len(k.Name)) > MaxNameBytes || k.Table == "" {
+			return fmt.Errorf("%w: a name in key %v is empty or over %d bytes", ErrInvalid, k, MaxNameBytes)
+		}
+		if k.Partition != keys[0].Partition {
+			return fmt.Errorf("%w: partitions %q and %q in one transaction", ErrInvalid, k.Partition, keys[0].Partition)
+		}
+		size += len(k.Table) + len(k.Partition) + len(k.Name) + entryBytes
+	}
+	if size > MaxTxnBytes {
+		return fmt.Errorf("%w: %d bytes, at most %d", ErrInvalid, size, MaxTxnBytes)
+	}
+	return nil
+}
+
 // Receipt is the answer to a transaction that took effect.
 type Receipt struct {
 	Version int64         // of all rows that it wrote
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"strings"
 
 	"amaranthfork.example/sched/store"
@@ -153,6 +154,22 @@
 	return store.Key{Table: Progress, Partition: pool, Name: id}
 }
 
+// ProgressPartKey returns the key of a part of a job's progress.
+func ProgressPartKey(pool, id string, part int) store.Key {
+	return store.Key{Table: Progress, Partition: pool, Name: fmt.Sprintf("%s/%05d", id, part)}
+}
+
+// ParseProgress returns the id of the job that a row of the table of progress is about, and
+// the number of the part, or -1 for the row of ProgressKey. ok is false for other names.
+func ParseProgress(name string) (id string, part int, ok bool) {
+	id, number, found := strings.Cut(name, "/")
+	if !found {
+		return id, -1, true
+	}
+	part, err := strconv.Atoi(number)
+	return id, part, err == nil && part >= 0
+}
+
 // QueueKey returns the key of a queue's published status.
 func QueueKey(pool, queue string) store.Key {
 	return store.Key{Table: Queues, Partition: pool, Name: queue}
@@ -203,9 +220,13 @@
 	return store.Key{Table: Caps, Partition: Caps, Name: workspace}
 }
 
-// LoadKey returns the key of a pool's load report.
-func LoadKey(pool string) store.Key {
-	return store.Key{Table: Loads, Partition: pool, Name: "load"}
+// LoadKey returns the key of a row of a pool's load report. Row 0 says how many follow.
+func LoadKey(pool string, row int) store.Key {
+	key := store.Key{Table: Loads, Partition: pool, Name: "load"}
+	if row > 0 {
+		key.Name += fmt.Sprintf("/%03d", row)
+	}
+	return key
 }
 
 // LeaseKey returns the key of a pool's recorded lease bounds.
