--- a/emulator/soak/mains.go
+++ b/emulator/soak/mains.go
@@ -29,6 +29,7 @@
 	DataCentre  string         `json:"zone"`
 	Version     string         `json:"version"`
 	Slots       int            `json:"slots"`
+	ColdMS      int            `json:"cold_remaining_ms"`
 	State       string         `json:"state"`
 	Capacity    map[string]int `json:"capacity"`
 	Labels      []string       `json:"labels"`
--- a/node/poolfeeds.go
+++ b/node/poolfeeds.go
@@ -111,7 +111,7 @@
 	}
 	listed, err := r.node.rows.DecodeVM(row)
 	if err != nil {
-		r.log.Debug("vm_row_unreadable", zap.String("row", row.Name), zap.Error(err))
+		r.log.Info("vm_row_unreadable", zap.String("row", row.Name), zap.Error(err))
 		return ListedVM{}, false
 	}
 	return listed, true
