Let lease bounds cover all earlier owners

The second owner stored now + LeaseBound for VMs that did not answer it, without regard to the later bound that it had inherited; the third took that for the truth. A released row named no time until which an earlier owner may renew.

Evidence: TestStoredLeaseBoundCoversEarlierOwners fails before ("started again 4.8s before its lease ends"), TestRenewalsOfEarlierOwnersAreBounded too ("owner 3 takes renewals to end 3.3s before the first owner's").

Change: the stored bound is at least the inherited one. The owner's row has a new field, the end of the renewals of all earlier owners, which each claim and each release hands on.

--- a/node/ownership.go
+++ b/node/ownership.go
@@ -45,6 +45,22 @@
 	Epoch       int64  `cbor:"3,keyasint"` // rises with each claim; the fencing tokens are made from it
 	Batch       int64  `cbor:"4,keyasint"` // number of the owner's transactions since its claim
 	SentAtMS    int64  `cbor:"5,keyasint"` // latest time at which the row can have been sent, ms on the table service's clock
+
+	// EarlierRenewalsMS is the time by which all earlier owners have certainly stopped
+	// renewing leases, ms on the table service's clock. One that is cut off from the
+	// service renews for some time after it was replaced, also after later owners have
+	// been replaced or have released the pool.
+	EarlierRenewalsMS int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// renewalsEndMS returns the time by which the owner in the row and all earlier ones have
+// certainly stopped renewing leases, in ms on the table service's clock. An owner that has
+// released the pool has stopped before; the result is 0 if there was no other.
+func (r *ownerRow) renewalsEndMS() int64 {
+	if r.Node == "" || r.SentAtMS == 0 {
+		return r.EarlierRenewalsMS
+	}
+	return max(r.EarlierRenewalsMS, r.SentAtMS+job.Millis(renewAgeLimit))
 }
 
 // ownership is a claim of a pool, and the state of the chain of the owner's
@@ -111,16 +127,18 @@
 // claim makes this process the owner. It returns errDeposed if the row has
 // changed since it was read.
 func (o *ownership) claim(ctx context.Context, self Member) error {
-	return o.commitWithRow(ctx, ownerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: o.row.Epoch + 1}, store.Txn{})
+	next := ownerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: o.row.Epoch + 1, EarlierRenewalsMS: o.row.renewalsEndMS()}
+	return o.commitWithRow(ctx, next, store.Txn{})
 }
 
 // renewedUntil returns the time on this process's clock by which the owner in
-// the row has certainly stopped renewing leases.
+// the row and all earlier ones have certainly stopped renewing leases.
 func (o *ownership) renewedUntil() time.Duration {
-	if o.row.Node == "" || o.row.SentAtMS == 0 {
-		return o.clock.Now().Steady // released, or never owned
+	until := o.service.localTimeBound(time.Duration(o.row.renewalsEndMS()) * time.Millisecond)
+	if o.row.Node == "" {
+		until = max(until, o.clock.Now().Steady) // the last owner has renewed until its release
 	}
-	return o.service.localTimeBound(time.Duration(o.row.SentAtMS)*time.Millisecond) + renewAgeLimit
+	return until
 }
 
 // commit carries out a transaction of the owner. It retries until the outcome
--- a/node/ownership_test.go
+++ b/node/ownership_test.go
@@ -224,3 +224,37 @@
 		t.Fatalf("an answer older than an earlier one: %v, want errStaleRead", err)
 	}
 }
+
+// Guards against a run that starts a second time (TWICE): an owner that is cut off from the
+// table service renews leases for some time after it was replaced. The bound of the leases
+// must cover it for each later owner, also after planned releases.
+func TestRenewalsOfEarlierOwnersAreBounded(t *testing.T) {
+	for _, releases := range []bool{false, true} {
+		mem := memstore.New()
+		clock := &testClock{now: pool.Time{Steady: time.Minute}}
+		s := newTimedStore(mem, clock)
+		first := mustClaim(t, s, nodeA)
+		if err := first.commit(t.Context(), store.Txn{}); err != nil {
+			t.Fatal(err)
+		}
+		renewsUntil := clock.Now().Steady + renewAgeLimit
+		for i := range 4 {
+			clock.advance(100 * time.Millisecond)
+			o, err := readOwner(t.Context(), s, "p")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := o.renewedUntil(); got < renewsUntil {
+				t.Fatalf("releases %v: owner %d takes renewals to end %v before the first owner's", releases, i+2, renewsUntil-got)
+			}
+			if err := o.claim(t.Context(), nodeB); err != nil {
+				t.Fatal(err)
+			}
+			if releases {
+				if err := o.release(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -449,7 +449,8 @@
 	v.noStartsUntil = max(v.noStartsUntil, p.now.Steady+unansweredBackoff)
 	p.loseContact(v)
 	if !v.unanswered && len(v.tasks) > 0 {
-		v.leaseBound = p.now.Steady + p.settings.LeaseBound
+		// An earlier owner may have granted a later lease.
+		v.leaseBound = max(p.now.Steady+p.settings.LeaseBound, v.leaseUntil)
 		p.leaseBoundsChanged = true
 	}
 	v.unanswered = true
--- a/sched/pool/silence_test.go
+++ b/sched/pool/silence_test.go
@@ -6,6 +6,7 @@
 
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/pool"
+	"amaranthfork.example/sched/tables"
 )
 
 // Guards against work that is started again elsewhere, or given up, because its VM is
@@ -198,3 +199,44 @@
 		t.Errorf("job is %v after %d starts, want succeeded after 1", h.state(spec.ID), h.startsByTask[task])
 	}
 }
+
+// Guards against a run that starts a second time (TWICE): an earlier owner, which is cut
+// off from the table service, still renews the leases of a VM that this owner does not
+// reach. The bound that this owner stores must cover those leases, since the next owner
+// takes it for the truth.
+func TestStoredLeaseBoundCoversEarlierOwners(t *testing.T) {
+	h := newHarness(t)
+	worker := h.addVM("vm1", 4000)
+	h.addVM("vm2", 4000)
+	h.settle()
+	h.submit(longRunningJob(1, 1, 0))
+	h.settle()
+	task := h.specs[0].ID + ".0.0.0"
+	if on := h.vmOf(task); on != worker.vm.ID {
+		worker = h.workers[on]
+	}
+	h.takeover() // inherits leases of up to 11 s
+	inherited := h.now.Steady + 11*time.Second
+	worker.down = true
+	worker.leaseUntil = inherited - time.Second // renewed by the owner of before
+	h.renew(worker.vm.ID)
+	h.cycle()
+	bounds, err := pool.DecodeLeases(h.rows[tables.LeaseKey(testPool)])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := bounds[worker.vm.ID]; got < inherited {
+		t.Errorf("the stored bound is %v before the end of the inherited leases", inherited-got)
+	}
+	h.takeover()
+	for h.now.Steady < worker.leaseUntil {
+		for _, w := range h.sortedWorkers() {
+			h.renew(w.vm.ID)
+		}
+		h.cycle()
+		if h.startsByTask[task] > 1 {
+			t.Fatalf("the task has started again %v before its lease ends", worker.leaseUntil-h.now.Steady)
+		}
+		h.advance(200 * time.Millisecond)
+	}
+}
