Let only the answer of a later worker prove that a machine has started again

Cause: an entry for the same machine with a later start was the proof that the earlier worker had ended, although nothing had answered at its address and the worker that was declared dead answered its renewals.

Evidence: TestEntryThatNeverAnswersEndsNoRuns fails before ("4 starts after a takeover, want 2").

Change: the earlier incarnations of a machine end when the later worker has answered under its id and this owner's fencing token.

--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -79,7 +79,8 @@
 }
 
 // observeRestart ends the earlier incarnations of v's machine, which have other ids.
-// The runs on them are lost, and their tasks count a crash.
+// The runs on them are lost, and their tasks count a crash. Only the answer of a later
+// incarnation proves that: an entry in discovery may be from another writer.
 func (p *Pool) observeRestart(v *vm) {
 	if v.Machine == "" || v.StartedMS == 0 {
 		return
@@ -87,13 +88,15 @@
 	for _, other := range p.sortedVMs() {
 		switch {
 		case other == v || other.Machine != v.Machine || other.StartedMS == 0:
-		case other.StartedMS < v.StartedMS:
+		case other.StartedMS < v.StartedMS && v.fenced:
 			p.endIncarnation(other, v)
-		case v.StartedMS < other.StartedMS:
+		case v.StartedMS < other.StartedMS && other.fenced:
 			p.endIncarnation(v, other)
 		}
 	}
-	p.confirmCrashes(v.Machine, v.StartedMS)
+	if v.fenced {
+		p.confirmCrashes(v.Machine, v.StartedMS)
+	}
 }
 
 // endIncarnation loses the runs on a VM whose machine has started again as another VM.
--- a/sched/pool/crash_test.go
+++ b/sched/pool/crash_test.go
@@ -291,3 +291,38 @@
 		}
 	}
 }
+
+// Guards against work that is started again beside its first run (TWICE): another writer
+// leaves an entry for the machine of a live worker, with a later start. Nothing answers
+// there, so it proves nothing about the worker.
+func TestEntryThatNeverAnswersEndsNoRuns(t *testing.T) {
+	h := newHarness(t)
+	first := h.addVM("vm1", 4000)
+	second := h.addVM("vm2", 4000)
+	h.settle()
+	h.submit(shortJob(2))
+	h.settle()
+	for _, real := range []*worker{first, second} {
+		foreign := real.vm
+		foreign.ID, foreign.Address, foreign.StartedMS = "x-"+real.vm.ID, "10.9.9.9:1", real.vm.StartedMS+1000
+		h.scheduler.ObserveVM(foreign)
+	}
+	for range 20 {
+		h.renewAll()
+		h.scheduler.RenewalUnanswered("x-vm1")
+		h.scheduler.RenewalUnanswered("x-vm2")
+		h.cycle()
+		h.advance(300 * time.Millisecond)
+	}
+	for _, index := range []int{0, 1} {
+		task := pool.TaskName(h.specs[0].ID, 0, 0, index)
+		if h.startsByTask[task] != 1 || h.vmOf(task) == "" {
+			t.Errorf("task %s was started %d times and runs on %q; want its first run to go on", task, h.startsByTask[task], h.vmOf(task))
+		}
+	}
+	h.takeover()
+	h.settle()
+	if h.starts != 2 {
+		t.Errorf("%d starts after a takeover, want 2", h.starts)
+	}
+}
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -27,6 +27,7 @@
 	if !v.fenced {
 		v.fenced = true
 		p.log.Info("vm_fenced", zap.String("vm", v.ID), zap.Int("running", len(l.Running)), zap.Int("ended", len(l.Ended)))
+		p.observeRestart(v)
 	}
 	p.forgetLost(v)
 	v.lastAnswer = l.At
