End reads when they make no progress, not after a fixed time

Cause: a read of a table had to end within 1.4 s and an answer of a feed within 0.7 s after its wait, whatever its size and the link. Each try began again.

Timeouts of transactions grow with their size.

--- a/node/follow.go
+++ b/node/follow.go
@@ -14,12 +14,15 @@
 
 // Following of tables.
 const (
-	// feedTimeoutMargin is added to the wait of a feed call to get its timeout. It
-	// covers two round trips and a slow answer.
+	// feedTimeoutMargin is added to the wait of a feed call to get the time in which its
+	// answer must begin. It covers two round trips and a slow answer.
 	feedTimeoutMargin = 700 * time.Millisecond
-	// readTimeout bounds a range read. The service answers in 4 ms; when it is
-	// 60 times slower, in 240 ms.
-	readTimeout = 700 * time.Millisecond
+	// readProgressTimeout bounds the time until the answer to a read begins, and that
+	// between two parts of an answer. The service answers in 4 ms; when it is 60 times
+	// slower, in 240 ms. Reads that share a narrow link wait for each other.
+	readProgressTimeout = 1400 * time.Millisecond
+	// readTimeout bounds a read as a whole: a link of 1 Mbit/s carries 3 MB in it.
+	readTimeout = 30 * time.Second
 	// retryPause is the pause after a failed call.
 	retryPause = 150 * time.Millisecond
 	// inactivePause is the time between two checks whether a follower is active.
@@ -116,8 +119,9 @@
 		f.deliver(Update{Rows: page.Rows, Whole: true, CurrentAt: sentAt})
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+feedTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+readTimeout)
 	defer cancel()
+	ctx = store.WithProgressLimit(ctx, store.ProgressLimit{First: f.wait + feedTimeoutMargin, Next: readProgressTimeout})
 	wait := f.wait
 	if f.confirm && f.incomplete {
 		wait = 0
@@ -145,8 +149,9 @@
 // readSpans reads spans of a table as a whole. The version is the lowest of the reads, so
 // that a feed of the changes after it misses none.
 func readSpans(ctx context.Context, s store.Store, table string, spans []store.Span) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	ctx = store.WithProgressLimit(ctx, store.ProgressLimit{First: readProgressTimeout, Next: readProgressTimeout})
 	switch len(spans) {
 	case 0:
 		return store.All(ctx, s, table, store.Span{})
--- a/node/latency.go
+++ b/node/latency.go
@@ -16,6 +16,9 @@
 	// commitTimeoutFactor is the timeout of the first try, relative to the usual
 	// time of a transaction.
 	commitTimeoutFactor = 4
+	// slowLinkBytesPerS is the rate that the timeout of a try allows for its values: a link
+	// of 10 Mbit/s with base64 and other traffic.
+	slowLinkBytesPerS = 800_000
 	// latencyGain is the weight of a new sample in the moving average.
 	latencyGain = 0.2
 )
@@ -64,6 +67,16 @@
 	return time.Duration(t.averageCommitNS.Load())
 }
 
+// TxnTimeout returns the timeout of a try of a transaction, with the time that a narrow
+// link takes for its values.
+func (t *timedStore) TxnTimeout(try int, txn *store.Txn) time.Duration {
+	bytes := 0
+	for _, put := range txn.Puts {
+		bytes += len(put.Value)
+	}
+	return t.CommitTimeout(try) + time.Duration(bytes)*time.Second/slowLinkBytesPerS
+}
+
 // CommitTimeout returns the timeout of a try, where 0 is the first one. It
 // doubles with each of the next three tries, up to maxCommitTimeout.
 func (t *timedStore) CommitTimeout(try int) time.Duration {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -174,7 +174,7 @@
 	txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: o.version})
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
 	for try := 0; ; try++ {
-		receipt, err := o.tryCommit(ctx, txn, o.store.CommitTimeout(try))
+		receipt, err := o.tryCommit(ctx, txn, o.store.TxnTimeout(try, &txn))
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
--- a/node/writes.go
+++ b/node/writes.go
@@ -125,13 +125,13 @@
 
 // commitBatch tries one transaction and reports whether its outcome is certain.
 func (b *writeBatcher) commitBatch(batch []*pendingWrite, try int) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), b.store.CommitTimeout(try))
-	defer cancel()
 	var txn store.Txn
 	for _, w := range batch {
 		txn.Conditions = append(txn.Conditions, w.txn.Conditions...)
 		txn.Puts = append(txn.Puts, w.txn.Puts...)
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.store.TxnTimeout(try, &txn))
+	defer cancel()
 	_, err := b.store.Commit(ctx, txn)
 	var conflict *store.ConflictError
 	switch {
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -150,7 +150,8 @@
 
 // Store is the table service. Calls return ErrUnavailable, ErrInvalid, ErrUnconfirmed
 // (Commit only), ErrHistoryGone (Changes only), *ConflictError (Commit only) or an
-// error of the context.
+// error of the context. Implementations that read from a network end a call that exceeds
+// the ProgressLimit of its context.
 type Store interface {
 	// Commit applies a transaction if all its conditions hold.
 	Commit(ctx context.Context, txn Txn) (Receipt, error)
@@ -164,6 +165,27 @@
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 }
 
+// ProgressLimit bounds how long a call may go without a byte of its answer. Unlike a
+// deadline it does not depend on the size of the answer and the speed of the link.
+type ProgressLimit struct {
+	First time.Duration // until the answer begins
+	Next  time.Duration // between two parts of it
+}
+
+type progressLimitKey struct{}
+
+// WithProgressLimit returns a context under which a call ends when its answer makes no
+// progress.
+func WithProgressLimit(ctx context.Context, limit ProgressLimit) context.Context {
+	return context.WithValue(ctx, progressLimitKey{}, limit)
+}
+
+// ProgressLimitOf returns the limit of a context. The result is false if it has none.
+func ProgressLimitOf(ctx context.Context) (ProgressLimit, bool) {
+	limit, ok := ctx.Value(progressLimitKey{}).(ProgressLimit)
+	return limit, ok
+}
+
 // Get reads one row. The second result is false if the row does not exist. Errors are
 // those of Store.
 func Get(ctx context.Context, s Store, k Key) (Row, bool, error) {
