Give back each resource of a cap share

Cause: a pool gave its share of a cap back only while its processors were in surplus, and never its accelerators. A surplus of memory alone, or under a cap without a limit of processors, was kept too.

Change: the surplus is decided for each resource that the cap limits.

--- a/node/caps.go
+++ b/node/caps.go
@@ -174,8 +174,9 @@
 // nextShare returns the cap share that this pool should have, and whether to
 // write it. If all shares together exceed the cap, the pool reduces its share
 // to what the others leave, but not below its use. Otherwise it requests a
-// higher share if its need exceeds the share. A surplus beyond its part of the
-// evenly divided half is given back after capSurplusHold.
+// higher share if its need exceeds the share. A surplus of any resource beyond its part
+// of the evenly divided half is given back after capSurplusHold. Accelerators are few and
+// are not divided evenly.
 func (c *capShares) nextShare(s *capState, w *catalog.Workspace, need, used fleet.Resources, now time.Duration) (fleet.Resources, bool) {
 	own, present := s.shares[c.pool]
 	otherShares := s.shares.total().Sub(own)
@@ -186,11 +187,14 @@
 	}
 	base := w.Cap.Scale(0.5 / float64(max(1, len(c.catalog.Pools))))
 	requested := minEach(maxEach(need.Scale(capHeadroomRatio), base), free)
-	requested.Accelerators = min(max(need.Accelerators, own.Accelerators), free.Accelerators)
+	base.Accelerators = 0
+	requested.Accelerators = max(0, min(need.Accelerators, free.Accelerators))
 	if !present || exceedsShare(need, own, w.Cap) && (requested.MilliCPU > own.MilliCPU || requested.MemoryMB > own.MemoryMB || requested.Accelerators > own.Accelerators) {
 		return maxEach(requested, minEach(own, free)), true
 	}
-	if own.MilliCPU <= maxEach(need.Scale(capSurplusRatio), base).MilliCPU {
+	enough := maxEach(need.Scale(capSurplusRatio), base)
+	enough.Accelerators = need.Accelerators
+	if !exceedsShare(own, enough, w.Cap) {
 		s.surplusSince = 0
 		return own, false
 	}
--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -79,3 +79,36 @@
 		t.Fatalf("requests %d MB (change %v), needs 200", next.MemoryMB, change)
 	}
 }
+
+// Guards against jobs that never start (LOST): a burst in one pool takes all accelerators,
+// or all memory, of a workspace's cap and ends, and the pool keeps its share of them
+// because its share of processors is small.
+func TestEachResourceOfACapShareIsReturned(t *testing.T) {
+	for name, peak := range map[string]fleet.Resources{
+		"accelerators": {MilliCPU: 100, MemoryMB: 100, Accelerators: 8},
+		"memory":       {MilliCPU: 100, MemoryMB: 1000},
+		"memory only":  {MemoryMB: 1000},
+	} {
+		c, w := newTestShares(1000)
+		w.Cap.Accelerators = 8
+		if name == "memory only" {
+			w.Cap.MilliCPU, w.Cap.Accelerators = 0, 0
+		}
+		s := &capState{shares: capRow{"mine": peak}}
+		none := fleet.Resources{}
+		c.nextShare(s, w, none, none, time.Second)
+		next, change := c.nextShare(s, w, none, none, time.Second+capSurplusHold+1)
+		if !change || next.Accelerators != 0 || next.MemoryMB > 250 {
+			t.Errorf("%s: share is %+v (change %v) without any need, want no accelerators and at most 250 MB", name, next, change)
+		}
+		s.shares["mine"] = next
+		if again, change := c.nextShare(s, w, none, none, time.Minute); change {
+			t.Errorf("%s: the share changes again, to %+v", name, again)
+		}
+		need := fleet.Resources{MilliCPU: 100, MemoryMB: 100, Accelerators: w.Cap.Accelerators}
+		other := &capState{shares: capRow{"other": next}} // as the other pool sees it
+		if next, _ := c.nextShare(other, w, need, none, time.Minute); next.Accelerators != w.Cap.Accelerators || next.MemoryMB < 100 {
+			t.Errorf("%s: the other pool gets %+v, needs %+v", name, next, need)
+		}
+	}
+}
