--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -124,9 +124,15 @@
 	p.openJobs = kept
 }
 
+// mayOpen reports whether a job has an occurrence to open, once it is due. The number of
+// open ones is bounded: those of a job whose first run is long past are all due at once.
+func (j *jobState) mayOpen() bool {
+	return j.nextOpen < j.spec.Occurrences() && len(j.open) < j.spec.MaxOpen()
+}
+
 // openDue creates the occurrences of a job that are due.
 func (p *Pool) openDue(j *jobState) {
-	for j.nextOpen < j.spec.Occurrences() {
+	for j.mayOpen() {
 		due := j.spec.Due(j.nextOpen)
 		if due > p.now.Wall {
 			return
@@ -438,9 +444,11 @@
 // NextDue returns the time until the next occurrence is due, at most limit.
 func (p *Pool) NextDue(limit time.Duration) time.Duration {
 	for _, j := range p.openJobs {
-		if j.nextOpen < j.spec.Occurrences() {
-			wait := time.Duration(j.spec.Due(j.nextOpen)-p.now.Wall) * time.Millisecond
-			limit = min(limit, max(0, wait))
+		if !j.mayOpen() {
+			continue
+		}
+		if waitMS := j.spec.Due(j.nextOpen) - p.now.Wall; waitMS < limit.Milliseconds() {
+			limit = time.Duration(max(0, waitMS)) * time.Millisecond
 		}
 	}
 	return limit
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -181,11 +181,23 @@
 	if !bytes.Equal(value, j.parts.row) {
 		b.put(j.spec.ID, tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
 		j.parts.row = value
+		p.deleteCompletedParts(j)
 	}
 	j.dirty = false
 	return nil
 }
 
+// deleteCompletedParts has the parts deleted that hold only tasks of complete occurrences,
+// whose number the row of the job says.
+func (p *Pool) deleteCompletedParts(j *jobState) {
+	for number := range j.parts.stored {
+		if (number+1)*tasksPerPart <= j.firstOpen*j.spec.Tasks() {
+			p.deleteParts(j.spec.ID, []int{number})
+			delete(j.parts.stored, number)
+		}
+	}
+}
+
 // tasksOfPart returns the tasks of a part that belong to open occurrences, in order.
 func (j *jobState) tasksOfPart(number int) []*task {
 	perOccurrence := j.spec.Tasks()
@@ -378,7 +390,7 @@
 		}
 	}
 	var open []storedOccurrence
-	for n := progress.FirstOpen; n < min(next, spec.Occurrences()); n++ {
+	for n := progress.FirstOpen; n < min(next, spec.Occurrences(), progress.FirstOpen+spec.MaxOpen()); n++ {
 		open = append(open, storedOccurrence{Number: n, tasks: make([]job.Task, spec.Tasks()), crashes: map[int]job.TaskCrashes{}})
 	}
 	find := func(number int) *storedOccurrence {
