Keep a job's attempts, objective and advice when its queue is removed

After a route is removed, its accepted jobs lost max_attempts (a task could be started again without end, BUDGET) and the advisor (starts without a ticket are refused, so that the job never starts, LOST).

Cause: these were looked up in the present catalog only.

Change: the description of a job holds the terms of its queue when it was accepted, some 30 bytes. The catalog goes first while it declares the queue. Jobs of earlier builds have no terms and are treated as before.

--- a/node/api.go
+++ b/node/api.go
@@ -119,6 +119,7 @@
 	spec.Queue = c.Queue.Name
 	spec.Workspace = c.Workspace
 	spec.AcceptedMS = began.Wall
+	spec.Terms = termsOf(c.Queue)
 	txn, err := submissionTxn(c.Queue.Pool, spec)
 	if err != nil {
 		return err
@@ -218,6 +219,15 @@
 	return pool, view, nil
 }
 
+// termsOf returns the declarations of a queue that its jobs keep.
+func termsOf(q *catalog.Queue) *job.QueueTerms {
+	terms := &job.QueueTerms{Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Target: q.Target}
+	if a := q.Advice; a != nil {
+		terms.Advice = &job.AdviceTerms{CallTime: a.CallTime, TimePerVM: a.TimePerVM, Validity: a.Validity}
+	}
+	return terms
+}
+
 // submissionTxn returns the transaction that stores a job in a pool, on the condition
 // that no pool holds it.
 func submissionTxn(pool string, spec *job.Spec) (store.Txn, error) {
--- a/sched/job/spec.go
+++ b/sched/job/spec.go
@@ -53,9 +53,28 @@
 	Interval    time.Duration `cbor:"8,keyasint,omitempty"` // between the starts of two repetitions
 	AcceptedMS  int64         `cbor:"9,keyasint,omitempty"` // Unix milliseconds, at the accepting entry
 
+	Terms *QueueTerms `cbor:"10,keyasint,omitempty"` // of the queue; nil if an earlier build has accepted the job
+
 	Stored []store.Condition `cbor:"-"` // the rows that the description was read from
 }
 
+// QueueTerms are the declarations of a job's queue when the job was accepted. They hold
+// once the queue is no longer declared.
+type QueueTerms struct {
+	Priority    int           `cbor:"1,keyasint,omitempty"`
+	MaxAttempts int           `cbor:"2,keyasint,omitempty"`
+	Stretch     float64       `cbor:"3,keyasint,omitempty"`
+	Target      time.Duration `cbor:"4,keyasint,omitempty"`
+	Advice      *AdviceTerms  `cbor:"5,keyasint,omitempty"` // nil if the queue has no advisor
+}
+
+// AdviceTerms are the durations of an advisor's answers.
+type AdviceTerms struct {
+	CallTime  time.Duration `cbor:"1,keyasint,omitempty"`
+	TimePerVM time.Duration `cbor:"2,keyasint,omitempty"`
+	Validity  time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // Occurrences returns how many times the steps run, at least 1.
 func (s *Spec) Occurrences() int {
 	return max(1, s.Repetitions)
--- a/sched/pool/advice.go
+++ b/sched/pool/advice.go
@@ -47,7 +47,7 @@
 
 // adviceOf returns the advice for t's step, or nil if its queue has no advisor.
 func (p *Pool) adviceOf(t *task) *adviceState {
-	q := p.catalog.queue(t.occ.job.spec.Queue)
+	q := p.queueOf(t.occ.job)
 	if q == nil || q.Advice == nil {
 		return nil
 	}
@@ -84,7 +84,7 @@
 	a.requestPending = true
 	step := stepName(t)
 	p.log.Info("advice_asked", zap.String("step", step), zap.Int("vms", len(ids)), zap.Int("tasks", waiting))
-	p.addCommand(Command{Kind: Advise, Task: step, VMs: ids, Timeout: adviceTimeout(p.catalog.queue(t.occ.job.spec.Queue).Advice, len(ids))})
+	p.addCommand(Command{Kind: Advise, Task: step, VMs: ids, Timeout: adviceTimeout(p.queueOf(t.occ.job).Advice, len(ids))})
 }
 
 // adviceTimeout returns the timeout of a request: twice its duration, since
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -208,7 +208,7 @@
 	counted.failures++
 	counted.markDirty()
 	p.endRun(t, waiting)
-	q := p.catalog.queue(j.spec.Queue)
+	q := p.queueOf(j)
 	if q != nil && q.MaxAttempts > 0 && counted.failures >= q.MaxAttempts && !j.state.Final() {
 		p.finish(j, job.Failed, "task "+t.name+" has used up its attempts")
 	}
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/job"
 )
 
@@ -165,7 +166,7 @@
 
 // collectOccurrence collects the ready steps of an occurrence.
 func (p *Pool) collectOccurrence(o *occurrence) {
-	q := p.catalog.queue(o.job.spec.Queue)
+	q := p.queueOf(o.job)
 	firstNew := len(p.ready.steps)
 	for s := range o.tasks {
 		if o.remaining[s] == 0 || !o.ready(s) {
@@ -202,7 +203,7 @@
 // still meet its objective, and the objective on the steady clock.
 func (p *Pool) prospects(o *occurrence) (started, feasible bool, deadline time.Duration) {
 	remaining, chain := p.estimateChains(o.job.spec, o.remaining)
-	deadline = o.openedAt.Steady + p.objectiveOf(o.job.spec.Queue, chain)
+	deadline = o.openedAt.Steady + objectiveOf(p.queueOf(o.job), chain)
 	need := remaining + feasibleMargin
 	started = o.started()
 	if started {
@@ -211,10 +212,25 @@
 	return started, p.now.Steady+need <= deadline, deadline
 }
 
+// queueOf returns the declarations of a job's queue. Those under which the job was accepted
+// hold once the queue is no longer declared. The result is nil if neither is known.
+func (p *Pool) queueOf(j *jobState) *catalog.Queue {
+	if q := p.catalog.queue(j.spec.Queue); q != nil {
+		return q
+	}
+	if terms := j.spec.Terms; terms != nil && j.formerQueue == nil {
+		j.formerQueue = &catalog.Queue{Name: j.spec.Queue, Pool: p.settings.Pool, Priority: terms.Priority,
+			MaxAttempts: terms.MaxAttempts, Stretch: terms.Stretch, Target: terms.Target}
+		if a := terms.Advice; a != nil {
+			j.formerQueue.Advice = &catalog.Advice{CallTime: a.CallTime, TimePerVM: a.TimePerVM, Validity: a.Validity}
+		}
+	}
+	return j.formerQueue
+}
+
 // objectiveOf returns the time in which a job of a queue with the given longest chain
 // of run times should be completed.
-func (p *Pool) objectiveOf(queue string, chain time.Duration) time.Duration {
-	q := p.catalog.queue(queue)
+func objectiveOf(q *catalog.Queue, chain time.Duration) time.Duration {
 	if q == nil {
 		return chain
 	}
@@ -223,9 +239,9 @@
 
 // objective returns the time in which one occurrence of a job should be completed, by
 // the expected run times of its tasks.
-func (p *Pool) objective(spec *job.Spec) time.Duration {
-	_, chain := p.estimateChains(spec, make([]int, len(spec.Steps)))
-	return p.objectiveOf(spec.Queue, chain)
+func (p *Pool) objective(j *jobState) time.Duration {
+	_, chain := p.estimateChains(j.spec, make([]int, len(j.spec.Steps)))
+	return objectiveOf(p.queueOf(j), chain)
 }
 
 // started reports whether a run of any task has been placed.
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -102,6 +102,7 @@
 	active       int  // number of runs that may be on VMs
 	dirty        bool // its progress must be recorded again
 	parts        progressParts
+	formerQueue  *catalog.Queue  // the queue by the job's own terms; nil until it is needed
 	finishedAtMS int64           // Unix milliseconds
 	doneTasks    int             // tasks done since this owner took over
 	failedVMs    map[string]bool // VMs on which tasks of the job have failed
