Do not use a cap share that a write without an answer may lower

A write that lowers a pool's share of a cap gets no answer and is carried out seconds later (platform_lost, how late). The pool went on by its old share, and another pool took the rest (QUOTA).

Cause: after a write without an answer the pool kept to the row that it had read last.

Evidence: TestShareThatMayBeLoweredIsNotUsed fails with the check taken out ("the pool uses 800, which may be lowered to 300").

Change: while a write may take effect, the pool uses the smaller of both shares; it tries the same write again until the outcome is known. The row in a conflict is used at once instead of at the next answer of the feed.

--- a/node/caps.go
+++ b/node/caps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -45,10 +46,28 @@
 	shares       capRow
 	version      int64         // of the row of the cap shares
 	writing      bool          // a write is under way
+	pending      *pendingShare // a write that may still take effect; nil if there is none
 	lastWriteAt  time.Duration // steady clock
 	surplusSince time.Duration // since when the share exceeds the need, steady clock; 0 if it does not
 }
 
+// pendingShare is a write of a share on the condition of a version of the row. Until its
+// outcome is known, or the row has another version, it may take effect at any moment.
+type pendingShare struct {
+	share   fleet.Resources
+	version int64
+}
+
+// usable returns the share of a pool that is certain: a write that may take effect may
+// lower it, and another pool may take the rest at once.
+func (s *capState) usable(pool string) fleet.Resources {
+	own := s.shares[pool]
+	if s.pending != nil && s.pending.version == s.version {
+		return minEach(own, s.pending.share)
+	}
+	return own
+}
+
 // capShares manages one pool's cap shares of all workspaces.
 type capShares struct {
 	node *Node
@@ -127,7 +146,7 @@
 			continue
 		}
 		s := c.stateOf(name)
-		p.SetCapShare(name, s.shares[c.pool], !c.tableRead || exceedsCap(s.shares.total(), w.Cap))
+		p.SetCapShare(name, s.usable(c.pool), !c.tableRead || exceedsCap(s.shares.total(), w.Cap))
 		c.used[name] = p.Used(name)
 	}
 }
@@ -162,10 +181,14 @@
 		}
 		s := c.stateOf(name)
 		next, change := c.nextShare(s, w, needs[name], c.used[name], now)
+		if s.pending != nil && s.pending.version == s.version {
+			next, change = s.pending.share, true // the same write again tells its outcome
+		}
 		if !change || s.writing || now-s.lastWriteAt < capRequestInterval {
 			continue
 		}
 		s.writing, s.lastWriteAt = true, now
+		s.pending = &pendingShare{next, s.version}
 		shares, version := s.shares, s.version
 		c.node.spawn("cap share", func() { c.writeShare(ctx, name, shares, version, next) })
 	}
@@ -240,8 +263,20 @@
 	s := c.stateOf(workspace)
 	s.writing = false
 	s.surplusSince = 0
-	if err != nil {
+	var conflict *store.ConflictError
+	if err == nil || errors.Is(err, store.ErrInvalid) || errors.As(err, &conflict) {
+		s.pending = nil
+	}
+	switch {
+	case conflict != nil:
+		// Another pool has written, or an earlier try of this write has taken effect.
 		c.log.Debug("cap_share_not_written", zap.String("workspace", workspace), zap.Error(err))
+		if row, ok := conflict.Find(key); ok {
+			c.applyRow(row)
+		}
+		return
+	case err != nil:
+		c.log.Info("cap_share_not_written", zap.String("workspace", workspace), zap.Error(err))
 		return
 	}
 	if version > s.version {
--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -8,6 +8,9 @@
 
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/sched/catalog"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/store/memstore"
+	"amaranthfork.example/sched/tables"
 )
 
 var testLog = zap.NewNop()
@@ -112,3 +115,47 @@
 		}
 	}
 }
+
+// Guards against a workspace above its cap (QUOTA): the answer to a write that lowers a
+// pool's share is lost, the pool goes on by its old share, and the write takes effect late,
+// when another pool takes the rest.
+func TestShareThatMayBeLoweredIsNotUsed(t *testing.T) {
+	mem := memstore.New()
+	n := newEntry("a", mem, &testClock{})
+	w := &catalog.Workspace{Name: "ws", Cap: resources(1000)}
+	c := newCapShares(n, "mine", testLog)
+	c.configure(catalog.New(1, nil, []*catalog.Pool{{Name: "mine"}, {Name: "other"}}, []*catalog.Workspace{w}, catalog.Limits{}))
+	read := func() {
+		t.Helper()
+		page, err := store.All(t.Context(), mem, tables.Caps, store.Span{Partition: tables.Caps})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.update(Update{Rows: page.Rows, Whole: true})
+	}
+	write := func(share fleet.Resources) {
+		t.Helper()
+		s := c.stateOf("ws")
+		s.pending = &pendingShare{share, s.version}
+		c.writeShare(t.Context(), "ws", s.shares, s.version, share)
+	}
+	write(resources(800))
+	read()
+	if got := c.stateOf("ws").usable("mine"); got != resources(800) {
+		t.Fatalf("share %+v, want 800", got)
+	}
+	mem.LoseAnswers(1)
+	write(resources(300))
+	if got := c.stateOf("ws").usable("mine"); got != resources(300) {
+		t.Errorf("after a write without an answer the pool uses %+v, which may be lowered to 300", got)
+	}
+	write(resources(300)) // the same write again meets the first
+	if got := c.stateOf("ws"); got.pending != nil || got.usable("mine") != resources(300) {
+		t.Errorf("after the second try: %+v, pending %+v; want 300", got.usable("mine"), got.pending)
+	}
+	mem.SetDown(true)
+	write(resources(900))
+	if got := c.stateOf("ws").usable("mine"); got != resources(300) {
+		t.Errorf("after a refused write that raises the share the pool uses %+v, has 300", got)
+	}
+}
