Start a gang again at once when a member has not started

When the start of one member of a gang was refused or not sent, the other members waited for it until they ended alone (GANG), and the gang began again only then.

Cause: the task of that member waited for a start with the whole gang, which waits until no member runs; nothing stopped the others. A gang with hundreds of members on one VM could not be sent within the 250 ms that an order may wait.

Change: the other members are stopped at once, and all start together again. A start of a gang may wait 1.5 s for its slot.

--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -44,6 +44,9 @@
 	// listing on which an older order is based may no longer show what runs on
 	// the VM, and another VM may take the task instead.
 	orderMaxAge = 250 * time.Millisecond
+	// gangStartMaxAge is orderMaxAge for the starts of a gang, of which many may wait for
+	// one VM. It is below the time that members wait for each other.
+	gangStartMaxAge = 1500 * time.Millisecond
 )
 
 // orderSlots limits the concurrent orders to one worker.
@@ -264,9 +267,13 @@
 }
 
 // execute sends an order and delivers its result. An order that is older than
-// orderMaxAge when a slot is free is not sent.
+// orderMaxAge or gangStartMaxAge when a slot is free is not sent.
 func (s *vmClient) execute(ctx context.Context, c pool.Command) {
-	remaining := c.IssuedAt + orderMaxAge - s.clock.Now().Steady
+	maxAge := orderMaxAge
+	if c.Gang {
+		maxAge = gangStartMaxAge
+	}
+	remaining := c.IssuedAt + maxAge - s.clock.Now().Steady
 	if remaining <= 0 {
 		s.reportNotSent(c)
 		return
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -328,6 +328,7 @@
 		v.noStartsUntil = p.now.Steady + unansweredBackoff
 	case StartOtherIncarnation:
 		p.endRun(t, waiting)
+		p.dissolveGang(t)
 		v.noStartsUntil = p.now.Steady + unansweredBackoff
 	case StartFenced:
 		p.Depose(v.ID)
@@ -350,6 +351,7 @@
 		p.dropTicket(t, v)
 	}
 	p.endRun(t, waiting)
+	p.dissolveGang(t)
 	pause := refusedBackoff
 	if result == StartUnhealthy {
 		pause = unansweredBackoff
@@ -358,6 +360,22 @@
 	v.noStartsUntil = p.now.Steady + pause
 }
 
+// dissolveGang stops the other members of a gang of which t has not started. They would
+// wait for it in vain; all members start again together.
+func (p *Pool) dissolveGang(t *task) {
+	if !t.spec().Gang {
+		return
+	}
+	for _, member := range t.occ.tasks[t.step] {
+		switch {
+		case member.phase == placed:
+			p.endRun(member, waiting)
+		case member.active() && member.stopSentAt == 0:
+			p.sendStop(member, "a member of its gang has not started")
+		}
+	}
+}
+
 // NotSent handles a command that was never sent. A stop is decided again at the
 // first listing after stopRetryInterval.
 func (p *Pool) NotSent(c Command) {
--- a/sched/pool/types.go
+++ b/sched/pool/types.go
@@ -113,6 +113,7 @@
 	Payload         string        // starts only
 	Checkpoint      string        // starts only
 	Ticket          string        // starts only
+	Gang            bool          // starts only: the task works only together with others, whose starts are sent at the same time
 	ThrottlePercent int           // throttles only: percentage of its processor share that the task may use
 	IssuedAt        time.Duration // when the command was issued, on the steady clock
 
