Use a worker that has restarted under its id only by its new row

A worker that starts again under its id as another kind was used with its earlier capacity and labels until its row showed the new ones (ROUTE, LIMIT); a row of the earlier incarnation that was read again put them back.

Cause: the answer of the new incarnation made the VM usable, whatever incarnation its row described.

Evidence: TestRestartedWorkerIsUsedByItsNewRow fails with the check taken out (tasks start on the worker by its earlier row).

Change: a VM gets no new work while its row describes another incarnation than the one that has answered; a row of an earlier one changes nothing. In the tests' harness, the row of a restarted worker follows its first answer, as on the platform; TestWorkerRestartsUnderItsID checks what it did before.

--- a/sched/pool/crash_test.go
+++ b/sched/pool/crash_test.go
@@ -326,3 +326,37 @@
 		t.Errorf("%d starts after a takeover, want 2", h.starts)
 	}
 }
+
+// Guards against starts on a worker without the label that they require, or beyond its
+// capacity (ROUTE, LIMIT): it has started again under its id as another kind, and its row
+// in discovery, which may be read again, still describes the earlier incarnation.
+func TestRestartedWorkerIsUsedByItsNewRow(t *testing.T) {
+	h := newHarness(t)
+	worker := h.addVM("vm1", 4000)
+	worker.vm.Labels = []string{"fast", "r1"}
+	h.scheduler.ObserveVM(worker.vm)
+	h.settle()
+	earlier := worker.vm
+	h.restartWorker(worker)
+	worker.vm.Labels, worker.vm.Capacity.MilliCPU = []string{"slow", "r1"}, 1000
+	spec := shortJob(1)
+	spec.Steps[0].Label = "fast"
+	h.submit(spec)
+	h.submit(shortJob(3))
+	for range 3 { // the worker answers, its row does not change
+		h.advance(time.Second)
+		h.scheduler.HandleListing(pool.Listing{VM: "vm1", StartedMS: worker.vm.StartedMS, SentAt: h.now.Steady, At: h.now.Steady, Complete: true})
+		h.scheduler.ObserveVM(earlier)
+		h.cycle()
+	}
+	if h.starts != 0 {
+		t.Fatalf("%d starts by the row of the earlier incarnation", h.starts)
+	}
+	h.settle()
+	if got := h.runningTasks(spec); got != 0 {
+		t.Error("the task runs without the label that it requires")
+	}
+	if got := len(worker.running); got != 1 {
+		t.Errorf("%d tasks run on the new incarnation, which has room for 1", got)
+	}
+}
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -44,6 +44,7 @@
 	highestEndedRun map[string]int // by task: highest run that has ended or was stopped
 	down            bool           // does not answer; its runs continue
 	heldUp          bool           // carries out orders that were held up
+	restarted       bool           // under its id, and its row in discovery describes the earlier incarnation
 	leaseUntil      time.Duration
 	uncountedUpTo   int64 // failed ends up to this sequence number are no longer in failuresByTask
 }
@@ -288,6 +289,10 @@
 		l.Running = append(l.Running, worker.running[name])
 	}
 	h.scheduler.HandleListing(l)
+	if worker.restarted { // its row in discovery follows
+		worker.restarted = false
+		h.scheduler.ObserveVM(worker.vm)
+	}
 }
 
 func (h *harness) renewAll() {
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -9,7 +9,7 @@
 
 // usable reports whether v may get any new work.
 func (p *Pool) usable(v *vm) bool {
-	if !v.listed || v.replaced || !v.fenced || v.Draining || v.cordoned || p.evacuated[v.DataCentre] {
+	if !v.listed || !v.described() || v.replaced || !v.fenced || v.Draining || v.cordoned || p.evacuated[v.DataCentre] {
 		return false
 	}
 	if !p.checksAdmission() && p.holdsOrphan(v) {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -339,9 +339,14 @@
 		p.log.Info("vm_joined", zap.String("vm", seen.ID), zap.String("machine", seen.Machine),
 			zap.String("data_centre", seen.DataCentre), zap.String("rack", seen.Rack), zap.Int64("milli_cpu", seen.Capacity.MilliCPU))
 	}
+	if v.outdates(seen) {
+		p.log.Info("vm_row_outdated", zap.String("vm", seen.ID), zap.Int64("incarnation", v.StartedMS), zap.Int64("row", seen.StartedMS))
+		return
+	}
 	if seen.StartedMS != 0 && v.StartedMS != 0 && seen.StartedMS != v.StartedMS {
 		p.newIncarnation(v, seen.StartedMS)
 	}
+	v.describedMS = seen.StartedMS
 	if seen.Draining && !v.Draining {
 		p.log.Info("vm_draining", zap.String("vm", seen.ID), zap.Duration("left", seen.DrainRemaining), zap.Int("tasks", len(v.tasks)))
 	}
@@ -360,6 +365,18 @@
 	}
 }
 
+// outdates reports whether v has answered as a later incarnation than a row describes. The
+// later one may be of another kind.
+func (v *vm) outdates(seen VM) bool {
+	return v.fenced && v.listed && seen.StartedMS != 0 && seen.StartedMS < v.StartedMS
+}
+
+// described reports whether the capacity and the labels of v are those of the incarnation
+// that has answered.
+func (v *vm) described() bool {
+	return v.describedMS == 0 || v.StartedMS == 0 || v.describedMS == v.StartedMS
+}
+
 // ForgetVM marks a VM as no longer listed by discovery. Its runs are given up
 // once their leases have expired.
 func (p *Pool) ForgetVM(id string) {
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -292,7 +292,7 @@
 	h.settle()
 	h.end(a, spec.ID+".0.0.0", pool.EndDone)
 	h.settle()
-	a.vm.StartedMS, a.lastSequence, a.ends = 2, 0, nil
+	a.vm.StartedMS, a.lastSequence, a.ends, a.restarted = 2, 0, nil, true
 	a.running, a.highestEndedRun = map[string]pool.RunState{}, map[string]int{}
 	h.advance(100 * time.Millisecond)
 	h.settle()
@@ -318,7 +318,7 @@
 	h.end(a, spec.ID+".0.0.0", pool.EndDone)
 	h.renew("a")
 	batch := h.scheduler.Cycle() // holds the end, and is not durable yet
-	a.vm.StartedMS, a.lastSequence, a.ends = 2, 0, nil
+	a.vm.StartedMS, a.lastSequence, a.ends, a.restarted = 2, 0, nil, true
 	a.running, a.highestEndedRun = map[string]pool.RunState{}, map[string]int{}
 	h.renew("a")
 	h.scheduler.Committed(batch)
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -135,6 +135,7 @@
 	h.loseRuns(worker)
 	h.dropUnrecordedEnds(worker) // ends that are not durable are lost with the incarnation
 	worker.vm.StartedMS++
+	worker.restarted = true
 	worker.ends, worker.lastSequence, worker.uncountedUpTo = nil, 0, 0
 	worker.highestEndedRun = map[string]int{}
 	worker.leaseUntil = 0
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -121,6 +121,7 @@
 type vm struct {
 	VM
 	listed             bool          // known to discovery
+	describedMS        int64         // start of the incarnation that the row in discovery describes, Unix milliseconds; 0 if unknown
 	replaced           bool          // its machine has started again as another VM
 	fenced             bool          // this incarnation has answered under this owner's fencing token
 	leaseUntil         time.Duration // latest time at which the leases of its runs have expired
