Let requests that are already deleted keep no others from being deleted

After a deletion without an answer that had taken effect, its jobs were put into transactions with others, whose conditions then failed together, again and again: requests and progress stayed for ever, and the memory of owners grew.

Cause: a conflict counted as a deletion only if none of the rows existed.

Change: after a conflict, jobs whose rows are gone count as deleted, and those whose rows exist are deleted with the next round.

--- a/node/expiry.go
+++ b/node/expiry.go
@@ -46,9 +46,9 @@
 	r.node.spawn("expiry", func() {
 		kept := map[string]bool{} // jobs of which a request may still exist
 		for _, txn := range expiryTxns(expired) {
-			if err := r.deleteRequests(ctx, txn); err != nil {
-				r.log.Info("requests_not_deleted", zap.Int("jobs", len(txn.ids)), zap.Error(err))
-				for _, id := range txn.ids {
+			if left, err := r.deleteRequests(ctx, txn); err != nil {
+				r.log.Info("requests_not_deleted", zap.Int("jobs", len(left)), zap.Error(err))
+				for _, id := range left {
 					kept[id] = true
 				}
 			}
@@ -102,17 +102,29 @@
 	return full
 }
 
-// deleteRequests carries out one transaction. Requests that an earlier try without an
-// answer has deleted count as deleted.
-func (r *poolController) deleteRequests(ctx context.Context, txn expiryTxn) error {
+// deleteRequests carries out one transaction. It returns the jobs whose requests may still
+// exist if the transaction fails. Requests that an earlier try without an answer has
+// deleted count as deleted; the others of the transaction are deleted with a later one.
+func (r *poolController) deleteRequests(ctx context.Context, txn expiryTxn) (left []string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, expiryTimeout)
 	defer cancel()
-	_, err := r.node.store.Commit(ctx, txn.Txn)
+	_, err = r.node.store.Commit(ctx, txn.Txn)
+	if err == nil {
+		return nil, nil
+	}
 	var conflict *store.ConflictError
-	if errors.As(err, &conflict) && len(conflict.Current) == 0 {
-		return nil
+	if !errors.As(err, &conflict) {
+		return txn.ids, err
+	}
+	for i, condition := range txn.Conditions {
+		if row, exists := conflict.Find(condition.Key); exists && row.Version == condition.Version {
+			left = append(left, txn.ids[i])
+		}
+	}
+	if len(left) == 0 {
+		return nil, nil
 	}
-	return err
+	return left, err
 }
 
 // deleteOrphanedProgress has the scheduler delete the progress of finished jobs whose
--- a/node/moved_test.go
+++ b/node/moved_test.go
@@ -162,7 +162,7 @@
 	r.pool.Cancel(id)
 	r.pool.Advance(pool.Time{Steady: 1, Wall: 1})
 	for _, txn := range expiryTxns(r.pool.ExpiredJobs(10)) {
-		if err := r.deleteRequests(t.Context(), txn); err != nil {
+		if _, err := r.deleteRequests(t.Context(), txn); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/node/partitions_test.go
+++ b/node/partitions_test.go
@@ -162,7 +162,7 @@
 		mem.LoseAnswers(lost)
 		failed := 0
 		for _, txn := range expiryTxns(jobs) {
-			if err := r.deleteRequests(t.Context(), txn); err != nil {
+			if _, err := r.deleteRequests(t.Context(), txn); err != nil {
 				failed++
 			}
 		}
@@ -179,9 +179,58 @@
 		t.Fatal(err)
 	}
 	for _, txn := range expiryTxns(jobs) {
-		_ = r.deleteRequests(t.Context(), txn) // as if carried out late
+		_, _ = r.deleteRequests(t.Context(), txn) // as if carried out late
 	}
 	if _, ok, _ := store.Get(t.Context(), mem, tables.JobKey("p", fmt.Sprintf("%016x", 7))); !ok {
 		t.Fatal("a late deletion removed a later job of the same id")
 	}
 }
+
+// Guards against requests that stay for ever: a deletion without an answer has taken effect,
+// and its jobs meet others, whose requests exist, in the next transactions.
+func TestDeletedRequestsDoNotKeepOthers(t *testing.T) {
+	mem, s := newTestStore()
+	n := newEntry("a", mem, s.clock)
+	c := Caller{Queue: n.operator.view.Catalog.Queues["q"]}
+	var jobs []*job.Spec
+	for i := range 40 {
+		spec := oneStepJob(fmt.Sprintf("%016x", i))
+		if err := n.Submit(t.Context(), c, spec); err != nil {
+			t.Fatal(err)
+		}
+		row, _, err := store.Get(t.Context(), mem, tables.JobKey("p", spec.ID))
+		if err != nil {
+			t.Fatal(err)
+		}
+		spec.Stored = []store.Condition{{Key: row.Key, Version: row.Version}}
+		jobs = append(jobs, spec)
+	}
+	r := &poolController{node: n, name: "p"}
+	for _, txn := range expiryTxns(jobs[:20]) {
+		mem.LoseAnswers(1)
+		if left, err := r.deleteRequests(t.Context(), txn); err == nil || len(left) != len(txn.ids) {
+			t.Fatalf("a deletion without an answer: %v are left, error %v; want all", left, err)
+		}
+	}
+	remaining := jobs
+	for range 2 {
+		var next []*job.Spec
+		for _, txn := range expiryTxns(remaining) {
+			left, _ := r.deleteRequests(t.Context(), txn) // what is left is tried again
+			for _, spec := range remaining {
+				if slices.Contains(left, spec.ID) {
+					next = append(next, spec)
+				}
+			}
+		}
+		remaining = next
+	}
+	if len(remaining) != 0 {
+		t.Errorf("the requests of %d jobs are left after two rounds", len(remaining))
+	}
+	for _, spec := range jobs {
+		if _, ok, _ := store.Get(t.Context(), mem, tables.JobKey("p", spec.ID)); ok {
+			t.Errorf("the request of job %s exists", spec.ID)
+		}
+	}
+}
