Identify a job by its address, not by its id alone

With the location under the id alone, a job whose id another queue's caller had chosen before was answered 200 and never ran.

Cause: ids are chosen by callers, so they are unique only at one address.

Evidence: TestSameIDAtTwoQueuesIsTwoJobs fails on the parent commit ("the jobs are stored in pools [p], want p and r").

Change: the location of a job is under a hash of the host and the prefix at which it was submitted, and its id.

--- a/node/api.go
+++ b/node/api.go
@@ -120,7 +120,7 @@
 	spec.Workspace = c.Workspace
 	spec.AcceptedMS = began.Wall
 	spec.Terms = termsOf(c.Queue)
-	txn, err := submissionTxn(c.Queue.Pool, spec)
+	txn, err := submissionTxn(c.Queue, spec)
 	if err != nil {
 		return err
 	}
@@ -136,15 +136,16 @@
 	return err
 }
 
-// locate returns the pool that holds a job of a queue, and the job's state. The error is
+// locate returns the pool that holds a caller's job, and the job's state. The error is
 // ErrNoJob if no pool holds it, or *NotRunError if a read failed.
-func (n *Node) locate(ctx context.Context, id string, q *catalog.Queue) (string, job.StateView, error) {
+func (n *Node) locate(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
+	q := c.Queue
 	// The progress in the queue's current pool answers most requests with one read.
 	state, err := n.recordedState(ctx, q.Pool, id)
-	if !errors.Is(err, ErrNoJob) {
+	if !errors.Is(err, ErrNoJob) && (err != nil || state.Workspace == "" || state.Workspace == c.Workspace) {
 		return q.Pool, state, err
 	}
-	location, err := n.readLocation(ctx, id)
+	location, err := readDecoded(ctx, n, tables.LocationKey(q.Host, q.Prefix, id), job.DecodeLocation)
 	if errors.Is(err, ErrNoJob) {
 		return n.locateByProgress(ctx, id, q)
 	}
@@ -183,10 +184,6 @@
 	return readDecoded(ctx, n, tables.ProgressKey(pool, id), job.DecodeState)
 }
 
-func (n *Node) readLocation(ctx context.Context, id string) (job.Location, error) {
-	return readDecoded(ctx, n, tables.LocationKey(id), job.DecodeLocation)
-}
-
 // readDecoded reads a row about a job and decodes it. The error is ErrNoJob if the row
 // does not exist, or *NotRunError.
 func readDecoded[T any](ctx context.Context, n *Node, key store.Key, decode func([]byte) (T, error)) (T, error) {
@@ -209,7 +206,7 @@
 func (n *Node) callerJob(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	pool, view, err := n.locate(ctx, id, c.Queue)
+	pool, view, err := n.locate(ctx, c, id)
 	if err != nil {
 		return "", job.StateView{}, err
 	}
@@ -228,21 +225,23 @@
 	return terms
 }
 
-// submissionTxn returns the transaction that stores a job in a pool, on the condition
-// that no pool holds it.
-func submissionTxn(pool string, spec *job.Spec) (store.Txn, error) {
+// submissionTxn returns the transaction that stores a job in the pool of its queue, on the
+// condition that no pool holds it, and that the pool holds no job of another queue with the
+// same id: workers know tasks by the id.
+func submissionTxn(q *catalog.Queue, spec *job.Spec) (store.Txn, error) {
+	location, request := tables.LocationKey(q.Host, q.Prefix, spec.ID), tables.JobKey(q.Pool, spec.ID)
+	spec.Location = location.Name
 	value, err := job.EncodeSpec(spec)
 	if err != nil {
 		return store.Txn{}, err
 	}
-	location, err := job.EncodeLocation(job.Location{Pool: pool, Workspace: spec.Workspace})
+	locationValue, err := job.EncodeLocation(job.Location{Pool: q.Pool, Workspace: spec.Workspace})
 	if err != nil {
 		return store.Txn{}, err
 	}
-	key := tables.LocationKey(spec.ID)
 	return store.Txn{
-		Conditions: []store.Condition{{Key: key}},
-		Puts:       []store.Put{{Key: key, Value: location}, {Key: tables.JobKey(pool, spec.ID), Value: value}},
+		Conditions: []store.Condition{{Key: location}, {Key: request}},
+		Puts:       []store.Put{{Key: location, Value: locationValue}, {Key: request, Value: value}},
 	}, nil
 }
 
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -87,8 +87,7 @@
 				open[partition] = txn
 			}
 			txn.Conditions = append(txn.Conditions, request)
-			txn.Deletes = append(txn.Deletes, request.Key)
-			txn.Deletes = append(txn.Deletes, tables.StoredRequestKeys(request.Key, spec.ID)...)
+			txn.Deletes = append(txn.Deletes, tables.StoredRequestKeys(request.Key, spec.Location)...)
 			txn.ids = append(txn.ids, spec.ID)
 			if len(txn.ids) == maxJobsPerExpiryTxn {
 				full = append(full, *txn)
--- a/node/moved_test.go
+++ b/node/moved_test.go
@@ -97,6 +97,48 @@
 	}
 }
 
+// Guards against a job that is answered 200 and never runs (LOST): callers of two queues
+// choose the same id. The queues are in different pools; then one moves to the other's.
+func TestSameIDAtTwoQueuesIsTwoJobs(t *testing.T) {
+	mem, s := newTestStore()
+	const id = "00000000000000aa"
+	entry := func(secondIn string) (n *Node, first, second Caller) {
+		n = newEntry("entry", mem, s.clock)
+		queues := []*catalog.Queue{{Name: "first", Host: "h", Prefix: "/first/", Pool: "p"}, {Name: "second", Host: "h", Prefix: "/second/", Pool: secondIn}}
+		n.operator.view = View{Catalog: catalog.New(1, queues, []*catalog.Pool{{Name: "p"}, {Name: "r"}}, nil, catalog.Limits{})}
+		return n, Caller{Queue: queues[0], Workspace: "one"}, Caller{Queue: queues[1], Workspace: "two"}
+	}
+	n, first, second := entry("r")
+	for _, c := range []Caller{first, second} {
+		if err := n.Submit(t.Context(), c, oneStepJob(id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := storedIn(t, mem, id); len(got) != 2 {
+		t.Fatalf("the jobs are stored in pools %v, want p and r", got)
+	}
+	n, first, second = entry("p")
+	for _, c := range []Caller{first, second} {
+		if err := n.Submit(t.Context(), c, oneStepJob(id)); err != nil {
+			t.Fatalf("repeated submission: %v", err)
+		}
+		if state, err := n.Status(t.Context(), c, id); err != nil || state != job.Queued {
+			t.Errorf("status at %s after the move: %v, %v; want queued", c.Queue.Name, state, err)
+		}
+	}
+	if got := storedIn(t, mem, id); len(got) != 2 {
+		t.Fatalf("after the move the jobs are stored in pools %v, want p and r", got)
+	}
+	if err := n.Cancel(t.Context(), second, id); err != nil {
+		t.Fatal(err)
+	}
+	for pool, want := range map[string]bool{"p": false, "r": true} {
+		if _, got, _ := store.Get(t.Context(), mem, tables.CancelKey(pool, id)); got != want {
+			t.Errorf("the job in %s is cancelled: %v, want %v", pool, got, want)
+		}
+	}
+}
+
 // Guards against requests of another pool in the same table that an owner takes for its
 // own, and against rows of earlier builds, named by the job alone, that are not found.
 func TestOwnerReadsTheRequestsOfItsPoolOnly(t *testing.T) {
@@ -166,7 +208,7 @@
 			t.Fatal(err)
 		}
 	}
-	for _, key := range []store.Key{legacy, tables.JobKey("p", id), tables.LocationKey(id)} {
+	for _, key := range []store.Key{legacy, tables.JobKey("p", id), tables.LocationKey("", "", id)} {
 		if _, ok, _ := store.Get(t.Context(), mem, key); ok {
 			t.Errorf("row %v is left", key)
 		}
--- a/node/partitions_test.go
+++ b/node/partitions_test.go
@@ -171,7 +171,7 @@
 		}
 	}
 	for i := range 40 {
-		if _, ok, _ := store.Get(t.Context(), mem, tables.LocationKey(fmt.Sprintf("%016x", i))); ok {
+		if _, ok, _ := store.Get(t.Context(), mem, tables.LocationKey("", "", fmt.Sprintf("%016x", i))); ok {
 			t.Fatalf("the location of job %d is left", i)
 		}
 	}
--- a/node/slowlink_test.go
+++ b/node/slowlink_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/store"
 	"amaranthfork.example/sched/store/memstore"
@@ -117,7 +118,7 @@
 		for i := range jobs {
 			spec := oneStepJob(fmt.Sprintf("%016x", i*7919))
 			spec.Payload = string(bytes.Repeat([]byte("x"), job.MaxPayloadBytes))
-			txn, err := submissionTxn("p", spec)
+			txn, err := submissionTxn(&catalog.Queue{Name: "q", Pool: "p"}, spec)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/node/writes.go
+++ b/node/writes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,9 +11,9 @@
 )
 
 const (
-	// maxWritesInBatch bounds the requests in one transaction. Each has a condition
+	// maxWritesInBatch bounds the requests in one transaction. Each has two conditions
 	// and two rows.
-	maxWritesInBatch = 30
+	maxWritesInBatch = store.MaxTxnEntries / 4
 	// maxWriteBytesInBatch bounds the values in one transaction, so that it stays under
 	// store.MaxTxnBytes once it is encoded as text.
 	maxWriteBytesInBatch = 600 << 10
@@ -160,12 +161,12 @@
 	return true
 }
 
-// answerExisting answers the requests whose rows exist, written by this or an
+// answerExisting answers the requests of whose rows one exists, written by this or an
 // earlier request with the same id, and returns the others.
 func answerExisting(batch []*pendingWrite, conflict *store.ConflictError) []*pendingWrite {
 	var rest []*pendingWrite
 	for _, w := range batch {
-		if _, exists := conflict.Find(w.txn.Conditions[0].Key); exists {
+		if slices.ContainsFunc(w.txn.Conditions, func(c store.Condition) bool { _, exists := conflict.Find(c.Key); return exists }) {
 			w.done <- nil
 			continue
 		}
--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -126,8 +126,8 @@
 	return s, nil
 }
 
-// Location names the pool that holds a job. It is stored under the job's id alone, so
-// that a job stays one job when its queue moves to another pool.
+// Location names the pool that holds a job. Its key does not depend on the pool, so that a
+// job stays one job when its queue moves.
 type Location struct {
 	Pool      string `cbor:"1,keyasint"`
 	Workspace string `cbor:"2,keyasint,omitempty"` // of the job; empty on open queues
--- a/sched/job/spec.go
+++ b/sched/job/spec.go
@@ -53,7 +53,8 @@
 	Interval    time.Duration `cbor:"8,keyasint,omitempty"` // between the starts of two repetitions
 	AcceptedMS  int64         `cbor:"9,keyasint,omitempty"` // Unix milliseconds, at the accepting entry
 
-	Terms *QueueTerms `cbor:"10,keyasint,omitempty"` // of the queue; nil if an earlier build has accepted the job
+	Terms    *QueueTerms `cbor:"10,keyasint,omitempty"` // of the queue; nil if an earlier build has accepted the job
+	Location string      `cbor:"11,keyasint,omitempty"` // name of the row with the job's location; empty if an earlier build has accepted the job
 
 	Stored []store.Condition `cbor:"-"` // the rows that the description was read from
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -192,6 +193,7 @@
 			j.spec.Stored = append(j.spec.Stored, row)
 		}
 	}
+	j.spec.Location = cmp.Or(j.spec.Location, spec.Location)
 	return true
 }
 
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -108,9 +108,11 @@
 const cancelSuffix = "/cancel"
 
 // LocationKey returns the key of the row that names the pool of a job. It exists as long
-// as the request of the job.
-func LocationKey(id string) store.Key {
-	return store.Key{Table: Jobs, Partition: jobPartition(id), Name: id}
+// as the request of the job. A job is identified by the host and the prefix at which it was
+// submitted, and its id: callers of different queues may choose the same id. The name and
+// the pool of the queue may change.
+func LocationKey(host, prefix, id string) store.Key {
+	return store.Key{Table: Jobs, Partition: jobPartition(id), Name: hash64(strings.ToLower(host)+" "+prefix) + "/" + id}
 }
 
 // JobKey returns the key of a submitted job. It is in the partition of its location.
@@ -137,14 +139,15 @@
 	return id, cancel, !strings.Contains(id, "/")
 }
 
-// StoredRequestKeys returns the keys of the rows about a job beside its request, whose
-// key is given: all of them are in the partition of the request.
-func StoredRequestKeys(request store.Key, id string) []store.Key {
+// StoredRequestKeys returns the keys of the rows of a job in the partition of its request:
+// the request, its cancellation and, unless location is empty, the row of that name with
+// the job's location.
+func StoredRequestKeys(request store.Key, location string) []store.Key {
 	cancel := request
 	cancel.Name += cancelSuffix
-	keys := []store.Key{cancel}
-	if request.Name != id { // earlier builds stored no location
-		keys = append(keys, LocationKey(id))
+	keys := []store.Key{request, cancel}
+	if location != "" {
+		keys = append(keys, store.Key{Table: Jobs, Partition: request.Partition, Name: location})
 	}
 	return keys
 }
