Delete parts of progress only after the row that ends them is durable

If the table service rejected the row that ends a large job, the job's parts could be deleted before that row was written: the next owner would have run all tasks again (TWICE). A held-back job could not be cancelled, and the ends of its runs kept those after them on the same VM from being acknowledged.

Change: parts become obsolete with the commit of the batch that holds the row. The end of a job lifts its being held back, since its row is small then.

--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -35,6 +35,7 @@
 	leaseBounds map[string]int64       // by VM: lease bound in ms on the table service's clock; nil if the batch has none
 	items       []item                 // what the rows are about
 	jobParts    map[*jobState][]int    // the jobs with rows in the batch, and which of their parts
+	obsolete    []obsoletePart
 }
 
 // durableEnds are the ends of one incarnation of a VM, up to a sequence number, that are
@@ -323,6 +324,7 @@
 	if len(p.suspects) > 0 {
 		p.suspects = p.suspects[1:] // the group is written
 	}
+	p.deleteObsolete(&b)
 	for id, durable := range b.endsDurable {
 		if v := p.vms[id]; v != nil && v.StartedMS == durable.startedMS {
 			v.endsDurable = max(v.endsDurable, durable.upTo)
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -247,6 +247,7 @@
 	j.dirty = true
 	j.finishedAtMS = p.now.Wall
 	p.finishedJobs = append(p.finishedJobs, j)
+	p.release(j)
 	p.log.Info("job_finished", zap.String("job", j.spec.ID), zap.Stringer("state", state), zap.String("reason", reason),
 		zap.Duration("age", p.now.Steady-j.acceptedAt.Steady), zap.Duration("objective", p.objective(j)), zap.Float64("core_seconds", p.workOf(j.spec)))
 	for _, o := range j.open {
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -92,10 +92,11 @@
 	b.put(j.spec.ID, tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
 	b.jobParts[j] = nil
 	j.dirty = false
-	if j.state.Final() {
-		// The tasks are no longer needed. A later batch may delete the parts, no earlier one.
-		p.deleteParts(j.spec.ID, slices.Collect(maps.Keys(j.parts.stored)))
-		j.parts = progressParts{}
+	j.parts.dirty = nil
+	if j.state.Final() { // the tasks are no longer needed
+		for number := range j.parts.stored {
+			b.obsolete = append(b.obsolete, obsoletePart{j, number})
+		}
 	}
 	for _, o := range j.open {
 		for _, step := range o.tasks {
@@ -181,19 +182,29 @@
 	if !bytes.Equal(value, j.parts.row) {
 		b.put(j.spec.ID, tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
 		j.parts.row = value
-		p.deleteCompletedParts(j)
+		for number := range j.parts.stored {
+			if (number+1)*tasksPerPart <= j.firstOpen*j.spec.Tasks() {
+				b.obsolete = append(b.obsolete, obsoletePart{j, number})
+			}
+		}
 	}
 	j.dirty = false
 	return nil
 }
 
-// deleteCompletedParts has the parts deleted that hold only tasks of complete occurrences,
-// whose number the row of the job says.
-func (p *Pool) deleteCompletedParts(j *jobState) {
-	for number := range j.parts.stored {
-		if (number+1)*tasksPerPart <= j.firstOpen*j.spec.Tasks() {
-			p.deleteParts(j.spec.ID, []int{number})
-			delete(j.parts.stored, number)
+// obsoletePart is a part whose tasks are all of complete occurrences, or of a job that has
+// ended, once the row of the job is durable with its batch.
+type obsoletePart struct {
+	job    *jobState
+	number int
+}
+
+// deleteObsolete has the parts deleted that a durable batch has made obsolete.
+func (p *Pool) deleteObsolete(b *Batch) {
+	for _, o := range b.obsolete {
+		if o.job.parts.stored[o.number] {
+			delete(o.job.parts.stored, o.number)
+			p.deleteParts(o.job.spec.ID, []int{o.number})
 		}
 	}
 }
--- a/sched/pool/record_test.go
+++ b/sched/pool/record_test.go
@@ -270,6 +270,76 @@
 	}
 }
 
+// Guards against a held-back job that its caller cannot cancel, and against VMs whose ends
+// stay unacknowledged after it.
+func TestHeldBackJobCanBeCancelled(t *testing.T) {
+	h := newHarness(t)
+	worker := h.addVM("vm1", 16000)
+	h.settle()
+	spec, other := shortJob(1), shortJob(1)
+	h.submit(spec)
+	h.submit(other)
+	h.settle()
+	h.refuses = func(put store.Put) bool {
+		state, err := job.DecodeState(put.Value)
+		return put.Key.Name == spec.ID && err == nil && !state.State.Final()
+	}
+	for _, name := range sortedNames(worker.running) {
+		h.end(worker, name, pool.EndFailed)
+	}
+	h.settle()
+	if len(worker.ends) == 0 {
+		t.Fatal("the end of the held-back job is acknowledged")
+	}
+	h.cancelled[spec.ID] = true
+	h.scheduler.Cancel(spec.ID)
+	for range 3 {
+		h.settle()
+	}
+	if got := h.state(spec.ID); got != job.Cancelled {
+		t.Errorf("the job is %v, want cancelled", got)
+	}
+	if len(worker.ends) > 0 {
+		t.Errorf("%d ends are not acknowledged after the cancellation", len(worker.ends))
+	}
+}
+
+// Guards against tasks that run again (TWICE): the row that ends a large job is rejected,
+// and its parts were deleted before.
+func TestPartsOutliveARejectedEnd(t *testing.T) {
+	h := newHarness(t)
+	h.rowBytes = 2600
+	h.takeover()
+	worker := h.addVM("vm1", 4000)
+	h.settle()
+	spec := wideJob(400)
+	h.submit(spec)
+	for range 3 {
+		h.settle()
+	}
+	h.refuses = func(put store.Put) bool {
+		state, err := job.DecodeState(put.Value)
+		return put.Key.Name == spec.ID && err == nil && state.State.Final()
+	}
+	for _, name := range sortedNames(worker.running) {
+		h.end(worker, name, pool.EndDone)
+	}
+	for range 5 {
+		h.settle()
+	}
+	h.refuses = nil
+	h.takeover()
+	for range 5 {
+		h.settle()
+	}
+	if got := h.state(spec.ID); got != job.Succeeded {
+		t.Errorf("the job is %v, want succeeded", got)
+	}
+	if got := h.starts; got != 400 {
+		t.Errorf("%d starts, want 400", got)
+	}
+}
+
 // Guards against lease bounds of many VMs that do not answer, with the longest ids, in a
 // row that is too large.
 func TestLeaseBoundsOfManyVMsAreStored(t *testing.T) {
--- a/sched/pool/refused.go
+++ b/sched/pool/refused.go
@@ -53,6 +53,23 @@
 	return true
 }
 
+// release has the record of a job that has ended written again, if it was held back: the
+// row of such a job is small.
+func (p *Pool) release(j *jobState) {
+	if !p.heldBack[j.spec.ID] {
+		return
+	}
+	delete(p.heldBack, j.spec.ID)
+	for about := range p.heldBack {
+		if p.jobs[about] != nil {
+			return
+		}
+	}
+	for _, v := range p.vms {
+		v.firstHeldEnd = 0
+	}
+}
+
 // unpublished stands for a number of waiting jobs that must be published again.
 const unpublished = -1
 
