--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -65,8 +65,9 @@
 	b.addItem(about)
 }
 
+// addItem adds an item. All rows about one item follow each other.
 func (b *Batch) addItem(about item) {
-	if !slices.Contains(b.items, about) {
+	if n := len(b.items); n == 0 || b.items[n-1] != about {
 		b.items = append(b.items, about)
 	}
 }
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -98,6 +98,9 @@
 			b.obsolete = append(b.obsolete, obsoletePart{j, number})
 		}
 	}
+	if j.active == 0 {
+		return nil
+	}
 	for _, o := range j.open {
 		for _, step := range o.tasks {
 			b.addStarts(step)
