--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -440,6 +440,15 @@
 	}
 }
 
+// endAll ends all runs on all workers.
+func (h *harness) endAll(cause pool.EndCause) {
+	for _, worker := range h.sortedWorkers() {
+		for _, name := range sortedNames(worker.running) {
+			h.end(worker, name, cause)
+		}
+	}
+}
+
 // state returns the recorded state of a job.
 func (h *harness) state(id string) job.State {
 	value, ok := h.rows[tables.ProgressKey(testPool, id)]
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -202,11 +202,7 @@
 	}
 	for range 120 {
 		h.settle()
-		for _, worker := range h.sortedWorkers() {
-			for _, name := range sortedNames(worker.running) {
-				h.end(worker, name, pool.EndDone)
-			}
-		}
+		h.endAll(pool.EndDone)
 		h.advance(700 * time.Millisecond)
 	}
 	for _, spec := range h.specs {
--- a/sched/pool/record_test.go
+++ b/sched/pool/record_test.go
@@ -81,11 +81,7 @@
 	if got := h.runningTasks(wide); got != 1 {
 		t.Fatalf("%d tasks run after the end of the first step, want the one of the second", got)
 	}
-	for _, worker := range h.sortedWorkers() {
-		for _, name := range sortedNames(worker.running) {
-			h.end(worker, name, pool.EndDone)
-		}
-	}
+	h.endAll(pool.EndDone)
 	for range 3 {
 		h.settle()
 	}
@@ -162,11 +158,7 @@
 			}
 			h.renewAll()
 			h.cycle()
-			for _, worker := range h.sortedWorkers() {
-				for _, name := range sortedNames(worker.running) {
-					h.end(worker, name, pool.EndDone)
-				}
-			}
+			h.endAll(pool.EndDone)
 			h.advance(700 * time.Millisecond)
 		}
 		if h.refused > 0 {
@@ -216,11 +208,7 @@
 	if h.refused > 12 {
 		t.Errorf("%d transactions were refused until the job was found, want at most 12", h.refused)
 	}
-	for _, worker := range h.sortedWorkers() {
-		for _, name := range sortedNames(worker.running) {
-			h.end(worker, name, pool.EndDone)
-		}
-	}
+	h.endAll(pool.EndDone)
 	h.settle()
 	for _, spec := range others {
 		if got := h.state(spec.ID); got != job.Succeeded {
