Log lease bounds on one clock when they are stored, restored and used

Callers: nothing changes.

The logs of an owner now give, in ms on the table service's clock: the bound of a VM when it falls silent (vm_unanswered), when it is stored (lease_bound_stored), restored (lease_bound_restored) or taken from the owner's row (lease_bound_inherited), and when a run is given up (run_lost); the time from which an owner renews no leases (renewals_paused); the time by which earlier owners have stopped (pool_claimed). One line for each change of a VM, none for a renewal.

--- a/node/node.go
+++ b/node/node.go
@@ -275,7 +275,8 @@
 		n.log.Info("claim_given_back", zap.String("pool", name), zap.Error(err))
 		return
 	}
-	n.log.Info("pool_claimed", zap.String("pool", name), zap.Int64("epoch", o.row.Epoch), zap.String("owner_was", formerOwner), zap.Duration("renewed_for", renewedUntil-sentAt), zap.Int64("version", o.version))
+	n.log.Info("pool_claimed", zap.String("pool", name), zap.Int64("epoch", o.row.Epoch), zap.String("owner_was", formerOwner), zap.Duration("renewed_for", renewedUntil-sentAt),
+		zap.Int64("earlier_renewals_end_ms", o.row.EarlierRenewalsMS), zap.Int64("version", o.version))
 	n.runController(ctx, o, renewedUntil, sentAt)
 }
 
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -77,7 +77,10 @@
 	lastCommitSentAt time.Duration // steady clock
 	cycleInterval    time.Duration // least time between two transactions
 	committing       bool          // a transaction is under way
+	renewalsPaused   bool          // the last confirmed transaction is too old for renewals
 	stopErr          error         // error of the transaction that was under way at the stop
+
+	serviceClockOffset time.Duration // see pool.SetServiceClockOffset
 }
 
 type commitResult struct {
@@ -170,6 +173,7 @@
 		return 0, err
 	}
 	r.pool.Advance(r.node.clock.Now())
+	r.updateServiceClock()
 	r.pool.SetCordons(cordons)
 	r.restoreLeases(leases.Rows)
 	for _, row := range queues.Rows {
@@ -265,6 +269,7 @@
 	now := r.node.clock.Now()
 	r.pool.Advance(now)
 	r.syncVMClients(ctx)
+	r.logRenewals()
 	if r.committing {
 		r.dispatch(ctx, r.pool.Commands())
 		return maxCycleInterval
@@ -274,7 +279,7 @@
 		return wait
 	}
 	r.caps.applyTo(r.pool)
-	r.pool.SetServiceClockOffset(r.owner.service.serviceTimeBound(0))
+	r.updateServiceClock()
 	r.deleteExpiredRequests(ctx, now.Steady)
 	batch := r.pool.Cycle()
 	r.cycleInterval = cycleIntervalFor(r.node.clock.Now().Steady - now.Steady)
@@ -364,6 +369,29 @@
 	return r.node.clock.Now().Steady-time.Duration(r.confirmedAt.Load()) < renewAgeLimit
 }
 
+// updateServiceClock passes on how the clock of the table service relates to that of this
+// process. It must not be called while a transaction is under way.
+func (r *poolController) updateServiceClock() {
+	r.serviceClockOffset = r.owner.service.serviceTimeBound(0)
+	r.pool.SetServiceClockOffset(r.serviceClockOffset)
+}
+
+// logRenewals logs when this owner stops renewing leases and when it renews them again.
+func (r *poolController) logRenewals() {
+	paused := !r.mayRenew()
+	if paused == r.renewalsPaused {
+		return
+	}
+	r.renewalsPaused = paused
+	event := "renewals_resumed"
+	if paused {
+		event = "renewals_paused"
+	}
+	confirmed := time.Duration(r.confirmedAt.Load())
+	r.log.Info(event, zap.Int64("confirmed_ms", (confirmed+r.serviceClockOffset).Milliseconds()),
+		zap.Duration("confirmed_age", r.node.clock.Now().Steady-confirmed), zap.Int("vms", len(r.vmClients)))
+}
+
 // mayStart reports whether the last confirmed transaction is recent enough for
 // starting runs.
 func (r *poolController) mayStart() bool {
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -185,7 +185,10 @@
 	}
 	b.put(leaseItem, tables.LeaseKey(p.settings.Pool), value)
 	b.leaseBounds = bounds
-	for id := range bounds {
+	for id, until := range bounds {
+		if !p.storedLeaseBounds[id] {
+			p.log.Info("lease_bound_stored", zap.String("vm", id), zap.Int64("until_ms", until), p.leaseField(p.vms[id]))
+		}
 		p.storedLeaseBounds[id] = true
 	}
 	p.leaseBoundsChanged = false
@@ -217,6 +220,7 @@
 	p.storedLeaseBounds[id] = true
 	v.leaseUntil = until
 	v.unanswered = true
+	p.log.Info("lease_bound_restored", zap.String("vm", id), p.leaseField(v))
 }
 
 // inheritedVM returns the VM with the given id, which an earlier owner has used. An
@@ -228,6 +232,7 @@
 		v.leaseUntil = p.settings.InheritedLeaseBound
 		p.vms[id] = v
 		p.vmsChanged()
+		p.log.Info("lease_bound_inherited", zap.String("vm", id), p.leaseField(v))
 	}
 	return v
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -438,11 +438,17 @@
 	return list
 }
 
+// leaseField returns the lease bound of v for logs, in ms on the table service's clock, on
+// which the bounds of several owners can be compared.
+func (p *Pool) leaseField(v *vm) zap.Field {
+	return zap.Int64("lease_until_ms", (v.leaseUntil + p.serviceClockOffset).Milliseconds())
+}
+
 // markLost ends the newest run of a task, which certainly no longer exists although
 // its end was not listed.
 func (p *Pool) markLost(t *task, reason string) {
 	p.stats.Lost++
-	p.log.Info("run_lost", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.String("reason", reason))
+	p.log.Info("run_lost", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.String("reason", reason), p.leaseField(t.vm))
 	on, blame := t.vm, t.blame
 	p.endRun(t, waiting)
 	t.lostOn = on
@@ -472,6 +478,7 @@
 		// An earlier owner may have granted a later lease.
 		v.leaseBound = max(p.now.Steady+p.settings.LeaseBound, v.leaseUntil)
 		p.leaseBoundsChanged = true
+		p.log.Info("vm_unanswered", zap.String("vm", v.ID), zap.Int("tasks", len(v.tasks)), p.leaseField(v))
 	}
 	v.unanswered = true
 }
