Check an owner's right to grant a lease at the instant from which the lease counts

Cause: the client of a VM checked the age of the owner's last confirmed transaction and read the clock afterwards, so that a process that was paused in between renewed leases from an instant at which it no longer had the right. The owner's row tells later owners when renewals have ended (renewalsEndMS); they started the tasks elsewhere while the lease went on.

Change: vmClient.grant reads the clock once, under the lock that also guards the worker's clock and its silence; that reading is checked and the lease counts from it. Starts, which computed the deadline first and checked afterwards, take the same path. A start also no longer uses a clock reading that is older than the worker's clock to which it is applied.

The hooks of two tests take the time as an argument; what they check is as before.

--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -82,7 +82,7 @@
 // leases.
 func newTestVMClient(t *testing.T, workers Workers) *vmClient {
 	t.Helper()
-	always := func() bool { return true }
+	always := func(time.Duration) bool { return true }
 	v := &vmClient{ref: WorkerRef{ID: "vm1", Address: "vm1:80"}, workers: workers, clock: NewBootClock(), log: zap.NewNop(),
 		pool: "p", metrics: newMetrics(newTableLoads()), epoch: 3, lease: 5 * time.Second, deliver: func(func(*pool.Pool)) {},
 		recorded: make(chan struct{}, 1), slots: newOrderSlots(), mayRenew: always, mayStart: always}
--- a/node/paused_test.go
+++ b/node/paused_test.go
@@ -13,7 +13,7 @@
 	for _, kind := range []pool.CommandKind{pool.Start, pool.Stop, pool.Throttle} {
 		workers := &fakeWorkers{}
 		s := newTestVMClient(t, workers)
-		s.mayStart = func() bool { return false }
+		s.mayStart = func(time.Duration) bool { return false }
 		reported := false
 		s.deliver = func(func(*pool.Pool)) { reported = true }
 		s.execute(t.Context(), s.command(kind, "task"))
@@ -29,7 +29,7 @@
 	workers := &fakeWorkers{}
 	s := newTestVMClient(t, workers)
 	permitted := true
-	s.mayStart = func() bool { return permitted }
+	s.mayStart = func(time.Duration) bool { return permitted }
 	s.deliver = func(func(*pool.Pool)) {
 		time.Sleep(time.Millisecond)
 		permitted = false
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -102,7 +102,7 @@
 	r.lastCommitSentAt = sentAt
 	settings := n.settings.Scheduler
 	settings.Pool = o.pool
-	settings.LeaseBound = time.Duration(float64(settings.Lease)/(1-clockDrift)) + leaseMargin
+	settings.LeaseBound = leaseBound(settings.Lease)
 	settings.InheritedLeaseBound = max(renewedUntil, n.clock.Now().Steady) + settings.LeaseBound
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
@@ -127,7 +127,7 @@
 	defer close(r.done)
 	r.startFollowers(workCtx, version)
 	err = r.loop(workCtx, ctx)
-	if err == nil && r.mayRenew() {
+	if err == nil && r.mayRenew(r.node.clock.Now().Steady) {
 		r.confirmedAt.Store(math.MinInt64 / 2) // nothing is renewed after the release
 		r.release()
 	}
@@ -363,10 +363,10 @@
 	r.log.Info("pool_released")
 }
 
-// mayRenew reports whether the last confirmed transaction is recent enough for
-// extending leases.
-func (r *poolController) mayRenew() bool {
-	return r.node.clock.Now().Steady-time.Duration(r.confirmedAt.Load()) < renewAgeLimit
+// mayRenew reports whether the last confirmed transaction is recent enough for extending
+// leases at a time on the steady clock.
+func (r *poolController) mayRenew(at time.Duration) bool {
+	return at-time.Duration(r.confirmedAt.Load()) < renewAgeLimit
 }
 
 // updateServiceClock passes on how the clock of the table service relates to that of this
@@ -378,7 +378,7 @@
 
 // logRenewals logs when this owner stops renewing leases and when it renews them again.
 func (r *poolController) logRenewals() {
-	paused := !r.mayRenew()
+	paused := !r.mayRenew(r.node.clock.Now().Steady)
 	if paused == r.renewalsPaused {
 		return
 	}
@@ -392,10 +392,10 @@
 		zap.Duration("confirmed_age", r.node.clock.Now().Steady-confirmed), zap.Int("vms", len(r.vmClients)))
 }
 
-// mayStart reports whether the last confirmed transaction is recent enough for
-// starting runs.
-func (r *poolController) mayStart() bool {
-	return r.node.clock.Now().Steady-time.Duration(r.confirmedAt.Load()) < startAgeLimit
+// mayStart reports whether the last confirmed transaction is recent enough for starting
+// runs at a time on the steady clock.
+func (r *poolController) mayStart(at time.Duration) bool {
+	return at-time.Duration(r.confirmedAt.Load()) < startAgeLimit
 }
 
 // syncVMClients opens a client for each new VM and closes those of VMs that are
@@ -431,17 +431,24 @@
 		old.stop()
 	}
 	clientCtx, cancel := context.WithCancel(ctx)
+	v := r.newVMClient(vm)
+	v.stop = cancel
+	r.vmClients[vm.ID] = v
+	r.node.spawn("renewals of "+vm.ID, func() { r.node.keepRunning(clientCtx, "renewals of "+vm.ID, v.run) })
+}
+
+// newVMClient returns a client that does not renew leases yet.
+func (r *poolController) newVMClient(vm pool.RenewalTarget) *vmClient {
 	v := &vmClient{
 		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
 		epoch: r.owner.row.Epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
-		recorded: make(chan struct{}, 1), stop: cancel, slots: newOrderSlots(),
+		recorded: make(chan struct{}, 1), slots: newOrderSlots(),
 		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics,
 	}
 	v.startedMS = vm.StartedMS
 	v.acknowledged.Store(vm.AcknowledgedEnds)
 	v.mayExtend.Store(vm.ExtendLeases)
-	r.vmClients[vm.ID] = v
-	r.node.spawn("renewals of "+vm.ID, func() { r.node.keepRunning(clientCtx, "renewals of "+vm.ID, v.run) })
+	return v
 }
 
 // dispatch sends commands to their VMs and to the advisor. A command that
@@ -458,7 +465,7 @@
 			r.pool.NotSent(c)
 			continue
 		}
-		if c.Kind == pool.Start && !r.mayStart() {
+		if c.Kind == pool.Start && !r.mayStart(r.node.clock.Now().Steady) {
 			r.log.Info("start_withheld", zap.String("task", c.Task), zap.Duration("confirmed_age", r.node.clock.Now().Steady-time.Duration(r.confirmedAt.Load())))
 			r.pool.NotSent(c)
 			continue
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -81,8 +81,8 @@
 	recorded     chan struct{} // signals a change of acknowledged
 	stop         context.CancelFunc
 	slots        orderSlots
-	mayRenew     func() bool // whether the owner may extend leases
-	mayStart     func() bool // whether the owner may start runs
+	mayRenew     func(at time.Duration) bool // whether the owner may extend leases at a time on the steady clock
+	mayStart     func(at time.Duration) bool // whether the owner may start runs at a time on the steady clock
 
 	mu           sync.Mutex
 	clockMS      int64         // worker's clock at clockAt
@@ -92,19 +92,29 @@
 	unresponsive bool          // the last renewal was not answered
 }
 
-// leaseDeadline returns the end of a lease granted now: deadlineMS on the
-// worker's clock, and bound on the steady clock of this process, by which all
-// runs under the lease have ended. ok is false until the worker's clock is
-// known.
-func (s *vmClient) leaseDeadline(now time.Duration) (deadlineMS int64, bound time.Duration, ok bool) {
+// leaseBound returns the longest time, on the steady clock of this process, that a lease
+// can last on a worker's clock.
+func leaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-clockDrift)) + leaseMargin
+}
+
+// grant decides on a lease that counts from now. It returns the end of the lease:
+// deadlineMS on the worker's clock, and bound on the steady clock of this process, by which
+// all runs under the lease have ended. ok is false if the owner may not grant a lease on the
+// VM now, which may tells for the time, or while the worker's clock is unknown.
+//
+// The time from which the lease counts is also the one that is checked: a process that is
+// paused in between would grant a lease for which it no longer has the right.
+func (s *vmClient) grant(may func(at time.Duration) bool) (deadlineMS int64, bound time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clockAt == 0 {
+	now := s.clock.Now().Steady
+	if s.clockAt == 0 || s.unresponsive || !s.mayExtend.Load() || !may(now) {
 		return 0, 0, false
 	}
 	elapsed := time.Duration(float64(now-s.clockAt) * (1 - clockDrift))
 	deadlineMS = s.clockMS + (elapsed + s.lease).Milliseconds()
-	bound = now + time.Duration(float64(s.lease)/(1-clockDrift)) + leaseMargin
+	bound = now + leaseBound(s.lease)
 	return deadlineMS, bound, true
 }
 
@@ -140,7 +150,7 @@
 // run renews the VM's leases until ctx ends.
 func (s *vmClient) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !s.mayRenew() {
+		if !s.mayRenew(s.clock.Now().Steady) {
 			sleep(ctx, renewRetryPause)
 			continue
 		}
@@ -193,7 +203,7 @@
 func (s *vmClient) renew(ctx context.Context) (highest int64, ok bool) {
 	sentAt := s.clock.Now().Steady
 	r := Renewal{Token: s.token(), AcknowledgedEnds: s.acknowledged.Load(), Wait: renewWait}
-	if deadlineMS, bound, known := s.leaseDeadline(sentAt); known && !s.isUnresponsive() && s.mayExtend.Load() {
+	if deadlineMS, bound, ok := s.grant(s.mayRenew); ok {
 		r.DeadlineMS = deadlineMS
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
 	} else {
@@ -290,7 +300,7 @@
 		return
 	}
 	defer func() { <-slots }()
-	if !s.mayStart() {
+	if !s.mayStart(s.clock.Now().Steady) {
 		// This owner may have been replaced while the order waited, or while its
 		// process was suspended.
 		s.reportNotSent(c)
@@ -320,24 +330,16 @@
 	s.deliver(func(p *pool.Pool) { p.NotSent(c) })
 }
 
-// mayGrant reports whether this owner may grant a lease on the VM now.
-func (s *vmClient) mayGrant() bool {
-	return s.mayStart() && !s.isUnresponsive() && s.mayExtend.Load()
-}
-
 // start starts a run. Nothing is sent without a lease deadline, or while this
 // owner may not grant leases on the VM.
 func (s *vmClient) start(ctx context.Context, c pool.Command) {
 	result := pool.StartPastDeadline // the result if nothing is sent
 	began := s.clock.Now().Steady
-	deadlineMS, bound, ok := s.leaseDeadline(began)
-	// The checks come after the deadline is computed: a lease bound that is
-	// recorded once the VM is unresponsive covers all deadlines computed before.
-	if ok && s.mayGrant() {
+	deadlineMS, bound, ok := s.grant(s.mayStart)
+	if ok {
 		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
-		ok = s.mayGrant() // a busy scheduler may have kept this order waiting
-	} else {
-		ok = false
+		// A busy scheduler may have kept this order waiting.
+		_, _, ok = s.grant(s.mayStart)
 	}
 	if ok {
 		result = s.workers.Start(ctx, s.ref, StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
