Let no lease outlast the bound that is stored for it

Callers: a task could run twice at the same time (TWICE): its VM had been silent for a moment while its pool's owner lost the pool or the table service.

Cause: when a VM does not answer, its owner stores a lease bound on which later owners rely, and grants nothing on the VM while it is stored. The clients that grant learned of it only once the transaction was confirmed. A VM that answered again while the transaction was under way got leases beyond the bound: for as long as the answer took, and if it was lost, for as long as the owner may renew without the service (3.5 s).

Change: the scheduler names the VMs whose bounds its next batch may store (LeaseBoundsDue). Before the batch is made, the controller suspends the grants of their clients, which tells under one lock what they have granted so far, and the stored bound covers that. Grants resume when a transaction without the bound is confirmed, as before.

--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/sched/pool"
 	"amaranthfork.example/sched/store"
 	"amaranthfork.example/sched/store/memstore"
+	"amaranthfork.example/sched/tables"
 )
 
 // testLease is the lease that owners grant in the tests of leases.
@@ -209,3 +212,144 @@
 		})
 	}
 }
+
+// leaseStore is a table service that reports transactions with a lease row and may answer
+// them late, or not at all.
+type leaseStore struct {
+	store.Store
+	delay time.Duration // of the answers
+	lose  bool          // the transaction is carried out, its answer is lost, and the caller is cut off from then on
+
+	mu       sync.Mutex
+	cut      bool
+	underWay chan struct{} // receives a value when a transaction with a lease row arrives
+}
+
+func (s *leaseStore) Commit(ctx context.Context, txn store.Txn) (store.Receipt, error) {
+	s.mu.Lock()
+	cut := s.cut
+	s.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return store.Receipt{}, store.ErrUnconfirmed
+	}
+	if !slices.ContainsFunc(txn.Puts, func(p store.Put) bool { return p.Key.Table == tables.Leases }) {
+		return s.Store.Commit(ctx, txn)
+	}
+	select {
+	case s.underWay <- struct{}{}:
+	default:
+	}
+	receipt, err := s.Store.Commit(ctx, txn)
+	if s.lose {
+		s.mu.Lock()
+		s.cut = true
+		s.mu.Unlock()
+		<-ctx.Done()
+		return store.Receipt{}, store.ErrUnconfirmed
+	}
+	sleep(ctx, s.delay)
+	return receipt, err
+}
+
+// Guards against a lease that outlasts the bound that is stored for it (TWICE): a VM falls
+// silent, and answers again while the transaction with its bound is under way. A later owner
+// trusts the row, also if the answer to the transaction was lost.
+func TestNoLeaseOutlastsItsStoredBound(t *testing.T) {
+	for name, s := range map[string]*leaseStore{
+		"slow answers": {delay: 900 * time.Millisecond},
+		"lost answer":  {lose: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				mem := memstore.New()
+				clock := bubbleClock{time.Now()}
+				s.Store, s.underWay = mem, make(chan struct{}, 1)
+				f := newLeaseFixture(t, mem, s, clock)
+				defer f.stop()
+				f.awaitRun(t)
+				f.workers.use("vm1:80", func(w *leasedVM) { w.silent = true })
+				<-s.underWay
+				f.workers.use("vm1:80", func(w *leasedVM) { w.silent = false })
+				excess := time.Duration(0)
+				for range 500 {
+					time.Sleep(10 * time.Millisecond)
+					excess = max(excess, f.leaseExcess(t))
+				}
+				if excess > 0 {
+					t.Errorf("the lease of vm1 ends %v after the bound that is stored for it", excess)
+				}
+			})
+		})
+	}
+}
+
+// leaseFixture is an owner of pool p that runs a task that lasts on vm1.
+type leaseFixture struct {
+	mem     *memstore.Store
+	clock   Clock
+	workers *leasedVMs
+	node    *Node
+	stop    func()
+}
+
+// newLeaseFixture starts the owner, which uses s to reach mem.
+func newLeaseFixture(t *testing.T, mem *memstore.Store, s store.Store, clock Clock) *leaseFixture {
+	t.Helper()
+	f := &leaseFixture{mem: mem, clock: clock, workers: newLeasedVMs(clock, "vm1:80")}
+	f.node = newLeaseEntry(t, "a", s, clock, f.workers)
+	listVM(t, mem, "vm1", "vm1:80")
+	spec := oneStepJob("00000000000000aa")
+	spec.Steps[0].LongRunning = true
+	if err := f.node.Submit(t.Context(), Caller{Queue: f.node.operator.view.Catalog.Queues["q"]}, spec); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	owner := mustClaim(t, f.node.store, nodeA)
+	var running sync.WaitGroup
+	running.Go(func() { _ = newPoolController(f.node, owner, 0, clock.Now().Steady).run(ctx) }) // may have lost its store
+	f.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	return f
+}
+
+// awaitRun waits until the task runs and its lease has been renewed.
+func (f *leaseFixture) awaitRun(t *testing.T) {
+	t.Helper()
+	for range 500 {
+		renewed := false
+		f.workers.use("vm1:80", func(w *leasedVM) { renewed = len(w.running) > 0 && len(w.grants) > 2 })
+		if renewed {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the task does not run")
+}
+
+// leaseExcess returns by how much the lease of vm1 ends after the bound that a later owner
+// would now find for it; 0 if it finds none.
+func (f *leaseFixture) leaseExcess(t *testing.T) (excess time.Duration) {
+	t.Helper()
+	key := tables.LeaseKey("p")
+	page, err := f.mem.Range(t.Context(), key.Table, key.Partition, key.Name, key.Name+"\x00")
+	if err != nil {
+		t.Fatal(err)
+	}
+	offset := f.clock.Now().Steady - page.Time
+	for _, row := range page.Rows {
+		bounds, err := pool.DecodeLeases(row.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bound, stored := bounds["vm1"]
+		f.workers.use("vm1:80", func(w *leasedVM) {
+			if stored {
+				excess = w.leaseEnd() - bound - offset
+			}
+		})
+	}
+	return excess
+}
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -281,6 +281,7 @@
 	r.caps.applyTo(r.pool)
 	r.updateServiceClock()
 	r.deleteExpiredRequests(ctx, now.Steady)
+	r.suspendGrants()
 	batch := r.pool.Cycle()
 	r.cycleInterval = cycleIntervalFor(r.node.clock.Now().Steady - now.Steady)
 	if r.movedQueues.due(now.Steady) {
@@ -328,12 +329,27 @@
 	for _, vm := range r.pool.RenewalTargets() {
 		if v := r.vmClients[vm.ID]; v != nil {
 			v.setAcknowledged(vm.StartedMS, vm.AcknowledgedEnds)
-			v.mayExtend.Store(vm.ExtendLeases)
+			if vm.ExtendLeases {
+				v.resumeGrants()
+			}
 		}
 	}
 	return nil
 }
 
+// suspendGrants ends the granting of leases on the VMs whose lease bounds the next
+// transaction stores. A later owner may rely on the bounds from the moment in which the
+// transaction is sent, also if its answer is lost, so they must cover all leases granted
+// before and no other lease may follow. Grants resume once a transaction without the bound
+// is confirmed.
+func (r *poolController) suspendGrants() {
+	for _, id := range r.pool.LeaseBoundsDue() {
+		if v := r.vmClients[id]; v != nil {
+			r.pool.LeaseGranted(id, v.suspendGrants())
+		}
+	}
+}
+
 // awaitCommit waits for the transaction under way, so that the release is the
 // last transaction.
 func (r *poolController) awaitCommit() {
@@ -447,7 +463,7 @@
 	}
 	v.startedMS = vm.StartedMS
 	v.acknowledged.Store(vm.AcknowledgedEnds)
-	v.mayExtend.Store(vm.ExtendLeases)
+	v.suspended = !vm.ExtendLeases
 	return v
 }
 
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -77,7 +77,6 @@
 	deliver func(func(*pool.Pool)) // runs a function in the scheduler's loop
 
 	acknowledged atomic.Int64  // ends of runs up to this sequence number are recorded
-	mayExtend    atomic.Bool   // false while a lease bound is recorded for a later owner
 	recorded     chan struct{} // signals a change of acknowledged
 	stop         context.CancelFunc
 	slots        orderSlots
@@ -90,6 +89,8 @@
 	incarnations int64         // restarts of the worker that this client has noticed
 	startedMS    int64         // start of the worker's incarnation, Unix ms; 0 if unknown
 	unresponsive bool          // the last renewal was not answered
+	suspended    bool          // no leases are granted: a bound of them is stored for a later owner, or about to be
+	grantedUntil time.Duration // bound of the leases granted so far, steady clock
 }
 
 // leaseBound returns the longest time, on the steady clock of this process, that a lease
@@ -109,15 +110,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now().Steady
-	if s.clockAt == 0 || s.unresponsive || !s.mayExtend.Load() || !may(now) {
+	if s.clockAt == 0 || s.unresponsive || s.suspended || !may(now) {
 		return 0, 0, false
 	}
 	elapsed := time.Duration(float64(now-s.clockAt) * (1 - clockDrift))
 	deadlineMS = s.clockMS + (elapsed + s.lease).Milliseconds()
 	bound = now + leaseBound(s.lease)
+	s.grantedUntil = max(s.grantedUntil, bound)
 	return deadlineMS, bound, true
 }
 
+// suspendGrants ends the granting of leases until resumeGrants. It returns the bound of all
+// leases granted before, on the steady clock; 0 if there are none.
+func (s *vmClient) suspendGrants() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended = true
+	return s.grantedUntil
+}
+
+// resumeGrants permits the granting of leases again.
+func (s *vmClient) resumeGrants() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended = false
+}
+
 // updateClock stores the clock and the start of the incarnation in a worker's
 // answer, which arrived at answeredAt on the steady clock. startedMS is 0 if the
 // worker did not report it.
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -159,9 +159,26 @@
 // two headers and a number.
 const leaseEntryBytes = 12
 
+// LeaseBoundsDue returns the ids of the VMs whose lease bounds the next Cycle may store,
+// sorted. The caller must grant no lease on them from before that Cycle on, until
+// RenewalTargets permits it again after a call of Committed, and must pass all leases granted
+// before to LeaseGranted.
+func (p *Pool) LeaseBoundsDue() []string {
+	if !p.leaseBoundsChanged {
+		return nil
+	}
+	var ids []string
+	for _, v := range p.sortedVMs() {
+		if v.leaseBound != 0 {
+			ids = append(ids, v.ID)
+		}
+	}
+	return ids
+}
+
 // addLeaseBounds records the lease bounds of VMs that have not answered, so that
 // a later owner need not wait for a full lease again. Leases are not extended
-// while a bound is recorded.
+// while a bound is recorded; see LeaseBoundsDue.
 func (p *Pool) addLeaseBounds(b *Batch) {
 	if !p.leaseBoundsChanged || b.full() || !p.mayWrite(leaseItem) {
 		return
@@ -175,7 +192,7 @@
 			continue
 		}
 		if size += len(v.ID) + leaseEntryBytes; size <= p.rowBytes() {
-			bounds[v.ID] = (v.leaseBound + p.serviceClockOffset).Milliseconds()
+			bounds[v.ID] = (max(v.leaseBound, v.leaseUntil) + p.serviceClockOffset).Milliseconds()
 		}
 	}
 	value, err := cbor.Marshal(bounds)
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -520,5 +520,5 @@
 	ID, Address      string
 	StartedMS        int64 // start of the incarnation that has listed the ends, Unix milliseconds; 0 if unknown
 	AcknowledgedEnds int64 // ends up to this sequence number are acknowledged: they are durable
-	ExtendLeases     bool  // the renewal may extend the leases
+	ExtendLeases     bool  // leases may be granted, unless LeaseBoundsDue names the VM
 }
