Ask a VM before its lease is extended when all leases have expired

Callers: after an owner had been suspended for longer than its leases, tasks on a VM that was lost meanwhile waited for a second lease, 5.1 s, before they started elsewhere.

Cause: the client extended the leases with its first renewal after the suspension, as it had not noticed that the VM was silent. There was nothing to extend: all leases had ended.

Change: grant refuses while the last answer is older than a lease can last; the first renewal then only asks for the listing.

The harness of sched/pool now grants as node's clients do: what a client knows (silence, suspended grants, the last answer) decides, and not the scheduler's state at that moment; a renewal or start that finds a silent VM grants its lease too; a late start ends with its own deadline. It checks after each grant and each batch that no lease outlasts its stored bound, and counts a run on a silent VM as running. The property test adds transactions under way and lost answers with a change of the owner.

TestExpiredLeaseIsNotExtendedBeforeTheVMAnswers (node) failed before: "deadlines 10999 and 10999 after the lease has expired". TestRunsOnALostVMAreGivenUpAfterASuspension passed before only because the harness did not grant as node does. TestUnknownRunsTakeRoomWhereWorkersDoNotCheckIt gives its unknown run a lease, since runs without one end.

--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -213,6 +213,39 @@
 	}
 }
 
+// Guards against tasks that wait for a second lease: the owner was suspended for longer than
+// its leases, and then extended that of a VM that had been lost meanwhile.
+func TestExpiredLeaseIsNotExtendedBeforeTheVMAnswers(t *testing.T) {
+	clock := &testClock{now: pool.Time{Steady: time.Minute}}
+	workers := newLeasedVMs(clock, "vm1:80")
+	n := newLeaseEntry(t, "a", memstore.New(), clock, workers)
+	r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, clock.Now().Steady)
+	go func() {
+		for f := range r.events {
+			f(r.pool)
+		}
+	}()
+	defer close(r.events)
+	v := r.newVMClient(pool.RenewalTarget{ID: "vm1", Address: "vm1:80", ExtendLeases: true})
+	for range 2 {
+		if _, ok := v.renew(t.Context()); !ok {
+			t.Fatal("the VM does not answer")
+		}
+	}
+	clock.advance(leaseBound(testLease) + time.Second)
+	r.confirmedAt.Store(int64(clock.Now().Steady))
+	var sent []Renewal
+	workers.onRenewal = func(r Renewal) { sent = append(sent, r) }
+	for range 2 {
+		if _, ok := v.renew(t.Context()); !ok {
+			t.Fatal("the VM does not answer")
+		}
+	}
+	if sent[0].DeadlineMS != 0 || sent[1].DeadlineMS == 0 {
+		t.Errorf("deadlines %d and %d after the lease has expired, want none before the VM has answered", sent[0].DeadlineMS, sent[1].DeadlineMS)
+	}
+}
+
 // leaseStore is a table service that reports transactions with a lease row and may answer
 // them late, or not at all.
 type leaseStore struct {
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -113,6 +113,11 @@
 	if s.clockAt == 0 || s.unresponsive || s.suspended || !may(now) {
 		return 0, 0, false
 	}
+	if now-s.clockAt > leaseBound(s.lease) {
+		// All leases have expired while this process was suspended. The VM may be lost, and
+		// a lease would keep its tasks from starting elsewhere.
+		return 0, 0, false
+	}
 	elapsed := time.Duration(float64(now-s.clockAt) * (1 - clockDrift))
 	deadlineMS = s.clockMS + (elapsed + s.lease).Milliseconds()
 	bound = now + leaseBound(s.lease)
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -26,11 +26,13 @@
 const (
 	testPool  = "pool-a"
 	testLease = 5 * time.Second
+	// leaseBound is the longest time that a lease can last, whatever the worker's clock does.
+	leaseBound = testLease + 120*time.Millisecond
 )
 
 func testSettings() pool.Settings {
 	return pool.Settings{
-		Pool: testPool, Lease: testLease, LeaseBound: testLease + 120*time.Millisecond,
+		Pool: testPool, Lease: testLease, LeaseBound: leaseBound,
 		StopGrace: 900 * time.Millisecond, StatusRetention: 150 * time.Second,
 	}
 }
@@ -47,6 +49,26 @@
 	restarted       bool           // under its id, and its row in discovery describes the earlier incarnation
 	leaseUntil      time.Duration
 	uncountedUpTo   int64 // failed ends up to this sequence number are no longer in failuresByTask
+	client          client
+}
+
+// client is the part of the owner's client of a worker that decides on leases.
+type client struct {
+	answeredAt   time.Duration // 0 before the first answer
+	unresponsive bool          // the last renewal was not answered
+	suspended    bool          // a lease bound is stored, or about to be
+	grantedUntil time.Duration // bound of the leases granted so far
+}
+
+// grant grants a lease on a worker as the owner's client does, unless it may not.
+func (h *harness) grant(worker *worker) bool {
+	c := &worker.client
+	if c.answeredAt == 0 || c.unresponsive || c.suspended || h.now.Steady-c.answeredAt > leaseBound {
+		return false
+	}
+	c.grantedUntil = h.now.Steady + leaseBound
+	h.scheduler.LeaseGranted(worker.vm.ID, c.grantedUntil)
+	return true
 }
 
 // testingT is the part of testing.T and rapid.T that harness needs.
@@ -124,6 +146,11 @@
 	for _, worker := range h.sortedWorkers() {
 		h.scheduler.ObserveVM(worker.vm)
 	}
+	for _, vm := range h.scheduler.RenewalTargets() {
+		if worker := h.workers[vm.ID]; worker != nil {
+			worker.client = client{suspended: !vm.ExtendLeases}
+		}
+	}
 }
 
 // storedProgress decodes the durable progress of all jobs.
@@ -231,7 +258,7 @@
 
 // commit makes the next batch durable and returns the starts that depended on it.
 func (h *harness) commit() []pool.Command {
-	batch := h.scheduler.Cycle()
+	batch := h.nextBatch()
 	if err := h.check(batch); err != nil {
 		h.refused++
 		if !h.scheduler.Refused(batch, err) {
@@ -239,13 +266,43 @@
 		}
 		return nil
 	}
+	h.write(batch)
+	return h.confirm(batch)
+}
+
+// nextBatch returns the next batch. From then on, no lease is granted on a VM whose lease
+// bound it may store.
+func (h *harness) nextBatch() pool.Batch {
+	for _, id := range h.scheduler.LeaseBoundsDue() {
+		if worker := h.workers[id]; worker != nil {
+			worker.client.suspended = true
+			h.scheduler.LeaseGranted(id, worker.client.grantedUntil)
+		}
+	}
+	return h.scheduler.Cycle()
+}
+
+// write makes a batch durable.
+func (h *harness) write(batch pool.Batch) {
 	for _, put := range batch.Puts {
 		h.rows[put.Key] = put.Value
 	}
 	for _, key := range batch.Deletes {
 		delete(h.rows, key)
 	}
-	return h.scheduler.Committed(batch)
+	h.checkStoredBounds()
+}
+
+// confirm tells the scheduler that a batch is durable and returns the starts that depended
+// on it.
+func (h *harness) confirm(batch pool.Batch) []pool.Command {
+	starts := h.scheduler.Committed(batch)
+	for _, vm := range h.scheduler.RenewalTargets() {
+		if worker := h.workers[vm.ID]; worker != nil && vm.ExtendLeases {
+			worker.client.suspended = false
+		}
+	}
+	return starts
 }
 
 // check returns the error with which the table service rejects a batch and the owner's
@@ -270,19 +327,19 @@
 func (h *harness) renew(id string) {
 	worker := h.workers[id]
 	if worker.down {
-		h.scheduler.RenewalUnanswered(id)
+		h.grant(worker) // the renewal may be carried out although its answer is lost
+		h.renewalUnanswered(worker)
 		return
 	}
-	bound := h.now.Steady + testLease + 120*time.Millisecond
+	if h.grant(worker) {
+		worker.leaseUntil = max(worker.leaseUntil, h.now.Steady+testLease)
+		h.checkStoredBounds()
+	}
+	worker.client.unresponsive, worker.client.answeredAt = false, h.now.Steady
 	for _, vm := range h.scheduler.RenewalTargets() {
-		if vm.ID != id {
-			continue
-		}
-		if vm.ExtendLeases {
-			h.scheduler.LeaseGranted(id, bound)
-			worker.leaseUntil = h.now.Steady + testLease
+		if vm.ID == id {
+			worker.acknowledge(vm.AcknowledgedEnds)
 		}
-		worker.acknowledge(vm.AcknowledgedEnds)
 	}
 	l := pool.Listing{VM: id, StartedMS: worker.vm.StartedMS, SentAt: h.now.Steady, At: h.now.Steady, Ended: append([]pool.RunEnd(nil), worker.ends...), Complete: true}
 	for _, name := range sortedNames(worker.running) {
@@ -295,6 +352,30 @@
 	}
 }
 
+// checkStoredBounds fails the test if the lease of a worker ends after the bound that is
+// stored for it, on which a later owner would rely.
+func (h *harness) checkStoredBounds() {
+	value, ok := h.rows[tables.LeaseKey(testPool)]
+	if !ok {
+		return
+	}
+	bounds, err := pool.DecodeLeases(value)
+	if err != nil {
+		h.t.Fatalf("lease row: %v", err)
+	}
+	for _, worker := range h.sortedWorkers() {
+		if bound, stored := bounds[worker.vm.ID]; stored && worker.leaseUntil > bound {
+			h.t.Fatalf("the lease of %s ends %v after the bound that is stored for it", worker.vm.ID, worker.leaseUntil-bound)
+		}
+	}
+}
+
+// renewalUnanswered lets a renewal of a worker end without an answer.
+func (h *harness) renewalUnanswered(worker *worker) {
+	worker.client.unresponsive = true
+	h.scheduler.RenewalUnanswered(worker.vm.ID)
+}
+
 func (h *harness) renewAll() {
 	for _, worker := range h.sortedWorkers() {
 		h.renew(worker.vm.ID)
@@ -325,8 +406,11 @@
 	}
 	switch c.Kind {
 	case pool.Start:
-		h.scheduler.LeaseGranted(c.VM, h.now.Steady+testLease+120*time.Millisecond)
-		result := h.start(worker, c)
+		if !h.grant(worker) {
+			h.scheduler.Started(c, pool.StartPastDeadline, h.now.Steady)
+			return
+		}
+		result := h.start(worker, c, h.now.Steady+testLease)
 		if h.losesAnswer != nil && h.losesAnswer(c.Task) {
 			result = pool.StartUnconfirmed
 		}
@@ -353,7 +437,8 @@
 	return stops
 }
 
-func (h *harness) start(worker *worker, c pool.Command) pool.StartResult {
+// start lets a worker carry out a start whose lease ends at deadline.
+func (h *harness) start(worker *worker, c pool.Command, deadline time.Duration) pool.StartResult {
 	if r, ok := worker.running[c.Task]; ok && r.Run == c.Run {
 		return pool.StartAccepted
 	}
@@ -361,7 +446,8 @@
 		return pool.StartStaleRun
 	}
 	h.checkStart(c)
-	worker.leaseUntil = max(worker.leaseUntil, h.now.Steady+testLease)
+	worker.leaseUntil = max(worker.leaseUntil, deadline)
+	h.checkStoredBounds()
 	worker.running[c.Task] = pool.RunState{Task: c.Task, Run: c.Run, ProgressPercent: 100}
 	if h.onStart != nil {
 		h.onStart(c.Task)
@@ -373,7 +459,8 @@
 }
 
 // checkStart fails the test if a start breaks a rule: no start after the task is
-// done, after 3 failures or while a run of the task is on a VM that is not down.
+// done, after 3 failures or while a run of the task is on a VM, also on one that does not
+// answer.
 // Long-running tasks have no limit of failures.
 func (h *harness) checkStart(c pool.Command) {
 	if h.doneTasks[c.Task] {
@@ -383,7 +470,7 @@
 		h.t.Fatalf("%s run %d started after %d failures", c.Task, c.Run, h.failuresByTask[c.Task])
 	}
 	for id, other := range h.workers {
-		if r, ok := other.running[c.Task]; ok && !other.down {
+		if r, ok := other.running[c.Task]; ok {
 			h.t.Fatalf("%s run %d started on %s while run %d is on %s", c.Task, c.Run, c.VM, r.Run, id)
 		}
 	}
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -135,7 +135,7 @@
 	h.advance(10 * time.Millisecond)
 	h.renewAll()
 	// The delayed start is refused, since the run was stopped.
-	if got := h.start(a, starts[0]); got != pool.StartStaleRun {
+	if got := h.start(a, starts[0], h.now.Steady+testLease); got != pool.StartStaleRun {
 		t.Fatalf("delayed start: %v, want old", got)
 	}
 	h.advance(2 * time.Second)
@@ -154,7 +154,7 @@
 	h.submit(spec)
 	h.renewAll()
 	c := h.commit()[0]
-	h.start(a, c)
+	h.start(a, c, h.now.Steady+testLease)
 	h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
 	h.advance(10 * time.Millisecond)
 	h.settle()
@@ -756,6 +756,7 @@
 	a := h.addVM("a", 4000)
 	unknown := "00000000000000ff.0.0.0"
 	a.running[unknown] = pool.RunState{Task: unknown, Run: 1, ProgressPercent: 50}
+	a.leaseUntil = h.now.Steady + testLease
 	h.renew("a")
 	h.scheduler.Commands() // the stop of the unknown run is under way
 	h.submit(shortJob(4))
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -31,7 +31,7 @@
 }
 
 func (h *harness) randomEvent(t *rapid.T, delayed *[]delayedStart) {
-	switch rapid.IntRange(0, 12).Draw(t, "event") {
+	switch rapid.IntRange(0, 14).Draw(t, "event") {
 	case 0:
 		h.submit(randomJob(t))
 	case 1, 2:
@@ -53,6 +53,33 @@
 		h.replaceOwner(t, delayed)
 	case 12:
 		h.replaceWorker(h.pickWorker(t), rapid.Bool().Draw(t, "still listed"))
+	case 13:
+		batch := h.nextBatch()
+		h.eventsUnderWay(t)
+		h.write(batch)
+		for _, c := range h.confirm(batch) {
+			h.execute(c)
+		}
+	case 14: // the answer to a transaction is lost, and the owner is replaced
+		h.write(h.nextBatch())
+		h.eventsUnderWay(t)
+		h.replaceOwner(t, delayed)
+	}
+}
+
+// eventsUnderWay lets workers fall silent, answer again and get renewals while a
+// transaction is under way.
+func (h *harness) eventsUnderWay(t *rapid.T) {
+	for range rapid.IntRange(1, 6).Draw(t, "events under way") {
+		worker := h.pickWorker(t)
+		switch rapid.IntRange(0, 3).Draw(t, "event under way") {
+		case 0:
+			worker.down = !worker.down
+		case 1:
+			h.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+		default:
+			h.renew(worker.vm.ID)
+		}
 	}
 }
 
@@ -76,17 +103,15 @@
 		switch rapid.IntRange(0, 3).Draw(t, "fate") {
 		case 0: // executed; the answer to a start is lost
 			h.setbacks[c.Task]++
-			if worker := h.workers[c.VM]; c.Kind == pool.Start && worker != nil && !worker.down {
-				h.scheduler.LeaseGranted(c.VM, h.now.Steady+testLease+120*time.Millisecond)
-				h.start(worker, c)
+			if worker := h.workers[c.VM]; c.Kind == pool.Start && worker != nil && !worker.down && h.grant(worker) {
+				h.start(worker, c, h.now.Steady+testLease)
 				h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
 				continue
 			}
 			h.execute(c)
 		case 1: // lost; a start may arrive later
-			if c.Kind == pool.Start {
+			if worker := h.workers[c.VM]; c.Kind == pool.Start && worker != nil && h.grant(worker) {
 				h.setbacks[c.Task]++
-				h.scheduler.LeaseGranted(c.VM, h.now.Steady+testLease+120*time.Millisecond)
 				h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
 				*delayed = append(*delayed, delayedStart{c, h.now.Steady + testLease})
 				continue
@@ -112,7 +137,7 @@
 		c := start.Command
 		if worker := h.workers[c.VM]; worker != nil && !worker.down && c.Run > worker.highestEndedRun[c.Task] && h.now.Steady < start.deadline {
 			if _, there := worker.running[c.Task]; !there {
-				h.start(worker, c)
+				h.start(worker, c, start.deadline)
 			}
 		}
 	}
@@ -139,7 +164,7 @@
 	worker.ends, worker.lastSequence, worker.uncountedUpTo = nil, 0, 0
 	worker.highestEndedRun = map[string]int{}
 	worker.leaseUntil = 0
-	h.scheduler.RenewalUnanswered(worker.vm.ID) // the pending renewal fails
+	h.renewalUnanswered(worker) // the pending renewal fails
 }
 
 // loseRuns removes the runs of a worker that crashes. Those that had ended unseen count as
