Read the epoch of a claim without the owner's row

The controller read it from the owner's row for each client that it opened while a transaction under way may replace that row: a data race, in which the value read was the same before and after. Found by TestNoLeaseOutlastsItsStoredBound with the race detector, which reports it before this change.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -62,6 +62,7 @@
 	owner *ownership
 	pool  *pool.Pool
 	name  string
+	epoch int64 // of the claim
 
 	events      chan func(*pool.Pool) // handled by loop
 	done        chan struct{}         // closed when loop handles no more events
@@ -93,7 +94,7 @@
 // sentAt are explained at runController.
 func newPoolController(n *Node, o *ownership, renewedUntil, sentAt time.Duration) *poolController {
 	r := &poolController{
-		node: n, owner: o, name: o.pool,
+		node: n, owner: o, name: o.pool, epoch: o.row.Epoch,
 		log:    n.log.With(zap.String("pool", o.pool), zap.Int64("epoch", o.row.Epoch)),
 		events: make(chan func(*pool.Pool), 1024), done: make(chan struct{}), vmClients: map[string]*vmClient{},
 		commitResults: make(chan commitResult, 1),
@@ -457,7 +458,7 @@
 func (r *poolController) newVMClient(vm pool.RenewalTarget) *vmClient {
 	v := &vmClient{
 		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
-		epoch: r.owner.row.Epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
+		epoch: r.epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
 		recorded: make(chan struct{}, 1), slots: newOrderSlots(),
 		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics,
 	}
