Let the client of a VM's earlier address grant no more leases

Callers: a task could run twice at the same time (TWICE) after its VM had come back at another address and fallen silent.

Cause: the controller opens a new client when a VM's address changes. An order of the earlier client could still wait for its slot, up to 1.5 s, and granted a lease then, while a bound that was stored meanwhile covered only the new client's grants.

Change: a client that is replaced or no longer needed is closed: it grants nothing more, and the scheduler learns of what it has granted.

TestReplacedClientGrantsNoLease failed before: "the client of the earlier address has started a run after it was replaced".

--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -246,6 +246,40 @@
 	}
 }
 
+// Guards against leases that the client of a VM's earlier address grants (TWICE): a start
+// waits for its slot there while the VM moves, and a lease bound that is stored meanwhile
+// covers only what the later client has granted.
+func TestReplacedClientGrantsNoLease(t *testing.T) {
+	clock := &testClock{now: pool.Time{Steady: time.Minute}}
+	workers := newLeasedVMs(clock, "vm1:80", "vm1:81")
+	n := newLeaseEntry(t, "a", memstore.New(), clock, workers)
+	r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, clock.Now().Steady)
+	defer close(r.done)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	open := func(address string) *vmClient {
+		r.openVMClient(ctx, pool.RenewalTarget{ID: "vm1", Address: address, ExtendLeases: true})
+		v := r.vmClients["vm1"]
+		for range 500 {
+			if v.granted() > 0 {
+				return v
+			}
+			time.Sleep(time.Millisecond)
+		}
+		t.Fatal("the client grants no lease")
+		return nil
+	}
+	earlier := open("vm1:80")
+	start := earlier.command(pool.Start, "task") // waits for its slot
+	open("vm1:81")
+	earlier.execute(t.Context(), start)
+	workers.use("vm1:80", func(w *leasedVM) {
+		if len(w.running) > 0 {
+			t.Error("the client of the earlier address has started a run after it was replaced")
+		}
+	})
+}
+
 // leaseStore is a table service that reports transactions with a lease row and may answer
 // them late, or not at all.
 type leaseStore struct {
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -437,15 +437,14 @@
 	}
 	for id, v := range r.vmClients {
 		if !known[id] {
-			v.stop()
-			delete(r.vmClients, id)
+			r.closeVMClient(v)
 		}
 	}
 }
 
 func (r *poolController) openVMClient(ctx context.Context, vm pool.RenewalTarget) {
-	if old := r.vmClients[vm.ID]; old != nil {
-		old.stop()
+	if earlier := r.vmClients[vm.ID]; earlier != nil {
+		r.closeVMClient(earlier)
 	}
 	clientCtx, cancel := context.WithCancel(ctx)
 	v := r.newVMClient(vm)
@@ -454,6 +453,12 @@
 	r.node.spawn("renewals of "+vm.ID, func() { r.node.keepRunning(clientCtx, "renewals of "+vm.ID, v.run) })
 }
 
+// closeVMClient closes a client. The scheduler learns of all leases that it has granted.
+func (r *poolController) closeVMClient(v *vmClient) {
+	r.pool.LeaseGranted(v.ref.ID, v.close())
+	delete(r.vmClients, v.ref.ID)
+}
+
 // newVMClient returns a client that does not renew leases yet.
 func (r *poolController) newVMClient(vm pool.RenewalTarget) *vmClient {
 	v := &vmClient{
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -76,9 +76,9 @@
 	lease   time.Duration          // duration of a lease
 	deliver func(func(*pool.Pool)) // runs a function in the scheduler's loop
 
-	acknowledged atomic.Int64  // ends of runs up to this sequence number are recorded
-	recorded     chan struct{} // signals a change of acknowledged
-	stop         context.CancelFunc
+	acknowledged atomic.Int64       // ends of runs up to this sequence number are recorded
+	recorded     chan struct{}      // signals a change of acknowledged
+	stop         context.CancelFunc // ends the renewals
 	slots        orderSlots
 	mayRenew     func(at time.Duration) bool // whether the owner may extend leases at a time on the steady clock
 	mayStart     func(at time.Duration) bool // whether the owner may start runs at a time on the steady clock
@@ -90,6 +90,7 @@
 	startedMS    int64         // start of the worker's incarnation, Unix ms; 0 if unknown
 	unresponsive bool          // the last renewal was not answered
 	suspended    bool          // no leases are granted: a bound of them is stored for a later owner, or about to be
+	closed       bool          // no leases are granted any more
 	grantedUntil time.Duration // bound of the leases granted so far, steady clock
 }
 
@@ -110,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now().Steady
-	if s.clockAt == 0 || s.unresponsive || s.suspended || !may(now) {
+	if s.clockAt == 0 || s.unresponsive || s.suspended || s.closed || !may(now) {
 		return 0, 0, false
 	}
 	if now-s.clockAt > leaseBound(s.lease) {
@@ -134,6 +135,23 @@
 	return s.grantedUntil
 }
 
+// close ends the renewals, and the granting of leases for good: orders may still wait for
+// their slots. It returns the bound of all leases granted, on the steady clock.
+func (s *vmClient) close() time.Duration {
+	s.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	return s.grantedUntil
+}
+
+// granted returns the bound of the leases granted so far, on the steady clock.
+func (s *vmClient) granted() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grantedUntil
+}
+
 // resumeGrants permits the granting of leases again.
 func (s *vmClient) resumeGrants() {
 	s.mu.Lock()
