Give up a run only after looking at all leases granted so far

Callers: a task could run twice at the same time (TWICE) on an entry with little processor time.

Cause: a client told the scheduler of each lease by a message to its loop. When the timer or the answer to a transaction woke the loop, it decided without handling the messages that were queued, and gave up the run of a VM that had answered and whose lease had just been extended.

Change: the controller reads what the clients have granted right before each cycle. The cycle gives up runs whose leases had ended when it began; what is granted later can no longer extend them.

TestRunIsKeptWhileTheGrantOfItsLeaseIsQueued failed before: "the run was given up while its lease goes on".

--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -351,6 +351,80 @@
 	}
 }
 
+// Guards against a run that is given up although its lease was extended (TWICE): the
+// scheduler decides while the message about the extension is still queued. The VM had been
+// silent until shortly before its lease ended.
+func TestRunIsKeptWhileTheGrantOfItsLeaseIsQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		clock := bubbleClock{time.Now()}
+		f := newLeaseFixture(t, mem, mem, clock)
+		f.stop() // the test drives a controller itself
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := newPoolController(f.node, mustClaim(t, f.node.store, nodeA), 0, clock.Now().Steady)
+		defer close(r.done)
+		version, err := r.recover(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.startFollowers(ctx, version)
+		r.configure(f.node.operator.view)
+		step := func(handleEvents bool) {
+			for handleEvents && len(r.events) > 0 {
+				r.pool.Advance(clock.Now())
+				(<-r.events)(r.pool)
+			}
+			select {
+			case result := <-r.commitResults:
+				if err := r.committed(ctx, result); err != nil {
+					t.Fatal(err)
+				}
+			default:
+			}
+			r.cycle(ctx)
+			time.Sleep(5 * time.Millisecond)
+		}
+		stepUntil := func(handleEvents bool, what string, done func(v *vmClient) bool) {
+			t.Helper()
+			for range 4000 {
+				step(handleEvents)
+				if v := r.vmClients["vm1"]; v != nil && done(v) {
+					return
+				}
+			}
+			t.Fatal(what)
+		}
+		runs := func() (n int) {
+			f.workers.use("vm1:80", func(w *leasedVM) { w.expire(); n = len(w.running) })
+			return n
+		}
+		silence := func(silent bool) {
+			f.workers.use("vm1:80", func(w *leasedVM) { w.silent = silent })
+		}
+		stepUntil(true, "the task does not run", func(v *vmClient) bool { return runs() > 0 && v.granted() > 0 })
+		silence(true)
+		stepUntil(true, "the silence is not noticed", func(v *vmClient) bool { return v.isUnresponsive() })
+		expiry := r.vmClients["vm1"].granted()
+		stepUntil(true, "the lease does not end", func(*vmClient) bool { return expiry-clock.Now().Steady < 400*time.Millisecond })
+		silence(false)
+		stepUntil(true, "grants do not resume", func(v *vmClient) bool { return !v.isUnresponsive() && !v.isSuspended() })
+		stepUntil(false, "the first lease does not end", func(*vmClient) bool { return clock.Now().Steady > expiry+50*time.Millisecond })
+		if runs() == 0 {
+			t.Fatal("the lease was not extended")
+		}
+		if r.pool.Stats().Lost > 0 {
+			t.Error("the run was given up while its lease goes on")
+		}
+	})
+}
+
+func (s *vmClient) isSuspended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspended
+}
+
 // leaseFixture is an owner of pool p that runs a task that lasts on vm1.
 type leaseFixture struct {
 	mem     *memstore.Store
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -282,6 +282,7 @@
 	r.caps.applyTo(r.pool)
 	r.updateServiceClock()
 	r.deleteExpiredRequests(ctx, now.Steady)
+	r.passOnGrants()
 	r.suspendGrants()
 	batch := r.pool.Cycle()
 	r.cycleInterval = cycleIntervalFor(r.node.clock.Now().Steady - now.Steady)
@@ -338,6 +339,15 @@
 	return nil
 }
 
+// passOnGrants tells the scheduler which leases the clients have granted. It is called right
+// before a cycle, which gives up the runs whose leases have ended at the time of its start: a
+// lease that is granted later can no longer extend them.
+func (r *poolController) passOnGrants() {
+	for id, v := range r.vmClients {
+		r.pool.LeaseGranted(id, v.granted())
+	}
+}
+
 // suspendGrants ends the granting of leases on the VMs whose lease bounds the next
 // transaction stores. A later owner may rely on the bounds from the moment in which the
 // transaction is sent, also if its answer is lost, so they must cover all leases granted
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -100,30 +100,28 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + leaseMargin
 }
 
-// grant decides on a lease that counts from now. It returns the end of the lease:
-// deadlineMS on the worker's clock, and bound on the steady clock of this process, by which
-// all runs under the lease have ended. ok is false if the owner may not grant a lease on the
-// VM now, which may tells for the time, or while the worker's clock is unknown.
+// grant decides on a lease that counts from now. It returns the end of the lease on the
+// worker's clock and raises grantedUntil. ok is false if the owner may not grant a lease on
+// the VM now, which may tells for the time, or while the worker's clock is unknown.
 //
 // The time from which the lease counts is also the one that is checked: a process that is
 // paused in between would grant a lease for which it no longer has the right.
-func (s *vmClient) grant(may func(at time.Duration) bool) (deadlineMS int64, bound time.Duration, ok bool) {
+func (s *vmClient) grant(may func(at time.Duration) bool) (deadlineMS int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now().Steady
 	if s.clockAt == 0 || s.unresponsive || s.suspended || s.closed || !may(now) {
-		return 0, 0, false
+		return 0, false
 	}
 	if now-s.clockAt > leaseBound(s.lease) {
 		// All leases have expired while this process was suspended. The VM may be lost, and
 		// a lease would keep its tasks from starting elsewhere.
-		return 0, 0, false
+		return 0, false
 	}
 	elapsed := time.Duration(float64(now-s.clockAt) * (1 - clockDrift))
 	deadlineMS = s.clockMS + (elapsed + s.lease).Milliseconds()
-	bound = now + leaseBound(s.lease)
-	s.grantedUntil = max(s.grantedUntil, bound)
-	return deadlineMS, bound, true
+	s.grantedUntil = max(s.grantedUntil, now+leaseBound(s.lease))
+	return deadlineMS, true
 }
 
 // suspendGrants ends the granting of leases until resumeGrants. It returns the bound of all
@@ -244,9 +242,8 @@
 func (s *vmClient) renew(ctx context.Context) (highest int64, ok bool) {
 	sentAt := s.clock.Now().Steady
 	r := Renewal{Token: s.token(), AcknowledgedEnds: s.acknowledged.Load(), Wait: renewWait}
-	if deadlineMS, bound, ok := s.grant(s.mayRenew); ok {
+	if deadlineMS, ok := s.grant(s.mayRenew); ok {
 		r.DeadlineMS = deadlineMS
-		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
 	} else {
 		// The first renewal only obtains the clock and the listing. One that
 		// follows an unanswered call extends nothing, so that the runs of a VM
@@ -376,13 +373,7 @@
 func (s *vmClient) start(ctx context.Context, c pool.Command) {
 	result := pool.StartPastDeadline // the result if nothing is sent
 	began := s.clock.Now().Steady
-	deadlineMS, bound, ok := s.grant(s.mayStart)
-	if ok {
-		s.deliver(func(p *pool.Pool) { p.LeaseGranted(s.ref.ID, bound) })
-		// A busy scheduler may have kept this order waiting.
-		_, _, ok = s.grant(s.mayStart)
-	}
-	if ok {
+	if deadlineMS, ok := s.grant(s.mayStart); ok {
 		result = s.workers.Start(ctx, s.ref, StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
 			DeadlineMS: deadlineMS, Token: s.token(), Checkpoint: c.Checkpoint, Ticket: c.Ticket})
 		s.metrics.observe(metricStart, s.pool, s.clock.Now().Steady-began)
--- a/sched/pool/silence_test.go
+++ b/sched/pool/silence_test.go
@@ -200,6 +200,35 @@
 	}
 }
 
+// Guards against a lease that outlasts its stored bound (TWICE): a VM that has been silent
+// answers again while the transaction with its bound is under way.
+func TestNothingIsGrantedWhileALeaseBoundIsUnderWay(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	h.submit(longRunningJob(1, 0, 0))
+	h.settle()
+	a.down = true
+	h.advance(200 * time.Millisecond)
+	h.renew("a")
+	batch := h.nextBatch()
+	a.down = false
+	granted := a.client.grantedUntil
+	for range 3 {
+		h.advance(200 * time.Millisecond)
+		h.renew("a")
+	}
+	if a.client.grantedUntil > granted {
+		t.Errorf("leases %v longer than before are granted while the bound is under way", a.client.grantedUntil-granted)
+	}
+	h.write(batch) // checks the bound
+	h.confirm(batch)
+	h.cycle()
+	h.renew("a")
+	if a.client.grantedUntil <= granted {
+		t.Error("no lease is granted after the bound has been deleted")
+	}
+}
+
 // Guards against a run that starts a second time (TWICE): an earlier owner, which is cut
 // off from the table service, still renews the leases of a VM that this owner does not
 // reach. The bound that this owner stores must cover those leases, since the next owner
