Store the bound of the last lease, not that of one granted at the silence

Callers: after a change of the owner, tasks on a lost VM started elsewhere up to 1.7 s later than its leases required.

Cause: when a renewal was not answered, its timeout of up to 1.7 s counted twice: the stored bound was that of a lease granted when the silence was noticed, since the scheduler could not be sure what the clients had granted meanwhile.

Change: the stored bound is the time by which all leases that any owner has granted on the VM have ended (leaseUntil), by which this owner itself gives up the runs. Settings.LeaseBound of the scheduler is not needed any more.

TestStoredBoundIsThatOfTheLastLease before: "the stored bound is 1.721285715s after the end of the last lease, want at most 30ms". TestStoredLeaseBoundCoversEarlierOwners and the property test pass.

--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -27,21 +27,26 @@
 	startedAt time.Duration // on clock
 	startedMS int64         // names its incarnation
 	silent    bool
+	hangs     bool // calls to the silent VM end with their timeout
 	token     int64
 	deadline  int64 // of the lease, ms on the worker's clock
 	running   map[string]pool.RunState
 	grants    []int64 // deadlines of all grants
+	lastSent  int64   // deadline in the last renewal that had one, also if the VM was silent
 }
 
 func (w *leasedVM) clockMS() int64 {
 	return int64(float64((w.clock.Now().Steady - w.startedAt).Milliseconds()) * (1 - clockDrift))
 }
 
-// leaseEnd returns when the lease ends, on clock.
-func (w *leasedVM) leaseEnd() time.Duration {
-	return w.startedAt + time.Duration(float64(w.deadline)/(1-clockDrift)*float64(time.Millisecond))
+// endOf returns when a lease with a deadline ends, on clock.
+func (w *leasedVM) endOf(deadlineMS int64) time.Duration {
+	return w.startedAt + time.Duration(float64(deadlineMS)/(1-clockDrift)*float64(time.Millisecond))
 }
 
+// leaseEnd returns when the lease ends, on clock.
+func (w *leasedVM) leaseEnd() time.Duration { return w.endOf(w.deadline) }
+
 // grant extends the lease.
 func (w *leasedVM) grant(deadlineMS int64) {
 	w.grants = append(w.grants, deadlineMS)
@@ -86,9 +91,11 @@
 	sleep(ctx, 2*time.Millisecond)
 	f.mu.Lock()
 	w := f.vms[ref.Address]
+	if r.DeadlineMS > 0 {
+		w.lastSent = r.DeadlineMS
+	}
 	if w.silent {
-		f.mu.Unlock()
-		return RenewalAnswer{}, ErrNoAnswer
+		return f.noAnswer(ctx, w)
 	}
 	if r.Token < w.token {
 		f.mu.Unlock()
@@ -102,10 +109,10 @@
 	f.mu.Unlock()
 	sleep(ctx, r.Wait/4)
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if w.silent {
-		return RenewalAnswer{}, ErrNoAnswer
+		return f.noAnswer(ctx, w)
 	}
+	defer f.mu.Unlock()
 	answer := RenewalAnswer{ClockMS: w.clockMS(), StartedMS: w.startedMS}
 	for _, run := range w.running {
 		answer.Running = append(answer.Running, run)
@@ -113,6 +120,16 @@
 	return answer, nil
 }
 
+// noAnswer ends a call to a silent VM. The caller holds f.mu, which noAnswer unlocks.
+func (f *leasedVMs) noAnswer(ctx context.Context, w *leasedVM) (RenewalAnswer, error) {
+	hangs := w.hangs
+	f.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+	}
+	return RenewalAnswer{}, ErrNoAnswer
+}
+
 func (f *leasedVMs) Start(ctx context.Context, ref WorkerRef, o StartOrder) pool.StartResult {
 	sleep(ctx, 2*time.Millisecond)
 	f.mu.Lock()
@@ -351,6 +368,32 @@
 	}
 }
 
+// Guards against later owners that wait longer than the leases last: the bound that is stored
+// for a VM which is lost is that of the last lease, and not that of one granted when the
+// silence was noticed.
+func TestStoredBoundIsThatOfTheLastLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		f := newLeaseFixture(t, mem, mem, bubbleClock{time.Now()})
+		defer f.stop()
+		f.awaitRun(t)
+		f.workers.use("vm1:80", func(w *leasedVM) { w.silent, w.hangs = true, true })
+		const clockError = 10 * time.Millisecond // of the conversion between clocks without delays
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			if bound, stored := f.storedBound(t); stored {
+				f.workers.use("vm1:80", func(w *leasedVM) {
+					if late := bound - w.endOf(w.lastSent); late < 0 || late > leaseMargin+clockError {
+						t.Errorf("the stored bound is %v after the end of the last lease, want at most %v", late, leaseMargin+clockError)
+					}
+				})
+				return
+			}
+		}
+		t.Error("no bound is stored")
+	})
+}
+
 // Guards against a run that is given up although its lease was extended (TWICE): the
 // scheduler decides while the message about the extension is still queued. The VM had been
 // silent until shortly before its lease ended.
@@ -473,6 +516,15 @@
 // leaseExcess returns by how much the lease of vm1 ends after the bound that a later owner
 // would now find for it; 0 if it finds none.
 func (f *leaseFixture) leaseExcess(t *testing.T) (excess time.Duration) {
+	t.Helper()
+	if bound, stored := f.storedBound(t); stored {
+		f.workers.use("vm1:80", func(w *leasedVM) { excess = w.leaseEnd() - bound })
+	}
+	return excess
+}
+
+// storedBound returns the bound that a later owner would now find for vm1, on clock.
+func (f *leaseFixture) storedBound(t *testing.T) (bound time.Duration, stored bool) {
 	t.Helper()
 	key := tables.LeaseKey("p")
 	page, err := f.mem.Range(t.Context(), key.Table, key.Partition, key.Name, key.Name+"\x00")
@@ -485,12 +537,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		bound, stored := bounds["vm1"]
-		f.workers.use("vm1:80", func(w *leasedVM) {
-			if stored {
-				excess = w.leaseEnd() - bound - offset
-			}
-		})
+		bound, stored = bounds["vm1"]
 	}
-	return excess
+	return bound + offset, stored
 }
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -103,8 +103,7 @@
 	r.lastCommitSentAt = sentAt
 	settings := n.settings.Scheduler
 	settings.Pool = o.pool
-	settings.LeaseBound = leaseBound(settings.Lease)
-	settings.InheritedLeaseBound = max(renewedUntil, n.clock.Now().Steady) + settings.LeaseBound
+	settings.InheritedLeaseBound = max(renewedUntil, n.clock.Now().Steady) + leaseBound(settings.Lease)
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
 	r.movedQueues = newMovedQueues(n, o.pool, r.log)
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -169,7 +169,7 @@
 	}
 	var ids []string
 	for _, v := range p.sortedVMs() {
-		if v.leaseBound != 0 {
+		if v.boundDue {
 			ids = append(ids, v.ID)
 		}
 	}
@@ -188,11 +188,11 @@
 	bounds := map[string]int64{}
 	size := 0
 	for _, v := range p.sortedVMs() {
-		if v.leaseBound == 0 {
+		if !v.boundDue {
 			continue
 		}
 		if size += len(v.ID) + leaseEntryBytes; size <= p.rowBytes() {
-			bounds[v.ID] = (max(v.leaseBound, v.leaseUntil) + p.serviceClockOffset).Milliseconds()
+			bounds[v.ID] = (v.leaseUntil + p.serviceClockOffset).Milliseconds()
 		}
 	}
 	value, err := cbor.Marshal(bounds)
@@ -233,7 +233,7 @@
 // the earlier owner could not reach. It must be called before Restore.
 func (p *Pool) RestoreLease(id string, until time.Duration) {
 	v := p.inheritedVM(id)
-	v.leaseBound = max(until, 1)
+	v.boundDue = true
 	p.storedLeaseBounds[id] = true
 	v.leaseUntil = until
 	v.unanswered = true
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -32,7 +32,7 @@
 
 func testSettings() pool.Settings {
 	return pool.Settings{
-		Pool: testPool, Lease: testLease, LeaseBound: leaseBound,
+		Pool: testPool, Lease: testLease,
 		StopGrace: 900 * time.Millisecond, StatusRetention: 150 * time.Second,
 	}
 }
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -34,8 +34,8 @@
 	v.listingSentAt = l.SentAt
 	v.unanswered = false
 	v.contactLostAt = 0
-	if v.leaseBound != 0 {
-		v.leaseBound = 0
+	if v.boundDue {
+		v.boundDue = false
 		p.leaseBoundsChanged = true
 	}
 	if l.Complete {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -399,7 +399,7 @@
 	p.forgetOrphans(v)
 	delete(p.vms, v.ID)
 	p.vmsChanged()
-	if v.leaseBound != 0 {
+	if v.boundDue {
 		p.leaseBoundsChanged = true
 	}
 }
@@ -475,8 +475,7 @@
 	v.noStartsUntil = max(v.noStartsUntil, p.now.Steady+unansweredBackoff)
 	p.loseContact(v)
 	if !v.unanswered && len(v.tasks) > 0 {
-		// An earlier owner may have granted a later lease.
-		v.leaseBound = max(p.now.Steady+p.settings.LeaseBound, v.leaseUntil)
+		v.boundDue = true
 		p.leaseBoundsChanged = true
 		p.log.Info("vm_unanswered", zap.String("vm", v.ID), zap.Int("tasks", len(v.tasks)), p.leaseField(v))
 	}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -124,7 +124,7 @@
 	describedMS        int64         // start of the incarnation that the row in discovery describes, Unix milliseconds; 0 if unknown
 	replaced           bool          // its machine has started again as another VM
 	fenced             bool          // this incarnation has answered under this owner's fencing token
-	leaseUntil         time.Duration // latest time at which the leases of its runs have expired
+	leaseUntil         time.Duration // time by which all leases that any owner has granted on it have ended
 	used               fleet.Resources
 	bestEffortMilliCPU int64 // processors that its best-effort tasks ask for, in thousandths of a core
 	latencySensitive   int   // number of tasks with a latency goal
@@ -140,7 +140,7 @@
 	unanswered         bool          // the last renewal was not answered
 	probationer        *task         // the last likely crasher that was placed here
 	contactLostAt      time.Duration // when a renewal or start was first not answered since the last answer; 0 if it was
-	leaseBound         time.Duration // lease bound to be recorded for a later owner; 0 if none
+	boundDue           bool          // it does not answer: leaseUntil must be stored for a later owner
 	health             vmHealth
 }
 
@@ -159,7 +159,6 @@
 type Settings struct {
 	Pool                string
 	Lease               time.Duration // duration of the leases of runs, on the VM's clock
-	LeaseBound          time.Duration // longest time that Lease can last on this process's clock
 	InheritedLeaseBound time.Duration // lease bound, on the steady clock, of the runs that an earlier owner started
 	StopGrace           time.Duration // longest time that a stop can take
 	StatusRetention     time.Duration // how long finished jobs stay known
