Bound a lease that was granted on the clock of an earlier incarnation

Callers: a task could run twice at the same time (TWICE) after its VM had restarted under its id and fallen silent soon after.

Cause: a lease ends at a time on the worker's clock, which starts anew with each incarnation.

Change: when an answer shows a new incarnation, the bound of the leases granted covers the longest lease that the worker accepts (Settings.MaxLease, from the platform's bounds), counted from the answer.

TestLeaseGrantedOnTheClockOfAnEarlierIncarnation failed before: "the lease ends 5.03s after the bound that the client knows".

--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -17,8 +17,12 @@
 	"amaranthfork.example/sched/tables"
 )
 
-// testLease is the lease that owners grant in the tests of leases.
-const testLease = 5 * time.Second
+// testLease is the lease that owners grant in the tests of leases, testMaxLease the longest
+// one that the VMs accept.
+const (
+	testLease    = 5 * time.Second
+	testMaxLease = 10 * time.Second
+)
 
 // leasedVM is a worker that keeps its runs as long as its lease lasts. Its clock is as
 // slow as the protocol allows.
@@ -47,8 +51,14 @@
 // leaseEnd returns when the lease ends, on clock.
 func (w *leasedVM) leaseEnd() time.Duration { return w.endOf(w.deadline) }
 
-// grant extends the lease.
+// restart starts a new incarnation, whose clock starts anew.
+func (w *leasedVM) restart() {
+	*w = leasedVM{clock: w.clock, startedAt: w.clock.Now().Steady, startedMS: w.startedMS + 1, running: map[string]pool.RunState{}}
+}
+
+// grant extends the lease. A longer one than the VM accepts is shortened.
 func (w *leasedVM) grant(deadlineMS int64) {
+	deadlineMS = min(deadlineMS, w.clockMS()+testMaxLease.Milliseconds())
 	w.grants = append(w.grants, deadlineMS)
 	w.deadline = max(w.deadline, deadlineMS)
 }
@@ -159,7 +169,7 @@
 	t.Helper()
 	n := newEntry(name, s, clock)
 	n.workers, n.rows = f, benchRows{}
-	n.settings.Scheduler = pool.Settings{Lease: testLease, StopGrace: 900 * time.Millisecond, StatusRetention: time.Minute}
+	n.settings.Scheduler = pool.Settings{Lease: testLease, MaxLease: testMaxLease, StopGrace: 900 * time.Millisecond, StatusRetention: time.Minute}
 	return n
 }
 
@@ -263,6 +273,33 @@
 	}
 }
 
+// Guards against a lease that is longer than its owner takes it for (TWICE): the VM has
+// restarted under its id since it told its time, and its clock started anew.
+func TestLeaseGrantedOnTheClockOfAnEarlierIncarnation(t *testing.T) {
+	clock := &testClock{now: pool.Time{Steady: time.Minute}}
+	workers := newLeasedVMs(clock, "vm1:80")
+	n := newLeaseEntry(t, "a", memstore.New(), clock, workers)
+	r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, clock.Now().Steady)
+	defer close(r.done)
+	v := r.newVMClient(pool.RenewalTarget{ID: "vm1", Address: "vm1:80", ExtendLeases: true})
+	clock.advance(time.Minute)
+	r.confirmedAt.Store(int64(clock.Now().Steady))
+	for i := range 4 {
+		if i == 2 {
+			workers.use("vm1:80", (*leasedVM).restart)
+		}
+		if _, ok := v.renew(t.Context()); !ok {
+			t.Fatal("the VM does not answer")
+		}
+		clock.advance(50 * time.Millisecond)
+	}
+	workers.use("vm1:80", func(w *leasedVM) {
+		if excess := w.leaseEnd() - v.granted(); excess > 0 {
+			t.Errorf("the lease ends %v after the bound that the client knows", excess)
+		}
+	})
+}
+
 // Guards against leases that the client of a VM's earlier address grants (TWICE): a start
 // waits for its slot there while the VM moves, and a lease bound that is stored meanwhile
 // covers only what the later client has granted.
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -472,7 +472,7 @@
 func (r *poolController) newVMClient(vm pool.RenewalTarget) *vmClient {
 	v := &vmClient{
 		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
-		epoch: r.epoch, lease: r.node.settings.Scheduler.Lease, deliver: r.deliver,
+		epoch: r.epoch, lease: r.node.settings.Scheduler.Lease, maxLease: r.node.settings.Scheduler.MaxLease, deliver: r.deliver,
 		recorded: make(chan struct{}, 1), slots: newOrderSlots(),
 		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics,
 	}
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -72,9 +72,11 @@
 	log     *zap.Logger
 	pool    string
 	metrics *metrics
-	epoch   int64                  // of the pool's owner
-	lease   time.Duration          // duration of a lease
-	deliver func(func(*pool.Pool)) // runs a function in the scheduler's loop
+	epoch   int64         // of the pool's owner
+	lease   time.Duration // duration of a lease
+
+	maxLease time.Duration          // longest lease that the worker accepts
+	deliver  func(func(*pool.Pool)) // runs a function in the scheduler's loop
 
 	acknowledged atomic.Int64       // ends of runs up to this sequence number are recorded
 	recorded     chan struct{}      // signals a change of acknowledged
@@ -166,6 +168,9 @@
 	s.clockMS, s.clockAt = clockMS, answeredAt
 	if startedMS != 0 && s.startedMS != 0 && startedMS != s.startedMS {
 		s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
+		// The clock of the new incarnation started anew. A lease that was granted on the
+		// earlier clock may have reached it, and is only bounded by what it accepts.
+		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(s.maxLease))
 		s.acknowledged.Store(0) // ends are numbered from the start again
 	}
 	if startedMS != 0 {
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -159,6 +159,7 @@
 type Settings struct {
 	Pool                string
 	Lease               time.Duration // duration of the leases of runs, on the VM's clock
+	MaxLease            time.Duration // longest lease that a VM accepts, on its clock; at least Lease
 	InheritedLeaseBound time.Duration // lease bound, on the steady clock, of the runs that an earlier owner started
 	StopGrace           time.Duration // longest time that a stop can take
 	StatusRetention     time.Duration // how long finished jobs stay known
