--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -74,8 +74,8 @@
 	metrics *metrics
 	epoch   int64         // of the pool's owner
 	lease   time.Duration // duration of a lease
-
-	maxLease time.Duration          // longest lease that the worker accepts
+	// maxLease is the longest lease that the worker accepts.
+	maxLease time.Duration
 	deliver  func(func(*pool.Pool)) // runs a function in the scheduler's loop
 
 	acknowledged atomic.Int64       // ends of runs up to this sequence number are recorded
