Soak: cut data centres off twice in succession

Callers: nothing changes.

Meanwhile the other entries are killed, paused or stopped at about the same time, and the table service is slow or loses answers. Ten jobs run until they are cancelled. Workers are reached through one proxy for each data centre of callers; the emulated table service shows each its own addresses. Workers of a pool are spread over both data centres (so far they were all in one, which nothing looked at). Entries are not cut off from each other. The schedules of the mixed faults are unchanged.

--- a/cmd/amaranth-soak/main.go
+++ b/cmd/amaranth-soak/main.go
@@ -44,8 +44,11 @@
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			var seeds []int64
-			if regressions {
-				seeds = slices.Sorted(maps.Keys(soak.Regressions))
+			if known := soak.Regressions; regressions {
+				if o.Cuts {
+					known = soak.CutRegressions
+				}
+				seeds = slices.Sorted(maps.Keys(known))
 			}
 			for i := range count {
 				seeds = append(seeds, o.Seed+int64(i))
@@ -57,6 +60,7 @@
 	f.Int64Var(&o.Seed, "seed", 1, "first seed")
 	f.IntVar(&count, "seeds", 1, "number of consecutive seeds")
 	f.BoolVar(&regressions, "regressions", false, "run the seeds that have failed before, too")
+	f.BoolVar(&o.Cuts, "cuts", false, "cut data centres off twice in succession, with faults of owners and of the table service meanwhile, in place of the mixed faults")
 	f.DurationVar(&o.Duration, "duration", 20*time.Second, "time in which faults begin")
 	f.IntVar(&o.Entries, "entries", 4, "number of entries")
 	f.IntVar(&o.WorkersPerPool, "workers", 5, "workers of each of the two pools")
@@ -72,7 +76,7 @@
 	c := &cobra.Command{Use: "service", Short: "Emulated table service", Hidden: true, Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return soak.ServiceMain(o) }}
 	f := c.Flags()
-	f.StringVar(&o.Listen, "listen", "", "address for entries")
+	f.StringSliceVar(&o.Listen, "listen", nil, "addresses for entries, by data centre")
 	f.StringVar(&o.Admin, "admin", "", "address for the soak")
 	f.Int64Var(&o.Seed, "seed", 0, "seed of the service's faults")
 	return c
@@ -88,7 +92,7 @@
 	f.StringVar(&o.Zone, "zone", "", "data centre")
 	f.StringVar(&o.Listen, "listen", "", "address for entries")
 	f.StringVar(&o.Control, "control", "", "address for the soak")
-	f.StringVar(&o.Advertise, "advertise", "", "address in the discovery table")
+	f.StringSliceVar(&o.Advertise, "advertise", nil, "addresses in the discovery table, by the data centre of the caller")
 	f.StringVar(&o.Service, "service", "", "address of the table service for workers")
 	f.Float64Var(&o.Rate, "rate", 1, "rate of the clock for leases")
 	f.Int64Var(&o.Seed, "seed", 0, "seed of the worker's faults")
--- a/emulator/soak/mains.go
+++ b/emulator/soak/mains.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthfork.example/emulator/tableservice"
@@ -25,7 +26,8 @@
 // serverRow is the row by which a worker is found.
 type serverRow struct {
 	Pool        string         `json:"service"`
-	Address     string         `json:"address"`
+	Address     string         `json:"address"`   // for callers in one data centre
+	Addresses   []string       `json:"addresses"` // by the data centre of the caller
 	DataCentre  string         `json:"zone"`
 	Version     string         `json:"version"`
 	Slots       int            `json:"slots"`
@@ -64,8 +66,8 @@
 
 // ServiceOptions are the addresses of the emulated table service.
 type ServiceOptions struct {
-	Listen string // for entries
-	Admin  string // for the soak and the workers
+	Listen []string // for entries, by data centre
+	Admin  string   // for the soak and the workers
 	Seed   int64
 }
 
@@ -121,8 +123,29 @@
 			mu.Unlock()
 		}
 	}()
-	go func() { fmt.Fprintln(os.Stderr, http.ListenAndServe(o.Admin, mux)); os.Exit(1) }()
-	return http.ListenAndServe(o.Listen, s.Handler())
+	failed := make(chan error, 1)
+	go func() { failed <- http.ListenAndServe(o.Admin, mux) }()
+	for i, address := range o.Listen {
+		go func() { failed <- http.ListenAndServe(address, s.Handler(viewFrom(i))) }()
+	}
+	return <-failed
+}
+
+// viewFrom returns the view of callers in a data centre: workers have the address at which
+// they are reached from there.
+func viewFrom(dataCentre int) tableservice.View {
+	return func(row store.Row) []byte {
+		var server serverRow
+		if row.Table != "servers" || json.Unmarshal(row.Value, &server) != nil || dataCentre >= len(server.Addresses) {
+			return row.Value
+		}
+		server.Address = server.Addresses[dataCentre]
+		value, err := json.Marshal(server)
+		if err != nil {
+			return row.Value
+		}
+		return value
+	}
 }
 
 func putRow(s *tableservice.Service, key store.Key, value any) error {
@@ -137,10 +160,10 @@
 // WorkerOptions are the parameters of an emulated worker.
 type WorkerOptions struct {
 	ID, Pool, Zone string
-	Listen         string // for entries
-	Control        string // for the soak
-	Advertise      string // address in the discovery table
-	Service        string // address of the service's interface for workers
+	Listen         string   // for entries
+	Control        string   // for the soak
+	Advertise      []string // addresses in the discovery table, by the data centre of the caller
+	Service        string   // address of the service's interface for workers
 	Rate           float64
 	Seed           int64
 }
@@ -157,26 +180,42 @@
 			defer mu.Unlock()
 			_ = out.Encode(e) // fails only if the soak has ended
 		}})
-	go register(o, w)
+	var cut atomic.Bool
+	go register(o, w, &cut)
 	control := http.NewServeMux()
-	control.HandleFunc("POST /late", func(rw http.ResponseWriter, r *http.Request) {
+	handle := func(path string, f func(*json.Decoder) error) {
+		control.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
+			if err := f(json.NewDecoder(r.Body)); err != nil {
+				http.Error(rw, err.Error(), http.StatusBadRequest)
+			}
+		})
+	}
+	handle("/late", func(d *json.Decoder) error {
 		var fraction float64
-		if err := json.NewDecoder(r.Body).Decode(&fraction); err != nil {
-			http.Error(rw, err.Error(), http.StatusBadRequest)
-			return
-		}
+		err := d.Decode(&fraction)
 		w.SetLateOrders(fraction)
+		return err
+	})
+	handle("/cut", func(d *json.Decoder) error {
+		var isCut bool
+		err := d.Decode(&isCut)
+		cut.Store(isCut)
+		return err
 	})
 	go func() { fmt.Fprintln(os.Stderr, http.ListenAndServe(o.Control, control)); os.Exit(1) }()
 	return http.ListenAndServe(o.Listen, w.Handler())
 }
 
-// register renews the worker's row in the discovery table.
-func register(o WorkerOptions, w *worker.Worker) {
-	row := serverRow{Pool: o.Pool, Address: o.Advertise, DataCentre: o.Zone, Version: "1", Slots: 8, State: "ready",
+// register renews the worker's row in the discovery table, unless it is cut off from it.
+func register(o WorkerOptions, w *worker.Worker, cut *atomic.Bool) {
+	row := serverRow{Pool: o.Pool, Address: o.Advertise[0], Addresses: o.Advertise, DataCentre: o.Zone, Version: "1", Slots: 8, State: "ready",
 		Capacity: map[string]int{"cpu": workerMilliCPU, "mem_mb": 16000, "gpu": 0}, Labels: []string{"std", "rack-" + o.Zone}, Machine: o.ID, Incarnation: w.Incarnation()}
 	for {
 		row.Sequence++
+		if cut.Load() {
+			time.Sleep(heartbeat)
+			continue
+		}
 		if err := post(o.Service, "/server", row); err != nil {
 			fmt.Fprintln(os.Stderr, "not registered:", err)
 		}
--- a/emulator/soak/schedule.go
+++ b/emulator/soak/schedule.go
@@ -33,7 +33,8 @@
 	WorkerDelay   FaultKind = "worker-delay"
 	WorkerReset   FaultKind = "worker-reset"
 	CallerReset   FaultKind = "caller-reset"
-	KeyChange     FaultKind = "key-change" // a key is granted, and the one before is withdrawn
+	KeyChange     FaultKind = "key-change"      // a key is granted, and the one before is withdrawn
+	DataCentreCut FaultKind = "data-centre-cut" // its entries and workers stay together, without the table service and all others
 )
 
 // Fault is one fault of a schedule.
@@ -104,3 +105,56 @@
 	sort.SliceStable(faults, func(i, k int) bool { return faults[i].At < faults[k].At })
 	return faults
 }
+
+// Times of schedules of cuts.
+const (
+	cutTime = 5500 * time.Millisecond // of each of two successive cuts
+	cutGap  = 5 * time.Second         // between the cuts of two data centres
+)
+
+// NewCutSchedule draws the faults of a soak in which the data centres are cut off in turn,
+// each twice in direct succession. Meanwhile the entries elsewhere, among them the owners
+// that have taken the pools over, are killed, paused or stopped at about the same time, and
+// the table service is slow or loses answers.
+func NewCutSchedule(random *rand.Rand, duration time.Duration, entries int) []Fault {
+	var faults []Fault
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(random.Int63n(int64(most-least)))
+	}
+	dc := 0
+	for at := firstFaultAt; at < duration; at += 2*cutTime + cutGap {
+		faults = append(faults, Fault{DataCentreCut, at, cutTime, dc}, Fault{DataCentreCut, at + cutTime, cutTime, dc})
+		replaced := at + between(2500*time.Millisecond, 4500*time.Millisecond) // the pools have been taken over by then
+		for i := range entries {
+			// Now and then an owner in the data centre is paused or killed, too.
+			if dataCentreOfEntry(i) == dc && random.Intn(4) > 0 {
+				continue
+			}
+			f := Fault{At: replaced + between(0, 300*time.Millisecond), Target: i}
+			switch random.Intn(3) {
+			case 0:
+				f.Kind = EntryKill
+			case 1:
+				f.Kind = EntryStop
+			case 2:
+				f.Kind, f.For = EntryPause, between(300*time.Millisecond, 4*time.Second)
+			}
+			faults = append(faults, f)
+		}
+		for _, begin := range []time.Duration{at, at + cutTime} {
+			f := Fault{At: begin + between(0, time.Second), For: between(time.Second, 4500*time.Millisecond)}
+			switch random.Intn(3) {
+			case 0:
+				f.Kind = ServiceSlow
+			case 1:
+				f.Kind = ServiceLoses
+			case 2:
+				continue
+			}
+			faults = append(faults, f)
+		}
+		dc = (dc + 1) % dataCentres
+	}
+	sort.SliceStable(faults, func(i, k int) bool { return faults[i].At < faults[k].At })
+	return faults
+}
--- a/emulator/soak/seeds.go
+++ b/emulator/soak/seeds.go
@@ -15,6 +15,11 @@
 	200: "an owner that was suspended for longer than its leases started ten tasks again that were done (reruns)",
 }
 
+// CutRegressions are seeds that have failed with the default options and Cuts.
+var CutRegressions = map[int64]string{
+	208: "an owner stored a lease bound without regard to leases that an earlier, cut-off owner still granted (twice)",
+}
+
 // RunSeeds runs a soak for each seed and prints what was found. Logs are left in
 // dir, or in a new folder if dir is empty. It returns an error if a guarantee was broken.
 func RunSeeds(ctx context.Context, o Options, seeds []int64, dir string, shrink bool) error {
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -17,6 +17,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,7 @@
 	Entries        int
 	WorkersPerPool int
 	JobsPerSecond  float64
+	Cuts           bool     // NewCutSchedule in place of NewSchedule
 	Daemon         string   // path of amaranthd
 	Self           []string // command that runs ServiceMain and WorkerMain by their first argument
 	Dir            string   // for logs
@@ -58,7 +60,7 @@
 const (
 	host        = "soak.example"
 	workspace   = "team"
-	zones       = 2
+	dataCentres = 2
 	startupTime = 20 * time.Second // until the first job is accepted
 	// maxClockError is the relative error by which a worker's clock may be slow.
 	maxClockError = 0.02
@@ -89,15 +91,16 @@
 	keyVersion int64
 	withdrawn  map[string]time.Time // by key: when the operator's write was acknowledged
 	stops      []stop
+	cuts       [dataCentres]int // how many cuts of each data centre are in force
 	lastFault  time.Time
 }
 
 type soakWorker struct {
 	*child
 	id          string
-	proxy       *proxy.Proxy
-	control     string // address of its interface for the soak
-	incarnation int64  // of the present process; guarded by soak.mu
+	proxies     [dataCentres]*proxy.Proxy // by the data centre of the caller
+	control     string                    // address of its interface for the soak
+	incarnation int64                     // of the present process; guarded by soak.mu
 }
 
 // stop is a planned stop of an entry.
@@ -111,6 +114,9 @@
 	random := rand.New(rand.NewSource(o.Seed))
 	if o.Schedule == nil {
 		o.Schedule = NewSchedule(random, o.Duration, o.Entries, o.WorkersPerPool*len(pools))
+		if o.Cuts {
+			o.Schedule = NewCutSchedule(random, o.Duration, o.Entries)
+		}
 	}
 	s := &soak{Options: o, random: random, killed: killedWorkers{}, jobs: map[string]*jobRecord{}, withdrawn: map[string]time.Time{}, keys: []string{"key-0"}}
 	var err error
@@ -162,15 +168,20 @@
 // start starts all processes and waits until a job is accepted.
 func (s *soak) start(ctx context.Context) error {
 	s.began = time.Now()
-	address, err := freeAddress()
-	if err != nil {
-		return err
+	var addresses []string // of the table service, by data centre
+	for range dataCentres {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		addresses = append(addresses, address)
 	}
+	var err error
 	if s.admin, err = freeAddress(); err != nil {
 		return err
 	}
 	s.service = newChild(s.Dir, "service", func() *exec.Cmd {
-		return s.self("service", "--listen", address, "--admin", s.admin, "--seed", fmt.Sprint(s.Seed))
+		return s.self("service", "--listen", strings.Join(addresses, ","), "--admin", s.admin, "--seed", fmt.Sprint(s.Seed))
 	})
 	if err := s.service.start(); err != nil {
 		return err
@@ -186,15 +197,15 @@
 			return err
 		}
 	}
-	var addresses []string
+	var callerAddresses []string
 	for i := range s.Entries {
-		callerAddress, err := s.startEntry(i, address)
+		address, err := s.startEntry(i, addresses[dataCentreOfEntry(i)])
 		if err != nil {
 			return err
 		}
-		addresses = append(addresses, callerAddress)
+		callerAddresses = append(callerAddresses, address)
 	}
-	s.callers = newCallers(addresses, host, s.currentKey)
+	s.callers = newCallers(callerAddresses, host, s.currentKey)
 	return s.awaitService(ctx)
 }
 
@@ -226,16 +237,19 @@
 	if err != nil {
 		return err
 	}
-	p, err := proxy.Listen(listen)
-	if err != nil {
-		return err
+	w := &soakWorker{id: fmt.Sprintf("w-%02d", i), control: control}
+	var advertised []string
+	for dc := range w.proxies {
+		if w.proxies[dc], err = proxy.Listen(listen); err != nil {
+			return err
+		}
+		advertised = append(advertised, w.proxies[dc].Address())
 	}
-	w := &soakWorker{id: fmt.Sprintf("w-%02d", i), proxy: p, control: control}
 	rate := 1 - maxClockError*s.random.Float64()
 	seed := s.random.Int63()
 	w.child = newChild(s.Dir, w.id, func() *exec.Cmd {
-		return s.self("worker", "--id", w.id, "--pool", pools[i%len(pools)], "--zone", zone(i), "--listen", listen, "--control", control,
-			"--advertise", p.Address(), "--service", s.admin, "--rate", fmt.Sprint(rate), "--seed", fmt.Sprint(seed))
+		return s.self("worker", "--id", w.id, "--pool", pools[i%len(pools)], "--zone", dataCentreName(dataCentreOfWorker(i)), "--listen", listen, "--control", control,
+			"--advertise", strings.Join(advertised, ","), "--service", s.admin, "--rate", fmt.Sprint(rate), "--seed", fmt.Sprint(seed))
 	})
 	w.line = func(line []byte) { s.observe(w, line) }
 	w.onEnd = func(expected bool, err error) {
@@ -250,7 +264,12 @@
 	return w.start()
 }
 
-func zone(i int) string { return fmt.Sprintf("dc-%d", i%zones) }
+func dataCentreName(dc int) string { return fmt.Sprintf("dc-%d", dc) }
+
+func dataCentreOfEntry(i int) int { return i % dataCentres }
+
+// dataCentreOfWorker spreads the workers of each pool over the data centres.
+func dataCentreOfWorker(i int) int { return i / len(pools) % dataCentres }
 
 // observe records a line of a worker's output.
 func (s *soak) observe(w *soakWorker, line []byte) {
@@ -297,7 +316,7 @@
 	}
 	name := fmt.Sprintf("entry-%d", i)
 	settings := map[string]any{
-		"node_name": name, "ip": "127.0.0.1", "zone": zone(i),
+		"node_name": name, "ip": "127.0.0.1", "zone": dataCentreName(dataCentreOfEntry(i)),
 		"listen":         map[string]string{"frontend": listen[0], "readiness": listen[1]},
 		"internal_ports": []int{port, port},
 		"limits":         map[string]any{"cpu_share": 0.4, "memory_mb": 284},
@@ -381,8 +400,10 @@
 	defer stopWatching()
 	var callers sync.WaitGroup
 	for _, queue := range pools {
-		own, j := rand.New(rand.NewSource(s.random.Int63())), newJob(s.random, queue, true)
-		callers.Go(func() { s.runJob(watching, own, j, 0) })
+		for range s.lastingJobs() {
+			own, j := rand.New(rand.NewSource(s.random.Int63())), newJob(s.random, queue, true)
+			callers.Go(func() { s.runJob(watching, own, j, 0) })
+		}
 	}
 	callers.Go(func() { s.arrivals(traffic, watching, &callers) })
 	callers.Go(func() { s.probeWithdrawnKeys(traffic) })
@@ -405,6 +426,15 @@
 	pause(ctx, 2*time.Second) // for the ends of the cancelled runs
 }
 
+// lastingJobs returns the number of jobs in each queue that run until they are cancelled.
+// Cuts need many: a run that outlasts its lease bound shows only if it lasts.
+func (s *soak) lastingJobs() int {
+	if s.Cuts {
+		return 5
+	}
+	return 1
+}
+
 // allFinished reports whether all callers but those of long-running jobs have stopped
 // watching their jobs.
 func (s *soak) allFinished() bool {
@@ -570,7 +600,9 @@
 		p.Close()
 	}
 	for _, w := range s.workers {
-		w.proxy.Close()
+		for _, p := range w.proxies {
+			p.Close()
+		}
 	}
 }
 
@@ -659,9 +691,14 @@
 	entry := f.Target % s.Entries
 	w := s.workers[f.Target%len(s.workers)]
 	store := s.storeProxies[entry]
-	link := func(p *proxy.Proxy, m proxy.Mode) func() {
-		p.SetMode(m)
-		return func() { p.SetMode(proxy.Mode{}) }
+	link := func(m proxy.Mode, proxies ...*proxy.Proxy) func() {
+		set := func(m proxy.Mode) {
+			for _, p := range proxies {
+				p.SetMode(m)
+			}
+		}
+		set(m)
+		return func() { set(proxy.Mode{}) }
 	}
 	fault := func(faults tableservice.Faults) func() {
 		s.postToService("/faults", faults)
@@ -693,15 +730,15 @@
 	case EntryReload:
 		s.entries[entry].signal(syscall.SIGHUP, false, 0)
 	case StoreCut:
-		return link(store, proxy.Mode{DropToward: true, DropBack: true})
+		return link(proxy.Mode{DropToward: true, DropBack: true}, store)
 	case StoreCutBack:
-		return link(store, proxy.Mode{DropBack: true})
+		return link(proxy.Mode{DropBack: true}, store)
 	case StoreDelay:
-		return link(store, proxy.Mode{Delay: 100 * time.Millisecond})
+		return link(proxy.Mode{Delay: 100 * time.Millisecond}, store)
 	case StoreReset:
 		store.Reset()
 	case StoreRefuse:
-		end := link(store, proxy.Mode{Refuse: true})
+		end := link(proxy.Mode{Refuse: true}, store)
 		store.Reset()
 		return end
 	case ServiceDown:
@@ -721,21 +758,62 @@
 		s.setLateOrders(w, 0.3)
 		return func() { s.setLateOrders(w, 0) }
 	case WorkerCut:
-		return link(w.proxy, proxy.Mode{DropToward: true, DropBack: true})
+		return link(proxy.Mode{DropToward: true, DropBack: true}, w.proxies[:]...)
 	case WorkerCutBack:
-		return link(w.proxy, proxy.Mode{DropBack: true})
+		return link(proxy.Mode{DropBack: true}, w.proxies[:]...)
 	case WorkerDelay:
-		return link(w.proxy, proxy.Mode{Delay: 150 * time.Millisecond})
+		return link(proxy.Mode{Delay: 150 * time.Millisecond}, w.proxies[:]...)
 	case WorkerReset:
-		w.proxy.Reset()
+		for _, p := range w.proxies {
+			p.Reset()
+		}
 	case CallerReset:
 		s.callerProxies[entry].Reset()
+	case DataCentreCut:
+		s.changeCut(f.Target%dataCentres, 1)
+		return func() { s.changeCut(f.Target%dataCentres, -1) }
 	case KeyChange:
 		s.changeKeys(ctx)
 	}
 	return nil
 }
 
+// changeCut begins or ends a cut of a data centre; cuts may overlap. Its entries lose the
+// table service and the workers elsewhere; its workers lose the entries elsewhere and the
+// discovery table. Entries still reach each other.
+func (s *soak) changeCut(dc, by int) {
+	s.mu.Lock()
+	was := s.cuts[dc] > 0
+	s.cuts[dc] += by
+	cut := s.cuts[dc] > 0
+	s.mu.Unlock()
+	if cut == was {
+		return
+	}
+	set := func(p *proxy.Proxy) {
+		p.SetMode(proxy.Mode{DropToward: cut, DropBack: cut})
+		p.Reset() // a connection that has lost data stays silent
+	}
+	for i, p := range s.storeProxies {
+		if dataCentreOfEntry(i) == dc {
+			set(p)
+		}
+	}
+	for i, w := range s.workers {
+		own := dataCentreOfWorker(i) == dc
+		for caller, p := range w.proxies {
+			if (caller == dc) != own {
+				set(p)
+			}
+		}
+		if own {
+			if err := post(w.control, "/cut", cut); err != nil {
+				s.logf("%s: %v", w.id, err)
+			}
+		}
+	}
+}
+
 // postToService sends a request to the service's interface for the soak.
 func (s *soak) postToService(path string, body any) {
 	if err := post(s.admin, path, body); err != nil {
--- a/emulator/soak/soak_test.go
+++ b/emulator/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 )
@@ -36,6 +37,42 @@
 	t.Log(log.String())
 }
 
+// Guards against runs that overlap (TWICE) after the owners of a data centre that is cut off,
+// and those that have taken over from them, are lost one after the other (review/1).
+func TestShortSoakOfCuts(t *testing.T) {
+	daemon, self := buildPrograms(t)
+	var log bytes.Buffer
+	o := Options{Seed: 208, Duration: 10 * time.Second, Entries: 4, WorkersPerPool: 5, JobsPerSecond: 4, Cuts: true, Daemon: daemon, Self: []string{self}, Log: &log}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	if err := RunSeeds(ctx, o, []int64{o.Seed}, t.TempDir(), false); err != nil {
+		t.Fatalf("%v\n%s", err, log.String())
+	}
+	t.Log(log.String())
+}
+
+// Guards against a schedule of cuts without the faults that it is for.
+func TestCutSchedule(t *testing.T) {
+	for seed := range int64(20) {
+		a := NewCutSchedule(rand.New(rand.NewSource(seed)), time.Minute, 4)
+		cuts, owners := 0, 0
+		for _, f := range a {
+			switch f.Kind {
+			case DataCentreCut:
+				cuts++
+			case EntryKill, EntryPause, EntryStop:
+				owners++
+			}
+		}
+		if cuts < 2*2*dataCentres || owners < cuts {
+			t.Errorf("seed %d: %d cuts and %d faults of entries", seed, cuts, owners)
+		}
+		if b := NewCutSchedule(rand.New(rand.NewSource(seed)), time.Minute, 4); !slices.Equal(a, b) {
+			t.Errorf("seed %d gives two schedules", seed)
+		}
+	}
+}
+
 func scheduleOf(seed int64) []Fault {
 	return NewSchedule(rand.New(rand.NewSource(seed)), 20*time.Second, 4, 10)
 }
--- a/emulator/tableservice/tableservice.go
+++ b/emulator/tableservice/tableservice.go
@@ -110,16 +110,22 @@
 	return len(names)
 }
 
-// Handler returns the handler of the service's calls.
-func (s *Service) Handler() http.Handler {
+// View returns the value of a row as callers in one place see it.
+type View func(store.Row) []byte
+
+// Handler returns the handler of the service's calls. view may be nil.
+func (s *Service) Handler(view View) http.Handler {
+	if view == nil {
+		view = func(row store.Row) []byte { return row.Value }
+	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/rows-tx", s.transact)
-	mux.HandleFunc("GET /v1/rows-get", s.get)
-	mux.HandleFunc("GET /v1/rows-feed", s.feed)
+	mux.HandleFunc("POST /v1/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.transact(w, r, view) })
+	mux.HandleFunc("GET /v1/rows-get", func(w http.ResponseWriter, r *http.Request) { s.get(w, r, view) })
+	mux.HandleFunc("GET /v1/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(w, r, view) })
 	return mux
 }
 
-func (s *Service) transact(w http.ResponseWriter, r *http.Request) {
+func (s *Service) transact(w http.ResponseWriter, r *http.Request, view View) {
 	var body wireTxn
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		writeJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
@@ -145,7 +151,7 @@
 	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"rows": wireRows(conflict.Current)})
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"rows": wireRows(conflict.Current, view)})
 	case err != nil:
 		writeError(w, err)
 	default:
@@ -153,13 +159,13 @@
 	}
 }
 
-func (s *Service) get(w http.ResponseWriter, r *http.Request) {
+func (s *Service) get(w http.ResponseWriter, r *http.Request, view View) {
 	q := r.URL.Query()
 	page, err := s.rows.Range(r.Context(), q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"))
-	writePage(w, page, err)
+	writePage(w, page, err, view)
 }
 
-func (s *Service) feed(w http.ResponseWriter, r *http.Request) {
+func (s *Service) feed(w http.ResponseWriter, r *http.Request, view View) {
 	q := r.URL.Query()
 	after, errAfter := strconv.ParseInt(q.Get("after"), 10, 64)
 	waitMS, errWait := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
@@ -168,23 +174,23 @@
 		return
 	}
 	page, err := s.rows.Changes(r.Context(), q.Get("table"), after, time.Duration(waitMS)*time.Millisecond)
-	writePage(w, page, err)
+	writePage(w, page, err, view)
 }
 
-func wireRows(rows []store.Row) []wireRow {
+func wireRows(rows []store.Row, view View) []wireRow {
 	list := make([]wireRow, len(rows))
 	for i, row := range rows {
-		list[i] = wireRow{wireKey{row.Table, row.Partition, row.Name}, row.Value, row.Version, row.Removed}
+		list[i] = wireRow{wireKey{row.Table, row.Partition, row.Name}, view(row), row.Version, row.Removed}
 	}
 	return list
 }
 
-func writePage(w http.ResponseWriter, page store.Page, err error) {
+func writePage(w http.ResponseWriter, page store.Page, err error, view View) {
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"rows": wireRows(page.Rows), "has_more": page.More, "ver": page.Version, "now_ms": page.Time.Milliseconds()})
+	writeJSON(w, http.StatusOK, map[string]any{"rows": wireRows(page.Rows, view), "has_more": page.More, "ver": page.Version, "now_ms": page.Time.Milliseconds()})
 }
 
 func writeError(w http.ResponseWriter, err error) {
