Open no link between entries once a node says goodbye

Callers: on the path of the folder of files, submissions that an entry forwarded during another entry's planned stop were answered 504 now and then, although the request had not run (TestPlannedStopAnswersForwardedSubmissions, once: "no answer from peer: failed to get reader").

Cause: in Shutdown a node says goodbye on the links that it has at that moment and waits until all peers have closed theirs. A peer that was quick dialed again meanwhile, or the node itself did, and requests on the new link were cut without a goodbye when the node closed, so that their outcome was unknown. It takes a peer that is slow to close: the one failure was seen beside eight busy processes.

Change: once requests are drained, the node opens no links, dialed or accepted; it waits for handshakes that are under way before it says goodbye, so that each link gets one.

TestCallsOverALinkThatOpensDuringAShutdown failed before, with the message of the failure above: "call 381 ms after the begin of the shutdown: no answer from peer: failed to get reader". That the failure seen once was this one is inferred.

--- a/entry/peer/node.go
+++ b/entry/peer/node.go
@@ -39,8 +39,10 @@
 	handshakes chan struct{} // semaphore of accepted connections in the handshake
 
 	mu      sync.Mutex
+	leaving bool // no link is opened any more
 	closed  bool
 	remotes map[string]*remote // by member id
+	opening sync.WaitGroup     // links that are being opened; Add only with mu, while not leaving
 }
 
 var (
@@ -264,6 +266,11 @@
 // dialOnce opens a link and serves it until it fails. It returns an error only if no
 // link was opened.
 func (n *Node) dialOnce(ctx context.Context, r *remote, address string) error {
+	if !n.beginOpening() {
+		return errLeaving
+	}
+	opened := sync.OnceFunc(n.opening.Done)
+	defer opened()
 	conn, err := n.dial(ctx, r.id, address)
 	if err != nil {
 		n.stats.handshakeFailures.Add(1)
@@ -272,10 +279,13 @@
 	l := newLink(n, r, conn, true)
 	stop := context.AfterFunc(ctx, func() { l.fail(errNotMember) })
 	defer stop()
-	n.runLink(l)
+	n.runLink(l, opened)
 	return nil
 }
 
+// errLeaving refuses to dial in a node that shuts down.
+var errLeaving = errors.New("the node shuts down")
+
 var errNotMember = errors.New("the peer is no longer a member")
 
 // dial opens an authenticated connection to the member id.
@@ -306,6 +316,13 @@
 		http.Error(w, "too many handshakes", http.StatusServiceUnavailable)
 		return
 	}
+	if !n.beginOpening() {
+		<-n.handshakes
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		return
+	}
+	opened := sync.OnceFunc(n.opening.Done)
+	defer opened()
 	conn, id, err := n.accept(w, r)
 	<-n.handshakes
 	if err != nil {
@@ -318,7 +335,19 @@
 		return
 	}
 	defer n.removeAccepted(peer)
-	n.runLink(newLink(n, peer, conn, false))
+	n.runLink(newLink(n, peer, conn, false), opened)
+}
+
+// beginOpening reports whether a link may be opened now. If so, the caller calls
+// opening.Done once the link is added to its peer, or has not been opened.
+func (n *Node) beginOpening() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaving || n.closed {
+		return false
+	}
+	n.opening.Add(1)
+	return true
 }
 
 // addAccepted counts an accepted link, unless the node is closed.
@@ -361,11 +390,14 @@
 	return conn, id, nil
 }
 
-func (n *Node) runLink(l *link) {
+// runLink serves a link until it fails. It calls opened once the link is added to its
+// peer.
+func (n *Node) runLink(l *link, opened func()) {
 	n.stats.linksOpened.Add(1)
 	n.stats.links.Add(1)
 	defer n.stats.links.Add(-1)
 	l.peer.add(l)
+	opened()
 	defer l.peer.remove(l)
 	l.run()
 }
@@ -383,12 +415,26 @@
 
 // Shutdown rejects new requests, waits until open ones are handled and their answers
 // are sent, and closes the node. If ctx is done first, it closes the node at once
-// and returns the error of ctx.
+// and returns the error of ctx. No link is opened after the goodbyes: its requests would
+// be cut by the end of the node, and their outcome would be unknown.
 func (n *Node) Shutdown(ctx context.Context) error {
 	defer n.Close()
 	if err := n.Drain(ctx); err != nil {
 		return err
 	}
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	opened := make(chan struct{})
+	go func() {
+		n.opening.Wait()
+		close(opened)
+	}()
+	select {
+	case <-opened:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	var closing sync.WaitGroup
 	for _, l := range n.links() {
 		closing.Go(func() { l.finish(ctx) })
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -337,6 +337,48 @@
 	})
 }
 
+// TestCallsOverALinkThatOpensDuringAShutdown guards against calls with an unknown outcome
+// around a planned stop that takes long because of a peer that does not close its link: the
+// others have read the goodbye and dial again.
+func TestCallsOverALinkThatOpensDuringAShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, a, b := pair(t, nil, nil)
+		network.serve(t, "c", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn, err := websocket.Accept(w, r, nil)
+			if err != nil {
+				return
+			}
+			defer conn.CloseNow()
+			if _, err := acceptHandshake(r.Context(), conn, secret, "c"); err != nil {
+				return
+			}
+			for err == nil {
+				_, _, err = conn.Read(context.Background()) // ignores the goodbye
+			}
+		}))
+		b.SetMembers(map[string]string{"c": "c"})
+		settle()
+		network.setLatency(5 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		down := make(chan error)
+		go func() { down <- b.Shutdown(ctx) }()
+		var calls sync.WaitGroup
+		for i := range 1500 {
+			calls.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				if err := a.Call(t.Context(), "b", "echo", "", nil); !errors.Is(err, rpc.ErrUnreachable) {
+					t.Errorf("call %d ms after the begin of the shutdown: %v, want ErrUnreachable", i, err)
+				}
+			})
+		}
+		calls.Wait()
+		if err := <-down; !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("shutdown: %v, want a timeout", err)
+		}
+	})
+}
+
 // TestRawPeer guards against duplicate and late answers that are delivered, and
 // against frames of unknown kinds and other versions, sent by a peer that writes
 // frames itself.
