Run a job whose id is used again while the earlier job is being deleted

Callers: a job that was submitted under the id of one that had ended more than 150 s before could be accepted and not run until the pool's next takeover (LOST).

Cause: an owner first deletes the requests of an expired job, then its progress. A request that arrived in between, or before the owner had learned that the deletion was carried out, was taken for one of the job that it still knew.

Change: a newer row of a final job's request is kept as the next job, which is accepted, and cancelled if that was asked for, when the progress of the earlier one is deleted.

TestJobResubmittedWhileItsProgressIsDeleted failed before: "the job that was submitted again does not run".

--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -337,7 +337,21 @@
 		p.deletableJobs = p.deletableJobs[1:]
 		b.Deletes = append(b.Deletes, tables.ProgressKey(p.settings.Pool, id))
 		b.addItem(deleteItem)
-		delete(p.jobs, id)
+		p.forgetJob(id)
+	}
+}
+
+// forgetJob drops a job whose progress is being deleted, and accepts the one that was
+// submitted again under its id.
+func (p *Pool) forgetJob(id string) {
+	j := p.jobs[id]
+	delete(p.jobs, id)
+	if j == nil || j.resubmitted == nil {
+		return
+	}
+	p.Accept(j.resubmitted)
+	if j.resubmittedCancelled {
+		p.Cancel(id)
 	}
 }
 
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -189,8 +189,14 @@
 		return false
 	}
 	for _, row := range spec.Stored {
-		if !slices.ContainsFunc(j.spec.Stored, func(known store.Condition) bool { return known.Key == row.Key }) {
+		i := slices.IndexFunc(j.spec.Stored, func(known store.Condition) bool { return known.Key == row.Key })
+		switch {
+		case i < 0:
 			j.spec.Stored = append(j.spec.Stored, row)
+		case j.state.Final() && row.Version > j.spec.Stored[i].Version:
+			// The request of the finished job has been deleted, and the id is used again.
+			j.resubmitted = spec
+			return true
 		}
 	}
 	j.spec.Location = cmp.Or(j.spec.Location, spec.Location)
@@ -236,6 +242,9 @@
 // Cancel cancels a job and stops its runs. Unknown and final jobs are ignored.
 func (p *Pool) Cancel(id string) {
 	j := p.jobs[id]
+	if j != nil && j.resubmitted != nil {
+		j.resubmittedCancelled = true
+	}
 	if j == nil || j.state.Final() {
 		return
 	}
--- a/sched/pool/record_test.go
+++ b/sched/pool/record_test.go
@@ -347,3 +347,42 @@
 		t.Errorf("%d transactions were refused, want none", h.refused)
 	}
 }
+
+// Guards against a job that never runs (LOST): its id is submitted again, long after the
+// first job has ended, between the deletion of that job's requests and that of its progress.
+func TestJobResubmittedWhileItsProgressIsDeleted(t *testing.T) {
+	for _, early := range []bool{true, false} { // before or after the scheduler learns of the deletion
+		h := newHarness(t)
+		h.addVM("a", 8000)
+		key := store.Key{Table: "requests", Name: "job"}
+		spec := shortJob(1)
+		spec.Stored = []store.Condition{{Key: key, Version: 5}}
+		h.submit(spec)
+		h.settle()
+		h.endAll(pool.EndDone)
+		h.settle()
+		h.advance(151 * time.Second)
+		h.settle()
+		if expired := h.scheduler.ExpiredJobs(10); len(expired) != 1 {
+			t.Fatalf("%d jobs have expired, want 1", len(expired))
+		}
+		again := shortJob(1)
+		again.ID, again.AcceptedMS = spec.ID, h.now.Wall
+		again.Stored = []store.Condition{{Key: key, Version: 9}}
+		h.doneTasks = map[string]bool{}
+		if early {
+			h.scheduler.Accept(again)
+		}
+		h.scheduler.RequestsDeleted(spec.ID)
+		if !early {
+			h.scheduler.Accept(again)
+		}
+		for range 3 { // the VM refuses the number of the earlier run
+			h.settle()
+			h.advance(time.Second)
+		}
+		if vm := h.vmOf(pool.TaskName(spec.ID, 0, 0, 0)); vm == "" {
+			t.Errorf("early %v: the job that was submitted again does not run", early)
+		}
+	}
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -106,6 +106,11 @@
 	finishedAtMS int64           // Unix milliseconds
 	doneTasks    int             // tasks done since this owner took over
 	failedVMs    map[string]bool // VMs on which tasks of the job have failed
+
+	// resubmitted is a later job with the same id, which is accepted once the progress of
+	// this one, which is final, is deleted; nil if there is none.
+	resubmitted          *job.Spec
+	resubmittedCancelled bool
 }
 
 // occurrence returns an open occurrence, nil if it is not open.
