Let the row of recent orders hold what fits

Callers: the holder of the fleet role lost the role with each end of an order, so that no VM moved and no wave went on, where many orders had ended within 20 s and machines have long names.

Cause: the row that tells the next holder when orders have ended had no bound: 322 names of 200 bytes exceed 64 KB, and the platform's rate lets 1,024 orders end in the time that they are kept.

Change: the oldest entries that do not fit are left out. One entry keeps the time of the last of them, until which the next holder delays its orders for all machines.

TestRecentOrdersFitIntoARow failed before: "after 322 orders: table service rejects the call: row recent-orders has 65704 bytes, at most 65536".

--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -350,3 +351,33 @@
 		}
 	}
 }
+
+// Guards against a holder of the fleet role that loses it because the row of recent orders
+// does not fit: machines with the longest names, and orders at a high rate. Orders that are
+// left out still delay those of the next holder.
+func TestRecentOrdersFitIntoARow(t *testing.T) {
+	fx := newFleetFixture(t)
+	f := fx.newHolder("a")
+	name := func(i int) string { return fmt.Sprintf("%0200d", i) }
+	const orders = 1000
+	for i := range orders {
+		var txn store.Txn
+		f.recordOrderEnded(&txn, name(i))
+		if err := f.commit(t.Context(), txn); err != nil {
+			t.Fatalf("after %d orders: %v", i, err)
+		}
+		fx.clock.advance(time.Millisecond)
+	}
+	next := fx.newHolder("b")
+	for _, i := range []int{0, orders / 2, orders - 1} {
+		if next.handoverElapsed(name(i)) {
+			t.Errorf("the next holder may send an order for machine %d at once", i)
+		}
+	}
+	fx.clock.advance(f.node.settings.Fleet.HandoverTime + handoverMargin)
+	for _, i := range []int{0, orders / 2, orders - 1} {
+		if !next.handoverElapsed(name(i)) {
+			t.Errorf("the next holder may send no order for machine %d after the handover time", i)
+		}
+	}
+}
--- a/node/fleetorders.go
+++ b/node/fleetorders.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,9 +18,13 @@
 )
 
 // recentOrdersRow records by machine when an order has ended, in ms on the
-// clock of the table service, for the next holder of the role.
+// clock of the table service, for the next holder of the role. Under othersEnded it holds
+// when the last order has ended that did not fit into the row.
 type recentOrdersRow map[string]int64
 
+// othersEnded is no name of a machine.
+const othersEnded = ""
+
 // recentOrderRetention is the time after which an ended order no longer matters
 // to another holder. It is above every handover time.
 const recentOrderRetention = 20 * time.Second
@@ -78,7 +83,7 @@
 // handoverElapsed reports whether the orders of an earlier holder for a machine
 // are long enough ago.
 func (f *fleetController) handoverElapsed(machine string) bool {
-	return f.node.clock.Now().Steady > f.notBefore[machine]
+	return f.node.clock.Now().Steady > max(f.notBefore[machine], f.notBefore[othersEnded])
 }
 
 // delayOrders delays this holder's orders for machines for which an earlier
@@ -104,7 +109,7 @@
 	now := f.owner.service.serviceTimeBound(f.node.clock.Now().Steady)
 	f.recentOrders[machine] = now.Milliseconds()
 	maps.DeleteFunc(f.recentOrders, func(_ string, at int64) bool { return now.Milliseconds()-at > recentOrderRetention.Milliseconds() })
-	value, err := cbor.Marshal(f.recentOrders)
+	value, err := f.encodeRecentOrders()
 	if err != nil {
 		f.log.Error("orders_not_encoded", zap.Error(err))
 		return
@@ -114,6 +119,24 @@
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
 }
 
+// encodeRecentOrders encodes the recent orders. The oldest ones are left out if they do not
+// fit into a row; the next holder then delays its orders for all machines.
+func (f *fleetController) encodeRecentOrders() ([]byte, error) {
+	for {
+		value, err := cbor.Marshal(f.recentOrders)
+		if err != nil || len(value) <= f.node.settings.Scheduler.MaxRowBytes() || len(f.recentOrders) < 2 {
+			return value, err
+		}
+		machines := slices.SortedFunc(maps.Keys(f.recentOrders), func(a, b string) int { return cmp.Compare(f.recentOrders[a], f.recentOrders[b]) })
+		machines = slices.DeleteFunc(machines, func(name string) bool { return name == othersEnded })
+		for _, machine := range machines[:(len(machines)+3)/4] {
+			f.recentOrders[othersEnded] = max(f.recentOrders[othersEnded], f.recentOrders[machine])
+			delete(f.recentOrders, machine)
+		}
+		f.log.Info("recent_orders_left_out", zap.Int("bytes", len(value)), zap.Int("kept", len(f.recentOrders)))
+	}
+}
+
 // sendOrders sends the orders that are recorded, and repeats those without a
 // certain answer. It sends nothing if the last confirmed transaction is too
 // old.
