--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -173,6 +173,20 @@
 	return n
 }
 
+// vm1 is a VM on which leases may be granted.
+var vm1 = pool.RenewalTarget{ID: "vm1", Address: "vm1:80", ExtendLeases: true}
+
+// newLeaseController returns the controller of a pool that was claimed now. Nothing is done
+// with what its clients deliver.
+func newLeaseController(t *testing.T, clock Clock, f *leasedVMs) *poolController {
+	t.Helper()
+	claimedAt := clock.Now().Steady
+	n := newLeaseEntry(t, "a", memstore.New(), clock, f)
+	r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, claimedAt)
+	close(r.done)
+	return r
+}
+
 // listVM writes the row of a VM of pool p.
 func listVM(t *testing.T, s store.Store, id, address string) {
 	t.Helper()
@@ -211,16 +225,9 @@
 		t.Run(fmt.Sprint("pause after reading ", readings), func(t *testing.T) {
 			clock := &pausedClock{testClock: testClock{now: pool.Time{Steady: time.Minute}}}
 			workers := newLeasedVMs(clock, "vm1:80")
-			n := newLeaseEntry(t, "a", memstore.New(), clock, workers)
 			confirmedAt := clock.Now().Steady
-			r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, confirmedAt)
-			go func() {
-				for f := range r.events {
-					f(r.pool)
-				}
-			}()
-			defer close(r.events)
-			v := r.newVMClient(pool.RenewalTarget{ID: "vm1", Address: "vm1:80", ExtendLeases: true})
+			r := newLeaseController(t, clock, workers)
+			v := r.newVMClient(vm1)
 			if _, ok := v.renew(t.Context()); !ok { // learns the worker's clock
 				t.Fatal("the first renewal failed")
 			}
@@ -245,15 +252,8 @@
 func TestExpiredLeaseIsNotExtendedBeforeTheVMAnswers(t *testing.T) {
 	clock := &testClock{now: pool.Time{Steady: time.Minute}}
 	workers := newLeasedVMs(clock, "vm1:80")
-	n := newLeaseEntry(t, "a", memstore.New(), clock, workers)
-	r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, clock.Now().Steady)
-	go func() {
-		for f := range r.events {
-			f(r.pool)
-		}
-	}()
-	defer close(r.events)
-	v := r.newVMClient(pool.RenewalTarget{ID: "vm1", Address: "vm1:80", ExtendLeases: true})
+	r := newLeaseController(t, clock, workers)
+	v := r.newVMClient(vm1)
 	for range 2 {
 		if _, ok := v.renew(t.Context()); !ok {
 			t.Fatal("the VM does not answer")
@@ -278,10 +278,8 @@
 func TestLeaseGrantedOnTheClockOfAnEarlierIncarnation(t *testing.T) {
 	clock := &testClock{now: pool.Time{Steady: time.Minute}}
 	workers := newLeasedVMs(clock, "vm1:80")
-	n := newLeaseEntry(t, "a", memstore.New(), clock, workers)
-	r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, clock.Now().Steady)
-	defer close(r.done)
-	v := r.newVMClient(pool.RenewalTarget{ID: "vm1", Address: "vm1:80", ExtendLeases: true})
+	r := newLeaseController(t, clock, workers)
+	v := r.newVMClient(vm1)
 	clock.advance(time.Minute)
 	r.confirmedAt.Store(int64(clock.Now().Steady))
 	for i := range 4 {
@@ -306,13 +304,13 @@
 func TestReplacedClientGrantsNoLease(t *testing.T) {
 	clock := &testClock{now: pool.Time{Steady: time.Minute}}
 	workers := newLeasedVMs(clock, "vm1:80", "vm1:81")
-	n := newLeaseEntry(t, "a", memstore.New(), clock, workers)
-	r := newPoolController(n, mustClaim(t, n.store, nodeA), 0, clock.Now().Steady)
-	defer close(r.done)
+	r := newLeaseController(t, clock, workers)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	open := func(address string) *vmClient {
-		r.openVMClient(ctx, pool.RenewalTarget{ID: "vm1", Address: address, ExtendLeases: true})
+		target := vm1
+		target.Address = address
+		r.openVMClient(ctx, target)
 		v := r.vmClients["vm1"]
 		for range 500 {
 			if v.granted() > 0 {
