--- a/review/stage-2/fleet.go
+++ b/review/stage-2/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"sort"
@@ -42,15 +43,18 @@
 
 // step is one step of a job as a consumer sends it.
 type step struct {
-	Count  int  `json:"count"`
-	CPU    int  `json:"cpu,omitempty"`
-	Mem    int  `json:"mem_mb,omitempty"`
-	GPU    int  `json:"gpu,omitempty"`
-	Est    int  `json:"estimate_ms,omitempty"`
-	Saves  bool `json:"saves_progress,omitempty"`
-	Gang   bool `json:"gang,omitempty"`
-	MaxPer int  `json:"max_per_server,omitempty"`
-	Lasts  bool `json:"long_running,omitempty"`
+	Count   int    `json:"count"`
+	CPU     int    `json:"cpu,omitempty"`
+	Mem     int    `json:"mem_mb,omitempty"`
+	GPU     int    `json:"gpu,omitempty"`
+	Est     int    `json:"estimate_ms,omitempty"`
+	Saves   bool   `json:"saves_progress,omitempty"`
+	Gang    bool   `json:"gang,omitempty"`
+	MaxPer  int    `json:"max_per_server,omitempty"`
+	Lasts   bool   `json:"long_running,omitempty"`
+	After   []int  `json:"after,omitempty"`
+	Label   string `json:"requires,omitempty"`
+	MayMiss int    `json:"may_miss,omitempty"`
 
 	workMS int // how long a task of the step works
 }
@@ -59,10 +63,15 @@
 
 // job is what a consumer has sent.
 type job struct {
-	id, prefix, key string
-	steps           []step
-	sentAt          time.Time
-	acceptedAt      time.Time // zero if it was not accepted
+	id, prefix, key         string
+	steps                   []step
+	sentAt                  time.Time
+	repetitions, intervalMS int
+	firstRunMS              int64
+	cancelledAt             time.Time // acknowledgement of the cancelling
+	failShare               float64   // of the runs
+	cancelTried             bool      // with any answer
+	acceptedAt              time.Time // zero if it was not accepted
 }
 
 // fleet is a stand-in of the platform's machines, of the workers on them and of the API
@@ -71,12 +80,14 @@
 	store  *tableStore
 	record *record
 
-	mu       sync.Mutex
-	machines map[string]*machine
-	jobs     map[string]*job // by id, for the work of tasks
-	gangs    map[string]*gang
-	lives    int // workers started so far
-	events   []event
+	mu        sync.Mutex
+	machines  map[string]*machine
+	jobs      map[string]*job // by id, for the work of tasks
+	gangs     map[string]*gang
+	lives     int // workers started so far
+	events    []event
+	lateShare float64 // of orders that get no answer and are carried out late
+	random    *rand.Rand
 }
 
 // event is a start or an end that a worker has carried out.
@@ -93,25 +104,27 @@
 	name, pool, zone, rack string
 	capacity               resources
 	address                string
-	state                  string // up, moving, upkeep, down
+	listener               net.Listener // open for good, so that the port stays this machine's
+	state                  string       // up, moving, upkeep, down
 	worker                 *worker
 }
 
 // worker is one life of a machine.
 type worker struct {
-	machine *machine
-	id      string
-	began   time.Time
-	server  *http.Server
-	dead    bool
-	sick    bool // fails all that it starts
-	fence   int64
-	lease   time.Duration // on the worker's clock
-	runs    map[string]*run
-	highest map[string]int // by task: highest run that was stopped or has ended
-	ends    []runEnd
-	last    int64 // number of the newest end
-	changed chan struct{}
+	machine  *machine
+	id       string
+	began    time.Time
+	server   *http.Server
+	listener *workerListener
+	dead     bool
+	sick     bool // fails all that it starts
+	fence    int64
+	lease    time.Duration // on the worker's clock
+	runs     map[string]*run
+	highest  map[string]int // by task: highest run that was stopped or has ended
+	ends     []runEnd
+	last     int64 // number of the newest end
+	changed  chan struct{}
 }
 
 type run struct {
@@ -130,6 +143,7 @@
 	task       string
 	run        int
 	how, saved string
+	lapsed     bool // the worker's lease has lapsed since
 }
 
 // gang is one run of a gang.
@@ -139,7 +153,7 @@
 }
 
 func newFleet(s *tableStore, r *record) *fleet {
-	f := &fleet{store: s, record: r, machines: map[string]*machine{}, jobs: map[string]*job{}, gangs: map[string]*gang{}}
+	f := &fleet{store: s, record: r, machines: map[string]*machine{}, jobs: map[string]*job{}, gangs: map[string]*gang{}, random: rand.New(rand.NewSource(1))}
 	go f.loop()
 	return f
 }
@@ -148,27 +162,84 @@
 func (f *fleet) addMachine(name, pool, zone, rack string, capacity resources) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := &machine{name: name, pool: pool, zone: zone, rack: rack, capacity: capacity, address: freeAddress(), state: "up"}
+	m := &machine{name: name, pool: pool, zone: zone, rack: rack, capacity: capacity, state: "up"}
+	m.address, m.listener = listen(f.record)
 	f.machines[name] = m
+	go f.accept(m)
 	f.startWorker(m)
 }
 
+// accept passes the connections to a machine on to its worker. Without one they are reset.
+func (f *fleet) accept(m *machine) {
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			f.record.fail("machine %s: %v", m.name, err)
+		}
+		f.mu.Lock()
+		w := m.worker
+		f.mu.Unlock()
+		if w != nil && w.listener.pass(conn) {
+			continue
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+// workerListener gives the connections to a machine to the server of one worker.
+type workerListener struct {
+	conns   chan net.Conn
+	closed  chan struct{}
+	address net.Addr
+}
+
+// pass reports whether the worker has taken a connection.
+func (l *workerListener) pass(c net.Conn) bool {
+	select {
+	case l.conns <- c:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+func (l *workerListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *workerListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *workerListener) Addr() net.Addr { return l.address }
+
 // startWorker starts a new worker on a machine. The caller holds mu.
 func (f *fleet) startWorker(m *machine) {
 	f.lives++
-	w := &worker{machine: m, id: fmt.Sprintf("i-%04d", f.lives), began: time.Now(), runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{})}
+	f.startWorkerAs(m, fmt.Sprintf("i-%04d", f.lives))
+}
+
+func (f *fleet) startWorkerAs(m *machine, id string) {
+	w := &worker{machine: m, id: id, began: time.Now(), runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	for path, execute := range map[string]func(*worker, order) (int, string){"run-start": f.start, "run-stop": f.stop, "pace": f.pace} {
 		mux.HandleFunc("POST /v1/"+path, func(rw http.ResponseWriter, r *http.Request) { f.serveOrder(w, rw, r, execute) })
 	}
 	mux.HandleFunc("POST /v1/hold", func(rw http.ResponseWriter, r *http.Request) { f.serveHold(w, rw, r) })
 	w.server = &http.Server{Handler: mux}
-	listener, err := net.Listen("tcp", m.address)
-	if err != nil {
-		f.record.fail("worker %s: %v", w.id, err)
-		return
-	}
-	go func() { _ = w.server.Serve(listener) }()
+	w.listener = &workerListener{make(chan net.Conn), make(chan struct{}), m.listener.Addr()}
+	go func() { _ = w.server.Serve(w.listener) }()
 	m.worker, m.state = w, "up"
 	f.record.add("worker %s starts on %s (%s, rack %s)", w.id, m.name, m.pool, m.rack)
 	go f.heartbeats(w)
@@ -182,7 +253,12 @@
 		f.mu.Unlock()
 		if dead {
 			time.Sleep(rowLifetime - heartbeat)
-			f.store.remove("servers", w.id)
+			f.mu.Lock()
+			again := m.worker != nil && m.worker.id == w.id
+			f.mu.Unlock()
+			if !again {
+				f.store.remove("servers", w.id)
+			}
 			return
 		}
 		f.store.put("servers", w.id, map[string]any{"service": m.pool, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
@@ -191,6 +267,9 @@
 	}
 }
 
+// name tells the lives of a worker apart that have the same id.
+func (w *worker) name() string { return fmt.Sprintf("%s/%d", w.id, w.began.UnixMilli()) }
+
 func (w *worker) born() int64          { return w.began.UnixMilli() }
 func (w *worker) clock() time.Duration { return time.Since(w.began) }
 
@@ -202,10 +281,11 @@
 	}
 	m.worker, w.dead = nil, true
 	for task, r := range w.runs {
-		f.events = append(f.events, event{time.Now(), "lost", w.id, task, r.number, ""})
+		f.events = append(f.events, event{time.Now(), "lost", w.name(), task, r.number, ""})
 		f.leaveGang(r, task)
 	}
 	w.runs = map[string]*run{}
+	_ = w.listener.Close()
 	go w.server.Close()
 }
 
@@ -222,6 +302,9 @@
 	}
 	for _, name := range names {
 		m := f.machines[name]
+		if m.worker == nil {
+			continue
+		}
 		f.endWorker(m)
 		m.state = "down"
 		if downtime > 0 {
@@ -298,6 +381,20 @@
 		return
 	}
 	f.mu.Lock()
+	if f.random.Float64() < f.lateShare {
+		delay := time.Duration(2000+f.random.Intn(6000)) * time.Millisecond
+		f.mu.Unlock()
+		time.Sleep(delay)
+		f.mu.Lock()
+		if o.Fence >= w.fence && !w.dead {
+			w.fence = o.Fence
+			f.step(time.Now())
+			status, reason := execute(w, o)
+			f.record.add("order for %s run %d carried out late: %d %s", o.Task, o.Run, status, reason)
+		}
+		f.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	status, reason := http.StatusConflict, "fence"
 	if o.Fence >= w.fence && !w.dead {
 		w.fence = o.Fence
@@ -351,7 +448,7 @@
 		r.worksFrom = now.Add(restoreTime)
 	}
 	w.runs[o.Task] = r
-	f.events = append(f.events, event{now, "start", w.id, o.Task, o.Run, o.Checkpoint})
+	f.events = append(f.events, event{now, "start", w.name(), o.Task, o.Run, o.Checkpoint})
 	f.record.add("start  %s run %d on %s (%s) checkpoint %q", o.Task, o.Run, w.id, w.machine.pool, o.Checkpoint)
 	if w.sick {
 		f.end(w, o.Task, r, "failed")
@@ -457,8 +554,8 @@
 	if how != "done" {
 		saved = r.saved(now, how == "stopped")
 	}
-	w.ends = append(w.ends, runEnd{w.last, task, r.number, how, saved})
-	f.events = append(f.events, event{now, how, w.id, task, r.number, saved})
+	w.ends = append(w.ends, runEnd{w.last, task, r.number, how, saved, false})
+	f.events = append(f.events, event{now, how, w.name(), task, r.number, saved})
 	f.record.add("%-6s %s run %d on %s", how, task, r.number, w.id)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -493,6 +590,9 @@
 			continue
 		}
 		lapsed := w.clock() > w.lease
+		for i := range w.ends {
+			w.ends[i].lapsed = w.ends[i].lapsed || lapsed
+		}
 		for task, r := range w.runs {
 			if w.runs[task] != r {
 				continue // ended with its gang
@@ -505,6 +605,10 @@
 			case r.spec.Gang && r.worksFrom.IsZero() && now.Sub(r.startedAt) > gangWait:
 				f.end(w, task, r, "alone")
 			case !r.spec.Lasts && !r.worksFrom.IsZero() && r.work(now) >= time.Duration(r.spec.workMS)*time.Millisecond:
+				if j := f.jobs[strings.SplitN(task, ".", 2)[0]]; j.failShare > 0 && f.random.Float64() < j.failShare {
+					f.end(w, task, r, "failed")
+					continue
+				}
 				f.done(w, task, r)
 			}
 		}
@@ -544,7 +648,13 @@
 	for _, e := range w.ends {
 		if e.number > o.LastSeen {
 			kept = append(kept, e)
+			continue
+		}
+		kind := "noted"
+		if e.lapsed {
+			kind = "noted after lapse"
 		}
+		f.events = append(f.events, event{time.Now(), kind, w.name(), e.task, e.run, e.how})
 	}
 	w.ends = kept
 	changed, listed := w.changed, len(w.ends) > 0
--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -59,6 +59,7 @@
 	dir     string // temporary folder
 	entries []*entry
 	host    string
+	advisor string // address; empty if there is none
 	version int
 	next    atomic.Int64 // counts requests, to spread them over the entries
 }
@@ -119,12 +120,20 @@
 	return ""
 }
 
-func serve(r *record, handler http.Handler) string {
-	address := freeAddress()
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		r.fail("%v", err)
+// listen returns a listener on a free address.
+func listen(r *record) (string, net.Listener) {
+	for range 20 {
+		address := freeAddress()
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l
+		}
 	}
+	r.fail("no free port")
+	return "", nil
+}
+
+func serve(r *record, handler http.Handler) string {
+	address, l := listen(r)
 	go func() { _ = http.Serve(l, handler) }()
 	return address
 }
@@ -171,7 +180,7 @@
 				"evacuate_ms": 5000, "recovery_s": 12, "hold_max_ms": maxHold.Milliseconds(), "stop_grace_ms": 900, "gang_wait_ms": gangWait.Milliseconds(), "cancel_ms": 3000,
 				"visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "checkpoint_interval_s": checkpointInterval.Seconds(), "restore_ms": restoreTime.Milliseconds(),
 				"notice_ms": 4500, "migrate_s": migrateTime.Seconds(), "maintenance_s": upkeepTime.Seconds(), "require_fencing": false, "lease_ms": 3000, "thaw_ms": 300, "pace_ms": 100, "impact_ms": 4000},
-			"orders": "call",
+			"orders": "call", "advice": s.advisor,
 			"platform": map[string]any{"address": storeAddress, "form": "table", "writes_per_s": 800, "reads_per_s": 2000, "tx_ms": 5.0, "partition_writes_s": 200,
 				"row_bytes": maxRowBytes, "cross_zone": false, "history_s": 20, "blob_bytes": 8388608, "blob_ms": 25.0, "blob_mb_s": 80.0},
 			"cloud": map[string]any{"address": cloudAddress, "rate_per_s": 64.0, "duties": []string{}, "duty_per_s": 64.0},
@@ -243,6 +252,14 @@
 	MaxAttempts int     `json:"max_attempts"`
 	Stretch     float64 `json:"stretch"`
 	Public      bool    `json:"public"`
+	Advice      *advice `json:"advice,omitempty"`
+}
+
+// advice are the durations of the advisor of a queue.
+type advice struct {
+	DecisionMS int `json:"decision_ms"`
+	PeriodMS   int `json:"period_ms"`
+	ValidityMS int `json:"validity_ms"`
 }
 
 type tenant struct {
@@ -322,8 +339,12 @@
 
 func (s *stage) handIn(j *job) {
 	for range 5 {
-		status, body := s.call(http.MethodPost, j.prefix+j.id, j.key, map[string]any{"task_spec": "work of " + j.id, "steps": j.steps})
-		s.add("POST %s%s -> %d %s", j.prefix, j.id, status, body)
+		body := map[string]any{"task_spec": "work of " + j.id, "steps": j.steps}
+		if j.repetitions > 0 {
+			body["repetitions"], body["first_run_ms"], body["interval_ms"] = j.repetitions, j.firstRunMS, j.intervalMS
+		}
+		status, text := s.call(http.MethodPost, j.prefix+j.id, j.key, body)
+		s.add("POST %s%s -> %d %s", j.prefix, j.id, status, text)
 		if status/100 == 2 {
 			j.acceptedAt = time.Now()
 			return
--- a/review/stage-2/starve.go
+++ b/review/stage-2/starve.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"sync"
 	"time"
 )
@@ -59,50 +58,3 @@
 	senders.Wait()
 	return broken
 }
-
-// reservedWorkers has large lasting jobs wait for room, and then one worker of the pool is
-// lost for good.
-func reservedWorkers(s *stage) string {
-	pool := []string{"roster"}
-	s.addPools(pool, 3, resources{CPU: 16000, Mem: 65536})
-	routes := []route{{Name: "payout", Prefix: "/payout/", TargetMS: 2500, Service: "roster", MaxAttempts: 3, Stretch: 2.2}}
-	s.putManifest(routes, pool, []tenant{{Name: "painters", Keys: []string{"key-painters"}, Weight: 80}})
-	s.startEntries(3)
-	spread := s.submit("/payout/", "key-painters", step{Count: 3, CPU: 1000, Mem: 2000, Est: 900, MaxPer: 1, Lasts: true, workMS: 900})
-	s.need(!spread.acceptedAt.IsZero() && s.await(spread, 5*time.Second, "running") == "running", "the spread job does not run")
-	for range 2 {
-		large := s.submit("/payout/", "key-painters", step{Count: 1, CPU: 16000, Mem: 4000, Est: 900, Lasts: true, workMS: 900})
-		s.need(!large.acceptedAt.IsZero(), "a large job was not accepted")
-	}
-	time.Sleep(2 * time.Second)
-	small := s.submit("/payout/", "key-painters", step{Count: 1, CPU: 1000, Mem: 2000, Est: 900, Lasts: true, workMS: 900})
-	s.need(!small.acceptedAt.IsZero() && s.await(small, 5*time.Second, "running") == "running", "the small job does not run")
-	time.Sleep(2 * time.Second)
-	on := ""
-	for _, e := range s.fleet.eventsOf(small.id) {
-		on = e.worker
-	}
-	machine := s.fleet.machineOf(on)
-	s.need(machine != "", "the small job is not on a worker")
-	if s.trouble {
-		s.fleet.crash(0, machine)
-	}
-	time.Sleep(16 * time.Second) // the lease, 6 s from the last run, 4 s of calm
-	s.state(small)
-	if broken := s.idleWhileReady(small, resources{CPU: 1000, Mem: 2000}, "roster", resources{}, 3*time.Second); broken != "" {
-		return broken + fmt.Sprintf("; the worker of %s was lost for good", machine)
-	}
-	return ""
-}
-
-// machineOf returns the machine of a worker that is up.
-func (f *fleet) machineOf(worker string) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name, m := range f.machines {
-		if m.worker != nil && m.worker.id == worker {
-			return name
-		}
-	}
-	return ""
-}
