--- a/review/stage-2/explore.go
+++ b/review/stage-2/explore.go
@@ -61,7 +61,8 @@
 		routes = append(routes, route{Name: p, Prefix: "/" + p + "/", TargetMS: 600, Priority: i, Service: p, MaxAttempts: 3, Stretch: 1.6})
 		routes = append(routes, route{Name: p + "-advised", Prefix: "/" + p + "-advised/", TargetMS: 600, Service: p, MaxAttempts: 3, Stretch: 1.6, Advice: &advice{50, 5, 3000}})
 	}
-	s.putManifest(routes, pools, []tenant{{Name: "painters", Keys: []string{"key-painters"}, Weight: 80}})
+	x := &operator{stage: s, routes: routes, pools: pools, random: rand.New(rand.NewSource(seed + 3)), sentTo: map[string]map[string]bool{}, evacuated: map[string]time.Time{}}
+	x.put(resources{})
 	s.startEntries(3)
 	var jobs []*job
 	var senders sync.WaitGroup
@@ -89,18 +90,50 @@
 			time.Sleep(time.Duration(50+local.Intn(250)) * time.Millisecond)
 		}
 	})
+	var seen []string
+	senders.Go(func() {
+		for i := 0; time.Now().Before(stop); i++ {
+			time.Sleep(60 * time.Millisecond)
+			mu.Lock()
+			if len(jobs) == 0 {
+				mu.Unlock()
+				continue
+			}
+			j := jobs[i*7%len(jobs)]
+			mu.Unlock()
+			if accepted := j.acceptedAt; accepted.IsZero() || j.cancelTried || time.Since(accepted) < 3*time.Second {
+				continue
+			}
+			status, body := s.call(http.MethodGet, j.prefix+j.id, j.key, nil)
+			if status == http.StatusGone && !j.cancelTried {
+				seen = append(seen, fmt.Sprintf("LOST: GET for accepted job %s is answered 410", j.id))
+			}
+			if strings.Contains(body, "succeeded") {
+				if missing := s.notDone(j); missing != "" {
+					seen = append(seen, fmt.Sprintf("MIXED: job %s is shown as succeeded, %s has no end as done", j.id, missing))
+				}
+			}
+		}
+	})
 	for time.Now().Before(stop.Add(-2 * time.Second)) {
-		s.disturb(random, noise)
+		s.disturb(random, noise, x)
 		time.Sleep(time.Duration(800+random.Intn(1800)) * time.Millisecond)
 	}
 	senders.Wait()
 	s.fleet.mu.Lock()
 	s.fleet.lateShare = 0
 	s.fleet.mu.Unlock()
+	for zone := range x.evacuated {
+		x.evacuate(zone)
+	}
+	x.put(resources{})
 	s.add("traffic and disruptions end")
 	time.Sleep(16 * time.Second)
-	var broken []string
+	broken := seen
 	for _, j := range jobs {
+		if rejected(j) && len(s.fleet.eventsOf(j.id)) > 0 {
+			broken = append(broken, fmt.Sprintf("REFUSED: job %s runs, its attempts were answered %v", j.id, j.statuses))
+		}
 		if j.acceptedAt.IsZero() || j.cancelTried || lasts(j) {
 			continue
 		}
@@ -116,7 +149,7 @@
 		}
 		broken = append(broken, fmt.Sprintf("LOST: job %s of %s is %q, %d failures of one task at most, %d runs now", j.id, j.prefix, state, s.mostFailures(j), s.fleet.runsOf(j.id)))
 	}
-	broken = append(broken, s.judge(jobs)...)
+	broken = append(broken, s.judge(jobs, x)...)
 	for _, b := range broken {
 		s.add("%s", b)
 		fmt.Println(b)
@@ -128,6 +161,16 @@
 	return ""
 }
 
+// rejected reports whether all attempts to hand a job in were rejected.
+func rejected(j *job) bool {
+	for _, status := range j.statuses {
+		if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusNotFound {
+			return false
+		}
+	}
+	return true
+}
+
 func lasts(j *job) bool {
 	for _, st := range j.steps {
 		if st.Lasts {
@@ -188,8 +231,8 @@
 	}
 }
 
-func (s *stage) disturb(r *rand.Rand, noise string) {
-	kinds := []string{"kill", "term", "pause", "crash", "crash", "crashsame", "rack", "late", "sick"}
+func (s *stage) disturb(r *rand.Rand, noise string, x *operator) {
+	kinds := []string{"kill", "term", "pause", "crash", "crash", "crashsame", "rack", "late", "sick", "silent", "lost", "down", "move", "cap", "evacuate", "drain", "wave"}
 	kind := kinds[r.Intn(len(kinds))]
 	if noise != "" {
 		list := strings.Split(noise, ",")
@@ -250,6 +293,26 @@
 			s.fleet.lateShare = 0
 			s.fleet.mu.Unlock()
 		})
+	case "move":
+		i, k := r.Intn(len(x.routes)), r.Intn(len(x.routes))
+		x.routes[i].Service, x.routes[k].Service = x.routes[k].Service, x.routes[i].Service
+		x.put(x.cap)
+	case "cap":
+		x.put(resources{CPU: []int{0, 30000, 60000, 120000}[r.Intn(4)]})
+	case "evacuate":
+		x.evacuate(zones[r.Intn(len(zones))])
+	case "drain":
+		go s.fleet.drain(name, 4*time.Second)
+	case "wave":
+		x.wave(names, r)
+	case "silent":
+		s.add("%d connections go silent", silenceAll())
+	case "lost":
+		s.setStore(0.35, false)
+		time.AfterFunc(4*time.Second, func() { s.setStore(0, false) })
+	case "down":
+		s.setStore(0, true)
+		time.AfterFunc(duration, func() { s.setStore(0, false) })
 	case "sick":
 		s.fleet.mu.Lock()
 		w := s.fleet.machines[name].worker
@@ -267,6 +330,12 @@
 	}
 }
 
+func (s *stage) setStore(lostShare float64, down bool) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.lostShare, s.store.down = lostShare, down
+}
+
 // crashSame crashes a worker that starts again under its id.
 func (f *fleet) crashSame(downtime time.Duration, name string) {
 	f.mu.Lock()
@@ -304,6 +373,9 @@
 
 // notDone returns a task of a job that has no end as done.
 func (s *stage) notDone(j *job) string {
+	s.fleet.mu.Lock()
+	s.fleet.step(time.Now())
+	s.fleet.mu.Unlock()
 	done := map[string]bool{}
 	for _, e := range s.fleet.eventsOf(j.id) {
 		if e.kind == "done" {
@@ -323,7 +395,7 @@
 }
 
 // judge checks the starts and ends of all tasks.
-func (s *stage) judge(jobs []*job) []string {
+func (s *stage) judge(jobs []*job, x *operator) []string {
 	var broken []string
 	for _, j := range jobs {
 		events := s.fleet.eventsOf(j.id)
@@ -344,6 +416,17 @@
 					broken = append(broken, fmt.Sprintf("TWICE: %s run %d on %s while run %d is on %s", e.task, e.run, e.worker, before.run, before.worker))
 				}
 				running[e.task] = e
+				if !x.sentTo[j.prefix][e.pool] {
+					broken = append(broken, fmt.Sprintf("ROUTE: %s starts on a worker of %s", e.task, e.pool))
+				}
+				if !e.draining.IsZero() && e.at.Sub(e.draining) > 2*time.Second {
+					broken = append(broken, fmt.Sprintf("DRAIN: %s starts %v after the worker drains", e.task, e.at.Sub(e.draining)))
+				}
+				for _, ev := range x.evacuations {
+					if ev.zone == e.zone && e.at.After(ev.from.Add(5*time.Second)) && e.at.Before(ev.until) {
+						broken = append(broken, fmt.Sprintf("EVAC: %s starts in %s %v after its evacuation", e.task, e.zone, e.at.Sub(ev.from)))
+					}
+				}
 				if d, ok := doneAt[e.task]; ok && !st.Lasts && noted[fmt.Sprintf("%s/%d/%s", d.task, d.run, d.worker)] {
 					broken = append(broken, fmt.Sprintf("TWICE: %s run %d on %s at %v after run %d was done at %v", e.task, e.run, e.worker, e.at.Sub(s.began), d.run, d.at.Sub(s.began)))
 				}
@@ -389,3 +472,61 @@
 	}
 	return broken
 }
+
+// operator changes the manifest, evacuates zones and orders waves of upkeep.
+type operator struct {
+	*stage
+	routes      []route
+	pools       []string
+	cap         resources
+	random      *rand.Rand
+	sentTo      map[string]map[string]bool // by prefix: services to which a manifest has sent the queue
+	evacuated   map[string]time.Time
+	evacuations []evacuation
+	waves       int
+}
+
+type evacuation struct {
+	zone        string
+	from, until time.Time
+}
+
+func (x *operator) put(limit resources) {
+	x.cap = limit
+	for _, r := range x.routes {
+		if x.sentTo[r.Prefix] == nil {
+			x.sentTo[r.Prefix] = map[string]bool{}
+		}
+		x.sentTo[r.Prefix][r.Service] = true
+	}
+	x.putManifest(x.routes, x.pools, []tenant{{Name: "painters", Keys: []string{"key-painters"}, Weight: 80, Cap: limit}})
+}
+
+// evacuate evacuates a zone, or takes it back.
+func (x *operator) evacuate(zone string) {
+	if from, ok := x.evacuated[zone]; ok {
+		x.store.remove("op", "evacuate/"+zone)
+		x.evacuations = append(x.evacuations, evacuation{zone, from, time.Now()})
+		delete(x.evacuated, zone)
+		x.add("%s is taken back", zone)
+		return
+	}
+	if len(x.evacuated) > 0 {
+		return
+	}
+	x.store.put("op", "evacuate/"+zone, map[string]any{})
+	x.evacuated[zone] = time.Now()
+	x.add("%s is evacuated", zone)
+}
+
+func (x *operator) wave(names []string, r *rand.Rand) {
+	x.waves++
+	var list []string
+	for _, name := range names {
+		if r.Intn(3) == 0 {
+			list = append(list, name)
+		}
+	}
+	x.store.put("op", fmt.Sprintf("wave/%d", x.waves), map[string]any{"wave": x.waves, "machines": list, "duration_s": 20, "cap": 2})
+	x.add("wave %d of %v", x.waves, list)
+}
--- a/review/stage-2/fleet.go
+++ b/review/stage-2/fleet.go
@@ -69,6 +69,7 @@
 	repetitions, intervalMS int
 	firstRunMS              int64
 	cancelledAt             time.Time // acknowledgement of the cancelling
+	statuses                []int     // of the attempts to hand it in
 	failShare               float64   // of the runs
 	cancelTried             bool      // with any answer
 	acceptedAt              time.Time // zero if it was not accepted
@@ -98,6 +99,8 @@
 	task       string
 	run        int
 	checkpoint string
+	pool, zone string    // of the worker
+	draining   time.Time // since when the worker drains; zero if it does not
 }
 
 type machine struct {
@@ -107,24 +110,26 @@
 	listener               net.Listener // open for good, so that the port stays this machine's
 	state                  string       // up, moving, upkeep, down
 	worker                 *worker
+	waves                  map[int]bool // whose upkeep has begun
 }
 
 // worker is one life of a machine.
 type worker struct {
-	machine  *machine
-	id       string
-	began    time.Time
-	server   *http.Server
-	listener *workerListener
-	dead     bool
-	sick     bool // fails all that it starts
-	fence    int64
-	lease    time.Duration // on the worker's clock
-	runs     map[string]*run
-	highest  map[string]int // by task: highest run that was stopped or has ended
-	ends     []runEnd
-	last     int64 // number of the newest end
-	changed  chan struct{}
+	machine       *machine
+	id            string
+	began         time.Time
+	server        *http.Server
+	listener      *workerListener
+	dead          bool
+	sick          bool      // fails all that it starts
+	drainingSince time.Time // zero if it does not drain
+	fence         int64
+	lease         time.Duration // on the worker's clock
+	runs          map[string]*run
+	highest       map[string]int // by task: highest run that was stopped or has ended
+	ends          []runEnd
+	last          int64 // number of the newest end
+	changed       chan struct{}
 }
 
 type run struct {
@@ -162,7 +167,7 @@
 func (f *fleet) addMachine(name, pool, zone, rack string, capacity resources) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := &machine{name: name, pool: pool, zone: zone, rack: rack, capacity: capacity, state: "up"}
+	m := &machine{waves: map[int]bool{}, name: name, pool: pool, zone: zone, rack: rack, capacity: capacity, state: "up"}
 	m.address, m.listener = listen(f.record)
 	f.machines[name] = m
 	go f.accept(m)
@@ -179,7 +184,7 @@
 		f.mu.Lock()
 		w := m.worker
 		f.mu.Unlock()
-		if w != nil && w.listener.pass(conn) {
+		if w != nil && w.listener.pass(newSilentConn(conn)) {
 			continue
 		}
 		_ = conn.(*net.TCPConn).SetLinger(0)
@@ -261,12 +266,23 @@
 			}
 			return
 		}
-		f.store.put("servers", w.id, map[string]any{"service": m.pool, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
-			"cold_remaining_ms": 0, "capacity": m.capacity, "labels": []string{"a", m.rack}, "machine": m.name, "born": w.born(), "clock_ms": w.clock().Milliseconds(), "seq": sequence})
+		f.store.put("servers", w.id, f.rowOf(w, sequence))
 		time.Sleep(heartbeat)
 	}
 }
 
+// rowOf returns what a worker reports of itself.
+func (f *fleet) rowOf(w *worker, sequence int) map[string]any {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, state, left := w.machine, "ready", 0
+	if !w.drainingSince.IsZero() {
+		state, left = "draining", 1000
+	}
+	return map[string]any{"service": m.pool, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": state, "drain_remaining_ms": left,
+		"cold_remaining_ms": 0, "capacity": m.capacity, "labels": []string{"a", m.rack}, "machine": m.name, "born": w.born(), "clock_ms": w.clock().Milliseconds(), "seq": sequence}
+}
+
 // name tells the lives of a worker apart that have the same id.
 func (w *worker) name() string { return fmt.Sprintf("%s/%d", w.id, w.began.UnixMilli()) }
 
@@ -281,7 +297,7 @@
 	}
 	m.worker, w.dead = nil, true
 	for task, r := range w.runs {
-		f.events = append(f.events, event{time.Now(), "lost", w.name(), task, r.number, ""})
+		f.events = append(f.events, event{at: time.Now(), kind: "lost", worker: w.name(), task: task, run: r.number})
 		f.leaveGang(r, task)
 	}
 	w.runs = map[string]*run{}
@@ -448,7 +464,7 @@
 		r.worksFrom = now.Add(restoreTime)
 	}
 	w.runs[o.Task] = r
-	f.events = append(f.events, event{now, "start", w.name(), o.Task, o.Run, o.Checkpoint})
+	f.events = append(f.events, event{at: now, kind: "start", worker: w.name(), task: o.Task, run: o.Run, checkpoint: o.Checkpoint, pool: w.machine.pool, zone: w.machine.zone, draining: w.drainingSince})
 	f.record.add("start  %s run %d on %s (%s) checkpoint %q", o.Task, o.Run, w.id, w.machine.pool, o.Checkpoint)
 	if w.sick {
 		f.end(w, o.Task, r, "failed")
@@ -555,7 +571,7 @@
 		saved = r.saved(now, how == "stopped")
 	}
 	w.ends = append(w.ends, runEnd{w.last, task, r.number, how, saved, false})
-	f.events = append(f.events, event{now, how, w.name(), task, r.number, saved})
+	f.events = append(f.events, event{at: now, kind: how, worker: w.name(), task: task, run: r.number, checkpoint: saved})
 	f.record.add("%-6s %s run %d on %s", how, task, r.number, w.id)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -654,7 +670,7 @@
 		if e.lapsed {
 			kind = "noted after lapse"
 		}
-		f.events = append(f.events, event{time.Now(), kind, w.name(), e.task, e.run, e.how})
+		f.events = append(f.events, event{at: time.Now(), kind: kind, worker: w.name(), task: e.task, run: e.run, checkpoint: e.how})
 	}
 	w.ends = kept
 	changed, listed := w.changed, len(w.ends) > 0
@@ -703,6 +719,7 @@
 		sort.Slice(list, func(i, k int) bool { return list[i]["machine"].(string) < list[k]["machine"].(string) })
 		answer(rw, http.StatusOK, map[string]any{"machines": list, "next_token": nil})
 	})
+	mux.HandleFunc("POST /v1/machine-upkeep", f.upkeep)
 	mux.HandleFunc("POST /v1/machine-move", func(rw http.ResponseWriter, r *http.Request) {
 		var o struct{ Machine, Pool string }
 		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -730,6 +747,61 @@
 	return mux
 }
 
+func (f *fleet) upkeep(rw http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Machine string
+		Wave    int
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		answer(rw, http.StatusBadRequest, map[string]any{"error": err.Error()})
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.machines[o.Machine]
+	switch {
+	case m == nil:
+		answer(rw, http.StatusBadRequest, map[string]any{"error": "no such machine"})
+	case m.waves[o.Wave]:
+		answer(rw, http.StatusOK, map[string]any{})
+	case m.state != "up":
+		answer(rw, http.StatusConflict, map[string]any{"reason": "busy"})
+	default:
+		f.record.add("machine %s begins its upkeep of wave %d", m.name, o.Wave)
+		f.endWorker(m)
+		m.state, m.waves[o.Wave] = "upkeep", true
+		go f.bringBack(m, upkeepTime)
+		answer(rw, http.StatusOK, map[string]any{})
+	}
+}
+
+// drain has a worker report that it drains, and leave after a time. Its machine starts a
+// new worker after a second.
+func (f *fleet) drain(name string, after time.Duration) {
+	f.mu.Lock()
+	m := f.machines[name]
+	w := m.worker
+	if w == nil || !w.drainingSince.IsZero() {
+		f.mu.Unlock()
+		return
+	}
+	w.drainingSince = time.Now()
+	f.record.add("worker %s on %s drains", w.id, name)
+	f.mu.Unlock()
+	f.store.put("servers", w.id, f.rowOf(w, 1<<20))
+	time.AfterFunc(after, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if m.worker != w {
+			return
+		}
+		f.endWorker(m)
+		f.store.remove("servers", w.id)
+		m.state = "down"
+		go f.bringBack(m, time.Second)
+	})
+}
+
 func (f *fleet) bringBack(m *machine, after time.Duration) {
 	time.Sleep(after)
 	f.mu.Lock()
--- a/review/stage-2/quota.go
+++ b/review/stage-2/quota.go
@@ -17,21 +17,20 @@
 	}
 }
 
-// quotaChange lowers the cap of a tenant in a manifest, and hands in a job that fits into
-// the new cap.
+// quotaChange gives a tenant a cap by a manifest, and hands in a job that fits into the cap.
 func quotaChange(s *stage) string {
-	const before, after = 48000, 16000
+	const newCap = 16000
 	worker := resources{CPU: 16000, Mem: 65536}
 	s.addPools(fivePools, 2, worker)
 	routes := []route{{Name: "quote", Prefix: "/quote/", TargetMS: 600, Service: "desk", MaxAttempts: 3, Stretch: 1.6}}
-	tenants := []tenant{{Name: "painters", Keys: []string{"key-painters"}, Weight: 80, Cap: resources{CPU: before}}}
+	tenants := []tenant{{Name: "painters", Keys: []string{"key-painters"}, Weight: 80}}
 	s.putManifest(routes, fivePools, tenants)
 	s.startEntries(3)
 	large := step{Count: 1, CPU: 12000, Mem: 4000, Est: 1000, workMS: 1000}
 	first := s.submit("/quote/", "key-painters", large)
 	s.need(!first.acceptedAt.IsZero() && s.await(first, 10*time.Second, "succeeded") == "succeeded", "the first job has not been done")
 	if s.trouble {
-		tenants[0].Cap.CPU = after
+		tenants[0].Cap.CPU = newCap
 		s.putManifest(routes, fivePools, tenants)
 	}
 	time.Sleep(10 * time.Second)
@@ -40,11 +39,7 @@
 	if state := s.await(j, 20*time.Second, "succeeded"); state == "succeeded" {
 		return ""
 	}
-	limit := resources{CPU: before}
-	if s.trouble {
-		limit.CPU = after
-	}
-	return s.idleWhileReady(j, large.need(), "desk", limit, 3*time.Second)
+	return s.idleWhileReady(j, large.need(), "desk", tenants[0].Cap, 3*time.Second)
 }
 
 // idleWhileReady watches a job whose task's turn has come, for a time in which the rule
--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -134,10 +134,76 @@
 
 func serve(r *record, handler http.Handler) string {
 	address, l := listen(r)
-	go func() { _ = http.Serve(l, handler) }()
+	go func() { _ = http.Serve(silencer{l}, handler) }()
 	return address
 }
 
+// silencer gives out connections that can go silent.
+type silencer struct{ net.Listener }
+
+func (l silencer) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newSilentConn(c), nil
+}
+
+// silentConn is a connection that may go silent for good, without a reset.
+type silentConn struct {
+	net.Conn
+	silent chan struct{}
+}
+
+var openConns struct {
+	sync.Mutex
+	list []*silentConn
+}
+
+func newSilentConn(c net.Conn) net.Conn {
+	s := &silentConn{c, make(chan struct{})}
+	openConns.Lock()
+	openConns.list = append(openConns.list, s)
+	openConns.Unlock()
+	return s
+}
+
+// silenceAll makes all open connections to the platform and to workers go silent.
+func silenceAll() int {
+	openConns.Lock()
+	defer openConns.Unlock()
+	n := len(openConns.list)
+	for _, c := range openConns.list {
+		close(c.silent)
+	}
+	openConns.list = nil
+	return n
+}
+
+func (c *silentConn) isSilent() bool {
+	select {
+	case <-c.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *silentConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.isSilent() {
+		select {} // nothing arrives any more
+	}
+	return n, err
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.isSilent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
 // newStage starts the platform's stand-ins.
 func newStage(folder, temporary string) *stage {
 	out, err := os.Create(filepath.Join(folder, "record.txt"))
@@ -345,6 +411,7 @@
 		}
 		status, text := s.call(http.MethodPost, j.prefix+j.id, j.key, body)
 		s.add("POST %s%s -> %d %s", j.prefix, j.id, status, text)
+		j.statuses = append(j.statuses, status)
 		if status/100 == 2 {
 			j.acceptedAt = time.Now()
 			return
--- a/review/stage-2/store.go
+++ b/review/stage-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand"
 	"net/http"
 	"sort"
 	"strconv"
@@ -15,12 +16,14 @@
 type tableStore struct {
 	began time.Time
 
-	mu      sync.Mutex
-	rows    map[rowKey]row
-	history []row
-	version int64
-	changed chan struct{}        // closed by the next transaction
-	idleAt  map[string]time.Time // by partition: when its last transaction ends
+	mu        sync.Mutex
+	rows      map[rowKey]row
+	history   []row
+	version   int64
+	changed   chan struct{}        // closed by the next transaction
+	idleAt    map[string]time.Time // by partition: when its last transaction ends
+	lostShare float64              // of the transactions, that are carried out late and not answered
+	down      bool                 // calls are answered 503
 }
 
 type rowKey struct {
@@ -151,6 +154,20 @@
 		answer(w, http.StatusBadRequest, map[string]any{"error": "several partitions, or too many entries"})
 		return
 	}
+	s.mu.Lock()
+	lost, down := rand.Float64() < s.lostShare, s.down
+	s.mu.Unlock()
+	if down {
+		answer(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
+	if lost {
+		go func() {
+			time.Sleep(time.Duration(1000+rand.Intn(5000)) * time.Millisecond)
+			s.apply(t)
+		}()
+		panic(http.ErrAbortHandler)
+	}
 	for partition := range partitions {
 		s.awaitTurn(partition)
 	}
@@ -163,6 +180,10 @@
 }
 
 func (s *tableStore) handleGet(w http.ResponseWriter, r *http.Request) {
+	if s.isDown() {
+		answer(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("limit"))
 	if err != nil || limit <= 0 || limit > maxPageRows {
@@ -195,6 +216,10 @@
 }
 
 func (s *tableStore) handleFeed(w http.ResponseWriter, r *http.Request) {
+	if s.isDown() {
+		answer(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	q := r.URL.Query()
 	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
 	waitMS, errWait := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
@@ -241,6 +266,12 @@
 	return rows, s.version, s.changed
 }
 
+func (s *tableStore) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func nonNil(rows []row) []row {
 	if rows == nil {
 		return []row{}
