--- a/review/stage-2/explore.go
+++ b/review/stage-2/explore.go
@@ -181,7 +181,7 @@
 }
 
 func randomJob(r *rand.Rand, pools []string) *job {
-	j := &job{id: newID(), prefix: "/" + pools[r.Intn(len(pools))], key: "key-painters", sentAt: time.Now()}
+	j := &job{id: newID(), prefix: "/" + pools[r.Intn(len(pools))], key: "key-painters"}
 	if r.Intn(6) == 0 {
 		j.prefix += "-advised"
 	}
--- a/review/stage-2/fleet.go
+++ b/review/stage-2/fleet.go
@@ -61,18 +61,18 @@
 
 func (s *step) need() resources { return resources{s.CPU, s.Mem, s.GPU} }
 
-// job is what a consumer has sent.
+// job is what a consumer has sent, and what became of it.
 type job struct {
 	id, prefix, key         string
 	steps                   []step
-	sentAt                  time.Time
 	repetitions, intervalMS int
 	firstRunMS              int64
-	cancelledAt             time.Time // acknowledgement of the cancelling
-	statuses                []int     // of the attempts to hand it in
-	failShare               float64   // of the runs
-	cancelTried             bool      // with any answer
-	acceptedAt              time.Time // zero if it was not accepted
+	failShare               float64 // of its runs that end as failed
+
+	acceptedAt  time.Time // zero if it was not accepted
+	statuses    []int     // of the attempts to hand it in
+	cancelTried bool
+	cancelledAt time.Time // acknowledgement of the cancelling; zero if there is none
 }
 
 // fleet is a stand-in of the platform's machines, of the workers on them and of the API
@@ -87,7 +87,7 @@
 	gangs     map[string]*gang
 	lives     int // workers started so far
 	events    []event
-	lateShare float64 // of orders that get no answer and are carried out late
+	lateShare float64 // of orders: they get no answer and are carried out late
 	random    *rand.Rand
 }
 
@@ -289,7 +289,7 @@
 func (w *worker) born() int64          { return w.began.UnixMilli() }
 func (w *worker) clock() time.Duration { return time.Since(w.began) }
 
-// end ends a worker at once, with all that runs on it. The caller holds mu.
+// endWorker ends a worker at once, with all that runs on it. The caller holds mu.
 func (f *fleet) endWorker(m *machine) {
 	w := m.worker
 	if w == nil {
@@ -840,7 +840,7 @@
 	return sum
 }
 
-// runs returns how many tasks of a job are on workers.
+// runsOf returns how many tasks of a job are on workers.
 func (f *fleet) runsOf(id string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/stage-2/stage.go
+++ b/review/stage-2/stage.go
@@ -397,7 +397,7 @@
 
 // submit hands a job in, and repeats that as a consumer does until it is accepted.
 func (s *stage) submit(prefix, key string, steps ...step) *job {
-	j := &job{id: newID(), prefix: prefix, key: key, steps: steps, sentAt: time.Now()}
+	j := &job{id: newID(), prefix: prefix, key: key, steps: steps}
 	s.fleet.addJob(j)
 	s.handIn(j)
 	return j
--- a/review/stage-2/store.go
+++ b/review/stage-2/store.go
@@ -22,7 +22,7 @@
 	version   int64
 	changed   chan struct{}        // closed by the next transaction
 	idleAt    map[string]time.Time // by partition: when its last transaction ends
-	lostShare float64              // of the transactions, that are carried out late and not answered
+	lostShare float64              // of the transactions: they are carried out late and not answered
 	down      bool                 // calls are answered 503
 }
 
@@ -64,7 +64,6 @@
 	defer s.mu.Unlock()
 	for _, c := range t.Conditions {
 		if s.rows[c.rowKey].Version != c.Version {
-			ok = false
 			for _, c := range t.Conditions {
 				if current, exists := s.rows[c.rowKey]; exists {
 					conflict = append(conflict, current)
