Find the jobs of a queue that has been opened

Callers saw: a job was accepted with the key of its workspace; the queue was opened by a new version of the declarations, and every GET and DELETE for the job was answered 410 from then on, at every entry.

Cause: callerJob and locate compared the workspace that the job was accepted for with that of the call. A call on an open queue has none.

Change: Caller.mayAccess is the one place that decides whether a caller may see a job. The job keeps its workspace; whether the queue is open follows the newest declarations. Where the workspaces differ, the location (or the request of a job without one) proves that the job was accepted at this queue, so that an open queue does not show jobs of another queue with the same id. job_hidden logs which row refused, with both workspaces and the version.

--- a/node/api.go
+++ b/node/api.go
@@ -136,22 +136,37 @@
 	return err
 }
 
-// locate returns the pool that holds a caller's job, and the job's state. The error is
-// ErrNoJob if no pool holds it, or *NotRunError if a read failed.
+// owns reports whether a job that was accepted for a workspace belongs to the caller. A job
+// that was accepted without a key has no workspace, and belongs to every caller of its queue.
+func (c *Caller) owns(workspace string) bool { return workspace == "" || workspace == c.Workspace }
+
+// mayAccess reports whether the caller may see and cancel a job of its queue that was accepted
+// for a workspace. The job keeps its workspace; whether the queue is open follows the newest
+// declarations.
+func (c *Caller) mayAccess(workspace string) bool { return c.Queue.Open || c.owns(workspace) }
+
+// locate returns the pool that holds a job of the caller's queue, and the job's state. The
+// error is ErrNoJob if no pool holds it, or *NotRunError if a read failed. A job of another
+// workspace is found too; see mayAccess.
 func (n *Node) locate(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
 	q := c.Queue
 	// The progress in the queue's current pool answers most requests with one read.
 	state, err := n.recordedState(ctx, q.Pool, id)
-	if !errors.Is(err, ErrNoJob) && (err != nil || state.Workspace == "" || state.Workspace == c.Workspace) {
+	recorded := err == nil
+	if !recorded && !errors.Is(err, ErrNoJob) || recorded && c.owns(state.Workspace) {
 		return q.Pool, state, err
 	}
+	// A recorded job of another workspace may be one of another queue with the same id.
 	location, err := readDecoded(ctx, n, tables.LocationKey(q.Host, q.Prefix, id), job.DecodeLocation)
 	if errors.Is(err, ErrNoJob) {
-		return n.locateByProgress(ctx, id, q)
+		return n.locateByProgress(ctx, c, id)
 	}
 	if err != nil {
 		return "", job.StateView{}, err
 	}
+	if location.Pool == q.Pool && recorded {
+		return q.Pool, state, nil
+	}
 	if location.Pool != q.Pool {
 		state, err := n.recordedState(ctx, location.Pool, id)
 		if !errors.Is(err, ErrNoJob) {
@@ -162,22 +177,52 @@
 	return location.Pool, job.StateView{State: job.Queued, Workspace: location.Workspace}, nil
 }
 
-// locateByProgress searches the other pools for a job without a location, which an
-// earlier build has accepted. Its results are those of locate.
-func (n *Node) locateByProgress(ctx context.Context, id string, q *catalog.Queue) (string, job.StateView, error) {
+// locateByProgress searches all pools for a job without a location, which an earlier build
+// has accepted. Its results are those of locate.
+func (n *Node) locateByProgress(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
 	view, _ := n.operator.Get()
 	for _, pool := range view.Catalog.PoolNames() {
-		if pool == q.Pool {
+		state, err := n.recordedState(ctx, pool, id)
+		if errors.Is(err, ErrNoJob) {
 			continue
 		}
-		state, err := n.recordedState(ctx, pool, id)
-		if !errors.Is(err, ErrNoJob) {
+		if err != nil || c.owns(state.Workspace) {
+			return pool, state, err
+		}
+		if !c.Queue.Open {
+			n.logHidden(c, id, "progress", pool, state.Workspace)
+			continue
+		}
+		// The progress does not name the queue, which may be another one.
+		accepted, err := n.acceptedAt(ctx, c.Queue, pool, id)
+		if err != nil || accepted {
 			return pool, state, err
 		}
 	}
 	return "", job.StateView{}, ErrNoJob
 }
 
+// acceptedAt reports whether an earlier build has accepted the job with the given id in a
+// pool at the given queue. The error is *NotRunError if a read failed.
+func (n *Node) acceptedAt(ctx context.Context, q *catalog.Queue, pool, id string) (bool, error) {
+	for _, key := range tables.UnlocatedJobKeys(pool, id) {
+		spec, err := readDecoded(ctx, n, key, job.DecodeSpec)
+		if errors.Is(err, ErrNoJob) {
+			continue
+		}
+		return err == nil && spec.Queue == q.Name, err
+	}
+	return false, nil
+}
+
+// logHidden logs that a job is not shown to a caller of another workspace. source is the
+// row that names the job's workspace.
+func (n *Node) logHidden(c Caller, id, source, pool, workspace string) {
+	n.log.Info("job_hidden", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.Bool("open", c.Queue.Open), zap.String("pool", pool),
+		zap.String("row", source), zap.String("job_workspace", workspace), zap.String("caller_workspace", c.Workspace),
+		zap.Int64("catalog_version", c.CatalogVersion), zap.Duration("view_age", c.ViewAge))
+}
+
 // recordedState returns the state of a job as the owner of a pool has recorded it. The
 // errors are those of locate.
 func (n *Node) recordedState(ctx context.Context, pool, id string) (job.StateView, error) {
@@ -201,8 +246,8 @@
 	return decoded, nil
 }
 
-// callerJob returns the pool that holds a job, and the job's state. Jobs of
-// other workspaces are not found.
+// callerJob returns the pool that holds a job, and the job's state. Jobs that the caller may
+// not access are not found.
 func (n *Node) callerJob(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
@@ -210,7 +255,8 @@
 	if err != nil {
 		return "", job.StateView{}, err
 	}
-	if view.Workspace != "" && view.Workspace != c.Workspace {
+	if !c.mayAccess(view.Workspace) {
+		n.logHidden(c, id, "location", pool, view.Workspace)
 		return "", view, ErrNoJob
 	}
 	return pool, view, nil
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -120,6 +120,16 @@
 	return store.Key{Table: Requests(pool), Partition: jobPartition(id), Name: requestPrefix(pool) + id}
 }
 
+// UnlocatedJobKeys returns the keys under which builds that stored no location of a job may
+// have stored the job.
+func UnlocatedJobKeys(pool, id string) []store.Key {
+	var keys []store.Key
+	for _, partition := range legacyRequestPartitions(pool) {
+		keys = append(keys, store.Key{Table: Requests(pool), Partition: partition, Name: id})
+	}
+	return keys
+}
+
 // CancelKey returns the key of the row that cancels a job. It is in the partition of
 // the job.
 func CancelKey(pool, id string) store.Key {
