Refuse a submission whose id belongs to another workspace's job

Callers saw: on a queue that is not open, a submission with the id of a job of another workspace was answered 200, and each GET for it 410 (LOST).

Cause: a submission whose rows exist was answered as stored without a look at the workspace of the stored job.

Evidence: TestSubmissionOfAnotherWorkspacesIDIsRefused failed before: answered with success.

Change: the location that the conflict returns is compared by mayAccess, as for GET and DELETE, at no further call. Repetitions by the same workspace, also with a new key, and on an open queue are answered 200 as before.

--- a/node/access_test.go
+++ b/node/access_test.go
@@ -212,3 +212,23 @@
 		}
 	}
 }
+// Guards against a workspace that is told that its job is accepted, and then that no such
+// job exists: the id belongs to a job of another workspace.
+func TestSubmissionOfAnotherWorkspacesIDIsRefused(t *testing.T) {
+	a := newAccessTest(t)
+	if err := a.submit(accessPath, "one"); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.submit(accessPath, "two"); !errors.Is(err, ErrIDInUse) {
+		t.Errorf("submission of workspace two: %v, want %v", err, ErrIDInUse)
+	}
+	if err := a.submit(accessPath, "one"); err != nil {
+		t.Errorf("repeated submission of workspace one: %v", err)
+	}
+	a.keys["one"] = "key-one-replaced"
+	a.expect("key replaced", accessPath, "one", true)
+	if err := a.submit(accessPath, "one"); err != nil {
+		t.Errorf("repeated submission with another key of workspace one: %v", err)
+	}
+}
+
--- a/node/api.go
+++ b/node/api.go
@@ -50,6 +50,9 @@
 	ErrNoQueue = errors.New("no such queue")
 	// ErrNoJob means that no such job exists.
 	ErrNoJob = errors.New("no such job")
+	// ErrIDInUse means that the job was not stored and never runs: its id belongs to a job
+	// that the caller may not access.
+	ErrIDInUse = errors.New("id is in use by another job")
 	// ErrTooLarge means that the description of a job is too large to be stored.
 	ErrTooLarge = errors.New("job description is too large")
 	// ErrUnauthorized means that the key is not in force.
@@ -112,8 +115,8 @@
 const defaultBodyBytes = 256 << 10
 
 // Submit stores a job. It returns nil once the job is stored, also if it was
-// stored before; *NotRunError if this request will certainly not store it; ErrTooLarge;
-// or ErrUnconfirmed.
+// stored before; *NotRunError if this request will certainly not store it; ErrIDInUse;
+// ErrTooLarge; or ErrUnconfirmed.
 func (n *Node) Submit(ctx context.Context, c Caller, spec *job.Spec) error {
 	began := n.clock.Now()
 	spec.Queue = c.Queue.Name
@@ -128,7 +131,7 @@
 		n.log.Info("submit", zap.String("job", spec.ID), zap.String("queue", c.Queue.Name), zap.String("outcome", ErrTooLarge.Error()), zap.Error(err))
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	}
-	err = n.storeRequest(ctx, txn)
+	err = n.storeRequest(ctx, txn, func(row store.Row) error { return n.answerKnown(c, spec.ID, row) })
 	took := n.clock.Now().Steady - began.Steady
 	n.metrics.observe(metricSubmit, c.Queue.Name, took)
 	n.log.Info("submit", zap.String("job", spec.ID), zap.String("queue", c.Queue.Name), zap.String("pool", c.Queue.Pool),
@@ -291,9 +294,27 @@
 	}, nil
 }
 
+// answerKnown returns the answer to a submission whose id is stored, given the first of the
+// job's rows that exists.
+func (n *Node) answerKnown(c Caller, id string, row store.Row) error {
+	if row.Table != tables.Jobs {
+		return nil
+	}
+	location, err := job.DecodeLocation(row.Value)
+	if err != nil {
+		n.log.Error("location_row_unreadable", zap.String("job", id), zap.Error(err))
+		return ErrUnconfirmed
+	}
+	if !c.mayAccess(location.Workspace) {
+		n.logHidden(c, id, "location", location.Pool, location.Workspace)
+		return ErrIDInUse
+	}
+	return nil
+}
+
 // storeRequest stores a caller's request in the partition of its condition. Its
 // results are those of writeBatcher.submit.
-func (n *Node) storeRequest(ctx context.Context, txn store.Txn) error {
+func (n *Node) storeRequest(ctx context.Context, txn store.Txn, answerKnown func(store.Row) error) error {
 	partition := txn.Conditions[0].Key.Partition
 	n.mu.Lock()
 	b := n.batchers[partition]
@@ -302,7 +323,7 @@
 		n.batchers[partition] = b
 	}
 	n.mu.Unlock()
-	return b.submit(ctx, txn)
+	return b.submit(ctx, txn, answerKnown)
 }
 
 func outcomeOf(err error) string {
@@ -351,7 +372,7 @@
 	return n.storeRequest(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: tables.CancelKey(pool, id)}},
 		Puts:       []store.Put{{Key: tables.CancelKey(pool, id), Value: []byte{1}}},
-	})
+	}, nil)
 }
 
 // Waiting returns how many jobs of a queue have not started any task. The error
--- a/node/writes.go
+++ b/node/writes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +22,11 @@
 // exist yet.
 type pendingWrite struct {
 	txn  store.Txn
-	done chan error // buffered; receives nil once the rows exist
+	done chan error // buffered; receives the answer
+
+	// answerKnown returns the answer if one of the rows exists already, given the first of
+	// them; nil if the answer is then the same as after a write.
+	answerKnown func(store.Row) error
 
 	inFlight    bool // a try is under way
 	unconfirmed bool // a try had no certain outcome and may take effect later
@@ -52,11 +55,11 @@
 }
 
 // submit stores a request. It returns nil once its rows exist, *NotRunError if
-// they were certainly not written, or ErrUnconfirmed.
-func (b *writeBatcher) submit(ctx context.Context, txn store.Txn) error {
+// they were certainly not written, ErrUnconfirmed, or an error of answerKnown.
+func (b *writeBatcher) submit(ctx context.Context, txn store.Txn, answerKnown func(store.Row) error) error {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	w := &pendingWrite{txn: txn, done: make(chan error, 1)}
+	w := &pendingWrite{txn: txn, done: make(chan error, 1), answerKnown: answerKnown}
 	b.mu.Lock()
 	b.pending = append(b.pending, w)
 	if !b.running {
@@ -166,15 +169,29 @@
 func answerExisting(batch []*pendingWrite, conflict *store.ConflictError) []*pendingWrite {
 	var rest []*pendingWrite
 	for _, w := range batch {
-		if slices.ContainsFunc(w.txn.Conditions, func(c store.Condition) bool { _, exists := conflict.Find(c.Key); return exists }) {
+		row, exists := w.existing(conflict)
+		switch {
+		case !exists:
+			rest = append(rest, w)
+		case w.answerKnown == nil:
 			w.done <- nil
-			continue
+		default:
+			w.done <- w.answerKnown(row)
 		}
-		rest = append(rest, w)
 	}
 	return rest
 }
 
+// existing returns the first row of a request that exists.
+func (w *pendingWrite) existing(conflict *store.ConflictError) (store.Row, bool) {
+	for _, c := range w.txn.Conditions {
+		if row, exists := conflict.Find(c.Key); exists {
+			return row, true
+		}
+	}
+	return store.Row{}, false
+}
+
 func answerAll(batch []*pendingWrite, err error) {
 	for _, w := range batch {
 		w.done <- err
--- a/node/writes_test.go
+++ b/node/writes_test.go
@@ -63,7 +63,7 @@
 	var wg sync.WaitGroup
 	for i := range 60 {
 		wg.Go(func() {
-			if err := b.submit(t.Context(), jobTxn(i)); err != nil {
+			if err := b.submit(t.Context(), jobTxn(i), nil); err != nil {
 				t.Errorf("job %d: %v", i, err)
 			}
 		})
@@ -78,13 +78,13 @@
 // transaction.
 func TestRepeatedIDDoesNotFailOthers(t *testing.T) {
 	b, _ := newBatcher(20 * time.Millisecond)
-	if err := b.submit(t.Context(), jobTxn(1)); err != nil {
+	if err := b.submit(t.Context(), jobTxn(1), nil); err != nil {
 		t.Fatal(err)
 	}
 	var wg sync.WaitGroup
 	for i := range 4 {
 		wg.Go(func() {
-			if err := b.submit(t.Context(), jobTxn(i)); err != nil {
+			if err := b.submit(t.Context(), jobTxn(i), nil); err != nil {
 				t.Errorf("job %d: %v", i, err)
 			}
 		})
@@ -100,7 +100,7 @@
 		store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable)
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
-	if err := b.submit(ctx, jobTxn(1)); !errors.Is(err, ErrUnconfirmed) {
+	if err := b.submit(ctx, jobTxn(1), nil); !errors.Is(err, ErrUnconfirmed) {
 		t.Fatalf("%v, want an unconfirmed outcome", err)
 	}
 }
@@ -111,7 +111,7 @@
 	b, _ := newBatcher(0, store.ErrUnavailable)
 	began := time.Now()
 	var notRun *NotRunError
-	if err := b.submit(t.Context(), jobTxn(1)); !errors.As(err, &notRun) || notRun.RetryAfter <= 0 {
+	if err := b.submit(t.Context(), jobTxn(1), nil); !errors.As(err, &notRun) || notRun.RetryAfter <= 0 {
 		t.Fatalf("%v, want a refusal with a time to try again", err)
 	}
 	if time.Since(began) > submitTimeout/2 {
@@ -125,7 +125,7 @@
 	mem, s := newTestStore()
 	mem.LoseAnswers(1)
 	b := &writeBatcher{store: s}
-	if err := b.submit(t.Context(), jobTxn(1)); err != nil {
+	if err := b.submit(t.Context(), jobTxn(1), nil); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -134,7 +134,7 @@
 // another try.
 func TestBusyStoreIsRetried(t *testing.T) {
 	b, _ := newBatcher(0, store.ErrBusy)
-	if err := b.submit(t.Context(), jobTxn(1)); err != nil {
+	if err := b.submit(t.Context(), jobTxn(1), nil); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -151,7 +151,7 @@
 			if i == 7 {
 				txn.Puts[0].Value = make([]byte, 64<<10+1)
 			}
-			err := b.submit(t.Context(), txn)
+			err := b.submit(t.Context(), txn, nil)
 			var notRun *NotRunError
 			if i == 7 && !errors.As(err, &notRun) {
 				t.Errorf("request with a row that is too large: %v, want *NotRunError", err)
