Let pools claim cap shares that others do not use

Cause: half of a cap was divided evenly among the pools and never given back, so that one of n pools reached (n + 1) / 2n of it. Pools that each hold a part and wait for more than the rest wait for each other for good.

Evidence: TestTaskThatFitsTheCapRuns and TestPoolsThatWaitForEachOthersShares play several pools' owners with one row; with claims removed they fail for 2, 5 and 25 pools and for processors, memory and accelerators.

Change: decisions on shares are a package without I/O (sched/capshare). A pool whose first task or gang waits for nothing but a share claims it in the row. The others give back what they do not use and take nothing that the first claim lacks; a claim without progress for 1 s goes behind the others. The scheduler reports such a wait only if its VMs have room. cap_share_wait logs need, share, cap, first claim and holders.

The sum stays within the cap: a new owner does not rely on a row that a late write of the last owner may change, a pool covers what its runs hold, and no task starts while a declared pool has not joined.

Stored rows: a share has one field more, which earlier builds drop; the golden file of encodings is written again for it. Tests of the decisions moved from node to sched/capshare with the same checks; they call Holder.Next in place of capShares.nextShare.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,6 +49,17 @@
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
 }
 
+// CountIn returns how many times r fits into free, at most limit.
+func (r Resources) CountIn(free Resources, limit int) int {
+	n := int64(limit)
+	for _, amount := range [][2]int64{{r.MilliCPU, free.MilliCPU}, {r.MemoryMB, free.MemoryMB}, {r.Accelerators, free.Accelerators}} {
+		if need, free := amount[0], amount[1]; need > 0 {
+			n = min(n, max(0, free)/need)
+		}
+	}
+	return int(n)
+}
+
 // VMState is the state of a VM according to the platform.
 type VMState string
 
--- a/node/access_test.go
+++ b/node/access_test.go
@@ -212,6 +212,7 @@
 		}
 	}
 }
+
 // Guards against a workspace that is told that its job is accepted, and then that no such
 // job exists: the id belongs to a job of another workspace.
 func TestSubmissionOfAnotherWorkspacesIDIsRefused(t *testing.T) {
@@ -231,4 +232,3 @@
 		t.Errorf("repeated submission with another key of workspace one: %v", err)
 	}
 }
-
--- a/node/encodings_test.go
+++ b/node/encodings_test.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"amaranthfork.example/fleet/fleettest"
+	"amaranthfork.example/sched/capshare"
 )
 
 // Guards against a renamed, moved or retyped field that changes a stored row or a
@@ -17,6 +18,6 @@
 		"cordon":        new(cordonRow),
 		"wave":          new(waveRow),
 		"recent orders": new(recentOrdersRow),
-		"caps":          new(capRow),
+		"caps":          new(capshare.Division),
 	}, cbor.Marshal, cbor.Unmarshal)
 }
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -288,7 +288,7 @@
 	if r.movedQueues.due(now.Steady) {
 		r.movedQueues.publish(ctx, r.pool.WaitingElsewhere())
 	}
-	r.caps.requestShares(ctx, r.pool.Demand(), now.Steady)
+	r.caps.requestShares(ctx, r.pool, now.Steady)
 	r.dispatch(ctx, r.pool.Commands())
 	if batch.Empty() && now.Steady-r.lastCommitSentAt < ownerRenewInterval {
 		return r.pool.NextDue(maxCycleInterval)
--- a/node/recover_test.go
+++ b/node/recover_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"amaranthfork.example/sched/capshare"
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/pool"
 	"amaranthfork.example/sched/store"
@@ -63,7 +64,7 @@
 // else. Each decoder returns an error for what it does not understand.
 func FuzzStoredRows(f *testing.F) {
 	for _, value := range []any{ownerRow{Node: "a", Epoch: 1}, Member{Node: "a", Pools: []string{"p"}}, cordonRow{VM: "i-1", Pool: "p"},
-		waveRow{BeganMS: 1, Done: []string{"m"}}, recentOrdersRow{"m": 5}, capRow{}, job.Progress{Workspace: "w"}, job.QueueStatus{Waiting: 3}} {
+		waveRow{BeganMS: 1, Done: []string{"m"}}, recentOrdersRow{"m": 5}, capshare.Division{}, job.Progress{Workspace: "w"}, job.QueueStatus{Waiting: 3}} {
 		b, err := cbor.Marshal(value)
 		if err != nil {
 			f.Fatal(err)
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -175,6 +175,27 @@
 	return best
 }
 
+// roomFor reports whether the VMs have room for a number of tasks like t.
+func (p *Pool) roomFor(t *task, count int, reserved map[*vm]bool) bool {
+	need, perVM := t.room(), t.spec().MaxPerVM
+	if p.candidates.lacksRoom(need) {
+		return false
+	}
+	for _, v := range p.candidates.usable {
+		if !need.Fits(v.free()) || reserved[v] || !p.allowed(t, v) {
+			continue
+		}
+		n := need.CountIn(v.free(), count)
+		if perVM > 0 {
+			n = min(n, perVM-t.siblingsOn(v))
+		}
+		if count -= n; count <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Weights of the criteria of the placement score. Most criteria give 0 to 1; the
 // weights order them so that, for example, data location outweighs balance.
 const (
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/capshare"
 	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/job"
 )
@@ -44,6 +45,7 @@
 	p.findCandidates()
 	p.collectReady()
 	p.demand = p.workspaceDemand(p.ready.steps)
+	clear(p.capWaits)
 	reserved := map[*vm]bool{}
 	for _, i := range p.ready.sorted() {
 		p.placeStep(&p.ready.steps[i], reserved)
@@ -348,15 +350,25 @@
 		return false
 	}
 	after := p.usage[workspace].Add(need)
-	return withinCapShare(after.MilliCPU, share.limit.MilliCPU, limit.MilliCPU) &&
-		withinCapShare(after.MemoryMB, share.limit.MemoryMB, limit.MemoryMB) &&
-		withinCapShare(after.Accelerators, share.limit.Accelerators, limit.Accelerators)
+	return !capshare.ExceedsShare(after, share.limit, limit)
 }
 
-// withinCapShare compares the amount of one resource with the cap share. A cap
-// (limit) of 0 is no limit.
-func withinCapShare(amount, share, limit int64) bool {
-	return limit == 0 || amount <= share
+// noteCapWait records that a task, or all tasks of a gang, of a step wait for a share of their
+// workspace's cap. The first in the order of placement counts for which the VMs have room, and
+// the cap itself beside the workspace's runs in this pool.
+func (p *Pool) noteCapWait(r *readyStep, need fleet.Resources, reserved map[*vm]bool) {
+	workspace := r.job.spec.Workspace
+	limit, _ := p.catalog.capOf(workspace)
+	if _, known := p.capWaits[workspace]; known || capshare.ExceedsCap(p.usage[workspace].Add(need), limit) {
+		return
+	}
+	count := 1
+	if r.job.spec.Steps[r.step].Gang {
+		count = len(r.tasks)
+	}
+	if p.roomFor(r.tasks[0], count, reserved) {
+		p.capWaits[workspace] = need
+	}
 }
 
 // placeStep places tasks of a step until one finds no VM or exceeds the cap share.
@@ -369,6 +381,7 @@
 	}
 	for i, t := range r.tasks {
 		if !p.withinCap(r.job.spec.Workspace, spec.Need) {
+			p.noteCapWait(r, spec.Need, reserved)
 			return
 		}
 		v := p.choose(t, reserved)
@@ -415,6 +428,7 @@
 	}
 	all := fleet.Resources{MilliCPU: spec.Need.MilliCPU * int64(spec.Count), MemoryMB: spec.Need.MemoryMB * int64(spec.Count), Accelerators: spec.Need.Accelerators * int64(spec.Count)}
 	if !p.withinCap(r.job.spec.Workspace, all) {
+		p.noteCapWait(r, all, reserved)
 		return
 	}
 	run := 0
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/capshare"
 	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/store"
@@ -58,7 +59,8 @@
 	needsAnotherVM       bool                       // a long-running task finds no VM, or none to move to
 	publishedCoreSeconds float64                    // acceptedCoreSeconds at the last load report
 	acceptedCoreSeconds  float64                    // work accepted since takeover
-	demand               map[string]fleet.Resources // by workspace with a cap
+	demand               map[string]fleet.Resources // by workspace with a cap: what its runs and ready tasks need
+	capWaits             map[string]fleet.Resources // by workspace: need of the first task or gang that waits for nothing but a cap share
 	lostRuns             []lostRun                  // runs that were given up on VMs that may have crashed
 	stats                Stats
 	deposed              bool
@@ -81,7 +83,7 @@
 		runTimes:         map[string]*runTimeModel{},
 		jobShares:        map[string]*tokenBucket{},
 		publishedWaiting: map[string]int{}, queuePublishedAt: map[string]time.Duration{},
-		demand: map[string]fleet.Resources{}, storedLeaseBounds: map[string]bool{}, heldBack: map[item]bool{},
+		demand: map[string]fleet.Resources{}, capWaits: map[string]fleet.Resources{}, storedLeaseBounds: map[string]bool{}, heldBack: map[item]bool{},
 	}
 }
 
@@ -132,12 +134,11 @@
 	p.capShares[workspace] = capShare{limit, blocked}
 }
 
-// Demand returns, for each workspace with a cap, the resources that its running
-// and ready tasks need.
-func (p *Pool) Demand() map[string]fleet.Resources { return p.demand }
-
-// Used returns the resources that the runs of a workspace hold.
-func (p *Pool) Used(workspace string) fleet.Resources { return p.usage[workspace] }
+// CapWork returns what the runs and the waiting tasks of a workspace with a cap ask for,
+// since the last Cycle.
+func (p *Pool) CapWork(workspace string) capshare.Work {
+	return capshare.Work{Used: p.usage[workspace], Need: p.demand[workspace], Unit: p.capWaits[workspace]}
+}
 
 // Cordon asks for one incarnation of a machine to be emptied.
 type Cordon struct {
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -697,7 +697,7 @@
 	if h.starts != 3 {
 		t.Fatal("started although all pools together exceed the cap")
 	}
-	if got := h.scheduler.Demand()["ws"].MilliCPU; got != 8000 {
+	if got := h.scheduler.CapWork("ws").Need.MilliCPU; got != 8000 {
 		t.Fatalf("demand is %d milli-CPU, want 8000", got)
 	}
 }
