Count a failed run of a gang once

Cause: each member that ended as failed in a run added a failure to the gang.

Change: the members of a gang share one attempts, which counts a run number once, wherever and whenever the members' ends are listed. The newest counted run is stored, so that a later owner does not count it again. A VM is blamed, and Stats.Failed counted, once for each run. All members avoid the VMs on which a run of the gang has failed; before, each avoided only those of its own failures and another member was placed there.

A gang that fails max_attempts runs still fails its job after exactly so many.

--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -69,6 +69,15 @@
 	Likely     int      // of which the task is the likely cause
 }
 
+// GangFailure is the stored newest run of a gang that has ended as failed. Several members
+// may list it, each once.
+type GangFailure struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int      // number of the occurrence
+	Task       int      // position of the gang's first member in the occurrence, which counts the failed runs
+	Run        int
+}
+
 // Progress is the stored progress of a job. Occurrences that are not due yet are
 // absent; those numbered below FirstOpen are complete.
 type Progress struct {
@@ -84,6 +93,8 @@
 	// FirstOpen to before it are open.
 	NextOpen int `cbor:"7,keyasint,omitempty"`
 
+	GangFailures []GangFailure `cbor:"8,keyasint,omitempty"` // of gangs that are not done; earlier builds do not write it
+
 	Parts map[int]*ProgressPart `cbor:"-"` // the stored parts, by number; newer than Occurrences
 }
 
@@ -92,6 +103,8 @@
 type ProgressPart struct {
 	Ranges  []TaskRange   `cbor:"1,keyasint"`
 	Crashes []TaskCrashes `cbor:"2,keyasint,omitempty"` // of these tasks
+
+	GangFailures []GangFailure `cbor:"3,keyasint,omitempty"` // of the gangs whose first members are among these tasks
 }
 
 // TaskRange is the stored progress of successive tasks of one occurrence.
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -122,12 +122,15 @@
 	if e.Checkpoint != "" {
 		p.setCheckpoint(t, e.Checkpoint)
 	}
-	p.recordOutcome(t, v, e.Cause)
+	counted := e.Cause != EndFailed || t.attempts.failed(t.run, v.ID)
+	if counted {
+		p.recordOutcome(t, v, e.Cause)
+	}
 	switch e.Cause {
 	case EndDone:
 		p.taskDone(t)
 	case EndFailed:
-		p.taskFailed(t, v)
+		p.taskFailed(t, counted)
 	default:
 		p.endRun(t, waiting)
 	}
@@ -190,26 +193,21 @@
 	}
 }
 
-func (p *Pool) taskFailed(t *task, v *vm) {
+// taskFailed handles the end of the newest run of t as failed. counted tells that it is
+// the first end of the run, or of the run of t's gang, that is listed as failed.
+func (p *Pool) taskFailed(t *task, counted bool) {
 	j := t.occ.job
-	if t.failedOn == nil {
-		t.failedOn = map[string]bool{}
+	p.endRun(t, waiting)
+	if !counted {
+		return
 	}
-	t.failedOn[v.ID] = true
 	p.stats.Failed++
 	if t.spec().LongRunning {
-		p.endRun(t, waiting)
 		return
 	}
-	counted := t
-	if t.spec().Gang {
-		counted = t.occ.tasks[t.step][0] // the first member counts for the whole gang
-	}
-	counted.failures++
-	counted.markDirty()
-	p.endRun(t, waiting)
+	t.leader().markDirty()
 	q := p.queueOf(j)
-	if q != nil && q.MaxAttempts > 0 && counted.failures >= q.MaxAttempts && !j.state.Final() {
+	if q != nil && q.MaxAttempts > 0 && t.attempts.failures >= q.MaxAttempts && !j.state.Final() {
 		p.finish(j, job.Failed, "task "+t.name+" has used up its attempts")
 	}
 }
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -49,8 +49,8 @@
 // its listed state is no longer trusted: two renewal periods and a margin.
 const maxAnswerAge = 2200 * time.Millisecond
 
-// allowed reports whether the rules of t's step permit a run on v, and no run of t
-// has failed there within failedVMAvoidance.
+// allowed reports whether the rules of t's step permit a run on v, and no run of t, or of its
+// gang, has failed there within failedVMAvoidance.
 func (p *Pool) allowed(t *task, v *vm) bool {
 	spec := t.spec()
 	if spec.Label != "" && !v.hasLabel(spec.Label) {
@@ -59,7 +59,7 @@
 	if spec.MaxPerVM > 0 && t.siblingsOn(v) >= spec.MaxPerVM {
 		return false
 	}
-	return !t.failedOn[v.ID] || p.now.Steady-t.lastRunEnd > failedVMAvoidance
+	return !t.attempts.failedOn[v.ID] || p.now.Steady-t.lastRunEnd > failedVMAvoidance
 }
 
 // failedVMAvoidance is how long a task stays away from VMs on which it has
@@ -243,7 +243,7 @@
 	if t.likelyCrasher() {
 		score -= weightCrash * float64(len(v.tasks))
 	}
-	if t.failedOn[v.ID] {
+	if t.attempts.failedOn[v.ID] {
 		score -= weightFailed
 	}
 	score -= weightHealth * v.health.failureScore()
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -156,8 +156,12 @@
 	position := 0
 	for s := range j.spec.Steps {
 		tasks := make([]*task, j.spec.Steps[s].Count)
+		counted := make([]attempts, len(tasks))
+		if j.spec.Steps[s].Gang {
+			counted = make([]attempts, 1)
+		}
 		for i := range tasks {
-			tasks[i] = &task{occ: o, step: s, index: i, position: position, name: TaskName(j.spec.ID, number, s, i), throttlePercent: 100}
+			tasks[i] = &task{occ: o, step: s, index: i, position: position, attempts: &counted[min(i, len(counted)-1)], name: TaskName(j.spec.ID, number, s, i), throttlePercent: 100}
 			position++
 		}
 		o.tasks = append(o.tasks, tasks)
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -138,7 +138,7 @@
 
 // untouched reports whether the stored state of t is that of a task without a row.
 func (t *task) untouched() bool {
-	return t.phase == waiting && t.run == 0 && t.failures == 0 && t.crashes == 0 && t.checkpoint == ""
+	return t.phase == waiting && t.run == 0 && t.attempts.failures == 0 && t.crashes == 0 && t.checkpoint == ""
 }
 
 // addParts adds the changed parts of a job, and then its row without tasks, while there is
@@ -245,6 +245,9 @@
 		if c, ok := t.storedCrashes(); ok {
 			part.Crashes = append(part.Crashes, c)
 		}
+		if f, ok := t.storedGangFailure(); ok {
+			part.GangFailures = append(part.GangFailures, f)
+		}
 	}
 	value, err := job.EncodeProgressPart(part)
 	if err != nil || len(value) <= p.rowBytes() {
@@ -278,6 +281,9 @@
 				if c, ok := t.storedCrashes(); ok {
 					r.Crashes = append(r.Crashes, c)
 				}
+				if f, ok := t.storedGangFailure(); ok {
+					r.GangFailures = append(r.GangFailures, f)
+				}
 				stored.Tasks = append(stored.Tasks, t.stored())
 			}
 		}
@@ -288,7 +294,10 @@
 
 // stored returns a task's state as the progress row holds it.
 func (t *task) stored() job.Task {
-	s := job.Task{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+	s := job.Task{Run: t.run, Checkpoint: t.checkpoint}
+	if t.leader() == t {
+		s.Failures = t.attempts.failures
+	}
 	switch {
 	case t.phase == done:
 		s.State = job.TaskDone
@@ -307,6 +316,13 @@
 		t.crashes > 0 && t.phase != done
 }
 
+// storedGangFailure returns the newest failed run of a gang as the progress row holds it. The
+// result is false unless t is the gang's first member and the row needs it.
+func (t *task) storedGangFailure() (job.GangFailure, bool) {
+	return job.GangFailure{Occurrence: t.occ.number, Task: t.position, Run: t.attempts.lastRun},
+		t.spec().Gang && t.leader() == t && t.attempts.lastRun > 0 && t.phase != done
+}
+
 // DecodeStoredProgress returns the progress of jobs, by id, from all rows of the table of
 // progress. Rows that are malformed are logged and left out.
 func DecodeStoredProgress(rows []store.Row, log *zap.Logger) map[string]*job.Progress {
@@ -369,7 +385,7 @@
 	for _, stored := range mergeParts(spec, progress) {
 		o := p.newOccurrence(j, stored.Number, spec.Due(stored.Number))
 		j.open = append(j.open, o)
-		p.restoreTasks(o, stored.tasks, stored.crashes)
+		p.restoreTasks(o, stored)
 		j.nextOpen = stored.Number + 1
 	}
 	if progress.NextOpen > 0 || len(progress.Parts) > 0 {
@@ -389,6 +405,11 @@
 	Number  int
 	tasks   []job.Task
 	crashes map[int]job.TaskCrashes // by position of the task
+	failed  map[int]int             // newest failed run of a gang, by position of its first member
+}
+
+func newStoredOccurrence(number, tasks int) storedOccurrence {
+	return storedOccurrence{Number: number, tasks: make([]job.Task, tasks), crashes: map[int]job.TaskCrashes{}, failed: map[int]int{}}
 }
 
 // mergeParts returns the stored progress of the open occurrences, in order. Parts are
@@ -405,13 +426,14 @@
 	}
 	var open []storedOccurrence
 	for n := progress.FirstOpen; n < min(next, spec.Occurrences(), progress.FirstOpen+spec.MaxOpen()); n++ {
-		open = append(open, storedOccurrence{Number: n, tasks: make([]job.Task, spec.Tasks()), crashes: map[int]job.TaskCrashes{}})
+		open = append(open, newStoredOccurrence(n, spec.Tasks()))
 	}
 	find := func(number int) *storedOccurrence {
 		if i := number - progress.FirstOpen; i >= 0 && i < len(open) {
 			return &open[i]
 		}
-		return &storedOccurrence{crashes: map[int]job.TaskCrashes{}} // complete, or not one of the job
+		other := newStoredOccurrence(number, 0) // complete, or not one of the job
+		return &other
 	}
 	for _, o := range progress.Occurrences {
 		copy(find(o.Number).tasks, o.Tasks)
@@ -419,6 +441,9 @@
 	for _, c := range progress.Crashes {
 		find(c.Occurrence).crashes[c.Task] = c
 	}
+	for _, f := range progress.GangFailures {
+		find(f.Occurrence).failed[f.Task] = f.Run
+	}
 	for _, part := range progress.Parts {
 		for _, r := range part.Ranges {
 			o := find(r.Occurrence)
@@ -428,27 +453,34 @@
 			copy(o.tasks[r.First:], r.Tasks)
 			for i := range r.Tasks {
 				delete(o.crashes, r.First+i)
+				delete(o.failed, r.First+i)
 			}
 		}
 		for _, c := range part.Crashes {
 			find(c.Occurrence).crashes[c.Task] = c
 		}
+		for _, f := range part.GangFailures {
+			find(f.Occurrence).failed[f.Task] = f.Run
+		}
 	}
 	return open
 }
 
-func (p *Pool) restoreTasks(o *occurrence, stored []job.Task, crashes map[int]job.TaskCrashes) {
+func (p *Pool) restoreTasks(o *occurrence, stored storedOccurrence) {
 	for _, step := range o.tasks {
 		for _, t := range step {
-			p.restoreTask(t, stored[t.position])
-			c := crashes[t.position]
+			p.restoreTask(t, stored.tasks[t.position])
+			if t.leader() == t {
+				t.attempts.failures, t.attempts.lastRun = stored.tasks[t.position].Failures, stored.failed[t.position]
+			}
+			c := stored.crashes[t.position]
 			t.crashes, t.certainCrashes, t.likelyCrashes = c.Crashes, c.Certain, c.Likely
 		}
 	}
 }
 
 func (p *Pool) restoreTask(t *task, s job.Task) {
-	t.run, t.failures, t.checkpoint = s.Run, s.Failures, s.Checkpoint
+	t.run, t.checkpoint = s.Run, s.Checkpoint
 	switch s.State {
 	case job.TaskDone:
 		t.phase = done
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -28,9 +28,9 @@
 	position int // among all tasks of the occurrence
 	name     string
 	phase    phase
-	run      int // number of the newest run; 0 before the first
-	failures int // failed runs; a gang counts them at its first member
-	crashes  int // VMs that have crashed while a run of the task may have been on them
+	run      int       // number of the newest run; 0 before the first
+	attempts *attempts // shared by the members of a gang
+	crashes  int       // VMs that have crashed while a run of the task may have been on them
 
 	certainCrashes int // crashes of VMs on which a run of the task certainly was
 	likelyCrashes  int // crashes of which the task is the likely cause
@@ -51,7 +51,38 @@
 	load            int64         // as in RunState.Load
 	loadAt          time.Duration
 	lastRunEnd      time.Duration
-	failedOn        map[string]bool // VMs on which runs of the task have failed
+}
+
+// attempts are the failed runs of what starts and fails as one: a task, or a gang, whose
+// members share the number of a run. Several members may end as failed in one run.
+type attempts struct {
+	failures int             // failed runs
+	lastRun  int             // newest run that failures counts; 0 if there is none or an earlier build has counted
+	failedOn map[string]bool // VMs on which runs have failed
+}
+
+// failed records that a run has failed on a VM. It reports whether the run is counted: it
+// was not before.
+func (a *attempts) failed(run int, vm string) bool {
+	if a.failedOn == nil {
+		a.failedOn = map[string]bool{}
+	}
+	a.failedOn[vm] = true
+	if run <= a.lastRun {
+		return false
+	}
+	a.lastRun = run
+	a.failures++
+	return true
+}
+
+// leader returns the task at which the attempts are recorded: t, or the first member of its
+// gang.
+func (t *task) leader() *task {
+	if t.spec().Gang {
+		return t.occ.tasks[t.step][0]
+	}
+	return t
 }
 
 // active reports whether the newest run of the task may be on its VM.
