Start all members of a gang with one checkpoint

Cause: a listed run set the checkpoint of its own member only.

Change: the members of a gang share the checkpoint together with the failed runs, and a run's value is fixed when it is placed.

--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -389,7 +389,7 @@
 		p.stats.Starts++
 		p.logStart(t)
 		starts = append(starts, Command{Kind: Start, VM: t.vm.ID, Address: t.vm.Address, Task: t.name, Run: t.run,
-			Payload: t.occ.job.spec.Payload, Checkpoint: t.checkpoint, Ticket: ticketValue, Gang: t.spec().Gang, IssuedAt: p.now.Steady})
+			Payload: t.occ.job.spec.Payload, Checkpoint: t.startedFrom, Ticket: ticketValue, Gang: t.spec().Gang, IssuedAt: p.now.Steady})
 	}
 	return starts
 }
--- a/sched/pool/learn.go
+++ b/sched/pool/learn.go
@@ -88,7 +88,7 @@
 		}
 		return
 	}
-	if cause != EndDone || t.inherited || t.checkpoint != "" {
+	if cause != EndDone || t.inherited || t.history.checkpoint != "" {
 		return
 	}
 	v.health.succeeded()
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -122,7 +122,7 @@
 	if e.Checkpoint != "" {
 		p.setCheckpoint(t, e.Checkpoint)
 	}
-	counted := e.Cause != EndFailed || t.attempts.failed(t.run, v.ID)
+	counted := e.Cause != EndFailed || t.history.failed(t.run, v.ID)
 	if counted {
 		p.recordOutcome(t, v, e.Cause)
 	}
@@ -136,14 +136,12 @@
 	}
 }
 
-// setCheckpoint sets the newest checkpoint of a task and has it recorded. Members
-// of a gang share one.
+// setCheckpoint sets the newest checkpoint of a task, or of its gang, and has it recorded.
 func (p *Pool) setCheckpoint(t *task, checkpoint string) {
-	t.checkpoint = checkpoint
+	t.history.checkpoint = checkpoint
 	t.markDirty()
 	if t.spec().Gang {
 		for _, member := range t.occ.tasks[t.step] {
-			member.checkpoint = checkpoint
 			member.markDirty()
 		}
 	}
@@ -207,7 +205,7 @@
 	}
 	t.leader().markDirty()
 	q := p.queueOf(j)
-	if q != nil && q.MaxAttempts > 0 && t.attempts.failures >= q.MaxAttempts && !j.state.Final() {
+	if q != nil && q.MaxAttempts > 0 && t.history.failures >= q.MaxAttempts && !j.state.Final() {
 		p.finish(j, job.Failed, "task "+t.name+" has used up its attempts")
 	}
 }
@@ -225,10 +223,11 @@
 	if t.phase != running {
 		p.confirm(t, l.At)
 	}
-	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
+	if r.Checkpoint != "" && r.Checkpoint != t.listedCheckpoint {
 		// Not recorded: the end of the run lists the checkpoint again, and the loss
-		// of the VM costs at most the work since the last recorded one.
-		t.checkpoint = r.Checkpoint
+		// of the VM costs at most the work since the last recorded one. Another member of
+		// a gang may have listed a later one since this one's last change.
+		t.listedCheckpoint, t.history.checkpoint = r.Checkpoint, r.Checkpoint
 	}
 	if r.ProgressPercent > t.progressPercent {
 		t.progressAt = l.At
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -59,7 +59,7 @@
 	if spec.MaxPerVM > 0 && t.siblingsOn(v) >= spec.MaxPerVM {
 		return false
 	}
-	return !t.attempts.failedOn[v.ID] || p.now.Steady-t.lastRunEnd > failedVMAvoidance
+	return !t.history.failedOn[v.ID] || p.now.Steady-t.lastRunEnd > failedVMAvoidance
 }
 
 // failedVMAvoidance is how long a task stays away from VMs on which it has
@@ -243,7 +243,7 @@
 	if t.likelyCrasher() {
 		score -= weightCrash * float64(len(v.tasks))
 	}
-	if t.attempts.failedOn[v.ID] {
+	if t.history.failedOn[v.ID] {
 		score -= weightFailed
 	}
 	score -= weightHealth * v.health.failureScore()
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -156,12 +156,12 @@
 	position := 0
 	for s := range j.spec.Steps {
 		tasks := make([]*task, j.spec.Steps[s].Count)
-		counted := make([]attempts, len(tasks))
+		histories := make([]history, len(tasks))
 		if j.spec.Steps[s].Gang {
-			counted = make([]attempts, 1)
+			histories = make([]history, 1)
 		}
 		for i := range tasks {
-			tasks[i] = &task{occ: o, step: s, index: i, position: position, attempts: &counted[min(i, len(counted)-1)], name: TaskName(j.spec.ID, number, s, i), throttlePercent: 100}
+			tasks[i] = &task{occ: o, step: s, index: i, position: position, history: &histories[min(i, len(histories)-1)], name: TaskName(j.spec.ID, number, s, i), throttlePercent: 100}
 			position++
 		}
 		o.tasks = append(o.tasks, tasks)
@@ -467,6 +467,7 @@
 	t.run++
 	p.assign(t, v)
 	t.phase = placed
+	t.startedFrom, t.listedCheckpoint = t.history.checkpoint, ""
 	if t.likelyCrasher() {
 		v.probationer = t
 	}
@@ -490,7 +491,7 @@
 
 func (p *Pool) logStart(t *task) {
 	p.log.Info("run_start", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID),
-		zap.Duration("waited", p.now.Steady-t.occ.openedAt.Steady), zap.Bool("checkpoint", t.checkpoint != ""),
+		zap.Duration("waited", p.now.Steady-t.occ.openedAt.Steady), zap.Bool("checkpoint", t.startedFrom != ""),
 		zap.Duration("vm_seen", p.now.Steady-t.vm.lastAnswer))
 }
 
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -138,7 +138,7 @@
 
 // untouched reports whether the stored state of t is that of a task without a row.
 func (t *task) untouched() bool {
-	return t.phase == waiting && t.run == 0 && t.attempts.failures == 0 && t.crashes == 0 && t.checkpoint == ""
+	return t.phase == waiting && t.run == 0 && t.history.failures == 0 && t.crashes == 0 && t.history.checkpoint == ""
 }
 
 // addParts adds the changed parts of a job, and then its row without tasks, while there is
@@ -294,9 +294,9 @@
 
 // stored returns a task's state as the progress row holds it.
 func (t *task) stored() job.Task {
-	s := job.Task{Run: t.run, Checkpoint: t.checkpoint}
+	s := job.Task{Run: t.run, Checkpoint: t.history.checkpoint}
 	if t.leader() == t {
-		s.Failures = t.attempts.failures
+		s.Failures = t.history.failures
 	}
 	switch {
 	case t.phase == done:
@@ -319,8 +319,8 @@
 // storedGangFailure returns the newest failed run of a gang as the progress row holds it. The
 // result is false unless t is the gang's first member and the row needs it.
 func (t *task) storedGangFailure() (job.GangFailure, bool) {
-	return job.GangFailure{Occurrence: t.occ.number, Task: t.position, Run: t.attempts.lastRun},
-		t.spec().Gang && t.leader() == t && t.attempts.lastRun > 0 && t.phase != done
+	return job.GangFailure{Occurrence: t.occ.number, Task: t.position, Run: t.history.lastRun},
+		t.spec().Gang && t.leader() == t && t.history.lastRun > 0 && t.phase != done
 }
 
 // DecodeStoredProgress returns the progress of jobs, by id, from all rows of the table of
@@ -471,7 +471,7 @@
 		for _, t := range step {
 			p.restoreTask(t, stored.tasks[t.position])
 			if t.leader() == t {
-				t.attempts.failures, t.attempts.lastRun = stored.tasks[t.position].Failures, stored.failed[t.position]
+				t.history.failures, t.history.lastRun = stored.tasks[t.position].Failures, stored.failed[t.position]
 			}
 			c := stored.crashes[t.position]
 			t.crashes, t.certainCrashes, t.likelyCrashes = c.Crashes, c.Certain, c.Likely
@@ -480,7 +480,10 @@
 }
 
 func (p *Pool) restoreTask(t *task, s job.Task) {
-	t.run, t.checkpoint = s.Run, s.Checkpoint
+	t.run = s.Run
+	if t.history.checkpoint == "" { // of the first member that has one; each is valid for all
+		t.history.checkpoint = s.Checkpoint
+	}
 	switch s.State {
 	case job.TaskDone:
 		t.phase = done
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -28,15 +28,16 @@
 	position int // among all tasks of the occurrence
 	name     string
 	phase    phase
-	run      int       // number of the newest run; 0 before the first
-	attempts *attempts // shared by the members of a gang
-	crashes  int       // VMs that have crashed while a run of the task may have been on them
+	run      int      // number of the newest run; 0 before the first
+	history  *history // shared by the members of a gang
+	crashes  int      // VMs that have crashed while a run of the task may have been on them
 
 	certainCrashes int // crashes of VMs on which a run of the task certainly was
 	likelyCrashes  int // crashes of which the task is the likely cause
 	vm             *vm
 
-	checkpoint     string
+	startedFrom    string        // checkpoint that the newest run is started with, set when it is placed
+	listedCheckpoint    string        // checkpoint that the newest run was last listed with
 	since          time.Duration // when the phase was entered
 	placedAt       time.Duration // when the newest run was placed
 	stopSentAt     time.Duration // 0 if no stop was sent for the newest run
@@ -53,30 +54,32 @@
 	lastRunEnd      time.Duration
 }
 
-// attempts are the failed runs of what starts and fails as one: a task, or a gang, whose
-// members share the number of a run. Several members may end as failed in one run.
-type attempts struct {
-	failures int             // failed runs
-	lastRun  int             // newest run that failures counts; 0 if there is none or an earlier build has counted
-	failedOn map[string]bool // VMs on which runs have failed
+// history is what the earlier runs leave to the next run of what starts and fails as one: a
+// task, or a gang, whose members share the number of a run. Several members may end as failed
+// in one run.
+type history struct {
+	failures   int             // failed runs
+	lastRun    int             // newest run that failures counts; 0 if there is none or an earlier build has counted
+	failedOn   map[string]bool // VMs on which runs have failed
+	checkpoint string          // newest reported, of any member; empty if there is none
 }
 
 // failed records that a run has failed on a VM. It reports whether the run is counted: it
 // was not before.
-func (a *attempts) failed(run int, vm string) bool {
-	if a.failedOn == nil {
-		a.failedOn = map[string]bool{}
+func (h *history) failed(run int, vm string) bool {
+	if h.failedOn == nil {
+		h.failedOn = map[string]bool{}
 	}
-	a.failedOn[vm] = true
-	if run <= a.lastRun {
+	h.failedOn[vm] = true
+	if run <= h.lastRun {
 		return false
 	}
-	a.lastRun = run
-	a.failures++
+	h.lastRun = run
+	h.failures++
 	return true
 }
 
-// leader returns the task at which the attempts are recorded: t, or the first member of its
+// leader returns the task at which failed runs are recorded: t, or the first member of its
 // gang.
 func (t *task) leader() *task {
 	if t.spec().Gang {
