Ask for a cap share only as far as the VMs have room

Cause: a pool asked for a share for all its waiting tasks, however few of them its VMs could hold, and took all that was left of the cap. Claims already make it give back what it does not use; asking for it was wrong too.

Evidence: TestBacklogAsksForNoMoreThanItsVMsHold failed before: need 60000 with VMs of 8000.

Change: the need of waiting tasks counts as far as the usable VMs have room. Best-effort tasks occupy no processors of a VM and count in full.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,11 @@
 	return Resources{int64(float64(r.MilliCPU) * factor), int64(float64(r.MemoryMB) * factor), r.Accelerators}
 }
 
+// Times returns r for n tasks.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCPU * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
+}
+
 // Fits reports whether no resource of r exceeds that of free.
 func (r Resources) Fits(free Resources) bool {
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
--- a/sched/pool/capped_test.go
+++ b/sched/pool/capped_test.go
@@ -64,3 +64,37 @@
 		})
 	}
 }
+
+// Guards against a pool that holds the rest of a cap for a backlog that its VMs have no room
+// for, so that a task of another pool does not start (LOST, review/10).
+func TestBacklogAsksForNoMoreThanItsVMsHold(t *testing.T) {
+	h := newHarness(t)
+	h.catalog = catalogWithCap(h, 100_000)
+	h.scheduler.Configure(h.catalog)
+	h.addVM("a", 4000)
+	h.addVM("b", 4000)
+	h.settle()
+	h.scheduler.SetCapShare("ws", fleet.Resources{MilliCPU: 5000, MemoryMB: 100_000}, false)
+	for range 10 {
+		spec := shortJob(6)
+		spec.Workspace = "ws"
+		h.submit(spec)
+	}
+	h.settle()
+	if got := h.scheduler.CapWork("ws"); got.Used.MilliCPU != 5000 || got.Need.MilliCPU != 8000 || got.Unit.MilliCPU != 1000 {
+		t.Errorf("within a share of 5000, the pool uses %d, needs %d and waits for %d milli-CPU; its VMs have 8000", got.Used.MilliCPU, got.Need.MilliCPU, got.Unit.MilliCPU)
+	}
+	h.scheduler.SetCapShare("ws", fleet.Resources{MilliCPU: 100_000, MemoryMB: 100_000}, false)
+	h.settle()
+	if got := h.scheduler.CapWork("ws"); got.Used.MilliCPU != 8000 || got.Need.MilliCPU != 8000 || got.Unit.MilliCPU != 0 {
+		t.Errorf("with all VMs full, the pool uses %d, needs %d and waits for %d milli-CPU, want 8000, 8000 and 0", got.Used.MilliCPU, got.Need.MilliCPU, got.Unit.MilliCPU)
+	}
+	bestEffort := shortJob(6)
+	bestEffort.ID, bestEffort.Workspace = "00000000000000cc", "ws"
+	bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].LongRunning = true, true
+	h.submit(bestEffort)
+	h.settle()
+	if got := h.scheduler.CapWork("ws"); got.Used.MilliCPU != 14_000 {
+		t.Errorf("with six best-effort tasks, which occupy no processors of a VM, the pool uses %d, want 14000", got.Used.MilliCPU)
+	}
+}
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -143,6 +143,16 @@
 	return false
 }
 
+// room returns what is free on all candidates together.
+func (c *candidates) room() fleet.Resources {
+	var sum fleet.Resources
+	for _, v := range c.usable {
+		free := v.free()
+		sum = sum.Add(fleet.Resources{MilliCPU: max(0, free.MilliCPU), MemoryMB: max(0, free.MemoryMB), Accelerators: max(0, free.Accelerators)})
+	}
+	return sum
+}
+
 // choose returns the VM with the highest score among those that can take t now,
 // or nil if there is none. Of equal ones, that with the lowest id is taken.
 func (p *Pool) choose(t *task, reserved map[*vm]bool) *vm {
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -320,24 +320,42 @@
 	return 0
 }
 
-// workspaceDemand returns, for each workspace with a cap, the sum of what its
-// runs hold and its ready tasks need.
+// workspaceDemand returns, for each workspace with a cap, the sum of what its runs hold and
+// its ready tasks need, as far as the usable VMs have room for them.
 func (p *Pool) workspaceDemand(ready []readyStep) map[string]fleet.Resources {
+	var waiting, bestEffort map[string]fleet.Resources // nil in most cycles
+	for i := range ready {
+		workspace := ready[i].job.spec.Workspace
+		if _, capped := p.catalog.capOf(workspace); !capped {
+			continue
+		}
+		spec := &ready[i].job.spec.Steps[ready[i].step]
+		need := spec.Need.Times(len(ready[i].tasks))
+		if spec.BestEffort { // occupies no processors of a VM, but counts in the cap
+			if bestEffort == nil {
+				bestEffort = map[string]fleet.Resources{}
+			}
+			bestEffort[workspace] = bestEffort[workspace].Add(fleet.Resources{MilliCPU: need.MilliCPU})
+			need.MilliCPU = 0
+		}
+		if waiting == nil {
+			waiting = map[string]fleet.Resources{}
+		}
+		waiting[workspace] = waiting[workspace].Add(need)
+	}
 	demand := map[string]fleet.Resources{}
 	for workspace, used := range p.usage {
 		if _, capped := p.catalog.capOf(workspace); capped {
 			demand[workspace] = used
 		}
 	}
-	for i := range ready {
-		workspace := ready[i].job.spec.Workspace
-		if _, capped := p.catalog.capOf(workspace); !capped {
-			continue
-		}
-		need := ready[i].job.spec.Steps[ready[i].step].Need
-		n := int64(len(ready[i].tasks))
-		demand[workspace] = demand[workspace].Add(fleet.Resources{
-			MilliCPU: need.MilliCPU * n, MemoryMB: need.MemoryMB * n, Accelerators: need.Accelerators * n})
+	if len(waiting) == 0 {
+		return demand
+	}
+	room := p.candidates.room()
+	for workspace, need := range waiting {
+		need = fleet.Resources{MilliCPU: min(need.MilliCPU, room.MilliCPU), MemoryMB: min(need.MemoryMB, room.MemoryMB), Accelerators: min(need.Accelerators, room.Accelerators)}
+		demand[workspace] = demand[workspace].Add(need).Add(bestEffort[workspace])
 	}
 	return demand
 }
@@ -430,7 +448,7 @@
 	if len(r.tasks) < spec.Count {
 		return // the run of a member has not ended yet
 	}
-	all := fleet.Resources{MilliCPU: spec.Need.MilliCPU * int64(spec.Count), MemoryMB: spec.Need.MemoryMB * int64(spec.Count), Accelerators: spec.Need.Accelerators * int64(spec.Count)}
+	all := spec.Need.Times(spec.Count)
 	if !p.withinCap(r.job.spec.Workspace, all) {
 		p.noteCapWait(r, all, reserved)
 		return
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -36,15 +36,15 @@
 	likelyCrashes  int // crashes of which the task is the likely cause
 	vm             *vm
 
-	startedFrom    string        // checkpoint that the newest run is started with, set when it is placed
-	listedCheckpoint    string        // checkpoint that the newest run was last listed with
-	since          time.Duration // when the phase was entered
-	placedAt       time.Duration // when the newest run was placed
-	stopSentAt     time.Duration // 0 if no stop was sent for the newest run
-	stopAnsweredAt time.Duration // 0 if no stop was answered
-	inherited      bool          // the newest run was started by an earlier owner
-	blame          blame         // for a restart of its VM under its id, if the run turns out to be lost
-	lostOn         *vm           // where the newest run was given up; nil if it was not
+	startedFrom      string        // checkpoint that the newest run is started with, set when it is placed
+	listedCheckpoint string        // checkpoint that the newest run was last listed with
+	since            time.Duration // when the phase was entered
+	placedAt         time.Duration // when the newest run was placed
+	stopSentAt       time.Duration // 0 if no stop was sent for the newest run
+	stopAnsweredAt   time.Duration // 0 if no stop was answered
+	inherited        bool          // the newest run was started by an earlier owner
+	blame            blame         // for a restart of its VM under its id, if the run turns out to be lost
+	lostOn           *vm           // where the newest run was given up; nil if it was not
 
 	progressPercent int
 	progressAt      time.Duration // when progressPercent last rose
