Give back cap shares of pools that are no longer declared

Callers would see: a part of a cap that nobody can use any more (LOST).

Cause: a pool that is not declared kept its share, and once its owner was lost nobody claimed it.

Evidence: TestPoolThatIsNoLongerDeclaredGivesItsShareBack failed before (the pool kept its share with nothing running). Without claimable the owner loop claimed declared pools only, which TestUndeclaredPoolWithACapShareIsClaimed checks.

Change: a pool that is not declared leaves the division once it runs nothing. While it has a share, it is claimed like a declared one, so that the new owner settles what runs there first: the usual takeover, no new rule for leases.

--- a/node/caps.go
+++ b/node/caps.go
@@ -63,6 +63,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.catalog, c.pools = cat, cat.PoolNames()
+	c.node.setCapHolders(c.undeclaredHolders())
 }
 
 func (c *capShares) follow(ctx context.Context) {
@@ -77,6 +78,9 @@
 	for _, row := range u.Rows {
 		c.applyRow(row)
 	}
+	if c.catalog != nil {
+		c.node.setCapHolders(c.undeclaredHolders())
+	}
 	if !c.tableRead && u.Whole {
 		c.tableRead = true
 		for _, s := range c.states {
@@ -85,6 +89,31 @@
 	}
 }
 
+// undeclaredHolders returns the names of the pools that have a share of some workspace's cap
+// and are not declared.
+func (c *capShares) undeclaredHolders() map[string]bool {
+	names := map[string]bool{}
+	for workspace, s := range c.states {
+		if w := c.catalog.Workspaces[workspace]; w == nil || w.Cap == (fleet.Resources{}) {
+			continue
+		}
+		for name := range s.account.Division() {
+			if c.catalog.Pools[name] == nil {
+				names[name] = true
+			}
+		}
+	}
+	return names
+}
+
+// setCapHolders takes note of the undeclared pools that have shares of caps, as an owner has
+// read them.
+func (n *Node) setCapHolders(names map[string]bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.capHolders = names
+}
+
 func (c *capShares) applyRow(row store.Row) {
 	account := c.stateOf(row.Name).account
 	if row.Removed {
--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"amaranthfork.example/fleet"
@@ -73,3 +75,39 @@
 		t.Errorf("after a refused write that raises the share the pool uses %+v, has 500", got)
 	}
 }
+
+// Guards against a part of a cap that is lost for good (LOST): the owner of a pool that is no
+// longer declared is lost, and nobody claims the pool, which still has a share.
+func TestUndeclaredPoolWithACapShareIsClaimed(t *testing.T) {
+	mem := memstore.New()
+	n := newEntry("a", mem, &testClock{})
+	w := &catalog.Workspace{Name: "ws", Cap: resources(1000)}
+	cat := catalog.New(1, nil, []*catalog.Pool{{Name: "mine"}}, []*catalog.Workspace{w}, catalog.Limits{})
+	c := newCapShares(n, "mine", testLog)
+	c.configure(cat)
+	observe := func(version int64, d capshare.Division) {
+		t.Helper()
+		value, err := cbor.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.update(Update{Rows: []store.Row{{Key: tables.CapKey("ws"), Value: value, Version: version}}, Whole: version == 1})
+	}
+	expect := func(when string, want ...string) {
+		t.Helper()
+		if got := n.claimable(cat); !slices.Equal(got, append(want, fleetPool)) {
+			t.Errorf("%s: pools to be claimed %v, want %v and the fleet role", when, got, want)
+		}
+	}
+	observe(1, capshare.Division{"mine": {Resources: resources(300)}, "gone": {Resources: resources(500)}})
+	expect("while it has a share", "mine", "gone")
+	observe(2, capshare.Division{"mine": {Resources: resources(300)}})
+	expect("once it has left", "mine")
+	observe(3, capshare.Division{"mine": {Resources: resources(300)}, "mine2": {Resources: resources(500)}})
+	cat = catalog.New(2, nil, []*catalog.Pool{{Name: "mine"}, {Name: "mine2"}}, []*catalog.Workspace{w}, catalog.Limits{})
+	c.configure(cat)
+	expect("once it is declared", "mine", "mine2")
+	cat = catalog.New(3, nil, []*catalog.Pool{{Name: "mine"}}, []*catalog.Workspace{w}, catalog.Limits{})
+	c.configure(cat)
+	expect("once it is no longer declared", "mine", "mine2")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -10,7 +10,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -18,6 +20,7 @@
 
 	"go.uber.org/zap"
 
+	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/pool"
 	"amaranthfork.example/sched/store"
 	"amaranthfork.example/sched/tables"
@@ -73,6 +76,7 @@
 	unownedSince map[string]time.Duration // by pool: when it was first seen without a live owner, steady clock
 	batchers     map[string]*writeBatcher // callers' requests that are not stored yet, by partition
 	movedQueues  movedQueueCache
+	capHolders   map[string]bool      // undeclared pools that have shares of caps, as an owner of this process has read them
 	seenClaims   map[string]seenClaim // by pool: claims that the claimers' member rows may not show yet; for claimLoop only
 	controllers  sync.WaitGroup       // of the owned pools and the fleet role
 }
@@ -175,7 +179,7 @@
 		n.mu.Unlock()
 		return
 	}
-	for _, name := range append(view.Catalog.PoolNames(), fleetPool) {
+	for _, name := range n.claimable(view.Catalog) {
 		if ctx.Err() != nil {
 			return
 		}
@@ -185,6 +189,20 @@
 	}
 }
 
+// claimable returns the names of the pools that need an owner, and the fleet role: those that
+// are declared, and others that still have a share of a cap, which nobody else can give back.
+func (n *Node) claimable(c *catalog.Catalog) []string {
+	names := c.PoolNames()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(n.capHolders)) {
+		if c.Pools[name] == nil {
+			names = append(names, name)
+		}
+	}
+	return append(names, fleetPool)
+}
+
 // shouldClaim reports whether this entry should try to claim a pool now. An
 // entry waits longer the later it is in claimOrder, and the slower the table
 // service is.
--- a/sched/capshare/account.go
+++ b/sched/capshare/account.go
@@ -1,6 +1,8 @@
 package capshare
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"amaranthfork.example/fleet"
@@ -94,7 +96,7 @@
 	if a.inFlight() {
 		return *a.pending, true // the same write again tells its outcome
 	}
-	next, reason := a.holder.Next(a.current, limit, len(pools), w, now)
+	next, reason := a.next(limit, pools, w, now)
 	if reason == Keep && a.unconfirmed && ExceedsShare(w.Need, w.Used, limit) {
 		next, reason = a.current, Confirmed
 	}
@@ -105,6 +107,21 @@
 	return *a.pending, true
 }
 
+// next returns the division that the owner should write. A pool that is not declared has no
+// share unless it runs something.
+func (a *Account) next(limit fleet.Resources, pools []string, w Work, now time.Duration) (Division, Reason) {
+	_, present := a.current[a.holder.Pool]
+	if slices.Contains(pools, a.holder.Pool) || w.Used != (fleet.Resources{}) || w.Unit != (fleet.Resources{}) {
+		return a.holder.Next(a.current, limit, len(pools), w, now)
+	}
+	if !present {
+		return a.current, Keep
+	}
+	d := maps.Clone(a.current)
+	delete(d, a.holder.Pool)
+	return d, Left
+}
+
 // Finish takes note of the outcome of a write. version is that of the new row, if it has
 // taken effect.
 func (a *Account) Finish(w Write, outcome Outcome, version int64) {
--- a/sched/capshare/capshare.go
+++ b/sched/capshare/capshare.go
@@ -136,6 +136,7 @@
 	Claimed   Reason = "claimed"   // the pool begins or changes its claim
 	Withdrawn Reason = "withdrawn" // its claim is met, or nothing waits any more
 	Passed    Reason = "passed"    // the first claim of another pool has lost its place
+	Left      Reason = "left"      // the pool is not declared any more and runs nothing
 	Surplus   Reason = "surplus"   // the pool has had more than it needs for some time
 	Confirmed Reason = "confirmed" // nothing but the version changes; see Account
 )
--- a/sched/capshare/capshare_test.go
+++ b/sched/capshare/capshare_test.go
@@ -328,3 +328,25 @@
 		t.Errorf("an earlier build reads %+v (%v) from %+v", earlier, err, read)
 	}
 }
+
+// Guards against a part of a cap that is lost for good (LOST): its pool is no longer declared.
+// The pool keeps what its runs hold, gives it back as they end, and leaves the division.
+func TestPoolThatIsNoLongerDeclaredGivesItsShareBack(t *testing.T) {
+	m := newModel(t, 9, 3, cpu(16_000), cpu(64_000))
+	m.submit(2, cpu(9_000), 6*time.Second)
+	m.run(5 * time.Second)
+	m.names = m.names[:2]
+	if task := m.submit(0, cpu(6_500), 0); !m.runsWithin(task, startTarget) {
+		t.Errorf("a task of 6500 does not start beside 9000 in a pool that is no longer declared; row %+v", m.row)
+	}
+	if got := m.row[m.pools[2].name].MilliCPU; got < 9_000 {
+		t.Errorf("the pool that is no longer declared has a share of %d, its runs hold 9000", got)
+	}
+	m.run(7 * time.Second)
+	if _, ok := m.row[m.pools[2].name]; ok {
+		t.Errorf("a pool that is no longer declared and runs nothing has a share; row %+v", m.row)
+	}
+	if task := m.submit(1, cpu(9_500), time.Second); !m.runsWithin(task, startTarget) {
+		t.Errorf("a task of 9500 beside one of 6500 does not start; row %+v", m.row)
+	}
+}
