Use the tickets of a slow advisor

Cause: validity was counted from the sending of the request, and the number of VMs in a request did not depend on it.

Evidence: TestSlowAdvisor failed before with 200 ms and 2 s for each VM: calls without end.

Change: a ticket is valid from the earliest time at which the advisor can have answered, by the durations that the queue declares. A request names only as many VMs as leave 0.5 s if the advisor counts from the request; a gang needs all at once and names them all. A VM that refuses a ticket has it asked for again, as before.

--- a/sched/pool/advice.go
+++ b/sched/pool/advice.go
@@ -23,6 +23,9 @@
 	// forbids some of them.
 	minVMsPerRequest = 4
 	adviceRetryDelay = 300 * time.Millisecond // pause after a request that failed
+	// minTicketUse is how long the tickets of a request should remain valid after its
+	// answer even if the advisor counts their validity from the request.
+	minTicketUse = 500 * time.Millisecond
 )
 
 // ticket permits starts of one step on one VM.
@@ -77,20 +80,39 @@
 	if a == nil || a.requestPending || p.now.Steady < a.retryAt {
 		return
 	}
-	ids := p.adviceCandidates(t, a, min(maxVMsPerRequest, max(minVMsPerRequest, vmsPerTask*waiting)))
+	advice := p.queueOf(t.occ.job).Advice
+	wanted := min(maxVMsPerRequest, max(minVMsPerRequest, vmsPerTask*waiting))
+	if !t.spec().Gang { // which needs the tickets of all its VMs at once
+		wanted = min(wanted, usefulRequest(advice))
+	}
+	ids := p.adviceCandidates(t, a, wanted)
 	if len(ids) == 0 {
 		return
 	}
 	a.requestPending = true
 	step := stepName(t)
 	p.log.Info("advice_asked", zap.String("step", step), zap.Int("vms", len(ids)), zap.Int("tasks", waiting))
-	p.addCommand(Command{Kind: Advise, Task: step, VMs: ids, Timeout: adviceTimeout(p.queueOf(t.occ.job).Advice, len(ids))})
+	p.addCommand(Command{Kind: Advise, Task: step, VMs: ids, Timeout: adviceTimeout(advice, len(ids))})
+}
+
+// adviceTime returns the time that the advisor takes to answer a request.
+func adviceTime(a *catalog.Advice, vms int) time.Duration {
+	return a.CallTime + time.Duration(vms)*a.TimePerVM
+}
+
+// usefulRequest returns the largest number of VMs in a request whose tickets remain valid for
+// minTicketUse after the answer, at least 1.
+func usefulRequest(a *catalog.Advice) int {
+	if a.TimePerVM <= 0 {
+		return maxVMsPerRequest
+	}
+	return max(1, int((a.Validity-ticketMargin-minTicketUse-a.CallTime)/a.TimePerVM))
 }
 
 // adviceTimeout returns the timeout of a request: twice its duration, since
 // earlier requests may be served first, and one second for the network.
 func adviceTimeout(a *catalog.Advice, vms int) time.Duration {
-	return 2*(a.CallTime+time.Duration(vms)*a.TimePerVM) + time.Second
+	return 2*adviceTime(a, vms) + time.Second
 }
 
 // adviceCandidates returns the ids of at most maxVMs VMs, the best first, that
@@ -126,8 +148,9 @@
 	return name[:len(name)-len(".0")]
 }
 
-// Advised handles an advisor's answer to a command. The tickets are valid for
-// validity from sentAt on. ok is false if there was no answer.
+// Advised handles an advisor's answer to a command that was sent at sentAt, on the steady
+// clock. The tickets are valid for validity from the earliest time at which it can have
+// answered. ok is false if there was no answer.
 func (p *Pool) Advised(c Command, tickets []Ticket, validity time.Duration, sentAt time.Duration, ok bool) {
 	id, number, step, _, valid := parseTaskName(c.Task + ".0")
 	if !valid || p.jobs[id] == nil {
@@ -143,6 +166,10 @@
 		a.retryAt = p.now.Steady + adviceRetryDelay
 		return
 	}
+	issuedAt := sentAt
+	if q := p.queueOf(p.jobs[id]); q != nil && q.Advice != nil {
+		issuedAt = min(p.now.Steady, sentAt+adviceTime(q.Advice, len(c.VMs)))
+	}
 	for _, vmID := range c.VMs {
 		if v := p.vms[vmID]; v != nil {
 			a.forbidden[vmID] = v.StartedMS
@@ -150,7 +177,7 @@
 	}
 	for _, got := range tickets {
 		delete(a.forbidden, got.VM)
-		a.tickets[got.VM] = ticket{got.Value, sentAt + validity}
+		a.tickets[got.VM] = ticket{got.Value, issuedAt + validity}
 	}
 	p.log.Info("advice", zap.String("step", c.Task), zap.Int("asked", len(c.VMs)), zap.Int("permitted", len(tickets)), zap.Duration("validity", validity))
 }
--- a/sched/pool/advice_test.go
+++ b/sched/pool/advice_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,52 @@
 }
 
 func (h *harness) firstRunningOn(id string) string { return sortedNames(h.workers[id].running)[0] }
+
+// Guards against a step that asks the advisor again without end (LOST): the calls take about
+// as long as the tickets are valid, and tickets were taken to be valid from the sending of a
+// call.
+func TestSlowAdvisor(t *testing.T) {
+	for _, perVM := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second} {
+		for _, gang := range []bool{false, true} {
+			h := newAdvisorHarness(t)
+			advice := h.catalog.Queues["short"].Advice
+			advice.CallTime, advice.TimePerVM = time.Second, perVM
+			for i := range 12 {
+				h.addVM(fmt.Sprintf("vm%02d", i), 2000)
+			}
+			spec := shortJob(24)
+			spec.Steps[0].Gang = gang
+			h.submit(spec)
+			calls := 0
+			for began := h.now.Steady; h.runningTasks(spec) < 24; {
+				if h.now.Steady-began > 5*time.Minute {
+					t.Fatalf("%v for each VM, gang %v: %d of 24 tasks run after 5 minutes", perVM, gang, h.runningTasks(spec))
+				}
+				request, ok := h.nextAdviceRequest()
+				if !ok {
+					h.advance(100 * time.Millisecond)
+					continue
+				}
+				if calls++; calls > 24 {
+					t.Errorf("%v for each VM, gang %v: %d of 24 tasks run after %d calls", perVM, gang, h.runningTasks(spec), calls)
+					break
+				}
+				sentAt := h.now.Steady
+				took := advice.CallTime + time.Duration(len(request.VMs))*perVM
+				if !gang && len(request.VMs) > 1 && took > advice.Validity-500*time.Millisecond {
+					t.Errorf("%v for each VM: a call of %v for tickets of %v", perVM, took, advice.Validity)
+				}
+				for end := sentAt + took; h.now.Steady < end; {
+					h.renewAll()
+					h.advance(100 * time.Millisecond)
+				}
+				var tickets []pool.Ticket
+				for _, vm := range request.VMs {
+					tickets = append(tickets, pool.Ticket{VM: vm, Value: "ticket"})
+				}
+				h.renewAll()
+				h.scheduler.Advised(request, tickets, advice.Validity, sentAt, true)
+			}
+		}
+	}
+}
