Reserve no VM that other long-running tasks hold for good

Cause: a long-running task that fits nowhere reserves a VM that could hold it empty, also one that never becomes empty since another long-running task runs there. Two such jobs reserve both VMs.

Change: a VM is reserved only if the task fits beside the long-running tasks on it. The second part of the test checks that VMs are still kept for tasks that wait for ordinary ones to end.

--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -426,11 +426,11 @@
 const maxReservedVMs = 2
 
 // reserve reserves the VM with the most free processors among those that could
-// hold t once they are empty.
+// hold t once all runs on them have ended but the long-running ones.
 func (p *Pool) reserve(t *task, reserved map[*vm]bool) {
 	var best *vm
 	for _, v := range p.sortedVMs() {
-		if reserved[v] || !p.usable(v) || !p.allowed(t, v) || !t.spec().Need.Fits(v.Capacity) {
+		if reserved[v] || !p.usable(v) || !p.allowed(t, v) || !t.room().Fits(v.Capacity.Sub(v.heldForGood())) {
 			continue
 		}
 		if best == nil || v.free().MilliCPU > best.free().MilliCPU {
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -185,6 +185,20 @@
 
 func (v *vm) free() fleet.Resources { return v.Capacity.Sub(v.used) }
 
+// heldForGood returns what the long-running tasks on v occupy.
+func (v *vm) heldForGood() fleet.Resources {
+	var held fleet.Resources
+	if v.longRunning == 0 {
+		return held
+	}
+	for t := range v.tasks {
+		if t.spec().LongRunning && !t.occ.job.state.Final() {
+			held = held.Add(t.room())
+		}
+	}
+	return held
+}
+
 func (v *vm) hasLabel(label string) bool {
 	for _, l := range v.Labels {
 		if l == label {
