Tell jobs of the same id at two queues of a pool apart

Cause: a submission whose request row exists was answered as stored, also if the row is that of another queue's job; the progress of a job did not tell where it was submitted.

Evidence: TestIDOnTwoQueuesOfAPool failed before: answered with success, shown at the other queue, and the cancellation reached the other job.

A submission whose id another queue of the pool holds is answered 409, not run.

--- a/node/access_test.go
+++ b/node/access_test.go
@@ -21,6 +21,7 @@
 
 	version int64
 	open    bool   // the queue "q" needs no key
+	prefix  string // of "q"
 	pool    string // of "q"
 	keys    map[string]string
 }
@@ -34,7 +35,7 @@
 )
 
 func newAccessTest(t *testing.T) *accessTest {
-	return &accessTest{t: t, mem: memstore.New(), clock: &testClock{}, pool: accessJobIn, keys: map[string]string{"one": "key-one", "two": "key-two"}}
+	return &accessTest{t: t, mem: memstore.New(), clock: &testClock{}, pool: accessJobIn, prefix: accessPath, keys: map[string]string{"one": "key-one", "two": "key-two"}}
 }
 
 // call returns an entry that follows the present declarations, and an authorized call on a
@@ -43,7 +44,7 @@
 	a.t.Helper()
 	n := newEntry("entry", a.mem, a.clock)
 	queues := []*catalog.Queue{
-		{Name: "q", Host: accessHost, Prefix: accessPath, Pool: a.pool, Open: a.open},
+		{Name: "q", Host: accessHost, Prefix: a.prefix, Pool: a.pool, Open: a.open},
 		{Name: "closed", Host: accessHost, Prefix: closedPath, Pool: accessJobIn},
 	}
 	var workspaces []*catalog.Workspace
@@ -232,3 +233,59 @@
 		t.Errorf("repeated submission with another key of workspace one: %v", err)
 	}
 }
+
+// Guards against a job that is answered 200 and never runs, and one that is shown at a queue
+// where it was never submitted (LOST, MIXED): a workspace uses one id on two queues of a pool.
+func TestIDOnTwoQueuesOfAPool(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		a := newAccessTest(t)
+		if err := a.submit(closedPath, "one"); err != nil {
+			t.Fatal(err)
+		}
+		if recorded {
+			a.record()
+		}
+		a.expect("before", closedPath, "one", true)
+		a.expect("never submitted", accessPath, "one", false)
+		if err := a.submit(accessPath, "one"); !errors.Is(err, ErrIDInUse) {
+			t.Errorf("recorded %v: submission at the other queue: %v, want %v", recorded, err, ErrIDInUse)
+		}
+		if err := a.submit(closedPath, "one"); err != nil {
+			t.Errorf("recorded %v: repeated submission: %v", recorded, err)
+		}
+		a.pool = "r" // the other queue is now in another pool, where the id is free
+		if err := a.submit(accessPath, "one"); err != nil {
+			t.Errorf("recorded %v: submission in another pool: %v", recorded, err)
+		}
+		a.pool = accessJobIn
+		a.expect("both", closedPath, "one", true)
+		a.expect("both", accessPath, "one", true)
+		n, c := a.call(accessPath, "one")
+		if err := n.Cancel(t.Context(), c, accessJob); err != nil {
+			t.Fatal(err)
+		}
+		for pool, want := range map[string]bool{"p": false, "r": true} {
+			if _, got, _ := store.Get(t.Context(), a.mem, tables.CancelKey(pool, accessJob)); got != want {
+				t.Errorf("recorded %v: the job in %s is cancelled: %v, want %v", recorded, pool, got, want)
+			}
+		}
+	}
+}
+
+// Guards against a job that is lost (LOST) when the address of its queue changes.
+func TestJobIsFoundAtTheNewAddressOfItsQueue(t *testing.T) {
+	a := newAccessTest(t)
+	if err := a.submit(accessPath, "one"); err != nil {
+		t.Fatal(err)
+	}
+	a.record()
+	a.prefix = "/new/"
+	a.expect("new address", "/new/", "one", true)
+	a.expect("new address", "/new/", "two", false)
+	if err := a.submit("/new/", "one"); err != nil {
+		t.Errorf("repeated submission at the new address: %v", err)
+	}
+	if got := storedIn(t, a.mem, accessJob); len(got) != 1 {
+		t.Errorf("the job is stored in pools %v, want one", got)
+	}
+}
--- a/node/api.go
+++ b/node/api.go
@@ -51,7 +51,7 @@
 	// ErrNoJob means that no such job exists.
 	ErrNoJob = errors.New("no such job")
 	// ErrIDInUse means that the job was not stored and never runs: its id belongs to a job
-	// that the caller may not access.
+	// that the caller may not access, or to one of another queue of the pool.
 	ErrIDInUse = errors.New("id is in use by another job")
 	// ErrTooLarge means that the description of a job is too large to be stored.
 	ErrTooLarge = errors.New("job description is too large")
@@ -155,11 +155,14 @@
 	q := c.Queue
 	// The progress in the queue's current pool answers most requests with one read.
 	state, err := n.recordedState(ctx, q.Pool, id)
-	recorded := err == nil
-	if !recorded && !errors.Is(err, ErrNoJob) || recorded && c.owns(state.Workspace) {
+	if err != nil && !errors.Is(err, ErrNoJob) {
 		return q.Pool, state, err
 	}
-	// A recorded job of another workspace may be one of another queue with the same id.
+	recorded := err == nil
+	if recorded && (isAt(state, q) || state.Address == "" && c.owns(state.Workspace)) {
+		return q.Pool, state, nil
+	}
+	// A job that is recorded may be one of another queue with the same id.
 	location, err := readDecoded(ctx, n, tables.LocationKey(q.Host, q.Prefix, id), job.DecodeLocation)
 	if errors.Is(err, ErrNoJob) {
 		return n.locateByProgress(ctx, c, id)
@@ -167,21 +170,28 @@
 	if err != nil {
 		return "", job.StateView{}, err
 	}
-	if location.Pool == q.Pool && recorded {
-		return q.Pool, state, nil
-	}
 	if location.Pool != q.Pool {
-		state, err := n.recordedState(ctx, location.Pool, id)
-		if !errors.Is(err, ErrNoJob) {
+		state, err = n.recordedState(ctx, location.Pool, id)
+		if err != nil && !errors.Is(err, ErrNoJob) {
 			return location.Pool, state, err
 		}
+		recorded = err == nil
+	}
+	if recorded && (isAt(state, q) || state.Address == "") {
+		return location.Pool, state, nil
 	}
 	// The pool's owner has not recorded the job's progress yet.
 	return location.Pool, job.StateView{State: job.Queued, Workspace: location.Workspace}, nil
 }
 
-// locateByProgress searches all pools for a job without a location, which an earlier build
-// has accepted. Its results are those of locate.
+// isAt reports whether a recorded job was submitted at the address of a queue.
+func isAt(state job.StateView, q *catalog.Queue) bool {
+	return state.Address == tables.Address(q.Host, q.Prefix)
+}
+
+// locateByProgress searches all pools for a job without a location at the queue's address: an
+// earlier build has accepted it, or the address of the queue has changed since. Its results
+// are those of locate.
 func (n *Node) locateByProgress(ctx context.Context, c Caller, id string) (string, job.StateView, error) {
 	view, _ := n.operator.Get()
 	for _, pool := range view.Catalog.PoolNames() {
@@ -189,14 +199,14 @@
 		if errors.Is(err, ErrNoJob) {
 			continue
 		}
-		if err != nil || c.owns(state.Workspace) {
+		if err != nil || state.Address == "" && c.owns(state.Workspace) {
 			return pool, state, err
 		}
-		if !c.Queue.Open {
+		if !c.mayAccess(state.Workspace) {
 			n.logHidden(c, id, "progress", pool, state.Workspace)
 			continue
 		}
-		// The progress does not name the queue, which may be another one.
+		// The job may be one of another queue.
 		accepted, err := n.acceptedAt(ctx, c.Queue, pool, id)
 		if err != nil || accepted {
 			return pool, state, err
@@ -205,10 +215,10 @@
 	return "", job.StateView{}, ErrNoJob
 }
 
-// acceptedAt reports whether an earlier build has accepted the job with the given id in a
-// pool at the given queue. The error is *NotRunError if a read failed.
+// acceptedAt reports whether the job with the given id in a pool was accepted at a queue of
+// the given one's name. The error is *NotRunError if a read failed.
 func (n *Node) acceptedAt(ctx context.Context, q *catalog.Queue, pool, id string) (bool, error) {
-	for _, key := range tables.UnlocatedJobKeys(pool, id) {
+	for _, key := range tables.JobKeys(pool, id) {
 		spec, err := readDecoded(ctx, n, key, job.DecodeSpec)
 		if errors.Is(err, ErrNoJob) {
 			continue
@@ -295,21 +305,36 @@
 }
 
 // answerKnown returns the answer to a submission whose id is stored, given the first of the
-// job's rows that exists.
+// job's rows that exists: its location, or the request of a job that was submitted elsewhere.
 func (n *Node) answerKnown(c Caller, id string, row store.Row) error {
 	if row.Table != tables.Jobs {
-		return nil
+		spec, err := job.DecodeSpec(row.Value)
+		if err != nil {
+			n.log.Error("job_row_unreadable", zap.String("job", id), zap.Error(err))
+			return ErrUnconfirmed
+		}
+		if spec.Queue != c.Queue.Name {
+			n.log.Info("id_in_use", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.String("job_queue", spec.Queue))
+			return ErrIDInUse
+		}
+		return n.answerAccess(c, id, "request", spec.Workspace)
 	}
 	location, err := job.DecodeLocation(row.Value)
 	if err != nil {
 		n.log.Error("location_row_unreadable", zap.String("job", id), zap.Error(err))
 		return ErrUnconfirmed
 	}
-	if !c.mayAccess(location.Workspace) {
-		n.logHidden(c, id, "location", location.Pool, location.Workspace)
-		return ErrIDInUse
+	return n.answerAccess(c, id, "location", location.Workspace)
+}
+
+// answerAccess returns the answer to a repeated submission of a job that was accepted for a
+// workspace. source is the row that names it.
+func (n *Node) answerAccess(c Caller, id, source, workspace string) error {
+	if c.mayAccess(workspace) {
+		return nil
 	}
-	return nil
+	n.logHidden(c, id, source, c.Queue.Pool, workspace)
+	return ErrIDInUse
 }
 
 // storeRequest stores a caller's request in the partition of its condition. Its
--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -95,6 +95,8 @@
 
 	GangFailures []GangFailure `cbor:"8,keyasint,omitempty"` // of gangs that are not done; earlier builds do not write it
 
+	Address string `cbor:"9,keyasint,omitempty"` // at which the job was submitted, see tables.Address; empty if an earlier build has recorded it
+
 	Parts map[int]*ProgressPart `cbor:"-"` // the stored parts, by number; newer than Occurrences
 }
 
@@ -192,6 +194,7 @@
 type StateView struct {
 	State     State  `cbor:"1,keyasint"`
 	Workspace string `cbor:"5,keyasint,omitempty"`
+	Address   string `cbor:"9,keyasint,omitempty"`
 }
 
 // DecodeState decodes the StateView of a job from its stored progress. It is
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -178,7 +178,8 @@
 	if b.full() {
 		return nil
 	}
-	value, err := job.EncodeProgress(&job.Progress{State: j.state, FirstOpen: j.firstOpen, NextOpen: j.nextOpen, Workspace: j.spec.Workspace})
+	value, err := job.EncodeProgress(&job.Progress{State: j.state, FirstOpen: j.firstOpen, NextOpen: j.nextOpen, Workspace: j.spec.Workspace,
+		Address: tables.AddressOf(j.spec.Location)})
 	if err != nil {
 		return err
 	}
@@ -270,7 +271,8 @@
 
 // progress returns a job's state as its progress row holds it with all tasks.
 func (p *Pool) progress(j *jobState) *job.Progress {
-	r := &job.Progress{State: j.state, FirstOpen: j.firstOpen, FinishedMS: j.finishedAtMS, Workspace: j.spec.Workspace}
+	r := &job.Progress{State: j.state, FirstOpen: j.firstOpen, FinishedMS: j.finishedAtMS, Workspace: j.spec.Workspace,
+		Address: tables.AddressOf(j.spec.Location)}
 	if j.state.Final() {
 		return r
 	}
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -112,7 +112,16 @@
 // submitted, and its id: callers of different queues may choose the same id. The name and
 // the pool of the queue may change.
 func LocationKey(host, prefix, id string) store.Key {
-	return store.Key{Table: Jobs, Partition: jobPartition(id), Name: hash64(strings.ToLower(host)+" "+prefix) + "/" + id}
+	return store.Key{Table: Jobs, Partition: jobPartition(id), Name: Address(host, prefix) + "/" + id}
+}
+
+// Address returns a hash of the host and the prefix at which jobs are submitted.
+func Address(host, prefix string) string { return hash64(strings.ToLower(host) + " " + prefix) }
+
+// AddressOf returns the address in the name of a job's location.
+func AddressOf(location string) string {
+	address, _, _ := strings.Cut(location, "/")
+	return address
 }
 
 // JobKey returns the key of a submitted job. It is in the partition of its location.
@@ -120,10 +129,9 @@
 	return store.Key{Table: Requests(pool), Partition: jobPartition(id), Name: requestPrefix(pool) + id}
 }
 
-// UnlocatedJobKeys returns the keys under which builds that stored no location of a job may
-// have stored the job.
-func UnlocatedJobKeys(pool, id string) []store.Key {
-	var keys []store.Key
+// JobKeys returns the keys under which this build and earlier ones may have stored a job.
+func JobKeys(pool, id string) []store.Key {
+	keys := []store.Key{JobKey(pool, id)}
 	for _, partition := range legacyRequestPartitions(pool) {
 		keys = append(keys, store.Key{Table: Requests(pool), Partition: partition, Name: id})
 	}
