Give back all unneeded shares at the first claim

Callers would see: late jobs. A pool that has work for most of a cap got it one task at a time, since the others gave back what its first task lacks.

Evidence: TestSharesThatAreNotUsedAreGivenBackTogether failed before: 6 of 12 tasks had not started after 1 s beside a pool that used nothing.

Change: while a claim lacks something, a pool gives back what it does not need at once, beside what is lacking.

--- a/sched/capshare/capshare.go
+++ b/sched/capshare/capshare.go
@@ -174,8 +174,8 @@
 	available := maxEach(free, fleet.Resources{})
 	if claimed && first != h.Pool {
 		lacks := d.lacks(first, limit, free)
-		if unused := minEach(own.Sub(w.Used), lacks); unused != (fleet.Resources{}) {
-			own.Resources = own.Sub(unused)
+		if given := h.give(own.Resources, base, lacks, limit, w); given != (fleet.Resources{}) {
+			own.Resources = own.Sub(given)
 			own.Claim = h.claim(d, own, limit, w)
 			return d.with(h.Pool, own), Given
 		}
@@ -212,6 +212,17 @@
 	return division, reason
 }
 
+// give returns what a pool gives back while the first claim lacks something: of what its runs
+// do not use, as much as is lacking, and all that it does not need either.
+func (h *Holder) give(own, base, lacks, limit fleet.Resources, w Work) fleet.Resources {
+	if lacks == (fleet.Resources{}) {
+		return lacks
+	}
+	base.Accelerators = 0
+	surplus := own.Sub(maxEach(w.Need.Scale(headroomRatio), base))
+	return limited(minEach(own.Sub(w.Used), maxEach(lacks, surplus)), limit)
+}
+
 // cover returns the division if the pool has no share, or less than its runs hold, or if all
 // shares together exceed the cap. The share is at least what the runs hold, so that no other
 // pool can take it.
--- a/sched/capshare/capshare_test.go
+++ b/sched/capshare/capshare_test.go
@@ -350,3 +350,23 @@
 		t.Errorf("a task of 9500 beside one of 6500 does not start; row %+v", m.row)
 	}
 }
+
+// Guards against a pool that gets a cap one task at a time (jobs late): another one holds most
+// of it for a backlog that has ended or that its VMs have no room for.
+func TestSharesThatAreNotUsedAreGivenBackTogether(t *testing.T) {
+	m := newModel(t, 4, 2, cpu(16_000), cpu(16_000))
+	for range 14 {
+		m.submit(0, cpu(1_000), time.Second)
+	}
+	m.run(1500 * time.Millisecond)
+	var tasks []*modelTask
+	for range 12 {
+		tasks = append(tasks, m.submit(1, cpu(1_000), 10*time.Second))
+	}
+	began := m.now
+	for _, task := range tasks {
+		if !m.runsWithin(task, began+time.Second-m.now) {
+			t.Fatalf("%d of 12 tasks have not started after 1 s; row %+v", m.waiting(), m.row)
+		}
+	}
+}
