--- a/node/caps.go
+++ b/node/caps.go
@@ -27,8 +27,10 @@
 	capWriteTimeout    = 700 * time.Millisecond
 	capWait            = 2 * time.Second       // of a feed call
 	capPause           = 20 * time.Millisecond // between feed calls
-	// capWaitLogInterval is the least time between two log lines about the tasks of a
-	// workspace that wait for a share of its cap.
+	// capWaitLogAfter is how long tasks of a workspace wait for a share of its cap before
+	// that is logged. A share that is free is there sooner.
+	capWaitLogAfter = 500 * time.Millisecond
+	// capWaitLogInterval is the least time between two log lines about such waits.
 	capWaitLogInterval = 2 * time.Second
 	// maxLoggedHolders bounds the pools that such a line names.
 	maxLoggedHolders = 8
@@ -39,7 +41,8 @@
 	account      *capshare.Account
 	writing      bool          // a write is under way
 	lastWriteAt  time.Duration // steady clock
-	waitLoggedAt time.Duration // when a wait for a share was last logged, steady clock; 0 if never
+	waitingSince time.Duration // since when tasks wait for nothing but a share, steady clock; 0 if none does
+	waitLoggedAt time.Duration // when such a wait was last logged, steady clock; 0 if never
 }
 
 // capShares manages one pool's cap shares of all workspaces.
@@ -170,11 +173,11 @@
 			continue
 		}
 		s := c.stateOf(name)
+		work := p.CapWork(name)
+		c.logWait(s, w, work, now)
 		if s.writing || now-s.lastWriteAt < capRequestInterval {
 			continue
 		}
-		work := p.CapWork(name)
-		c.logWait(s, w, work, now)
 		write, ok := s.account.Next(w.Cap, c.pools, work, now)
 		if !ok {
 			continue
@@ -186,13 +189,20 @@
 
 // logWait logs that a task waits for nothing but a share of its workspace's cap.
 func (c *capShares) logWait(s *capState, w *catalog.Workspace, work capshare.Work, now time.Duration) {
-	if work.Unit == (fleet.Resources{}) || s.waitLoggedAt > 0 && now-s.waitLoggedAt < capWaitLogInterval {
+	switch {
+	case work.Unit == (fleet.Resources{}):
+		s.waitingSince = 0
+		return
+	case s.waitingSince == 0:
+		s.waitingSince = now
+	}
+	if now-s.waitingSince < capWaitLogAfter || s.waitLoggedAt > 0 && now-s.waitLoggedAt < capWaitLogInterval {
 		return
 	}
 	s.waitLoggedAt = now
 	division := s.account.Division()
 	first, _ := division.First(w.Cap)
-	c.log.Info("cap_share_wait", zap.String("workspace", w.Name), zap.String("needs", amount(work.Unit)), zap.String("used", amount(work.Used)),
+	c.log.Info("cap_share_wait", zap.String("workspace", w.Name), zap.Duration("for", now-s.waitingSince), zap.String("needs", amount(work.Unit)), zap.String("used", amount(work.Used)),
 		zap.String("share", amount(s.account.Share())), zap.String("cap", amount(w.Cap)), zap.String("first_claim", first), zap.String("holders", c.holders(division)))
 }
 
--- a/sched/capshare/capshare.go
+++ b/sched/capshare/capshare.go
@@ -12,7 +12,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"amaranthfork.example/fleet"
@@ -64,11 +63,13 @@
 // First returns the pool whose claim comes first among those that are not met; the result
 // is false if there is none.
 func (d Division) First(limit fleet.Resources) (string, bool) {
-	first := ""
-	for _, pool := range slices.Sorted(maps.Keys(d)) {
-		s := d[pool]
-		if s.unmet(limit) && (first == "" || s.Claim.Ticket < d[first].Claim.Ticket) {
-			first = pool
+	first, ticket := "", int64(0)
+	for pool, s := range d {
+		if !s.unmet(limit) {
+			continue
+		}
+		if first == "" || s.Claim.Ticket < ticket || s.Claim.Ticket == ticket && pool < first {
+			first, ticket = pool, s.Claim.Ticket
 		}
 	}
 	return first, first != ""
