Wait for pools without a cap share only after a cap is given

Evidence: TestNewPoolDoesNotHoldUpTheOthers fails without the change.

Change: a pool that has not joined the division may have runs only from before the cap. They have ended, or their owner has joined, after the age limit of renewals and one lease. Until then all pools are waited for, as since.

--- a/node/caps.go
+++ b/node/caps.go
@@ -41,6 +41,7 @@
 	account      *capshare.Account
 	writing      bool          // a write is under way
 	lastWriteAt  time.Duration // steady clock
+	cappedSince  time.Duration // since when this owner knows that the workspace has a cap, steady clock; 0 if it has none
 	waitingSince time.Duration // since when tasks wait for nothing but a share, steady clock; 0 if none does
 	waitLoggedAt time.Duration // when such a wait was last logged, steady clock; 0 if never
 }
@@ -66,6 +67,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.catalog, c.pools = cat, cat.PoolNames()
+	now := max(1, c.node.clock.Now().Steady)
+	for name, w := range cat.Workspaces {
+		switch s := c.stateOf(name); {
+		case w.Cap == (fleet.Resources{}):
+			s.cappedSince = 0
+		case s.cappedSince == 0:
+			s.cappedSince = now
+		}
+	}
 	c.node.setCapHolders(c.undeclaredHolders())
 }
 
@@ -144,22 +154,33 @@
 }
 
 // applyTo passes the cap shares to the scheduler. No task of a workspace starts
-// while its shares are unknown or their sum exceeds its cap.
+// while its shares are unknown or their sum exceeds its cap, or while a pool may have runs
+// that are not in the division of a new cap.
 func (c *capShares) applyTo(p *pool.Pool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.catalog == nil {
 		return
 	}
+	now := c.node.clock.Now().Steady
 	for name, w := range c.catalog.Workspaces {
 		if w.Cap == (fleet.Resources{}) {
 			continue
 		}
-		usable, blocked := c.stateOf(name).account.Usable(w.Cap, c.pools, p.CapWork(name).Used)
+		s := c.stateOf(name)
+		usable, blocked := s.account.Usable(w.Cap, c.pools, p.CapWork(name).Used, now-s.cappedSince < c.uncappedRunsBound())
 		p.SetCapShare(name, usable, blocked)
 	}
 }
 
+// uncappedRunsBound returns how long a pool that has not joined the division of a new cap may
+// still have runs: an owner that does not follow the declarations renews no leases after
+// renewAgeLimit, and then they end.
+func (c *capShares) uncappedRunsBound() time.Duration {
+	settings := &c.node.settings.Scheduler
+	return renewAgeLimit + leaseBound(max(settings.Lease, settings.MaxLease))
+}
+
 // requestShares requests the cap shares that the scheduler needs after its cycle, and gives
 // back what it does not need.
 func (c *capShares) requestShares(ctx context.Context, p *pool.Pool, now time.Duration) {
--- a/node/caps_test.go
+++ b/node/caps_test.go
@@ -51,7 +51,7 @@
 		c.write(t.Context(), "ws", next)
 	}
 	usable := func() fleet.Resources {
-		got, _ := account.Usable(w.Cap, c.pools, fleet.Resources{})
+		got, _ := account.Usable(w.Cap, c.pools, fleet.Resources{}, true)
 		return got
 	}
 	write(capshare.Work{Need: resources(800)}, resources(960))
@@ -111,3 +111,33 @@
 	c.configure(cat)
 	expect("once it is no longer declared", "mine", "mine2")
 }
+
+// Guards against a workspace above its cap (QUOTA) when a cap is given a second time: runs from
+// the time without a cap may not be in the division again.
+func TestTimeSinceACapWasGiven(t *testing.T) {
+	clock := &testClock{}
+	n := newEntry("a", memstore.New(), clock)
+	c := newCapShares(n, "mine", testLog)
+	declare := func(limit fleet.Resources) time.Duration {
+		clock.advance(time.Minute)
+		w := &catalog.Workspace{Name: "ws", Cap: limit}
+		c.configure(catalog.New(1, nil, []*catalog.Pool{{Name: "mine"}}, []*catalog.Workspace{w}, catalog.Limits{}))
+		return c.stateOf("ws").cappedSince
+	}
+	if got := declare(fleet.Resources{}); got != 0 {
+		t.Errorf("without a cap: given at %v", got)
+	}
+	first := declare(resources(1000))
+	if again := declare(resources(500)); first == 0 || again != first {
+		t.Errorf("given at %v, %v after it was lowered", first, again)
+	}
+	if got := declare(fleet.Resources{}); got != 0 {
+		t.Errorf("taken away: given at %v", got)
+	}
+	if second := declare(resources(1000)); second <= first {
+		t.Errorf("given again at %v, first at %v", second, first)
+	}
+	if bound := c.uncappedRunsBound(); bound <= n.settings.Scheduler.MaxLease+renewAgeLimit {
+		t.Errorf("runs from before the cap may last %v, leases alone %v", bound, n.settings.Scheduler.MaxLease)
+	}
+}
--- a/sched/capshare/account.go
+++ b/sched/capshare/account.go
@@ -71,7 +71,8 @@
 
 // Usable returns what the pool may run, given the cap, the declared pools and what its runs
 // hold. While blocked is true, no run may start: the shares are not known, or exceed the cap.
-func (a *Account) Usable(limit fleet.Resources, pools []string, used fleet.Resources) (usable fleet.Resources, blocked bool) {
+// recent tells that a pool without a share may have runs from before the workspace had a cap.
+func (a *Account) Usable(limit fleet.Resources, pools []string, used fleet.Resources, recent bool) (usable fleet.Resources, blocked bool) {
 	own := a.current.Limit(a.holder.Pool, limit, len(pools))
 	switch {
 	case a.unconfirmed:
@@ -80,7 +81,7 @@
 		// The write may lower the share, and another pool may take the rest at once.
 		own = minEach(own, a.pending.Division[a.holder.Pool].Resources)
 	}
-	return own, !a.read || !a.current.Known(pools) || ExceedsCap(a.current.Total(), limit)
+	return own, !a.read || recent && !a.current.Known(pools) || ExceedsCap(a.current.Total(), limit)
 }
 
 // inFlight reports whether a write may still take effect.
--- a/sched/capshare/capshare.go
+++ b/sched/capshare/capshare.go
@@ -90,8 +90,8 @@
 	return last
 }
 
-// Known reports whether each of the pools has a share. What a pool without one runs is not
-// known.
+// Known reports whether each of the pools has a share. What a pool without one may still run
+// from before the workspace had a cap is not known; it starts nothing.
 func (d Division) Known(pools []string) bool {
 	for _, pool := range pools {
 		if _, ok := d[pool]; !ok {
--- a/sched/capshare/capshare_test.go
+++ b/sched/capshare/capshare_test.go
@@ -130,6 +130,17 @@
 	}
 }
 
+// Guards against a workspace whose tasks wait for nothing (LOST): a pool is declared that has
+// no owner yet, while the cap has been in force for long.
+func TestNewPoolDoesNotHoldUpTheOthers(t *testing.T) {
+	m := newModel(t, 6, 3, cpu(16_000), cpu(64_000))
+	m.run(modelUncappedRuns + time.Second)
+	m.names = append(m.names, "pool-new")
+	if task := m.submit(0, cpu(10_000), time.Second); !m.runsWithin(task, time.Second) {
+		t.Errorf("a task does not start while a new pool has not joined; row %+v", m.row)
+	}
+}
+
 // Guards against a workspace above its cap (QUOTA): a write by which an earlier owner lowers
 // the pool's share takes effect once the next owner has read the row, and another pool takes
 // the rest at once.
@@ -137,7 +148,7 @@
 	limit, pools := cpu(16_000), []string{"a", "b"}
 	a := NewAccount("a")
 	a.Observe(Division{"a": {Resources: cpu(10_000)}, "b": {Resources: cpu(6_000)}}, 7)
-	if usable, _ := a.Usable(limit, pools, cpu(2_000)); usable != cpu(2_000) {
+	if usable, _ := a.Usable(limit, pools, cpu(2_000), true); usable != cpu(2_000) {
 		t.Errorf("the next owner may run %+v while the row is unchanged, want no more than the 2000 that run", usable)
 	}
 	w, ok := a.Next(limit, pools, Work{Used: cpu(2_000), Need: cpu(5_000)}, time.Second)
@@ -146,7 +157,7 @@
 	}
 	a.Finish(w, Refused, 0)
 	a.Observe(Division{"a": {Resources: cpu(3_000)}, "b": {Resources: cpu(13_000)}}, 8)
-	if usable, blocked := a.Usable(limit, pools, cpu(2_000)); usable != cpu(3_000) || blocked {
+	if usable, blocked := a.Usable(limit, pools, cpu(2_000), true); usable != cpu(3_000) || blocked {
 		t.Errorf("after the late write the owner may run %+v (blocked %v), want 3000", usable, blocked)
 	}
 }
--- a/sched/capshare/model_test.go
+++ b/sched/capshare/model_test.go
@@ -16,6 +16,8 @@
 	modelWriteGap  = 60 * time.Millisecond
 	modelWriteTime = 20 * time.Millisecond
 	modelFeedDelay = 40 * time.Millisecond
+	// modelUncappedRuns is how long a pool may have runs that are not in the division.
+	modelUncappedRuns = 10 * time.Second
 )
 
 // modelTask is a task, or a gang, of the workspace.
@@ -75,6 +77,8 @@
 	pools  []*modelPool
 	names  []string
 
+	cappedSince time.Duration // 0 without a cap
+
 	row      Division
 	version  int64
 	history  []modelRow
@@ -191,7 +195,12 @@
 	if seen.version > 0 || m.version == 0 {
 		p.account.Observe(seen.division, seen.version)
 	}
-	usable, blocked := p.account.Usable(m.limit, m.names, p.used())
+	if m.limit == (fleet.Resources{}) {
+		m.cappedSince = 0
+	} else if m.cappedSince == 0 {
+		m.cappedSince = m.now
+	}
+	usable, blocked := p.account.Usable(m.limit, m.names, p.used(), m.now-m.cappedSince < modelUncappedRuns)
 	blocked = blocked && m.limit != fleet.Resources{}
 	var unit, needed fleet.Resources
 	kept := p.waiting[:0]
