Compute the measured policies alike on all architectures

Cause: arm64 fuses a product and a sum into one operation with another rounding.

Change: these products are converted explicitly, which rules fusing out. The golden files are unchanged. Not run on arm64. The packages are not used by 'amaranthd platform'.

--- a/cmd/internal/measure/bound.go
+++ b/cmd/internal/measure/bound.go
@@ -74,7 +74,7 @@
 	for p := range slots {
 		need[p] = make([]int, s.lengthTicks)
 		for t := range need[p] {
-			need[p][t] = int(math.Ceil(slots[p][t]*(1+settings.HeadroomFraction)/8 - 1e-9))
+			need[p][t] = int(math.Ceil(float64(slots[p][t]*(1+settings.HeadroomFraction)/8) - 1e-9))
 		}
 	}
 	return need
--- a/cmd/internal/measure/demand.go
+++ b/cmd/internal/measure/demand.go
@@ -112,7 +112,7 @@
 		if rng.IntN(10) == 0 {
 			q = queues[rng.IntN(len(queues))]
 		}
-		end := min(s.lengthTicks, t+int(float64(ticks(meanPeakTime))*(0.6+0.8*rng.Float64())))
+		end := min(s.lengthTicks, t+int(float64(ticks(meanPeakTime))*(0.6+float64(0.8*rng.Float64()))))
 		for ; t < end; t++ {
 			slots[q][t] = peakFactor * s.queues[q].meanSlots
 		}
@@ -137,7 +137,7 @@
 func (s *Scenario) newJob(rng *rand.Rand, t, q, c int) *job {
 	runTime := float64(classes[c].meanRunTime) * math.Exp(0.5*rng.NormFloat64()-0.125)
 	perSlot := s.VMs[0].Capacity.Scale(1.0 / 8)
-	usage := perSlot.Scale(0.4 + 0.4*rng.Float64())
+	usage := perSlot.Scale(0.4 + float64(0.4*rng.Float64()))
 	declarationError := math.Exp(rng.NormFloat64()) // a third of the declarations are off by a factor of 2.7 or more
 	return &job{
 		arrivedTick: t, queue: q, class: c,
--- a/cmd/internal/measure/dispatch.go
+++ b/cmd/internal/measure/dispatch.go
@@ -18,7 +18,7 @@
 		return slots
 	}
 	fraction := capacity.RampUp(sim.dataCentreState(v.dc), timeAt(sim.nowTick), sim.scenario.rampUp)
-	return int(fraction*float64(slots) + 0.999)
+	return int(float64(fraction*float64(slots)) + 0.999)
 }
 
 // dataCentreState describes a data centre to package capacity.
--- a/cmd/internal/measure/estimates.go
+++ b/cmd/internal/measure/estimates.go
@@ -20,14 +20,14 @@
 func (a *movingAverage) add(x float64) {
 	a.samples++
 	weight := max(1/float64(a.samples), 0.02)
-	a.mean += (x - a.mean) * weight
-	a.meanSquare += (x*x - a.meanSquare) * weight
+	a.mean += float64((x - a.mean) * weight)
+	a.meanSquare += float64((float64(x*x) - a.meanSquare) * weight)
 }
 
 // p90 returns the 90th percentile of a normal distribution with the observed
 // mean and standard deviation.
 func (a *movingAverage) p90() float64 {
-	return a.mean + 1.28*math.Sqrt(max(0, a.meanSquare-a.mean*a.mean))
+	return a.mean + float64(1.28*math.Sqrt(max(0, a.meanSquare-float64(a.mean*a.mean))))
 }
 
 // estimates holds estimates of run times, resource needs and arrival rates,
@@ -97,7 +97,7 @@
 		for _, team := range qu.teams {
 			for c := range classes {
 				k := [3]int{q, c, team.team}
-				e.arrivalsPerSecond[k] += (float64(e.arrivals[k])/spanSeconds - e.arrivalsPerSecond[k]) * smoothing
+				e.arrivalsPerSecond[k] += float64((float64(e.arrivals[k])/spanSeconds - e.arrivalsPerSecond[k]) * smoothing)
 				e.arrivals[k] = 0
 			}
 		}
--- a/cmd/internal/measure/versions.go
+++ b/cmd/internal/measure/versions.go
@@ -68,9 +68,9 @@
 	p := s.Profile
 	settings := settingsV2(s)
 	costWeight := math.Sqrt(p.IdleWeight * p.MoveWeight)
-	settings.HeadroomFraction = -0.1 - 0.125*(costWeight-1)
+	settings.HeadroomFraction = -0.1 - float64(0.125*(costWeight-1))
 	settings.ReturnAfter = seconds(60 * math.Sqrt(p.MoveWeight) / p.IdleWeight)
-	settings.ShareBlend = 1 - 1/(1+p.ShareWeight*p.ShareWeight)
+	settings.ShareBlend = 1 - 1/(1+float64(p.ShareWeight*p.ShareWeight))
 	settings.DonorMargin = 2
 	return settings
 }
--- a/policy/capacity/builder.go
+++ b/policy/capacity/builder.go
@@ -134,8 +134,8 @@
 func (b *decisionBuilder) countVM(p *poolState, vm *VM, dc, rack int) {
 	fraction := b.rampOf(vm.DataCentre)
 	p.serving++
-	p.slots += fraction * float64(vm.Slots)
-	b.fleetSlots += fraction * float64(vm.Slots)
+	p.slots += float64(fraction * float64(vm.Slots))
+	b.fleetSlots += float64(fraction * float64(vm.Slots))
 	p.byDC[dc]++
 	p.byRack[rack]++
 	if vm.MaintenanceDue {
--- a/policy/capacity/moves.go
+++ b/policy/capacity/moves.go
@@ -119,7 +119,7 @@
 		perRunning = 1.0 // a running task delays the move
 		perSecond  = 0.5 // of remaining run time, up to 10 s
 	)
-	return perRunning*float64(vm.Running) + perSecond*min(vm.Remaining, 10*time.Second).Seconds()
+	return float64(perRunning*float64(vm.Running)) + float64(perSecond*min(vm.Remaining, 10*time.Second).Seconds())
 }
 
 // costOfMove returns the cost of a move, by which the donor is chosen. It is lower
@@ -137,10 +137,10 @@
 		cost += readyPenalty
 	}
 	if !from.Spare {
-		cost += b.settings.OtherDonorCost - perSurplus*float64(from.serving-from.need)
+		cost += b.settings.OtherDonorCost - float64(perSurplus*float64(from.serving-from.need))
 	}
-	cost += perNeighbour * float64(to.byDC[vm.dc]+to.byRack[vm.rack])
-	cost -= perNeighbour * float64(from.byDC[vm.dc]+from.byRack[vm.rack]) / 2
+	cost += float64(perNeighbour * float64(to.byDC[vm.dc]+to.byRack[vm.rack]))
+	cost -= float64(perNeighbour * float64(from.byDC[vm.dc]+from.byRack[vm.rack]) / 2)
 	return cost
 }
 
--- a/policy/capacity/need.go
+++ b/policy/capacity/need.go
@@ -45,7 +45,7 @@
 	for _, w := range b.snapshot.Work {
 		run := w.RunTime.Seconds()
 		steady := max(float64(w.Running), b.settings.offered(w))
-		backlog := float64(w.Queued) * min(1, run/b.settings.startWithin(w.Class).Seconds())
+		backlog := float64(float64(w.Queued) * min(1, run/b.settings.startWithin(w.Class).Seconds()))
 		demands = append(demands, workDemand{work: w, slots: steady + backlog})
 	}
 	return demands
@@ -138,7 +138,7 @@
 			continue
 		}
 		fraction := runningAndQueued(w.work) / byTeam[team]
-		share := b.settings.ShareBlend*entitled[team] + (1-b.settings.ShareBlend)*limited[team]*servedFraction
+		share := float64(b.settings.ShareBlend*entitled[team]) + float64((1-b.settings.ShareBlend)*limited[team]*servedFraction)
 		demands[i].slots = fraction * share
 	}
 }
--- a/policy/capacity/settings.go
+++ b/policy/capacity/settings.go
@@ -57,15 +57,15 @@
 	// capacityWeight is the weight of both costs of capacity, idle VMs and moves,
 	// relative to that of late work.
 	capacityWeight := math.Sqrt(idle * move)
-	s.HeadroomFraction = max(-0.5, s.HeadroomFraction-0.18*(capacityWeight-1))
+	s.HeadroomFraction = max(-0.5, s.HeadroomFraction-float64(0.18*(capacityWeight-1)))
 	// The smaller the fraction of the demand for which VMs are provided, the more of
 	// it is batch work.
 	s.BatchArrivalFraction = max(0, min(1, (capacityWeight-1)/2))
-	s.PeakReadyFraction = max(0.2, s.PeakReadyFraction-0.1*(capacityWeight-1))
+	s.PeakReadyFraction = max(0.2, s.PeakReadyFraction-float64(0.1*(capacityWeight-1)))
 	s.MoveCostSlotSeconds *= move
 	s.PeakReadyFraction = min(1, s.PeakReadyFraction*math.Sqrt(move/idle))
 	s.ReturnAfter = scale(s.ReturnAfter, math.Sqrt(move)/idle)
-	s.ShareBlend = 1 - 1/(1+share*share)
+	s.ShareBlend = 1 - 1/(1+float64(share*share))
 	return s
 }
 
--- a/policy/forecast/forecast.go
+++ b/policy/forecast/forecast.go
@@ -107,10 +107,10 @@
 func (s *series) add(now time.Time, value float64, o Options) {
 	dt := now.Sub(s.lastObserved).Seconds()
 	s.lastObserved = now
-	s.level += (value - s.level) * (1 - math.Exp(-dt/o.LevelTimeConstant.Seconds()))
+	s.level += float64((value - s.level) * (1 - math.Exp(-dt/o.LevelTimeConstant.Seconds())))
 	s.meanSeconds = min(s.meanSeconds+dt, o.MeanTimeConstant.Seconds())
 	if s.meanSeconds > 0 {
-		s.mean += (value - s.mean) * min(1, dt/s.meanSeconds)
+		s.mean += float64((value - s.mean) * min(1, dt/s.meanSeconds))
 	} else {
 		s.mean = value
 	}
@@ -158,7 +158,7 @@
 	if old == 0 {
 		return sample
 	}
-	return old + (sample-old)*weight
+	return old + float64((sample-old)*weight)
 }
 
 // Outlook returns the forecast for a key from now to the horizon, or the zero
