--- a/sched/pool/cycle_bench_test.go
+++ b/sched/pool/cycle_bench_test.go
@@ -37,3 +37,35 @@
 		})
 	}
 }
+
+// BenchmarkCycleOfACappedBacklog measures one cycle of a scheduler whose VMs are full while
+// ten jobs of a workspace that has used up its share of a cap wait for each VM.
+func BenchmarkCycleOfACappedBacklog(b *testing.B) {
+	for _, vms := range []int{50, 300} {
+		b.Run(fmt.Sprintf("%d VMs", vms), func(b *testing.B) {
+			h := newHarness(b)
+			h.catalog = catalogWithCap(h, int64(vms)*32_000)
+			h.scheduler.Configure(h.catalog)
+			for i := range vms {
+				h.addVM(fmt.Sprintf("vm%04d", i), 16_000)
+			}
+			h.settle()
+			h.scheduler.SetCapShare("ws", fleet.Resources{MilliCPU: int64(vms) * 16_000}, false)
+			for range 13 * vms {
+				spec := shortJob(8)
+				spec.Workspace = "ws"
+				spec.Steps[0].Need = fleet.Resources{MilliCPU: 2000}
+				h.submit(spec)
+			}
+			for range 10 {
+				h.settle()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				h.now = h.now.Add(time.Microsecond)
+				h.scheduler.Advance(h.now)
+				h.scheduler.Cycle()
+			}
+		})
+	}
+}
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -191,8 +191,13 @@
 	if p.candidates.lacksRoom(need) {
 		return false
 	}
+	room := false
 	for _, v := range p.candidates.usable {
-		if !need.Fits(v.free()) || reserved[v] || !p.allowed(t, v) {
+		if !need.Fits(v.free()) {
+			continue
+		}
+		room = true
+		if reserved[v] || !p.allowed(t, v) {
 			continue
 		}
 		n := need.CountIn(v.free(), count)
@@ -203,6 +208,9 @@
 			return true
 		}
 	}
+	if !room {
+		p.candidates.noRoom = append(p.candidates.noRoom, need)
+	}
 	return false
 }
 
