Bound the turn of a claim that makes progress

Evidence: TestClaimThatKeepsMakingProgressDoesNotHoldUpOthers failed before: a small task did not start within 3 s.

Change: the first claim loses its place after 2 s, also with progress.

--- a/sched/capshare/capshare.go
+++ b/sched/capshare/capshare.go
@@ -6,8 +6,9 @@
 // it. A pool in which a task or a gang waits for more than that puts a claim into the
 // division. The claims are served in the order of their tickets: while the first one is
 // not met, the other pools give back what they do not use, and take nothing that it lacks.
-// A claim that makes no progress for claimTurn loses its place, so that one that cannot be
-// met now, or whose pool has no owner, holds the others up for a bounded time.
+// A claim that makes no progress for claimTurn, or is the first one for maxClaimTurn, loses
+// its place, so that one that cannot be met now, or whose pool has no owner, holds the others
+// up for a bounded time.
 package capshare
 
 import (
@@ -24,6 +25,8 @@
 	// claimTurn is how long the first claim may make no progress before it loses its
 	// place. The other pools need some writes to give back what they do not use.
 	claimTurn = time.Second
+	// maxClaimTurn is how long the first claim keeps its place while it makes progress.
+	maxClaimTurn = 2 * time.Second
 )
 
 // Share is one pool's share of a cap.
@@ -155,6 +158,7 @@
 	pool   string
 	ticket int64
 	lacks  fleet.Resources
+	began  time.Duration // when it was first seen, steady clock
 	since  time.Duration // since when it has made no progress, steady clock
 }
 
@@ -257,19 +261,22 @@
 	return minEach(own, maxEach(base, own.Sub(lacks)))
 }
 
-// observeFirst reports whether the first claim has made no progress for claimTurn.
+// observeFirst reports whether the first claim has made no progress for claimTurn, or has been
+// the first one for maxClaimTurn.
 func (h *Holder) observeFirst(d Division, first string, limit, free fleet.Resources, now time.Duration) bool {
 	if first == "" {
 		h.first = firstClaim{}
 		return false
 	}
-	seen := firstClaim{pool: first, ticket: d[first].Claim.Ticket, lacks: d.lacks(first, limit, free), since: now}
-	known := h.first
-	if known.pool == seen.pool && known.ticket == seen.ticket && known.lacks.Fits(seen.lacks) {
-		return now-known.since > claimTurn
+	seen := firstClaim{pool: first, ticket: d[first].Claim.Ticket, lacks: d.lacks(first, limit, free), began: now, since: now}
+	if known := h.first; known.pool == seen.pool && known.ticket == seen.ticket {
+		seen.began = known.began
+		if known.lacks.Fits(seen.lacks) {
+			seen.since = known.since
+		}
 	}
 	h.first = seen
-	return false
+	return now-seen.since > claimTurn || now-seen.began > maxClaimTurn
 }
 
 // shortfall returns what a pool's share is short of its claim.
--- a/sched/capshare/capshare_test.go
+++ b/sched/capshare/capshare_test.go
@@ -381,3 +381,22 @@
 		}
 	}
 }
+
+// Guards against a claim that holds up others for long (LOST): it cannot be met, and makes
+// progress again and again, since runs of other pools end one after the other.
+func TestClaimThatKeepsMakingProgressDoesNotHoldUpOthers(t *testing.T) {
+	m := newModel(t, 8, 5, cpu(16_000), cpu(64_000))
+	m.run(5 * time.Second)
+	m.submit(0, cpu(5_000), 0)
+	for i := range 8 {
+		m.submit(3, cpu(250), time.Duration(3000+700*i)*time.Millisecond)
+	}
+	m.run(2 * time.Second)
+	m.submit(1, cpu(12_000), time.Second)
+	m.run(500 * time.Millisecond)
+	for i := range 4 {
+		if task := m.submit(2, cpu(1_500), 400*time.Millisecond); !m.runsWithin(task, startTarget) {
+			t.Fatalf("task %d does not start beside a claim that cannot be met; row %+v", i, m.row)
+		}
+	}
+}
