Log what tells the hypotheses of the incident of restarted workers apart

The logs did not tell by which path: a start had no line with its deadline and the clock on which it rests, and no line said how a restart was noticed.

--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -63,11 +63,11 @@
 	return RenewalAnswer{ClockMS: 1000, StartedMS: 1}, nil
 }
 
-func (f *fakeWorkers) Start(ctx context.Context, _ WorkerRef, o StartOrder) pool.StartResult {
+func (f *fakeWorkers) Start(ctx context.Context, _ WorkerRef, o StartOrder) StartAnswer {
 	if f.record(ctx, fakeOrder{pool.Start, o.Task, o.Run, o.Token, o.DeadlineMS}) != nil {
-		return pool.StartUnconfirmed
+		return StartAnswer{Result: pool.StartUnconfirmed}
 	}
-	return pool.StartAccepted
+	return StartAnswer{Result: pool.StartAccepted, ClockMS: 1000}
 }
 
 func (f *fakeWorkers) Stop(ctx context.Context, _ WorkerRef, task string, run int, token int64) error {
--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -140,23 +140,23 @@
 	return RenewalAnswer{}, ErrNoAnswer
 }
 
-func (f *leasedVMs) Start(ctx context.Context, ref WorkerRef, o StartOrder) pool.StartResult {
+func (f *leasedVMs) Start(ctx context.Context, ref WorkerRef, o StartOrder) StartAnswer {
 	sleep(ctx, 2*time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.vms[ref.Address]
 	switch {
 	case w.silent:
-		return pool.StartUnconfirmed
+		return StartAnswer{Result: pool.StartUnconfirmed}
 	case o.Token < w.token:
-		return pool.StartFenced
+		return StartAnswer{Result: pool.StartFenced, ClockMS: w.clockMS()}
 	case o.DeadlineMS < w.clockMS():
-		return pool.StartPastDeadline
+		return StartAnswer{Result: pool.StartPastDeadline, ClockMS: w.clockMS()}
 	}
 	w.token = o.Token
 	w.grant(o.DeadlineMS)
 	w.running[o.Task] = pool.RunState{Task: o.Task, Run: o.Run, ProgressPercent: 100}
-	return pool.StartAccepted
+	return StartAnswer{Result: pool.StartAccepted, ClockMS: w.clockMS()}
 }
 
 func (f *leasedVMs) Stop(context.Context, WorkerRef, string, int, int64) error { return nil }
--- a/node/owner_bench_test.go
+++ b/node/owner_bench_test.go
@@ -85,7 +85,7 @@
 	}
 }
 
-func (b *benchWorkers) Start(_ context.Context, ref WorkerRef, o StartOrder) pool.StartResult {
+func (b *benchWorkers) Start(_ context.Context, ref WorkerRef, o StartOrder) StartAnswer {
 	w := b.worker(ref.ID)
 	w.mu.Lock()
 	w.running[o.Task] = pool.RunState{Task: o.Task, Run: o.Run, ProgressPercent: 50}
@@ -100,7 +100,7 @@
 		w.changed = make(chan struct{})
 		b.done.Add(1)
 	})
-	return pool.StartAccepted
+	return StartAnswer{Result: pool.StartAccepted, ClockMS: time.Now().UnixMilli()}
 }
 
 func (b *benchWorkers) Stop(context.Context, WorkerRef, string, int, int64) error { return nil }
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -373,15 +373,41 @@
 	s.deliver(func(p *pool.Pool) { p.NotSent(c) })
 }
 
+// logStart logs a start that may have given the run another lease than the one that was
+// granted: it had no answer, or the clock in the answer is behind the one from which the
+// deadline was computed, so that of another incarnation.
+func (s *vmClient) logStart(o StartOrder, a StartAnswer) {
+	grantedAtMS := o.DeadlineMS - s.lease.Milliseconds()
+	event := ""
+	switch {
+	case a.Result == pool.StartUnconfirmed:
+		event = "start_unanswered"
+	case a.ClockMS > 0 && a.ClockMS < grantedAtMS:
+		event = "start_on_other_clock"
+	default:
+		return
+	}
+	s.metrics.add(event)
+	s.mu.Lock()
+	startedMS, clockAt := s.startedMS, s.clockAt
+	s.mu.Unlock()
+	s.log.Warn(event, zap.String("task", o.Task), zap.Int("run", o.Run), zap.String("vm", s.ref.ID), zap.Stringer("result", a.Result),
+		zap.Int64("deadline_ms", o.DeadlineMS), zap.Int64("granted_at_ms", grantedAtMS), zap.Int64("clock_ms", a.ClockMS),
+		zap.Duration("clock_age", s.clock.Now().Steady-clockAt), zap.Int64("incarnation", startedMS), zap.Int64("token", o.Token))
+}
+
 // start starts a run. Nothing is sent without a lease deadline, or while this
 // owner may not grant leases on the VM.
 func (s *vmClient) start(ctx context.Context, c pool.Command) {
 	result := pool.StartPastDeadline // the result if nothing is sent
 	began := s.clock.Now().Steady
 	if deadlineMS, ok := s.grant(s.mayStart); ok {
-		result = s.workers.Start(ctx, s.ref, StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
-			DeadlineMS: deadlineMS, Token: s.token(), Checkpoint: c.Checkpoint, Ticket: c.Ticket})
+		order := StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
+			DeadlineMS: deadlineMS, Token: s.token(), Checkpoint: c.Checkpoint, Ticket: c.Ticket}
+		answer := s.workers.Start(ctx, s.ref, order)
+		result = answer.Result
 		s.metrics.observe(metricStart, s.pool, s.clock.Now().Steady-began)
+		s.logStart(order, answer)
 	}
 	at := s.clock.Now().Steady
 	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
--- a/node/worker.go
+++ b/node/worker.go
@@ -55,6 +55,13 @@
 	Ticket     string // from the advisor; empty if the step needs none
 }
 
+// StartAnswer is the outcome of a start.
+type StartAnswer struct {
+	Result pool.StartResult
+	// ClockMS is the worker's clock when it answered, in ms; 0 if no answer told it.
+	ClockMS int64
+}
+
 // Workers sends orders to workers. Each call names the incarnation that it is
 // meant for.
 type Workers interface {
@@ -62,7 +69,7 @@
 	// ErrFenced, ErrOtherIncarnation or ErrNoAnswer.
 	Renew(ctx context.Context, w WorkerRef, r Renewal) (RenewalAnswer, error)
 	// Start starts a run and returns what the answer proves about it.
-	Start(ctx context.Context, w WorkerRef, o StartOrder) pool.StartResult
+	Start(ctx context.Context, w WorkerRef, o StartOrder) StartAnswer
 	// Stop ends a run. It returns nil if the worker has registered the stop.
 	Stop(ctx context.Context, w WorkerRef, task string, run int, token int64) error
 	// Throttle sets the throttle of a run, in percent of its processor share.
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -19,7 +19,7 @@
 		return
 	}
 	if l.StartedMS != 0 && v.StartedMS != 0 && l.StartedMS != v.StartedMS {
-		p.newIncarnation(v, l.StartedMS)
+		p.newIncarnation(v, l.StartedMS, "listing")
 	}
 	if l.StartedMS != 0 {
 		v.StartedMS = l.StartedMS
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -357,7 +357,7 @@
 		return
 	}
 	if seen.StartedMS != 0 && v.StartedMS != 0 && seen.StartedMS != v.StartedMS {
-		p.newIncarnation(v, seen.StartedMS)
+		p.newIncarnation(v, seen.StartedMS, "row")
 	}
 	v.describedMS = seen.StartedMS
 	if seen.Draining && !v.Draining {
@@ -417,8 +417,16 @@
 // newIncarnation handles the restart of a worker under its id. The new
 // incarnation accepts commands under the same id, so the next listing shows
 // which runs are its own; the others ended with the earlier incarnation.
-func (p *Pool) newIncarnation(v *vm, startedMS int64) {
-	p.log.Info("vm_restarted", zap.String("vm", v.ID), zap.Int64("previous_incarnation", v.StartedMS), zap.Int64("incarnation", startedMS), zap.Int("tasks", len(v.tasks)))
+// learnedFrom names for the log what has told of the restart.
+func (p *Pool) newIncarnation(v *vm, startedMS int64, learnedFrom string) {
+	unconfirmedStarts := 0
+	for t := range v.tasks {
+		if t.phase == starting || t.phase == unconfirmed {
+			unconfirmedStarts++
+		}
+	}
+	p.log.Info("vm_restarted", zap.String("vm", v.ID), zap.Int64("previous_incarnation", v.StartedMS), zap.Int64("incarnation", startedMS),
+		zap.String("learned_from", learnedFrom), zap.Int("tasks", len(v.tasks)), zap.Int("unconfirmed_starts", unconfirmedStarts), p.leaseField(v))
 	if !v.Draining && !v.cordoned {
 		for _, s := range v.suspects() {
 			s.task.blame = s.blame
@@ -458,7 +466,8 @@
 // its end was not listed.
 func (p *Pool) markLost(t *task, reason string) {
 	p.stats.Lost++
-	p.log.Info("run_lost", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.String("reason", reason), p.leaseField(t.vm))
+	p.log.Info("run_lost", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.Int64("incarnation", t.vm.StartedMS),
+		zap.String("reason", reason), zap.Bool("confirmed", t.phase == running), zap.Bool("inherited", t.inherited), p.leaseField(t.vm))
 	on, blame := t.vm, t.blame
 	p.endRun(t, waiting)
 	t.lostOn = on
