Reproduce two runs of a task on a worker that restarts under its id (failing)

Evidence: a worker at the worst that the protocol allows restarts silently, takes a start whose deadline was computed on the clock of its former incarnation, and is cut off.

--- /dev/null
+++ b/node/restart_test.go
@@ -0,0 +1,450 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthfork.example/sched/pool"
+	"amaranthfork.example/sched/store"
+	"amaranthfork.example/sched/store/memstore"
+	"amaranthfork.example/sched/tables"
+)
+
+// restartingVM is a worker that starts again under its id and address. The next incarnation
+// knows nothing of the former one and carries out the calls that were meant for it. Its clock
+// is as slow as the protocol allows.
+type restartingVM struct {
+	clock    Clock
+	bornAt   time.Duration // on clock
+	bornMS   int64         // names the incarnation
+	token    int64
+	deadline int64                    // of the lease, ms on the worker's clock
+	running  map[string]pool.RunState // by task
+	highest  map[string]int           // by task: highest run that was stopped or has ended
+	ends     []pool.RunEnd
+	sequence int64
+
+	cut         bool                       // calls and answers do not pass
+	losesAnswer func(o StartOrder) bool    // whether the answer to a start that is carried out is lost; may be nil
+	isLate      func(o StartOrder) bool    // whether a start has no answer and is carried out by carryOutLate; may be nil
+	late        []StartOrder               // starts that have not been carried out yet
+	afterStart  func()                     // called once a start has been carried out; may be nil
+	afterAnswer func(answer RenewalAnswer) // called before an answer to a renewal is returned; may be nil
+}
+
+func (w *restartingVM) clockMS() int64 {
+	return int64(float64((w.clock.Now().Steady - w.bornAt).Milliseconds()) * (1 - clockDrift))
+}
+
+// expire ends the runs after the lease.
+func (w *restartingVM) expire() {
+	if w.clockMS() <= w.deadline {
+		return
+	}
+	for _, task := range slices.Sorted(maps.Keys(w.running)) {
+		w.end(task, pool.EndLeaseExpired)
+	}
+}
+
+func (w *restartingVM) end(task string, cause pool.EndCause) {
+	run := w.running[task].Run
+	delete(w.running, task)
+	w.highest[task] = max(w.highest[task], run)
+	w.sequence++
+	w.ends = append(w.ends, pool.RunEnd{Sequence: w.sequence, Task: task, Run: run, Cause: cause})
+}
+
+func (w *restartingVM) extend(deadlineMS int64) {
+	w.deadline = max(w.deadline, min(deadlineMS, w.clockMS()+testMaxLease.Milliseconds()))
+}
+
+func (w *restartingVM) start(o StartOrder) pool.StartResult {
+	w.expire()
+	if o.Token < w.token {
+		return pool.StartFenced
+	}
+	w.token = o.Token
+	if w.running[o.Task].Run == o.Run {
+		return pool.StartAccepted
+	}
+	if o.DeadlineMS <= w.clockMS() {
+		return pool.StartPastDeadline
+	}
+	w.extend(o.DeadlineMS)
+	if o.Run <= w.highest[o.Task] {
+		return pool.StartStaleRun
+	}
+	w.running[o.Task] = pool.RunState{Task: o.Task, Run: o.Run, ProgressPercent: 100}
+	return pool.StartAccepted
+}
+
+// restartingVMs implements Workers.
+type restartingVMs struct {
+	Workers
+	clock Clock
+	mu    sync.Mutex
+	vms   map[string]*restartingVM // by address
+}
+
+// vmUptime is how long the VMs have been up at the start of a test.
+const vmUptime = time.Minute
+
+func newRestartingVMs(clock Clock, addresses ...string) *restartingVMs {
+	f := &restartingVMs{clock: clock, vms: map[string]*restartingVM{}}
+	for _, address := range addresses {
+		f.vms[address] = &restartingVM{clock: clock, bornAt: clock.Now().Steady - vmUptime, bornMS: 1, running: map[string]pool.RunState{}, highest: map[string]int{}}
+	}
+	return f
+}
+
+// use calls f with a VM.
+func (f *restartingVMs) use(address string, use func(*restartingVM)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.vms[address]
+	w.expire()
+	use(w)
+}
+
+// restart starts a new incarnation. Calls under way have no answer.
+func (f *restartingVMs) restart(address string) {
+	f.use(address, func(w *restartingVM) {
+		w.bornAt, w.bornMS, w.token, w.deadline = f.clock.Now().Steady, w.bornMS+1, 0, 0
+		w.running, w.highest, w.ends, w.sequence = map[string]pool.RunState{}, map[string]int{}, nil, 0
+	})
+}
+
+// setCut cuts a VM off, or ends the cut.
+func (f *restartingVMs) setCut(address string, cut bool) {
+	f.use(address, func(w *restartingVM) { w.cut = cut })
+}
+
+// carryOutLate lets a VM carry out the starts that it has left unanswered.
+func (f *restartingVMs) carryOutLate(address string) {
+	f.use(address, func(w *restartingVM) {
+		for _, o := range w.late {
+			w.start(o)
+		}
+		w.late = nil
+	})
+}
+
+// runningOn returns the addresses of the VMs on which a task runs.
+func (f *restartingVMs) runningOn(task string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var on []string
+	for _, address := range slices.Sorted(maps.Keys(f.vms)) {
+		w := f.vms[address]
+		w.expire()
+		if _, ok := w.running[task]; ok {
+			on = append(on, address)
+		}
+	}
+	return on
+}
+
+// call carries out a call on the present incarnation of a VM and returns whether its caller
+// gets the answer, which answer prepares after wait.
+func (f *restartingVMs) call(ctx context.Context, address string, wait time.Duration, carryOut func(*restartingVM) bool, answer func(*restartingVM)) bool {
+	sleep(ctx, 2*time.Millisecond)
+	f.mu.Lock()
+	w := f.vms[address]
+	w.expire()
+	answered := !w.cut && carryOut(w)
+	incarnation := w.bornMS
+	f.mu.Unlock()
+	if answered {
+		sleep(ctx, wait)
+		f.mu.Lock()
+		w.expire()
+		if answered = !w.cut && w.bornMS == incarnation; answered {
+			answer(w)
+		}
+		f.mu.Unlock()
+	}
+	if !answered {
+		<-ctx.Done()
+	}
+	return answered
+}
+
+func (f *restartingVMs) Renew(ctx context.Context, ref WorkerRef, r Renewal) (answer RenewalAnswer, err error) {
+	answered := f.call(ctx, ref.Address, r.Wait/4, func(w *restartingVM) bool {
+		if r.Token < w.token {
+			err = ErrFenced
+			return true
+		}
+		w.token = r.Token
+		if r.DeadlineMS > 0 {
+			w.extend(r.DeadlineMS)
+		}
+		w.ends = slices.DeleteFunc(w.ends, func(e pool.RunEnd) bool { return e.Sequence <= r.AcknowledgedEnds })
+		return true
+	}, func(w *restartingVM) {
+		answer = RenewalAnswer{ClockMS: w.clockMS(), StartedMS: w.bornMS, Ended: slices.Clone(w.ends)}
+		for _, task := range slices.Sorted(maps.Keys(w.running)) {
+			answer.Running = append(answer.Running, w.running[task])
+		}
+		if w.afterAnswer != nil {
+			w.afterAnswer(answer)
+		}
+	})
+	if !answered {
+		return RenewalAnswer{}, ErrNoAnswer
+	}
+	return answer, err
+}
+
+func (f *restartingVMs) Start(ctx context.Context, ref WorkerRef, o StartOrder) StartAnswer {
+	var a StartAnswer
+	answered := f.call(ctx, ref.Address, time.Millisecond, func(w *restartingVM) bool {
+		if w.isLate != nil && w.isLate(o) {
+			w.late = append(w.late, o)
+			return false
+		}
+		a.Result = w.start(o)
+		if w.afterStart != nil {
+			w.afterStart()
+		}
+		return w.losesAnswer == nil || !w.losesAnswer(o)
+	}, func(w *restartingVM) { a.ClockMS = w.clockMS() })
+	if !answered {
+		return StartAnswer{Result: pool.StartUnconfirmed}
+	}
+	return a
+}
+
+func (f *restartingVMs) Stop(ctx context.Context, ref WorkerRef, task string, run int, token int64) error {
+	var refused error
+	answered := f.call(ctx, ref.Address, time.Millisecond, func(w *restartingVM) bool {
+		if token < w.token {
+			refused = ErrFenced
+			return true
+		}
+		w.token = token
+		w.highest[task] = max(w.highest[task], run)
+		if r, ok := w.running[task]; ok && r.Run <= run {
+			w.end(task, pool.EndStopped)
+		}
+		return true
+	}, func(*restartingVM) {})
+	if !answered {
+		return ErrNoAnswer
+	}
+	return refused
+}
+
+func (f *restartingVMs) Throttle(context.Context, WorkerRef, string, int, int, int64) error {
+	return nil
+}
+
+// unreachableStore is a table service that can be cut off, also for writes.
+type unreachableStore struct{ cutStore }
+
+func (s *unreachableStore) Commit(ctx context.Context, txn store.Txn) (store.Receipt, error) {
+	if s.cut.Load() {
+		<-ctx.Done()
+		return store.Receipt{}, store.ErrUnconfirmed
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// restartFixture is pool p with the VM vm1, and its owner, which knows vm1 well.
+type restartFixture struct {
+	t     *testing.T
+	mem   *memstore.Store
+	clock Clock
+	vms   *restartingVMs
+	store *unreachableStore // of the first owner
+	first *Node
+
+	ctx     context.Context // of the owners
+	stop    func()
+	running sync.WaitGroup
+}
+
+const (
+	restartTask   = "00000000000000aa.0.0.0"
+	takeoverAfter = 1800 * time.Millisecond // an owner that does not write its row may be replaced
+)
+
+func newRestartFixture(t *testing.T) *restartFixture {
+	mem, clock := memstore.New(), bubbleClock{time.Now()}
+	f := &restartFixture{t: t, mem: mem, clock: clock, vms: newRestartingVMs(clock, "vm1:80", "vm2:80"), store: &unreachableStore{cutStore{Store: mem}}}
+	listVM(t, mem, "vm1", "vm1:80")
+	ctx, cancel := context.WithCancel(t.Context())
+	f.ctx = ctx
+	f.stop = func() {
+		cancel()
+		f.running.Wait()
+	}
+	f.first = f.own("a", f.store)
+	time.Sleep(2 * time.Second)
+	return f
+}
+
+// own lets an entry claim the pool and schedule it.
+func (f *restartFixture) own(name string, s store.Store) *Node {
+	f.t.Helper()
+	n := newLeaseEntry(f.t, name, s, f.clock, nil)
+	n.workers = f.vms
+	o, err := readOwner(f.t.Context(), n.store, "p")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	renewedUntil, sentAt := o.renewedUntil(), f.clock.Now().Steady
+	if err := o.claim(f.t.Context(), n.settings.Self); err != nil {
+		f.t.Fatal(err)
+	}
+	f.running.Go(func() { _ = newPoolController(n, o, renewedUntil, sentAt).run(f.ctx) }) // may have lost its store
+	return n
+}
+
+// submit hands in a job with one task that lasts.
+func (f *restartFixture) submit() {
+	f.t.Helper()
+	spec := oneStepJob("00000000000000aa")
+	spec.Steps[0].LongRunning = true
+	if err := f.first.Submit(f.t.Context(), Caller{Queue: f.first.operator.view.Catalog.Queues["q"]}, spec); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// await waits until a condition holds, at most for a time.
+func (f *restartFixture) await(what string, atMost time.Duration, holds func() bool) {
+	f.t.Helper()
+	for end := f.clock.Now().Steady + atMost; !holds(); time.Sleep(time.Millisecond) {
+		if f.clock.Now().Steady > end {
+			f.t.Fatalf("not within %v: %s", atMost, what)
+		}
+	}
+}
+
+// checkOneRun watches the task until it runs on vm2, and fails the test if it runs on two VMs
+// at the same time, or does not run on vm2 within a time.
+func (f *restartFixture) checkOneRun(atMost time.Duration) {
+	f.t.Helper()
+	listVM(f.t, f.mem, "vm2", "vm2:80")
+	overlap := time.Duration(0)
+	defer func() {
+		if overlap > 0 {
+			f.t.Errorf("the task runs on two VMs for %v", overlap)
+		}
+	}()
+	f.await("the task runs on vm2 alone", atMost, func() bool {
+		on := f.vms.runningOn(restartTask)
+		if len(on) > 1 {
+			overlap += time.Millisecond
+		}
+		return slices.Equal(on, []string{"vm2:80"})
+	})
+}
+
+// boundStored reports whether a lease bound is stored for a later owner.
+func (f *restartFixture) boundStored() bool {
+	key := tables.LeaseKey("p")
+	page, err := f.mem.Range(f.t.Context(), key.Table, key.Partition, key.Name, key.Name+"\x00")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, row := range page.Rows {
+		bounds, err := pool.DecodeLeases(row.Value)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if _, ok := bounds["vm1"]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a task that runs on two VMs (TWICE): its first start, whose lease deadline was
+// computed on the clock of the former incarnation of a VM, reaches the next one, which shortens
+// the lease only to the longest that it accepts; the VM is cut off before a listing tells of its
+// restart, and the owner or the next one counts the lease that was meant.
+func TestStartThatReachesTheNextIncarnationIsTheOnlyRun(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		for _, owner := range []string{"same owner", "next owner", "next owner after a bound is stored"} {
+			t.Run(fmt.Sprintf("answered %v, %s", answered, owner), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRestartFixture(t)
+					defer f.stop()
+					f.vms.restart("vm1:80")
+					f.vms.use("vm1:80", func(w *restartingVM) {
+						w.losesAnswer = func(StartOrder) bool { return !answered }
+					})
+					f.submit()
+					f.await("vm1 runs the task", 2*time.Second, func() bool { return len(f.vms.runningOn(restartTask)) > 0 })
+					time.Sleep(5 * time.Millisecond) // the answer arrives
+					f.vms.setCut("vm1:80", true)
+					switch owner {
+					case "next owner":
+						f.store.cut.Store(true)
+					case "next owner after a bound is stored":
+						f.await("a lease bound is stored", 4*time.Second, f.boundStored)
+						f.store.cut.Store(true)
+					}
+					if f.store.cut.Load() {
+						time.Sleep(takeoverAfter)
+						f.own("b", f.mem)
+					}
+					f.checkOneRun(renewAgeLimit + leaseBound(testMaxLease) + 2*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a task that runs on two VMs (TWICE): a start without an answer is carried out
+// seconds later by the next incarnation of its VM, whose restart the owner has noticed. The VM
+// is cut off before it has seen a higher fencing token.
+func TestLateStartAfterANoticedRestartIsTheOnlyRun(t *testing.T) {
+	for _, owner := range []string{"same owner", "next owner after a bound is stored"} {
+		t.Run(owner, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestartFixture(t)
+				defer f.stop()
+				f.vms.use("vm1:80", func(w *restartingVM) {
+					w.isLate = func(StartOrder) bool { return true }
+				})
+				f.submit()
+				late := func() (n int) {
+					f.vms.use("vm1:80", func(w *restartingVM) { n = len(w.late) })
+					return n
+				}
+				f.await("a start is under way to vm1", 2*time.Second, func() bool { return late() > 0 })
+				sentAt := f.clock.Now().Steady
+				f.vms.restart("vm1:80")
+				f.vms.use("vm1:80", func(w *restartingVM) {
+					w.isLate = nil
+					w.afterAnswer = func(RenewalAnswer) { w.cut = true }
+				})
+				f.await("vm1 tells of its restart", 4*time.Second, func() (cut bool) {
+					f.vms.use("vm1:80", func(w *restartingVM) { cut = w.cut })
+					return cut
+				})
+				listVM(t, f.mem, "vm2", "vm2:80")
+				if owner != "same owner" {
+					f.await("a lease bound is stored", 4*time.Second, f.boundStored)
+					f.store.cut.Store(true)
+					time.Sleep(takeoverAfter)
+					f.own("b", f.mem)
+				}
+				time.Sleep(sentAt + latestOrder - f.clock.Now().Steady)
+				f.vms.carryOutLate("vm1:80")
+				f.checkOneRun(latestOrder + leaseBound(testMaxLease) + 3*time.Second)
+			})
+		})
+	}
+}
+
+// latestOrder is how long after its sending a worker may carry out an order.
+const latestOrder = 12 * time.Second
