Let a new owner wait for leases granted on the clock of a former incarnation

Cause: a bound that is computed for one incarnation of a worker and sent to another. An owner grants 5 s on the clock that it knows; a worker that has restarted meanwhile holds the lease as long as it accepts (10 s). The next owner counted 5.12 s from the last time at which the earlier one could grant.

Change: the inherited bound counts the longest lease that workers accept.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -103,7 +103,8 @@
 	r.lastCommitSentAt = sentAt
 	settings := n.settings.Scheduler
 	settings.Pool = o.pool
-	settings.InheritedLeaseBound = max(renewedUntil, n.clock.Now().Steady) + leaseBound(settings.Lease)
+	// The earlier owners may have granted leases on the clock of a former incarnation of a VM.
+	settings.InheritedLeaseBound = max(renewedUntil, n.clock.Now().Steady) + leaseBound(max(settings.Lease, settings.MaxLease))
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
 	r.movedQueues = newMovedQueues(n, o.pool, r.log)
