Bound a lease by the clock of the incarnation that has taken it

Cause: a bound that is computed for one incarnation of a worker and sent to another. The deadline of a lease is on the clock that the last listing told. A worker that has restarted since then has a clock that began anew, and shortens the lease only to the longest that it accepts. The owner counted 5.12 s until a listing told of the restart; a cut in between left it, and the bound that it stored, at 5.12 s.

Change: - The clock in the answer to a start or renewal bounds the lease that it granted, on whatever incarnation. A clock that is behind the one of the grant shows a restart: no lease is granted on the former clock any more, and the worker is asked at once. - A run that the present incarnation has confirmed keeps the narrow bound. One whose start has no answer waits for the longest lease that the worker accepts, counted from the end of the last unanswered call; so does the bound stored for a later owner. - After a restart, calls with the earlier tokens may be carried out late until the incarnation has answered one with the new token; bounds allow for 12 s of delay until then. - Deadline and token of a call are read together. Before, a deadline on the former clock could be sent with the token of the next incarnation. - A renewal answer whose clock is behind also counts as a restart.

--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -292,7 +292,7 @@
 		clock.advance(50 * time.Millisecond)
 	}
 	workers.use("vm1:80", func(w *leasedVM) {
-		if excess := w.leaseEnd() - v.granted(); excess > 0 {
+		if excess := w.leaseEnd() - v.granted().Confirmed; excess > 0 {
 			t.Errorf("the lease ends %v after the bound that the client knows", excess)
 		}
 	})
@@ -313,7 +313,7 @@
 		r.openVMClient(ctx, target)
 		v := r.vmClients["vm1"]
 		for range 500 {
-			if v.granted() > 0 {
+			if v.granted().Confirmed > 0 {
 				return v
 			}
 			time.Sleep(time.Millisecond)
@@ -480,10 +480,10 @@
 		silence := func(silent bool) {
 			f.workers.use("vm1:80", func(w *leasedVM) { w.silent = silent })
 		}
-		stepUntil(true, "the task does not run", func(v *vmClient) bool { return runs() > 0 && v.granted() > 0 })
+		stepUntil(true, "the task does not run", func(v *vmClient) bool { return runs() > 0 && v.granted().Confirmed > 0 })
 		silence(true)
 		stepUntil(true, "the silence is not noticed", func(v *vmClient) bool { return v.isUnresponsive() })
-		expiry := r.vmClients["vm1"].granted()
+		expiry := r.vmClients["vm1"].granted().Confirmed
 		stepUntil(true, "the lease does not end", func(*vmClient) bool { return expiry-clock.Now().Steady < 400*time.Millisecond })
 		silence(false)
 		stepUntil(true, "grants do not resume", func(v *vmClient) bool { return !v.isUnresponsive() && !v.isSuspended() })
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -344,7 +344,7 @@
 // lease that is granted later can no longer extend them.
 func (r *poolController) passOnGrants() {
 	for id, v := range r.vmClients {
-		r.pool.LeaseGranted(id, v.granted())
+		r.pool.SetLeaseBounds(id, v.granted())
 	}
 }
 
@@ -356,7 +356,7 @@
 func (r *poolController) suspendGrants() {
 	for _, id := range r.pool.LeaseBoundsDue() {
 		if v := r.vmClients[id]; v != nil {
-			r.pool.LeaseGranted(id, v.suspendGrants())
+			r.pool.SetLeaseBounds(id, v.suspendGrants())
 		}
 	}
 }
@@ -465,7 +465,8 @@
 
 // closeVMClient closes a client. The scheduler learns of all leases that it has granted.
 func (r *poolController) closeVMClient(v *vmClient) {
-	r.pool.LeaseGranted(v.ref.ID, v.close())
+	bounds := v.close()
+	r.pool.LeaseGranted(v.ref.ID, max(bounds.Confirmed, bounds.Unconfirmed))
 	delete(r.vmClients, v.ref.ID)
 }
 
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -347,8 +347,9 @@
 	})
 }
 
-// boundStored reports whether a lease bound is stored for a later owner.
-func (f *restartFixture) boundStored() bool {
+// boundVersion returns the version of the row that holds a lease bound of vm1 for a later
+// owner; 0 if none does.
+func (f *restartFixture) boundVersion() int64 {
 	key := tables.LeaseKey("p")
 	page, err := f.mem.Range(f.t.Context(), key.Table, key.Partition, key.Name, key.Name+"\x00")
 	if err != nil {
@@ -360,10 +361,16 @@
 			f.t.Fatal(err)
 		}
 		if _, ok := bounds["vm1"]; ok {
-			return true
+			return row.Version
 		}
 	}
-	return false
+	return 0
+}
+
+// awaitBound waits until a lease bound of vm1 is stored that is newer than a version.
+func (f *restartFixture) awaitBound(after int64) {
+	f.t.Helper()
+	f.await("a lease bound is stored", 4*time.Second, func() bool { return f.boundVersion() > after })
 }
 
 // Guards against a task that runs on two VMs (TWICE): its first start, whose lease deadline was
@@ -389,14 +396,14 @@
 					case "next owner":
 						f.store.cut.Store(true)
 					case "next owner after a bound is stored":
-						f.await("a lease bound is stored", 4*time.Second, f.boundStored)
+						f.awaitBound(0)
 						f.store.cut.Store(true)
 					}
 					if f.store.cut.Load() {
 						time.Sleep(takeoverAfter)
 						f.own("b", f.mem)
 					}
-					f.checkOneRun(renewAgeLimit + leaseBound(testMaxLease) + 2*time.Second)
+					f.checkOneRun(latestOrder + leaseBound(testMaxLease) + 3*time.Second)
 				})
 			})
 		}
@@ -431,9 +438,9 @@
 					f.vms.use("vm1:80", func(w *restartingVM) { cut = w.cut })
 					return cut
 				})
-				listVM(t, f.mem, "vm2", "vm2:80")
+				noticed := f.boundVersion() // of a bound that was stored before the owner knew
 				if owner != "same owner" {
-					f.await("a lease bound is stored", 4*time.Second, f.boundStored)
+					f.awaitBound(noticed)
 					f.store.cut.Store(true)
 					time.Sleep(takeoverAfter)
 					f.own("b", f.mem)
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -32,6 +32,9 @@
 	// clockDrift is the largest assumed relative error by which a worker's
 	// clock is slow.
 	clockDrift = 0.02
+	// maxOrderDelay is the longest assumed time after its timeout in which a worker carries
+	// out a call that it has left unanswered.
+	maxOrderDelay = 12 * time.Second
 	// leaseMargin covers the rounding of clocks to milliseconds.
 	leaseMargin  = 20 * time.Millisecond
 	orderTimeout = 800 * time.Millisecond // of a start, stop or change of throttle
@@ -87,13 +90,28 @@
 
 	mu           sync.Mutex
 	clockMS      int64         // worker's clock at clockAt
-	clockAt      time.Duration // arrival of the answer with clockMS, steady clock; 0 before the first answer
+	clockAt      time.Duration // arrival of the answer with clockMS, steady clock; 0 if the clock is unknown
+	clockLostAt  time.Duration // when an answer has last shown another clock, steady clock; 0 if none has
+	endRenewal   func()        // ends the renewal under way; nil if there is none
 	incarnations int64         // restarts of the worker that this client has noticed
 	startedMS    int64         // start of the worker's incarnation, Unix ms; 0 if unknown
 	unresponsive bool          // the last renewal was not answered
 	suspended    bool          // no leases are granted: a bound of them is stored for a later owner, or about to be
 	closed       bool          // no leases are granted any more
-	grantedUntil time.Duration // bound of the leases granted so far, steady clock
+
+	grantedUntil    time.Duration              // bound of the leases of confirmed runs, steady clock
+	underWay        map[*grantedLease]struct{} // granted with calls that have not ended
+	unansweredUntil time.Duration              // latest end of a call with the current token that has granted a lease and had no answer, steady clock; 0 if there is none
+	retiredUntil    time.Duration              // the same for earlier tokens that the worker's incarnation may still accept
+	tokenUnseen     bool                       // the worker has restarted and not answered a call with the current token
+}
+
+// grantedLease is a lease that is granted with one call.
+type grantedLease struct {
+	deadlineMS int64 // end of the lease, ms on the worker's clock
+	atMS       int64 // earliest time on the worker's clock at which it was granted, ms
+	token      int64
+	endsBy     time.Duration // when the call has an answer or has timed out, steady clock
 }
 
 // leaseBound returns the longest time, on the steady clock of this process, that a lease
@@ -102,54 +120,150 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + leaseMargin
 }
 
-// grant decides on a lease that counts from now. It returns the end of the lease on the
-// worker's clock and raises grantedUntil. ok is false if the owner may not grant a lease on
-// the VM now, which may tells for the time, or while the worker's clock is unknown.
+// grant decides on a lease that counts from now and is granted with a call that ends within
+// timeout. The caller passes it on when the call has ended. The result is nil if the
+// owner may not grant a lease on the VM now, which may tells for the time, or while the
+// worker's clock is unknown.
 //
 // The time from which the lease counts is also the one that is checked: a process that is
 // paused in between would grant a lease for which it no longer has the right.
-func (s *vmClient) grant(may func(at time.Duration) bool) (deadlineMS int64, ok bool) {
+func (s *vmClient) grant(may func(at time.Duration) bool, timeout time.Duration) *grantedLease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now().Steady
 	if s.clockAt == 0 || s.unresponsive || s.suspended || s.closed || !may(now) {
-		return 0, false
+		return nil
 	}
 	if now-s.clockAt > leaseBound(s.lease) {
 		// All leases have expired while this process was suspended. The VM may be lost, and
 		// a lease would keep its tasks from starting elsewhere.
-		return 0, false
+		return nil
+	}
+	atMS := s.earliestClockMS(now)
+	l := &grantedLease{deadlineMS: atMS + s.lease.Milliseconds(), atMS: atMS, token: s.currentToken(), endsBy: now + timeout}
+	if s.underWay == nil {
+		s.underWay = map[*grantedLease]struct{}{}
 	}
-	elapsed := time.Duration(float64(now-s.clockAt) * (1 - clockDrift))
-	deadlineMS = s.clockMS + (elapsed + s.lease).Milliseconds()
+	s.underWay[l] = struct{}{}
 	s.grantedUntil = max(s.grantedUntil, now+leaseBound(s.lease))
-	return deadlineMS, true
+	return l
+}
+
+// earliestClockMS returns the least time that the worker's clock can show at a time on the
+// steady clock, in ms, unless the worker has restarted. The caller holds mu.
+func (s *vmClient) earliestClockMS(at time.Duration) int64 {
+	return s.clockMS + time.Duration(float64(at-s.clockAt)*(1-clockDrift)).Milliseconds()
 }
 
-// suspendGrants ends the granting of leases until resumeGrants. It returns the bound of all
-// leases granted before, on the steady clock; 0 if there are none.
-func (s *vmClient) suspendGrants() time.Duration {
+// settleStart records the end of a start that has granted a lease. answeredAt is when it
+// ended, on the steady clock.
+func (s *vmClient) settleStart(l *grantedLease, a StartAnswer, answeredAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case a.ClockMS > 0:
+		s.answered(l, a.ClockMS, answeredAt)
+	case a.Result == pool.StartUnconfirmed:
+		s.unanswered(l)
+	case a.Result == pool.StartAccepted || a.Result == pool.StartStaleRun || a.Result == pool.StartNoRoom:
+		delete(s.underWay, l)
+		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(s.maxLease)) // the answer lacks the clock
+	default:
+		delete(s.underWay, l) // the worker has not done anything
+	}
+	if a.ClockMS == 0 || a.ClockMS >= l.atMS || l.token != s.currentToken() {
+		return
+	}
+	// The worker has restarted. A renewal under way may wait for an answer of its former
+	// incarnation.
+	s.clockAt, s.clockLostAt = 0, answeredAt
+	s.retireToken()
+	if s.endRenewal != nil {
+		s.endRenewal()
+	}
+}
+
+// answered records that a call which has granted a lease was answered at answeredAt on the
+// steady clock. clockMS is the worker's clock in the answer. The caller holds mu.
+//
+// The worker may have restarted before the call arrived. Its clock then began anew, the
+// deadline is far ahead, and the lease lasts as long as the worker accepts. The clock in the
+// answer bounds the lease on any incarnation.
+func (s *vmClient) answered(l *grantedLease, clockMS int64, answeredAt time.Duration) {
+	delete(s.underWay, l)
+	if remaining := time.Duration(l.deadlineMS-clockMS) * time.Millisecond; remaining > 0 {
+		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(min(remaining, s.maxLease)))
+	}
+}
+
+// unanswered records that a call which has granted a lease had no answer. The caller holds mu.
+func (s *vmClient) unanswered(l *grantedLease) {
+	delete(s.underWay, l)
+	if l.token == s.currentToken() {
+		s.unansweredUntil = max(s.unansweredUntil, l.endsBy)
+	}
+}
+
+// latestUnanswered returns the latest end of a call that has granted a lease with the current
+// token and has no answer, on the steady clock; 0 if there is none. The caller holds mu.
+func (s *vmClient) latestUnanswered() time.Duration {
+	latest := s.unansweredUntil
+	for l := range s.underWay {
+		if l.token == s.currentToken() {
+			latest = max(latest, l.endsBy)
+		}
+	}
+	return latest
+}
+
+// retireToken records that the worker has restarted since calls with the current token were
+// sent. It may carry them out until it has seen a higher one. The caller holds mu.
+func (s *vmClient) retireToken() {
+	s.retiredUntil = max(s.retiredUntil, s.latestUnanswered())
+	s.unansweredUntil = 0
+}
+
+// suspendGrants ends the granting of leases until resumeGrants. It returns the bounds of all
+// leases granted before.
+func (s *vmClient) suspendGrants() pool.LeaseBounds {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.suspended = true
-	return s.grantedUntil
+	return s.bounds()
 }
 
 // close ends the renewals, and the granting of leases for good: orders may still wait for
-// their slots. It returns the bound of all leases granted, on the steady clock.
-func (s *vmClient) close() time.Duration {
+// their slots. It returns the bounds of all leases granted.
+func (s *vmClient) close() pool.LeaseBounds {
 	s.stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	return s.grantedUntil
+	return s.bounds()
 }
 
-// granted returns the bound of the leases granted so far, on the steady clock.
-func (s *vmClient) granted() time.Duration {
+// granted returns the bounds of the leases granted so far.
+func (s *vmClient) granted() pool.LeaseBounds {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.grantedUntil
+	return s.bounds()
+}
+
+// bounds returns the bounds of the leases granted so far. The caller holds mu.
+//
+// A run that the present incarnation has confirmed ends with it, so leases that were granted
+// on its clock bound the run. A start without an answer may have reached a later incarnation,
+// and so may a renewal that extends its lease there.
+func (s *vmClient) bounds() pool.LeaseBounds {
+	confirmed := s.grantedUntil
+	if s.retiredUntil > 0 {
+		confirmed = max(confirmed, s.retiredUntil+maxOrderDelay+leaseBound(s.maxLease))
+	}
+	unconfirmed := confirmed
+	if latest := s.latestUnanswered(); latest > 0 {
+		unconfirmed = max(unconfirmed, latest+leaseBound(s.maxLease))
+	}
+	return pool.LeaseBounds{Confirmed: confirmed, Unconfirmed: unconfirmed}
 }
 
 // resumeGrants permits the granting of leases again.
@@ -159,22 +273,37 @@
 	s.suspended = false
 }
 
-// updateClock stores the clock and the start of the incarnation in a worker's
-// answer, which arrived at answeredAt on the steady clock. startedMS is 0 if the
-// worker did not report it.
-func (s *vmClient) updateClock(clockMS, startedMS int64, answeredAt time.Duration) {
+// renewed records the answer to a renewal, which was sent at sentAt with token and answered at
+// answeredAt on the steady clock. l is the lease that was granted with it; nil if there was
+// none.
+func (s *vmClient) renewed(l *grantedLease, answer RenewalAnswer, token int64, sentAt, answeredAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.clockMS, s.clockAt = clockMS, answeredAt
-	if startedMS != 0 && s.startedMS != 0 && startedMS != s.startedMS {
+	if l != nil {
+		s.answered(l, answer.ClockMS, answeredAt)
+	}
+	restarted := answer.StartedMS != 0 && s.startedMS != 0 && answer.StartedMS != s.startedMS ||
+		s.clockAt != 0 && answer.ClockMS < s.earliestClockMS(sentAt)
+	switch {
+	case restarted:
+		s.retireToken()
 		s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
-		// The clock of the new incarnation started anew. A lease that was granted on the
-		// earlier clock may have reached it, and is only bounded by what it accepts.
+		s.tokenUnseen = true
+		// A lease that was granted on the clock of the former incarnation may have reached
+		// this one, and is only bounded by what it accepts.
 		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(s.maxLease))
 		s.acknowledged.Store(0) // ends are numbered from the start again
+	case s.tokenUnseen && token == s.currentToken():
+		// From now on, this incarnation refuses calls with the earlier tokens.
+		s.tokenUnseen = false
+		s.retiredUntil = 0
+		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(s.maxLease))
 	}
-	if startedMS != 0 {
-		s.startedMS = startedMS
+	if answer.StartedMS != 0 {
+		s.startedMS = answer.StartedMS
+	}
+	if sentAt >= s.clockLostAt {
+		s.clockMS, s.clockAt = answer.ClockMS, answeredAt
 	}
 }
 
@@ -188,9 +317,12 @@
 func (s *vmClient) token() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.epoch*tokensPerEpoch + s.incarnations
+	return s.currentToken()
 }
 
+// currentToken is token for callers that hold mu.
+func (s *vmClient) currentToken() int64 { return s.epoch*tokensPerEpoch + s.incarnations }
+
 // run renews the VM's leases until ctx ends.
 func (s *vmClient) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -229,7 +361,8 @@
 // start of that incarnation; 0 if unknown.
 func (s *vmClient) setAcknowledged(startedMS, n int64) {
 	s.mu.Lock()
-	earlier := startedMS != 0 && s.startedMS != 0 && startedMS != s.startedMS
+	// While another clock was seen, it is not known which incarnation answers next.
+	earlier := startedMS != 0 && s.startedMS != 0 && startedMS != s.startedMS || s.clockAt == 0 && s.clockLostAt > 0
 	changed := !earlier && s.acknowledged.Swap(n) != n
 	s.mu.Unlock()
 	if !changed {
@@ -247,29 +380,36 @@
 func (s *vmClient) renew(ctx context.Context) (highest int64, ok bool) {
 	sentAt := s.clock.Now().Steady
 	r := Renewal{Token: s.token(), AcknowledgedEnds: s.acknowledged.Load(), Wait: renewWait}
-	if deadlineMS, ok := s.grant(s.mayRenew); ok {
-		r.DeadlineMS = deadlineMS
+	lease := s.grant(s.mayRenew, renewWait+renewTimeoutMargin)
+	if lease != nil {
+		r.DeadlineMS, r.Token = lease.deadlineMS, lease.token
 	} else {
 		// The first renewal only obtains the clock and the listing. One that
 		// follows an unanswered call extends nothing, so that the runs of a VM
 		// that is lost can be given up.
 		r.Wait = 0
 	}
-	if s.isUnresponsive() {
+	if s.isUnresponsive() || s.hasLostClock() {
 		// The worker may have restarted under its id and numbers its ends from
 		// the start again: acknowledging the old numbers would make it forget
 		// ends that no owner has seen.
 		r.AcknowledgedEnds = 0
 	}
 	callCtx, cancel := context.WithTimeout(ctx, r.Wait+renewTimeoutMargin)
+	s.setEndRenewal(cancel)
 	answer, err := s.workers.Renew(callCtx, s.ref, r)
+	s.setEndRenewal(nil)
 	cancel()
+	answeredAt := s.clock.Now().Steady
 	if err != nil {
+		s.renewalUnanswered(lease)
+		if lease != nil && s.hasLostClock() {
+			return 0, true // the next one asks which incarnation answers
+		}
 		s.handleRenewError(ctx, err)
 		return 0, false
 	}
-	answeredAt := s.clock.Now().Steady
-	s.updateClock(answer.ClockMS, answer.StartedMS, answeredAt)
+	s.renewed(lease, answer, r.Token, sentAt, answeredAt)
 	s.markResponsive()
 	listing := pool.Listing{VM: s.ref.ID, StartedMS: answer.StartedMS, SentAt: sentAt, At: answeredAt,
 		Running: answer.Running, Ended: answer.Ended, Complete: len(answer.Ended) < maxListedEnds}
@@ -280,6 +420,17 @@
 	return highest, true
 }
 
+// renewalUnanswered records a renewal without an answer, and the lease that was granted with
+// it; nil if there was none.
+func (s *vmClient) renewalUnanswered(l *grantedLease) {
+	if l == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered(l)
+}
+
 // maxListedEnds is the largest number of ends in one answer.
 const maxListedEnds = 500
 
@@ -309,6 +460,20 @@
 	return s.unresponsive
 }
 
+// hasLostClock reports whether an answer has shown another clock than the one that was known,
+// and no renewal has been answered since.
+func (s *vmClient) hasLostClock() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clockAt == 0 && s.clockLostAt > 0
+}
+
+func (s *vmClient) setEndRenewal(end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endRenewal = end
+}
+
 func (s *vmClient) markResponsive() {
 	s.mu.Lock()
 	wasUnresponsive := s.unresponsive
@@ -376,13 +541,12 @@
 // logStart logs a start that may have given the run another lease than the one that was
 // granted: it had no answer, or the clock in the answer is behind the one from which the
 // deadline was computed, so that of another incarnation.
-func (s *vmClient) logStart(o StartOrder, a StartAnswer) {
-	grantedAtMS := o.DeadlineMS - s.lease.Milliseconds()
+func (s *vmClient) logStart(o StartOrder, l *grantedLease, a StartAnswer) {
 	event := ""
 	switch {
 	case a.Result == pool.StartUnconfirmed:
 		event = "start_unanswered"
-	case a.ClockMS > 0 && a.ClockMS < grantedAtMS:
+	case a.ClockMS > 0 && a.ClockMS < l.atMS:
 		event = "start_on_other_clock"
 	default:
 		return
@@ -392,7 +556,7 @@
 	startedMS, clockAt := s.startedMS, s.clockAt
 	s.mu.Unlock()
 	s.log.Warn(event, zap.String("task", o.Task), zap.Int("run", o.Run), zap.String("vm", s.ref.ID), zap.Stringer("result", a.Result),
-		zap.Int64("deadline_ms", o.DeadlineMS), zap.Int64("granted_at_ms", grantedAtMS), zap.Int64("clock_ms", a.ClockMS),
+		zap.Int64("deadline_ms", o.DeadlineMS), zap.Int64("granted_at_ms", l.atMS), zap.Int64("clock_ms", a.ClockMS),
 		zap.Duration("clock_age", s.clock.Now().Steady-clockAt), zap.Int64("incarnation", startedMS), zap.Int64("token", o.Token))
 }
 
@@ -401,13 +565,15 @@
 func (s *vmClient) start(ctx context.Context, c pool.Command) {
 	result := pool.StartPastDeadline // the result if nothing is sent
 	began := s.clock.Now().Steady
-	if deadlineMS, ok := s.grant(s.mayStart); ok {
+	if lease := s.grant(s.mayStart, orderTimeout); lease != nil {
 		order := StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
-			DeadlineMS: deadlineMS, Token: s.token(), Checkpoint: c.Checkpoint, Ticket: c.Ticket}
+			DeadlineMS: lease.deadlineMS, Token: lease.token, Checkpoint: c.Checkpoint, Ticket: c.Ticket}
 		answer := s.workers.Start(ctx, s.ref, order)
 		result = answer.Result
-		s.metrics.observe(metricStart, s.pool, s.clock.Now().Steady-began)
-		s.logStart(order, answer)
+		answeredAt := s.clock.Now().Steady
+		s.metrics.observe(metricStart, s.pool, answeredAt-began)
+		s.logStart(order, lease, answer)
+		s.settleStart(lease, answer, answeredAt)
 	}
 	at := s.clock.Now().Steady
 	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -192,7 +192,7 @@
 			continue
 		}
 		if size += len(v.ID) + leaseEntryBytes; size <= p.rowBytes() {
-			bounds[v.ID] = (v.leaseUntil + p.serviceClockOffset).Milliseconds()
+			bounds[v.ID] = (v.leasesEnd() + p.serviceClockOffset).Milliseconds()
 		}
 	}
 	value, err := cbor.Marshal(bounds)
--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -126,10 +127,13 @@
 	}
 }
 
-// rememberLost records the runs that are about to be given up on v, which does not answer,
-// until it is known whether it has crashed. None is a likely cause, since it may crash
+// rememberLost records the runs of tasks that are about to be given up on v, which does not
+// answer, until it is known whether it has crashed. None is a likely cause, since it may crash
 // after their leases have ended.
-func (p *Pool) rememberLost(v *vm) {
+func (p *Pool) rememberLost(v *vm, tasks []*task) {
+	if len(tasks) == 0 {
+		return
+	}
 	kept := p.lostRuns[:0]
 	for _, l := range p.lostRuns {
 		if p.now.Steady-l.at < crashMemory {
@@ -137,7 +141,7 @@
 		}
 	}
 	for _, s := range v.suspects() {
-		if s.task.phase != starting { // a start that is being sent is not given up
+		if slices.Contains(tasks, s.task) {
 			kept = append(kept, lostRun{suspect{s.task, min(s.blame, possibleCause)}, v, p.now.Steady})
 		}
 	}
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -87,17 +87,13 @@
 // expireLeases gives up the runs on VMs whose lease bound has passed.
 func (p *Pool) expireLeases() {
 	for _, v := range p.vms {
-		if p.now.Steady <= v.leaseUntil || p.awaitsListing(v) {
+		if p.now.Steady <= v.confirmedUntil() || p.awaitsListing(v) {
 			continue
 		}
-		if len(v.tasks) > 0 {
-			p.rememberLost(v)
-			for _, t := range v.sortedTasks() {
-				// A start that is being sent grants a lease of its own.
-				if t.phase == running || t.phase == unconfirmed {
-					p.markLost(t, "lease expired on a VM that does not answer")
-				}
-			}
+		expired := p.expiredTasks(v)
+		p.rememberLost(v, expired)
+		for _, t := range expired {
+			p.markLost(t, "lease expired on a VM that does not answer")
 		}
 		if !v.listed && len(v.tasks) == 0 {
 			p.remove(v)
@@ -105,6 +101,18 @@
 	}
 }
 
+// expiredTasks returns the tasks on v whose runs have ended with their leases. A start that is
+// being sent grants a lease of its own.
+func (p *Pool) expiredTasks(v *vm) []*task {
+	var expired []*task
+	for _, t := range v.sortedTasks() {
+		if (t.phase == running || t.phase == unconfirmed) && p.now.Steady > v.leaseEnd(t) {
+			expired = append(expired, t)
+		}
+	}
+	return expired
+}
+
 // collectReady drops final jobs from openJobs and collects the steps of the others
 // that have tasks to place.
 func (p *Pool) collectReady() {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -399,7 +399,7 @@
 	}
 	v.listed = false
 	p.log.Info("vm_left", zap.String("vm", id), zap.Int("tasks", len(v.tasks)),
-		zap.Duration("lease_left", v.leaseUntil-p.now.Steady))
+		zap.Duration("lease_left", v.leasesEnd()-p.now.Steady))
 	if len(v.tasks) == 0 {
 		p.remove(v)
 	}
@@ -459,7 +459,7 @@
 // leaseField returns the lease bound of v for logs, in ms on the table service's clock, on
 // which the bounds of several owners can be compared.
 func (p *Pool) leaseField(v *vm) zap.Field {
-	return zap.Int64("lease_until_ms", (v.leaseUntil + p.serviceClockOffset).Milliseconds())
+	return zap.Int64("lease_until_ms", (v.leasesEnd() + p.serviceClockOffset).Milliseconds())
 }
 
 // markLost ends the newest run of a task, which certainly no longer exists although
@@ -476,9 +476,15 @@
 	}
 }
 
-// LeaseGranted extends the lease of the runs on a VM. until is the latest time on
-// this process's steady clock at which the lease has expired, whatever the clock
-// of the VM does.
+// SetLeaseBounds sets the bounds of the leases that the present client of a VM has granted.
+func (p *Pool) SetLeaseBounds(id string, granted LeaseBounds) {
+	if v := p.vms[id]; v != nil {
+		v.granted = granted
+	}
+}
+
+// LeaseGranted records that leases on a VM, granted by a client that is closed, end by until
+// on this process's steady clock, whatever the clock of the VM does.
 func (p *Pool) LeaseGranted(id string, until time.Duration) {
 	if v := p.vms[id]; v != nil {
 		v.leaseUntil = max(v.leaseUntil, until)
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -163,7 +163,8 @@
 	describedMS        int64         // start of the incarnation that the row in discovery describes, Unix milliseconds; 0 if unknown
 	replaced           bool          // its machine has started again as another VM
 	fenced             bool          // this incarnation has answered under this owner's fencing token
-	leaseUntil         time.Duration // time by which all leases that any owner has granted on it have ended
+	leaseUntil         time.Duration // time by which all leases of earlier owners and of closed clients on it have ended
+	granted            LeaseBounds   // of the leases of its present client
 	used               fleet.Resources
 	bestEffortMilliCPU int64 // processors that its best-effort tasks ask for, in thousandths of a core
 	latencySensitive   int   // number of tasks with a latency goal
@@ -183,6 +184,31 @@
 	health             vmHealth
 }
 
+// confirmedUntil returns the time by which the lease of the confirmed runs on v has ended.
+func (v *vm) confirmedUntil() time.Duration { return max(v.leaseUntil, v.granted.Confirmed) }
+
+// unconfirmedUntil returns the time by which the lease of any run on v has ended.
+func (v *vm) unconfirmedUntil() time.Duration {
+	return max(v.confirmedUntil(), v.granted.Unconfirmed)
+}
+
+// leaseEnd returns the time by which the lease of the newest run of t, which is on v, has ended.
+func (v *vm) leaseEnd(t *task) time.Duration {
+	if t.phase == starting || t.phase == unconfirmed {
+		return v.unconfirmedUntil()
+	}
+	return v.confirmedUntil()
+}
+
+// leasesEnd returns the time by which the leases of all runs on v have ended.
+func (v *vm) leasesEnd() time.Duration {
+	until := v.confirmedUntil()
+	for t := range v.tasks {
+		until = max(until, v.leaseEnd(t))
+	}
+	return until
+}
+
 func (v *vm) free() fleet.Resources { return v.Capacity.Sub(v.used) }
 
 // heldForGood returns what the long-running tasks on v occupy.
--- a/sched/pool/types.go
+++ b/sched/pool/types.go
@@ -80,6 +80,16 @@
 	Complete  bool     // no more ends are waiting to be listed
 }
 
+// LeaseBounds are the times by which the leases that an owner has granted on a VM have ended,
+// on the steady clock, whatever the clock of the VM does.
+type LeaseBounds struct {
+	// Confirmed is the bound for runs that the VM has listed or whose start it has answered.
+	Confirmed time.Duration
+	// Unconfirmed is the bound for runs whose start has no answer. Another incarnation of the
+	// VM than the one whose clock is known may have taken it.
+	Unconfirmed time.Duration
+}
+
 // StartResult is the outcome of a start command.
 type StartResult int
 
