Keep the fencing token when the client of a VM is replaced

Cause: the number of restarts that an owner has noticed is kept by the client of a VM. A VM that changed its address got a client that began with the first token of the epoch: an incarnation that had seen a higher one refused its orders, which deposes the owner, and late orders of the earlier client were not refused.

Change: the next client begins one above the earlier one.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -453,11 +453,12 @@
 }
 
 func (r *poolController) openVMClient(ctx context.Context, vm pool.RenewalTarget) {
+	v := r.newVMClient(vm)
 	if earlier := r.vmClients[vm.ID]; earlier != nil {
 		r.closeVMClient(earlier)
+		v.incarnations = earlier.nextIncarnation() // late orders of the earlier client are refused
 	}
 	clientCtx, cancel := context.WithCancel(ctx)
-	v := r.newVMClient(vm)
 	v.stop = cancel
 	r.vmClients[vm.ID] = v
 	r.node.spawn("renewals of "+vm.ID, func() { r.node.keepRunning(clientCtx, "renewals of "+vm.ID, v.run) })
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -455,3 +455,23 @@
 
 // latestOrder is how long after its sending a worker may carry out an order.
 const latestOrder = 12 * time.Second
+
+// Guards against an owner that takes itself for deposed, or lets late orders pass: the client
+// of a VM at another address began again with the first fencing token of the epoch, below the
+// one that the VM had seen after a restart.
+func TestTokenNeverFallsWhenAVMChangesItsAddress(t *testing.T) {
+	clock := &testClock{now: pool.Time{Steady: time.Minute}}
+	r := newLeaseController(t, clock, newLeasedVMs(clock, "vm1:80", "vm1:81"))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // the clients renew nothing by themselves
+	r.openVMClient(ctx, vm1)
+	earlier := r.vmClients["vm1"]
+	earlier.renewed(nil, RenewalAnswer{ClockMS: 9000, StartedMS: 1}, earlier.token(), clock.Now().Steady, clock.Now().Steady)
+	earlier.renewed(nil, RenewalAnswer{ClockMS: 5, StartedMS: 2}, earlier.token(), clock.Now().Steady, clock.Now().Steady)
+	moved := vm1
+	moved.Address = "vm1:81"
+	r.openVMClient(ctx, moved)
+	if before, after := earlier.token(), r.vmClients["vm1"].token(); after <= before {
+		t.Errorf("token %d after the change of the address, want more than %d as before it", after, before)
+	}
+}
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -323,6 +323,13 @@
 // currentToken is token for callers that hold mu.
 func (s *vmClient) currentToken() int64 { return s.epoch*tokensPerEpoch + s.incarnations }
 
+// nextIncarnation returns the number of incarnations for a client that replaces this one.
+func (s *vmClient) nextIncarnation() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(s.incarnations+1, tokensPerEpoch-1)
+}
+
 // run renews the VM's leases until ctx ends.
 func (s *vmClient) run(ctx context.Context) {
 	for ctx.Err() == nil {
