Forget the runs lost on a silent VM also when it had left discovery

What callers saw: nothing on record; a job whose VMs were only silent could be given up as one that crashes its VMs (LOST).

Evidence: the new case of TestOnlyCrashesCountAgainstATask: the job had failed before.

Change: VMs are compared by their ids.

--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -158,7 +158,7 @@
 
 // forgetLost drops the runs that were given up on v, which has answered: it was silent.
 func (p *Pool) forgetLost(v *vm) {
-	p.takeLostRuns(func(l lostRun) bool { return l.vm == v }, func(suspect, *vm) {})
+	p.takeLostRuns(func(l lostRun) bool { return l.vm.ID == v.ID }, func(suspect, *vm) {})
 }
 
 // takeLostRuns removes the runs that match from lostRuns and calls use for each.
--- a/sched/pool/crash_test.go
+++ b/sched/pool/crash_test.go
@@ -170,6 +170,16 @@
 			w.down = true
 			d.pending = append(d.pending, crashEvent{d.now.Steady + 8*time.Second, func() { w.down = false }})
 		}, 5, job.Running},
+		"silent until it has left discovery, back, and then crashed": {func(d *crashDay, w *worker) {
+			w.down = true
+			d.pending = append(d.pending,
+				crashEvent{d.now.Steady + 7*time.Second, func() { d.scheduler.ForgetVM(w.vm.ID) }},
+				crashEvent{d.now.Steady + 8*time.Second, func() {
+					w.down = false
+					d.scheduler.ObserveVM(w.vm)
+				}},
+				crashEvent{d.now.Steady + 9*time.Second, func() { d.crash(w) }})
+		}, 5, job.Running},
 		"restarted while it is cordoned": {func(d *crashDay, w *worker) {
 			d.scheduler.SetCordons(map[string]pool.Cordon{w.vm.Machine: {VM: w.vm.ID}})
 			d.crash(w)
