Fencing tokens in the scheduler's simulated workers

The workers of the tests in sched/pool refuse calls with a lower token, and the owner's client sends a higher one once an answer has shown a restart. Tests of calls that reach the next incarnation need both. No change of the checks.

--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -49,11 +49,16 @@
 	restarted       bool           // under its id, and its row in discovery describes the earlier incarnation
 	leaseUntil      time.Duration
 	uncountedUpTo   int64 // failed ends up to this sequence number are no longer in failuresByTask
+	token           int64 // highest fencing token that this incarnation has seen
+	brokenRenewal   bool  // a restart has broken off the renewal that was waiting
 	client          client
 }
 
-// client is the part of the owner's client of a worker that decides on leases.
+// client is the part of the owner's client of a worker that decides on leases and on the
+// fencing token.
 type client struct {
+	startedMS    int64         // incarnation that has answered last; 0 if unknown
+	incarnations int64         // restarts that answers have shown
 	answeredAt   time.Duration // 0 before the first answer
 	unresponsive bool          // the last renewal was not answered
 	suspended    bool          // a lease bound is stored, or about to be
@@ -70,6 +75,31 @@
 	return true
 }
 
+// tokensPerEpoch is the number of fencing tokens of one owner for the incarnations of a
+// worker.
+const tokensPerEpoch = 1000
+
+// token returns the fencing token that the owner's client of a worker sends.
+func (h *harness) token(worker *worker) int64 {
+	return h.epoch*tokensPerEpoch + worker.client.incarnations
+}
+
+// admits lets a worker see a fencing token. It reports whether it carries the call out.
+func (w *worker) admits(token int64) bool {
+	if token < w.token {
+		return false
+	}
+	w.token = token
+	return true
+}
+
+// showToken lets a worker see the token of its client, which no worker refuses.
+func (h *harness) showToken(worker *worker) {
+	if !worker.admits(h.token(worker)) {
+		h.t.Fatalf("%s refuses the owner's token %d", worker.vm.ID, h.token(worker))
+	}
+}
+
 // testingT is the part of testing.T and rapid.T that harness needs.
 type testingT interface {
 	Fatalf(format string, args ...any)
@@ -80,6 +110,7 @@
 type harness struct {
 	t              testingT
 	now            pool.Time
+	epoch          int64 // of the owner
 	scheduler      *pool.Pool
 	catalog        *catalog.Catalog
 	workers        map[string]*worker
@@ -119,6 +150,7 @@
 	settings := testSettings()
 	settings.RowBytes = h.rowBytes
 	settings.InheritedLeaseBound = h.now.Steady + 11*time.Second
+	h.epoch++
 	h.scheduler = pool.New(settings, zap.NewNop(), h.now)
 	h.scheduler.Configure(h.catalog)
 	if value, ok := h.rows[tables.LeaseKey(testPool)]; ok {
@@ -147,7 +179,7 @@
 	}
 	for _, vm := range h.scheduler.RenewalTargets() {
 		if worker := h.workers[vm.ID]; worker != nil {
-			worker.client = client{suspended: !vm.ExtendLeases}
+			worker.client = client{suspended: !vm.ExtendLeases, startedMS: vm.StartedMS}
 		}
 	}
 }
@@ -332,11 +364,22 @@
 		h.renewalUnanswered(worker)
 		return
 	}
+	if worker.brokenRenewal {
+		worker.brokenRenewal = false
+		h.renewalUnanswered(worker)
+		return
+	}
+	h.handleListing(worker, h.list(worker))
+}
+
+// list lets a worker carry out a renewal and returns its answer.
+func (h *harness) list(worker *worker) pool.Listing {
+	id := worker.vm.ID
+	h.showToken(worker)
 	if h.grant(worker) {
 		worker.leaseUntil = max(worker.leaseUntil, h.now.Steady+testLease)
 		h.checkStoredBounds()
 	}
-	worker.client.unresponsive, worker.client.answeredAt = false, h.now.Steady
 	for _, vm := range h.scheduler.RenewalTargets() {
 		if vm.ID == id {
 			worker.acknowledge(vm.AcknowledgedEnds)
@@ -346,6 +389,17 @@
 	for _, name := range sortedNames(worker.running) {
 		l.Running = append(l.Running, worker.running[name])
 	}
+	return l
+}
+
+// handleListing passes the answer to a renewal to the worker's client and to the scheduler.
+func (h *harness) handleListing(worker *worker, l pool.Listing) {
+	c := &worker.client
+	if c.startedMS != 0 && c.startedMS != l.StartedMS {
+		c.incarnations++
+	}
+	c.unresponsive, c.answeredAt, c.startedMS = false, h.now.Steady, l.StartedMS
+	l.At = h.now.Steady
 	h.scheduler.HandleListing(l)
 	if worker.restarted { // its row in discovery follows
 		worker.restarted = false
@@ -411,12 +465,14 @@
 			h.scheduler.Started(c, pool.StartPastDeadline, h.now.Steady)
 			return
 		}
+		h.showToken(worker)
 		result := h.start(worker, c, h.now.Steady+testLease)
 		if h.losesAnswer != nil && h.losesAnswer(c.Task) {
 			result = pool.StartUnconfirmed
 		}
 		h.scheduler.Started(c, result, h.now.Steady)
 	case pool.Stop:
+		h.showToken(worker)
 		h.stop(worker, c)
 		h.scheduler.Stopped(c, true, h.now.Steady)
 	case pool.Throttle:
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -163,7 +163,7 @@
 	worker.restarted = true
 	worker.ends, worker.lastSequence, worker.uncountedUpTo = nil, 0, 0
 	worker.highestEndedRun = map[string]int{}
-	worker.leaseUntil = 0
+	worker.leaseUntil, worker.token = 0, 0
 	h.renewalUnanswered(worker) // the pending renewal fails
 }
 
