Count only the answer to the last stop of a run

Cause: the answer to any stop settled a start without an answer. A stop that the former incarnation has carried out may be answered after the row has told of the restart. The next incarnation has seen neither that stop nor a higher token. For a task alone, the second listing after the restart, which the settling needs, carries the higher token. For a member of a gang it does not: another stop is sent because a member has not started, and the first listing settles the run.

Evidence: TestStopAnsweredByTheFormerIncarnationSettlesNothing failed before with "run 1 started on a while run 2 is on c".

Change: an answer counts if its stop is the one that was sent last.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -395,7 +395,9 @@
 	if t == nil {
 		return
 	}
-	if ok {
+	// Only the answer to the stop that was sent last counts: an earlier one may be that of the
+	// former incarnation of a worker that has restarted.
+	if ok && t.stopSentAt > 0 && c.IssuedAt >= t.stopSentAt {
 		t.stopAnsweredAt = at
 	}
 }
