Restarts, late orders and slow answers in the scheduler's property test

TestAnyMixOfEvents and the tests that share its events now have workers that restart without a failed call, rows that tell of it before or after a listing, listings and answers to starts and stops that arrive after the restart, and starts and stops without an answer that the next incarnation carries out until it has seen a higher fencing token. Late orders of an earlier owner stay in play after a takeover; the tokens decide on them.

The lease of a late start ends with its deadline, whatever incarnation carries it out.

--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -48,9 +48,10 @@
 	heldUp          bool           // carries out orders that were held up
 	restarted       bool           // under its id, and its row in discovery describes the earlier incarnation
 	leaseUntil      time.Duration
-	uncountedUpTo   int64 // failed ends up to this sequence number are no longer in failuresByTask
-	token           int64 // highest fencing token that this incarnation has seen
-	brokenRenewal   bool  // a restart has broken off the renewal that was waiting
+	uncountedUpTo   int64         // failed ends up to this sequence number are no longer in failuresByTask
+	token           int64         // highest fencing token that this incarnation has seen
+	brokenRenewal   bool          // a restart has broken off the renewal that was waiting
+	heldListing     *pool.Listing // answer to a renewal that has not arrived yet; nil if there is none
 	client          client
 }
 
@@ -123,6 +124,8 @@
 	setbacks       map[string]int // by task: failed ends, crashes of its VM, and starts without an answer, which may meet a crash
 	cancelled      map[string]bool
 	throttles      map[string]int // by task: last throttle that was set, in percent
+	late           []lateOrder    // orders without an answer that may still be carried out
+	answers        []answer       // to orders, which have not arrived yet
 	log            []string
 	rowBytes       int                      // largest value of a row; 0 means the default
 	refuses        func(put store.Put) bool // whether the table service rejects a row; may be nil
@@ -177,8 +180,10 @@
 	for _, worker := range h.sortedWorkers() {
 		h.scheduler.ObserveVM(worker.vm)
 	}
+	h.answers = nil
 	for _, vm := range h.scheduler.RenewalTargets() {
 		if worker := h.workers[vm.ID]; worker != nil {
+			worker.heldListing = nil
 			worker.client = client{suspended: !vm.ExtendLeases, startedMS: vm.StartedMS}
 		}
 	}
@@ -359,6 +364,15 @@
 // scheduler.
 func (h *harness) renew(id string) {
 	worker := h.workers[id]
+	if l := worker.heldListing; l != nil {
+		worker.heldListing = nil
+		if h.now.Steady-l.SentAt > renewTimeout {
+			h.renewalUnanswered(worker)
+			return
+		}
+		h.handleListing(worker, *l)
+		return
+	}
 	if worker.down {
 		h.grant(worker) // the renewal may be carried out although its answer is lost
 		h.renewalUnanswered(worker)
@@ -372,6 +386,12 @@
 	h.handleListing(worker, h.list(worker))
 }
 
+// Time limits of the owner's calls.
+const (
+	renewTimeout = 1700 * time.Millisecond
+	orderTimeout = 800 * time.Millisecond
+)
+
 // list lets a worker carry out a renewal and returns its answer.
 func (h *harness) list(worker *worker) pool.Listing {
 	id := worker.vm.ID
