Keep the members of a gang together after crashes under it

What callers would see: a gang with more members than VMs never runs again after two VMs have restarted right after its starts (LOST).

Cause: tasks that are the likely cause of several crashes are kept apart, one to a VM, so that a crash can be told from that of another one. The members of a gang each count as a likely cause, and start at the same time or not at all.

Evidence: TestGangRunsAgainAfterCrashesUnderItsMembers failed before with "0 members run a minute after crash 2, want 4".

Change: members of one gang do not keep each other away.

--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -201,8 +201,8 @@
 func (t *task) likelyCrasher() bool { return t.likelyCrashes > 0 || t.crashes > 1 }
 
 // onProbation reports whether a likely crasher has been started on v so recently that a
-// crash could not be told from that of another one.
-func (v *vm) onProbation(now time.Duration) bool {
+// crash could not be told from one under next. The members of a gang crash a VM together.
+func (v *vm) onProbation(next *task, now time.Duration) bool {
 	t := v.probationer
-	return t != nil && t.vm == v && (t.phase != running || now-t.since < crashWindow)
+	return t != nil && t.vm == v && t.history != next.history && (t.phase != running || now-t.since < crashWindow)
 }
--- a/sched/pool/gang_failures_test.go
+++ b/sched/pool/gang_failures_test.go
@@ -170,3 +170,32 @@
 		t.Errorf("%d members run on the VM that has failed the gang; two others are empty", len(sick.running))
 	}
 }
+
+// Guards against a gang that never runs again (LOST): two VMs have restarted right after its
+// start, and its members, each a likely cause, were kept apart on more VMs than there are.
+func TestGangRunsAgainAfterCrashesUnderItsMembers(t *testing.T) {
+	h := newHarness(t)
+	for _, id := range []string{"a", "b"} {
+		h.addVM(id, 4000)
+	}
+	h.settle()
+	spec := shortJob(4)
+	spec.Steps[0].Gang = true
+	h.submit(spec)
+	for crashes := 0; ; crashes++ {
+		for i := 0; h.runningTasks(spec) < 4; i++ {
+			if i == 600 {
+				t.Fatalf("%d members run a minute after crash %d, want 4: %v", h.runningTasks(spec), crashes, h.log)
+			}
+			h.advance(100 * time.Millisecond)
+			h.renewAll()
+			h.cycle()
+		}
+		if crashes == 2 {
+			return
+		}
+		for _, worker := range h.sortedWorkers() {
+			h.nextIncarnation(worker)
+		}
+	}
+}
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -169,7 +169,7 @@
 			continue
 		}
 		room = true
-		if reserved[v] || t.likelyCrashes > 1 && v.onProbation(p.now.Steady) || !p.allowed(t, v) {
+		if reserved[v] || t.likelyCrashes > 1 && v.onProbation(t, p.now.Steady) || !p.allowed(t, v) {
 			continue
 		}
 		if _, ok := advice.ticketFor(v, p.now.Steady); !ok {
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -113,6 +113,7 @@
 	if rapid.Bool().Draw(t, "two steps") {
 		spec.Steps = append(spec.Steps, job.Step{Count: 2, Need: fleet.Resources{MilliCPU: 500}, Estimate: time.Second, After: []int{0}})
 	}
+	spec.Steps[0].Gang = rapid.IntRange(0, 3).Draw(t, "gang") == 0
 	return spec
 }
 
