Count a restart once when its VM is lost afterwards

What callers would see: a job given up (failed) after fewer crashes under its tasks than it may have. Found by reading.

Cause: a row tells of a restart under the same id, which marks the runs there. If the VM does not answer again, its lease ends: the runs are given up, which counts the crash, and are remembered in case the machine comes back as another worker. When it does, within 30 s, the same runs count a second crash.

Evidence: TestRestartBeforeALostLeaseIsCountedOnce failed before with "2 crashes are counted for one run, want 1".

Change: a run whose loss counts a crash is no longer remembered.

--- a/sched/pool/crash_test.go
+++ b/sched/pool/crash_test.go
@@ -360,3 +360,33 @@
 		t.Errorf("%d tasks run on the new incarnation, which has room for 1", got)
 	}
 }
+
+// Guards against a crash that is counted twice against a task, so that its job is given up
+// too early: the row of its VM has told of a restart under the same id, the VM did not answer
+// again, and its machine came back as another worker after the lease.
+func TestRestartBeforeALostLeaseIsCountedOnce(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 4000)
+	h.settle()
+	spec := shortJob(1)
+	h.submit(spec)
+	h.settle()
+	h.nextIncarnation(a)
+	h.scheduler.ObserveVM(a.vm)
+	a.down = true
+	for range 60 {
+		h.advance(100 * time.Millisecond)
+		h.renewAll()
+		h.cycle()
+	}
+	if got := h.scheduler.Stats().Crashed; got != 1 {
+		t.Fatalf("%d crashes are counted after the lease, want 1", got)
+	}
+	next := h.addVM("a2", 4000)
+	next.vm.Machine, next.vm.StartedMS = a.vm.Machine, a.vm.StartedMS+1
+	h.scheduler.ObserveVM(next.vm)
+	h.renew("a2")
+	if got := h.scheduler.Stats().Crashed; got != 1 {
+		t.Errorf("%d crashes are counted for one run, want 1", got)
+	}
+}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -463,6 +463,8 @@
 	p.endRun(t, waiting)
 	t.lostOn = on
 	if blame != notBlamed {
+		// The crash is not counted again when the machine comes back as another worker.
+		p.takeLostRuns(func(l lostRun) bool { return l.task == t && l.vm == on }, func(suspect, *vm) {})
 		p.countCrash(suspect{t, blame}, on)
 	}
 }
