Use advice for the incarnation of a VM that it was asked about

What callers saw or would see: starts that a restarted VM refuses for its ticket, which dissolve a gang or cost the task a round; and a step that never runs (LOST) where the only VMs that may run it were forbidden in their former incarnation. Found by reading.

Cause: a ticket holds in one incarnation of a VM, but was kept by the VM's id. A refusal was noted for the incarnation that was known when the answer came, which may have begun after the request.

Evidence: TestAdviceHoldsForOneIncarnation failed before in all six orders: "the advisor is not asked about the new incarnation", and in the four with a ticket "a start carries the ticket of the earlier incarnation".

Change: a request notes the incarnations that are known when it is sent, and its answer counts for these alone.

--- a/sched/pool/advice.go
+++ b/sched/pool/advice.go
@@ -28,16 +28,18 @@
 	minTicketUse = 500 * time.Millisecond
 )
 
-// ticket permits starts of one step on one VM.
+// ticket permits starts of one step on one incarnation of a VM.
 type ticket struct {
-	value string
-	until time.Duration
+	value     string
+	startedMS int64 // of the incarnation, Unix milliseconds; 0 if unknown
+	until     time.Duration
 }
 
 // adviceState holds the advisor's answers for one step of an occurrence.
 type adviceState struct {
 	requestPending bool
-	retryAt        time.Duration // no request before this time
+	asked          map[string]int64 // by VM of the last request: its incarnation then
+	retryAt        time.Duration    // no request before this time
 	tickets        map[string]ticket
 	forbidden      map[string]int64 // by VM that may not run the step: its incarnation
 }
@@ -70,7 +72,7 @@
 		return "", true
 	}
 	found, ok := a.tickets[v.ID]
-	return found.value, ok && found.until-now > ticketMargin
+	return found.value, ok && found.startedMS == v.StartedMS && found.until-now > ticketMargin
 }
 
 // requestAdvice asks the advisor about VMs that could run t's step now. waiting is
@@ -90,6 +92,10 @@
 		return
 	}
 	a.requestPending = true
+	a.asked = make(map[string]int64, len(ids))
+	for _, id := range ids {
+		a.asked[id] = p.vms[id].StartedMS
+	}
 	step := stepName(t)
 	p.log.Info("advice_asked", zap.String("step", step), zap.Int("vms", len(ids)), zap.Int("tasks", waiting))
 	p.addCommand(Command{Kind: Advise, Task: step, VMs: ids, Timeout: adviceTimeout(advice, len(ids))})
@@ -170,14 +176,14 @@
 	if q := p.queueOf(p.jobs[id]); q != nil && q.Advice != nil {
 		issuedAt = min(p.now.Steady, sentAt+adviceTime(q.Advice, len(c.VMs)))
 	}
+	// A VM may have restarted under its id since the request was sent. The answer may be about
+	// either incarnation, and is taken for one about the earlier.
 	for _, vmID := range c.VMs {
-		if v := p.vms[vmID]; v != nil {
-			a.forbidden[vmID] = v.StartedMS
-		}
+		a.forbidden[vmID] = a.asked[vmID]
 	}
 	for _, got := range tickets {
 		delete(a.forbidden, got.VM)
-		a.tickets[got.VM] = ticket{got.Value, issuedAt + validity}
+		a.tickets[got.VM] = ticket{got.Value, a.asked[got.VM], issuedAt + validity}
 	}
 	p.log.Info("advice", zap.String("step", c.Task), zap.Int("asked", len(c.VMs)), zap.Int("permitted", len(tickets)), zap.Duration("validity", validity))
 }
--- a/sched/pool/advice_test.go
+++ b/sched/pool/advice_test.go
@@ -135,3 +135,60 @@
 		}
 	}
 }
+
+// Guards against starts with tickets of the incarnation before a restart, which VMs refuse,
+// and against a step that never runs (LOST) because the advisor has forbidden the earlier
+// incarnation: the answer comes after the row or a listing has told of the restart.
+func TestAdviceHoldsForOneIncarnation(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		restartAfterAnswer bool
+		rowFirst           bool
+		permitted          bool
+	}{
+		{"permitted, then a listing tells of a restart", true, false, true},
+		{"permitted, then the row tells of a restart", true, true, true},
+		{"a listing tells of a restart, then permitted", false, false, true},
+		{"the row tells of a restart, then permitted", false, true, true},
+		{"a listing tells of a restart, then forbidden", false, false, false},
+		{"the row tells of a restart, then forbidden", false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newAdvisorHarness(t)
+			a := h.addVM("a", 8000)
+			h.submit(shortJob(1))
+			request, ok := h.nextAdviceRequest()
+			if !ok {
+				t.Fatal("no request to the advisor")
+			}
+			restart := func() {
+				h.restartWorker(a)
+				if test.rowFirst {
+					h.scheduler.ObserveVM(a.vm)
+				}
+				h.advance(1100 * time.Millisecond)
+				h.renew("a")
+			}
+			advise := func() {
+				var tickets []pool.Ticket
+				if test.permitted {
+					tickets = []pool.Ticket{{VM: "a", Value: "ticket"}}
+				}
+				h.scheduler.Advised(request, tickets, 10*time.Second, h.now.Steady, true)
+			}
+			if test.restartAfterAnswer {
+				advise()
+				restart()
+			} else {
+				restart()
+				advise()
+			}
+			if _, ok := h.nextAdviceRequest(); !ok {
+				t.Error("the advisor is not asked about the new incarnation")
+			}
+			if h.starts != 0 {
+				t.Error("a start carries the ticket of the earlier incarnation")
+			}
+		})
+	}
+}
