Withdraw a whole gang when one member may not start any more

What callers would see: members of a gang end alone (GANG) after they have held their room for gang_wait_ms. Found by reading.

Cause: a placed run whose VM has restarted, is cordoned, or whose ticket runs out while its record is written is not started. The other members of its gang were, and waited for it in vain. A refused start stops them, a withheld one did not.

Evidence: TestGangWithAMemberThatMayNotStartStartsAgain failed before with "4 members run 2.4 s later, want 6" for a restart and for a cordon.

--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -373,17 +373,14 @@
 			p.storedLeaseBounds[id] = true
 		}
 	}
+	p.withdrawStarts(b.starts)
 	var starts []Command
 	for _, r := range b.starts {
 		t := r.task
 		if t.phase != placed || t.run != r.run {
 			continue
 		}
-		ticketValue, hasTicket := p.adviceOf(t).ticketFor(t.vm, p.now.Steady)
-		if !p.stillAllowed(t) || !hasTicket {
-			p.endRun(t, waiting)
-			continue
-		}
+		ticketValue, _ := p.adviceOf(t).ticketFor(t.vm, p.now.Steady)
 		t.phase = starting
 		t.since = p.now.Steady
 		p.stats.Starts++
@@ -394,6 +391,21 @@
 	return starts
 }
 
+// withdrawStarts returns the placed runs that may no longer start, and the rest of their
+// gangs, to the waiting tasks.
+func (p *Pool) withdrawStarts(starts []startRecord) {
+	for _, r := range starts {
+		t := r.task
+		if t.phase != placed || t.run != r.run {
+			continue
+		}
+		if _, hasTicket := p.adviceOf(t).ticketFor(t.vm, p.now.Steady); !hasTicket || !p.stillAllowed(t) {
+			p.endRun(t, waiting)
+			p.dissolveGang(t)
+		}
+	}
+}
+
 // stillAllowed reports whether a placed run may still start. It checks what may
 // have changed while the record was written.
 func (p *Pool) stillAllowed(t *task) bool {
--- a/sched/pool/gang_test.go
+++ b/sched/pool/gang_test.go
@@ -53,3 +53,46 @@
 		}
 	}
 }
+
+// Guards against a gang that is left incomplete (GANG): the VM of a member may no longer be
+// used when the record of the placement is written, and the others wait for it until they end
+// alone.
+func TestGangWithAMemberThatMayNotStartStartsAgain(t *testing.T) {
+	for name, lose := range map[string]func(h *harness, worker *worker){
+		"its VM has restarted": func(h *harness, worker *worker) {
+			h.nextIncarnation(worker)
+			h.scheduler.ObserveVM(worker.vm)
+		},
+		"its VM is cordoned": func(h *harness, worker *worker) {
+			h.scheduler.SetCordons(map[string]pool.Cordon{worker.vm.Machine: {VM: worker.vm.ID}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			for _, id := range []string{"a", "b", "c", "d"} {
+				h.addVM(id, 2000)
+			}
+			h.settle()
+			spec := shortJob(6)
+			spec.Steps[0].Gang = true
+			h.submit(spec)
+			batch := h.nextBatch()
+			lose(h, h.workers["b"])
+			h.write(batch)
+			starts := h.confirm(batch)
+			if len(starts) == 6 {
+				t.Fatal("a member starts on a VM that may not be used")
+			}
+			for _, c := range starts {
+				h.execute(c)
+			}
+			for range 8 {
+				h.settle()
+				h.advance(300 * time.Millisecond)
+			}
+			if got := h.runningTasks(spec); got != 6 {
+				t.Errorf("%d members run 2.4 s later, want 6", got)
+			}
+		})
+	}
+}
