Repeat a throttle while an earlier one may still be carried out

What callers would see: a best-effort task at full speed beside a task that misses its goal (HARM), or one that stays throttled until it ends. Found by reading.

Cause: a throttle without an answer may be carried out seconds later, after the newer ones. The scheduler took the last one for the one in force and sent it no more.

Evidence: TestLateThrottleIsReplaced failed before with "the throttle is 6 in the end, want 100" and "the throttle is 20 in the end, want 0".

Change: after a throttle without an answer, the one in force is sent again at most every 1.2 s, for the last time after the 8 s within which late orders are carried out. A throttle that was never sent is only decided again.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -380,7 +380,7 @@
 	case Start:
 		p.Started(c, StartPastDeadline, p.now.Steady)
 	case Throttle:
-		p.ThrottleUnconfirmed(c)
+		p.forgetThrottle(c)
 	}
 }
 
@@ -413,14 +413,25 @@
 	p.deposed = true
 }
 
-// ThrottleUnconfirmed records that a throttle command was not confirmed. The
-// throttle is decided again at the next listing.
+// ThrottleUnconfirmed records that a throttle command was not confirmed. The throttle is
+// decided again at the next listing, and repeated until the command can no longer be carried
+// out after newer ones.
 func (p *Pool) ThrottleUnconfirmed(c Command) {
+	if t := p.forgetThrottle(c); t != nil {
+		t.throttleLateUntil = p.now.Steady + lateOrderBound
+	}
+}
+
+// forgetThrottle has a throttle that may not be in force decided again. It returns the task,
+// nil if the run is no longer there.
+func (p *Pool) forgetThrottle(c Command) *task {
 	v := p.vms[c.VM]
 	if v == nil {
-		return
+		return nil
 	}
-	if t := p.findRun(v, c.Task, c.Run); t != nil && t.throttlePercent == c.ThrottlePercent {
+	t := p.findRun(v, c.Task, c.Run)
+	if t != nil && t.throttlePercent == c.ThrottlePercent {
 		t.throttlePercent = unknownThrottle
 	}
+	return t
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -339,6 +339,7 @@
 	t.lastRunEnd = p.now.Steady
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame, t.lostOn = 0, 0, false, notBlamed, nil
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
+	t.throttleSentAt, t.throttleLateUntil = 0, 0
 	t.markDirty()
 }
 
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -52,6 +52,9 @@
 	load            int64         // as in RunState.Load
 	loadAt          time.Duration
 	lastRunEnd      time.Duration
+
+	throttleSentAt    time.Duration // when the last throttle was issued
+	throttleLateUntil time.Duration // until when a throttle without an answer may be carried out; 0 if there is none
 }
 
 // history is what the earlier runs leave to the next run of what starts and fails as one: a
--- a/sched/pool/throttle.go
+++ b/sched/pool/throttle.go
@@ -67,19 +67,25 @@
 		return
 	}
 	for t := range v.tasks {
-		if t.spec().BestEffort && t.phase == running && t.throttlePercent < fullPercent {
+		if t.spec().BestEffort && t.phase == running {
 			p.setThrottle(t, fullPercent)
 		}
 	}
 }
 
-// setThrottle issues a throttle command for t unless the throttle stays the same
+// setThrottle issues a throttle command for t unless the throttle certainly stays the same
 // or the job is final.
 func (p *Pool) setThrottle(t *task, percent int) {
-	if percent == t.throttlePercent || t.occ.job.state.Final() {
+	if percent == t.throttlePercent && !t.throttleUncertain(p.now.Steady) || t.occ.job.state.Final() {
 		return
 	}
 	p.log.Info("throttle_set", zap.String("task", t.name), zap.String("vm", t.vm.ID), zap.Int("from", t.throttlePercent), zap.Int("to", percent))
-	t.throttlePercent = percent
+	t.throttlePercent, t.throttleSentAt = percent, p.now.Steady
 	p.addCommand(Command{Kind: Throttle, VM: t.vm.ID, Address: t.vm.Address, Task: t.name, Run: t.run, ThrottlePercent: percent})
 }
+
+// throttleUncertain reports whether an earlier throttle without an answer may have replaced
+// the last one.
+func (t *task) throttleUncertain(now time.Duration) bool {
+	return t.throttleSentAt < t.throttleLateUntil && now-t.throttleSentAt > stopRetryInterval
+}
--- a/sched/pool/throttle_test.go
+++ b/sched/pool/throttle_test.go
@@ -95,3 +95,53 @@
 		t.Fatalf("throttle %d long after the goal is met, %d before the takeover; want 100", h.throttles[bestEffortTask], before)
 	}
 }
+
+// Guards against a best-effort task that stays throttled for good, or at full speed beside
+// a task that misses its goal (HARM): a throttle had no answer, and is carried out after the
+// newer ones that replaced it.
+func TestLateThrottleIsReplaced(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		before, after int64 // latencies, in ms, when the late throttle is sent, and from then on
+		want          int   // throttle in the end, in percent
+	}{
+		{"late cut", 150, 40, 100},
+		{"late rise", 40, 150, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h, latencyTask, bestEffortTask := newThrottleHarness(t)
+			for range 4 { // the throttle is 0, and can be raised as well as cut
+				h.reportLatency(latencyTask, 150)
+			}
+			if test.before > 100 {
+				h.reportLatency(latencyTask, 40)
+			}
+			r := h.workers["a"].running[latencyTask]
+			r.Load = test.before
+			h.workers["a"].running[latencyTask] = r
+			h.advance(500 * time.Millisecond)
+			h.renew("a")
+			h.commit()
+			var late pool.Command
+			for _, c := range h.scheduler.Commands() {
+				if c.Kind == pool.Throttle {
+					late = c
+				}
+			}
+			if late.Task != bestEffortTask {
+				t.Fatalf("no throttle is sent")
+			}
+			h.advance(800 * time.Millisecond)
+			h.scheduler.ThrottleUnconfirmed(late)
+			for i := range 20 {
+				if i == 11 {
+					h.throttles[bestEffortTask] = late.ThrottlePercent // 7 s after it was sent
+				}
+				h.reportLatency(latencyTask, test.after)
+			}
+			if got := h.throttles[bestEffortTask]; got != test.want {
+				t.Errorf("the throttle is %d in the end, want %d", got, test.want)
+			}
+		})
+	}
+}
