--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -474,7 +474,7 @@
 	t.lostOn = on.ID
 	if blame != notBlamed {
 		// The crash is not counted again when the machine comes back as another worker.
-		p.takeLostRuns(func(l lostRun) bool { return l.task == t && l.vm == on }, func(suspect, *vm) {})
+		p.takeLostRuns(func(l lostRun) bool { return l.task == t && l.vm.ID == on.ID }, func(suspect, *vm) {})
 		p.countCrash(suspect{t, blame}, on)
 	}
 }
