Bound the leases of earlier owners by what is known of their VMs

Cause: a new owner knew one bound for all VMs. It is too early for runs that it starts itself: the earlier owner may have renewed a lease on the clock of a former incarnation of a VM that runs nothing, and that lease holds for all later runs there. It is too late for a run that its VM has held for long: the earlier owner has heard the incarnation, and all later leases were granted on its clock.

Change: - A VM that answers a new owner takes no more orders of earlier ones. From then on their leases are bounded by the answer: 5.12 s, or for a young incarnation the time in which a lease on the former clock can have reached it. - A VM that does not answer: the record of a run says when it was placed. A run that is older than such a lease can last keeps the narrow bound, the others the wide one. - Without an earlier owner there is nothing to wait for.

The progress row and its parts get an optional list (golden files). Earlier builds ignore it; runs that they have recorded get the wide bound.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -103,8 +103,14 @@
 	r.lastCommitSentAt = sentAt
 	settings := n.settings.Scheduler
 	settings.Pool = o.pool
-	// The earlier owners may have granted leases on the clock of a former incarnation of a VM.
-	settings.InheritedLeaseBound = max(renewedUntil, n.clock.Now().Steady) + leaseBound(max(settings.Lease, settings.MaxLease))
+	settings.LeaseBound = leaseBound(settings.Lease)
+	longestLease := leaseBound(max(settings.Lease, settings.MaxLease))
+	if o.row.Epoch > 1 { // there was an earlier owner
+		lastRenewal := max(renewedUntil, n.clock.Now().Steady)
+		settings.InheritedLeaseBound, settings.InheritedConfirmedBound = lastRenewal+longestLease, lastRenewal+settings.LeaseBound
+	}
+	settings.FormerClockBound = formerClockTime(settings.LeaseBound) + longestLease
+	settings.StartDelayBound = startAgeLimit + orderTimeout
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
 	r.movedQueues = newMovedQueues(n, o.pool, r.log)
@@ -400,7 +406,7 @@
 // process. It must not be called while a transaction is under way.
 func (r *poolController) updateServiceClock() {
 	r.serviceClockOffset = r.owner.service.serviceTimeBound(0)
-	r.pool.SetServiceClockOffset(r.serviceClockOffset)
+	r.pool.SetServiceClockOffset(r.serviceClockOffset, r.owner.service.localTimeBound(0)+r.serviceClockOffset)
 }
 
 // logRenewals logs when this owner stops renewing leases and when it renews them again.
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -38,6 +38,11 @@
 	afterAnswer func(answer RenewalAnswer) // called before an answer to a renewal is returned; may be nil
 }
 
+func (w *restartingVM) restart() {
+	w.bornAt, w.bornMS, w.token, w.deadline = w.clock.Now().Steady, w.bornMS+1, 0, 0
+	w.running, w.highest, w.ends, w.sequence = map[string]pool.RunState{}, map[string]int{}, nil, 0
+}
+
 func (w *restartingVM) clockMS() int64 {
 	return int64(float64((w.clock.Now().Steady - w.bornAt).Milliseconds()) * (1 - clockDrift))
 }
@@ -114,10 +119,7 @@
 
 // restart starts a new incarnation. Calls under way have no answer.
 func (f *restartingVMs) restart(address string) {
-	f.use(address, func(w *restartingVM) {
-		w.bornAt, w.bornMS, w.token, w.deadline = f.clock.Now().Steady, w.bornMS+1, 0, 0
-		w.running, w.highest, w.ends, w.sequence = map[string]pool.RunState{}, map[string]int{}, nil, 0
-	})
+	f.use(address, (*restartingVM).restart)
 }
 
 // setCut cuts a VM off, or ends the cut.
@@ -263,7 +265,7 @@
 	clock Clock
 	vms   *restartingVMs
 	store *unreachableStore // of the first owner
-	first *Node
+	entry *Node             // that owns the pool
 
 	ctx     context.Context // of the owners
 	stop    func()
@@ -285,13 +287,13 @@
 		cancel()
 		f.running.Wait()
 	}
-	f.first = f.own("a", f.store)
+	f.own("a", f.store)
 	time.Sleep(2 * time.Second)
 	return f
 }
 
 // own lets an entry claim the pool and schedule it.
-func (f *restartFixture) own(name string, s store.Store) *Node {
+func (f *restartFixture) own(name string, s store.Store) {
 	f.t.Helper()
 	n := newLeaseEntry(f.t, name, s, f.clock, nil)
 	n.workers = f.vms
@@ -304,7 +306,7 @@
 		f.t.Fatal(err)
 	}
 	f.running.Go(func() { _ = newPoolController(n, o, renewedUntil, sentAt).run(f.ctx) }) // may have lost its store
-	return n
+	f.entry = n
 }
 
 // submit hands in a job with one task that lasts.
@@ -312,7 +314,7 @@
 	f.t.Helper()
 	spec := oneStepJob("00000000000000aa")
 	spec.Steps[0].LongRunning = true
-	if err := f.first.Submit(f.t.Context(), Caller{Queue: f.first.operator.view.Catalog.Queues["q"]}, spec); err != nil {
+	if err := f.entry.Submit(f.t.Context(), Caller{Queue: f.entry.operator.view.Catalog.Queues["q"]}, spec); err != nil {
 		f.t.Fatal(err)
 	}
 }
@@ -456,6 +458,61 @@
 // latestOrder is how long after its sending a worker may carry out an order.
 const latestOrder = 12 * time.Second
 
+// replaceOwner cuts the first owner off from the table service and lets another one take over.
+func (f *restartFixture) replaceOwner() {
+	f.store.cut.Store(true)
+	time.Sleep(takeoverAfter)
+	f.own("b", f.mem)
+}
+
+// Guards against a task that runs on two VMs (TWICE): the former owner has renewed a lease on the
+// clock of the former incarnation of a VM that runs nothing. The next owner starts a task there,
+// which the long lease keeps alive, and the VM is cut off.
+func TestLeaseOfTheFormerOwnerCoversRunsOfTheNextOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.stop()
+		restarted := false
+		f.vms.use("vm1:80", func(w *restartingVM) {
+			w.afterAnswer = func(RenewalAnswer) {
+				if !restarted { // right after an answer, so that the next renewal extends the lease
+					restarted = true
+					w.restart()
+				}
+			}
+		})
+		f.await("vm1 has a lease on the clock of its former incarnation", 4*time.Second, func() (long bool) {
+			f.vms.use("vm1:80", func(w *restartingVM) { long = w.bornMS > 1 && w.deadline-w.clockMS() > testLease.Milliseconds() })
+			return long
+		})
+		listIncarnation(t, f.mem, "vm1", "vm1:80", 2)
+		f.replaceOwner()
+		f.submit()
+		f.await("vm1 runs the task", 2*time.Second, func() bool { return len(f.vms.runningOn(restartTask)) > 0 })
+		time.Sleep(5 * time.Millisecond) // the answer arrives
+		f.vms.setCut("vm1:80", true)
+		f.checkOneRun(renewAgeLimit + leaseBound(testMaxLease) + 3*time.Second)
+	})
+}
+
+// Guards against work that does not run for longer than its lease lasts (LOST): its VM is lost
+// together with the owner. The VM has held the run for so long that all leases on it were granted
+// on the clock of its present incarnation.
+func TestRunOfALostVMWaitsForItsLeaseOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.stop()
+		f.submit()
+		f.await("vm1 runs the task", 2*time.Second, func() bool { return len(f.vms.runningOn(restartTask)) > 0 })
+		time.Sleep(15 * time.Second)
+		lostAt := f.clock.Now().Steady
+		f.vms.setCut("vm1:80", true)
+		f.replaceOwner()
+		const placement = 500 * time.Millisecond
+		f.checkOneRun(lostAt + renewAgeLimit + leaseBound(testLease) + placement - f.clock.Now().Steady)
+	})
+}
+
 // Guards against an owner that takes itself for deposed, or lets late orders pass: the client
 // of a VM at another address began again with the first fencing token of the epoch, below the
 // one that the VM had seen after a restart.
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -120,6 +120,14 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + leaseMargin
 }
 
+// formerClockTime returns the longest time after the start of an incarnation in which a lease
+// that was granted on the clock of the former one can reach it: the clock was told by an answer
+// under way, used for as long as grant allows, and the call takes as long as a renewal may.
+func formerClockTime(leaseBound time.Duration) time.Duration {
+	const renewTimeout = renewWait + renewTimeoutMargin
+	return renewTimeout + leaseBound + renewTimeout
+}
+
 // grant decides on a lease that counts from now and is granted with a call that ends within
 // timeout. The caller passes it on when the call has ended. The result is nil if the
 // owner may not grant a lease on the VM now, which may tells for the time, or while the
@@ -418,7 +426,7 @@
 	}
 	s.renewed(lease, answer, r.Token, sentAt, answeredAt)
 	s.markResponsive()
-	listing := pool.Listing{VM: s.ref.ID, StartedMS: answer.StartedMS, SentAt: sentAt, At: answeredAt,
+	listing := pool.Listing{VM: s.ref.ID, StartedMS: answer.StartedMS, ClockMS: answer.ClockMS, SentAt: sentAt, At: answeredAt,
 		Running: answer.Running, Ended: answer.Ended, Complete: len(answer.Ended) < maxListedEnds}
 	for _, end := range answer.Ended {
 		highest = max(highest, end.Sequence)
--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -78,6 +78,14 @@
 	Run        int
 }
 
+// TaskPlacement tells when the newest run of an active task was placed.
+type TaskPlacement struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int      // number of the occurrence
+	Task       int      // position of the task in the occurrence
+	AtMS       int64    // latest time at which the record of the run can have been sent, ms on the table service's clock
+}
+
 // Progress is the stored progress of a job. Occurrences that are not due yet are
 // absent; those numbered below FirstOpen are complete.
 type Progress struct {
@@ -97,6 +105,8 @@
 
 	Address string `cbor:"9,keyasint,omitempty"` // at which the job was submitted, see tables.Address; empty if an earlier build has recorded it
 
+	Placements []TaskPlacement `cbor:"10,keyasint,omitempty"` // of active tasks; earlier builds do not write it
+
 	Parts map[int]*ProgressPart `cbor:"-"` // the stored parts, by number; newer than Occurrences
 }
 
@@ -107,6 +117,8 @@
 	Crashes []TaskCrashes `cbor:"2,keyasint,omitempty"` // of these tasks
 
 	GangFailures []GangFailure `cbor:"3,keyasint,omitempty"` // of the gangs whose first members are among these tasks
+
+	Placements []TaskPlacement `cbor:"4,keyasint,omitempty"` // of the active ones among these tasks
 }
 
 // TaskRange is the stored progress of successive tasks of one occurrence.
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -225,9 +225,17 @@
 	return bounds, nil
 }
 
-// SetServiceClockOffset sets the offset that converts a time on this process's
-// steady clock to one on the table service's clock that is not too early.
-func (p *Pool) SetServiceClockOffset(offset time.Duration) { p.serviceClockOffset = offset }
+// SetServiceClockOffset sets the offset that converts a time on this process's steady clock to
+// one on the table service's clock that is not too early. It may be too large by maxError.
+func (p *Pool) SetServiceClockOffset(offset, maxError time.Duration) {
+	p.serviceClockOffset, p.serviceClockError = offset, maxError
+}
+
+// localTimeBound returns the latest time on the steady clock to which a time on the table
+// service's clock, in ms, can correspond.
+func (p *Pool) localTimeBound(serviceMS int64) time.Duration {
+	return time.Duration(serviceMS)*time.Millisecond - p.serviceClockOffset + p.serviceClockError
+}
 
 // RestoreLease sets the recorded lease bound, on the steady clock, of a VM that
 // the earlier owner could not reach. It must be called before Restore.
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -32,7 +32,7 @@
 
 func testSettings() pool.Settings {
 	return pool.Settings{
-		Pool: testPool, Lease: testLease,
+		Pool: testPool, Lease: testLease, LeaseBound: leaseBound,
 		StopGrace: 900 * time.Millisecond, StatusRetention: 150 * time.Second,
 	}
 }
@@ -48,6 +48,7 @@
 	heldUp          bool           // carries out orders that were held up
 	restarted       bool           // under its id, and its row in discovery describes the earlier incarnation
 	leaseUntil      time.Duration
+	bornAt          time.Duration // start of its incarnation, of which its clock counts
 	uncountedUpTo   int64         // failed ends up to this sequence number are no longer in failuresByTask
 	token           int64         // highest fencing token that this incarnation has seen
 	brokenRenewal   bool          // a restart has broken off the renewal that was waiting
@@ -153,6 +154,7 @@
 	settings := testSettings()
 	settings.RowBytes = h.rowBytes
 	settings.InheritedLeaseBound = h.now.Steady + 11*time.Second
+	settings.InheritedConfirmedBound = settings.InheritedLeaseBound
 	h.epoch++
 	h.scheduler = pool.New(settings, zap.NewNop(), h.now)
 	h.scheduler.Configure(h.catalog)
@@ -405,7 +407,7 @@
 			worker.acknowledge(vm.AcknowledgedEnds)
 		}
 	}
-	l := pool.Listing{VM: id, StartedMS: worker.vm.StartedMS, SentAt: h.now.Steady, At: h.now.Steady, Ended: append([]pool.RunEnd(nil), worker.ends...), Complete: true}
+	l := pool.Listing{VM: id, StartedMS: worker.vm.StartedMS, ClockMS: (h.now.Steady - worker.bornAt).Milliseconds(), SentAt: h.now.Steady, At: h.now.Steady, Ended: append([]pool.RunEnd(nil), worker.ends...), Complete: true}
 	for _, name := range sortedNames(worker.running) {
 		l.Running = append(l.Running, worker.running[name])
 	}
--- a/sched/pool/incarnation_test.go
+++ b/sched/pool/incarnation_test.go
@@ -23,7 +23,7 @@
 	worker.vm.StartedMS++
 	worker.ends, worker.lastSequence, worker.uncountedUpTo = nil, 0, 0
 	worker.highestEndedRun = map[string]int{}
-	worker.leaseUntil, worker.token = 0, 0
+	worker.leaseUntil, worker.token, worker.bornAt = 0, 0, h.now.Steady
 	worker.brokenRenewal, worker.restarted = true, true
 }
 
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -30,6 +30,7 @@
 		p.observeRestart(v)
 	}
 	p.forgetLost(v)
+	p.boundEarlierLeases(v, l)
 	v.lastAnswer = l.At
 	v.listingSentAt = l.SentAt
 	v.unanswered = false
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -87,7 +87,7 @@
 // expireLeases gives up the runs on VMs whose lease bound has passed.
 func (p *Pool) expireLeases() {
 	for _, v := range p.vms {
-		if p.now.Steady <= v.confirmedUntil() || p.awaitsListing(v) {
+		if v.contacted && p.now.Steady <= v.confirmedUntil() || p.awaitsListing(v) {
 			continue
 		}
 		expired := p.expiredTasks(v)
@@ -95,7 +95,7 @@
 		for _, t := range expired {
 			p.markLost(t, "lease expired on a VM that does not answer")
 		}
-		if !v.listed && len(v.tasks) == 0 {
+		if !v.listed && len(v.tasks) == 0 && p.now.Steady > v.confirmedUntil() {
 			p.remove(v)
 		}
 	}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -54,7 +54,8 @@
 	loadPublishedAt      time.Duration              // when the last load report was published
 	leaseBoundsChanged   bool                       // the lease bounds must be recorded again
 	storedLeaseBounds    map[string]bool            // VMs for which the table service may hold a lease bound
-	serviceClockOffset   time.Duration              // table service's clock minus the steady clock
+	serviceClockOffset   time.Duration              // table service's clock minus the steady clock, at most
+	serviceClockError    time.Duration              // the offset may be smaller by this time
 	loadReportDue        bool                       // a load report must be published without waiting for loadReportInterval
 	needsAnotherVM       bool                       // a long-running task finds no VM, or none to move to
 	publishedCoreSeconds float64                    // acceptedCoreSeconds at the last load report
@@ -340,6 +341,7 @@
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame, t.lostOn = 0, 0, false, notBlamed, ""
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
 	t.throttleSentAt, t.throttleLateUntil = 0, 0
+	t.recordedAt, t.inheritedUntil = 0, 0
 	t.markDirty()
 }
 
@@ -347,7 +349,7 @@
 func (p *Pool) ObserveVM(seen VM) {
 	v := p.vms[seen.ID]
 	if v == nil {
-		v = &vm{tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady}
+		v = &vm{tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady, leaseUntil: p.settings.InheritedLeaseBound}
 		p.vms[seen.ID] = v
 		p.vmsChanged()
 		p.log.Info("vm_joined", zap.String("vm", seen.ID), zap.String("machine", seen.Machine),
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -238,6 +238,9 @@
 func (p *Pool) encodePart(j *jobState, tasks []*task) ([]byte, error) {
 	part := &job.ProgressPart{}
 	for i, t := range tasks {
+		if placement, ok := p.storedPlacement(t); ok {
+			part.Placements = append(part.Placements, placement)
+		}
 		if i == 0 || tasks[i-1].occ != t.occ {
 			part.Ranges = append(part.Ranges, job.TaskRange{Occurrence: t.occ.number, First: t.position})
 		}
@@ -280,6 +283,9 @@
 		stored := job.Occurrence{Number: o.number}
 		for _, step := range o.tasks {
 			for _, t := range step {
+				if placement, ok := p.storedPlacement(t); ok {
+					r.Placements = append(r.Placements, placement)
+				}
 				if c, ok := t.storedCrashes(); ok {
 					r.Crashes = append(r.Crashes, c)
 				}
@@ -311,6 +317,16 @@
 	return s
 }
 
+// storedPlacement returns when the newest run of t was placed as the progress row holds it. The
+// result is false if there is no run, or if an earlier build has recorded it.
+func (p *Pool) storedPlacement(t *task) (job.TaskPlacement, bool) {
+	if t.phase == placed {
+		t.recordedAt = p.now.Steady
+	}
+	at := (t.recordedAt + p.serviceClockOffset).Milliseconds() + 1 // rounded up
+	return job.TaskPlacement{Occurrence: t.occ.number, Task: t.position, AtMS: at}, t.active() && t.recordedAt > 0
+}
+
 // storedCrashes returns the numbers of crashes under a task as the progress row holds
 // them. The result is false if the row does not need them.
 func (t *task) storedCrashes() (job.TaskCrashes, bool) {
@@ -408,10 +424,11 @@
 	tasks   []job.Task
 	crashes map[int]job.TaskCrashes // by position of the task
 	failed  map[int]int             // newest failed run of a gang, by position of its first member
+	placed  map[int]int64           // by position of the task: job.TaskPlacement.AtMS
 }
 
 func newStoredOccurrence(number, tasks int) storedOccurrence {
-	return storedOccurrence{Number: number, tasks: make([]job.Task, tasks), crashes: map[int]job.TaskCrashes{}, failed: map[int]int{}}
+	return storedOccurrence{Number: number, tasks: make([]job.Task, tasks), crashes: map[int]job.TaskCrashes{}, failed: map[int]int{}, placed: map[int]int64{}}
 }
 
 // mergeParts returns the stored progress of the open occurrences, in order. Parts are
@@ -446,6 +463,9 @@
 	for _, f := range progress.GangFailures {
 		find(f.Occurrence).failed[f.Task] = f.Run
 	}
+	for _, placement := range progress.Placements {
+		find(placement.Occurrence).placed[placement.Task] = placement.AtMS
+	}
 	for _, part := range progress.Parts {
 		for _, r := range part.Ranges {
 			o := find(r.Occurrence)
@@ -456,6 +476,7 @@
 			for i := range r.Tasks {
 				delete(o.crashes, r.First+i)
 				delete(o.failed, r.First+i)
+				delete(o.placed, r.First+i)
 			}
 		}
 		for _, c := range part.Crashes {
@@ -464,6 +485,9 @@
 		for _, f := range part.GangFailures {
 			find(f.Occurrence).failed[f.Task] = f.Run
 		}
+		for _, placement := range part.Placements {
+			find(placement.Occurrence).placed[placement.Task] = placement.AtMS
+		}
 	}
 	return open
 }
@@ -471,7 +495,7 @@
 func (p *Pool) restoreTasks(o *occurrence, stored storedOccurrence) {
 	for _, step := range o.tasks {
 		for _, t := range step {
-			p.restoreTask(t, stored.tasks[t.position])
+			p.restoreTask(t, stored.tasks[t.position], stored.placed[t.position])
 			if t.leader() == t {
 				t.history.failures, t.history.lastRun = stored.tasks[t.position].Failures, stored.failed[t.position]
 			}
@@ -481,7 +505,9 @@
 	}
 }
 
-func (p *Pool) restoreTask(t *task, s job.Task) {
+// restoreTask restores the stored state of a task. placedMS is when its newest run was placed,
+// as in job.TaskPlacement; 0 if unknown.
+func (p *Pool) restoreTask(t *task, s job.Task, placedMS int64) {
 	t.run = s.Run
 	if t.history.checkpoint == "" { // of the first member that has one; each is valid for all
 		t.history.checkpoint = s.Checkpoint
@@ -497,6 +523,10 @@
 		p.assign(t, v)
 		t.phase = unconfirmed
 		t.inherited = true
+		if placedMS > 0 {
+			t.recordedAt = p.localTimeBound(placedMS)
+		}
+		t.inheritedUntil = p.inheritedLeaseEnd(t)
 		t.throttlePercent = unknownThrottle
 		t.since = p.now.Steady
 	}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -40,6 +40,8 @@
 	listedCheckpoint string        // checkpoint that the newest run was last listed with
 	since            time.Duration // when the phase was entered
 	placedAt         time.Duration // when the newest run was placed
+	recordedAt       time.Duration // when the record of the newest run was sent, at the latest; 0 if unknown
+	inheritedUntil   time.Duration // time by which the lease of an inherited run has ended if its VM does not answer
 	stopSentAt       time.Duration // 0 if no stop was sent for the newest run
 	stopAnsweredAt   time.Duration // 0 if no stop was answered
 	inherited        bool          // the newest run was started by an earlier owner
@@ -167,6 +169,7 @@
 	replaced           bool          // its machine has started again as another VM
 	fenced             bool          // this incarnation has answered under this owner's fencing token
 	leaseUntil         time.Duration // time by which all leases of earlier owners and of closed clients on it have ended
+	contacted          bool          // it has answered this owner
 	granted            LeaseBounds   // of the leases of its present client
 	used               fleet.Resources
 	bestEffortMilliCPU int64 // processors that its best-effort tasks ask for, in thousandths of a core
@@ -197,15 +200,48 @@
 
 // leaseEnd returns the time by which the lease of the newest run of t, which is on v, has ended.
 func (v *vm) leaseEnd(t *task) time.Duration {
+	if t.inherited && !v.contacted {
+		return t.inheritedUntil // the VM has no leases of this owner
+	}
 	if t.phase == starting || t.phase == unconfirmed {
 		return v.unconfirmedUntil()
 	}
 	return v.confirmedUntil()
 }
 
+// inheritedLeaseEnd returns the time by which the lease of a run of an earlier owner has ended
+// if its VM does not answer. An incarnation that has held a run for long has been heard by its
+// owner, which granted further leases on its clock.
+func (p *Pool) inheritedLeaseEnd(t *task) time.Duration {
+	s := &p.settings
+	switch {
+	case p.storedLeaseBounds[t.vm.ID]:
+		return t.vm.leaseUntil
+	case t.recordedAt == 0:
+		return s.InheritedLeaseBound
+	}
+	return min(s.InheritedLeaseBound, max(s.InheritedConfirmedBound, t.recordedAt+s.StartDelayBound+s.FormerClockBound))
+}
+
+// boundEarlierLeases bounds the leases that earlier owners have granted on v, which answers
+// this owner for the first time and so takes no more orders of them.
+func (p *Pool) boundEarlierLeases(v *vm, l Listing) {
+	if v.contacted {
+		return
+	}
+	v.contacted = true
+	if l.ClockMS > 0 {
+		startedAt := l.At - time.Duration(l.ClockMS)*time.Millisecond
+		v.leaseUntil = min(v.leaseUntil, max(l.At+p.settings.LeaseBound, startedAt+p.settings.FormerClockBound))
+	}
+}
+
 // leasesEnd returns the time by which the leases of all runs on v have ended.
 func (v *vm) leasesEnd() time.Duration {
 	until := v.confirmedUntil()
+	if !v.contacted && len(v.tasks) > 0 {
+		until = 0 // its runs are those of earlier owners
+	}
 	for t := range v.tasks {
 		until = max(until, v.leaseEnd(t))
 	}
@@ -239,13 +275,24 @@
 
 // Settings are the scheduler's parameters.
 type Settings struct {
-	Pool                string
-	Lease               time.Duration // duration of the leases of runs, on the VM's clock
-	MaxLease            time.Duration // longest lease that a VM accepts, on its clock; at least Lease
-	InheritedLeaseBound time.Duration // lease bound, on the steady clock, of the runs that an earlier owner started
-	StopGrace           time.Duration // longest time that a stop can take
-	StatusRetention     time.Duration // how long finished jobs stay known
-	RowBytes            int           // largest value of a row; 0 means defaultRowBytes
+	Pool       string
+	Lease      time.Duration // duration of the leases of runs, on the VM's clock
+	MaxLease   time.Duration // longest lease that a VM accepts, on its clock; at least Lease
+	LeaseBound time.Duration // longest time that a lease can last on the steady clock
+
+	// InheritedLeaseBound is the time, on the steady clock, by which all leases of earlier
+	// owners have ended, InheritedConfirmedBound that for leases granted on the clock of the
+	// incarnation that holds them.
+	InheritedLeaseBound, InheritedConfirmedBound time.Duration
+	// FormerClockBound is the time after the start of an incarnation of a VM by which leases
+	// that were granted on the clock of its former incarnation have ended.
+	FormerClockBound time.Duration
+	// StartDelayBound is the longest time from the sending of a run's record until a VM takes
+	// its start.
+	StartDelayBound time.Duration
+	StopGrace       time.Duration // longest time that a stop can take
+	StatusRetention time.Duration // how long finished jobs stay known
+	RowBytes        int           // largest value of a row; 0 means defaultRowBytes
 }
 
 // capShare is the part of a workspace's cap that this pool may use.
--- a/sched/pool/types.go
+++ b/sched/pool/types.go
@@ -73,6 +73,7 @@
 type Listing struct {
 	VM        string
 	StartedMS int64         // start of the incarnation that answered, Unix milliseconds; 0 if unknown
+	ClockMS   int64         // clock of the VM, which began with the incarnation, in ms; 0 if unknown
 	SentAt    time.Duration // when the renewal was sent, on the steady clock
 	At        time.Duration // when the answer arrived, on the steady clock
 	Running   []RunState
