Let the client of a VM learn of a restart from the VM's row

What callers saw: tasks ran twice at the same time (TWICE).

Cause: the scheduler reads rows, the client that grants leases did not. It kept the clock and the token of the former incarnation, and bounded unanswered starts as if nothing was known of a restart.

Evidence: the cases 'row' of TestLateStartAfterANoticedRestartIsTheOnlyRun: two runs for 10.2 s before.

Change: the client compares the incarnation that discovery lists. A later one gets a higher token, no lease before its clock is known, and the bound that allows for late calls. A renewal without a lease is no longer broken off when the clock is lost.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -345,11 +345,13 @@
 	return nil
 }
 
-// passOnGrants tells the scheduler which leases the clients have granted. It is called right
+// passOnGrants tells the clients which incarnations discovery lists, and the scheduler which
+// leases the clients have granted. It is called right
 // before a cycle, which gives up the runs whose leases have ended at the time of its start: a
 // lease that is granted later can no longer extend them.
 func (r *poolController) passOnGrants() {
 	for id, v := range r.vmClients {
+		v.observeIncarnation(r.pool.Incarnation(id))
 		r.pool.SetLeaseBounds(id, v.granted())
 	}
 }
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -416,8 +416,17 @@
 // seconds later by the next incarnation of its VM, whose restart the owner has noticed. The VM
 // is cut off before it has seen a higher fencing token.
 func TestLateStartAfterANoticedRestartIsTheOnlyRun(t *testing.T) {
-	for _, owner := range []string{"same owner", "next owner after a bound is stored"} {
-		t.Run(owner, func(t *testing.T) {
+	for name, test := range map[string]struct {
+		byRow bool // the row tells of the restart, and not an answer
+		owner string
+	}{
+		"answer, same owner":                         {false, "same owner"},
+		"answer, next owner after a bound is stored": {false, "next owner"},
+		"row, same owner":                            {true, "same owner"},
+		"row, next owner after a bound is stored":    {true, "next owner"},
+	} {
+		byRow, owner := test.byRow, test.owner
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newRestartFixture(t)
 				defer f.stop()
@@ -436,11 +445,17 @@
 					w.isLate = nil
 					w.afterAnswer = func(RenewalAnswer) { w.cut = true }
 				})
-				f.await("vm1 tells of its restart", 4*time.Second, func() (cut bool) {
-					f.vms.use("vm1:80", func(w *restartingVM) { cut = w.cut })
-					return cut
-				})
 				noticed := f.boundVersion() // of a bound that was stored before the owner knew
+				if byRow {
+					f.vms.setCut("vm1:80", true)
+					listIncarnation(t, f.mem, "vm1", "vm1:80", 2)
+				} else {
+					f.await("vm1 tells of its restart", 4*time.Second, func() (cut bool) {
+						f.vms.use("vm1:80", func(w *restartingVM) { cut = w.cut })
+						return cut
+					})
+					noticed = f.boundVersion()
+				}
 				if owner != "same owner" {
 					f.awaitBound(noticed)
 					f.store.cut.Store(true)
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -182,13 +182,8 @@
 	if a.ClockMS == 0 || a.ClockMS >= l.atMS || l.token != s.currentToken() {
 		return
 	}
-	// The worker has restarted. A renewal under way may wait for an answer of its former
-	// incarnation.
-	s.clockAt, s.clockLostAt = 0, answeredAt
-	s.retireToken()
-	if s.endRenewal != nil {
-		s.endRenewal()
-	}
+	s.retireToken() // the worker has restarted
+	s.loseClock(answeredAt)
 }
 
 // answered records that a call which has granted a lease was answered at answeredAt on the
@@ -294,13 +289,10 @@
 		s.clockAt != 0 && answer.ClockMS < s.earliestClockMS(sentAt)
 	switch {
 	case restarted:
-		s.retireToken()
-		s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
-		s.tokenUnseen = true
+		s.raiseToken()
 		// A lease that was granted on the clock of the former incarnation may have reached
 		// this one, and is only bounded by what it accepts.
 		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(s.maxLease))
-		s.acknowledged.Store(0) // ends are numbered from the start again
 	case s.tokenUnseen && token == s.currentToken():
 		// From now on, this incarnation refuses calls with the earlier tokens.
 		s.tokenUnseen = false
@@ -315,6 +307,38 @@
 	}
 }
 
+// raiseToken records a restart of the worker: calls get a higher token. The caller holds mu.
+func (s *vmClient) raiseToken() {
+	s.retireToken()
+	s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
+	s.tokenUnseen = true
+	s.acknowledged.Store(0) // ends are numbered from the start again
+}
+
+// observeIncarnation records the incarnation of the worker, in Unix ms, that its row in discovery
+// tells; 0 if unknown. A later one than has answered is asked for its clock before it gets a
+// lease.
+func (s *vmClient) observeIncarnation(startedMS int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.startedMS == 0 || startedMS <= s.startedMS {
+		return
+	}
+	s.raiseToken()
+	s.startedMS = startedMS
+	s.loseClock(s.clock.Now().Steady)
+}
+
+// loseClock records that the worker's clock is no longer the one that was known, at a time on
+// the steady clock. A renewal under way may wait for an answer of the former incarnation. The
+// caller holds mu.
+func (s *vmClient) loseClock(at time.Duration) {
+	s.clockAt, s.clockLostAt = 0, at
+	if s.endRenewal != nil {
+		s.endRenewal()
+	}
+}
+
 // tokensPerEpoch is the number of fencing tokens for the incarnations of a
 // worker within one epoch.
 const tokensPerEpoch = 1000
@@ -411,7 +435,9 @@
 		r.AcknowledgedEnds = 0
 	}
 	callCtx, cancel := context.WithTimeout(ctx, r.Wait+renewTimeoutMargin)
-	s.setEndRenewal(cancel)
+	if lease != nil {
+		s.setEndRenewal(cancel)
+	}
 	answer, err := s.workers.Renew(callCtx, s.ref, r)
 	s.setEndRenewal(nil)
 	cancel()
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -488,6 +488,15 @@
 	}
 }
 
+// Incarnation returns the start of a VM's latest known incarnation, Unix milliseconds; 0 if it
+// is unknown.
+func (p *Pool) Incarnation(id string) int64 {
+	if v := p.vms[id]; v != nil {
+		return v.StartedMS
+	}
+	return 0
+}
+
 // LeaseGranted records that leases on a VM, granted by a client that is closed, end by until
 // on this process's steady clock, whatever the clock of the VM does.
 func (p *Pool) LeaseGranted(id string, until time.Duration) {
