Store the lease bound of a silent VM again when it rises

Cause: the bound of a silent VM was stored once. An answer that arrives after that, or the VM's row, may show that the VM has restarted, and that leases may last longer. A later owner relied on the stored bound.

Evidence: TestStoredLeaseBoundRisesWithTheLeases: raised by 0 s before, want 5 s.

Change: the row of bounds is written again when one rises. The simulated clients of the scheduler's tests pass their bounds as the real ones do (SetLeaseBounds).

--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -161,8 +161,8 @@
 
 // LeaseBoundsDue returns the ids of the VMs whose lease bounds the next Cycle may store,
 // sorted. The caller must grant no lease on them from before that Cycle on, until
-// RenewalTargets permits it again after a call of Committed, and must pass all leases granted
-// before to LeaseGranted.
+// RenewalTargets permits it again after a call of Committed, and must pass the bounds of all
+// leases granted before to SetLeaseBounds.
 func (p *Pool) LeaseBoundsDue() []string {
 	if !p.leaseBoundsChanged {
 		return nil
@@ -192,7 +192,8 @@
 			continue
 		}
 		if size += len(v.ID) + leaseEntryBytes; size <= p.rowBytes() {
-			bounds[v.ID] = (v.leasesEnd() + p.serviceClockOffset).Milliseconds()
+			v.storedUntil = v.leasesEnd()
+			bounds[v.ID] = (v.storedUntil + p.serviceClockOffset).Milliseconds()
 		}
 	}
 	value, err := cbor.Marshal(bounds)
@@ -243,7 +244,7 @@
 	v := p.inheritedVM(id)
 	v.boundDue = true
 	p.storedLeaseBounds[id] = true
-	v.leaseUntil = until
+	v.leaseUntil, v.storedUntil = until, until
 	v.unanswered = true
 	p.log.Info("lease_bound_restored", zap.String("vm", id), p.leaseField(v))
 }
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -312,7 +312,7 @@
 // bound it may store.
 func (h *harness) nextBatch() pool.Batch {
 	for id, worker := range h.workers {
-		h.scheduler.LeaseGranted(id, worker.client.grantedUntil)
+		h.scheduler.SetLeaseBounds(id, pool.LeaseBounds{Confirmed: worker.client.grantedUntil, Unconfirmed: worker.client.grantedUntil})
 	}
 	for _, id := range h.scheduler.LeaseBoundsDue() {
 		if worker := h.workers[id]; worker != nil {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -483,8 +483,13 @@
 
 // SetLeaseBounds sets the bounds of the leases that the present client of a VM has granted.
 func (p *Pool) SetLeaseBounds(id string, granted LeaseBounds) {
-	if v := p.vms[id]; v != nil {
-		v.granted = granted
+	v := p.vms[id]
+	if v == nil {
+		return
+	}
+	v.granted = granted
+	if v.boundDue && v.leasesEnd() > v.storedUntil {
+		p.leaseBoundsChanged = true
 	}
 }
 
--- a/sched/pool/silence_test.go
+++ b/sched/pool/silence_test.go
@@ -299,3 +299,31 @@
 		h.advance(200 * time.Millisecond)
 	}
 }
+
+// Guards against a later owner that relies on a lease bound which is too early (TWICE): the bound
+// of a silent VM rises after it was stored, when an answer shows that the VM has restarted.
+func TestStoredLeaseBoundRisesWithTheLeases(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	h.submit(shortJob(1))
+	h.settle()
+	a.down = true
+	h.renewAll()
+	h.cycle()
+	stored := func() time.Duration {
+		bounds, err := pool.DecodeLeases(h.rows[tables.LeaseKey(testPool)])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return bounds["a"]
+	}
+	first := stored()
+	if first == 0 {
+		t.Fatal("no bound is stored for a")
+	}
+	a.client.grantedUntil += 5 * time.Second
+	h.cycle()
+	if raised := stored() - first; raised < 5*time.Second {
+		t.Errorf("the stored bound has risen by %v, want 5s as the leases", raised)
+	}
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -186,7 +186,8 @@
 	unanswered         bool          // the last renewal was not answered
 	probationer        *task         // the last likely crasher that was placed here
 	contactLostAt      time.Duration // when a renewal or start was first not answered since the last answer; 0 if it was
-	boundDue           bool          // it does not answer: leaseUntil must be stored for a later owner
+	boundDue           bool          // it does not answer: the end of its leases must be stored for a later owner
+	storedUntil        time.Duration // the end that was stored last
 	health             vmHealth
 }
 
