Give an orphan run the lease bound of its VM

An orphan run is one that a VM lists and that the scheduler does not expect there. It is stopped, and its task does not start while the VM lists it.

What callers saw: a task that ran twice, or one that did not start any more.

Cause: nothing bounded the time for which an orphan run counts as there. - A VM without tasks was removed as soon as it left discovery, and its orphan runs were forgotten with it. Their tasks started elsewhere although the leases lasted. - While a VM was silent and stayed in discovery, no listing came that could tell that the orphan run had ended, and the task waited without limit, also when the VM's machine had started again as another VM.

Change: an orphan run counts as there until a listing no longer shows it, its machine has restarted as another VM, or the lease bound of the confirmed runs on its VM has passed. The bound is not enough in two cases: a new owner may not have granted a lease on the VM yet, so the bound of inherited leases must have passed too; and while the VM answers, its listings decide. A VM with orphan runs is kept when it leaves discovery, like one with tasks.

The lease bound of a silent VM that has orphan runs but no tasks is still not stored for a later owner, which does not know of the orphan runs and would not wait for it.

--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -110,6 +110,7 @@
 	planned := v.Draining || v.cordoned
 	p.log.Info("vm_replaced", zap.String("vm", v.ID), zap.String("by", successor.ID), zap.String("machine", v.Machine),
 		zap.Bool("planned", planned), zap.Int("tasks", len(v.tasks)))
+	p.forgetOrphans(v)
 	suspects := v.suspects()
 	for _, t := range v.sortedTasks() {
 		if t.phase == placed { // the start was never sent
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -267,7 +267,8 @@
 	p.addCommand(Command{Kind: Stop, VM: v.ID, Address: v.Address, Task: r.Task, Run: r.Run})
 }
 
-// forgetOrphans drops the orphan runs that earlier listings of v have shown.
+// forgetOrphans drops the orphan runs that earlier listings of v have shown: they have ended, or
+// the listing at hand shows them again.
 func (p *Pool) forgetOrphans(v *vm) {
 	for name, on := range p.orphans {
 		if on == v {
@@ -276,6 +277,18 @@
 	}
 }
 
+// expireOrphans drops the orphan runs on v, whose lease bound has passed, unless an earlier owner
+// may have granted them a longer lease. While v answers, its listings tell whether they are there.
+func (p *Pool) expireOrphans(v *vm) {
+	if p.now.Steady <= p.settings.InheritedLeaseBound || p.now.Steady-v.lastAnswer <= maxAnswerAge {
+		return
+	}
+	if p.holdsOrphan(v) {
+		p.log.Info("orphan_runs_expired", zap.String("vm", v.ID), p.leaseField(v))
+		p.forgetOrphans(v)
+	}
+}
+
 // handleUnlisted decides on the runs on v that a complete listing does not show:
 // they are lost, or must be stopped first because their start may still arrive.
 func (p *Pool) handleUnlisted(v *vm, l Listing, listed map[*task]bool) {
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -31,7 +31,8 @@
 	return declared != nil && declared.ChecksAdmission
 }
 
-// holdsOrphan reports whether the last listings of v have shown an orphan run.
+// holdsOrphan reports whether the last listings of v have shown an orphan run that may still be
+// there.
 func (p *Pool) holdsOrphan(v *vm) bool {
 	for _, on := range p.orphans {
 		if on == v {
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -84,7 +84,7 @@
 	return r.order
 }
 
-// expireLeases gives up the runs on VMs whose lease bound has passed.
+// expireLeases gives up the runs on VMs whose lease bound has passed, and drops their orphan runs.
 func (p *Pool) expireLeases() {
 	for _, v := range p.vms {
 		if p.now.Steady <= v.confirmedUntil() || p.awaitsListing(v) {
@@ -95,7 +95,8 @@
 		for _, t := range expired {
 			p.markLost(t, "lease expired on a VM that does not answer")
 		}
-		if !v.listed && len(v.tasks) == 0 {
+		p.expireOrphans(v)
+		if !v.listed && !p.mayHoldRuns(v) {
 			p.remove(v)
 		}
 	}
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -391,8 +391,8 @@
 	return v.describedMS == 0 || v.StartedMS == 0 || v.describedMS == v.StartedMS
 }
 
-// ForgetVM marks a VM as no longer listed by discovery. Its runs are given up
-// once their leases have expired.
+// ForgetVM marks a VM as no longer listed by discovery. Its runs, also orphan ones, are given
+// up once their leases have expired.
 func (p *Pool) ForgetVM(id string) {
 	v := p.vms[id]
 	if v == nil || !v.listed {
@@ -401,13 +401,17 @@
 	v.listed = false
 	p.log.Info("vm_left", zap.String("vm", id), zap.Int("tasks", len(v.tasks)),
 		zap.Duration("lease_left", v.leasesEnd()-p.now.Steady))
-	if len(v.tasks) == 0 {
+	if !p.mayHoldRuns(v) {
 		p.remove(v)
 	}
 }
 
+// mayHoldRuns reports whether v may have runs, of its tasks or orphan ones, on which the starts
+// of other runs depend.
+func (p *Pool) mayHoldRuns(v *vm) bool { return len(v.tasks) > 0 || p.holdsOrphan(v) }
+
+// remove drops a VM without runs.
 func (p *Pool) remove(v *vm) {
-	p.forgetOrphans(v)
 	delete(p.vms, v.ID)
 	p.vmsChanged()
 	if v.boundDue {
