Do not take an order that the owner's own higher token fences for another owner

What callers saw: a pool without an owner until the next claim (starts and renewals stop meanwhile), although no other entry had claimed it. A worker restarts under its id with two starts under way. The next incarnation answers the first one; its clock is behind, so the client renews at once and raises the token. The second start arrives with the earlier token and is refused (409 fence). The same after a change of a VM's address, whose next client has a higher token.

Cause: a refused fencing token was taken for a later owner's, whichever token the order had. Since the token rises while starts are under way.

Change: the clients that one owner opens for a VM share the latest count of incarnations. A start or renewal that is refused with a token below the latest one is logged (order_overtaken) and had no effect: the task waits again. The owner is deposed only when its latest token is refused (TestFencedStartDeposesOwner, TestFencedRenewalDeposesOwner). Refused stops and throttles have never deposed; they are repeated.

--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -85,7 +85,7 @@
 	always := func(time.Duration) bool { return true }
 	v := &vmClient{ref: WorkerRef{ID: "vm1", Address: "vm1:80"}, workers: workers, clock: NewBootClock(), log: zap.NewNop(),
 		pool: "p", metrics: newMetrics(newTableLoads()), epoch: 3, lease: 5 * time.Second, deliver: func(func(*pool.Pool)) {},
-		recorded: make(chan struct{}, 1), slots: newOrderSlots(), mayRenew: always, mayStart: always}
+		recorded: make(chan struct{}, 1), slots: newOrderSlots(), mayRenew: always, mayStart: always, count: &incarnationCount{}}
 	if _, ok := v.renew(t.Context()); !ok {
 		t.Fatal("first renewal failed")
 	}
--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -189,9 +189,15 @@
 
 // listVM writes the row of a VM of pool p.
 func listVM(t *testing.T, s store.Store, id, address string) {
+	t.Helper()
+	listIncarnation(t, s, id, address, 1)
+}
+
+// listIncarnation writes the row of an incarnation of a VM of pool p.
+func listIncarnation(t *testing.T, s store.Store, id, address string, startedMS int64) {
 	t.Helper()
 	value, err := json.Marshal(ListedVM{Pool: "p", VM: pool.VM{ID: id, Machine: "m-" + id, Address: address, DataCentre: "dc", Rack: "r",
-		Capacity: fleet.Resources{MilliCPU: 4000, MemoryMB: 4096}, StartedMS: 1}})
+		Capacity: fleet.Resources{MilliCPU: 4000, MemoryMB: 4096}, StartedMS: startedMS}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -457,6 +457,8 @@
 	if earlier := r.vmClients[vm.ID]; earlier != nil {
 		r.closeVMClient(earlier)
 		v.incarnations = earlier.nextIncarnation() // late orders of the earlier client are refused
+		v.count = earlier.count
+		v.count.latest.Store(v.incarnations)
 	}
 	clientCtx, cancel := context.WithCancel(ctx)
 	v.stop = cancel
@@ -477,7 +479,7 @@
 		ref: WorkerRef{ID: vm.ID, Address: vm.Address}, workers: r.node.workers, clock: r.node.clock, log: r.log,
 		epoch: r.epoch, lease: r.node.settings.Scheduler.Lease, maxLease: r.node.settings.Scheduler.MaxLease, deliver: r.deliver,
 		recorded: make(chan struct{}, 1), slots: newOrderSlots(),
-		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics,
+		mayRenew: r.mayRenew, mayStart: r.mayStart, pool: r.name, metrics: r.node.metrics, count: &incarnationCount{},
 	}
 	v.startedMS = vm.StartedMS
 	v.acknowledged.Store(vm.AcknowledgedEnds)
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -80,6 +80,7 @@
 	// maxLease is the longest lease that the worker accepts.
 	maxLease time.Duration
 	deliver  func(func(*pool.Pool)) // runs a function in the scheduler's loop
+	count    *incarnationCount      // of the VM
 
 	acknowledged atomic.Int64       // ends of runs up to this sequence number are recorded
 	recorded     chan struct{}      // signals a change of acknowledged
@@ -288,6 +289,9 @@
 	case restarted:
 		s.retireToken()
 		s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
+		if !s.closed {
+			s.count.latest.Store(s.incarnations)
+		}
 		s.tokenUnseen = true
 		// A lease that was granted on the clock of the former incarnation may have reached
 		// this one, and is only bounded by what it accepts.
@@ -323,6 +327,22 @@
 // currentToken is token for callers that hold mu.
 func (s *vmClient) currentToken() int64 { return s.epoch*tokensPerEpoch + s.incarnations }
 
+// incarnationCount counts the incarnations of a VM over all clients that one owner opens for
+// it, one after the other. The latest client has the highest fencing token.
+type incarnationCount struct{ latest atomic.Int64 }
+
+// overtaken reports whether an order that was refused for its fencing token is no sign of
+// another owner, as this one has a higher token by now, which the VM may have seen.
+func (s *vmClient) overtaken(token int64) bool {
+	latest := s.epoch*tokensPerEpoch + s.count.latest.Load()
+	if token >= latest {
+		return false
+	}
+	s.log.Info("order_overtaken", zap.String("vm", s.ref.ID), zap.Int64("token", token), zap.Int64("latest_token", latest))
+	s.metrics.add("orders_overtaken")
+	return true
+}
+
 // nextIncarnation returns the number of incarnations for a client that replaces this one.
 func (s *vmClient) nextIncarnation() int64 {
 	s.mu.Lock()
@@ -413,7 +433,7 @@
 		if lease != nil && s.hasLostClock() {
 			return 0, true // the next one asks which incarnation answers
 		}
-		s.handleRenewError(ctx, err)
+		s.handleRenewError(ctx, err, r.Token)
 		return 0, false
 	}
 	s.renewed(lease, answer, r.Token, sentAt, answeredAt)
@@ -442,12 +462,16 @@
 const maxListedEnds = 500
 
 // handleRenewError deposes this owner if the worker has seen a higher fencing
-// token. After any other error the VM counts as unresponsive.
-func (s *vmClient) handleRenewError(ctx context.Context, err error) {
+// token than its own. token is that of the renewal. After any other error the VM
+// counts as unresponsive.
+func (s *vmClient) handleRenewError(ctx context.Context, err error, token int64) {
 	if ctx.Err() != nil {
 		return
 	}
 	if errors.Is(err, ErrFenced) {
+		if s.overtaken(token) {
+			return
+		}
 		s.deliver(func(p *pool.Pool) { p.Depose(s.ref.ID) })
 		return
 	}
@@ -581,6 +605,9 @@
 		s.metrics.observe(metricStart, s.pool, answeredAt-began)
 		s.logStart(order, lease, answer)
 		s.settleStart(lease, answer, answeredAt)
+		if result == pool.StartFenced && s.overtaken(lease.token) {
+			result = pool.StartPastDeadline // the task waits again
+		}
 	}
 	at := s.clock.Now().Steady
 	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
--- a/node/vmclient_test.go
+++ b/node/vmclient_test.go
@@ -136,7 +136,7 @@
 	workers := &fakeWorkers{renewal: func(Renewal) (RenewalAnswer, error) { return RenewalAnswer{}, ErrFenced }}
 	clock := NewBootClock()
 	p := pool.New(pool.Settings{Pool: "p"}, zap.NewNop(), clock.Now())
-	s := &vmClient{ref: WorkerRef{ID: "vm1"}, workers: workers, clock: clock, log: zap.NewNop(), metrics: newMetrics(newTableLoads()), lease: time.Second}
+	s := &vmClient{ref: WorkerRef{ID: "vm1"}, workers: workers, clock: clock, log: zap.NewNop(), metrics: newMetrics(newTableLoads()), lease: time.Second, count: &incarnationCount{}}
 	s.deliver = func(f func(*pool.Pool)) { f(p) }
 	if _, ok := s.renew(t.Context()); ok || !p.Deposed() {
 		t.Fatalf("renewed: %v, deposed: %v; want a failed renewal and a deposed owner", ok, p.Deposed())
