Keep the fencing token of a VM that leaves discovery and comes back

What callers saw: a pool without an owner until the next claim, although no other entry had claimed it. A worker restarts under its id, the owner notices it and raises the token. The VM leaves discovery without runs and comes back as the same incarnation. Its next client began with the first token of the epoch, below the one that the VM had seen: the first renewal was refused, and the owner took itself for deposed. Without a restart, late orders of the earlier client were not refused by the next one's token.

Cause: the count of incarnations ended with the client. Found in the same place: after 999 restarts the token cannot rise any more, but the first answer was still taken for proof that earlier calls are refused, and their bound was given up.

Evidence, before the change: TestOwnerStaysWhenAVMLeavesAndComesBack: "the only owner has ended: pool has another owner". TestTokenThatCannotRiseProvesNothing: "the leases end by 10.224290506s, want 23.024289089s: the start without an answer may be carried out late".

Change: the controller keeps the count by VM id, and each client of a VM but the first begins one above it. A count of 0 is dropped once the last call of the closed client can no longer be carried out; a higher one is kept for the epoch, as the VM may have seen the token (TestCountsOfIncarnationsAreBounded). raiseToken alone raises the token, and tells whether it has risen; a closed client no longer raises its own.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -81,6 +81,8 @@
 	renewalsPaused   bool          // the last confirmed transaction is too old for renewals
 	stopErr          error         // error of the transaction that was under way at the stop
 
+	incarnations map[string]*incarnationCount // by VM; may outlive the VM's client
+
 	serviceClockOffset time.Duration // see pool.SetServiceClockOffset
 }
 
@@ -96,7 +98,7 @@
 	r := &poolController{
 		node: n, owner: o, name: o.pool, epoch: o.row.Epoch,
 		log:    n.log.With(zap.String("pool", o.pool), zap.Int64("epoch", o.row.Epoch)),
-		events: make(chan func(*pool.Pool), 1024), done: make(chan struct{}), vmClients: map[string]*vmClient{},
+		events: make(chan func(*pool.Pool), 1024), done: make(chan struct{}), vmClients: map[string]*vmClient{}, incarnations: map[string]*incarnationCount{},
 		commitResults: make(chan commitResult, 1),
 	}
 	r.confirmedAt.Store(int64(sentAt))
@@ -450,16 +452,23 @@
 			r.closeVMClient(v)
 		}
 	}
+	for id, count := range r.incarnations {
+		if r.vmClients[id] == nil && count.latest.Load() == 0 && r.node.clock.Now().Steady > count.closedAt+lateCallBound {
+			delete(r.incarnations, id) // no call is under way, and the VM has seen the first token of the epoch at most
+		}
+	}
 }
 
 func (r *poolController) openVMClient(ctx context.Context, vm pool.RenewalTarget) {
-	v := r.newVMClient(vm)
 	if earlier := r.vmClients[vm.ID]; earlier != nil {
 		r.closeVMClient(earlier)
-		v.incarnations = earlier.nextIncarnation() // late orders of the earlier client are refused
-		v.count = earlier.count
-		v.count.latest.Store(v.incarnations)
 	}
+	v := r.newVMClient(vm)
+	if count := r.incarnations[vm.ID]; count != nil {
+		v.count, v.incarnations = count, count.latest.Load()
+		v.raiseToken() // late orders of the earlier client are refused
+	}
+	r.incarnations[vm.ID] = v.count
 	clientCtx, cancel := context.WithCancel(ctx)
 	v.stop = cancel
 	r.vmClients[vm.ID] = v
@@ -471,6 +480,7 @@
 	bounds := v.close()
 	r.pool.LeaseGranted(v.ref.ID, max(bounds.Confirmed, bounds.Unconfirmed))
 	delete(r.vmClients, v.ref.ID)
+	v.count.closedAt = r.node.clock.Now().Steady
 }
 
 // newVMClient returns a client that does not renew leases yet.
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -35,6 +35,9 @@
 	// maxOrderDelay is the longest assumed time after its timeout in which a worker carries
 	// out a call that it has left unanswered.
 	maxOrderDelay = 12 * time.Second
+	// lateCallBound is the longest assumed time from the close of a client until its last call
+	// is carried out: an order waits for its slot, has no answer and is delayed.
+	lateCallBound = gangStartMaxAge + orderTimeout + maxOrderDelay
 	// leaseMargin covers the rounding of clocks to milliseconds.
 	leaseMargin  = 20 * time.Millisecond
 	orderTimeout = 800 * time.Millisecond // of a start, stop or change of throttle
@@ -104,7 +107,7 @@
 	underWay        map[*grantedLease]struct{} // granted with calls that have not ended
 	unansweredUntil time.Duration              // latest end of a call with the current token that has granted a lease and had no answer, steady clock; 0 if there is none
 	retiredUntil    time.Duration              // the same for earlier tokens that the worker's incarnation may still accept
-	tokenUnseen     bool                       // the worker has restarted and not answered a call with the current token
+	tokenUnseen     bool                       // the token has risen after a restart, and no call with it was answered
 }
 
 // grantedLease is a lease that is granted with one call.
@@ -288,11 +291,8 @@
 	switch {
 	case restarted:
 		s.retireToken()
-		s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
-		if !s.closed {
-			s.count.latest.Store(s.incarnations)
-		}
-		s.tokenUnseen = true
+		// Without a higher token, an answer does not prove that earlier calls are refused.
+		s.tokenUnseen = s.raiseToken()
 		// A lease that was granted on the clock of the former incarnation may have reached
 		// this one, and is only bounded by what it accepts.
 		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(s.maxLease))
@@ -329,7 +329,10 @@
 
 // incarnationCount counts the incarnations of a VM over all clients that one owner opens for
 // it, one after the other. The latest client has the highest fencing token.
-type incarnationCount struct{ latest atomic.Int64 }
+type incarnationCount struct {
+	latest   atomic.Int64  // of the latest client
+	closedAt time.Duration // when a client was last closed, steady clock; for the controller's loop
+}
 
 // overtaken reports whether an order that was refused for its fencing token is no sign of
 // another owner, as this one has a higher token by now, which the VM may have seen.
@@ -343,11 +346,16 @@
 	return true
 }
 
-// nextIncarnation returns the number of incarnations for a client that replaces this one.
-func (s *vmClient) nextIncarnation() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return min(s.incarnations+1, tokensPerEpoch-1)
+// raiseToken raises the fencing token and reports whether it has risen: it does not once the
+// tokens of the epoch are used up, or if another client may have the next one. The caller holds
+// mu, or has not shared the client yet.
+func (s *vmClient) raiseToken() bool {
+	if s.closed || s.incarnations >= tokensPerEpoch-1 {
+		return false
+	}
+	s.incarnations++
+	s.count.latest.Store(s.incarnations)
+	return true
 }
 
 // run renews the VM's leases until ctx ends.
