--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -193,7 +193,7 @@
 	listIncarnation(t, s, id, address, 1)
 }
 
-// listIncarnation writes the row of a VM of pool p.
+// listIncarnation writes the row of an incarnation of a VM of pool p.
 func listIncarnation(t *testing.T, s store.Store, id, address string, startedMS int64) {
 	t.Helper()
 	value, err := json.Marshal(ListedVM{Pool: "p", VM: pool.VM{ID: id, Machine: "m-" + id, Address: address, DataCentre: "dc", Rack: "r",
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -35,6 +35,9 @@
 	// maxOrderDelay is the longest assumed time after its timeout in which a worker carries
 	// out a call that it has left unanswered.
 	maxOrderDelay = 12 * time.Second
+	// lateCallBound is the longest assumed time from the close of a client until its last call
+	// is carried out: an order waits for its slot, has no answer and is delayed.
+	lateCallBound = gangStartMaxAge + orderTimeout + maxOrderDelay
 	// leaseMargin covers the rounding of clocks to milliseconds.
 	leaseMargin  = 20 * time.Millisecond
 	orderTimeout = 800 * time.Millisecond // of a start, stop or change of throttle
@@ -80,6 +83,7 @@
 	// maxLease is the longest lease that the worker accepts.
 	maxLease time.Duration
 	deliver  func(func(*pool.Pool)) // runs a function in the scheduler's loop
+	count    *incarnationCount      // of the VM
 
 	acknowledged atomic.Int64       // ends of runs up to this sequence number are recorded
 	recorded     chan struct{}      // signals a change of acknowledged
@@ -103,7 +107,7 @@
 	underWay        map[*grantedLease]struct{} // granted with calls that have not ended
 	unansweredUntil time.Duration              // latest end of a call with the current token that has granted a lease and had no answer, steady clock; 0 if there is none
 	retiredUntil    time.Duration              // the same for earlier tokens that the worker's incarnation may still accept
-	tokenUnseen     bool                       // the worker has restarted and not answered a call with the current token
+	tokenUnseen     bool                       // the token has risen after a restart, and no call with it was answered
 }
 
 // grantedLease is a lease that is granted with one call.
@@ -289,7 +293,7 @@
 		s.clockAt != 0 && answer.ClockMS < s.earliestClockMS(sentAt)
 	switch {
 	case restarted:
-		s.raiseToken()
+		s.noteRestart()
 		// A lease that was granted on the clock of the former incarnation may have reached
 		// this one, and is only bounded by what it accepts.
 		s.grantedUntil = max(s.grantedUntil, answeredAt+leaseBound(s.maxLease))
@@ -307,11 +311,11 @@
 	}
 }
 
-// raiseToken records a restart of the worker: calls get a higher token. The caller holds mu.
-func (s *vmClient) raiseToken() {
+// noteRestart records a restart of the worker: calls get a higher token. The caller holds mu.
+func (s *vmClient) noteRestart() {
 	s.retireToken()
-	s.incarnations = min(s.incarnations+1, tokensPerEpoch-1)
-	s.tokenUnseen = true
+	// Without a higher token, an answer does not prove that earlier calls are refused.
+	s.tokenUnseen = s.raiseToken()
 	s.acknowledged.Store(0) // ends are numbered from the start again
 }
 
@@ -324,7 +328,7 @@
 	if s.startedMS == 0 || startedMS <= s.startedMS {
 		return
 	}
-	s.raiseToken()
+	s.noteRestart()
 	s.startedMS = startedMS
 	s.loseClock(s.clock.Now().Steady)
 }
@@ -355,11 +359,35 @@
 // currentToken is token for callers that hold mu.
 func (s *vmClient) currentToken() int64 { return s.epoch*tokensPerEpoch + s.incarnations }
 
-// nextIncarnation returns the number of incarnations for a client that replaces this one.
-func (s *vmClient) nextIncarnation() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return min(s.incarnations+1, tokensPerEpoch-1)
+// incarnationCount counts the incarnations of a VM over all clients that one owner opens for
+// it, one after the other. The latest client has the highest fencing token.
+type incarnationCount struct {
+	latest   atomic.Int64  // of the latest client
+	closedAt time.Duration // when a client was last closed, steady clock; for the controller's loop
+}
+
+// overtaken reports whether an order that was refused for its fencing token is no sign of
+// another owner, as this one has a higher token by now, which the VM may have seen.
+func (s *vmClient) overtaken(token int64) bool {
+	latest := s.epoch*tokensPerEpoch + s.count.latest.Load()
+	if token >= latest {
+		return false
+	}
+	s.log.Info("order_overtaken", zap.String("vm", s.ref.ID), zap.Int64("token", token), zap.Int64("latest_token", latest))
+	s.metrics.add("orders_overtaken")
+	return true
+}
+
+// raiseToken raises the fencing token and reports whether it has risen: it does not once the
+// tokens of the epoch are used up, or if another client may have the next one. The caller holds
+// mu, or has not shared the client yet.
+func (s *vmClient) raiseToken() bool {
+	if s.closed || s.incarnations >= tokensPerEpoch-1 {
+		return false
+	}
+	s.incarnations++
+	s.count.latest.Store(s.incarnations)
+	return true
 }
 
 // run renews the VM's leases until ctx ends.
@@ -447,7 +475,7 @@
 		if lease != nil && s.hasLostClock() {
 			return 0, true // the next one asks which incarnation answers
 		}
-		s.handleRenewError(ctx, err)
+		s.handleRenewError(ctx, err, r.Token)
 		return 0, false
 	}
 	s.renewed(lease, answer, r.Token, sentAt, answeredAt)
@@ -476,12 +504,16 @@
 const maxListedEnds = 500
 
 // handleRenewError deposes this owner if the worker has seen a higher fencing
-// token. After any other error the VM counts as unresponsive.
-func (s *vmClient) handleRenewError(ctx context.Context, err error) {
+// token than its own. token is that of the renewal. After any other error the VM
+// counts as unresponsive.
+func (s *vmClient) handleRenewError(ctx context.Context, err error, token int64) {
 	if ctx.Err() != nil {
 		return
 	}
 	if errors.Is(err, ErrFenced) {
+		if s.overtaken(token) {
+			return
+		}
 		s.deliver(func(p *pool.Pool) { p.Depose(s.ref.ID) })
 		return
 	}
@@ -615,6 +647,9 @@
 		s.metrics.observe(metricStart, s.pool, answeredAt-began)
 		s.logStart(order, lease, answer)
 		s.settleStart(lease, answer, answeredAt)
+		if result == pool.StartFenced && s.overtaken(lease.token) {
+			result = pool.StartPastDeadline // the task waits again
+		}
 	}
 	at := s.clock.Now().Steady
 	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
