Start no run while an orphan run of its task is listed

What callers saw: nothing on record; found with the fault of orphan runs.

Cause: an orphan run that a VM lists while the record of the task's next run is being written was not looked at when the record was confirmed.

Evidence: TestOrphanThatIsListedWhileTheNextRunIsRecorded: 'run 2 started on b while run 1 is on a' before.

Change: the start is withdrawn as for any other change in that time.

--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -419,7 +419,7 @@
 // have changed while the record was written.
 func (p *Pool) stillAllowed(t *task) bool {
 	v := t.vm
-	return !t.occ.job.state.Final() && v.listed && v.described() && !v.replaced && v.fenced && !v.Draining && !v.cordoned && !p.evacuated[v.DataCentre] && !p.leaseBoundPending(v)
+	return !t.occ.job.state.Final() && p.orphans[t.name] == nil && v.listed && v.described() && !v.replaced && v.fenced && !v.Draining && !v.cordoned && !p.evacuated[v.DataCentre] && !p.leaseBoundPending(v)
 }
 
 // RestoreQueue sets, at takeover, the last published number of a queue's waiting
--- a/sched/pool/orphan_test.go
+++ b/sched/pool/orphan_test.go
@@ -155,3 +155,19 @@
 		t.Errorf("the task starts only %v after the stop", waited)
 	}
 }
+
+// Guards against a run that starts while an orphan run of its task is still there (TWICE): the VM
+// lists the orphan run while the record of the next run is being written.
+func TestOrphanThatIsListedWhileTheNextRunIsRecorded(t *testing.T) {
+	h := newHarness(t)
+	a, spec := h.leaveOrphan()
+	h.addVM("b", 8000)
+	h.renew("b")
+	batch := h.nextBatch()
+	h.write(batch)
+	h.listOrphan(a)
+	for _, c := range h.confirm(batch) {
+		h.execute(c)
+	}
+	h.runUntilStarted(spec.ID+".0.0.0", 30*time.Second)
+}
