Late starts until the scheduler gives the run up, in the property test

The model dropped a late start at a restart once the former incarnation would have refused it, also while the scheduler still waited for it. It now drops only those of runs that the scheduler has given up (and, while an answer of the former incarnation is under way, those that this one refuses).

The owner's client grants a lease before it sends a start, also to a VM that does not answer; so does the harness. Without that failed with "the lease of vm2 ends 1m4.999s after the bound that is stored for it": a VM with a lease of an earlier owner, on which this owner had granted none.

--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -474,6 +474,10 @@
 	worker := h.workers[c.VM]
 	if worker == nil || worker.down {
 		if c.Kind == pool.Start {
+			if worker != nil && !h.grant(worker) {
+				h.scheduler.Started(c, pool.StartPastDeadline, h.now.Steady)
+				return
+			}
 			h.setbacks[c.Task]++
 			h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
 		}
--- a/sched/pool/incarnation_test.go
+++ b/sched/pool/incarnation_test.go
@@ -11,12 +11,12 @@
 // nextIncarnation starts a new incarnation of a worker under its id. The renewal that was
 // waiting fails; the worker's row or its next listing tells of the restart.
 //
-// A late start that the earlier incarnation would have refused is dropped, because the
-// scheduler may have started the task elsewhere on the word of that incarnation. The protocol
-// lets the next incarnation carry such a start out: an open fault, which this model leaves out.
+// A late start of a run that the scheduler has given up is dropped: it has started the task
+// elsewhere, or will, on the word of the earlier incarnation. The protocol lets the next
+// incarnation carry such a start out: an open fault, which this model leaves out.
 func (h *harness) nextIncarnation(worker *worker) {
 	h.late = slices.DeleteFunc(h.late, func(o lateOrder) bool {
-		return o.Kind == pool.Start && h.workers[o.VM] == worker && worker.refuses(o)
+		return o.Kind == pool.Start && h.workers[o.VM] == worker && (!h.scheduler.MayRun(o.Task, o.Run) || worker.heldListing != nil && worker.refuses(o))
 	})
 	h.loseRuns(worker)
 	h.dropUnrecordedEnds(worker)
