Late starts by unnoticed incarnations: four failing tests, listed

A call without an answer may be carried out 2 to 12 s later, by an incarnation of the worker of which no owner knows, which has seen neither a stop nor a fencing token.

--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -430,16 +430,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newRestartFixture(t)
 				defer f.stop()
-				f.vms.use("vm1:80", func(w *restartingVM) {
-					w.isLate = func(StartOrder) bool { return true }
-				})
-				f.submit()
-				late := func() (n int) {
-					f.vms.use("vm1:80", func(w *restartingVM) { n = len(w.late) })
-					return n
-				}
-				f.await("a start is under way to vm1", 2*time.Second, func() bool { return late() > 0 })
-				sentAt := f.clock.Now().Steady
+				sentAt := f.lateStart()
 				f.vms.restart("vm1:80")
 				f.vms.use("vm1:80", func(w *restartingVM) {
 					w.isLate = nil
@@ -458,13 +449,9 @@
 				}
 				if owner != "same owner" {
 					f.awaitBound(noticed)
-					f.store.cut.Store(true)
-					time.Sleep(takeoverAfter)
-					f.own("b", f.mem)
+					f.replaceOwner()
 				}
-				time.Sleep(sentAt + latestOrder - f.clock.Now().Steady)
-				f.vms.carryOutLate("vm1:80")
-				f.checkOneRun(latestOrder + leaseBound(testMaxLease) + 3*time.Second)
+				f.checkLateStart(sentAt)
 			})
 		})
 	}
@@ -547,3 +534,101 @@
 		t.Errorf("token %d after the change of the address, want more than %d as before it", after, before)
 	}
 }
+
+// lateStart hands in the task and lets vm1 leave its start unanswered. It returns when the start
+// was sent, on clock.
+func (f *restartFixture) lateStart() (sentAt time.Duration) {
+	f.t.Helper()
+	f.vms.use("vm1:80", func(w *restartingVM) {
+		w.isLate = func(StartOrder) bool { return true }
+	})
+	f.submit()
+	f.await("a start is under way to vm1", 2*time.Second, func() (late bool) {
+		f.vms.use("vm1:80", func(w *restartingVM) { late = len(w.late) > 0 })
+		return late
+	})
+	return f.clock.Now().Steady
+}
+
+// checkLateStart lets vm1 carry its late start out, latestOrder after it was sent, and fails the
+// test if the task runs on two VMs from then on.
+func (f *restartFixture) checkLateStart(sentAt time.Duration) {
+	f.t.Helper()
+	time.Sleep(sentAt + latestOrder - f.clock.Now().Steady)
+	f.vms.carryOutLate("vm1:80")
+	f.checkOneRun(latestOrder + 2*leaseBound(testMaxLease) + 10*time.Second)
+}
+
+// Guards against a task that runs on two VMs (TWICE): a start without an answer is carried out
+// seconds later by the next incarnation of its VM, of whose restart nobody has heard: the VM was
+// cut off at once, from the table service as well.
+func TestLateStartAfterAnUnnoticedRestartIsTheOnlyRun(t *testing.T) {
+	for _, owner := range []string{"same owner", "next owner", "next owner after a bound is stored"} {
+		t.Run(owner, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestartFixture(t)
+				defer f.stop()
+				sentAt := f.lateStart()
+				f.vms.restart("vm1:80")
+				f.vms.setCut("vm1:80", true)
+				switch owner {
+				case "next owner":
+					f.replaceOwner()
+				case "next owner after a bound is stored":
+					f.awaitBound(0)
+					f.replaceOwner()
+				}
+				f.checkLateStart(sentAt)
+			})
+		})
+	}
+}
+
+// Guards against a task that runs on two VMs (TWICE): a start without an answer is settled by a
+// stop that one incarnation of its VM answers, and carried out by the next one, which knows
+// neither the stop nor a fencing token.
+func TestLateStartAfterItsStopWasAnsweredIsTheOnlyRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.stop()
+		f.lateStart()
+		listVM(t, f.mem, "vm2", "vm2:80")
+		f.await("vm2 runs the task", latestOrder+2*leaseBound(testMaxLease), func() bool {
+			return slices.Contains(f.vms.runningOn(restartTask), "vm2:80")
+		})
+		f.vms.restart("vm1:80")
+		f.vms.setCut("vm1:80", true)
+		f.vms.carryOutLate("vm1:80")
+		if on := f.vms.runningOn(restartTask); len(on) > 1 {
+			t.Errorf("the task runs on %v at the same time", on)
+		}
+	})
+}
+
+// Guards against a task that runs on two VMs (TWICE): a start without an answer is carried out by
+// the second next incarnation of its VM, which has not seen the fencing token that the next one
+// has answered.
+func TestLateStartAfterTwoRestartsIsTheOnlyRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.stop()
+		sentAt := f.lateStart()
+		f.vms.restart("vm1:80")
+		first := int64(0)
+		f.vms.use("vm1:80", func(w *restartingVM) {
+			w.isLate = nil
+			w.afterAnswer = func(RenewalAnswer) {
+				if first == 0 {
+					first = w.token
+				}
+				w.cut = w.token > first // the higher token is seen
+			}
+		})
+		f.await("vm1 has seen the higher token", 6*time.Second, func() (cut bool) {
+			f.vms.use("vm1:80", func(w *restartingVM) { cut = w.cut })
+			return cut
+		})
+		f.vms.restart("vm1:80")
+		f.checkLateStart(sentAt)
+	})
+}
--- a/sched/pool/orphan_test.go
+++ b/sched/pool/orphan_test.go
@@ -171,3 +171,16 @@
 	}
 	h.runUntilStarted(spec.ID+".0.0.0", 30*time.Second)
 }
+
+// Guards against a run that starts while an orphan run of its task is still there (TWICE): the VM
+// that has listed the orphan run to the earlier owner is cut off, and the rows do not tell a later
+// owner of it.
+func TestOrphanThatALaterOwnerHasNotSeen(t *testing.T) {
+	h := newHarness(t)
+	a, spec := h.leaveOrphan()
+	h.addVM("b", 8000)
+	h.listOrphan(a)
+	h.cycle()
+	h.takeover()
+	h.runUntilStarted(spec.ID+".0.0.0", 30*time.Second)
+}
