Connections of the soak's proxy that outlast their target

The soak could not deliver a call to the next process of a worker: the proxy closed a client's connection when the worker's process ended, and refused new ones until the next process listened.

Persist keeps clients' connections open; what they send goes to the process that listens then or next. SetLate delays chunks, which are delivered also if the proxy cuts the connection meanwhile. Without Persist nothing changes.

--- a/emulator/proxy/proxy.go
+++ b/emulator/proxy/proxy.go
@@ -20,9 +20,11 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[*net.TCPConn]struct{}
+	mu         sync.Mutex
+	mode       Mode
+	conns      map[*net.TCPConn]struct{}
+	persistent bool
+	late       func(data []byte) time.Duration // nil for no extra delay
 }
 
 // Listen starts a proxy to a target (host:port) on a free port.
@@ -46,6 +48,22 @@
 	p.mode = m
 }
 
+// Persist lets new connections of clients outlast those to the target: a client does not
+// see that the target has ended, and what it sends then goes to the next process there.
+func (p *Proxy) Persist() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.persistent = true
+}
+
+// SetLate sets a delay of each chunk of data from persistent connections, nil for none.
+// Data on its way is delivered whatever the mode is when its delay ends.
+func (p *Proxy) SetLate(late func(data []byte) time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late = late
+}
+
 // Reset resets all connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -74,6 +92,13 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		persistent := p.persistent
+		p.mu.Unlock()
+		if persistent {
+			go p.forwardPersistent(conn.(*net.TCPConn))
+			continue
+		}
 		go p.forward(conn.(*net.TCPConn))
 	}
 }
