Emulated worker: each renewal acknowledges the ends that it lists then

A renewal for the former process that reached the next one raised the highest number acknowledged there, so that acknowledgements of lower numbers, which come from an owner that has seen the ends, were passed over: the ends were listed again and the judge saw no acknowledgement.

--- a/emulator/worker/worker.go
+++ b/emulator/worker/worker.go
@@ -78,7 +78,6 @@
 	highest    map[string]int // by task: highest run that was stopped or has ended
 	ends       []end
 	sequence   int64
-	acked      int64
 	changed    chan struct{} // closed at the next end
 	lateOrders float64       // fraction of orders that are left unanswered and carried out late
 }
@@ -313,10 +312,6 @@
 
 // acknowledge forgets ends up to a sequence number. The caller holds mu.
 func (w *Worker) acknowledge(upTo int64) {
-	if upTo <= w.acked {
-		return
-	}
-	w.acked = upTo
 	kept := w.ends[:0]
 	for _, e := range w.ends {
 		if e.sequence > upTo {
