A soak of workers that restart under their ids and are cut off

Its clients see no reset; what they send reaches the next process, 30% of the orders up to 5 s later (--max-late-call). 50 ms to 2 s after that it is cut off from all entries for 8 to 12 s, in half of the cases also from the discovery table. Entries are killed or paused meanwhile. Workers accept 10 s (hold_max_ms of the entries says the same) on clocks that are 2% slow, and write the row of a next process up to 1.5 s late. A job of six tasks of 12 s is handed in about the time of each restart, and 10% of the others are long, too; accepted jobs have one such task more time to finish.

The judge keeps the first time at which an incarnation was killed, also if the next one reports nothing before it is killed itself. workers.log shows clock, deadline and token of starts. Schedules and soaks of the other modes stay as they were, but for a worker that is down for less than 0.3 s by its schedule.

--- a/cmd/amaranth-soak/main.go
+++ b/cmd/amaranth-soak/main.go
@@ -25,6 +25,10 @@
 	}
 }
 
+// restartJobs are the jobs handed in each second with --restarts, which has long tasks while
+// up to half of the workers are away.
+const restartJobs = 4
+
 func runCommand() *cobra.Command {
 	var o soak.Options
 	count, shrink, regressions, dir := 1, false, false, ""
@@ -40,6 +44,9 @@
 			if o.Daemon == "" {
 				o.Daemon = filepath.Join(filepath.Dir(self), "amaranthd")
 			}
+			if o.Restarts && !cmd.Flags().Changed("jobs") {
+				o.JobsPerSecond = restartJobs
+			}
 			o.Self, o.Log = []string{self}, cmd.OutOrStdout()
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
@@ -48,6 +55,9 @@
 				if o.Cuts {
 					known = soak.CutRegressions
 				}
+				if o.Restarts {
+					known = soak.RestartRegressions
+				}
 				seeds = slices.Sorted(maps.Keys(known))
 			}
 			for i := range count {
@@ -61,6 +71,9 @@
 	f.IntVar(&count, "seeds", 1, "number of consecutive seeds")
 	f.BoolVar(&regressions, "regressions", false, "run the seeds that have failed before, too")
 	f.BoolVar(&o.Cuts, "cuts", false, "cut data centres off twice in succession, with faults of owners and of the table service meanwhile, in place of the mixed faults")
+	f.BoolVar(&o.Restarts, "restarts", false, "restart workers under their ids and cut them off right after, while calls for the former process reach the next one, in place of the mixed faults")
+	c.MarkFlagsMutuallyExclusive("cuts", "restarts")
+	f.DurationVar(&o.MaxLateCall, "max-late-call", 5*time.Second, "longest delay of an order that is sent about the time of a restart; for --restarts")
 	f.DurationVar(&o.Duration, "duration", 20*time.Second, "time in which faults begin")
 	f.IntVar(&o.Entries, "entries", 4, "number of entries")
 	f.IntVar(&o.WorkersPerPool, "workers", 5, "workers of each of the two pools")
@@ -95,6 +108,8 @@
 	f.StringSliceVar(&o.Advertise, "advertise", nil, "addresses in the discovery table, by the data centre of the caller")
 	f.StringVar(&o.Service, "service", "", "address of the table service for workers")
 	f.Float64Var(&o.Rate, "rate", 1, "rate of the clock for leases")
+	f.DurationVar(&o.MaxLease, "max-lease", 0, "longest lease, on the worker's clock")
+	f.DurationVar(&o.RegisterAfter, "register-after", 0, "time until the first row in the discovery table")
 	f.Int64Var(&o.Seed, "seed", 0, "seed of the worker's faults")
 	return c
 }
--- a/emulator/soak/callers.go
+++ b/emulator/soak/callers.go
@@ -27,6 +27,8 @@
 	poisonedPart  = 0.03 // of the jobs, which fail whenever they run
 	failingPart   = 0.05 // of the first runs of tasks
 	taskMilliCPU  = 1000
+	longTaskPart  = 0.1              // of the jobs, with restarts
+	longTaskTime  = 12 * time.Second // longer than the longest lease
 )
 
 // jobStep is a step of a job.
@@ -91,6 +93,9 @@
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(task)) // never fails
 	plan.Duration = time.Duration(p.StepMS[step]) * time.Millisecond
+	if plan.Duration >= longTaskTime {
+		return plan
+	}
 	plan.Fails = p.Poisoned || run == 1 && float64(hash.Sum32()%1000) < 1000*failingPart
 	return plan
 }
@@ -118,6 +123,25 @@
 	return j
 }
 
+// makeLong gives a job that was drawn one step of long tasks, none of which fails: a
+// failure would show after longTaskTime only.
+func (j *jobRecord) makeLong(count int) {
+	j.poisoned = false
+	j.steps = []jobStep{{count, longTaskTime}}
+	j.payload = fmt.Sprintf(`{"step_ms":[%d]}`, longTaskTime.Milliseconds())
+}
+
+// longJobTasks are the tasks of a job that is handed in about the time of a restart: some for
+// each worker of the pool.
+const longJobTasks = 6
+
+// newLongJob draws a job of long tasks.
+func newLongJob(random *rand.Rand, queue string) *jobRecord {
+	j := newJob(random, queue, false)
+	j.makeLong(longJobTasks)
+	return j
+}
+
 // body returns the body of the job's submission.
 func (j *jobRecord) body() []byte {
 	type step struct {
--- a/emulator/soak/judge.go
+++ b/emulator/soak/judge.go
@@ -167,7 +167,7 @@
 			add(j.goneAt, "lost", id, "an accepted job is unknown")
 		}
 		if j.accepted() && j.cancelSentAt.IsZero() && !j.longRunning && j.succeededAt.IsZero() && j.failedAt.IsZero() {
-			add(end, "lost", id, "an accepted job is not finished %v after the last fault", finishTime)
+			add(end, "lost", id, "an accepted job is not finished at the end of the soak")
 		}
 	}
 	sort.Slice(found, func(i, k int) bool { return found[i].At.Before(found[k].At) })
--- a/emulator/soak/judge_test.go
+++ b/emulator/soak/judge_test.go
@@ -36,6 +36,9 @@
 	s.events = append(s.events, worker.Event{AtNS: s.at(ms).UnixNano(), Worker: on, Kind: worker.EventStart, Task: task(step), Run: run, Payload: testPayload})
 }
 
+// inIncarnation sets the incarnation of the newest event.
+func (s *story) inIncarnation(n int64) { s.events[len(s.events)-1].Incarnation = n }
+
 // end lets a run end, and its owner acknowledge that if acked is true.
 func (s *story) end(ms int, on string, step, run int, cause string, acked bool) {
 	s.ends++
@@ -101,6 +104,29 @@
 			s.events[1].Run = 2
 			s.events[2].Run, s.events[3].Run = 2, 2
 		}, ""},
+		"run on the next incarnation of a killed worker": {func(s *story) {
+			s.start(10, "c", 0, 1)
+			s.inIncarnation(1)
+			s.killed[incarnationKey("c", 1)] = s.at(60)
+			s.start(70, "c", 0, 2)
+			s.inIncarnation(2)
+			s.killed[incarnationKey("c", 2)] = s.at(90)
+			s.succeed()
+			s.events[2].Run = 3
+			s.events[3].Run, s.events[4].Run = 3, 3
+		}, ""},
+		"two runs at a time, one on the next incarnation of a killed worker": {func(s *story) {
+			s.start(10, "c", 0, 1)
+			s.inIncarnation(1)
+			s.killed[incarnationKey("c", 1)] = s.at(60)
+			s.start(70, "c", 0, 2)
+			s.inIncarnation(2)
+			s.succeed()
+			s.events[2].Run = 3
+			s.events[3].Run, s.events[4].Run = 3, 3
+			s.end(110, "c", 0, 2, worker.CauseLapsed, true)
+			s.inIncarnation(2)
+		}, "twice"},
 		"too many attempts": {func(s *story) {
 			for run := 1; run <= maxAttempts; run++ {
 				s.start(10*run, "a", 0, run)
--- a/emulator/soak/mains.go
+++ b/emulator/soak/mains.go
@@ -165,6 +165,8 @@
 	Advertise      []string // addresses in the discovery table, by the data centre of the caller
 	Service        string   // address of the service's interface for workers
 	Rate           float64
+	MaxLease       time.Duration
+	RegisterAfter  time.Duration // until the first row in the discovery table
 	Seed           int64
 }
 
@@ -174,7 +176,7 @@
 	go endWithInput()
 	var mu sync.Mutex
 	out := json.NewEncoder(os.Stdout)
-	w := worker.New(worker.Options{ID: o.ID, MilliCPU: workerMilliCPU, ClockRate: o.Rate, Plan: PlanRun, Random: lockedRandom(o.Seed),
+	w := worker.New(worker.Options{ID: o.ID, MilliCPU: workerMilliCPU, ClockRate: o.Rate, MaxLease: o.MaxLease, Plan: PlanRun, Random: lockedRandom(o.Seed),
 		Report: func(e worker.Event) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -210,6 +212,7 @@
 func register(o WorkerOptions, w *worker.Worker, cut *atomic.Bool) {
 	row := serverRow{Pool: o.Pool, Address: o.Advertise[0], Addresses: o.Advertise, DataCentre: o.Zone, Version: "1", Slots: 8, State: "ready",
 		Capacity: map[string]int{"cpu": workerMilliCPU, "mem_mb": 16000, "gpu": 0}, Labels: []string{"std", "rack-" + o.Zone}, Machine: o.ID, Incarnation: w.Incarnation()}
+	time.Sleep(o.RegisterAfter)
 	for {
 		row.Sequence++
 		if cut.Load() {
--- a/emulator/soak/processes.go
+++ b/emulator/soak/processes.go
@@ -35,7 +35,8 @@
 	return &child{name: name, command: command, logPath: filepath.Join(dir, name+".log"), ended: make(chan struct{})}
 }
 
-// restartPause is the time between the end of a process and the start of the next.
+// restartPause is the time between the end of a process and the start of the next, unless
+// a fault sets another.
 const restartPause = 300 * time.Millisecond
 
 // start starts the process and keeps it running.
@@ -114,7 +115,10 @@
 		if closed {
 			return
 		}
-		time.Sleep(max(restartPause, hold))
+		if hold == 0 {
+			hold = restartPause
+		}
+		time.Sleep(hold)
 		if err := c.startOnce(log); err != nil {
 			c.onEnd(false, err)
 			return
@@ -123,7 +127,7 @@
 }
 
 // signal sends a signal to the process. If ends is true, its end is expected, and the
-// next one starts after hold at the earliest.
+// next one starts after hold, or after restartPause if hold is 0.
 func (c *child) signal(s syscall.Signal, ends bool, hold time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/emulator/soak/schedule.go
+++ b/emulator/soak/schedule.go
@@ -37,6 +37,13 @@
 	DataCentreCut FaultKind = "data-centre-cut" // its entries and workers stay together, without the table service and all others
 )
 
+// Kinds of faults that only NewRestartSchedule draws. Their target is a worker.
+const (
+	WorkerRestart   FaultKind = "worker-restart"    // SIGKILL, and a new process under the same id when the fault ends
+	WorkerLateCalls FaultKind = "worker-late-calls" // some orders are delivered late, to the process that is there then
+	WorkerIsolated  FaultKind = "worker-isolated"   // WorkerCut, and without the discovery table
+)
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	Kind   FaultKind
@@ -158,3 +165,63 @@
 	sort.SliceStable(faults, func(i, k int) bool { return faults[i].At < faults[k].At })
 	return faults
 }
+
+// Times of schedules of restarts.
+const (
+	firstRestartAt = 6 * time.Second // the workers' clocks are further ahead than a lease by then
+	minUpTime      = 6 * time.Second // between the end of a worker's cut and its next restart
+	lateCallPart   = 0.3             // of the orders during WorkerLateCalls
+)
+
+// NewRestartSchedule draws the faults of a soak in which workers restart quickly under their
+// ids and are cut off for longer than a lease soon after. Calls that are sent at about the
+// time of the restart reach the next process. Now and then entries, among them the owners
+// of the pools, are killed or paused meanwhile.
+func NewRestartSchedule(random *rand.Rand, duration time.Duration, entries, workers int) []Fault {
+	var faults []Fault
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(random.Int63n(int64(most-least)))
+	}
+	restarts := func(worker int, at time.Duration) (connectedAt time.Duration) {
+		down := between(20*time.Millisecond, 300*time.Millisecond)
+		cutAt, cutTime := at+down+between(50*time.Millisecond, 2*time.Second), between(8*time.Second, 12*time.Second)
+		kind := WorkerCut
+		if random.Intn(2) == 0 {
+			kind = WorkerIsolated
+		}
+		lateFrom := at - between(0, 200*time.Millisecond)
+		faults = append(faults, Fault{WorkerLateCalls, lateFrom, cutAt - lateFrom, worker}, Fault{WorkerRestart, at, down, worker}, Fault{kind, cutAt, cutTime, worker})
+		return cutAt + cutTime
+	}
+	upSince := make([]time.Duration, workers) // when a worker's last cut ends
+	for at := firstRestartAt; at < duration; at += between(time.Second, 3*time.Second) {
+		// Half of the workers are always connected.
+		order := random.Perm(workers)
+		away := 0
+		for _, t := range upSince {
+			if t > at {
+				away++
+			}
+		}
+		for _, worker := range order[:1+random.Intn(3)] {
+			if away < workers/2 && (upSince[worker] == 0 || at-upSince[worker] > minUpTime) {
+				upSince[worker] = restarts(worker, at+between(0, 300*time.Millisecond))
+				away++
+			}
+		}
+		for i := range entries {
+			f := Fault{At: at + between(300*time.Millisecond, 5*time.Second), Target: i}
+			switch random.Intn(12) {
+			case 0:
+				f.Kind = EntryKill
+			case 1:
+				f.Kind, f.For = EntryPause, between(300*time.Millisecond, 6*time.Second)
+			default:
+				continue
+			}
+			faults = append(faults, f)
+		}
+	}
+	sort.SliceStable(faults, func(i, k int) bool { return faults[i].At < faults[k].At })
+	return faults
+}
--- a/emulator/soak/seeds.go
+++ b/emulator/soak/seeds.go
@@ -20,6 +20,9 @@
 	208: "an owner stored a lease bound without regard to leases that an earlier, cut-off owner still granted (twice)",
 }
 
+// RestartRegressions are seeds that have failed with the default options and Restarts.
+var RestartRegressions = map[int64]string{}
+
 // RunSeeds runs a soak for each seed and prints what was found. Logs are left in
 // dir, or in a new folder if dir is empty. It returns an error if a guarantee was broken.
 func RunSeeds(ctx context.Context, o Options, seeds []int64, dir string, shrink bool) error {
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -35,11 +35,13 @@
 	Entries        int
 	WorkersPerPool int
 	JobsPerSecond  float64
-	Cuts           bool     // NewCutSchedule in place of NewSchedule
-	Daemon         string   // path of amaranthd
-	Self           []string // command that runs ServiceMain and WorkerMain by their first argument
-	Dir            string   // for logs
-	Schedule       []Fault  // replaces the schedule of the seed; nil for that
+	Cuts           bool          // NewCutSchedule in place of NewSchedule
+	Restarts       bool          // NewRestartSchedule in place of NewSchedule, with long tasks and leases
+	MaxLateCall    time.Duration // of orders during WorkerLateCalls; 0 if none is late
+	Daemon         string        // path of amaranthd
+	Self           []string      // command that runs ServiceMain and WorkerMain by their first argument
+	Dir            string        // for logs
+	Schedule       []Fault       // replaces the schedule of the seed; nil for that
 	Log            io.Writer
 }
 
@@ -93,14 +95,18 @@
 	stops      []stop
 	cuts       [dataCentres]int // how many cuts of each data centre are in force
 	lastFault  time.Time
+
+	handIn func(after time.Duration, random *rand.Rand, j *jobRecord) // lets a caller of its own hand a job in and watch it
 }
 
 type soakWorker struct {
 	*child
 	id          string
+	pool        string
 	proxies     [dataCentres]*proxy.Proxy // by the data centre of the caller
 	control     string                    // address of its interface for the soak
 	incarnation int64                     // of the present process; guarded by soak.mu
+	random      func() float64            // of its restarts
 }
 
 // stop is a planned stop of an entry.
@@ -117,6 +123,9 @@
 		if o.Cuts {
 			o.Schedule = NewCutSchedule(random, o.Duration, o.Entries)
 		}
+		if o.Restarts {
+			o.Schedule = NewRestartSchedule(random, o.Duration, o.Entries, o.WorkersPerPool*len(pools))
+		}
 	}
 	s := &soak{Options: o, random: random, killed: killedWorkers{}, jobs: map[string]*jobRecord{}, withdrawn: map[string]time.Time{}, keys: []string{"key-0"}}
 	var err error
@@ -237,7 +246,7 @@
 	if err != nil {
 		return err
 	}
-	w := &soakWorker{id: fmt.Sprintf("w-%02d", i), control: control}
+	w := &soakWorker{id: fmt.Sprintf("w-%02d", i), pool: pools[i%len(pools)], control: control}
 	var advertised []string
 	for dc := range w.proxies {
 		if w.proxies[dc], err = proxy.Listen(listen); err != nil {
@@ -246,15 +255,32 @@
 		advertised = append(advertised, w.proxies[dc].Address())
 	}
 	rate := 1 - maxClockError*s.random.Float64()
+	if s.Restarts {
+		rate = 1 - maxClockError
+		for _, p := range w.proxies {
+			p.Persist()
+		}
+	}
 	seed := s.random.Int63()
+	w.random = lockedRandom(seed + 1)
+	registerAfter := time.Duration(0)
 	w.child = newChild(s.Dir, w.id, func() *exec.Cmd {
-		return s.self("worker", "--id", w.id, "--pool", pools[i%len(pools)], "--zone", dataCentreName(dataCentreOfWorker(i)), "--listen", listen, "--control", control,
-			"--advertise", strings.Join(advertised, ","), "--service", s.admin, "--rate", fmt.Sprint(rate), "--seed", fmt.Sprint(seed))
+		defer func() {
+			// The next process writes its row at any time of its report interval.
+			if s.Restarts {
+				registerAfter = time.Duration(w.random() * float64(heartbeat))
+			}
+		}()
+		return s.self("worker", "--id", w.id, "--pool", w.pool, "--zone", dataCentreName(dataCentreOfWorker(i)), "--listen", listen, "--control", control,
+			"--advertise", strings.Join(advertised, ","), "--service", s.admin, "--rate", fmt.Sprint(rate),
+			"--max-lease", s.maxLease().String(), "--register-after", registerAfter.String(), "--seed", fmt.Sprint(seed))
 	})
 	w.line = func(line []byte) { s.observe(w, line) }
 	w.onEnd = func(expected bool, err error) {
 		s.mu.Lock()
-		s.killed[incarnationKey(w.id, w.incarnation)] = time.Now()
+		if key := incarnationKey(w.id, w.incarnation); s.killed[key].IsZero() {
+			s.killed[key] = time.Now() // a process that has reported nothing leaves the one before as it is
+		}
 		s.mu.Unlock()
 		if !expected {
 			s.violate("harness", w.id, "worker ended by itself: %v", err)
@@ -282,7 +308,11 @@
 	defer s.mu.Unlock()
 	w.incarnation = e.Incarnation
 	s.events = append(s.events, e)
-	fmt.Fprintf(s.eventLog, "ts=%s worker=%s incarnation=%d event=%s task=%s run=%d cause=%s sequence=%d until=%s\n", logTime(e.AtNS), e.Worker, e.Incarnation, e.Kind, e.Task, e.Run, e.Cause, e.Sequence, logTime(e.UntilNS))
+	fmt.Fprintf(s.eventLog, "ts=%s worker=%s incarnation=%d event=%s task=%s run=%d cause=%s sequence=%d until=%s", logTime(e.AtNS), e.Worker, e.Incarnation, e.Kind, e.Task, e.Run, e.Cause, e.Sequence, logTime(e.UntilNS))
+	if e.Kind == worker.EventStart {
+		fmt.Fprintf(s.eventLog, " clock_ms=%d deadline_ms=%d token=%d", e.ClockMS, e.DeadlineMS, e.Token)
+	}
+	fmt.Fprintln(s.eventLog)
 }
 
 // logTime formats a time as the entries' logs do; an empty text for 0.
@@ -320,7 +350,7 @@
 		"listen":         map[string]string{"frontend": listen[0], "readiness": listen[1]},
 		"internal_ports": []int{port, port},
 		"limits":         map[string]any{"cpu_share": 0.4, "memory_mb": 284},
-		"bounds": map[string]any{"hold_max_ms": 6000, "stop_grace_ms": 900, "grace_s": graceTime.Seconds(), "revoke_ms": revokeTime.Milliseconds(),
+		"bounds": map[string]any{"hold_max_ms": s.maxLease().Milliseconds(), "stop_grace_ms": 900, "grace_s": graceTime.Seconds(), "revoke_ms": revokeTime.Milliseconds(),
 			"status_s": 120, "migrate_s": 1.5, "maintenance_s": 2, "lease_ms": 3000},
 		"platform": map[string]any{"address": store.Address()},
 		"cloud":    map[string]any{"address": store.Address(), "duty_per_s": 64},
@@ -405,6 +435,12 @@
 			callers.Go(func() { s.runJob(watching, own, j, 0) })
 		}
 	}
+	s.handIn = func(after time.Duration, random *rand.Rand, j *jobRecord) {
+		callers.Go(func() {
+			pause(watching, after)
+			s.runJob(watching, random, j, 0)
+		})
+	}
 	callers.Go(func() { s.arrivals(traffic, watching, &callers) })
 	callers.Go(func() { s.probeWithdrawnKeys(traffic) })
 	s.began = time.Now()
@@ -417,7 +453,7 @@
 		s.violate("recover", "", "no job was served within %v after the last fault", recoveryTime)
 	}
 	stopTraffic()
-	for !s.allFinished() && time.Since(s.lastFault) < finishTime && ctx.Err() == nil {
+	for !s.allFinished() && time.Since(s.lastFault) < s.finishTime() && ctx.Err() == nil {
 		pause(ctx, statusPause)
 	}
 	s.cancelLongRunning(ctx)
@@ -429,12 +465,33 @@
 // lastingJobs returns the number of jobs in each queue that run until they are cancelled.
 // Cuts need many: a run that outlasts its lease bound shows only if it lasts.
 func (s *soak) lastingJobs() int {
-	if s.Cuts {
+	switch {
+	case s.Cuts:
 		return 5
+	case s.Restarts:
+		return 2
 	}
 	return 1
 }
 
+// maxLease returns the longest lease that workers accept, on their clocks. With restarts it
+// is longer than the leases that owners grant.
+func (s *soak) maxLease() time.Duration {
+	if s.Restarts {
+		return 10 * time.Second
+	}
+	return 6 * time.Second
+}
+
+// finishTime returns the time after the last fault in which all accepted jobs are finished.
+// A long task may start once more in it.
+func (s *soak) finishTime() time.Duration {
+	if s.Restarts {
+		return finishTime + longTaskTime
+	}
+	return finishTime
+}
+
 // allFinished reports whether all callers but those of long-running jobs have stopped
 // watching their jobs.
 func (s *soak) allFinished() bool {
@@ -448,6 +505,9 @@
 	random := rand.New(rand.NewSource(s.Seed + 2))
 	for ctx.Err() == nil {
 		j := newJob(random, pools[random.Intn(len(pools))], false)
+		if s.Restarts && random.Float64() < longTaskPart {
+			j.makeLong(j.steps[0].count)
+		}
 		cancelAfter := time.Duration(0)
 		if random.Float64() < cancelledPart {
 			cancelAfter = time.Duration(1+random.Intn(1000)) * time.Millisecond
@@ -492,7 +552,7 @@
 	for _, j := range open {
 		s.callers.cancel(ctx, random, j)
 		if j.cancelledAt.IsZero() {
-			s.violate("cancelled", j.id, "a cancellation was not acknowledged within 5 s, %v after the last fault", finishTime)
+			s.violate("cancelled", j.id, "a cancellation was not acknowledged within 5 s, %v after the last fault", s.finishTime())
 		}
 	}
 }
@@ -751,6 +811,30 @@
 		s.postToService("/forget", struct{}{})
 	case WorkerKill:
 		w.signal(syscall.SIGKILL, true, f.For)
+	case WorkerRestart:
+		w.signal(syscall.SIGKILL, true, f.For)
+	case WorkerLateCalls:
+		late := func(call []byte) time.Duration {
+			// A late renewal would acknowledge ends of the next process that no owner has seen,
+			// which the judge takes for a record of them.
+			if bytes.HasPrefix(call, []byte("POST /v1/hold")) || w.random() >= lateCallPart {
+				return 0
+			}
+			return time.Duration(w.random() * float64(s.MaxLateCall))
+		}
+		setLate := func(late func([]byte) time.Duration) {
+			for _, p := range w.proxies {
+				p.SetLate(late)
+			}
+		}
+		setLate(late)
+		own := rand.New(rand.NewSource(s.Seed + int64(f.At)))
+		s.handIn(time.Duration(own.Int63n(int64(f.For))), own, newLongJob(own, w.pool))
+		return func() { setLate(nil) }
+	case WorkerIsolated:
+		end := link(proxy.Mode{DropToward: true, DropBack: true}, w.proxies[:]...)
+		s.cutFromDiscovery(ctx, w, true)
+		return func() { end(); s.cutFromDiscovery(ctx, w, false) }
 	case WorkerPause:
 		w.signal(syscall.SIGSTOP, false, 0)
 		return func() { w.signal(syscall.SIGCONT, false, 0) }
@@ -814,6 +898,18 @@
 	}
 }
 
+// cutFromDiscovery begins or ends a cut of a worker from the discovery table. A process that
+// has just started may not listen yet.
+func (s *soak) cutFromDiscovery(ctx context.Context, w *soakWorker, cut bool) {
+	err := awaitListener(ctx, w.control)
+	if err == nil {
+		err = post(w.control, "/cut", cut)
+	}
+	if err != nil {
+		s.logf("%s: %v", w.id, err)
+	}
+}
+
 // postToService sends a request to the service's interface for the soak.
 func (s *soak) postToService(path string, body any) {
 	if err := post(s.admin, path, body); err != nil {
--- a/emulator/soak/soak_test.go
+++ b/emulator/soak/soak_test.go
@@ -73,6 +73,53 @@
 	}
 }
 
+// Guards against a schedule of restarts without the faults that it is for.
+func TestRestartSchedule(t *testing.T) {
+	const entries, workers = 4, 10
+	draw := func(seed int64) []Fault {
+		return NewRestartSchedule(rand.New(rand.NewSource(seed)), 20*time.Second, entries, workers)
+	}
+	ofEntries, isolated := 0, 0
+	for seed := range int64(20) {
+		a := draw(seed)
+		restarts := 0
+		for i, f := range a {
+			switch f.Kind {
+			case EntryKill, EntryPause:
+				ofEntries++
+			case WorkerIsolated:
+				isolated++
+			case WorkerRestart:
+				restarts++
+				late := slices.IndexFunc(a[:i], func(o Fault) bool {
+					return o.Kind == WorkerLateCalls && o.Target == f.Target && o.At+o.For > f.At+f.For
+				})
+				cut := slices.IndexFunc(a[i:], func(o Fault) bool {
+					return o.Kind != WorkerLateCalls && o.Target == f.Target && o.At > f.At+f.For && o.For >= 8*time.Second
+				})
+				if late < 0 || cut < 0 || a[i+cut].At > f.At+f.For+2*time.Second {
+					t.Errorf("seed %d: no late calls before or no cut after %s", seed, f)
+				}
+				again := slices.ContainsFunc(a[i+1:], func(o Fault) bool {
+					return o.Kind == WorkerRestart && o.Target == f.Target && o.At < a[i+max(cut, 0)].At+8*time.Second+minUpTime
+				})
+				if f.At < firstRestartAt || again {
+					t.Errorf("seed %d: %s comes before the worker's clock is ahead of a lease", seed, f)
+				}
+			}
+		}
+		if restarts < 4 {
+			t.Errorf("seed %d: %d restarts", seed, restarts)
+		}
+		if !slices.Equal(a, draw(seed)) {
+			t.Errorf("seed %d gives two schedules", seed)
+		}
+	}
+	if ofEntries < 20 || isolated < 20 {
+		t.Errorf("%d faults of entries and %d isolated workers in 20 schedules", ofEntries, isolated)
+	}
+}
+
 func scheduleOf(seed int64) []Fault {
 	return NewSchedule(rand.New(rand.NewSource(seed)), 20*time.Second, 4, 10)
 }
--- a/emulator/worker/worker.go
+++ b/emulator/worker/worker.go
@@ -17,10 +17,13 @@
 	Kind        string `json:"kind"`
 	Task        string `json:"task,omitempty"`
 	Run         int    `json:"run,omitempty"`
-	Cause       string `json:"cause,omitempty"`   // of an end
-	UntilNS     int64  `json:"until,omitempty"`   // end of the run: the lease, if the process was suspended beyond it
-	Payload     string `json:"payload,omitempty"` // of a start
-	Sequence    int64  `json:"seq,omitempty"`     // of an end
+	Cause       string `json:"cause,omitempty"`    // of an end
+	UntilNS     int64  `json:"until,omitempty"`    // end of the run: the lease, if the process was suspended beyond it
+	Payload     string `json:"payload,omitempty"`  // of a start
+	Sequence    int64  `json:"seq,omitempty"`      // of an end
+	ClockMS     int64  `json:"clock,omitempty"`    // of a start: the worker's clock
+	DeadlineMS  int64  `json:"deadline,omitempty"` // of a start: the deadline in the call, on the worker's clock
+	Token       int64  `json:"token,omitempty"`    // of a start
 }
 
 // Kinds of events.
@@ -42,8 +45,9 @@
 // Options are the parameters of a worker.
 type Options struct {
 	ID        string
-	MilliCPU  int64   // capacity
-	ClockRate float64 // of the clock for leases, relative to true time
+	MilliCPU  int64         // capacity
+	ClockRate float64       // of the clock for leases, relative to true time
+	MaxLease  time.Duration // on the worker's clock; a longer lease is shortened to it
 	Plan      func(payload, task string, run int) Plan
 	Report    func(Event)
 	Random    func() float64 // 0 to 1
@@ -58,7 +62,6 @@
 
 // Times of the emulation.
 const (
-	maxLease     = 6 * time.Second
 	tick         = 5 * time.Millisecond
 	stopTime     = 100 * time.Millisecond // from a stop until the run has ended
 	maxLateOrder = 5500 * time.Millisecond
@@ -239,7 +242,7 @@
 
 // extend extends the lease to a time on the worker's clock. The caller holds mu.
 func (w *Worker) extend(deadlineMS int64) {
-	w.lease = max(w.lease, min(time.Duration(deadlineMS)*time.Millisecond, w.clock()+maxLease))
+	w.lease = max(w.lease, min(time.Duration(deadlineMS)*time.Millisecond, w.clock()+w.o.MaxLease))
 }
 
 func (w *Worker) start(o wireOrder) (int, string) {
@@ -263,7 +266,7 @@
 		return http.StatusConflict, "room"
 	}
 	w.runs[o.Task] = &run{number: o.Run, plan: plan, startedAt: time.Now()}
-	w.report(Event{Kind: EventStart, Task: o.Task, Run: o.Run, Payload: o.Payload})
+	w.report(Event{Kind: EventStart, Task: o.Task, Run: o.Run, Payload: o.Payload, ClockMS: w.clock().Milliseconds(), DeadlineMS: o.DeadlineMS, Token: o.Token})
 	return http.StatusOK, ""
 }
 
