--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -33,7 +33,7 @@
 }
 
 func (h *harness) randomEvent(t *rapid.T) {
-	switch rapid.IntRange(0, 19).Draw(t, "event") {
+	switch rapid.IntRange(0, 20).Draw(t, "event") {
 	case 0:
 		h.submit(randomJob(t))
 	case 1, 2:
@@ -85,6 +85,45 @@
 			h.carryOutLate(h.late[i])
 			h.late = slices.Delete(h.late, i, i+1)
 		}
+	case 20:
+		h.restartsUnderWay(t)
+	}
+}
+
+// restartsUnderWay lets a worker restart while a start without an answer is settled there. Any
+// step may be left out.
+func (h *harness) restartsUnderWay(t *rapid.T) {
+	h.submit(randomJob(t))
+	h.renewAll()
+	var worker *worker
+	for _, c := range h.commit() {
+		if on := h.workers[c.VM]; worker == nil && on != nil && !on.down && h.grant(on) {
+			worker = on
+			h.late = append(h.late, h.loseStart(c))
+			continue
+		}
+		h.execute(c)
+	}
+	if worker == nil {
+		return
+	}
+	renew := func() { h.renew(worker.vm.ID) }
+	row := func() { h.scheduler.ObserveVM(worker.vm) }
+	advance := func() {
+		h.advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+		h.deliverOverdueAnswers()
+	}
+	orders := func() { h.cycleWithFaults(t) }
+	restart := func() { h.nextIncarnation(worker) }
+	answers := func() {
+		for len(h.answers) > 0 {
+			h.deliverAnswer(0)
+		}
+	}
+	for _, step := range []func(){advance, renew, orders, restart, row, advance, answers, renew, advance, renew, orders, h.carryOutAllLate, renew, orders, advance, renew, h.cycle} {
+		if rapid.IntRange(0, 5).Draw(t, "left out") > 0 {
+			step()
+		}
 	}
 }
 
