Count an end as done of a run before one that was never sent

What callers saw: a task started again after a run of it had ended as done (TWICE).

Cause: a listed end counted only if it was that of the newest run. A run that is placed and not sent raises the number.

Change: an end as done counts for a task that waits, whichever run it was of. The log names the run of the end.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -82,16 +82,16 @@
 	return t
 }
 
-// findGivenUpRun returns the task of an end that v lists if the run is the task's newest
-// one and was given up, and nil otherwise. An earlier owner may have given it up: its
-// record does not tell on which VM, so only an end as done, which cannot have been
-// recorded before, is taken for one.
+// findGivenUpRun returns the task of an end that v lists if the task waits because the run was
+// given up, and nil otherwise. An earlier owner may have given it up: its record does not tell
+// on which VM, so only an end as done, which cannot have been recorded before, is taken for one.
+// Such an end counts also if later runs were given up or never sent.
 func (p *Pool) findGivenUpRun(v *vm, e RunEnd) *task {
 	t := p.findTask(e.Task)
-	if t == nil || t.phase != waiting || t.run != e.Run {
+	if t == nil || t.phase != waiting || t.run < e.Run {
 		return nil
 	}
-	if t.lostOn == v.ID || t.lostOn == "" && e.Cause == EndDone {
+	if e.Cause == EndDone || t.run == e.Run && t.lostOn == v.ID {
 		return t
 	}
 	return nil
@@ -118,7 +118,7 @@
 		v.firstHeldEnd = e.Sequence
 	}
 	p.stats.Ends++
-	p.log.Info("run_ended", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", v.ID),
+	p.log.Info("run_ended", zap.String("task", t.name), zap.Int("run", e.Run), zap.String("vm", v.ID),
 		zap.String("cause", string(e.Cause)), zap.Int64("sequence", e.Sequence), zap.Duration("after", p.now.Steady-t.since))
 	if e.Checkpoint != "" {
 		p.setCheckpoint(t, e.Checkpoint)
--- a/sched/pool/silence_test.go
+++ b/sched/pool/silence_test.go
@@ -170,6 +170,36 @@
 	}
 }
 
+// Guards against work that is run again although it was done (TWICE): its run was given up on a
+// silent VM, and the next run was placed, which raised the number of the run, but never sent.
+func TestEndOfARunBeforeOneThatWasNotSentCounts(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	spec := shortJob(1)
+	h.submit(spec)
+	h.settle()
+	h.end(a, spec.ID+".0.0.0", pool.EndDone)
+	a.down = true
+	for range 14 {
+		h.advance(500 * time.Millisecond)
+		h.renewAll()
+		h.cycle()
+	}
+	h.addVM("b", 8000)
+	h.renew("b")
+	starts := h.commit()
+	if len(starts) != 1 || starts[0].VM != "b" {
+		t.Fatalf("starts %v, want one on b", starts)
+	}
+	h.scheduler.NotSent(starts[0])
+	a.down = false
+	h.renew("a")
+	h.settle()
+	if got := h.state(spec.ID); got != job.Succeeded || h.starts != 1 {
+		t.Errorf("job is %v after %d starts, want succeeded after 1", got, h.starts)
+	}
+}
+
 // Guards against work that is run again although it was done (TWICE): its VM was silent for so
 // long that the run was given up and the VM left discovery, and the end was listed when it came
 // back under its id.
