--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -103,14 +103,14 @@
 	suspended    bool          // no leases are granted: a bound of them is stored for a later owner, or about to be
 	closed       bool          // no leases are granted any more
 
-	grantedUntil    time.Duration              // bound of the leases of confirmed runs, steady clock
-	underWay        map[*grantedLease]struct{} // granted with calls that have not ended
+	grantedUntil time.Duration              // bound of the leases of confirmed runs, steady clock
+	underWay     map[*grantedLease]struct{} // granted with calls that have not ended
 	// unansweredUntil is the latest end of a call that has granted a lease with the current token
 	// and had no answer, steady clock; 0 if there is none. retiredUntil is the same for calls
 	// that were sent before a restart of the worker, which its incarnation may still carry out.
 	unansweredUntil time.Duration
 	retiredUntil    time.Duration
-	tokenUnseen     bool                       // the token has risen after a restart, and no call with it was answered
+	tokenUnseen     bool // the token has risen after a restart, and no call with it was answered
 }
 
 // grantedLease is a lease that is granted with one call.
