Lease bounds: waits that start anew, late calls heard by the next owner, moved VMs

The faults share code, so they are in one commit; each has a test that failed before.

Its VM was lost and out of discovery, its owner was replaced three times. Each owner counted the bound from its own takeover, and the time of placement was dropped by a process that began after it. TestRunOnAVMOutsideDiscoveryIsNotWaitedForAnew, TestPlacementBeforeTheStartOfTheOwnerIsKept. Now the first owner stores the bound, as for a VM that it asks in vain. 2. TestLateStartThatTheNextOwnerHearsIsTheOnlyRun. Now the answer alone bounds the leases of earlier owners, with the delay of late calls for a young incarnation. 3. TWICE for 0.6 s: the bound of a released pool left out the time of a call that was under way. TestStartUnderWayAtAReleaseIsTheOnlyRun. The inherited bound counts it. 4. Confirmed runs waited 20 s and more after their VM had changed its address. TestRunOfALostVMWaitsForItsLeaseAfterAChangeOfAddress. The next client takes over which calls are unanswered, and drops them once its higher token is answered. 5. A job could succeed without having run: the end as done of an earlier job with the same id counted. TestEndOfAnEarlierJobWithTheSameIDDoesNotCount. Such an end counts on VMs on which a run of the task was given up, and for tasks that earlier owners have started.

A clock is not used for leases when its answer is older than 2.5 s (was 5.12 s), which shortens the time in which a lease on a former clock can be granted.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -105,13 +105,16 @@
 	r.lastCommitSentAt = sentAt
 	settings := n.settings.Scheduler
 	settings.Pool = o.pool
-	settings.LeaseBound = leaseBound(settings.Lease)
-	longestLease := leaseBound(max(settings.Lease, settings.MaxLease))
+	settings.LeaseBound, settings.MaxLeaseBound = leaseBound(settings.Lease), leaseBound(max(settings.Lease, settings.MaxLease))
+	settings.OrderDelayBound = maxOrderDelay
 	if o.row.Epoch > 1 { // there was an earlier owner
 		lastRenewal := max(renewedUntil, n.clock.Now().Steady)
-		settings.InheritedLeaseBound, settings.InheritedConfirmedBound = lastRenewal+longestLease, lastRenewal+settings.LeaseBound
+		// A lease on the clock of the incarnation that holds it ends at a time that was fixed when
+		// it was granted. One on a former clock counts from its arrival.
+		settings.InheritedConfirmedBound = lastRenewal + settings.LeaseBound
+		settings.InheritedLeaseBound = lastRenewal + renewTimeout + settings.MaxLeaseBound
 	}
-	settings.FormerClockBound = formerClockTime(settings.LeaseBound) + longestLease
+	settings.FormerClockBound = formerClockTime + settings.MaxLeaseBound
 	settings.StartDelayBound = startAgeLimit + orderTimeout
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
@@ -468,13 +471,16 @@
 }
 
 func (r *poolController) openVMClient(ctx context.Context, vm pool.RenewalTarget) {
+	v := r.newVMClient(vm)
 	if earlier := r.vmClients[vm.ID]; earlier != nil {
-		r.closeVMClient(earlier)
+		earlier.close()
+		v.grantedUntil, v.retiredUntil = earlier.handOver()
+		r.forgetVMClient(earlier)
 	}
-	v := r.newVMClient(vm)
 	if count := r.incarnations[vm.ID]; count != nil {
 		v.count, v.incarnations = count, count.latest.Load()
-		v.raiseToken() // late orders of the earlier client are refused
+		// Late orders of the earlier client are refused once the higher token is seen.
+		v.tokenUnseen = v.raiseToken()
 	}
 	r.incarnations[vm.ID] = v.count
 	clientCtx, cancel := context.WithCancel(ctx)
@@ -487,6 +493,10 @@
 func (r *poolController) closeVMClient(v *vmClient) {
 	bounds := v.close()
 	r.pool.LeaseGranted(v.ref.ID, max(bounds.Confirmed, bounds.Unconfirmed))
+	r.forgetVMClient(v)
+}
+
+func (r *poolController) forgetVMClient(v *vmClient) {
 	delete(r.vmClients, v.ref.ID)
 	v.count.closedAt = r.node.clock.Now().Steady
 }
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -641,3 +641,98 @@
 		f.checkLateStart(sentAt)
 	})
 }
+
+// answerOnceLate lets vm1 carry its late start out at a time after it was sent, answer one renewal
+// and fall silent again, and fails the test if the task runs on two VMs from then on.
+func (f *restartFixture) answerOnceLate(at time.Duration) {
+	f.t.Helper()
+	time.Sleep(at - f.clock.Now().Steady)
+	f.vms.carryOutLate("vm1:80")
+	f.vms.use("vm1:80", func(w *restartingVM) {
+		w.isLate, w.cut = nil, false
+		w.afterAnswer = func(RenewalAnswer) { w.cut = true }
+	})
+	f.checkOneRun(latestOrder + 2*leaseBound(testMaxLease) + 10*time.Second)
+}
+
+// Guards against a task that runs on two VMs (TWICE): the next owner hears a VM with a late start
+// once, and takes the leases of the former owner to end sooner than they may: whether it has
+// restored a bound, which counts the delay, or not.
+func TestLateStartThatTheNextOwnerHearsIsTheOnlyRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		stored bool
+		after  time.Duration
+	}{"a bound is stored": {true, latestOrder}, "no bound is stored": {false, 9 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestartFixture(t)
+				defer f.stop()
+				sentAt := f.lateStart()
+				f.vms.restart("vm1:80")
+				f.vms.setCut("vm1:80", true)
+				if test.stored {
+					f.awaitBound(0)
+				}
+				f.store.cut.Store(true) // the former owner reads no more rows
+				listIncarnation(t, f.mem, "vm1", "vm1:80", 2)
+				f.replaceOwner()
+				f.answerOnceLate(sentAt + test.after)
+			})
+		})
+	}
+}
+
+// Guards against a task that runs on two VMs (TWICE): the owner releases the pool while a start is
+// under way to a VM that has restarted, which holds the lease from its arrival on.
+func TestStartUnderWayAtAReleaseIsTheOnlyRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		sentAt := f.lateStart()
+		f.vms.restart("vm1:80")
+		f.vms.setCut("vm1:80", true)
+		f.stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		f.ctx = ctx
+		defer func() {
+			cancel()
+			f.running.Wait()
+		}()
+		f.own("b", f.mem)
+		time.Sleep(sentAt + orderTimeout - 20*time.Millisecond - f.clock.Now().Steady)
+		f.vms.carryOutLate("vm1:80")
+		f.checkOneRun(latestOrder + 2*leaseBound(testMaxLease) + 10*time.Second)
+	})
+}
+
+// Guards against work that does not run for longer than its lease lasts (LOST): its VM has changed
+// its address, with or without a restart, and is lost later. A renewal was under way to the earlier
+// address.
+func TestRunOfALostVMWaitsForItsLeaseAfterAChangeOfAddress(t *testing.T) {
+	for _, startedMS := range []int64{1, 2} {
+		for offset := time.Duration(0); offset < 300*time.Millisecond; offset += 50 * time.Millisecond {
+			t.Run(fmt.Sprintf("incarnation %d, %v", startedMS, offset), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRestartFixture(t)
+					defer f.stop()
+					f.vms.mu.Lock()
+					f.vms.vms["vm1:81"] = f.vms.vms["vm1:80"]
+					f.vms.mu.Unlock()
+					time.Sleep(offset)
+					if startedMS > 1 {
+						f.vms.restart("vm1:81")
+					}
+					listIncarnation(t, f.mem, "vm1", "vm1:81", startedMS)
+					time.Sleep(2 * time.Second)
+					f.submit()
+					f.await("vm1 runs the task", 4*time.Second, func() bool { return len(f.vms.runningOn(restartTask)) > 0 })
+					time.Sleep(6 * time.Second) // a lease from before the change may last
+					f.vms.setCut("vm1:81", true)
+					f.vms.mu.Lock()
+					delete(f.vms.vms, "vm1:80") // no calls go there any more
+					f.vms.mu.Unlock()
+					f.checkOneRun(leaseBound(testLease) + time.Second)
+				})
+			})
+		}
+	}
+}
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -38,6 +38,15 @@
 	// lateCallBound is the longest assumed time from the close of a client until its last call
 	// is carried out: an order waits for its slot, has no answer and is delayed.
 	lateCallBound = gangStartMaxAge + orderTimeout + maxOrderDelay
+	// renewTimeout is the longest time that a renewal takes.
+	renewTimeout = renewWait + renewTimeoutMargin
+	// maxClockAge is the age of the last answer from which its clock is not used for a lease any
+	// more. Between two renewals of a VM that answers lies less.
+	maxClockAge = 2500 * time.Millisecond
+	// formerClockTime is the longest time after the start of an incarnation in which a lease on
+	// the clock of the former one can reach it, unless it is carried out late: an answer under
+	// way told the clock, it was used until maxClockAge, and the call takes as long as a renewal.
+	formerClockTime = renewTimeout + maxClockAge + renewTimeout
 	// leaseMargin covers the rounding of clocks to milliseconds.
 	leaseMargin  = 20 * time.Millisecond
 	orderTimeout = 800 * time.Millisecond // of a start, stop or change of throttle
@@ -127,14 +136,6 @@
 	return time.Duration(float64(lease)/(1-clockDrift)) + leaseMargin
 }
 
-// formerClockTime returns the longest time after the start of an incarnation in which a lease
-// that was granted on the clock of the former one can reach it: the clock was told by an answer
-// under way, used for as long as grant allows, and the call takes as long as a renewal may.
-func formerClockTime(leaseBound time.Duration) time.Duration {
-	const renewTimeout = renewWait + renewTimeoutMargin
-	return renewTimeout + leaseBound + renewTimeout
-}
-
 // grant decides on a lease that counts from now and is granted with a call that ends within
 // timeout. When it has ended, the caller tells by settleStart, renewed or renewalUnanswered. The result is nil if the
 // owner may not grant a lease on the VM now, which may tells for the time, or while the
@@ -149,9 +150,9 @@
 	if s.clockAt == 0 || s.unresponsive || s.suspended || s.closed || !may(now) {
 		return nil
 	}
-	if now-s.clockAt > leaseBound(s.lease) {
-		// All leases have expired while this process was suspended. The VM may be lost, and
-		// a lease would keep its tasks from starting elsewhere.
+	if now-s.clockAt > maxClockAge {
+		// This process was suspended. The VM may be lost, and a lease would keep its tasks from
+		// starting elsewhere, or it may have restarted.
 		return nil
 	}
 	atMS := s.earliestClockMS(now)
@@ -251,6 +252,14 @@
 	return s.bounds()
 }
 
+// handOver returns what a client that replaces this closed one takes over: the bound of the
+// leases of confirmed runs, and the latest end of calls without an answer, on the steady clock.
+func (s *vmClient) handOver() (grantedUntil, retiredUntil time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grantedUntil, max(s.retiredUntil, s.latestUnanswered())
+}
+
 // granted returns the bounds of the leases granted so far.
 func (s *vmClient) granted() pool.LeaseBounds {
 	s.mu.Lock()
@@ -449,7 +458,7 @@
 func (s *vmClient) renew(ctx context.Context) (highest int64, ok bool) {
 	sentAt := s.clock.Now().Steady
 	r := Renewal{Token: s.token(), AcknowledgedEnds: s.acknowledged.Load(), Wait: renewWait}
-	lease := s.grant(s.mayRenew, renewWait+renewTimeoutMargin)
+	lease := s.grant(s.mayRenew, renewTimeout)
 	if lease != nil {
 		r.DeadlineMS, r.Token = lease.deadlineMS, lease.token
 	} else {
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -32,7 +32,7 @@
 
 func testSettings() pool.Settings {
 	return pool.Settings{
-		Pool: testPool, Lease: testLease, LeaseBound: leaseBound,
+		Pool: testPool, Lease: testLease, LeaseBound: leaseBound, MaxLeaseBound: leaseBound,
 		StopGrace: 900 * time.Millisecond, StatusRetention: 150 * time.Second,
 	}
 }
@@ -110,27 +110,28 @@
 // harness drives one scheduler against simulated workers and checks the rules that
 // every start must obey.
 type harness struct {
-	t              testingT
-	now            pool.Time
-	epoch          int64 // of the owner
-	scheduler      *pool.Pool
-	catalog        *catalog.Catalog
-	workers        map[string]*worker
-	rows           map[store.Key][]byte // durable rows
-	specs          []*job.Spec
-	starts         int
-	doneTasks      map[string]bool // tasks that must not start again: a run has ended as done
-	failuresByTask map[string]int
-	startsByTask   map[string]int
-	setbacks       map[string]int // by task: failed ends, crashes of its VM, and starts without an answer, which may meet a crash
-	cancelled      map[string]bool
-	throttles      map[string]int // by task: last throttle that was set, in percent
-	late           []lateOrder    // orders without an answer that may still be carried out
-	answers        []answer       // to orders, which have not arrived yet
-	log            []string
-	rowBytes       int                      // largest value of a row; 0 means the default
-	refuses        func(put store.Put) bool // whether the table service rejects a row; may be nil
-	refused        int                      // transactions that were rejected
+	t                  testingT
+	now                pool.Time
+	epoch              int64 // of the owner
+	scheduler          *pool.Pool
+	catalog            *catalog.Catalog
+	workers            map[string]*worker
+	rows               map[store.Key][]byte // durable rows
+	specs              []*job.Spec
+	starts             int
+	doneTasks          map[string]bool // tasks that must not start again: a run has ended as done
+	failuresByTask     map[string]int
+	startsByTask       map[string]int
+	setbacks           map[string]int // by task: failed ends, crashes of its VM, and starts without an answer, which may meet a crash
+	cancelled          map[string]bool
+	throttles          map[string]int // by task: last throttle that was set, in percent
+	late               []lateOrder    // orders without an answer that may still be carried out
+	answers            []answer       // to orders, which have not arrived yet
+	log                []string
+	serviceClockOffset time.Duration            // of the next owner
+	rowBytes           int                      // largest value of a row; 0 means the default
+	refuses            func(put store.Put) bool // whether the table service rejects a row; may be nil
+	refused            int                      // transactions that were rejected
 
 	losesAnswer func(task string) bool // whether the answer to a start that was carried out is lost; may be nil
 
@@ -157,6 +158,7 @@
 	settings.InheritedConfirmedBound = settings.InheritedLeaseBound
 	h.epoch++
 	h.scheduler = pool.New(settings, zap.NewNop(), h.now)
+	h.scheduler.SetServiceClockOffset(h.serviceClockOffset, 0)
 	h.scheduler.Configure(h.catalog)
 	if value, ok := h.rows[tables.LeaseKey(testPool)]; ok {
 		bounds, err := pool.DecodeLeases(value)
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -85,13 +86,14 @@
 // findGivenUpRun returns the task of an end that v lists if the task waits because the run was
 // given up, and nil otherwise. An earlier owner may have given it up: its record does not tell
 // on which VM, so only an end as done, which cannot have been recorded before, is taken for one.
-// Such an end counts also if later runs were given up or never sent.
+// Such an end counts also if later runs were given up or never sent. On a VM that has had no run
+// of the task, it is that of an earlier job with the same id.
 func (p *Pool) findGivenUpRun(v *vm, e RunEnd) *task {
 	t := p.findTask(e.Task)
 	if t == nil || t.phase != waiting || t.run < e.Run {
 		return nil
 	}
-	if e.Cause == EndDone || t.run == e.Run && t.lostOn == v.ID {
+	if e.Cause == EndDone && (t.restored || slices.Contains(t.givenUpOn, v.ID)) || t.run == e.Run && t.lostOn == v.ID {
 		return t
 	}
 	return nil
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -90,6 +90,7 @@
 		if v.contacted && p.now.Steady <= v.confirmedUntil() || p.awaitsListing(v) {
 			continue
 		}
+		p.storeBoundOfUnlisted(v)
 		expired := p.expiredTasks(v)
 		p.rememberLost(v, expired)
 		for _, t := range expired {
@@ -102,6 +103,20 @@
 	}
 }
 
+// unlistedGrace is the time after a takeover in which the VMs of inherited runs are seen in
+// discovery.
+const unlistedGrace = time.Second
+
+// storeBoundOfUnlisted has the lease bound of v stored for a later owner if v has runs of earlier
+// owners and is not in discovery, so that nobody asks it. Each later owner would count anew.
+func (p *Pool) storeBoundOfUnlisted(v *vm) {
+	if v.listed || v.contacted || v.boundDue || len(v.tasks) == 0 || p.now.Steady-p.startedAt.Steady < unlistedGrace {
+		return
+	}
+	v.boundDue = true
+	p.leaseBoundsChanged = true
+}
+
 // expiredTasks returns the tasks on v whose runs have ended with their leases. A start that is
 // being sent grants a lease of its own.
 func (p *Pool) expiredTasks(v *vm) []*task {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -341,7 +341,7 @@
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame, t.lostOn = 0, 0, false, notBlamed, ""
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
 	t.throttleSentAt, t.throttleLateUntil = 0, 0
-	t.recordedAt, t.inheritedUntil = 0, 0
+	t.recorded, t.recordedAt, t.inheritedUntil = false, 0, 0
 	t.markDirty()
 }
 
@@ -478,6 +478,9 @@
 	on, blame := t.vm, t.blame
 	p.endRun(t, waiting)
 	t.lostOn = on.ID
+	if !slices.Contains(t.givenUpOn, on.ID) {
+		t.givenUpOn = append(t.givenUpOn, on.ID)
+	}
 	if blame != notBlamed {
 		// The crash is not counted again when the machine comes back as another worker.
 		p.takeLostRuns(func(l lostRun) bool { return l.task == t && l.vm.ID == on.ID }, func(suspect, *vm) {})
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -321,10 +321,10 @@
 // result is false if there is no run, or if an earlier build has recorded it.
 func (p *Pool) storedPlacement(t *task) (job.TaskPlacement, bool) {
 	if t.phase == placed {
-		t.recordedAt = p.now.Steady
+		t.recorded, t.recordedAt = true, p.now.Steady
 	}
 	at := (t.recordedAt + p.serviceClockOffset).Milliseconds() + 1 // rounded up
-	return job.TaskPlacement{Occurrence: t.occ.number, Task: t.position, AtMS: at}, t.active() && t.recordedAt > 0
+	return job.TaskPlacement{Occurrence: t.occ.number, Task: t.position, AtMS: at}, t.active() && t.recorded
 }
 
 // storedCrashes returns the numbers of crashes under a task as the progress row holds
@@ -508,7 +508,7 @@
 // restoreTask restores the stored state of a task. placedMS is when its newest run was placed,
 // as in job.TaskPlacement; 0 if unknown.
 func (p *Pool) restoreTask(t *task, s job.Task, placedMS int64) {
-	t.run = s.Run
+	t.run, t.restored = s.Run, s.Run > 0
 	if t.history.checkpoint == "" { // of the first member that has one; each is valid for all
 		t.history.checkpoint = s.Checkpoint
 	}
@@ -524,7 +524,7 @@
 		t.phase = unconfirmed
 		t.inherited = true
 		if placedMS > 0 {
-			t.recordedAt = p.localTimeBound(placedMS)
+			t.recorded, t.recordedAt = true, p.localTimeBound(placedMS)
 		}
 		t.inheritedUntil = p.inheritedLeaseEnd(t)
 		t.throttlePercent = unknownThrottle
--- a/sched/pool/silence_test.go
+++ b/sched/pool/silence_test.go
@@ -357,3 +357,97 @@
 		t.Errorf("the stored bound has risen by %v, want 5s as the leases", raised)
 	}
 }
+
+// Guards against a job that is taken for done although it has not run: an end as done of an earlier
+// job with the same id is listed by a VM that was silent for longer than the state of jobs is kept.
+func TestEndOfAnEarlierJobWithTheSameIDDoesNotCount(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	spec := shortJob(1)
+	h.submit(spec)
+	h.settle()
+	task := spec.ID + ".0.0.0"
+	run := func(d time.Duration) {
+		for end := h.now.Steady + d; h.now.Steady < end; {
+			h.settle()
+			h.advance(200 * time.Millisecond)
+		}
+	}
+	h.end(a, task, pool.EndDone)
+	a.down = true
+	b := h.addVM("b", 8000)
+	run(20 * time.Second)
+	if h.vmOf(task) != "b" {
+		t.Fatal("the task does not run on b")
+	}
+	h.end(b, task, pool.EndDone)
+	run(200 * time.Second)
+	for _, old := range h.scheduler.ExpiredJobs(10) {
+		h.scheduler.RequestsDeleted(old.ID)
+	}
+	h.specs = nil
+	run(2 * time.Second)
+	again := shortJob(1)
+	again.ID = spec.ID
+	h.doneTasks, h.startsByTask, b.highestEndedRun = map[string]bool{}, map[string]int{}, map[string]int{}
+	h.submit(again)
+	run(time.Second)
+	b.down = true
+	run(12 * time.Second)
+	a.down = false
+	run(time.Second)
+	if got := h.state(spec.ID); got == job.Succeeded {
+		t.Errorf("the second job is %v, and no run of it has ended", got)
+	}
+}
+
+// Guards against a task that waits anew at each change of the owner (LOST): its VM is lost and has
+// left discovery, so that no owner asks it. The first one that inherits the run stores the bound.
+func TestRunOnAVMOutsideDiscoveryIsNotWaitedForAnew(t *testing.T) {
+	h := newHarness(t)
+	h.addVM("a", 8000)
+	spec := shortJob(1)
+	h.submit(spec)
+	h.settle()
+	task := spec.ID + ".0.0.0"
+	if h.vmOf(task) != "a" {
+		t.Fatal("the task does not run on a")
+	}
+	delete(h.workers, "a")
+	h.addVM("b", 8000)
+	const inherited = 11 * time.Second // as in takeover
+	for elapsed := time.Duration(0); elapsed < inherited+500*time.Millisecond; elapsed += 100 * time.Millisecond {
+		if elapsed%(4*time.Second) == 0 {
+			h.takeover()
+		}
+		h.renewAll()
+		h.cycle()
+		h.advance(100 * time.Millisecond)
+	}
+	if h.vmOf(task) != "b" {
+		t.Errorf("the task does not run %v after the first takeover", inherited+500*time.Millisecond)
+	}
+}
+
+// Guards against a run whose time of placement is lost, so that later owners wait longer for it
+// (LOST): it was placed before the process of the next owner began.
+func TestPlacementBeforeTheStartOfTheOwnerIsKept(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	spec := shortJob(2)
+	h.submit(spec)
+	h.settle()
+	stored := func() []job.TaskPlacement { return h.storedProgress()[spec.ID].Placements }
+	if len(stored()) != 2 {
+		t.Fatalf("placements %v, want two", stored())
+	}
+	first := stored()[1]
+	h.serviceClockOffset = time.Hour
+	h.takeover()
+	h.settle()
+	h.end(a, spec.ID+".0.0.0", pool.EndDone)
+	h.settle()
+	if got := stored(); len(got) != 1 || got[0].Task != 1 || got[0].AtMS < first.AtMS || got[0].AtMS > first.AtMS+1 {
+		t.Errorf("placements %v after the takeover, want %v", got, first)
+	}
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -40,13 +40,16 @@
 	listedCheckpoint string        // checkpoint that the newest run was last listed with
 	since            time.Duration // when the phase was entered
 	placedAt         time.Duration // when the newest run was placed
-	recordedAt       time.Duration // when the record of the newest run was sent, at the latest; 0 if unknown
+	recorded         bool          // recordedAt is known
+	recordedAt       time.Duration // when the record of the newest run was sent, at the latest
 	inheritedUntil   time.Duration // time by which the lease of an inherited run has ended if its VM does not answer
 	stopSentAt       time.Duration // 0 if no stop was sent for the newest run
 	stopAnsweredAt   time.Duration // 0 if no stop was answered
 	inherited        bool          // the newest run was started by an earlier owner
 	blame            blame         // for a restart of its VM under its id, if the run turns out to be lost
 	lostOn           string        // id of the VM on which the newest run was given up; empty if it was not. The VM may leave and come back
+	givenUpOn        []string      // ids of the VMs on which runs were given up by this owner
+	restored         bool          // earlier owners have placed runs
 
 	progressPercent int
 	progressAt      time.Duration // when progressPercent last rose
@@ -218,7 +221,7 @@
 	switch {
 	case p.storedLeaseBounds[t.vm.ID]:
 		return t.vm.leaseUntil
-	case t.recordedAt == 0:
+	case !t.recorded:
 		return s.InheritedLeaseBound
 	}
 	return min(s.InheritedLeaseBound, max(s.InheritedConfirmedBound, t.recordedAt+s.StartDelayBound+s.FormerClockBound))
@@ -231,10 +234,17 @@
 		return
 	}
 	v.contacted = true
+	if p.settings.InheritedLeaseBound == 0 {
+		return // there was no earlier owner
+	}
+	// A lease on the former clock that has reached the VM lasts as long as the VM accepts. Once the
+	// incarnation is old, none can have reached it for long, not even late.
+	longest := l.At + p.settings.MaxLeaseBound
 	if l.ClockMS > 0 {
 		startedAt := l.At - time.Duration(l.ClockMS)*time.Millisecond
-		v.leaseUntil = min(v.leaseUntil, max(l.At+p.settings.LeaseBound, startedAt+p.settings.FormerClockBound))
+		longest = min(longest, startedAt+p.settings.FormerClockBound+p.settings.OrderDelayBound)
 	}
+	v.leaseUntil = max(l.At+p.settings.LeaseBound, longest)
 }
 
 // leasesEnd returns the time by which the leases of all runs on v have ended.
@@ -279,7 +289,9 @@
 	Pool       string
 	Lease      time.Duration // duration of the leases of runs, on the VM's clock
 	MaxLease   time.Duration // longest lease that a VM accepts, on its clock; at least Lease
-	LeaseBound time.Duration // longest time that a lease can last on the steady clock
+	LeaseBound time.Duration // longest time that a lease of Lease can last on the steady clock
+	// MaxLeaseBound is the longest time that a lease of MaxLease can last on the steady clock.
+	MaxLeaseBound time.Duration
 
 	// InheritedLeaseBound is the time, on the steady clock, by which all leases of earlier
 	// owners have ended, InheritedConfirmedBound that for leases granted on the clock of the
@@ -289,8 +301,9 @@
 	// that were granted on the clock of its former incarnation have ended.
 	FormerClockBound time.Duration
 	// StartDelayBound is the longest time from the sending of a run's record until a VM takes
-	// its start.
-	StartDelayBound time.Duration
+	// its start, unless that is carried out late. OrderDelayBound is how late that may be.
+	StartDelayBound, OrderDelayBound time.Duration
+
 	StopGrace       time.Duration // longest time that a stop can take
 	StatusRetention time.Duration // how long finished jobs stay known
 	RowBytes        int           // largest value of a row; 0 means defaultRowBytes
