Store which runs of a silent VM end before its lease bound

Cause: the bound that is stored for a silent VM is that of its latest run. One start without an answer, which may be carried out late, held up all runs on the VM for the next owners.

Evidence: TestStartUnderWayDoesNotHoldUpTheOtherRunsOfALostVM: 'not within' the narrow bound before.

Change: a second row beside the bounds tells by when the other runs have ended, and names the tasks whose runs may end later.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -205,9 +205,17 @@
 }
 
 // restoreLeases passes on the lease bounds that the earlier owner has recorded
-// for VMs that it could not reach.
+// for VMs that it could not reach, and for runs on them.
 func (r *poolController) restoreLeases(rows []store.Row) {
+	var runs map[string]pool.RunLeases
 	for _, row := range rows {
+		if row.Key == tables.RunLeaseKey(r.name) {
+			var err error
+			if runs, err = pool.DecodeRunLeases(row.Value); err != nil {
+				r.log.Error("lease_row_unreadable", zap.Error(err))
+			}
+			continue
+		}
 		bounds, err := pool.DecodeLeases(row.Value)
 		if err != nil {
 			r.log.Error("lease_row_unreadable", zap.Error(err))
@@ -217,6 +225,9 @@
 			r.pool.RestoreLease(vm, r.owner.service.localTimeBound(at))
 		}
 	}
+	for vm, leases := range runs {
+		r.pool.RestoreRunLeases(vm, r.owner.service.localTimeBound(time.Duration(leases.UntilMS)*time.Millisecond), leases.Later)
+	}
 }
 
 // loop is the only goroutine that uses the scheduler. It returns nil when
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -736,3 +736,34 @@
 		}
 	}
 }
+
+// Guards against work that does not run for longer than its lease lasts (LOST): its VM is lost while
+// another start is under way to it, which may be carried out late, and the owner is replaced. The
+// bound that is stored for the VM is that of the start.
+func TestStartUnderWayDoesNotHoldUpTheOtherRunsOfALostVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.stop()
+		f.submit()
+		f.await("vm1 runs the task", 2*time.Second, func() bool { return len(f.vms.runningOn(restartTask)) > 0 })
+		time.Sleep(15 * time.Second)
+		f.vms.use("vm1:80", func(w *restartingVM) {
+			w.isLate = func(StartOrder) bool { return true }
+		})
+		spec := oneStepJob("00000000000000bb")
+		if err := f.entry.Submit(t.Context(), Caller{Queue: f.entry.operator.view.Catalog.Queues["q"]}, spec); err != nil {
+			t.Fatal(err)
+		}
+		f.await("a start is under way to vm1", 2*time.Second, func() (late bool) {
+			f.vms.use("vm1:80", func(w *restartingVM) { late = len(w.late) > 0 })
+			return late
+		})
+		lostAt := f.clock.Now().Steady
+		f.vms.setCut("vm1:80", true)
+		f.awaitBound(0)
+		time.Sleep(100 * time.Millisecond) // the transaction with the bound is confirmed
+		f.replaceOwner()
+		const placement = 500 * time.Millisecond
+		f.checkOneRun(lostAt + leaseBound(testLease) + placement - f.clock.Now().Steady)
+	})
+}
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -201,7 +201,13 @@
 		p.log.Error("lease_bounds_not_encoded", zap.Error(err))
 		return
 	}
+	runs, err := cbor.Marshal(p.runLeases(bounds))
+	if err != nil {
+		p.log.Error("run_leases_not_encoded", zap.Error(err))
+		return
+	}
 	b.put(leaseItem, tables.LeaseKey(p.settings.Pool), value)
+	b.put(leaseItem, tables.RunLeaseKey(p.settings.Pool), runs)
 	b.leaseBounds = bounds
 	for id, until := range bounds {
 		if !p.storedLeaseBounds[id] {
@@ -212,6 +218,64 @@
 	p.leaseBoundsChanged = false
 }
 
+// RunLeases tells which runs on a VM end before its recorded lease bound.
+type RunLeases struct {
+	UntilMS int64    `cbor:"1,keyasint"`           // end of the leases of all runs but Later, ms on the table service's clock
+	Later   []string `cbor:"2,keyasint,omitempty"` // names of the tasks with runs that may end as late as the bound
+}
+
+// runLeases returns the VMs among those with recorded bounds on which some runs end earlier. VMs
+// that do not fit into a row are left out.
+func (p *Pool) runLeases(bounds map[string]int64) map[string]RunLeases {
+	leases := map[string]RunLeases{}
+	size := 0
+	for _, v := range p.sortedVMs() {
+		if _, recorded := bounds[v.ID]; !recorded {
+			continue
+		}
+		first := v.leasesEnd()
+		for t := range v.tasks {
+			first = min(first, v.leaseEnd(t))
+		}
+		r := RunLeases{UntilMS: (first + p.serviceClockOffset).Milliseconds() + 1} // rounded up
+		bytes := len(v.ID) + 2*leaseEntryBytes
+		for _, t := range v.sortedTasks() {
+			if v.leaseEnd(t) > first {
+				r.Later = append(r.Later, t.name)
+				bytes += len(t.name) + 2
+			}
+		}
+		if size += bytes; len(r.Later) > 0 && size <= p.rowBytes() {
+			leases[v.ID] = r
+		}
+	}
+	return leases
+}
+
+// DecodeRunLeases decodes what runLeases has recorded, by VM. It returns an error for a malformed
+// row.
+func DecodeRunLeases(b []byte) (map[string]RunLeases, error) {
+	var leases map[string]RunLeases
+	if err := cbor.Unmarshal(b, &leases); err != nil {
+		return nil, fmt.Errorf("row of run leases: %w", err)
+	}
+	return leases, nil
+}
+
+// RestoreRunLeases sets which runs on a VM, whose lease bound has been restored, end by a time on
+// the steady clock: all but those of the later tasks. It must be called before Restore.
+func (p *Pool) RestoreRunLeases(id string, until time.Duration, later []string) {
+	v := p.vms[id]
+	if v == nil || !p.storedLeaseBounds[id] {
+		return
+	}
+	v.runsUntil = min(until, v.leaseUntil)
+	v.laterRuns = map[string]bool{}
+	for _, task := range later {
+		v.laterRuns[task] = true
+	}
+}
+
 // DecodeLeases decodes recorded lease bounds, by VM, on the clock of the table
 // service. It returns an error for a malformed row.
 func DecodeLeases(b []byte) (map[string]time.Duration, error) {
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -168,6 +168,13 @@
 		for id, bound := range bounds {
 			h.scheduler.RestoreLease(id, bound)
 		}
+		runs, err := pool.DecodeRunLeases(h.rows[tables.RunLeaseKey(testPool)])
+		if err != nil {
+			h.t.Fatalf("row of run leases: %v", err)
+		}
+		for id, leases := range runs {
+			h.scheduler.RestoreRunLeases(id, time.Duration(leases.UntilMS)*time.Millisecond, leases.Later)
+		}
 	}
 	stored := h.storedProgress()
 	for _, spec := range h.specs {
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -167,13 +167,15 @@
 // vm is a VM with its leases, its runs and its health.
 type vm struct {
 	VM
-	listed             bool          // known to discovery
-	describedMS        int64         // start of the incarnation that the row in discovery describes, Unix milliseconds; 0 if unknown
-	replaced           bool          // its machine has started again as another VM
-	fenced             bool          // this incarnation has answered under this owner's fencing token
-	leaseUntil         time.Duration // time by which all leases of earlier owners and of closed clients on it have ended
-	contacted          bool          // it has answered this owner
-	granted            LeaseBounds   // of the leases of its present client
+	listed             bool            // known to discovery
+	describedMS        int64           // start of the incarnation that the row in discovery describes, Unix milliseconds; 0 if unknown
+	replaced           bool            // its machine has started again as another VM
+	fenced             bool            // this incarnation has answered under this owner's fencing token
+	leaseUntil         time.Duration   // time by which all leases of earlier owners and of closed clients on it have ended
+	contacted          bool            // it has answered this owner
+	laterRuns          map[string]bool // by task: its run may end as late as the restored bound; nil if all may
+	runsUntil          time.Duration   // time by which the leases of the other runs have ended
+	granted            LeaseBounds     // of the leases of its present client
 	used               fleet.Resources
 	bestEffortMilliCPU int64 // processors that its best-effort tasks ask for, in thousandths of a core
 	latencySensitive   int   // number of tasks with a latency goal
@@ -219,6 +221,8 @@
 func (p *Pool) inheritedLeaseEnd(t *task) time.Duration {
 	s := &p.settings
 	switch {
+	case t.vm.laterRuns != nil && !t.vm.laterRuns[t.name]:
+		return t.vm.runsUntil
 	case p.storedLeaseBounds[t.vm.ID]:
 		return t.vm.leaseUntil
 	case !t.recorded:
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -255,6 +255,11 @@
 	return store.Key{Table: Leases, Partition: pool, Name: "bounds"}
 }
 
+// RunLeaseKey returns the key of the lease bounds of single runs, beside those of LeaseKey.
+func RunLeaseKey(pool string) store.Key {
+	return store.Key{Table: Leases, Partition: pool, Name: "runs"}
+}
+
 // CordonKey returns the key of a machine's cordon. Cordons are in the partition of
 // the role that orders maintenance and moves.
 func CordonKey(role, machine string) store.Key {
