--- a/sched/pool/encodings_test.go
+++ b/sched/pool/encodings_test.go
@@ -13,7 +13,8 @@
 // message of peers, which an earlier build wrote or reads.
 func TestEncodings(t *testing.T) {
 	fleettest.CheckEncodings(t, "encodings", map[string]any{
-		"load": new(LoadReport),
+		"load":       new(LoadReport),
+		"run leases": new(RunLeases),
 	}, cbor.Marshal, cbor.Unmarshal)
 }
 
