Log late starts and ends that come after a task was started again

The logs could not tell a start that the next incarnation carries out late from one that is merely slow, nor an end as done that is acknowledged after the task was started again.

unanswered_start_found tells how late and on which incarnation a start without an answer is found; run_lost how long ago the scheduler last learned of the run; run_ended whether the run had been given up; end_not_used an end as done that changes nothing.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -110,10 +110,12 @@
 		return
 	}
 	v.endsProcessed = e.Sequence
-	if t == nil {
+	givenUp := t == nil
+	if givenUp {
 		t = p.findGivenUpRun(v, e)
 	}
 	if t == nil {
+		p.logUnusedEnd(v, e)
 		return
 	}
 	if p.heldBack[t.occ.job.spec.ID] && v.firstHeldEnd == 0 {
@@ -121,7 +123,7 @@
 	}
 	p.stats.Ends++
 	p.log.Info("run_ended", zap.String("task", t.name), zap.Int("run", e.Run), zap.String("vm", v.ID),
-		zap.String("cause", string(e.Cause)), zap.Int64("sequence", e.Sequence), zap.Duration("after", p.now.Steady-t.since))
+		zap.String("cause", string(e.Cause)), zap.Int64("sequence", e.Sequence), zap.Duration("after", p.now.Steady-t.since), zap.Bool("given_up", givenUp))
 	if e.Checkpoint != "" {
 		p.setCheckpoint(t, e.Checkpoint)
 	}
@@ -139,6 +141,17 @@
 	}
 }
 
+// logUnusedEnd logs an end as done that changes nothing although the task is not done: the task
+// has been started again, and the work is done twice.
+func (p *Pool) logUnusedEnd(v *vm, e RunEnd) {
+	t := p.findTask(e.Task)
+	if e.Cause != EndDone || t == nil || t.phase == done || t.spec().LongRunning {
+		return
+	}
+	p.log.Warn("end_not_used", zap.String("task", e.Task), zap.Int("run", e.Run), zap.String("vm", v.ID), zap.Int64("incarnation", v.StartedMS),
+		zap.Int64("sequence", e.Sequence), zap.Int("newest_run", t.run), zap.Bool("runs", t.active()))
+}
+
 // setCheckpoint sets the newest checkpoint of a task, or of its gang, and has it recorded.
 func (p *Pool) setCheckpoint(t *task, checkpoint string) {
 	t.history.checkpoint = checkpoint
@@ -224,6 +237,10 @@
 	listed[t] = true
 	t.blame = notBlamed
 	if t.phase != running {
+		if t.phase == unconfirmed {
+			p.log.Info("unanswered_start_found", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", v.ID), zap.Int64("incarnation", v.StartedMS),
+				zap.Bool("inherited", t.inherited), zap.Duration("after", l.At-t.since), zap.Bool("stopped", t.stopSentAt > 0))
+		}
 		p.confirm(t, l.At)
 	}
 	if r.Checkpoint != "" && r.Checkpoint != t.listedCheckpoint {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -474,7 +474,7 @@
 func (p *Pool) markLost(t *task, reason string) {
 	p.stats.Lost++
 	p.log.Info("run_lost", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.Int64("incarnation", t.vm.StartedMS),
-		zap.String("reason", reason), zap.Bool("confirmed", t.phase == running), zap.Bool("inherited", t.inherited), p.leaseField(t.vm))
+		zap.String("reason", reason), zap.Bool("confirmed", t.phase == running), zap.Bool("inherited", t.inherited), zap.Duration("after", p.now.Steady-t.since), p.leaseField(t.vm))
 	on, blame := t.vm, t.blame
 	p.endRun(t, waiting)
 	t.lostOn = on.ID
