Start a task on no other VM while a start without an answer may be carried out

Cause: what one incarnation of a worker answers was taken to hold for the next ones. A stop, a listing or a higher fencing token settled a start without an answer on the incarnation that answered; the next one knows neither and carries the start out seconds later, while the task runs elsewhere or is done. Where the worker was silent, the bound left out the time for late calls, unless a restart was known. A later owner took a run that it did not find for one that never was.

Change: the calls of a run's start are kept with the task (lateStart) until each has been carried out or is too old to be, 12 s after it ended. Until then the task starts on no other VM. Tasks that last start again on the same VM with the same run, where a late call finds the run; others wait, as a late call after their end would do the work again. Leases of such runs count from the last moment at which the call may be carried out. A later owner derives the same from the row, which tells of runs whose start has been carried out and has no other call left. VMs on which a run of the task was given up are the last to get it again.

Changed tests: TestLateStartAfterItsStopWasAnswered let a start of any age be carried out, which no code can satisfy once the task runs elsewhere; it now has the 12 s of the protocol, restarts at each second until then, and a next owner. TestUnconfirmedStartIsStoppedFirst expected the stop at once and now expects no start elsewhere for 12 s, then the stop. TestGangMembersStartWithOneCheckpoint waits longer for a later owner. The tests of orphan runs make them of starts that are older than 12 s, since younger ones are no orphans any more. The stored progress has a new optional field; rows without it are read as unconfirmed.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -485,7 +485,7 @@
 	v := r.newVMClient(vm)
 	if earlier := r.vmClients[vm.ID]; earlier != nil {
 		earlier.close()
-		v.grantedUntil, v.retiredUntil = earlier.handOver()
+		v.grantedUntil, v.retiredUntil, v.lastUnanswered = earlier.handOver()
 		r.forgetVMClient(earlier)
 	}
 	if count := r.incarnations[vm.ID]; count != nil {
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -33,11 +33,17 @@
 	cut         bool                       // calls and answers do not pass
 	losesAnswer func(o StartOrder) bool    // whether the answer to a start that is carried out is lost; may be nil
 	isLate      func(o StartOrder) bool    // whether a start has no answer and is carried out by carryOutLate; may be nil
-	late        []StartOrder               // starts that have not been carried out yet
+	late        []lateStartOrder           // starts that have not been carried out yet
 	afterStart  func()                     // called once a start has been carried out; may be nil
 	afterAnswer func(answer RenewalAnswer) // called before an answer to a renewal is returned; may be nil
 }
 
+// lateStartOrder is a start that its VM has not answered and may carry out later.
+type lateStartOrder struct {
+	StartOrder
+	sentAt time.Duration // on the clock of the VM's bubble
+}
+
 func (w *restartingVM) restart() {
 	w.bornAt, w.bornMS, w.token, w.deadline = w.clock.Now().Steady, w.bornMS+1, 0, 0
 	w.running, w.highest, w.ends, w.sequence = map[string]pool.RunState{}, map[string]int{}, nil, 0
@@ -127,11 +133,14 @@
 	f.use(address, func(w *restartingVM) { w.cut = cut })
 }
 
-// carryOutLate lets a VM carry out the starts that it has left unanswered.
+// carryOutLate lets a VM carry out the starts that it has left unanswered, unless they are older
+// than any that a VM carries out.
 func (f *restartingVMs) carryOutLate(address string) {
 	f.use(address, func(w *restartingVM) {
 		for _, o := range w.late {
-			w.start(o)
+			if w.clock.Now().Steady <= o.sentAt+latestOrder {
+				w.start(o.StartOrder)
+			}
 		}
 		w.late = nil
 	})
@@ -208,7 +217,7 @@
 	var a StartAnswer
 	answered := f.call(ctx, ref.Address, time.Millisecond, func(w *restartingVM) bool {
 		if w.isLate != nil && w.isLate(o) {
-			w.late = append(w.late, o)
+			w.late = append(w.late, lateStartOrder{o, w.clock.Now().Steady})
 			return false
 		}
 		a.Result = w.start(o)
@@ -544,10 +553,14 @@
 	})
 	f.submit()
 	f.await("a start is under way to vm1", 2*time.Second, func() (late bool) {
-		f.vms.use("vm1:80", func(w *restartingVM) { late = len(w.late) > 0 })
+		f.vms.use("vm1:80", func(w *restartingVM) {
+			if late = len(w.late) > 0; late {
+				sentAt = w.late[0].sentAt
+			}
+		})
 		return late
 	})
-	return f.clock.Now().Steady
+	return sentAt
 }
 
 // checkLateStart lets vm1 carry its late start out, latestOrder after it was sent, and fails the
@@ -591,23 +604,35 @@
 
 // Guards against a task that runs on two VMs (TWICE): a start without an answer is settled by a
 // stop that one incarnation of its VM answers, and carried out by the next one, which knows
-// neither the stop nor a fencing token.
+// neither the stop nor a fencing token. The VM answers until it restarts, at any time until the
+// start can no longer be carried out, or once the task runs elsewhere.
 func TestLateStartAfterItsStopWasAnsweredIsTheOnlyRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newRestartFixture(t)
-		defer f.stop()
-		f.lateStart()
-		listVM(t, f.mem, "vm2", "vm2:80")
-		f.await("vm2 runs the task", latestOrder+2*leaseBound(testMaxLease), func() bool {
-			return slices.Contains(f.vms.runningOn(restartTask), "vm2:80")
-		})
-		f.vms.restart("vm1:80")
-		f.vms.setCut("vm1:80", true)
-		f.vms.carryOutLate("vm1:80")
-		if on := f.vms.runningOn(restartTask); len(on) > 1 {
-			t.Errorf("the task runs on %v at the same time", on)
+	for _, owner := range []string{"same owner", "next owner"} {
+		for after := time.Duration(0); after <= latestOrder+time.Second; after += time.Second {
+			t.Run(fmt.Sprint(owner, ", restart after ", after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRestartFixture(t)
+					defer f.stop()
+					sentAt := f.lateStart()
+					listVM(t, f.mem, "vm2", "vm2:80")
+					if owner == "next owner" {
+						f.replaceOwner()
+					}
+					if after <= latestOrder {
+						time.Sleep(sentAt + after - f.clock.Now().Steady)
+					} else {
+						f.await("vm2 runs the task", latestOrder+2*leaseBound(testMaxLease), func() bool {
+							return slices.Contains(f.vms.runningOn(restartTask), "vm2:80")
+						})
+					}
+					f.vms.restart("vm1:80")
+					f.vms.setCut("vm1:80", true)
+					f.vms.carryOutLate("vm1:80")
+					f.checkOneRun(latestOrder + 2*leaseBound(testMaxLease) + 10*time.Second)
+				})
+			})
 		}
-	})
+	}
 }
 
 // Guards against a task that runs on two VMs (TWICE): a start without an answer is carried out by
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -119,7 +119,11 @@
 	// that were sent before a restart of the worker, which its incarnation may still carry out.
 	unansweredUntil time.Duration
 	retiredUntil    time.Duration
-	tokenUnseen     bool // the token has risen after a restart, and no call with it was answered
+	// lastUnanswered is the latest end of any call that has granted a lease and had no answer,
+	// steady clock; 0 if there is none. A token that one incarnation has seen proves nothing for
+	// the next.
+	lastUnanswered time.Duration
+	tokenUnseen    bool // the token has risen after a restart, and no call with it was answered
 }
 
 // grantedLease is a lease that is granted with one call.
@@ -209,6 +213,7 @@
 // unanswered records that a call which has granted a lease had no answer. The caller holds mu.
 func (s *vmClient) unanswered(l *grantedLease) {
 	delete(s.underWay, l)
+	s.lastUnanswered = max(s.lastUnanswered, l.endsBy)
 	if l.token == s.currentToken() {
 		s.unansweredUntil = max(s.unansweredUntil, l.endsBy)
 	}
@@ -253,11 +258,13 @@
 }
 
 // handOver returns what a client that replaces this closed one takes over: the bound of the
-// leases of confirmed runs, and the latest end of calls without an answer, on the steady clock.
-func (s *vmClient) handOver() (grantedUntil, retiredUntil time.Duration) {
+// leases of confirmed runs, the latest end of calls without an answer that a new token does not
+// stop, and that of all calls without an answer, on the steady clock.
+func (s *vmClient) handOver() (grantedUntil, retiredUntil, lastUnanswered time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.grantedUntil, max(s.retiredUntil, s.latestUnanswered())
+	latest := s.latestUnanswered()
+	return s.grantedUntil, max(s.retiredUntil, latest), max(s.lastUnanswered, latest)
 }
 
 // granted returns the bounds of the leases granted so far.
@@ -270,17 +277,20 @@
 // bounds returns the bounds of the leases granted so far. The caller holds mu.
 //
 // A run that the present incarnation has confirmed ends with that incarnation, so the leases
-// granted on its clock bound the run. A start without an answer may have reached a later
-// incarnation, and so may a renewal that extends the lease there. Late calls are allowed for once
-// a restart is known: a task that lasts must not wait for them wherever a VM is lost.
+// granted on its clock bound the run, unless a restart is known. A start without an answer may be
+// carried out late, by any later incarnation, and so may a renewal that extends the lease there.
 func (s *vmClient) bounds() pool.LeaseBounds {
 	confirmed := s.grantedUntil
 	if s.retiredUntil > 0 {
 		confirmed = max(confirmed, s.retiredUntil+maxOrderDelay+leaseBound(s.maxLease))
 	}
 	unconfirmed := confirmed
-	if latest := s.latestUnanswered(); latest > 0 {
-		unconfirmed = max(unconfirmed, latest+leaseBound(s.maxLease))
+	latest := s.lastUnanswered
+	for l := range s.underWay {
+		latest = max(latest, l.endsBy)
+	}
+	if latest > 0 {
+		unconfirmed = max(unconfirmed, latest+maxOrderDelay+leaseBound(s.maxLease))
 	}
 	return pool.LeaseBounds{Confirmed: confirmed, Unconfirmed: unconfirmed}
 }
--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -86,6 +86,14 @@
 	AtMS       int64    // latest time at which the record of the run can have been sent, ms on the table service's clock
 }
 
+// ConfirmedRun tells that the start of the newest run of an active task has been carried out, and
+// that no call is left that may start it later.
+type ConfirmedRun struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int      // number of the occurrence
+	Task       int      // position of the task in the occurrence
+}
+
 // Progress is the stored progress of a job. Occurrences that are not due yet are
 // absent; those numbered below FirstOpen are complete.
 type Progress struct {
@@ -107,6 +115,8 @@
 
 	Placements []TaskPlacement `cbor:"10,keyasint,omitempty"` // of active tasks; earlier builds do not write it
 
+	Confirmed []ConfirmedRun `cbor:"11,keyasint,omitempty"` // of active tasks; earlier builds do not write it
+
 	Parts map[int]*ProgressPart `cbor:"-"` // the stored parts, by number; newer than Occurrences
 }
 
@@ -119,6 +129,7 @@
 	GangFailures []GangFailure `cbor:"3,keyasint,omitempty"` // of the gangs whose first members are among these tasks
 
 	Placements []TaskPlacement `cbor:"4,keyasint,omitempty"` // of the active ones among these tasks
+	Confirmed  []ConfirmedRun  `cbor:"5,keyasint,omitempty"` // the same
 }
 
 // TaskRange is the stored progress of successive tasks of one occurrence.
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -450,11 +450,13 @@
 	var starts []Command
 	for _, r := range b.starts {
 		t := r.task
-		if t.phase != placed || t.run != r.run {
+		if !t.awaitsSend() || t.run != r.run {
 			continue
 		}
 		ticketValue, _ := p.adviceOf(t).ticketFor(t.vm, p.now.Steady)
 		t.phase = starting
+		t.late.calls++
+		t.late.repeatDue = false
 		t.since = p.now.Steady
 		p.stats.Starts++
 		p.logStart(t)
@@ -469,12 +471,11 @@
 func (p *Pool) withdrawStarts(starts []startRecord) {
 	for _, r := range starts {
 		t := r.task
-		if t.phase != placed || t.run != r.run {
+		if !t.awaitsSend() || t.run != r.run {
 			continue
 		}
 		if _, hasTicket := p.adviceOf(t).ticketFor(t.vm, p.now.Steady); !hasTicket || !p.stillAllowed(t) {
-			p.endRun(t, waiting)
-			p.dissolveGang(t)
+			p.withdrawStart(t)
 		}
 	}
 }
--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -118,6 +118,7 @@
 			continue
 		}
 		t.blame = notBlamed // the run is counted once, below
+		t.late = lateStart{}
 		p.markLost(t, "its machine has restarted")
 	}
 	if planned {
--- a/sched/pool/gang_checkpoint_test.go
+++ b/sched/pool/gang_checkpoint_test.go
@@ -58,7 +58,8 @@
 					h.takeover()
 				}
 				starts := map[string]string{} // by task: checkpoint
-				for range 20 {
+				// The next owner cannot tell starts that were not sent from those that are carried out late.
+				for range int((orderDelay + 6*time.Second) / (300 * time.Millisecond)) {
 					h.renewAll()
 					for _, c := range h.commit() {
 						starts[c.Task] = c.Checkpoint
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -28,12 +28,14 @@
 	testLease = 5 * time.Second
 	// leaseBound is the longest time that a lease can last, whatever the worker's clock does.
 	leaseBound = testLease + 120*time.Millisecond
+	orderDelay = 12 * time.Second // by which a worker carries out an order without an answer late, at most
 )
 
 func testSettings() pool.Settings {
 	return pool.Settings{
 		Pool: testPool, Lease: testLease, LeaseBound: leaseBound, MaxLeaseBound: leaseBound,
-		StopGrace: 900 * time.Millisecond, StatusRetention: 150 * time.Second,
+		OrderDelayBound: orderDelay,
+		StopGrace:       900 * time.Millisecond, StatusRetention: 150 * time.Second,
 	}
 }
 
--- a/sched/pool/incarnation_test.go
+++ b/sched/pool/incarnation_test.go
@@ -10,14 +10,7 @@
 
 // nextIncarnation starts a new incarnation of a worker under its id. The renewal that was
 // waiting fails; the worker's row or its next listing tells of the restart.
-//
-// A late start of a run that the scheduler has given up is dropped: it has started the task
-// elsewhere, or will, on the word of the earlier incarnation. The protocol lets the next
-// incarnation carry such a start out: an open fault, which this model leaves out.
 func (h *harness) nextIncarnation(worker *worker) {
-	h.late = slices.DeleteFunc(h.late, func(o lateOrder) bool {
-		return o.Kind == pool.Start && h.workers[o.VM] == worker && (!h.scheduler.MayRun(o.Task, o.Run) || worker.heldListing != nil && worker.refuses(o))
-	})
 	h.loseRuns(worker)
 	h.dropUnrecordedEnds(worker)
 	worker.vm.StartedMS++
@@ -30,8 +23,10 @@
 // lateOrder is an order without an answer, which its worker may carry out later.
 type lateOrder struct {
 	pool.Command
-	token    int64
-	deadline time.Duration // starts only: end of the lease, before which the start arrives
+	token     int64
+	startedMS int64         // starts only: incarnation on whose clock the deadline is
+	deadline  time.Duration // starts only: end of the lease on that clock
+	sentAt    time.Duration
 }
 
 // loseStart leaves a start without an answer.
@@ -40,16 +35,21 @@
 	h.grant(worker)
 	h.setbacks[c.Task]++
 	h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
-	return lateOrder{c, h.token(worker), h.now.Steady + testLease}
+	return lateOrder{c, h.token(worker), worker.vm.StartedMS, h.now.Steady + testLease, h.now.Steady}
 }
 
 // carryOutLate lets the present incarnation of a worker carry out an order that had no
-// answer, unless it has seen a higher token. It fails the test if that starts a run while
-// another run of the task is on a VM.
+// answer, unless it has seen a higher token or the order is older than any that is carried out.
+// It fails the test if that starts a run while another run of the task is on a VM. The clock of a
+// later incarnation began anew, so that the deadline is far ahead there.
 func (h *harness) carryOutLate(o lateOrder) {
 	worker := h.workers[o.VM]
+	if worker != nil && worker.vm.StartedMS != o.startedMS {
+		o.deadline = h.now.Steady + testLease
+	}
 	switch {
-	case worker == nil || worker.down || o.Kind == pool.Start && h.now.Steady >= o.deadline || !worker.admits(o.token):
+	case worker == nil || worker.down || h.now.Steady > o.sentAt+orderDelay:
+	case o.Kind == pool.Start && h.now.Steady >= o.deadline || !worker.admits(o.token):
 	case o.Kind == pool.Start:
 		h.start(worker, o.Command, o.deadline)
 	case o.Kind == pool.Stop:
@@ -59,11 +59,6 @@
 	}
 }
 
-// refuses reports whether a worker would refuse a start, whatever its deadline.
-func (w *worker) refuses(o lateOrder) bool {
-	return o.token < w.token || o.Run <= w.highestEndedRun[o.Task]
-}
-
 // answer is the answer to an order, which arrives later.
 type answer struct {
 	pool.Command
--- /dev/null
+++ b/sched/pool/latestart.go
@@ -0,0 +1,113 @@
+package pool
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// maxStartCalls is the largest number of calls with which the start of a run is tried on its VM.
+const maxStartCalls = 3
+
+// lateStart tells which calls that start a run had no answer. A VM may carry such a call out
+// later, and so may each of its next incarnations, which know neither a stop nor a fencing token
+// of before. Until then, the task starts on no other VM: what one incarnation answers proves
+// nothing for the next.
+type lateStart struct {
+	until     time.Duration // time until which a call may be carried out, on the steady clock; 0 if all have been
+	leaseEnd  time.Duration // time by which the lease of a run that such a call begins has ended, if its VM does not answer
+	calls     int           // calls that were sent, with and without an answer
+	repeatDue bool          // another call is sent once its record is durable
+}
+
+// open reports whether a call may still be carried out after a time on the steady clock.
+func (l *lateStart) open(at time.Duration) bool { return at <= l.until }
+
+// noteUnanswered records that a call which starts the newest run of t, and ends by callEnd, has no
+// answer.
+func (p *Pool) noteUnanswered(t *task, callEnd time.Duration) {
+	t.late.until = max(t.late.until, callEnd+p.settings.OrderDelayBound)
+	t.late.leaseEnd = t.late.until + p.settings.MaxLeaseBound
+}
+
+// noteCarriedOut records that a call which starts the newest run of t has been carried out. If it
+// was the only one, none is left that a later incarnation may carry out.
+func (t *task) noteCarriedOut() {
+	if t.late.calls > 1 {
+		return
+	}
+	t.late = lateStart{calls: t.late.calls}
+	t.confirmed = true
+	if t.spec().LongRunning {
+		t.markDirty() // for a later owner: nothing else may change for as long as the run lasts
+	}
+}
+
+// inheritStart derives from the row of t, which an earlier owner has recorded, which calls may be
+// left.
+func (p *Pool) inheritStart(t *task) {
+	if t.confirmed {
+		return
+	}
+	placedAt := p.now.Steady
+	if t.recorded {
+		placedAt = t.recordedAt
+	}
+	p.noteUnanswered(t, placedAt+p.settings.StartDelayBound)
+	t.late.calls = 1
+	if t.spec().LongRunning {
+		t.late.calls = maxStartCalls - 1 // it may have been repeated
+	}
+}
+
+// awaitStart handles a run that a complete listing of its VM does not show while a call may still
+// begin it. Tasks that last start again on the same VM, where a late call finds the run. Others
+// wait: a late call that a later incarnation carries out after the end would start the work again.
+func (p *Pool) awaitStart(t *task) {
+	v := t.vm
+	switch {
+	case t.phase == running:
+		p.log.Info("run_not_listed", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", v.ID), zap.Int64("incarnation", v.StartedMS))
+		t.phase = unconfirmed
+		t.since = p.now.Steady
+	case p.mayRepeatStart(t):
+		t.late.repeatDue = true
+		t.markDirty()
+	case (t.spec().Gang || !p.stillAllowed(t)) && t.stopAnsweredAt == 0 && (t.stopSentAt == 0 || p.now.Steady-t.stopSentAt > stopRetryInterval):
+		p.sendStop(t, "start had no answer")
+	}
+}
+
+// mayRepeatStart reports whether the start of t, which had no answer, may be sent to its VM again.
+func (p *Pool) mayRepeatStart(t *task) bool {
+	s := t.spec()
+	return s.LongRunning && !s.Gang && !t.late.repeatDue && t.late.calls < maxStartCalls && t.stopSentAt == 0 &&
+		p.stillAllowed(t) && p.now.Steady >= t.vm.noStartsUntil
+}
+
+// awaitsSend reports whether a start of the newest run of t is to be sent once its record is
+// durable.
+func (t *task) awaitsSend() bool {
+	return t.phase == placed || t.phase == unconfirmed && t.late.repeatDue
+}
+
+// withdrawStart takes back a start that was not sent.
+func (p *Pool) withdrawStart(t *task) {
+	if t.late.repeatDue {
+		t.late.repeatDue = false // an earlier call may be carried out
+		return
+	}
+	p.endRun(t, waiting)
+	p.dissolveGang(t)
+}
+
+// keepOpenStart keeps a run whose repeated start was refused on its VM while an earlier call may
+// be carried out. It reports whether one may.
+func (p *Pool) keepOpenStart(t *task, at time.Duration) bool {
+	if !t.late.open(p.now.Steady) {
+		return false
+	}
+	t.phase = unconfirmed
+	t.since = at
+	return true
+}
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -242,6 +242,7 @@
 				zap.Bool("inherited", t.inherited), zap.Duration("after", l.At-t.since), zap.Bool("stopped", t.stopSentAt > 0))
 		}
 		p.confirm(t, l.At)
+		t.noteCarriedOut()
 	}
 	if r.Checkpoint != "" && r.Checkpoint != t.listedCheckpoint {
 		// Not recorded: the end of the run lists the checkpoint again, and the loss
@@ -317,6 +318,10 @@
 			continue
 		}
 		switch {
+		case (t.phase == running || t.phase == unconfirmed) && t.late.open(l.SentAt) && !t.occ.job.state.Final():
+			if l.SentAt > t.since {
+				p.awaitStart(t)
+			}
 		case t.phase == running && l.SentAt > t.since:
 			p.markLost(t, "no longer listed")
 		case t.phase == unconfirmed && t.inherited:
@@ -351,12 +356,17 @@
 	case StartAccepted:
 		p.recordStartTime(at - t.placedAt)
 		p.confirm(t, at)
+		t.noteCarriedOut()
 	case StartUnconfirmed:
+		p.noteUnanswered(t, at)
 		t.phase = unconfirmed
 		t.since = at
 		p.loseContact(v)
 		v.noStartsUntil = p.now.Steady + unansweredBackoff
 	case StartOtherIncarnation:
+		if p.keepOpenStart(t, at) {
+			return
+		}
 		p.endRun(t, waiting)
 		p.dissolveGang(t)
 		v.noStartsUntil = p.now.Steady + unansweredBackoff
@@ -380,8 +390,10 @@
 	if result == StartNoTicket {
 		p.dropTicket(t, v)
 	}
-	p.endRun(t, waiting)
-	p.dissolveGang(t)
+	if !p.keepOpenStart(t, p.now.Steady) {
+		p.endRun(t, waiting)
+		p.dissolveGang(t)
+	}
 	pause := refusedBackoff
 	if result == StartUnhealthy {
 		pause = unansweredBackoff
--- a/sched/pool/orphan_test.go
+++ b/sched/pool/orphan_test.go
@@ -8,9 +8,15 @@
 )
 
 // leaveOrphan brings about an orphan run on VM "a", the only one, and returns its worker and
-// the job, whose only task waits. The start of the run has no answer and is settled by a stop,
-// so that the task waits again; the next incarnation of the worker carries the start out.
+// the job, whose only task waits. The start of the run has no answer and is given up once it can
+// no longer be carried out; the next incarnation of the worker carries it out nevertheless.
 func (h *harness) leaveOrphan() (*worker, *job.Spec) {
+	return h.leaveLateStart(orderDelay + time.Second)
+}
+
+// leaveLateStart lets the next incarnation of VM "a", the only one, carry a start out that had no
+// answer, a time after that. It returns its worker and the job with the only task.
+func (h *harness) leaveLateStart(after time.Duration) (*worker, *job.Spec) {
 	a := h.addVM("a", 8000)
 	for range 24 { // until the leases of earlier owners have ended
 		h.advance(500 * time.Millisecond)
@@ -23,13 +29,16 @@
 		h.t.Fatalf("%d starts, want 1", len(starts))
 	}
 	late := h.loseStart(starts[0])
-	for range 2 { // a stop, and the listing after its answer
-		h.advance(100 * time.Millisecond)
-		h.renew("a")
-		h.cycle()
-	}
+	late.sentAt += after // no worker should carry out an older one
+	h.advance(after)
+	h.advance(100 * time.Millisecond)
+	h.renew("a")
+	h.cycle() // a stop, unless the start may still be carried out
+	h.advance(100 * time.Millisecond)
+	h.renew("a")
 	h.nextIncarnation(a)
 	h.renew("a") // breaks off
+	h.cycle()
 	h.carryOutLate(late)
 	if h.vmOf(spec.ID+".0.0.0") != "a" {
 		h.t.Fatalf("the start was not carried out")
@@ -177,7 +186,7 @@
 // owner of it.
 func TestOrphanThatALaterOwnerHasNotSeen(t *testing.T) {
 	h := newHarness(t)
-	a, spec := h.leaveOrphan()
+	a, spec := h.leaveLateStart(0)
 	h.addVM("b", 8000)
 	h.listOrphan(a)
 	h.cycle()
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -225,6 +226,7 @@
 	weightPack    = 2.0  // long-running tasks on the VM
 	weightHealth  = 6.0  // penalty for failed runs on the VM since its last success
 	weightFailed  = 10.0 // penalty for failed runs of the task on the VM
+	weightGivenUp = 10.0 // penalty if a run of the task was given up on the VM: it may leave calls unanswered
 	weightCrash   = 20.0 // penalty for each task on the VM if the new one is likely to crash it
 )
 
@@ -265,6 +267,9 @@
 	if t.history.failedOn[v.ID] {
 		score -= weightFailed
 	}
+	if slices.Contains(t.givenUpOn, v.ID) {
+		score -= weightGivenUp
+	}
 	score -= weightHealth * v.health.failureScore()
 	return score
 }
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -341,7 +341,11 @@
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame, t.lostOn = 0, 0, false, notBlamed, ""
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
 	t.throttleSentAt, t.throttleLateUntil = 0, 0
-	t.recorded, t.recordedAt, t.inheritedUntil = false, 0, 0
+	t.recorded, t.recordedAt, t.inheritedUntil, t.confirmed = false, 0, 0, false
+	if t.late.calls <= 1 || next != waiting || !t.late.open(p.now.Steady) {
+		t.late = lateStart{} // the call has been carried out, or cannot be any more
+	}
+	t.late.repeatDue = false
 	t.markDirty()
 }
 
@@ -442,6 +446,9 @@
 	for t := range v.tasks {
 		if t.phase == starting || t.phase == unconfirmed {
 			// The start may still reach the new incarnation.
+			if t.phase == starting {
+				p.noteUnanswered(t, p.now.Steady+p.settings.StartDelayBound)
+			}
 			t.phase = unconfirmed
 			t.since = p.now.Steady
 			t.inherited = false
--- a/sched/pool/pool_test.go
+++ b/sched/pool/pool_test.go
@@ -108,7 +108,8 @@
 }
 
 // Guards against a task that runs twice: an unconfirmed start may still begin, so
-// the run must be stopped before the task starts elsewhere.
+// the task starts elsewhere only once it can no longer be carried out late, and the run must be
+// stopped before.
 func TestUnconfirmedStartIsStoppedFirst(t *testing.T) {
 	h := newHarness(t)
 	a := h.addVM("a", 8000)
@@ -121,6 +122,12 @@
 	}
 	h.scheduler.Started(starts[0], pool.StartUnconfirmed, h.now.Steady)
 	h.addVM("b", 8000)
+	for end := h.now.Steady + orderDelay; h.now.Steady < end; h.advance(10 * time.Millisecond) {
+		h.renewAll()
+		if more := h.commit(); len(more) != 0 {
+			t.Fatal("the task started elsewhere while its unconfirmed start could be carried out")
+		}
+	}
 	h.advance(10 * time.Millisecond)
 	h.renewAll()
 	stops := h.scheduler.Commands()
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -175,7 +175,7 @@
 		case fate == 1 && c.Kind == pool.Start: // may be carried out later
 			h.late = append(h.late, h.loseStart(c))
 		case fate == 1:
-			h.late = append(h.late, lateOrder{Command: c, token: h.token(worker)})
+			h.late = append(h.late, lateOrder{Command: c, token: h.token(worker), sentAt: h.now.Steady})
 			h.scheduler.Stopped(c, false, h.now.Steady)
 		case fate == 2 && !worker.down:
 			h.executeWithSlowAnswer(worker, c)
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -112,7 +112,7 @@
 // addStarts adds the starts of the tasks that have been placed.
 func (b *Batch) addStarts(tasks []*task) {
 	for _, t := range tasks {
-		if t.phase == placed {
+		if t.awaitsSend() {
 			b.starts = append(b.starts, startRecord{t, t.run})
 		}
 	}
@@ -168,7 +168,7 @@
 	if len(j.parts.dirty) > 0 {
 		// The ends of the steps before them may be in the parts that are left.
 		for _, t := range placedLater {
-			if t.phase == placed {
+			if t.awaitsSend() {
 				t.markDirty()
 			}
 		}
@@ -241,6 +241,9 @@
 		if placement, ok := p.storedPlacement(t); ok {
 			part.Placements = append(part.Placements, placement)
 		}
+		if t.active() && t.confirmed {
+			part.Confirmed = append(part.Confirmed, job.ConfirmedRun{Occurrence: t.occ.number, Task: t.position})
+		}
 		if i == 0 || tasks[i-1].occ != t.occ {
 			part.Ranges = append(part.Ranges, job.TaskRange{Occurrence: t.occ.number, First: t.position})
 		}
@@ -286,6 +289,9 @@
 				if placement, ok := p.storedPlacement(t); ok {
 					r.Placements = append(r.Placements, placement)
 				}
+				if t.active() && t.confirmed {
+					r.Confirmed = append(r.Confirmed, job.ConfirmedRun{Occurrence: t.occ.number, Task: t.position})
+				}
 				if c, ok := t.storedCrashes(); ok {
 					r.Crashes = append(r.Crashes, c)
 				}
@@ -320,7 +326,7 @@
 // storedPlacement returns when the newest run of t was placed as the progress row holds it. The
 // result is false if there is no run, or if an earlier build has recorded it.
 func (p *Pool) storedPlacement(t *task) (job.TaskPlacement, bool) {
-	if t.phase == placed {
+	if t.awaitsSend() {
 		t.recorded, t.recordedAt = true, p.now.Steady
 	}
 	at := (t.recordedAt + p.serviceClockOffset).Milliseconds() + 1 // rounded up
@@ -425,10 +431,12 @@
 	crashes map[int]job.TaskCrashes // by position of the task
 	failed  map[int]int             // newest failed run of a gang, by position of its first member
 	placed  map[int]int64           // by position of the task: job.TaskPlacement.AtMS
+
+	confirmed map[int]bool // by position of the task: the start of its newest run has been carried out
 }
 
 func newStoredOccurrence(number, tasks int) storedOccurrence {
-	return storedOccurrence{Number: number, tasks: make([]job.Task, tasks), crashes: map[int]job.TaskCrashes{}, failed: map[int]int{}, placed: map[int]int64{}}
+	return storedOccurrence{Number: number, tasks: make([]job.Task, tasks), crashes: map[int]job.TaskCrashes{}, failed: map[int]int{}, placed: map[int]int64{}, confirmed: map[int]bool{}}
 }
 
 // mergeParts returns the stored progress of the open occurrences, in order. Parts are
@@ -466,6 +474,9 @@
 	for _, placement := range progress.Placements {
 		find(placement.Occurrence).placed[placement.Task] = placement.AtMS
 	}
+	for _, run := range progress.Confirmed {
+		find(run.Occurrence).confirmed[run.Task] = true
+	}
 	for _, part := range progress.Parts {
 		for _, r := range part.Ranges {
 			o := find(r.Occurrence)
@@ -477,6 +488,7 @@
 				delete(o.crashes, r.First+i)
 				delete(o.failed, r.First+i)
 				delete(o.placed, r.First+i)
+				delete(o.confirmed, r.First+i)
 			}
 		}
 		for _, c := range part.Crashes {
@@ -488,6 +500,9 @@
 		for _, placement := range part.Placements {
 			find(placement.Occurrence).placed[placement.Task] = placement.AtMS
 		}
+		for _, run := range part.Confirmed {
+			find(run.Occurrence).confirmed[run.Task] = true
+		}
 	}
 	return open
 }
@@ -495,7 +510,7 @@
 func (p *Pool) restoreTasks(o *occurrence, stored storedOccurrence) {
 	for _, step := range o.tasks {
 		for _, t := range step {
-			p.restoreTask(t, stored.tasks[t.position], stored.placed[t.position])
+			p.restoreTask(t, stored.tasks[t.position], stored.placed[t.position], stored.confirmed[t.position])
 			if t.leader() == t {
 				t.history.failures, t.history.lastRun = stored.tasks[t.position].Failures, stored.failed[t.position]
 			}
@@ -506,8 +521,8 @@
 }
 
 // restoreTask restores the stored state of a task. placedMS is when its newest run was placed,
-// as in job.TaskPlacement; 0 if unknown.
-func (p *Pool) restoreTask(t *task, s job.Task, placedMS int64) {
+// as in job.TaskPlacement; 0 if unknown. confirmed tells that its start has been carried out.
+func (p *Pool) restoreTask(t *task, s job.Task, placedMS int64, confirmed bool) {
 	t.run, t.restored = s.Run, s.Run > 0
 	if t.history.checkpoint == "" { // of the first member that has one; each is valid for all
 		t.history.checkpoint = s.Checkpoint
@@ -526,6 +541,8 @@
 		if placedMS > 0 {
 			t.recorded, t.recordedAt = true, p.localTimeBound(placedMS)
 		}
+		t.confirmed = confirmed
+		p.inheritStart(t)
 		t.inheritedUntil = p.inheritedLeaseEnd(t)
 		t.throttlePercent = unknownThrottle
 		t.since = p.now.Steady
--- a/sched/pool/refused.go
+++ b/sched/pool/refused.go
@@ -112,6 +112,7 @@
 				if t.phase == placed { // the start depends on the record
 					p.endRun(t, waiting)
 				}
+				t.late.repeatDue = false
 			}
 		}
 	}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -46,6 +46,8 @@
 	stopSentAt       time.Duration // 0 if no stop was sent for the newest run
 	stopAnsweredAt   time.Duration // 0 if no stop was answered
 	inherited        bool          // the newest run was started by an earlier owner
+	late             lateStart     // of the newest run
+	confirmed        bool          // the start of the newest run has been carried out, and no call of it is left
 	blame            blame         // for a restart of its VM under its id, if the run turns out to be lost
 	lostOn           string        // id of the VM on which the newest run was given up; empty if it was not. The VM may leave and come back
 	givenUpOn        []string      // ids of the VMs on which runs were given up by this owner
@@ -210,9 +212,9 @@
 		return t.inheritedUntil // the VM has no leases of this owner
 	}
 	if t.phase == starting || t.phase == unconfirmed {
-		return v.unconfirmedUntil()
+		return max(v.unconfirmedUntil(), t.late.leaseEnd)
 	}
-	return v.confirmedUntil()
+	return max(v.confirmedUntil(), t.late.leaseEnd)
 }
 
 // inheritedLeaseEnd returns the time by which the lease of a run of an earlier owner has ended
@@ -226,9 +228,10 @@
 	case p.storedLeaseBounds[t.vm.ID]:
 		return t.vm.leaseUntil
 	case !t.recorded:
-		return s.InheritedLeaseBound
+		return max(s.InheritedLeaseBound, t.late.leaseEnd)
 	}
-	return min(s.InheritedLeaseBound, max(s.InheritedConfirmedBound, t.recordedAt+s.StartDelayBound+s.FormerClockBound))
+	bound := max(s.InheritedConfirmedBound, t.recordedAt+s.StartDelayBound+s.FormerClockBound)
+	return max(min(s.InheritedLeaseBound, bound), t.late.leaseEnd)
 }
 
 // boundEarlierLeases bounds the leases that earlier owners have granted on v, which answers
