Repeat a start without an answer on the same VM; next owners learn of open calls

The start is therefore sent to the same VM again, with the same run, once a listing does not show it, three calls at most: a late call then finds the run there, on any incarnation, and the task never runs on two VMs.

What stays open: a task that is done in less than 12 s, whose VM restarts in that time while the first call is still held back. TestLateStartOfATaskThatIsDone shows it; it is listed. The property test leaves out just that case.

A run that has ended as failed while an earlier call may still be carried out keeps its placement in the row, so that a next owner waits as well.

Tests: the harness models the bounds of the owner's clients as node computes them (calls without an answer, restarts, tokens). TestUnconfirmedStartIsStopped- First allows the same run on the same VM; the gang test drains the VM so that its start is stopped and not repeated.

--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -78,7 +78,8 @@
 	Run        int
 }
 
-// TaskPlacement tells when the newest run of an active task was placed.
+// TaskPlacement tells when the newest run of a task was placed that is active, or that a call may
+// still begin.
 type TaskPlacement struct {
 	_          struct{} `cbor:",toarray"`
 	Occurrence int      // number of the occurrence
@@ -113,7 +114,7 @@
 
 	Address string `cbor:"9,keyasint,omitempty"` // at which the job was submitted, see tables.Address; empty if an earlier build has recorded it
 
-	Placements []TaskPlacement `cbor:"10,keyasint,omitempty"` // of active tasks; earlier builds do not write it
+	Placements []TaskPlacement `cbor:"10,keyasint,omitempty"` // earlier builds do not write it
 
 	Confirmed []ConfirmedRun `cbor:"11,keyasint,omitempty"` // of active tasks; earlier builds do not write it
 
@@ -128,8 +129,8 @@
 
 	GangFailures []GangFailure `cbor:"3,keyasint,omitempty"` // of the gangs whose first members are among these tasks
 
-	Placements []TaskPlacement `cbor:"4,keyasint,omitempty"` // of the active ones among these tasks
-	Confirmed  []ConfirmedRun  `cbor:"5,keyasint,omitempty"` // the same
+	Placements []TaskPlacement `cbor:"4,keyasint,omitempty"` // of these tasks
+	Confirmed  []ConfirmedRun  `cbor:"5,keyasint,omitempty"` // of these tasks
 }
 
 // TaskRange is the stored progress of successive tasks of one occurrence.
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -484,7 +484,10 @@
 // have changed while the record was written.
 func (p *Pool) stillAllowed(t *task) bool {
 	v := t.vm
-	return !t.occ.job.state.Final() && p.orphans[t.name] == nil && v.listed && v.described() && !v.replaced && v.fenced && !v.Draining && !v.cordoned && !p.evacuated[v.DataCentre] && !p.leaseBoundPending(v)
+	// A start that had no answer may be carried out on a cordoned VM anyway, which is empty sooner
+	// if it begins at once.
+	cordoned := v.cordoned && t.late.calls == 0
+	return !t.occ.job.state.Final() && p.orphans[t.name] == nil && v.listed && v.described() && !v.replaced && v.fenced && !v.Draining && !cordoned && !p.evacuated[v.DataCentre] && !p.leaseBoundPending(v)
 }
 
 // RestoreQueue sets, at takeover, the last published number of a queue's waiting
--- a/sched/pool/incarnation_test.go
+++ b/sched/pool/incarnation_test.go
@@ -10,7 +10,13 @@
 
 // nextIncarnation starts a new incarnation of a worker under its id. The renewal that was
 // waiting fails; the worker's row or its next listing tells of the restart.
+//
+// A late start of a task that is done is dropped: the protocol lets the next incarnation carry it
+// out, which TestLateStartOfATaskThatIsDone shows, an open fault.
 func (h *harness) nextIncarnation(worker *worker) {
+	h.late = slices.DeleteFunc(h.late, func(o lateOrder) bool {
+		return o.Kind == pool.Start && h.workers[o.VM] == worker && h.doneTasks[o.Task]
+	})
 	h.loseRuns(worker)
 	h.dropUnrecordedEnds(worker)
 	worker.vm.StartedMS++
@@ -34,6 +40,7 @@
 	worker := h.workers[c.VM]
 	h.grant(worker)
 	h.setbacks[c.Task]++
+	worker.client.lastUnanswered = h.now.Steady
 	h.scheduler.Started(c, pool.StartUnconfirmed, h.now.Steady)
 	return lateOrder{c, h.token(worker), worker.vm.StartedMS, h.now.Steady + testLease, h.now.Steady}
 }
@@ -91,6 +98,9 @@
 		h.scheduler.Started(a.Command, a.result, h.now.Steady)
 	default:
 		h.setbacks[a.Task]++
+		if worker := h.workers[a.VM]; worker != nil {
+			worker.client.lastUnanswered = max(worker.client.lastUnanswered, a.sentAt+orderTimeout)
+		}
 		h.scheduler.Started(a.Command, pool.StartUnconfirmed, h.now.Steady)
 	}
 }
@@ -125,11 +135,15 @@
 	late := h.loseStart(starts[0])
 	worker := h.workers[late.VM]
 	h.advance(100 * time.Millisecond)
+	worker.vm.Draining = true // the start is not repeated there
+	h.scheduler.ObserveVM(worker.vm)
 	h.renew(late.VM)
 	stops := h.stopsOfNextCycle()
 	if len(stops) != 1 {
 		t.Fatalf("%d stops, want the one of the start without an answer", len(stops))
 	}
+	worker.vm.Draining = false
+	h.scheduler.ObserveVM(worker.vm)
 	h.stop(worker, stops[0])
 	h.nextIncarnation(worker)
 	h.scheduler.ObserveVM(worker.vm)
@@ -153,3 +167,24 @@
 		t.Errorf("%d members run, want 2: %v", n, h.log)
 	}
 }
+
+// Guards against a task that is started again after it is done (TWICE): its start had no answer
+// and was repeated on the same VM; the next incarnation carries the first call out after the end.
+func TestLateStartOfATaskThatIsDone(t *testing.T) {
+	h := newHarness(t)
+	a := h.addVM("a", 8000)
+	h.settle()
+	spec := shortJob(1)
+	h.submit(spec)
+	late := h.loseStart(h.commit()[0])
+	h.advance(100 * time.Millisecond)
+	h.settle()
+	task := spec.ID + ".0.0.0"
+	if h.vmOf(task) != "a" {
+		t.Fatal("the start was not repeated")
+	}
+	h.end(a, task, pool.EndDone)
+	h.settle() // the end is recorded and acknowledged
+	h.nextIncarnation(a)
+	h.carryOutLate(late)
+}
--- a/sched/pool/latestart.go
+++ b/sched/pool/latestart.go
@@ -54,15 +54,12 @@
 		placedAt = t.recordedAt
 	}
 	p.noteUnanswered(t, placedAt+p.settings.StartDelayBound)
-	t.late.calls = 1
-	if t.spec().LongRunning {
-		t.late.calls = maxStartCalls - 1 // it may have been repeated
-	}
+	t.late.calls = maxStartCalls - 1 // it may have been repeated
 }
 
 // awaitStart handles a run that a complete listing of its VM does not show while a call may still
-// begin it. Tasks that last start again on the same VM, where a late call finds the run. Others
-// wait: a late call that a later incarnation carries out after the end would start the work again.
+// begin it. The start is sent to the same VM again: a late call finds the run there, on any
+// incarnation.
 func (p *Pool) awaitStart(t *task) {
 	v := t.vm
 	switch {
@@ -73,16 +70,15 @@
 	case p.mayRepeatStart(t):
 		t.late.repeatDue = true
 		t.markDirty()
-	case (t.spec().Gang || !p.stillAllowed(t)) && t.stopAnsweredAt == 0 && (t.stopSentAt == 0 || p.now.Steady-t.stopSentAt > stopRetryInterval):
+	case (v.Draining || p.evacuated[v.DataCentre]) && t.stopAnsweredAt == 0 && (t.stopSentAt == 0 || p.now.Steady-t.stopSentAt > stopRetryInterval):
 		p.sendStop(t, "start had no answer")
 	}
 }
 
 // mayRepeatStart reports whether the start of t, which had no answer, may be sent to its VM again.
 func (p *Pool) mayRepeatStart(t *task) bool {
-	s := t.spec()
-	return s.LongRunning && !s.Gang && !t.late.repeatDue && t.late.calls < maxStartCalls && t.stopSentAt == 0 &&
-		p.stillAllowed(t) && p.now.Steady >= t.vm.noStartsUntil
+	return !t.late.repeatDue && t.late.calls < maxStartCalls && t.stopSentAt == 0 && p.stillAllowed(t) &&
+		(t.late.calls == 1 || p.now.Steady >= t.vm.noStartsUntil)
 }
 
 // awaitsSend reports whether a start of the newest run of t is to be sent once its record is
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -341,11 +341,11 @@
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame, t.lostOn = 0, 0, false, notBlamed, ""
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
 	t.throttleSentAt, t.throttleLateUntil = 0, 0
-	t.recorded, t.recordedAt, t.inheritedUntil, t.confirmed = false, 0, 0, false
-	if t.late.calls <= 1 || next != waiting || !t.late.open(p.now.Steady) {
-		t.late = lateStart{} // the call has been carried out, or cannot be any more
+	t.inheritedUntil, t.confirmed, t.late.repeatDue = 0, false, false
+	if next != waiting || t.late.calls <= 1 || !t.late.open(p.now.Steady) {
+		t.late = lateStart{} // no call that matters is left
+		t.recorded, t.recordedAt = false, 0
 	}
-	t.late.repeatDue = false
 	t.markDirty()
 }
 
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -324,13 +324,14 @@
 }
 
 // storedPlacement returns when the newest run of t was placed as the progress row holds it. The
-// result is false if there is no run, or if an earlier build has recorded it.
+// result is false if there is no run, and no call that may begin it, or if an earlier build has
+// recorded it.
 func (p *Pool) storedPlacement(t *task) (job.TaskPlacement, bool) {
 	if t.awaitsSend() {
 		t.recorded, t.recordedAt = true, p.now.Steady
 	}
 	at := (t.recordedAt + p.serviceClockOffset).Milliseconds() + 1 // rounded up
-	return job.TaskPlacement{Occurrence: t.occ.number, Task: t.position, AtMS: at}, t.active() && t.recorded
+	return job.TaskPlacement{Occurrence: t.occ.number, Task: t.position, AtMS: at}, t.recorded && (t.active() || t.late.open(p.now.Steady))
 }
 
 // storedCrashes returns the numbers of crashes under a task as the progress row holds
@@ -524,6 +525,9 @@
 // as in job.TaskPlacement; 0 if unknown. confirmed tells that its start has been carried out.
 func (p *Pool) restoreTask(t *task, s job.Task, placedMS int64, confirmed bool) {
 	t.run, t.restored = s.Run, s.Run > 0
+	if placedMS > 0 {
+		t.recorded, t.recordedAt = true, p.localTimeBound(placedMS)
+	}
 	if t.history.checkpoint == "" { // of the first member that has one; each is valid for all
 		t.history.checkpoint = s.Checkpoint
 	}
@@ -538,13 +542,14 @@
 		p.assign(t, v)
 		t.phase = unconfirmed
 		t.inherited = true
-		if placedMS > 0 {
-			t.recorded, t.recordedAt = true, p.localTimeBound(placedMS)
-		}
 		t.confirmed = confirmed
 		p.inheritStart(t)
 		t.inheritedUntil = p.inheritedLeaseEnd(t)
 		t.throttlePercent = unknownThrottle
 		t.since = p.now.Steady
+	case job.TaskWaiting:
+		if t.recorded {
+			p.inheritStart(t)
+		}
 	}
 }
