End runs on VMs that have left the inventory

Cause: a pool's owner asks VMs and reads discovery only. A VM that is lost for good and one that is cut off are both silent.

Change: while a silent VM may have runs, the owner reads the inventory once a second. Two complete lists, requested 1 s apart and after the VM's last answer, that do not list its machine, or list it with another VM, end its runs (vm_ended). An entry without a VM, a list that was not read to its end and an empty one prove nothing. Runs count as crashes once the machine is back, as after the end of a lease; a VM that was drained counts none.

The tests fail without the change ("the task runs on "", want b").

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -73,6 +73,7 @@
 	arrivals    *arrivals
 	expiry      requestExpiry
 	movedQueues *movedQueues
+	inventory   inventoryReader
 
 	commitResults    chan commitResult
 	lastCommitSentAt time.Duration // steady clock
@@ -303,6 +304,7 @@
 	}
 	r.caps.applyTo(r.pool)
 	r.updateServiceClock()
+	r.inventory.request(ctx, r, now.Steady)
 	r.deleteExpiredRequests(ctx, now.Steady)
 	r.passOnGrants()
 	r.suspendGrants()
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -267,6 +267,8 @@
 	store *unreachableStore // of the first owner
 	entry *Node             // that owns the pool
 
+	inventory *listedMachines // of the next owners; shows both VMs as up
+
 	ctx     context.Context // of the owners
 	stop    func()
 	running sync.WaitGroup
@@ -279,7 +281,8 @@
 
 func newRestartFixture(t *testing.T) *restartFixture {
 	mem, clock := memstore.New(), bubbleClock{time.Now()}
-	f := &restartFixture{t: t, mem: mem, clock: clock, vms: newRestartingVMs(clock, "vm1:80", "vm2:80"), store: &unreachableStore{cutStore{Store: mem}}}
+	f := &restartFixture{t: t, mem: mem, clock: clock, vms: newRestartingVMs(clock, "vm1:80", "vm2:80"), store: &unreachableStore{cutStore{Store: mem}},
+		inventory: newListedMachines(clock, "vm1", "vm2")}
 	listVM(t, mem, "vm1", "vm1:80")
 	ctx, cancel := context.WithCancel(t.Context())
 	f.ctx = ctx
@@ -297,6 +300,9 @@
 	f.t.Helper()
 	n := newLeaseEntry(f.t, name, s, f.clock, nil)
 	n.workers = f.vms
+	if f.inventory != nil {
+		n.machines = f.inventory
+	}
 	o, err := readOwner(f.t.Context(), n.store, "p")
 	if err != nil {
 		f.t.Fatal(err)
