--- a/sched/pool/ended_test.go
+++ b/sched/pool/ended_test.go
@@ -1,10 +1,13 @@
 package pool_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/pool"
 )
@@ -192,6 +195,37 @@
 	}
 }
 
+// Guards against a VM that leaves renewals unanswered, answers a start between two lists, and
+// counts as ended.
+func TestAnswerToAStartDisprovesTheEnd(t *testing.T) {
+	d := newInventoryDay(t)
+	spec := shortJob(1)
+	d.submit(spec)
+	d.renewAll()
+	starts := d.commit()
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	a := d.workers["a"]
+	d.grant(a)
+	result := d.start(a, starts[0], d.now.Steady+testLease)
+	d.renewalUnanswered(a)
+	d.missing["m-a"] = true
+	d.addVM("b", 8000)
+	d.renew("b")
+	d.scheduler.MachinesListed(d.list(), d.now.Steady)
+	d.advance(500 * time.Millisecond)
+	d.scheduler.Started(starts[0], result, d.now.Steady)
+	d.advance(500 * time.Millisecond)
+	d.scheduler.MachinesListed(d.list(), d.now.Steady)
+	d.renew("b")
+	d.cycle()
+	d.cycle()
+	if on := d.vmOf(starts[0].Task); on != "a" || d.starts != 1 {
+		t.Errorf("the task runs on %q after %d starts, want a and 1", on, d.starts)
+	}
+}
+
 // Guards against the runs of an earlier owner on a VM that has ended for good, which wait for
 // leases that the next owner does not know.
 func TestInheritedRunOfAnEndedVMStartsElsewhereAtOnce(t *testing.T) {
@@ -338,3 +372,66 @@
 		t.Errorf("%d tasks run %v after the loss of all their VMs, want 16", n, endedWithin)
 	}
 }
+
+// Guards against a task that runs twice at a time or is lost because of what lists of machines
+// show, in any mix with the faults of TestAnyMixOfEvents. The lists are up to 0.9 s old, and
+// leave out the VMs of machines that are down.
+func TestAnyMixOfEventsWithLists(t *testing.T) {
+	const maxListAge = 900 * time.Millisecond
+	ended := 0
+	rapid.Check(t, func(t *rapid.T) {
+		d := &inventoryDay{harness: newHarness(t), missing: map[string]bool{}, shows: map[string]string{}}
+		for i := range 3 {
+			d.addVM(fmt.Sprintf("vm%d", i), 4000)
+		}
+		list, listAt := d.list(), d.now.Steady
+		read := func() {
+			if d.now.Steady-listAt > maxListAge || rapid.Bool().Draw(t, "new list") {
+				list, listAt = d.list(), d.now.Steady
+			}
+			before := d.scheduler.Stats().Lost
+			d.scheduler.MachinesListed(list, d.now.Steady)
+			ended += int(d.scheduler.Stats().Lost - before)
+		}
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 8).Draw(t, "event or list") {
+			case 0, 1:
+				read()
+			case 2: // two lists, between which the VMs are asked or not
+				read()
+				if rapid.Bool().Draw(t, "asked") {
+					d.renewAll()
+				}
+				d.advance(time.Duration(rapid.IntRange(700, 1300).Draw(t, "ms")) * time.Millisecond)
+				d.deliverOverdueAnswers()
+				read()
+				d.cycle()
+			case 3: // lost for good; another machine joins
+				w := d.pickWorker(t)
+				machine := w.vm.Machine
+				d.replaceWorker(w, rapid.Bool().Draw(t, "still listed"))
+				for _, next := range d.workers {
+					if next.vm.Machine == machine {
+						next.vm.Machine = "m-" + next.vm.ID
+						d.scheduler.ObserveVM(next.vm)
+					}
+				}
+			case 4:
+				w := d.pickWorker(t)
+				if _, down := d.shows[w.vm.Machine]; down {
+					delete(d.shows, w.vm.Machine)
+				} else {
+					d.shows[w.vm.Machine] = ""
+				}
+			default:
+				d.randomEvent(t)
+				d.deliverOverdueAnswers()
+			}
+		}
+		d.endFaults(t)
+	})
+	if ended == 0 {
+		t.Error("no list has ended a run")
+	}
+	t.Logf("lists have ended %d runs", ended)
+}
