Log answers of VMs that count as ended

An inventory that is wrong would show only as a VM without starts. Now its next answer is logged (vm_answers_after_its_end). No test: it changes nothing but the log.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -31,6 +31,9 @@
 		p.observeRestart(v)
 	}
 	p.forgetLost(v)
+	if v.replaced && v.unanswered {
+		p.log.Warn("vm_answers_after_its_end", zap.String("vm", v.ID), zap.String("machine", v.Machine), zap.Int("running", len(l.Running)))
+	}
 	p.boundEarlierLeases(v, l)
 	v.lastAnswer = l.At
 	v.listingSentAt = l.SentAt
