Log ends as done that an owner does not use

The log showed nothing for the ends that VMs listed when they came back ("vm_fenced ended=5", no run_ended). The line run_end_unused now names the run, the newest run of the task and where runs were given up, for ends as done of tasks that are not done.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -114,6 +114,7 @@
 		t = p.findGivenUpRun(v, e)
 	}
 	if t == nil {
+		p.logUnusedEnd(v, e)
 		return
 	}
 	if p.heldBack[t.occ.job.spec.ID] && v.firstHeldEnd == 0 {
@@ -139,6 +140,16 @@
 	}
 }
 
+// logUnusedEnd logs an end as done that does not count although its task is not done.
+func (p *Pool) logUnusedEnd(v *vm, e RunEnd) {
+	t := p.findTask(e.Task)
+	if t == nil || e.Cause != EndDone || t.phase == done {
+		return
+	}
+	p.log.Info("run_end_unused", zap.String("task", t.name), zap.Int("run", e.Run), zap.String("vm", v.ID), zap.Int64("sequence", e.Sequence),
+		zap.Int("newest_run", t.run), zap.Bool("active", t.active()), zap.Strings("given_up_on", t.givenUpOn), zap.Bool("restored", t.restored))
+}
+
 // setCheckpoint sets the newest checkpoint of a task, or of its gang, and has it recorded.
 func (p *Pool) setCheckpoint(t *task, checkpoint string) {
 	t.history.checkpoint = checkpoint
