--- a/sched/pool/givenup.go
+++ b/sched/pool/givenup.go
@@ -22,11 +22,11 @@
 	if t == nil || t.phase == done || t.run < e.Run {
 		return nil
 	}
-	onRecord := e.Cause == EndDone && (t.restored || slices.Contains(t.givenUpOn, v.ID))
+	doneHere := e.Cause == EndDone && (t.restored || slices.Contains(t.givenUpOn, v.ID))
 	switch {
-	case t.phase == waiting && (onRecord || t.run == e.Run && t.lostOn == v.ID):
+	case t.phase == waiting && (doneHere || t.run == e.Run && t.lostOn == v.ID):
 		return t
-	case t.active() && onRecord && t.run > e.Run && !t.spec().LongRunning:
+	case t.active() && doneHere && t.run > e.Run && !t.spec().LongRunning:
 		return t
 	}
 	return nil
