--- a/sched/pool/ended.go
+++ b/sched/pool/ended.go
@@ -123,6 +123,7 @@
 		p.rememberLost(v, lost)
 	}
 	for _, t := range lost {
+		t.late = lateStart{} // nobody is left to carry a call out
 		p.markLost(t, shown)
 	}
 	if !v.listed && !p.mayHoldRuns(v) {
--- a/sched/pool/latestart.go
+++ b/sched/pool/latestart.go
@@ -107,3 +107,8 @@
 	t.since = at
 	return true
 }
+
+// startsAgain reports whether t starts again once its newest run has ended and is not done.
+func (t *task) startsAgain() bool {
+	return !t.occ.job.state.Final() && !t.history.doneEarlier
+}
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -86,22 +85,6 @@
 	return t
 }
 
-// findGivenUpRun returns the task of an end that v lists if the task waits because the run was
-// given up, and nil otherwise. An earlier owner may have given it up: its record does not tell
-// on which VM, so only an end as done, which cannot have been recorded before, is taken for one.
-// Such an end counts also if later runs were given up or never sent. On a VM that has had no run
-// of the task, it is that of an earlier job with the same id.
-func (p *Pool) findGivenUpRun(v *vm, e RunEnd) *task {
-	t := p.findTask(e.Task)
-	if t == nil || t.phase != waiting || t.run < e.Run {
-		return nil
-	}
-	if e.Cause == EndDone && (t.restored || slices.Contains(t.givenUpOn, v.ID)) || t.run == e.Run && t.lostOn == v.ID {
-		return t
-	}
-	return nil
-}
-
 // handleEnd handles one listed end. It adds the task to listed if the end is that
 // of its newest run.
 func (p *Pool) handleEnd(v *vm, e RunEnd, listed map[*task]bool) {
@@ -130,6 +113,10 @@
 	if e.Checkpoint != "" {
 		p.setCheckpoint(t, e.Checkpoint)
 	}
+	if e.Cause == EndDone && e.Run < t.run && t.newestRunActive() {
+		p.doneByEarlierRun(t, v, e.Sequence)
+		return
+	}
 	counted := e.Cause != EndFailed || t.history.failed(t.run, v.ID)
 	if counted {
 		p.recordOutcome(t, v, e.Cause)
@@ -138,21 +125,20 @@
 	case EndDone:
 		p.taskDone(t)
 	case EndFailed:
-		p.taskFailed(t, counted)
+		p.taskFailed(t, counted && !t.history.doneEarlier)
 	default:
 		p.endRun(t, waiting)
 	}
 }
 
-// logUnusedEnd logs an end as done that changes nothing although the task is not done: the task
-// has been started again, and the work is done twice.
+// logUnusedEnd logs an end as done that does not count although its task is not done.
 func (p *Pool) logUnusedEnd(v *vm, e RunEnd) {
 	t := p.findTask(e.Task)
-	if e.Cause != EndDone || t == nil || t.phase == done || t.spec().LongRunning {
+	if t == nil || e.Cause != EndDone || t.phase == done {
 		return
 	}
-	p.log.Warn("end_not_used", zap.String("task", e.Task), zap.Int("run", e.Run), zap.String("vm", v.ID), zap.Int64("incarnation", v.StartedMS),
-		zap.Int64("sequence", e.Sequence), zap.Int("newest_run", t.run), zap.Bool("runs", t.active()))
+	p.log.Info("run_end_unused", zap.String("task", t.name), zap.Int("run", e.Run), zap.String("vm", v.ID), zap.Int64("sequence", e.Sequence),
+		zap.Int("newest_run", t.run), zap.Bool("active", t.active()), zap.Strings("given_up_on", t.givenUpOn), zap.Bool("restored", t.restored))
 }
 
 // setCheckpoint sets the newest checkpoint of a task, or of its gang, and has it recorded.
@@ -321,7 +307,7 @@
 			continue
 		}
 		switch {
-		case (t.phase == running || t.phase == unconfirmed) && t.late.open(l.SentAt) && !t.occ.job.state.Final():
+		case (t.phase == running || t.phase == unconfirmed) && t.late.open(l.SentAt) && t.startsAgain():
 			if l.SentAt > t.since {
 				p.awaitStart(t)
 			}
