--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -18,9 +18,10 @@
 
 // restartingVM is a worker that starts again under its id and address. The next incarnation
 // knows nothing of the former one and carries out the calls that were meant for it. Its clock
-// is as slow as the protocol allows.
+// is as slow as the protocol allows, unless a test sets it otherwise.
 type restartingVM struct {
 	clock    Clock
+	slow     float64       // by how much its clock is slow
 	bornAt   time.Duration // on clock
 	bornMS   int64         // names the incarnation
 	token    int64
@@ -44,7 +45,12 @@
 }
 
 func (w *restartingVM) clockMS() int64 {
-	return int64(float64((w.clock.Now().Steady - w.bornAt).Milliseconds()) * (1 - clockDrift))
+	return w.clockAt(w.clock.Now().Steady)
+}
+
+// clockAt returns what the worker's clock shows at a time on the steady clock, in ms.
+func (w *restartingVM) clockAt(at time.Duration) int64 {
+	return int64(float64((at - w.bornAt).Milliseconds()) * (1 - w.slow))
 }
 
 // expire ends the runs after the lease.
@@ -103,7 +109,7 @@
 func newRestartingVMs(clock Clock, addresses ...string) *restartingVMs {
 	f := &restartingVMs{clock: clock, vms: map[string]*restartingVM{}}
 	for _, address := range addresses {
-		f.vms[address] = &restartingVM{clock: clock, bornAt: clock.Now().Steady - vmUptime, bornMS: 1, running: map[string]pool.RunState{}, highest: map[string]int{}}
+		f.vms[address] = &restartingVM{clock: clock, slow: clockDrift, bornAt: clock.Now().Steady - vmUptime, bornMS: 1, running: map[string]pool.RunState{}, highest: map[string]int{}}
 	}
 	return f
 }
@@ -294,9 +300,15 @@
 
 // own lets an entry claim the pool and schedule it.
 func (f *restartFixture) own(name string, s store.Store) {
+	f.t.Helper()
+	f.ownWith(name, s, f.vms)
+}
+
+// ownWith is own for an entry that reaches the VMs in its own way.
+func (f *restartFixture) ownWith(name string, s store.Store, workers Workers) {
 	f.t.Helper()
 	n := newLeaseEntry(f.t, name, s, f.clock, nil)
-	n.workers = f.vms
+	n.workers = workers
 	o, err := readOwner(f.t.Context(), n.store, "p")
 	if err != nil {
 		f.t.Fatal(err)
