--- a/node/latecalls_test.go
+++ b/node/latecalls_test.go
@@ -851,6 +851,8 @@
 					workers := playLateCalls(t, seed)
 					mu.Lock()
 					defer mu.Unlock()
+					workers.mu.Lock()
+					defer workers.mu.Unlock()
 					for what, n := range workers.counts {
 						covered[what] += n
 					}
