--- a/node/latecalls_test.go
+++ b/node/latecalls_test.go
@@ -290,6 +290,7 @@
 
 // stop carries out a stop on w. The run may go on for the grace time.
 func (f *lateVMs) stop(w *lateVM, call callRecord, task string, run int, token int64) error {
+	f.count("stops "+call.fate.String(), 1)
 	f.note(w.id, task, "#%d stop of run %d carried out by incarnation %d, refused %v", call.number, run, w.bornMS, token < w.token)
 	if token < w.token {
 		return ErrFenced
@@ -527,8 +528,11 @@
 	client  *Node // takes the jobs in
 }
 
+// ownerName names the owners in their order.
+func ownerName(number int) string { return fmt.Sprintf("o%d", number) }
+
 func (f *lateFixture) ownNext() {
-	l := &lateOwner{lateVMs: f.workers, name: fmt.Sprintf("o%d", len(f.owners)+1), store: &unreachableStore{cutStore{Store: f.mem}}, ended: make(chan struct{})}
+	l := &lateOwner{lateVMs: f.workers, name: ownerName(len(f.owners) + 1), store: &unreachableStore{cutStore{Store: f.mem}}, ended: make(chan struct{})}
 	f.ctx, l.stop = context.WithCancel(f.t.Context())
 	f.ownWith(l.name, l.store, l)
 	f.owners = append(f.owners, l)
@@ -575,7 +579,7 @@
 func (p *latePlan) addFault(w *lateVM, s lateSpan, odds [4]int) {
 	owner := ""
 	if p.chance(15) {
-		owner = fmt.Sprintf("o%d", 1+p.r.IntN(3))
+		owner = ownerName(1 + p.r.IntN(3))
 	}
 	w.faults = append(w.faults, linkFault{s, owner, odds})
 }
@@ -626,9 +630,20 @@
 		wait += takeoverAfter
 	default:
 		back := p.between(0, 8*time.Second)
+		cuts := map[*lateVM]lateSpan{} // the next owner does not reach what this one may still renew
+		for _, w := range p.vms {
+			if p.chance(40) {
+				cuts[w] = p.span(at, p.between(5*time.Second, 15*time.Second))
+			}
+		}
 		p.add(at, "the owner is cut off from the table service", func(f *lateFixture) {
 			l := f.owner()
 			l.store.cut.Store(true)
+			f.workers.mu.Lock()
+			for w, s := range cuts {
+				w.faults = append(w.faults, linkFault{s, ownerName(len(f.owners) + 1), cutOdds})
+			}
+			f.workers.mu.Unlock()
 			time.AfterFunc(takeoverAfter+time.Second+back, func() { l.store.cut.Store(false) })
 		})
 		wait += takeoverAfter
@@ -703,7 +718,7 @@
 		p.vms = append(p.vms, w)
 	}
 	anyVM := func() *lateVM { return p.vms[p.r.IntN(len(p.vms))] }
-	for range 1 + p.r.IntN(2) {
+	for range 1 + p.r.IntN(3) {
 		p.addJob(p.between(0, 2*time.Second), p.chance(70))
 	}
 	for range 1 + p.r.IntN(3) {
@@ -721,7 +736,7 @@
 	for range p.r.IntN(2) {
 		p.addOwnerChange(p.between(3*time.Second, 35*time.Second))
 	}
-	for range p.r.IntN(2) {
+	for range p.r.IntN(3) {
 		p.addJob(p.between(3*time.Second, 38*time.Second), p.chance(50))
 	}
 	if p.chance(35) {
