Acknowledge the end of a run only once no call can begin it again

Cause: a start without an answer is repeated on its VM, and the run ends as done while the first call is still held back. The worker restarts, has forgotten the end, and carries the call out. An end counts once it is acknowledged.

A worker that restarts before has not had its end acknowledged. Renewals of such a VM are sent every 150 ms, as it answers them at once. The clients are told apart which ends are recorded and which may be acknowledged.

The property test leaves out late starts of runs whose end as done is not acknowledged, and no others.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -354,7 +354,7 @@
 	r.node.metrics.setPoolStats(r.name, r.pool.Stats())
 	for _, vm := range r.pool.RenewalTargets() {
 		if v := r.vmClients[vm.ID]; v != nil {
-			v.setAcknowledged(vm.StartedMS, vm.AcknowledgedEnds)
+			v.setAcknowledged(vm.StartedMS, vm.AcknowledgedEnds, vm.RecordedEnds)
 			if vm.ExtendLeases {
 				v.resumeGrants()
 			}
--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -23,6 +23,9 @@
 	// renewPause lets ends of runs accumulate before the next renewal; it
 	// bounds the calls to a busy worker at 25 a second.
 	renewPause = 40 * time.Millisecond
+	// heldEndsPause is the pause after a renewal that has listed ends which are not acknowledged
+	// yet: the worker answers the next one at once.
+	heldEndsPause = 150 * time.Millisecond
 	// renewRetryPause is the pause after a renewal without an answer.
 	renewRetryPause = 200 * time.Millisecond
 	// recordTimeout is the longest time that a renewal waits until the listed
@@ -94,8 +97,9 @@
 	deliver  func(func(*pool.Pool)) // runs a function in the scheduler's loop
 	count    *incarnationCount      // of the VM
 
-	acknowledged atomic.Int64       // ends of runs up to this sequence number are recorded
-	recorded     chan struct{}      // signals a change of acknowledged
+	acknowledged atomic.Int64       // ends of runs up to this sequence number are acknowledged
+	recordedEnds atomic.Int64       // ends of runs up to this sequence number are recorded; the acknowledgement of some may wait
+	recorded     chan struct{}      // signals a change of acknowledged or recordedEnds
 	stop         context.CancelFunc // ends the renewals
 	slots        orderSlots
 	mayRenew     func(at time.Duration) bool // whether the owner may extend leases at a time on the steady clock
@@ -339,6 +343,7 @@
 	// Without a higher token, an answer does not prove that earlier calls are refused.
 	s.tokenUnseen = s.raiseToken()
 	s.acknowledged.Store(0) // ends are numbered from the start again
+	s.recordedEnds.Store(0)
 }
 
 // observeIncarnation records the incarnation of the worker, in Unix ms, that its row in discovery
@@ -424,6 +429,9 @@
 			pause = renewRetryPause
 		} else if highest > s.acknowledged.Load() {
 			s.awaitRecorded(ctx, highest)
+			if highest > s.acknowledged.Load() {
+				pause = heldEndsPause
+			}
 		}
 		sleep(ctx, pause)
 	}
@@ -434,7 +442,7 @@
 func (s *vmClient) awaitRecorded(ctx context.Context, highest int64) {
 	timer := time.NewTimer(recordTimeout)
 	defer timer.Stop()
-	for s.acknowledged.Load() < highest {
+	for s.recordedEnds.Load() < highest {
 		select {
 		case <-s.recorded:
 		case <-timer.C:
@@ -445,14 +453,18 @@
 	}
 }
 
-// setAcknowledged sets the sequence number up to which the ends that an incarnation
-// of the worker has listed are recorded, and wakes awaitRecorded. startedMS is the
-// start of that incarnation; 0 if unknown.
-func (s *vmClient) setAcknowledged(startedMS, n int64) {
+// setAcknowledged sets the sequence numbers up to which the ends that an incarnation
+// of the worker has listed are acknowledged, and recorded, and wakes awaitRecorded. startedMS
+// is the start of that incarnation; 0 if unknown.
+func (s *vmClient) setAcknowledged(startedMS, n, recorded int64) {
 	s.mu.Lock()
 	// While another clock was seen, it is not known which incarnation answers next.
 	earlier := startedMS != 0 && s.startedMS != 0 && startedMS != s.startedMS || s.clockAt == 0 && s.clockLostAt > 0
-	changed := !earlier && s.acknowledged.Swap(n) != n
+	changed := false
+	if !earlier {
+		acknowledged, known := s.acknowledged.Swap(n), s.recordedEnds.Swap(recorded)
+		changed = acknowledged != n || known != recorded
+	}
 	s.mu.Unlock()
 	if !changed {
 		return
--- a/node/vmclient_test.go
+++ b/node/vmclient_test.go
@@ -112,14 +112,14 @@
 func TestAcknowledgementsEndWithTheIncarnation(t *testing.T) {
 	workers := &fakeWorkers{}
 	s := newTestVMClient(t, workers)
-	s.setAcknowledged(1, 7)
+	s.setAcknowledged(1, 7, 7)
 	workers.renewal = func(Renewal) (RenewalAnswer, error) { return RenewalAnswer{ClockMS: 5, StartedMS: 2}, nil }
 	for range 2 {
 		if _, ok := s.renew(t.Context()); !ok {
 			t.Fatal("renewal failed")
 		}
 	}
-	s.setAcknowledged(1, 8) // the scheduler has not seen the restart yet
+	s.setAcknowledged(1, 8, 8) // the scheduler has not seen the restart yet
 	if _, ok := s.renew(t.Context()); !ok {
 		t.Fatal("renewal failed")
 	}
@@ -156,7 +156,7 @@
 	}
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		s.setAcknowledged(1, 7)
+		s.setAcknowledged(1, 7, 7)
 	}()
 	s.awaitRecorded(t.Context(), highest)
 	if s.acknowledged.Load() != 7 {
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -41,8 +41,9 @@
 // durableEnds are the ends of one incarnation of a VM, up to a sequence number, that are
 // durable with a batch.
 type durableEnds struct {
-	startedMS int64 // of the incarnation, Unix milliseconds
-	upTo      int64
+	startedMS    int64 // of the incarnation, Unix milliseconds
+	recorded     int64 // ends up to this sequence number are recorded
+	acknowledged int64 // ends up to this sequence number may be acknowledged
 }
 
 // startRecord is a start that waits for its batch to become durable.
@@ -103,8 +104,8 @@
 		// The batch holds all changes so far but those that are held back, so the other
 		// ends that are processed become durable with it.
 		for id, v := range p.vms {
-			if upTo := p.acknowledgeable(v); upTo > v.endsDurable {
-				b.endsDurable[id] = durableEnds{v.StartedMS, upTo}
+			if ends := p.durableEnds(v); ends.recorded > v.endsRecorded || ends.acknowledged > v.endsDurable {
+				b.endsDurable[id] = ends
 			}
 		}
 	}
@@ -433,7 +434,8 @@
 	p.deleteObsolete(&b)
 	for id, durable := range b.endsDurable {
 		if v := p.vms[id]; v != nil && v.StartedMS == durable.startedMS {
-			v.endsDurable = max(v.endsDurable, durable.upTo)
+			v.endsRecorded = max(v.endsRecorded, durable.recorded)
+			v.endsDurable = max(v.endsDurable, durable.acknowledged)
 		}
 	}
 	if b.leaseBounds != nil {
--- a/sched/pool/givenup.go
+++ b/sched/pool/givenup.go
@@ -75,9 +75,9 @@
 	p.earlierEnds = kept
 }
 
-// acknowledgeable returns the sequence number up to which the processed ends of v may be
-// acknowledged once the next batch, which is complete, is durable.
-func (p *Pool) acknowledgeable(v *vm) int64 {
+// durableEnds returns up to which sequence numbers the processed ends of v are recorded, and may be
+// acknowledged, once the next batch, which is complete, is durable.
+func (p *Pool) durableEnds(v *vm) durableEnds {
 	upTo := v.endsProcessed
 	if v.firstHeldEnd > 0 {
 		upTo = min(upTo, v.firstHeldEnd-1)
@@ -87,5 +87,11 @@
 			upTo = min(upTo, e.sequence-1)
 		}
 	}
-	return upTo
+	ends := durableEnds{startedMS: v.StartedMS, recorded: upTo, acknowledged: upTo}
+	for _, e := range p.lateEnds {
+		if e.vm == v.ID && e.startedMS == v.StartedMS {
+			ends.acknowledged = min(ends.acknowledged, e.sequence-1)
+		}
+	}
+	return ends
 }
--- a/sched/pool/incarnation_test.go
+++ b/sched/pool/incarnation_test.go
@@ -5,17 +5,18 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/pool"
 )
 
 // nextIncarnation starts a new incarnation of a worker under its id. The renewal that was
 // waiting fails; the worker's row or its next listing tells of the restart.
 //
-// A late start of a task that is done is dropped: the protocol lets the next incarnation carry it
-// out, which TestLateStartOfATaskThatIsDone shows, an open fault.
+// A late start of a run that has ended as done is dropped if the end is not acknowledged: the
+// users' rules do not count an end that is forgotten.
 func (h *harness) nextIncarnation(worker *worker) {
 	h.late = slices.DeleteFunc(h.late, func(o lateOrder) bool {
-		return o.Kind == pool.Start && h.workers[o.VM] == worker && h.doneTasks[o.Task]
+		return o.Kind == pool.Start && h.workers[o.VM] == worker && worker.listsDone(o.Task)
 	})
 	h.loseRuns(worker)
 	h.dropUnrecordedEnds(worker)
@@ -26,6 +27,12 @@
 	worker.brokenRenewal, worker.restarted = true, true
 }
 
+// listsDone reports whether a worker lists an end as done of the named task, which is not
+// acknowledged.
+func (w *worker) listsDone(task string) bool {
+	return slices.ContainsFunc(w.ends, func(e pool.RunEnd) bool { return e.Task == task && e.Cause == pool.EndDone })
+}
+
 // lateOrder is an order without an answer, which its worker may carry out later.
 type lateOrder struct {
 	pool.Command
@@ -169,7 +176,8 @@
 }
 
 // Guards against a task that is started again after it is done (TWICE): its start had no answer
-// and was repeated on the same VM; the next incarnation carries the first call out after the end.
+// and was repeated on the same VM; the next incarnation carries the first call out after the end,
+// which counts if it was acknowledged.
 func TestLateStartOfATaskThatIsDone(t *testing.T) {
 	h := newHarness(t)
 	a := h.addVM("a", 8000)
@@ -184,7 +192,19 @@
 		t.Fatal("the start was not repeated")
 	}
 	h.end(a, task, pool.EndDone)
-	h.settle() // the end is recorded and acknowledged
-	h.nextIncarnation(a)
-	h.carryOutLate(late)
+	for h.now.Steady < late.sentAt+orderDelay {
+		h.settle()
+		if !h.taskDone(spec, 0, 0) || h.state(spec.ID) != job.Succeeded {
+			t.Fatal("the end is not recorded")
+		}
+		if !a.listsDone(task) {
+			t.Fatalf("the end is acknowledged %v before the first call can no longer begin the run again", late.sentAt+orderDelay-h.now.Steady)
+		}
+		h.advance(500 * time.Millisecond)
+	}
+	h.advance(500 * time.Millisecond)
+	h.settle()
+	if a.listsDone(task) {
+		t.Error("the end is not acknowledged once no call is left")
+	}
 }
--- a/sched/pool/latestart.go
+++ b/sched/pool/latestart.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -108,6 +109,34 @@
 	return true
 }
 
+// lateEnd is an end as done of a run which a call may begin once more. A worker that restarts while
+// the end is not acknowledged forgets it, and the next one that begins the run does the work again.
+type lateEnd struct {
+	vm        string // id of the VM that has listed the end
+	startedMS int64  // of its incarnation, Unix milliseconds
+	sequence  int64
+	until     time.Duration // time until which the call may be carried out, steady clock
+}
+
+// holdLateEnd has an end of t, with a sequence number of v, not acknowledged while another call may
+// begin the run.
+func (p *Pool) holdLateEnd(t *task, v *vm, sequence int64) {
+	until := time.Duration(0)
+	for _, member := range t.newestRun() {
+		if member.late.calls > 1 {
+			until = max(until, member.late.until)
+		}
+	}
+	if until > p.now.Steady {
+		p.lateEnds = append(p.lateEnds, lateEnd{v.ID, v.StartedMS, sequence, until})
+	}
+}
+
+// expireLateEnds drops the ends that no call can make happen again.
+func (p *Pool) expireLateEnds() {
+	p.lateEnds = slices.DeleteFunc(p.lateEnds, func(e lateEnd) bool { return p.now.Steady > e.until })
+}
+
 // startsAgain reports whether t starts again once its newest run has ended and is not done.
 func (t *task) startsAgain() bool {
 	return !t.occ.job.state.Final() && !t.history.doneEarlier
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -123,6 +123,7 @@
 	}
 	switch e.Cause {
 	case EndDone:
+		p.holdLateEnd(t, v, e.Sequence)
 		p.taskDone(t)
 	case EndFailed:
 		p.taskFailed(t, counted && !t.history.doneEarlier)
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -42,6 +42,7 @@
 // and places ready tasks.
 func (p *Pool) plan() {
 	p.expireLeases()
+	p.expireLateEnds()
 	p.finishDoneEarlier()
 	p.findCandidates()
 	p.collectReady()
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -45,6 +45,7 @@
 	suspects      [][]item    // groups of items of a refused batch, which are written one group after the other
 	heldBack      map[item]bool
 	earlierEnds   []earlierEnd
+	lateEnds      []lateEnd // whose acknowledgement waits
 
 	runTimes  map[string]*runTimeModel // actual run times relative to their estimates, by queue
 	jobShares map[string]*tokenBucket  // by workspace
@@ -457,7 +458,7 @@
 		}
 	}
 	v.StartedMS = startedMS
-	v.endsProcessed, v.endsDurable, v.firstHeldEnd = 0, 0, 0
+	v.endsProcessed, v.endsRecorded, v.endsDurable, v.firstHeldEnd = 0, 0, 0, 0
 	v.fenced = false
 	v.health = vmHealth{}
 }
@@ -568,7 +569,7 @@
 		if v.unanswered {
 			acknowledged = 0 // the next answer may come from another incarnation, whose sequence numbers restart
 		}
-		list = append(list, RenewalTarget{ID: v.ID, Address: v.Address, StartedMS: v.StartedMS, AcknowledgedEnds: acknowledged, ExtendLeases: !p.storedLeaseBounds[v.ID]})
+		list = append(list, RenewalTarget{ID: v.ID, Address: v.Address, StartedMS: v.StartedMS, AcknowledgedEnds: acknowledged, RecordedEnds: v.endsRecorded, ExtendLeases: !p.storedLeaseBounds[v.ID]})
 	}
 	return list
 }
@@ -578,5 +579,6 @@
 	ID, Address      string
 	StartedMS        int64 // start of the incarnation that has listed the ends, Unix milliseconds; 0 if unknown
 	AcknowledgedEnds int64 // ends up to this sequence number are acknowledged: they are durable
+	RecordedEnds     int64 // ends up to this sequence number are durable; the acknowledgement of some may wait
 	ExtendLeases     bool  // leases may be granted, unless LeaseBoundsDue names the VM
 }
--- a/sched/pool/refused.go
+++ b/sched/pool/refused.go
@@ -118,8 +118,8 @@
 	}
 	// Ends of the job that are processed and not durable may be among these.
 	for _, v := range p.vms {
-		if v.endsProcessed > v.endsDurable && v.firstHeldEnd == 0 {
-			v.firstHeldEnd = v.endsDurable + 1
+		if v.endsProcessed > v.endsRecorded && v.firstHeldEnd == 0 {
+			v.firstHeldEnd = v.endsRecorded + 1
 		}
 	}
 }
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -187,7 +187,8 @@
 	longRunning        int   // number of tasks that run until their job is cancelled
 	tasks              map[*task]struct{}
 	endsProcessed      int64 // ends up to this sequence number are processed
-	endsDurable        int64 // ends up to this sequence number are durable
+	endsRecorded       int64 // ends up to this sequence number are durable
+	endsDurable        int64 // ends up to this sequence number are durable and may be acknowledged
 	firstHeldEnd       int64 // first end that is held back with the record of its job; 0 if there is none
 	lastAnswer         time.Duration
 	listingSentAt      time.Duration // when the request of the last listing was sent
