--- a/sched/pool/latestart.go
+++ b/sched/pool/latestart.go
@@ -99,6 +99,8 @@
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame = 0, 0, false, notBlamed
 	t.forgetListed()
 	t.markDirty()
+	p.log.Info("run_awaited", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.Int("calls", t.late.calls),
+		zap.Duration("for", t.late.until-p.now.Steady))
 }
 
 // forgetListed drops what listings have told of the newest run of t, which another incarnation may
@@ -149,7 +151,7 @@
 func (p *Pool) holdInheritedEnd(v *vm, sequence int64) {
 	until := p.startedAt.Steady + p.settings.StartDelayBound + p.settings.OrderDelayBound
 	if p.settings.InheritedLeaseBound > 0 && p.now.Steady < until {
-		p.lateEnds = append(p.lateEnds, lateEnd{v.ID, v.StartedMS, sequence, until})
+		p.holdEnd(v, sequence, until)
 	}
 }
 
@@ -163,10 +165,15 @@
 		}
 	}
 	if until > p.now.Steady {
-		p.lateEnds = append(p.lateEnds, lateEnd{v.ID, v.StartedMS, sequence, until})
+		p.holdEnd(v, sequence, until)
 	}
 }
 
+func (p *Pool) holdEnd(v *vm, sequence int64, until time.Duration) {
+	p.lateEnds = append(p.lateEnds, lateEnd{v.ID, v.StartedMS, sequence, until})
+	p.log.Info("end_held", zap.String("vm", v.ID), zap.Int64("incarnation", v.StartedMS), zap.Int64("sequence", sequence), zap.Duration("for", until-p.now.Steady))
+}
+
 // expireLateEnds drops the ends that no call can make happen again.
 func (p *Pool) expireLateEnds() {
 	p.lateEnds = slices.DeleteFunc(p.lateEnds, func(e lateEnd) bool { return p.now.Steady > e.until })
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -536,7 +536,7 @@
 func (p *Pool) logStart(t *task) {
 	p.log.Info("run_start", zap.String("task", t.name), zap.Int("run", t.run), zap.String("vm", t.vm.ID), zap.Int64("incarnation", t.vm.StartedMS),
 		zap.Duration("waited", p.now.Steady-t.occ.openedAt.Steady), zap.Bool("checkpoint", t.startedFrom != ""),
-		zap.Duration("vm_seen", p.now.Steady-t.vm.lastAnswer))
+		zap.Duration("vm_seen", p.now.Steady-t.vm.lastAnswer), zap.Int("call", t.late.calls))
 }
 
 // waitingJobs returns, by queue, the number of jobs of which no task has started.
