Count a failed end that is held once, also by the next owner

A run fails while a call of its start is left: the end is counted and recorded, and not acknowledged. The VM lists it again to the next owner, which had forgotten that it counts (only gangs recorded that) and counted it once more: a job was shown as failed after one failed run of three (LOST). The row of an active task now tells the failed run as that of a gang does. TestNextOwnerCountsAHeldFailedEndOnce fails without it.

--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -70,11 +70,12 @@
 }
 
 // GangFailure is the stored newest run of a gang that has ended as failed. Several members
-// may list it, each once.
+// may list it, each once. It also stands for the newest run of a task without a gang that has
+// ended as failed and is active, as a call may begin it again: its VM lists the end again.
 type GangFailure struct {
 	_          struct{} `cbor:",toarray"`
 	Occurrence int      // number of the occurrence
-	Task       int      // position of the gang's first member in the occurrence, which counts the failed runs
+	Task       int      // position of the task, or the gang's first member, in the occurrence, which counts the failed runs
 	Run        int
 }
 
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -250,7 +250,7 @@
 		if c, ok := t.storedCrashes(); ok {
 			part.Crashes = append(part.Crashes, c)
 		}
-		if f, ok := t.storedGangFailure(); ok {
+		if f, ok := t.storedFailedRun(); ok {
 			part.GangFailures = append(part.GangFailures, f)
 		}
 	}
@@ -291,7 +291,7 @@
 				if c, ok := t.storedCrashes(); ok {
 					r.Crashes = append(r.Crashes, c)
 				}
-				if f, ok := t.storedGangFailure(); ok {
+				if f, ok := t.storedFailedRun(); ok {
 					r.GangFailures = append(r.GangFailures, f)
 				}
 				stored.Tasks = append(stored.Tasks, t.stored())
@@ -348,11 +348,12 @@
 		t.crashes > 0 && t.phase != done
 }
 
-// storedGangFailure returns the newest failed run of a gang as the progress row holds it. The
-// result is false unless t is the gang's first member and the row needs it.
-func (t *task) storedGangFailure() (job.GangFailure, bool) {
+// storedFailedRun returns the newest failed run of a gang, or of a task, as the progress row holds it.
+// The result is false if the row does not need it. For a task, it is needed while the run may be
+// listed as failed again: its end is not acknowledged as long as a call may begin it once more.
+func (t *task) storedFailedRun() (job.GangFailure, bool) {
 	return job.GangFailure{Occurrence: t.occ.number, Task: t.position, Run: t.history.lastRun},
-		t.spec().Gang && t.leader() == t && t.history.lastRun > 0 && t.phase != done
+		t.leader() == t && t.history.lastRun > 0 && t.phase != done && (t.spec().Gang || t.active() && t.history.lastRun == t.run)
 }
 
 // DecodeStoredProgress returns the progress of jobs, by id, from all rows of the table of
