Calls that were not sent, or were refused, do not prolong the wait for late calls

Each repetition counted from its sending, also if it was never sent or refused: with 50 repetitions that were not sent in 10 s, a task stayed on its VM, which then drained, for over 15.8 s after its only call. Their bound is taken back. A start for which no lease may be granted is reported as not sent, and is no longer one of the three calls.

--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -678,20 +678,22 @@
 // start starts a run. Nothing is sent without a lease deadline, or while this
 // owner may not grant leases on the VM.
 func (s *vmClient) start(ctx context.Context, c pool.Command) {
-	result := pool.StartPastDeadline // the result if nothing is sent
 	began := s.clock.Now().Steady
-	if lease := s.grant(s.mayStart, orderTimeout); lease != nil {
-		order := StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
-			DeadlineMS: lease.deadlineMS, Token: lease.token, Checkpoint: c.Checkpoint, Ticket: c.Ticket}
-		answer := s.workers.Start(ctx, s.ref, order)
-		result = answer.Result
-		answeredAt := s.clock.Now().Steady
-		s.metrics.observe(metricStart, s.pool, answeredAt-began)
-		s.logStart(order, lease, answer)
-		s.settleStart(lease, answer, answeredAt)
-		if result == pool.StartFenced && s.overtaken(lease.token) {
-			result = pool.StartPastDeadline // the task waits again
-		}
+	lease := s.grant(s.mayStart, orderTimeout)
+	if lease == nil {
+		s.reportNotSent(c)
+		return
+	}
+	order := StartOrder{Task: c.Task, Run: c.Run, Payload: c.Payload,
+		DeadlineMS: lease.deadlineMS, Token: lease.token, Checkpoint: c.Checkpoint, Ticket: c.Ticket}
+	answer := s.workers.Start(ctx, s.ref, order)
+	result := answer.Result
+	answeredAt := s.clock.Now().Steady
+	s.metrics.observe(metricStart, s.pool, answeredAt-began)
+	s.logStart(order, lease, answer)
+	s.settleStart(lease, answer, answeredAt)
+	if result == pool.StartFenced && s.overtaken(lease.token) {
+		result = pool.StartPastDeadline // the task waits again
 	}
 	at := s.clock.Now().Steady
 	s.deliver(func(p *pool.Pool) { p.Started(c, result, at) })
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -453,12 +453,7 @@
 		}
 		ticketValue, _ := p.adviceOf(t).ticketFor(t.vm, p.now.Steady)
 		t.phase = starting
-		t.late.repeatDue = false
-		if t.late.calls++; t.late.calls > 1 {
-			// A call that is under way counts like one without an answer: the run may be found
-			// first, begun by an earlier call.
-			p.noteUnanswered(t, p.now.Steady+p.settings.StartDelayBound)
-		}
+		p.noteCall(t)
 		t.since = p.now.Steady
 		p.stats.Starts++
 		p.logStart(t)
--- a/sched/pool/latestart.go
+++ b/sched/pool/latestart.go
@@ -20,6 +20,8 @@
 	calls     int           // calls that were sent, with and without an answer
 	repeatDue bool          // another call is sent once its record is durable
 	ended     bool          // the run has ended, and a call may begin it once more
+
+	earlierUntil, earlierLeaseEnd time.Duration // until and leaseEnd without the call that is under way
 }
 
 // open reports whether a call may still be carried out after a time on the steady clock.
@@ -46,6 +48,25 @@
 	}
 }
 
+// noteCall records that a call which starts the newest run of t is sent now.
+func (p *Pool) noteCall(t *task) {
+	t.late.repeatDue = false
+	t.late.earlierUntil, t.late.earlierLeaseEnd = t.late.until, t.late.leaseEnd
+	if t.late.calls++; t.late.calls > 1 {
+		// A call that is under way counts like one without an answer: the run may be found
+		// first, begun by an earlier call.
+		p.noteUnanswered(t, p.now.Steady+p.settings.StartDelayBound)
+	}
+}
+
+// takeCallBack records that the call which is under way was not sent, or was refused: it begins
+// nothing later.
+func (t *task) takeCallBack() {
+	if t.phase == starting {
+		t.late.until, t.late.leaseEnd = t.late.earlierUntil, t.late.earlierLeaseEnd
+	}
+}
+
 // inheritStart derives from the row of t, which an earlier owner has recorded, which calls may be
 // left.
 func (p *Pool) inheritStart(t *task) {
