An acknowledgement to a former incarnation is not taken for one to the present

A renewal that acknowledges end 5 is under way when the row tells of a restart, and the next incarnation answers it: the client took 5 as forgotten and acknowledged no end of that one up to number 5. TestAcknowledgementOfAnEarlierIncarnationIsForgotten fails without it.

--- a/node/vmclient.go
+++ b/node/vmclient.go
@@ -519,7 +519,9 @@
 		s.handleRenewError(ctx, err, r.Token)
 		return 0, false
 	}
-	s.forgotten.Store(max(s.forgotten.Load(), r.AcknowledgedEnds))
+	if r.Token == s.token() { // no restart is known since it was sent
+		s.forgotten.Store(max(s.forgotten.Load(), r.AcknowledgedEnds))
+	}
 	s.renewed(lease, answer, r.Token, sentAt, answeredAt)
 	s.markResponsive()
 	listing := pool.Listing{VM: s.ref.ID, StartedMS: answer.StartedMS, ClockMS: answer.ClockMS, SentAt: sentAt, At: answeredAt,
