--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -803,3 +803,40 @@
 		f.checkOneRun(lostAt + leaseBound(testLease) + placement - f.clock.Now().Steady)
 	})
 }
+
+// Guards against a task that runs on two VMs (TWICE): a late start of another task extends the leases
+// of all runs on its VM. It was meant for the former incarnation, whose clock was ahead, so that the
+// lease lasts as long as the VM accepts. The next owner knows the row of that start.
+func TestLateStartOfAnotherTaskExtendsTheLeaseOfAConfirmedRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(t)
+		defer f.stop()
+		const other = "00000000000000bb"
+		f.vms.use("vm1:80", func(w *restartingVM) {
+			w.isLate = func(o StartOrder) bool { return o.Task == other+".0.0.0" }
+		})
+		if err := f.entry.Submit(t.Context(), Caller{Queue: f.entry.operator.view.Catalog.Queues["q"]}, oneStepJob(other)); err != nil {
+			t.Fatal(err)
+		}
+		var sentAt time.Duration
+		f.await("a start is under way to vm1", 2*time.Second, func() (late bool) {
+			f.vms.use("vm1:80", func(w *restartingVM) {
+				if late = len(w.late) > 0; late {
+					sentAt = w.late[0].sentAt
+				}
+			})
+			return late
+		})
+		f.vms.restart("vm1:80")
+		f.submit()
+		f.await("vm1 runs the task", orderTimeout, func() bool { return len(f.vms.runningOn(restartTask)) > 0 })
+		time.Sleep(5 * time.Millisecond) // the answer arrives
+		f.vms.setCut("vm1:80", true)
+		time.Sleep(100 * time.Millisecond) // it is recorded
+		f.replaceOwner()
+		listVM(t, f.mem, "vm2", "vm2:80")
+		time.Sleep(sentAt + 9*time.Second - f.clock.Now().Steady)
+		f.vms.carryOutLate("vm1:80")
+		f.checkOneRun(latestOrder + 2*leaseBound(testMaxLease) + 10*time.Second)
+	})
+}
