--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -283,6 +283,7 @@
 	entry *Node             // that owns the pool
 
 	inventory *listedMachines // of the next owners; shows both VMs as up
+	prepare   func(n *Node)   // called for each next owner; may be nil
 
 	ctx     context.Context // of the owners
 	stop    func()
@@ -324,6 +325,9 @@
 	if f.inventory != nil {
 		n.machines = f.inventory
 	}
+	if f.prepare != nil {
+		f.prepare(n)
+	}
 	o, err := readOwner(f.t.Context(), n.store, "p")
 	if err != nil {
 		f.t.Fatal(err)
