Count a failed end that is held once; hold ends of jobs that are done at a next owner

Cause: the end of a run that a call may begin again is not acknowledged, so each next owner lists it once more, finds the run the newest one of its task, and counts it as another failure.

Change: the row tells that the run has ended; a next owner holds the end on and does not count it. Failed ends of jobs that it knows no more, which may have used up their attempts, are held like those as done.

Test: TestFailedEndThatIsHeldIsCountedOnce, which failed before ("the job has failed after one failed run").

--- a/sched/pool/latestart_test.go
+++ b/sched/pool/latestart_test.go
@@ -216,6 +216,28 @@
 	}
 }
 
+// Guards against a job that fails although its attempts are not used up (LOST): the end of a run that
+// a call may begin again is not acknowledged, and each next owner lists and counts it once more.
+func TestFailedEndThatIsHeldIsCountedOnce(t *testing.T) {
+	r := newRepeated(t).repeat()
+	r.end(r.a, r.task, pool.EndFailed)
+	for range 4 {
+		r.runUntil(r.now.Steady + time.Second)
+		r.takeover()
+	}
+	r.runUntil(r.first.lastMoment())
+	if len(r.a.ends) == 0 {
+		t.Error("the end is acknowledged")
+	}
+	if state := r.state(r.spec.ID); state == job.Failed {
+		t.Error("the job has failed after one failed run")
+	}
+	r.runUntil(r.now.Steady + orderDelay)
+	if _, ok := r.a.running[r.task]; !ok {
+		t.Error("the task has not started again")
+	}
+}
+
 // Guards against a task that waits although its VM answers: calls that were not sent are taken for
 // calls without an answer.
 func TestStartThatWasNotSentIsNoCall(t *testing.T) {
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -117,6 +117,11 @@
 		p.doneByEarlierRun(t, v, e.Sequence)
 		return
 	}
+	if t.late.ended && e.Cause != EndDone && !t.spec().Gang {
+		// An earlier owner has counted the end. What a gang has counted is in its row.
+		p.holdLateEnd(t, v, e.Sequence)
+		return
+	}
 	counted := e.Cause != EndFailed || t.history.failed(t.run, v.ID)
 	if counted {
 		p.recordOutcome(t, v, e.Cause)
@@ -136,7 +141,7 @@
 // logUnusedEnd logs an end as done that does not count although its task is not done.
 func (p *Pool) logUnusedEnd(v *vm, e RunEnd) {
 	t := p.findTask(e.Task)
-	if e.Cause == EndDone {
+	if e.Cause == EndDone || e.Cause == EndFailed && t == nil { // of a job that is open, or may have failed
 		p.holdInheritedEnd(v, e.Sequence)
 	}
 	if t == nil || e.Cause != EndDone || t.phase == done {
