Fleet tests: the table service's clock runs as that of the test

Cause: the test, not the product. A holder stores the time of a confirmation on the clock of the table service, and the next holder converts it back to its own steady clock, as an upper bound. In the test the steady clock was moved by hand, 120 ms a step, while memstore's clock was real time. Only a few ms of real time pass in three steps, so the confirmation seemed to lie about 120 ms after the claim of the second holder: at the very time of its first list of machines, less the real time that had passed, plus up to 1 ms of rounding up. If less real time had passed than was added by rounding, the list counted as older than the confirmation. The next one is due 700 ms later, after the two steps. So the test failed when it ran too fast, not too slowly: awaitAnswers usually waits 1 ms, but not if the call's goroutine has run before the first look.

Change: the table service of the fleet fixture has the clock of the test, so that the times that holders hand over do not depend on real time. The time that TestRecentOrdersFitIntoARow allowed for the other clock (1 s) goes. TestConfirmedMovesSurviveRoleChange waits for the calls under way before it counts orders: those of the last step could go unseen. It also checks that no order was sent twice. The old form noticed a first holder that repeats its orders only since the count was taken while they were under way.

--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -66,6 +67,47 @@
 	return len(f.orders)
 }
 
+// repeated returns the orders that were the same as an earlier one.
+func (f *fakeMachines) repeated() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for i, name := range f.orders {
+		if slices.Contains(f.orders[:i], name) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// clockedStore is a table service whose clock runs as that of the test. Holders
+// hand times over on the service's clock, so both have to advance alike.
+type clockedStore struct {
+	store.Store
+	clock Clock
+	start time.Duration // when the service started, on the clock of the test
+}
+
+func (s *clockedStore) now() time.Duration { return s.clock.Now().Steady - s.start }
+
+func (s *clockedStore) Commit(ctx context.Context, txn store.Txn) (store.Receipt, error) {
+	receipt, err := s.Store.Commit(ctx, txn)
+	receipt.Time = s.now()
+	return receipt, err
+}
+
+func (s *clockedStore) Range(ctx context.Context, table, partition, from, to string) (store.Page, error) {
+	page, err := s.Store.Range(ctx, table, partition, from, to)
+	page.Time = s.now()
+	return page, err
+}
+
+func (s *clockedStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
+	page, err := s.Store.Changes(ctx, table, after, wait)
+	page.Time = s.now()
+	return page, err
+}
+
 // fleetFixture is a fleet with two VMs in pool a and four in the standby pool
 // spare.
 type fleetFixture struct {
@@ -79,7 +121,7 @@
 
 func newFleetFixture(t *testing.T) *fleetFixture {
 	fx := &fleetFixture{t: t, clock: &testClock{now: pool.Time{Steady: time.Minute, Wall: 1_700_000_000_000}}, mem: memstore.New(), machines: &fakeMachines{machines: map[string]Machine{}}}
-	fx.store = newTimedStore(fx.mem, fx.clock)
+	fx.store = newTimedStore(&clockedStore{fx.mem, fx.clock, fx.clock.Now().Steady}, fx.clock)
 	for _, name := range []string{"a1", "a2"} {
 		fx.machines.machines[name] = Machine{Name: name, Pool: "a", Up: true, Worker: "i-" + name}
 	}
@@ -172,6 +214,7 @@
 	if n := fx.machines.ordered(); n < 2 {
 		t.Fatalf("%d moves, want at least 2", n)
 	}
+	fx.awaitAnswers(first)
 	moved := fx.machines.ordered()
 	second := fx.newHolder("second")
 	if len(second.cordons) == 0 {
@@ -179,9 +222,13 @@
 	}
 	fx.step(second)
 	fx.step(second)
+	fx.awaitAnswers(second) // an order of the last step counts as well
 	if len(second.cordons) != 0 || fx.machines.ordered() != moved {
 		t.Fatalf("%d cordons and %d orders, want no cordons and the %d orders of the first holder", len(second.cordons), fx.machines.ordered(), moved)
 	}
+	if repeated := fx.machines.repeated(); len(repeated) > 0 {
+		t.Fatalf("confirmed orders were repeated: %v", repeated)
+	}
 }
 
 // Guards against orders of two holders for one machine within the time that the
@@ -374,8 +421,7 @@
 			t.Errorf("the next holder may send an order for machine %d at once", i)
 		}
 	}
-	const conversionError = time.Second // the clock of the table service goes on while the test runs
-	fx.clock.advance(f.node.settings.Fleet.HandoverTime + handoverMargin + conversionError)
+	fx.clock.advance(f.node.settings.Fleet.HandoverTime + handoverMargin)
 	for _, i := range []int{0, orders / 2, orders - 1} {
 		if !next.handoverElapsed(name(i)) {
 			t.Errorf("the next holder may send no order for machine %d after the handover time", i)
