--- a/sched/job/progress.go
+++ b/sched/job/progress.go
@@ -114,11 +114,11 @@
 
 	Placements []TaskPlacement `cbor:"10,keyasint,omitempty"` // of active tasks; earlier builds do not write it
 
-	// Confirmed are the active tasks whose newest run has been started, and which no other call may
+	// Settled are the active tasks whose newest run has been started, and which no other call may
 	// start later. Ended are those whose newest run has ended while a call may start it once more.
 	// Earlier builds do not write them.
-	Confirmed []TaskRef `cbor:"11,keyasint,omitempty"`
-	Ended     []TaskRef `cbor:"12,keyasint,omitempty"`
+	Settled []TaskRef `cbor:"11,keyasint,omitempty"`
+	Ended   []TaskRef `cbor:"12,keyasint,omitempty"`
 
 	Parts map[int]*ProgressPart `cbor:"-"` // the stored parts, by number; newer than Occurrences
 }
@@ -132,7 +132,7 @@
 	GangFailures []GangFailure `cbor:"3,keyasint,omitempty"` // of the gangs whose first members are among these tasks
 
 	Placements []TaskPlacement `cbor:"4,keyasint,omitempty"` // of the active ones among these tasks
-	Confirmed  []TaskRef       `cbor:"5,keyasint,omitempty"` // the same
+	Settled    []TaskRef       `cbor:"5,keyasint,omitempty"` // the same
 	Ended      []TaskRef       `cbor:"6,keyasint,omitempty"` // the same
 }
 
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -104,7 +104,7 @@
 		// The batch holds all changes so far but those that are held back, so the other
 		// ends that are processed become durable with it.
 		for id, v := range p.vms {
-			if ends := p.durableEnds(v); ends.recorded > v.endsRecorded || ends.acknowledged > v.endsDurable {
+			if ends := p.endsOfBatch(v); ends.recorded > v.endsRecorded || ends.acknowledged > v.endsDurable {
 				b.endsDurable[id] = ends
 			}
 		}
--- a/sched/pool/givenup.go
+++ b/sched/pool/givenup.go
@@ -75,9 +75,9 @@
 	p.earlierEnds = kept
 }
 
-// durableEnds returns up to which sequence numbers the processed ends of v are recorded, and may be
+// endsOfBatch returns up to which sequence numbers the processed ends of v are recorded, and may be
 // acknowledged, once the next batch, which is complete, is durable.
-func (p *Pool) durableEnds(v *vm) durableEnds {
+func (p *Pool) endsOfBatch(v *vm) durableEnds {
 	upTo := v.endsProcessed
 	if v.firstHeldEnd > 0 {
 		upTo = min(upTo, v.firstHeldEnd-1)
--- a/sched/pool/latestart.go
+++ b/sched/pool/latestart.go
@@ -10,12 +10,12 @@
 // maxStartCalls is the largest number of calls with which the start of a run is tried on its VM.
 const maxStartCalls = 3
 
-// lateStart tells which calls that start a run had no answer. A VM may carry such a call out
-// later, and so may each of its next incarnations, which know neither a stop nor a fencing token
-// of before. Until then, the task starts on no other VM: what one incarnation answers proves
-// nothing for the next.
+// lateStart tells what is left of the calls that start a run. A VM may carry a call that had no
+// answer out later, and so may each of its next incarnations, which know neither a stop nor a
+// fencing token of before. Until then, the task starts on no other VM: what one incarnation answers
+// proves nothing for the next.
 type lateStart struct {
-	until     time.Duration // time until which a call may be carried out, on the steady clock; 0 if all have been
+	until     time.Duration // time until which a call may be carried out, on the steady clock; 0 if none is left
 	leaseEnd  time.Duration // time by which the lease of a run that such a call begins has ended, if its VM does not answer
 	calls     int           // calls that were sent, with and without an answer
 	repeatDue bool          // another call is sent once its record is durable
@@ -40,7 +40,7 @@
 		return
 	}
 	t.late = lateStart{calls: t.late.calls}
-	t.confirmed = true
+	t.startSettled = true
 	if t.spec().LongRunning {
 		t.markDirty() // for a later owner: nothing else may change for as long as the run lasts
 	}
@@ -49,7 +49,7 @@
 // inheritStart derives from the row of t, which an earlier owner has recorded, which calls may be
 // left.
 func (p *Pool) inheritStart(t *task) {
-	if t.confirmed {
+	if t.startSettled {
 		return
 	}
 	placedAt := p.now.Steady
@@ -57,7 +57,7 @@
 		placedAt = t.recordedAt
 	}
 	p.noteUnanswered(t, placedAt+p.settings.StartDelayBound)
-	t.late.calls = maxStartCalls - 1 // it may have been repeated
+	t.late.calls = maxStartCalls - 1 // it may have been repeated; this owner may repeat it once
 }
 
 // awaitStart handles a run that a complete listing of its VM does not show while a call may still
@@ -169,6 +169,7 @@
 	}
 }
 
+// holdEnd has an end, with a sequence number of v, not acknowledged until a time on the steady clock.
 func (p *Pool) holdEnd(v *vm, sequence int64, until time.Duration) {
 	p.lateEnds = append(p.lateEnds, lateEnd{v.ID, v.StartedMS, sequence, until})
 	p.log.Info("end_held", zap.String("vm", v.ID), zap.Int64("incarnation", v.StartedMS), zap.Int64("sequence", sequence), zap.Duration("for", until-p.now.Steady))
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -345,7 +345,7 @@
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
 	t.throttleSentAt, t.throttleLateUntil = 0, 0
 	t.recorded, t.recordedAt, t.inheritedUntil = false, 0, 0
-	t.late, t.confirmed = lateStart{}, false
+	t.late, t.startSettled = lateStart{}, false
 	t.markDirty()
 }
 
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -241,7 +241,7 @@
 		if placement, ok := p.storedPlacement(t); ok {
 			part.Placements = append(part.Placements, placement)
 		}
-		t.addRefs(&part.Confirmed, &part.Ended)
+		t.addRefs(&part.Settled, &part.Ended)
 		if i == 0 || tasks[i-1].occ != t.occ {
 			part.Ranges = append(part.Ranges, job.TaskRange{Occurrence: t.occ.number, First: t.position})
 		}
@@ -287,7 +287,7 @@
 				if placement, ok := p.storedPlacement(t); ok {
 					r.Placements = append(r.Placements, placement)
 				}
-				t.addRefs(&r.Confirmed, &r.Ended)
+				t.addRefs(&r.Settled, &r.Ended)
 				if c, ok := t.storedCrashes(); ok {
 					r.Crashes = append(r.Crashes, c)
 				}
@@ -330,12 +330,12 @@
 }
 
 // addRefs adds t to the tasks that job.Progress tells more about.
-func (t *task) addRefs(confirmed, ended *[]job.TaskRef) {
+func (t *task) addRefs(settled, ended *[]job.TaskRef) {
 	ref := job.TaskRef{Occurrence: t.occ.number, Task: t.position}
 	switch {
 	case !t.active():
-	case t.confirmed:
-		*confirmed = append(*confirmed, ref)
+	case t.startSettled:
+		*settled = append(*settled, ref)
 	case t.late.ended:
 		*ended = append(*ended, ref)
 	}
@@ -440,11 +440,11 @@
 	failed  map[int]int             // newest failed run of a gang, by position of its first member
 	placed  map[int]int64           // by position of the task: job.TaskPlacement.AtMS
 
-	confirmed, ended map[int]bool // by position of the task, as in job.Progress
+	settled, ended map[int]bool // by position of the task, as in job.Progress
 }
 
 func newStoredOccurrence(number, tasks int) storedOccurrence {
-	return storedOccurrence{Number: number, tasks: make([]job.Task, tasks), crashes: map[int]job.TaskCrashes{}, failed: map[int]int{}, placed: map[int]int64{}, confirmed: map[int]bool{}, ended: map[int]bool{}}
+	return storedOccurrence{Number: number, tasks: make([]job.Task, tasks), crashes: map[int]job.TaskCrashes{}, failed: map[int]int{}, placed: map[int]int64{}, settled: map[int]bool{}, ended: map[int]bool{}}
 }
 
 // mergeParts returns the stored progress of the open occurrences, in order. Parts are
@@ -482,15 +482,15 @@
 	for _, placement := range progress.Placements {
 		find(placement.Occurrence).placed[placement.Task] = placement.AtMS
 	}
-	restoreRefs := func(confirmed, ended []job.TaskRef) {
-		for _, ref := range confirmed {
-			find(ref.Occurrence).confirmed[ref.Task] = true
+	restoreRefs := func(settled, ended []job.TaskRef) {
+		for _, ref := range settled {
+			find(ref.Occurrence).settled[ref.Task] = true
 		}
 		for _, ref := range ended {
 			find(ref.Occurrence).ended[ref.Task] = true
 		}
 	}
-	restoreRefs(progress.Confirmed, progress.Ended)
+	restoreRefs(progress.Settled, progress.Ended)
 	for _, part := range progress.Parts {
 		for _, r := range part.Ranges {
 			o := find(r.Occurrence)
@@ -502,7 +502,7 @@
 				delete(o.crashes, r.First+i)
 				delete(o.failed, r.First+i)
 				delete(o.placed, r.First+i)
-				delete(o.confirmed, r.First+i)
+				delete(o.settled, r.First+i)
 				delete(o.ended, r.First+i)
 			}
 		}
@@ -515,7 +515,7 @@
 		for _, placement := range part.Placements {
 			find(placement.Occurrence).placed[placement.Task] = placement.AtMS
 		}
-		restoreRefs(part.Confirmed, part.Ended)
+		restoreRefs(part.Settled, part.Ended)
 	}
 	return open
 }
@@ -523,7 +523,7 @@
 func (p *Pool) restoreTasks(o *occurrence, stored storedOccurrence) {
 	for _, step := range o.tasks {
 		for _, t := range step {
-			p.restoreTask(t, stored.tasks[t.position], stored.placed[t.position], stored.confirmed[t.position], stored.ended[t.position])
+			p.restoreTask(t, stored.tasks[t.position], stored.placed[t.position], stored.settled[t.position], stored.ended[t.position])
 			if t.leader() == t {
 				t.history.failures, t.history.lastRun = stored.tasks[t.position].Failures, stored.failed[t.position]
 			}
@@ -534,9 +534,9 @@
 }
 
 // restoreTask restores the stored state of a task. placedMS is when its newest run was placed,
-// as in job.TaskPlacement; 0 if unknown. confirmed and ended are explained at
+// as in job.TaskPlacement; 0 if unknown. settled and ended are explained at
 // job.Progress.
-func (p *Pool) restoreTask(t *task, s job.Task, placedMS int64, confirmed, ended bool) {
+func (p *Pool) restoreTask(t *task, s job.Task, placedMS int64, settled, ended bool) {
 	t.run, t.restored = s.Run, s.Run > 0
 	if t.history.checkpoint == "" { // of the first member that has one; each is valid for all
 		t.history.checkpoint = s.Checkpoint
@@ -555,7 +555,7 @@
 		if placedMS > 0 {
 			t.recorded, t.recordedAt = true, p.localTimeBound(placedMS)
 		}
-		t.confirmed, t.late.ended = confirmed, ended
+		t.startSettled, t.late.ended = settled, ended
 		p.inheritStart(t)
 		t.inheritedUntil = p.inheritedLeaseEnd(t)
 		t.throttlePercent = unknownThrottle
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -47,7 +47,7 @@
 	stopAnsweredAt   time.Duration // 0 if no stop was answered
 	inherited        bool          // the newest run was started by an earlier owner
 	late             lateStart     // of the newest run
-	confirmed        bool          // the start of the newest run has been carried out, and no call of it is left
+	startSettled     bool          // the start of the newest run has been carried out, and no call of it is left
 	blame            blame         // for a restart of its VM under its id, if the run turns out to be lost
 	lostOn           string        // id of the VM on which the newest run was given up; empty if it was not. The VM may leave and come back
 	givenUpOn        []string      // ids of the VMs on which runs were given up by this owner
