--- a/node/latecalls_test.go
+++ b/node/latecalls_test.go
@@ -522,7 +522,7 @@
 	covered := checkLateCalls(t, 1, lateCallsSeedsInCI)
 	for _, what := range []string{
 		"restarts", "owners", "runs lapsed", "starts late: accepted", "starts late: fenced", "starts carried out, answer lost: accepted",
-		"renewals late: carried out", "renewals late: refused", "stops late", "ends as done acknowledged, lapsed false",
+		"renewals late: carried out", "renewals late: refused", "stops on time", "stops late", "ends as done acknowledged, lapsed false",
 		"ends as failed acknowledged, lapsed false", "starts on time: no_room", "starts on time: unhealthy", "drains", "next lives of machines", "lists of machines",
 	} {
 		if covered[what] == 0 {
