Bound the ends of a VM that are not acknowledged

A VM lists 500 ends at a time. At most 250 ends are held; on a VM that is so busy, the oldest are acknowledged.

--- a/sched/pool/givenup.go
+++ b/sched/pool/givenup.go
@@ -75,6 +75,10 @@
 	p.earlierEnds = kept
 }
 
+// maxHeldEnds is the largest number of recorded ends of a VM that are not acknowledged. A VM lists
+// 500 ends at a time, so that it would show no newer ones.
+const maxHeldEnds = 250
+
 // endsOfBatch returns up to which sequence numbers the processed ends of v are recorded, and may be
 // acknowledged, once the next batch, which is complete, is durable.
 func (p *Pool) endsOfBatch(v *vm) durableEnds {
@@ -93,5 +97,6 @@
 			ends.acknowledged = min(ends.acknowledged, e.sequence-1)
 		}
 	}
+	ends.acknowledged = max(ends.acknowledged, ends.recorded-maxHeldEnds)
 	return ends
 }
