Take back the bound for late starts of other tasks at a next owner

Its machine was down from 12.0 to 18.5 s, and the owner changed meanwhile. The VM had left discovery before, so that the next owner did not know its machine and the inventory proved nothing; by the figures, the run was given up when a late start of another task on that VM could no longer have held its lease (12.0 + 2.3 + 12 + 6.14 s; it started again at 32.75 s).

A next owner that knew the machines of inherited VMs could have both.

--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -344,7 +344,7 @@
 	t.stopSentAt, t.stopAnsweredAt, t.inherited, t.blame, t.lostOn = 0, 0, false, notBlamed, ""
 	t.load, t.progressPercent, t.throttlePercent = 0, 0, 100
 	t.throttleSentAt, t.throttleLateUntil = 0, 0
-	t.recorded, t.recordedAt, t.inheritedUntil, t.formerClockUntil = false, 0, 0, 0
+	t.recorded, t.recordedAt, t.inheritedUntil = false, 0, 0
 	t.late, t.startSettled = lateStart{}, false
 	t.markDirty()
 }
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -558,9 +558,6 @@
 		t.startSettled, t.late.ended = settled, ended
 		p.inheritStart(t)
 		t.inheritedUntil = p.inheritedLeaseEnd(t)
-		if t.recorded && v.laterRuns == nil && !p.storedLeaseBounds[v.ID] {
-			t.formerClockUntil = t.recordedAt + p.settings.StartDelayBound + p.settings.FormerClockBound - p.settings.MaxLeaseBound
-		}
 		t.throttlePercent = unknownThrottle
 		t.since = p.now.Steady
 	}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -42,7 +42,6 @@
 	placedAt         time.Duration // when the newest run was placed
 	recorded         bool          // recordedAt is known
 	recordedAt       time.Duration // when the record of the newest run was sent, at the latest
-	formerClockUntil time.Duration // time until which an earlier owner may have sent calls on the clock of an incarnation before that of an inherited run; 0 if the bound of its lease covers them
 	inheritedUntil   time.Duration // time by which the lease of an inherited run has ended if its VM does not answer
 	stopSentAt       time.Duration // 0 if no stop was sent for the newest run
 	stopAnsweredAt   time.Duration // 0 if no stop was answered
@@ -215,7 +214,7 @@
 // leaseEnd returns the time by which the lease of the newest run of t, which is on v, has ended.
 func (v *vm) leaseEnd(t *task) time.Duration {
 	if t.inherited && !v.contacted {
-		return max(t.inheritedUntil, v.lateStartsEnd(t)) // the VM has no leases of this owner
+		return t.inheritedUntil // the VM has no leases of this owner
 	}
 	if t.phase == starting || t.phase == unconfirmed || t.late.leaseEnd > 0 {
 		return max(v.unconfirmedUntil(), t.late.leaseEnd)
@@ -223,19 +222,6 @@
 	return v.confirmedUntil()
 }
 
-// lateStartsEnd returns the time by which a lease has ended on which starts of other tasks, carried
-// out late, may extend that of the inherited run t; 0 if there are none. Only one that was sent on the
-// clock of a former incarnation extends it beyond the bound of what its owner has granted.
-func (v *vm) lateStartsEnd(t *task) time.Duration {
-	until := time.Duration(0)
-	for other := range v.tasks {
-		if other != t && other.inherited && other.recordedAt <= t.formerClockUntil {
-			until = max(until, other.late.leaseEnd)
-		}
-	}
-	return until
-}
-
 // inheritedLeaseEnd returns the time by which the lease of a run of an earlier owner has ended
 // if its VM does not answer. An incarnation that has held a run for long has been heard by its
 // owner, which granted further leases on its clock.
