Check a configuration before it is sent

Cause: operators learn of entries that can never match and of limits that contradict each other only after a version is in force; on the users' platform nothing checked what they write.

Change: amaranthctl check, for the folder and for the declarations of the users' platform: faults and warnings with their place, and the differences from the version in force.

--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -112,7 +112,7 @@
 	flags.StringVarP(&a.output, "output", "o", "table", "output: table or json")
 	flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "time limit of the command, 0 for none; without this flag, submit and watch have none")
 	root.AddCommand(
-		a.validateCommand(), a.diffCommand(), a.applyCommand(), a.pullCommand(), a.compactCommand(),
+		a.validateCommand(), a.checkCommand(), a.diffCommand(), a.applyCommand(), a.pullCommand(), a.compactCommand(),
 		a.dataCentreCommand(), a.keyCommand(),
 		a.statusCommand(), a.poolsCommand(), a.teamsCommand(), a.drainCommand(), a.undrainCommand(), a.maintenanceCommand(),
 		a.submitCommand(), a.watchCommand(), a.cancelCommand(),
@@ -166,15 +166,20 @@
 		if err != nil {
 			return wrapRun(err)
 		}
-		ctx, cancel := cmd.Context(), context.CancelFunc(func() {})
-		if a.timeout > 0 {
-			ctx, cancel = context.WithTimeout(ctx, a.timeout)
-		}
+		ctx, cancel := a.limit(cmd.Context())
 		defer cancel()
 		return wrapRun(run(ctx, c, args))
 	}
 }
 
+// limit returns a context that ends after --timeout.
+func (a *app) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if a.timeout > 0 {
+		return context.WithTimeout(ctx, a.timeout)
+	}
+	return ctx, func() {}
+}
+
 // remoteWithoutTimeout is remote for commands that wait for jobs: the default
 // of --timeout doesn't apply to them.
 func (a *app) remoteWithoutTimeout(run func(ctx context.Context, c *client.Client, args []string) error) func(*cobra.Command, []string) error {
@@ -257,6 +262,7 @@
 		refusal     *client.Error
 		unknown     *client.UnknownError
 		unavailable *client.UnavailableError
+		notRead     *notReadError
 	)
 	switch {
 	case errors.As(err, &usage):
@@ -265,7 +271,7 @@
 		return outcomeCode(outcome.result.Outcome)
 	case errors.As(err, &pending), errors.As(err, &unknown):
 		return ExitUnknown
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable), errors.As(err, &notRead):
 		return ExitNotRun
 	case errors.As(err, &conflict):
 		return ExitConflict
--- a/cmd/internal/ctl/ctl_test.go
+++ b/cmd/internal/ctl/ctl_test.go
@@ -294,3 +294,27 @@
 	}
 	s.assertGolden(dir, "usage")
 }
+
+// Guards against a check that misses a fault or an entry without effect, tells a wrong
+// place, or changes the exit codes that scripts rely on.
+func TestCheckSession(t *testing.T) {
+	dir := fixtures(t)
+	s := newCLISession(t)
+	s.run("check", ExitOK)
+	s.run("check --strict", ExitFailed)
+	s.write("00000002-more.yaml", "teams:\n  design: {share: 10%, limit: 5}\npools:\n  idle: {vms: [x-1], maxUnavailable: 1}\nmaintenance: {maxPerRack: 4}\n")
+	s.run("check -o json", ExitOK)
+	s.write("00000003-bad.yaml", "teams: {design: {limit: 0}}\n")
+	s.run("check", ExitFailed)
+	const before = `{"version": 4, "routes": [{"name": "a", "host": "h.example", "prefix": "/a/", "service": "p", "public": true}], "services": [{"name": "p"}]}`
+	s.write("before.json", before)
+	s.write("after.json", strings.NewReplacer(`"service": "p"`, "\n  \"service\": \"q\"", `"public"`, `"publik"`).Replace(before))
+	s.write("broken.json", "{\"version\": 4,\n\"routes\": [}")
+	s.run("check --declarations before.json", ExitOK)
+	s.run("check --declarations after.json --in-force before.json", ExitFailed)
+	s.run("check --declarations broken.json -o json", ExitFailed)
+	s.run("check --declarations missing.json", ExitUsage)
+	s.run("check --in-force before.json", ExitUsage)
+	s.run("check --declarations before.json --table-service 127.0.0.1:1", ExitNotRun)
+	s.assertGolden(dir, "check")
+}
--- a/cmd/internal/ctl/folder.go
+++ b/cmd/internal/ctl/folder.go
@@ -12,6 +12,7 @@
 	"amaranthfork.example/client"
 	"amaranthfork.example/config"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/fleet/compare"
 )
 
 const folderFileMode = 0o644
@@ -92,10 +93,10 @@
 // folderChange is the difference between the accepted configuration and the
 // folder.
 type folderChange struct {
-	Base        fleet.Revision      `json:"base"`
-	Put         []string            `json:"put"`
-	Removed     []string            `json:"removed"`
-	Differences []config.Difference `json:"differences"`
+	Base        fleet.Revision       `json:"base"`
+	Put         []string             `json:"put"`
+	Removed     []string             `json:"removed"`
+	Differences []compare.Difference `json:"differences"`
 
 	change config.Change
 }
@@ -115,7 +116,7 @@
 		Base:        server.revision,
 		Put:         []string{},
 		Removed:     append([]string{}, change.Removed...),
-		Differences: append([]config.Difference{}, config.Compare(server.snapshot, snapshot)...),
+		Differences: append([]compare.Difference{}, config.Compare(server.snapshot, snapshot)...),
 		change:      change,
 	}
 	for _, file := range change.Put {
--- a/config/builder.go
+++ b/config/builder.go
@@ -73,6 +73,15 @@
 // or findings. If a file cannot be parsed, checks across objects are skipped,
 // because they would report every reference to what the file declares.
 func (b *Builder) Build(revision fleet.Revision) (*Snapshot, Findings) {
+	a, findings := b.assemble(revision)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	return a.snapshot, nil
+}
+
+// assemble merges and checks the files. The assembler is nil if a file cannot be parsed.
+func (b *Builder) assemble(revision fleet.Revision) (*assembler, Findings) {
 	var findings Findings
 	unparsable := false
 	for _, file := range b.files {
@@ -82,10 +91,6 @@
 	if unparsable {
 		return nil, findings.sorted()
 	}
-	snapshot, faults := assemble(merge(b.files), revision)
-	findings = append(findings, faults...)
-	if len(findings) > 0 {
-		return nil, findings.sorted()
-	}
-	return snapshot, nil
+	a := assemble(merge(b.files), revision)
+	return a, append(findings, a.findings...).sorted()
 }
--- a/config/check.go
+++ b/config/check.go
@@ -26,9 +26,9 @@
 	snapshot *Snapshot
 }
 
-// assemble returns the snapshot of merged objects, and the findings of the merge
-// and of all checks across objects.
-func assemble(m *objectSet, revision fleet.Revision) (*Snapshot, Findings) {
+// assemble returns the assembler of merged objects, with its snapshot and the findings of
+// the merge and of all checks across objects.
+func assemble(m *objectSet, revision fleet.Revision) *assembler {
 	a := &assembler{objectSet: m, snapshot: &Snapshot{Revision: revision}}
 	a.checkRequired()
 	a.buildDataCentres()
@@ -40,7 +40,7 @@
 	a.buildMaintenance()
 	a.buildProfile()
 	a.checkShares()
-	return a.snapshot, a.findings
+	return a
 }
 
 // report adds a finding at a position.
--- a/config/units_test.go
+++ b/config/units_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/fleet/compare"
 	"pgregory.net/rapid"
 )
 
@@ -73,7 +74,7 @@
 		}
 		low := rapid.IntRange(0, 999).Draw(t, "low")
 		high := rapid.IntRange(low, 999).Draw(t, "high")
-		text := formatRange(fmt.Sprintf("w-%03d", low), fmt.Sprintf("w-%03d", high))
+		text := compare.FormatRange(fmt.Sprintf("w-%03d", low), fmt.Sprintf("w-%03d", high))
 		ids, err := ExpandVMs(text)
 		if err != nil || len(ids) != high-low+1 {
 			t.Fatalf("%s expands to %v, %v", text, ids, err)
@@ -82,7 +83,7 @@
 		for i, id := range ids {
 			names[i] = string(id)
 		}
-		if got := joinAsRanges(names); got != text {
+		if got := compare.JoinRanges(names); got != text {
 			t.Fatalf("the VMs of %s are written as %s", text, got)
 		}
 	})
