--- a/cmd/internal/ctl/check.go
+++ b/cmd/internal/ctl/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"amaranthfork.example/client"
 	"amaranthfork.example/config"
 	"amaranthfork.example/fleet/compare"
 	"amaranthfork.example/platform"
@@ -29,6 +30,7 @@
 	Warnings    config.Findings      `json:"warnings"`              // declarations without effect, limits that contradict each other
 	Base        string               `json:"base,omitempty"`        // what was compared with; empty if nothing was
 	Differences []compare.Difference `json:"differences,omitempty"` // from the base
+	NotCompared string               `json:"notCompared,omitempty"` // why the version in force could not be read
 }
 
 func (a *app) checkCommand() *cobra.Command {
@@ -78,7 +80,9 @@
 		report, err = checkDeclarations(ctx, o)
 	}
 	var notRead *notReadError
-	if err != nil && !errors.As(err, &notRead) {
+	if errors.As(err, &notRead) {
+		report.NotCompared = notRead.Error()
+	} else if err != nil {
 		return err
 	}
 	if printErr := a.print(report, func() { a.showReport(report) }); printErr != nil {
@@ -101,9 +105,9 @@
 // notReadError means that the version in force could not be read.
 type notReadError struct{ err error }
 
-func (e *notReadError) Error() string { return fmt.Sprintf("version in force: %v", e.err) }
-
-func (e *notReadError) Unwrap() error { return e.err }
+func (e *notReadError) Error() string {
+	return fmt.Sprintf("the version in force could not be read: %v", e.err)
+}
 
 // showReport prints the report of a check as text.
 func (a *app) showReport(r checkReport) {
@@ -114,6 +118,9 @@
 		a.printLine("warning: %s", f)
 	}
 	a.printLine("%s, %s", count(len(r.Findings), "finding"), count(len(r.Warnings), "warning"))
+	if r.NotCompared != "" {
+		a.printLine("not compared: %s", r.NotCompared)
+	}
 	if r.Base == "" {
 		return
 	}
@@ -133,15 +140,17 @@
 	if err != nil {
 		return checkReport{}, err
 	}
+	var c *client.Client
+	if a.server != "" {
+		if c, err = a.client(); err != nil {
+			return checkReport{}, err
+		}
+	}
 	snapshot, findings, warnings := config.Check(folder)
 	report := checkReport{Findings: append(config.Findings{}, findings...), Warnings: append(config.Findings{}, warnings...)}
-	if a.server == "" || len(findings) > 0 {
+	if c == nil || len(findings) > 0 {
 		return report, nil
 	}
-	c, err := a.client()
-	if err != nil {
-		return report, err
-	}
 	accepted, err := fetch(ctx, c)
 	if err != nil {
 		return report, &notReadError{err}
@@ -164,11 +173,16 @@
 		report.Findings = append(report.Findings, syntaxFinding(o.declarations, content, err))
 		return report, nil
 	}
-	if unknown := platform.UnknownField(content); unknown != "" {
-		report.Warnings = append(report.Warnings, config.Finding{File: o.declarations, Message: unknown + ": it has no effect"})
+	unknown, err := platform.UnknownFields(content)
+	if err != nil {
+		return report, err
+	}
+	places := config.NewLocator(content)
+	for _, field := range unknown {
+		report.add(findingAt(o.declarations, places, fmt.Sprintf("field %q has no effect: the platform does not have it", field.Name), field.Path), false)
 	}
 	for _, problem := range catalog.Check(declared) {
-		report.add(findingAt(o.declarations, content, problem.Place, problem.Message), problem.Error)
+		report.add(findingAt(o.declarations, places, problem.Message, platform.DeclarationPaths(problem.Place)...), problem.Error)
 	}
 	inForce, base, err := declarationsInForce(ctx, o)
 	if err != nil || inForce == nil {
@@ -176,7 +190,8 @@
 	}
 	if declared.Version <= inForce.Version {
 		place := catalog.Place{Kind: catalog.KindConfiguration, Field: catalog.FieldVersion}
-		report.add(findingAt(o.declarations, content, place, fmt.Sprintf("version %d is not higher than %d, which is in force", declared.Version, inForce.Version)), true)
+		message := fmt.Sprintf("version %d is not higher than %d, which is in force", declared.Version, inForce.Version)
+		report.add(findingAt(o.declarations, places, message, platform.DeclarationPaths(place)...), true)
 	}
 	report.Base = fmt.Sprintf("version %d (%s)", inForce.Version, base)
 	report.Differences = catalog.Compare(inForce.Catalog(), declared.Catalog())
@@ -192,10 +207,10 @@
 	}
 }
 
-// findingAt returns a finding with its line and column in the file.
-func findingAt(file string, content []byte, place catalog.Place, message string) config.Finding {
+// findingAt returns a finding at the first of the paths that the file has.
+func findingAt(file string, places *config.Locator, message string, paths ...string) config.Finding {
 	f := config.Finding{File: file, Message: message}
-	if line, column, found := config.Locate(content, platform.DeclarationPaths(place)...); found {
+	if line, column, found := places.Locate(paths...); found {
 		f.Line, f.Column = line, column
 	}
 	return f
--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -265,13 +265,15 @@
 		notRead     *notReadError
 	)
 	switch {
+	case errors.As(err, &notRead):
+		return ExitNotRun
 	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.As(err, &outcome):
 		return outcomeCode(outcome.result.Outcome)
 	case errors.As(err, &pending), errors.As(err, &unknown):
 		return ExitUnknown
-	case errors.As(err, &unavailable), errors.As(err, &notRead):
+	case errors.As(err, &unavailable):
 		return ExitNotRun
 	case errors.As(err, &conflict):
 		return ExitConflict
--- a/config/warnings.go
+++ b/config/warnings.go
@@ -4,19 +4,15 @@
 	"amaranthfork.example/fleet"
 )
 
-// Check merges and checks a folder. It returns either a snapshot or findings, and in both
-// cases warnings about declarations that have no effect or contradict each other, unless a
-// file cannot be parsed.
+// Check merges and checks a folder. It returns either findings, or a snapshot with warnings
+// about declarations that have no effect or contradict each other. A faulty folder has no
+// warnings: what the fault hides would seem to be missing.
 func Check(folder Folder) (snapshot *Snapshot, findings, warnings Findings) {
 	a, findings := NewBuilder(folder).assemble(0)
-	if a == nil {
-		return nil, findings, nil
-	}
-	warnings = a.warnings()
 	if len(findings) > 0 {
-		return nil, findings, warnings
+		return nil, findings, nil
 	}
-	return a.snapshot, nil, warnings
+	return a.snapshot, nil, a.warnings()
 }
 
 // warnings returns the warnings about the objects.
--- a/fleet/compare/compare.go
+++ b/fleet/compare/compare.go
@@ -131,16 +131,30 @@
 	if len(removed) > 0 {
 		parts = append(parts, "removed "+JoinRanges(removed))
 	}
-	c.add(Difference{Change: fieldName, Old: strconv.Itoa(len(old)), New: strconv.Itoa(len(new)), Extra: strings.Join(parts, "; ")})
+	c.addList(fieldName, len(old), len(new), parts)
 }
 
 // Secrets adds a difference of a list of secrets if the lists differ, in any order. It
 // tells how many were added and removed, and not which.
 func Secrets(c *Comparison, fieldName string, old, new []string) {
 	added, removed := len(namesOnlyIn(new, old)), len(namesOnlyIn(old, new))
-	if added+removed > 0 {
-		c.add(Difference{Change: fieldName, Old: strconv.Itoa(len(old)), New: strconv.Itoa(len(new)), Extra: fmt.Sprintf("added %d; removed %d", added, removed)})
+	if added+removed == 0 {
+		return
+	}
+	var parts []string
+	if added > 0 {
+		parts = append(parts, fmt.Sprintf("added %d", added))
 	}
+	if removed > 0 {
+		parts = append(parts, fmt.Sprintf("removed %d", removed))
+	}
+	c.addList(fieldName, len(old), len(new), parts)
+}
+
+// addList adds a difference of a list field, given the lengths of the lists and what was
+// added and removed.
+func (c *Comparison) addList(fieldName string, old, new int, parts []string) {
+	c.add(Difference{Change: fieldName, Old: strconv.Itoa(old), New: strconv.Itoa(new), Extra: strings.Join(parts, "; ")})
 }
 
 // namesOnlyIn returns the names of list that other does not have, sorted.
--- a/sched/catalog/catalog.go
+++ b/sched/catalog/catalog.go
@@ -32,6 +32,15 @@
 	Validity  time.Duration // of a ticket
 }
 
+// TicketMargin is the least remaining validity of a ticket with which a start is sent. It
+// covers the write of the record and the call to the VM.
+const TicketMargin = 150 * time.Millisecond
+
+// CallDuration returns the time that the advisor takes for a call about a number of VMs.
+func (a *Advice) CallDuration(vms int) time.Duration {
+	return a.CallTime + time.Duration(vms)*a.TimePerVM
+}
+
 // Pool is a declared pool.
 type Pool struct {
 	Name             string
--- a/sched/catalog/check.go
+++ b/sched/catalog/check.go
@@ -104,19 +104,14 @@
 	return p
 }
 
-// checkName reports a missing name, and one that an earlier object of the kind has. It
-// returns false for these.
-func (c *checker) checkName(at Place, name string, seen map[string]int) bool {
-	if name == "" {
+// checkName reports a missing name, and one that an earlier object of the kind has.
+func (c *checker) checkName(at Place, name string, seen map[string]int) {
+	if first, known := seen[name]; name == "" {
 		c.fault(at.field(FieldName), "%s %d has no name", at.Kind, at.Index)
-		return false
-	}
-	if first, known := seen[name]; known {
-		c.fault(at.field(FieldName), "%s %s is declared twice: the first one, at position %d, has no effect", at.Kind, name, first)
-		return false
+	} else if known {
+		c.fault(at.field(FieldName), "%s %s is declared twice: the one at position %d has no effect", at.Kind, name, first)
 	}
 	seen[name] = at.Index
-	return true
 }
 
 // notNegative reports a duration below zero.
@@ -134,9 +129,7 @@
 	seen := map[string]int{}
 	for i, p := range c.declarations.Pools {
 		at := Place{Kind: KindPool, Index: i}
-		if !c.checkName(at, p.Name, seen) {
-			continue
-		}
+		c.checkName(at, p.Name, seen)
 		c.pools[p.Name] = p
 		switch {
 		case p.Standby && used[p.Name]:
@@ -183,7 +176,7 @@
 	}
 	address := strings.ToLower(q.Host) + q.Prefix
 	if first, known := seen[address]; known {
-		c.fault(at.field(FieldPrefix), "queue %s can never match: queue %s has the same host and prefix", q.Name, c.declarations.Queues[first].Name)
+		c.fault(at.field(FieldPrefix), "queues %s and %s have the same host and prefix: only one of them matches", c.declarations.Queues[first].Name, q.Name)
 		return
 	}
 	seen[address] = at.Index
@@ -210,8 +203,8 @@
 	}
 	if min(a.CallTime, a.TimePerVM, a.Validity) < 0 {
 		c.fault(at.field(FieldAdvice), "a time in the advice of queue %s is negative", q.Name)
-	} else if a.Validity <= a.CallTime+a.TimePerVM {
-		c.warn(at.field(FieldAdvice), "queue %s can never start a task: its tickets are valid for %s, and a call for one VM takes %s", q.Name, a.Validity, a.CallTime+a.TimePerVM)
+	} else if a.Validity <= a.CallDuration(1)+TicketMargin {
+		c.warn(at.field(FieldAdvice), "queue %s can never start a task: its tickets are valid for %s, a call for one VM takes %s and a start %s", q.Name, a.Validity, a.CallDuration(1), TicketMargin)
 	}
 }
 
--- a/sched/pool/advice.go
+++ b/sched/pool/advice.go
@@ -12,9 +12,6 @@
 // Parameters of the requests to the advisor of a queue, which decides on which VMs
 // a step may run.
 const (
-	// ticketMargin is the minimum remaining validity of a ticket for a start. It
-	// covers the write of the record and the call to the VM.
-	ticketMargin = 150 * time.Millisecond
 	// maxVMsPerRequest limits the VMs of one request, which takes longer for each VM.
 	maxVMsPerRequest = 30
 	// vmsPerTask is the number of VMs in a request for each waiting task.
@@ -72,7 +69,7 @@
 		return "", true
 	}
 	found, ok := a.tickets[v.ID]
-	return found.value, ok && found.startedMS == v.StartedMS && found.until-now > ticketMargin
+	return found.value, ok && found.startedMS == v.StartedMS && found.until-now > catalog.TicketMargin
 }
 
 // requestAdvice asks the advisor about VMs that could run t's step now. waiting is
@@ -101,24 +98,19 @@
 	p.addCommand(Command{Kind: Advise, Task: step, VMs: ids, Timeout: adviceTimeout(advice, len(ids))})
 }
 
-// adviceTime returns the time that the advisor takes to answer a request.
-func adviceTime(a *catalog.Advice, vms int) time.Duration {
-	return a.CallTime + time.Duration(vms)*a.TimePerVM
-}
-
 // usefulRequest returns the largest number of VMs in a request whose tickets remain valid for
 // minTicketUse after the answer, at least 1.
 func usefulRequest(a *catalog.Advice) int {
 	if a.TimePerVM <= 0 {
 		return maxVMsPerRequest
 	}
-	return max(1, int((a.Validity-ticketMargin-minTicketUse-a.CallTime)/a.TimePerVM))
+	return max(1, int((a.Validity-catalog.TicketMargin-minTicketUse-a.CallTime)/a.TimePerVM))
 }
 
 // adviceTimeout returns the timeout of a request: twice its duration, since
 // earlier requests may be served first, and one second for the network.
 func adviceTimeout(a *catalog.Advice, vms int) time.Duration {
-	return 2*adviceTime(a, vms) + time.Second
+	return 2*a.CallDuration(vms) + time.Second
 }
 
 // adviceCandidates returns the ids of at most maxVMs VMs, the best first, that
@@ -174,7 +166,7 @@
 	}
 	issuedAt := sentAt
 	if q := p.queueOf(p.jobs[id]); q != nil && q.Advice != nil {
-		issuedAt = min(p.now.Steady, sentAt+adviceTime(q.Advice, len(c.VMs)))
+		issuedAt = min(p.now.Steady, sentAt+q.Advice.CallDuration(len(c.VMs)))
 	}
 	// A VM may have restarted under its id since the request was sent. The answer may be about
 	// either incarnation, and is taken for one about the earlier.
