Demand of a pool outlives its owner's silence; waves spare pools in need

Change: with a report older than 1 s a peak goes on at least at its usual rate, a rise is continued, unreported work counts as backlog, and no VM of the pool is taken. Pools without a VM to spare, or with a silent owner, come last in waves; idle VMs of others go early; VMs that a wave still has to take go to standby first and leave it last.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -448,7 +448,7 @@
 	view, _ := f.node.operator.Get()
 	s := &fleetplan.Snapshot{
 		NowMS: f.node.clock.Now().Wall, Machines: f.machines, Loads: f.loadReports.all(), Cordons: maps.Clone(f.cordons),
-		Standby: map[string]bool{}, Evacuated: view.EvacuatedDataCentres,
+		Standby: map[string]bool{}, Evacuated: view.EvacuatedDataCentres, Short: f.moves.Short(),
 	}
 	if view.Catalog != nil {
 		for name, p := range view.Catalog.Pools {
--- a/sched/fleetplan/demand.go
+++ b/sched/fleetplan/demand.go
@@ -55,6 +55,15 @@
 	// rateHeadroomFactor allows for estimates that are too low and for capacity
 	// left unused between tasks.
 	rateHeadroomFactor = 1.15
+	// silentAfterMS is the age of a load report above which the pool's owner counts as
+	// silent: three reports are overdue.
+	silentAfterMS = 1000
+	// maxSilenceMS is how long the demand of a pool with a silent owner is assumed to
+	// go on. Owners are replaced sooner.
+	maxSilenceMS = 6000
+	// risingPeakFraction is the fraction of the minimum rate of a peak from which on a
+	// rising rate is assumed to go on rising while the pool's owner is silent.
+	risingPeakFraction = 1.0 / 3
 	maxPeaks           = 32 // kept over all pools
 	maxSamples         = 24 // span more than peakEndWindowMS, even if half of the load reports come early
 )
@@ -122,8 +131,12 @@
 	}
 	if l.Epoch != p.epoch {
 		// A new owner counts accepted work from zero. The peak up to now is
-		// assumed to have had its last known mean rate.
+		// assumed to have had its last known mean rate, and at least the usual
+		// one if it was still rising.
 		p.epoch = l.Epoch
+		if n := len(p.samples); n > 0 && p.inPeak && p.samples[n-1].atMS < p.peakStartMS+peakRiseMS {
+			p.peakRate = max(p.peakRate, d.expectedPeakRate(name))
+		}
 		p.samples = nil
 		p.acceptedBefore = l.AcceptedCoreSeconds - p.peakRate*float64(l.AtMS-p.peakStartMS)/1000
 	}
@@ -311,21 +324,55 @@
 	return initialPeakFraction * d.fleetCores
 }
 
+// silenceMS returns how long the work of a pool with a silent owner has gone unreported,
+// in milliseconds; 0 if its owner is not silent.
+func silenceMS(l pool.LoadReport, nowMS int64) int64 {
+	if nowMS-l.AtMS <= silentAfterMS {
+		return 0
+	}
+	return min(nowMS-l.AtMS, maxSilenceMS)
+}
+
 // RequiredCores returns the cores that a pool needs for all but its long-running
 // tasks: for jobs that can still meet their objective, and besides for those that will
-// be late. nowMS is in Unix milliseconds.
+// be late. While the pool's owner is silent, the demand is assumed to go on, and its work
+// to wait for the next owner. nowMS is in Unix milliseconds.
 func (d *Demand) RequiredCores(name string, l pool.LoadReport, nowMS int64) (inTime, late float64) {
 	p := d.pools[name]
 	if p == nil {
 		return 0, 0
 	}
+	silence := silenceMS(l, nowMS)
+	reportedMS := nowMS
+	if silence > 0 {
+		reportedMS = l.AtMS
+	}
 	rate := p.rate
-	if p.inPeak && nowMS < p.peakStartMS+peakRiseMS {
+	switch {
+	case p.inPeak && reportedMS < p.peakStartMS+peakRiseMS:
 		rate = max(rate, d.expectedPeakRate(name))
-	} else if p.inPeak {
+	case p.inPeak:
 		rate = max(p.rateOver(peakEndWindowMS), p.peakRate)
+	case silence > 0:
+		rate = max(rate, min(d.risingRate(p, silence), d.expectedPeakRate(name)))
+	}
+	backlog := l.BacklogCoreSeconds + rate*float64(silence)/1000
+	return rate*rateHeadroomFactor + max(0, backlog-rate)/backlogTimeS, l.LateCoreSeconds / lateBacklogTimeS
+}
+
+// risingRate returns the rate of a pool some milliseconds after its last report, in
+// cores, if its rate rises as at that time. The result is 0 if it did not rise towards a
+// peak.
+func (d *Demand) risingRate(p *poolDemand, afterMS int64) float64 {
+	if len(p.samples) < 3 || p.rate < peakMeanFactor*p.meanRate || p.rate < risingPeakFraction*peakFleetFraction*d.fleetCores {
+		return 0
+	}
+	recent := p.rateOver(rateWindowMS / 2)
+	if recent <= p.rate {
+		return 0
 	}
-	return rate*rateHeadroomFactor + max(0, l.BacklogCoreSeconds-rate)/backlogTimeS, l.LateCoreSeconds / lateBacklogTimeS
+	// The mean rates over a window and over its second half are a quarter of it apart.
+	return recent + (recent-p.rate)*float64(afterMS)/(rateWindowMS/4)
 }
 
 // PreparedCores returns the cores that a pool should have because a peak of it
--- a/sched/fleetplan/fleetplan.go
+++ b/sched/fleetplan/fleetplan.go
@@ -72,6 +72,7 @@
 	Waves     []Wave
 	Standby   map[string]bool // standby pools, whose VMs are switched off
 	Evacuated map[string]bool // evacuated data centres, in which nothing may start
+	Short     map[string]bool // pools without a VM to spare for maintenance, by MovePlanner.Short
 }
 
 // vmLoad returns the report of the pool's owner on the current incarnation of a
@@ -101,6 +102,13 @@
 	return ok && load.Draining
 }
 
+// silent reports whether the owner of a pool is silent. It cannot be known then that
+// a VM of the pool is empty.
+func (s *Snapshot) silent(name string) bool {
+	l, reported := s.Loads[name]
+	return reported && silenceMS(l, s.NowMS) > 0
+}
+
 // Decision is a decision to empty a VM.
 type Decision struct {
 	Machine Machine
@@ -123,8 +131,14 @@
 	// fullPoolSlackFraction is the same for VMs of full pools. It is smaller, so that
 	// the maintenance of these VMs begins later than that of other pools' VMs.
 	fullPoolSlackFraction = 0.25
+	// idleSlackFraction is the same for idle VMs of pools that are not full. Their
+	// maintenance begins early, so that fewer VMs are left when pools are full.
+	idleSlackFraction = 0.75
 	// fullPoolUse is the poolUse above which a pool is full.
 	fullPoolUse = 0.9
+	// fullPoolCost is what the absence of a full pool's VM costs beyond that of another
+	// VM: more than any other VM's absence.
+	fullPoolCost = 8
 	// longRunningEmptyTime is the usual time to empty a VM with long-running tasks.
 	// Their availability budgets let only a few tasks of a step move at a time, so the
 	// emptying of these VMs begins early.
@@ -207,16 +221,25 @@
 	}
 	allowed := min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, waveSlackFraction, settings)) - inProgress
 	allowedIfFull := min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, fullPoolSlackFraction, settings)) - inProgress
+	idleSettings := settings
+	idleSettings.EmptyTime = 0
+	allowedIfIdle := max(allowed, min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, idleSlackFraction, idleSettings))-inProgress)
 	allowedIfStandby := w.MaxInMaintenance - inProgress // the absence of a standby VM costs nothing
 	sortForMaintenance(s, candidates, pending)
 	decisions := planLongRunning(s, w, longRunning, pending, remainingLongRunning, emptyingLongRunning, settings)
-	allowed, allowedIfFull, allowedIfStandby = allowed+len(decisions), allowedIfFull+len(decisions), allowedIfStandby+len(decisions)
+	already := len(decisions)
 	for _, m := range candidates {
 		standby := s.Standby[m.Pool]
-		if len(decisions) >= allowedIfStandby || !standby && len(decisions) >= allowed {
-			continue
+		limit := allowed
+		switch {
+		case standby:
+			limit = allowedIfStandby
+		case s.full(m.Pool):
+			limit = allowedIfFull
+		case s.idle(m):
+			limit = allowedIfIdle
 		}
-		if !standby && len(decisions) >= allowedIfFull && poolUse(s.Loads[m.Pool]) > fullPoolUse {
+		if len(decisions)-already >= min(limit, allowedIfStandby) {
 			continue
 		}
 		if !standby && pending[m.Pool] >= poolLimit(s, m.Pool, w, len(remaining), settings) {
@@ -267,6 +290,28 @@
 	return max(1, (len(s.Loads[name].VMs)+3)/4, required/2)
 }
 
+// full reports whether a pool needs all of its VMs, or may need them.
+func (s *Snapshot) full(name string) bool {
+	return s.Short[name] || s.silent(name) || poolUse(s.Loads[name]) > fullPoolUse
+}
+
+// idle reports whether nothing runs on a VM.
+func (s *Snapshot) idle(m Machine) bool {
+	load, ok := s.vmLoad(m)
+	return ok && load.Tasks == 0
+}
+
+// inOpenWave returns the machines that an open wave still has to take.
+func (s *Snapshot) inOpenWave() map[string]bool {
+	machines := map[string]bool{}
+	for i := range s.Waves {
+		for _, name := range s.Waves[i].Remaining(s.Machines) {
+			machines[name] = true
+		}
+	}
+	return machines
+}
+
 // sortForMaintenance sorts machines by the cost of their absence: standby VMs
 // first, then empty ones, then by use; VMs of pools with many VMs absent come last.
 func sortForMaintenance(s *Snapshot, list []Machine, pending map[string]int) {
@@ -293,7 +338,11 @@
 	if !ok || load.CapacityMilliCPU <= 0 {
 		return 1
 	}
-	return 1 + float64(load.UsedMilliCPU)/float64(load.CapacityMilliCPU) + 0.5*float64(load.LongRunning) + 4*poolUse(s.Loads[m.Pool])
+	cost := 1 + float64(load.UsedMilliCPU)/float64(load.CapacityMilliCPU) + 0.5*float64(load.LongRunning) + 4*poolUse(s.Loads[m.Pool])
+	if s.full(m.Pool) {
+		cost += fullPoolCost
+	}
+	return cost
 }
 
 // poolUse returns the cores that a pool uses or waits for, as a fraction of its
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -28,6 +28,7 @@
 	Demand         *Demand
 	surplusSinceMS map[string]int64 // start of a pool's surplus, Unix milliseconds
 	firstPlanMS    int64            // Unix milliseconds; 0 before the first plan
+	short          map[string]bool  // pools that had no VM to spare at the last plan
 }
 
 // NewMovePlanner returns a planner without observations.
@@ -50,6 +51,7 @@
 type movableVM struct {
 	machine Machine
 	load    pool.VMLoad
+	inWave  bool // an open wave still has to take the machine
 }
 
 // Plan returns the VMs to move next. It updates the demand model with the load
@@ -71,10 +73,18 @@
 		}
 	}
 	maxMoves := int(maxMovingFraction*float64(len(s.Machines))) - moving
+	m.short = map[string]bool{}
+	for name, b := range balances {
+		m.short[name] = b.haveCores-b.needCores < vmCores
+	}
 	decisions := m.fillDeficits(s, balances, vmCores, maxMoves)
 	return append(decisions, m.switchOffSurplus(s, balances, vmCores, maxMoves-len(decisions))...)
 }
 
+// Short returns the pools that had no VM to spare at the last plan. The caller must not
+// change it.
+func (m *MovePlanner) Short() map[string]bool { return m.short }
+
 // PoolSummary compares what one pool has with what it needs, for the log. Figures
 // are in cores unless a field says otherwise.
 type PoolSummary struct {
@@ -127,6 +137,7 @@
 func (m *MovePlanner) balances(s *Snapshot) map[string]*poolBalance {
 	balances := map[string]*poolBalance{}
 	vmCores := meanVMCores(s)
+	inWave := s.inOpenWave()
 	for name, l := range s.Loads {
 		if s.Standby[name] {
 			continue
@@ -143,8 +154,8 @@
 			b.vms++
 			if v.LongRunning > 0 {
 				longRunning += float64(v.UsedMilliCPU) / 1000
-			} else if machine.Up {
-				b.movable = append(b.movable, movableVM{machine, v})
+			} else if machine.Up && !s.silent(name) {
+				b.movable = append(b.movable, movableVM{machine, v, inWave[machine.Name]})
 			}
 		}
 		b.needCores, b.lateCores = m.Demand.RequiredCores(name, l, s.NowMS)
@@ -154,6 +165,9 @@
 			if b.movable[i].load.UsedMilliCPU != b.movable[k].load.UsedMilliCPU {
 				return b.movable[i].load.UsedMilliCPU < b.movable[k].load.UsedMilliCPU
 			}
+			if b.movable[i].inWave != b.movable[k].inWave {
+				return b.movable[k].inWave
+			}
 			return b.movable[i].machine.Name < b.movable[k].machine.Name
 		})
 		balances[name] = b
@@ -368,7 +382,24 @@
 	return v.machine
 }
 
-// standbyMachines returns the standby VMs that may be moved, in order of name.
+// takeForStandby is take, but of equally used VMs it prefers one that an open wave still
+// has to take: its maintenance costs nothing on standby.
+func (b *poolBalance) takeForStandby() Machine {
+	first := b.movable[0].load.UsedMilliCPU
+	for i, v := range b.movable {
+		if v.load.UsedMilliCPU != first {
+			break
+		}
+		if v.inWave {
+			b.movable[0], b.movable[i] = b.movable[i], b.movable[0]
+			break
+		}
+	}
+	return b.take()
+}
+
+// standbyMachines returns the standby VMs that may be moved, in order of name. Those that an
+// open wave still has to take come last.
 func standbyMachines(s *Snapshot) []Machine {
 	var list []Machine
 	for name, machine := range s.Machines {
@@ -376,7 +407,13 @@
 			list = append(list, machine)
 		}
 	}
-	sort.Slice(list, func(i, k int) bool { return list[i].Name < list[k].Name })
+	inWave := s.inOpenWave()
+	sort.Slice(list, func(i, k int) bool {
+		if inWave[list[i].Name] != inWave[list[k].Name] {
+			return inWave[list[k].Name]
+		}
+		return list[i].Name < list[k].Name
+	})
 	return list
 }
 
@@ -405,7 +442,7 @@
 			continue
 		}
 		for b.surplus() >= vmCores && b.vms > b.minVMs && len(b.movable) > 0 && len(decisions) < maxMoves && b.movable[0].load.Tasks == 0 {
-			decisions = append(decisions, Decision{b.take(), Purpose{Target: target}, "VM not needed for some time"})
+			decisions = append(decisions, Decision{b.takeForStandby(), Purpose{Target: target}, "VM not needed for some time"})
 		}
 	}
 	return decisions
