Bound what is assumed of a silent owner; waves take short pools' VMs last, but no later

Change: silence counts from three usual intervals of reports (1 s or more) to 6 s; only idle VMs are preferred for standby; short pools only change the order of a wave; nobody is short if all are; pool_books shows silent and short.

--- a/sched/fleetplan/demand.go
+++ b/sched/fleetplan/demand.go
@@ -55,11 +55,12 @@
 	// rateHeadroomFactor allows for estimates that are too low and for capacity
 	// left unused between tasks.
 	rateHeadroomFactor = 1.15
-	// silentAfterMS is the age of a load report above which the pool's owner counts as
-	// silent: three reports are overdue.
-	silentAfterMS = 1000
-	// maxSilenceMS is how long the demand of a pool with a silent owner is assumed to
-	// go on. Owners are replaced sooner.
+	// silentAfterMS is the least age of a load report above which the pool's owner counts
+	// as silent, and silentAfterReports the same in usual times between two of its reports.
+	silentAfterMS      = 1000
+	silentAfterReports = 3
+	// maxSilenceMS is the age of a load report above which the demand of a pool is no
+	// longer assumed to go on. Owners are replaced sooner.
 	maxSilenceMS = 6000
 	// risingPeakFraction is the fraction of the minimum rate of a peak from which on a
 	// rising rate is assumed to go on rising while the pool's owner is silent.
@@ -325,24 +326,31 @@
 }
 
 // silenceMS returns how long the work of a pool with a silent owner has gone unreported,
-// in milliseconds; 0 if its owner is not silent.
-func silenceMS(l pool.LoadReport, nowMS int64) int64 {
-	if nowMS-l.AtMS <= silentAfterMS {
+// in milliseconds. The result is 0 if the owner is not silent, or for so long that nothing
+// can be assumed.
+func (d *Demand) silenceMS(name string, l pool.LoadReport, nowMS int64) int64 {
+	age, limit := nowMS-l.AtMS, int64(silentAfterMS)
+	if p := d.pools[name]; p != nil && len(p.samples) > 1 {
+		usual := (p.samples[len(p.samples)-1].atMS - p.samples[0].atMS) / int64(len(p.samples)-1)
+		limit = max(limit, silentAfterReports*usual)
+	}
+	if age <= limit || age > maxSilenceMS {
 		return 0
 	}
-	return min(nowMS-l.AtMS, maxSilenceMS)
+	return age
 }
 
 // RequiredCores returns the cores that a pool needs for all but its long-running
 // tasks: for jobs that can still meet their objective, and besides for those that will
 // be late. While the pool's owner is silent, the demand is assumed to go on, and its work
-// to wait for the next owner. nowMS is in Unix milliseconds.
+// to wait for the next owner; after maxSilenceMS the figures are those of its last report.
+// nowMS is in Unix milliseconds.
 func (d *Demand) RequiredCores(name string, l pool.LoadReport, nowMS int64) (inTime, late float64) {
 	p := d.pools[name]
 	if p == nil {
 		return 0, 0
 	}
-	silence := silenceMS(l, nowMS)
+	silence := d.silenceMS(name, l, nowMS)
 	reportedMS := nowMS
 	if silence > 0 {
 		reportedMS = l.AtMS
--- a/sched/fleetplan/fleetplan.go
+++ b/sched/fleetplan/fleetplan.go
@@ -73,6 +73,7 @@
 	Standby   map[string]bool // standby pools, whose VMs are switched off
 	Evacuated map[string]bool // evacuated data centres, in which nothing may start
 	Short     map[string]bool // pools without a VM to spare for maintenance, by MovePlanner.Short
+	Next      map[string]bool // pools that are prepared for a demand peak, by MovePlanner.Next
 }
 
 // vmLoad returns the report of the pool's owner on the current incarnation of a
@@ -102,13 +103,6 @@
 	return ok && load.Draining
 }
 
-// silent reports whether the owner of a pool is silent. It cannot be known then that
-// a VM of the pool is empty.
-func (s *Snapshot) silent(name string) bool {
-	l, reported := s.Loads[name]
-	return reported && silenceMS(l, s.NowMS) > 0
-}
-
 // Decision is a decision to empty a VM.
 type Decision struct {
 	Machine Machine
@@ -136,9 +130,9 @@
 	idleSlackFraction = 0.75
 	// fullPoolUse is the poolUse above which a pool is full.
 	fullPoolUse = 0.9
-	// fullPoolCost is what the absence of a full pool's VM costs beyond that of another
-	// VM: more than any other VM's absence.
-	fullPoolCost = 8
+	// shortPoolCost is what the absence of a VM costs more in a pool that is to be spared:
+	// such VMs come last, but not later than the deadline allows.
+	shortPoolCost = 8
 	// longRunningEmptyTime is the usual time to empty a VM with long-running tasks.
 	// Their availability budgets let only a few tasks of a step move at a time, so the
 	// emptying of these VMs begins early.
@@ -219,27 +213,13 @@
 	for name := range w.InMaintenance {
 		pending[s.Machines[name].Pool]++
 	}
-	allowed := min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, waveSlackFraction, settings)) - inProgress
-	allowedIfFull := min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, fullPoolSlackFraction, settings)) - inProgress
-	idleSettings := settings
-	idleSettings.EmptyTime = 0
-	allowedIfIdle := max(allowed, min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, idleSlackFraction, idleSettings))-inProgress)
-	allowedIfStandby := w.MaxInMaintenance - inProgress // the absence of a standby VM costs nothing
+	limits := waveLimitsOf(w, len(remaining), inProgress, s.NowMS, settings)
 	sortForMaintenance(s, candidates, pending)
 	decisions := planLongRunning(s, w, longRunning, pending, remainingLongRunning, emptyingLongRunning, settings)
 	already := len(decisions)
 	for _, m := range candidates {
 		standby := s.Standby[m.Pool]
-		limit := allowed
-		switch {
-		case standby:
-			limit = allowedIfStandby
-		case s.full(m.Pool):
-			limit = allowedIfFull
-		case s.idle(m):
-			limit = allowedIfIdle
-		}
-		if len(decisions)-already >= min(limit, allowedIfStandby) {
+		if len(decisions)-already >= limits.limitFor(s, m) {
 			continue
 		}
 		if !standby && pending[m.Pool] >= poolLimit(s, m.Pool, w, len(remaining), settings) {
@@ -251,6 +231,35 @@
 	return decisions
 }
 
+// waveLimits are the numbers of VMs without long-running tasks that a wave may take now, by
+// what the absence of a VM costs.
+type waveLimits struct{ standby, idle, busy, full int }
+
+func waveLimitsOf(w *Wave, remaining, inProgress int, nowMS int64, settings Settings) waveLimits {
+	parallel := func(slack float64, emptyTime time.Duration) int {
+		settings.EmptyTime = emptyTime
+		return min(w.MaxInMaintenance, requiredParallel(w, remaining, nowMS, slack, settings)) - inProgress
+	}
+	l := waveLimits{standby: w.MaxInMaintenance - inProgress, busy: parallel(waveSlackFraction, settings.EmptyTime), full: parallel(fullPoolSlackFraction, settings.EmptyTime)}
+	l.idle = max(l.busy, parallel(idleSlackFraction, 0))
+	return l
+}
+
+// limitFor returns the number of VMs up to which m may be taken: the absence of a standby VM
+// costs nothing, that of an idle one little unless its pool is prepared for a peak or lacks
+// VMs, and that of a full pool's VM most.
+func (l waveLimits) limitFor(s *Snapshot, m Machine) int {
+	switch {
+	case s.Standby[m.Pool]:
+		return l.standby
+	case poolUse(s.Loads[m.Pool]) > fullPoolUse:
+		return l.full
+	case s.idle(m) && !s.Next[m.Pool] && !s.Short[m.Pool]:
+		return l.idle
+	}
+	return l.busy
+}
+
 // planLongRunning returns the VMs with long-running tasks to empty next. Most of their
 // processors are in use anyway, and they are emptied slowly, so that they are not
 // counted with the others.
@@ -290,11 +299,6 @@
 	return max(1, (len(s.Loads[name].VMs)+3)/4, required/2)
 }
 
-// full reports whether a pool needs all of its VMs, or may need them.
-func (s *Snapshot) full(name string) bool {
-	return s.Short[name] || s.silent(name) || poolUse(s.Loads[name]) > fullPoolUse
-}
-
 // idle reports whether nothing runs on a VM.
 func (s *Snapshot) idle(m Machine) bool {
 	load, ok := s.vmLoad(m)
@@ -339,8 +343,8 @@
 		return 1
 	}
 	cost := 1 + float64(load.UsedMilliCPU)/float64(load.CapacityMilliCPU) + 0.5*float64(load.LongRunning) + 4*poolUse(s.Loads[m.Pool])
-	if s.full(m.Pool) {
-		cost += fullPoolCost
+	if s.Short[m.Pool] {
+		cost += shortPoolCost
 	}
 	return cost
 }
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -1,6 +1,7 @@
 package fleetplan
 
 import (
+	"maps"
 	"math"
 	"sort"
 
@@ -28,7 +29,7 @@
 	Demand         *Demand
 	surplusSinceMS map[string]int64 // start of a pool's surplus, Unix milliseconds
 	firstPlanMS    int64            // Unix milliseconds; 0 before the first plan
-	short          map[string]bool  // pools that had no VM to spare at the last plan
+	short, next    map[string]bool  // as returned by Short and Next
 }
 
 // NewMovePlanner returns a planner without observations.
@@ -62,6 +63,7 @@
 	if m.firstPlanMS == 0 {
 		m.firstPlanMS = s.NowMS
 	}
+	m.short, m.next = map[string]bool{}, map[string]bool{}
 	balances := m.balances(s)
 	if vmCores <= 0 || len(balances) == 0 {
 		return nil
@@ -73,17 +75,37 @@
 		}
 	}
 	maxMoves := int(maxMovingFraction*float64(len(s.Machines))) - moving
-	m.short = map[string]bool{}
-	for name, b := range balances {
-		m.short[name] = b.haveCores-b.needCores < vmCores
-	}
+	m.noteShort(s, balances, vmCores)
 	decisions := m.fillDeficits(s, balances, vmCores, maxMoves)
 	return append(decisions, m.switchOffSurplus(s, balances, vmCores, maxMoves-len(decisions))...)
 }
 
-// Short returns the pools that had no VM to spare at the last plan. The caller must not
-// change it.
-func (m *MovePlanner) Short() map[string]bool { return m.short }
+// noteShort notes the pools that had no VM to spare and those that may have the next peak.
+func (m *MovePlanner) noteShort(s *Snapshot, balances map[string]*poolBalance, vmCores float64) {
+	for name, b := range balances {
+		if b.haveCores-b.needCores < vmCores {
+			m.short[name] = true
+		}
+		if m.Demand.PreparedCores(name, s.NowMS) > 0 {
+			m.next[name] = true
+		}
+	}
+	if len(m.short) == len(balances) {
+		clear(m.short) // VMs can be spared nowhere
+	}
+	for name := range balances {
+		if m.Demand.silenceMS(name, s.Loads[name], s.NowMS) > 0 {
+			m.short[name] = true
+		}
+	}
+}
+
+// Short returns the pools whose VMs waves should take last: at the last plan they had no VM
+// to spare, while others had, or their owner was silent.
+func (m *MovePlanner) Short() map[string]bool { return maps.Clone(m.short) }
+
+// Next returns the pools that were prepared for a demand peak at the last plan.
+func (m *MovePlanner) Next() map[string]bool { return maps.Clone(m.next) }
 
 // PoolSummary compares what one pool has with what it needs, for the log. Figures
 // are in cores unless a field says otherwise.
@@ -94,6 +116,8 @@
 	VMs            int     // including those that are moving to the pool
 	Rate, MeanRate float64 // of accepted work, in core-seconds per second
 	InPeak         bool    // the pool is in a demand peak
+	Silent         bool    // its owner's reports are overdue, and the demand is assumed to go on
+	Short          bool    // waves take its VMs last, by the last plan
 	Used           float64 // by runs
 	Backlog, Late  float64 // remaining work of jobs that can still meet their objective and of others, in core-seconds
 }
@@ -108,6 +132,7 @@
 			summary.Rate, summary.MeanRate, summary.InPeak = p.rate, p.meanRate, p.inPeak
 		}
 		load := s.Loads[name]
+		summary.Silent, summary.Short = m.Demand.silenceMS(name, load, s.NowMS) > 0, m.short[name]
 		summary.Backlog, summary.Late = load.BacklogCoreSeconds, load.LateCoreSeconds
 		for _, v := range load.VMs {
 			summary.Used += float64(v.UsedMilliCPU) / 1000
@@ -143,6 +168,8 @@
 			continue
 		}
 		b := &poolBalance{name: name, minVMs: max(minVMsPerPool, l.MinVMs)}
+		// While the owner is silent, no VM can be known to be empty.
+		silent := m.Demand.silenceMS(name, l, s.NowMS) > 0
 		longRunning := 0.0 // cores of VMs with long-running tasks, which stay
 		for _, v := range l.VMs {
 			machine, known := s.Machines[v.Machine]
@@ -154,7 +181,7 @@
 			b.vms++
 			if v.LongRunning > 0 {
 				longRunning += float64(v.UsedMilliCPU) / 1000
-			} else if machine.Up && !s.silent(name) {
+			} else if machine.Up && !silent {
 				b.movable = append(b.movable, movableVM{machine, v, inWave[machine.Name]})
 			}
 		}
@@ -382,15 +409,14 @@
 	return v.machine
 }
 
-// takeForStandby is take, but of equally used VMs it prefers one that an open wave still
-// has to take: its maintenance costs nothing on standby.
+// takeForStandby is take, but it prefers an idle VM that an open wave still has to take: its maintenance costs nothing on standby.
 func (b *poolBalance) takeForStandby() Machine {
 	first := b.movable[0].load.UsedMilliCPU
 	for i, v := range b.movable {
 		if v.load.UsedMilliCPU != first {
 			break
 		}
-		if v.inWave {
+		if v.inWave && v.load.Tasks == 0 {
 			b.movable[0], b.movable[i] = b.movable[i], b.movable[0]
 			break
 		}
