A crash that is explained counts against no other task

Cause: the crash of a VM counted against all tasks on it, also when one of them is given up for it as the likely cause of three crashes. In an overload all VMs are full, so tasks beside such a task reach the limit as well.

Change: when a task is given up for a crash, the crash counts only against tasks that are its likely cause as well.

--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -124,11 +124,22 @@
 	if planned {
 		return
 	}
-	for _, s := range suspects {
+	for _, s := range withoutExplained(suspects) {
 		p.countCrash(s, v)
 	}
 }
 
+// withoutExplained returns the suspects of a crash that are blamed for it. If one of them is
+// given up for it, as the likely cause of so many crashes, the crash tells nothing about those
+// that were only beside it.
+func withoutExplained(suspects []suspect) []suspect {
+	convicted := func(s suspect) bool { return s.blame == likelyCause && s.task.likelyCrashes+1 >= maxLikelyCrashes }
+	if !slices.ContainsFunc(suspects, convicted) {
+		return suspects
+	}
+	return slices.DeleteFunc(suspects, func(s suspect) bool { return s.blame != likelyCause })
+}
+
 // rememberLost records the runs of tasks that are about to be given up on v, which does not
 // answer, until it is known whether it has crashed. None is a likely cause, since it may crash
 // after their leases have ended.
