Recognise VMs that run their tasks slowly by the progress of siblings

Change: at each listing, the projected run time of each run is compared with that of its step's other tasks on other VMs. At 3 times their mean the VM gets no new work for 2 s, and runs that end much earlier on another VM are stopped and placed there, with their checkpoint if there is one. A job whose tasks are long on all VMs tells nothing.

--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -56,6 +56,7 @@
 		p.handleUnlisted(v, l, listed)
 	}
 	p.adjustThrottles(v)
+	p.observePace(v)
 }
 
 // findTask returns the named task, nil if it is not known.
--- /dev/null
+++ b/sched/pool/slowvm.go
@@ -0,0 +1,101 @@
+package pool
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Parameters of the recognition of VMs that are up and healthy but run their tasks slowly.
+const (
+	// minPaceTime is how long a run must have lasted before its progress tells its pace: a
+	// percent of a run is 10 ms or more then.
+	minPaceTime = 600 * time.Millisecond
+	// minPacedSiblings is the number of tasks of the same step, on other VMs, to which a run is
+	// compared.
+	minPacedSiblings = 2
+	// slowFactor is the ratio of a run's projected time to the mean of its siblings above which
+	// its VM is slow. The run times of one step lie within a factor of 2 of their mean.
+	slowFactor = 3.0
+	// slowQuarantine is the time without new work on a slow VM. Each listing that shows a slow
+	// run starts it again.
+	slowQuarantine = 2 * time.Second
+	// minRescueGain is the smallest ratio of the remaining time of a run to the time that it
+	// takes on another VM for which it is stopped. The room and the work of the run are lost.
+	minRescueGain = 2.0
+)
+
+// projectedRunTime returns the time that a run of t takes by its progress so far, and that of the
+// run that is done; 0 if it is not known. A run that shows no progress takes at least the result.
+func (t *task) projectedRunTime() time.Duration {
+	switch {
+	case t.phase == done:
+		return t.ranFor
+	case t.phase != running || t.inherited || t.startedFrom != "" || t.loadAt-t.since < minPaceTime || t.progressPercent >= fullPercent:
+		return 0
+	}
+	if t.progressPercent <= 0 {
+		return t.loadAt - t.since
+	}
+	return (t.loadAt - t.since) * fullPercent / time.Duration(t.progressPercent)
+}
+
+// siblingRunTime returns the mean of the projected run times of the tasks of t's step on VMs
+// other than v, or 0 if too few are known.
+func (t *task) siblingRunTime(v *vm) time.Duration {
+	n, sum := 0, time.Duration(0)
+	for _, sibling := range t.occ.tasks[t.step] {
+		if sibling == t || sibling.vm == v {
+			continue
+		}
+		if d := sibling.projectedRunTime(); d > 0 {
+			n++
+			sum += d
+		}
+	}
+	if n < minPacedSiblings {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
+// observePace recognises from the runs that v has just listed whether it is slow. A slow VM
+// gets no new work, and its runs continue elsewhere if they end earlier there.
+func (p *Pool) observePace(v *vm) {
+	for _, t := range v.sortedTasks() {
+		if t.spec().LongRunning || t.spec().Gang || t.occ.job.state.Final() {
+			continue
+		}
+		projected := t.projectedRunTime()
+		if projected == 0 {
+			continue
+		}
+		usual := t.siblingRunTime(v)
+		if usual == 0 || float64(projected) < slowFactor*float64(usual) {
+			continue
+		}
+		if until := p.now.Steady + slowQuarantine; until > v.health.quarantinedUntil {
+			v.health.quarantinedUntil = until
+		}
+		p.log.Info("vm_slow", zap.String("vm", v.ID), zap.String("task", t.name), zap.Duration("after", t.loadAt-t.since),
+			zap.Int("progress", t.progressPercent), zap.Duration("projected", projected), zap.Duration("usual", usual))
+		p.rescue(t, projected, usual)
+	}
+}
+
+// rescue stops the run of t on a slow VM if it ends much earlier on another one.
+func (p *Pool) rescue(t *task, projected, usual time.Duration) {
+	if t.stopSentAt > 0 || t.late.calls > 1 && t.late.open(p.now.Steady) {
+		return
+	}
+	remaining := projected - (p.now.Steady - t.since)
+	elsewhere := usual
+	if t.spec().Checkpoints {
+		elsewhere -= usual * time.Duration(t.progressPercent) / fullPercent
+	}
+	elsewhere += p.settings.StopGrace + p.startTime
+	if float64(remaining) < minRescueGain*float64(elsewhere) || p.choose(t, nil) == nil {
+		return
+	}
+	p.sendStop(t, "vm is slow")
+}
