--- a/sched/pool/slowvm.go
+++ b/sched/pool/slowvm.go
@@ -74,11 +74,11 @@
 		if usual == 0 || float64(projected) < slowFactor*float64(usual) {
 			continue
 		}
-		if until := p.now.Steady + slowQuarantine; until > v.health.quarantinedUntil {
-			v.health.quarantinedUntil = until
+		if !v.health.quarantined(p.now.Steady) {
+			p.log.Warn("vm_slow", zap.String("vm", v.ID), zap.String("task", t.name), zap.Duration("after", t.loadAt-t.since),
+				zap.Int("progress", t.progressPercent), zap.Duration("projected", projected), zap.Duration("usual", usual), zap.Int("tasks", len(v.tasks)))
 		}
-		p.log.Info("vm_slow", zap.String("vm", v.ID), zap.String("task", t.name), zap.Duration("after", t.loadAt-t.since),
-			zap.Int("progress", t.progressPercent), zap.Duration("projected", projected), zap.Duration("usual", usual))
+		v.health.quarantinedUntil = max(v.health.quarantinedUntil, p.now.Steady+slowQuarantine)
 		p.rescue(t, projected, usual)
 	}
 }
