--- a/sched/pool/slowvm.go
+++ b/sched/pool/slowvm.go
@@ -40,6 +40,13 @@
 	return (t.loadAt - t.since) * fullPercent / time.Duration(t.progressPercent)
 }
 
+// tellsPace reports whether the progress of t on v can be compared with that of its siblings. Tasks
+// that are throttled, or away from their data, are slow for other reasons than their VM.
+func (t *task) tellsPace(v *vm) bool {
+	spec := t.spec()
+	return !spec.LongRunning && !spec.Gang && !spec.BestEffort && !spec.SameRack && (spec.NearRack == "" || spec.NearRack == v.Rack)
+}
+
 // siblingRunTime returns the mean of the projected run times of the tasks of t's step on VMs
 // other than v, or 0 if too few are known.
 func (t *task) siblingRunTime(v *vm) time.Duration {
@@ -63,7 +70,7 @@
 // gets no new work, and its runs continue elsewhere if they end earlier there.
 func (p *Pool) observePace(v *vm) {
 	for _, t := range v.sortedTasks() {
-		if t.spec().LongRunning || t.spec().Gang || t.occ.job.state.Final() {
+		if !t.tellsPace(v) || t.occ.job.state.Final() {
 			continue
 		}
 		projected := t.projectedRunTime()
--- a/sched/pool/slowvm_test.go
+++ b/sched/pool/slowvm_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/pool"
 )
 
@@ -73,3 +74,34 @@
 		}
 	}
 }
+
+// Guards against a VM that is held for slow because of its tasks: those away from their data take
+// 3 times as long, and those that fill beside others are throttled.
+func TestTasksThatAreSlowByThemselves(t *testing.T) {
+	for name, change := range map[string]func(*job.Step){
+		"away from their data": func(s *job.Step) { s.NearRack = "r2" },
+		"best effort":          func(s *job.Step) { s.BestEffort = true },
+	} {
+		h := newHarness(t)
+		a, b := h.addVM("a", 4000), h.addVM("b", 8000)
+		b.vm.Rack = "r2"
+		h.scheduler.ObserveVM(b.vm)
+		h.settle()
+		spec := shortJob(12)
+		change(&spec.Steps[0])
+		h.submit(spec)
+		h.settle()
+		const elapsed = 800 * time.Millisecond
+		h.advance(elapsed)
+		h.progress(a, elapsed, 3500*time.Millisecond)
+		h.progress(b, elapsed, time.Second)
+		if len(a.running) == 0 || len(b.running) < 3 {
+			t.Fatalf("%s: %d and %d runs", name, len(a.running), len(b.running))
+		}
+		h.renewAll()
+		h.renewAll() // compares with what the first listings have shown
+		if load, ok := h.scheduler.LoadReport().VM(a.vm.ID); !ok || !load.Usable {
+			t.Errorf("%s: the VM gets no new work", name)
+		}
+	}
+}
