Waves take VMs as before; a silent owner's pool keeps its VMs and its demand

What stays: the demand of a pool goes on while its owner is silent, no VM of it moves meanwhile, and VMs that a wave still has to take go to standby first and leave it last.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -438,7 +438,7 @@
 	next := f.moves.Demand.NextPools(s.NowMS)
 	for _, b := range f.moves.Summaries(s) {
 		f.log.Info("pool_books", zap.String("pool", b.Pool), zap.Int("vms", b.VMs), zap.Int("have", int(b.Have)), zap.Int("need", int(b.Need)),
-			zap.Int("rate", int(b.Rate)), zap.Int("mean", int(b.MeanRate)), zap.Bool("turn", b.InPeak), zap.Bool("silent", b.Silent), zap.Bool("short", b.Short),
+			zap.Int("rate", int(b.Rate)), zap.Int("mean", int(b.MeanRate)), zap.Bool("turn", b.InPeak), zap.Bool("silent", b.Silent),
 			zap.Int64("load_age_ms", s.NowMS-s.Loads[b.Pool].AtMS), zap.Bool("expected_next", slices.Contains(next, b.Pool)),
 			zap.Int("used", int(b.Used)), zap.Int("backlog", int(b.Backlog)), zap.Int("late", int(b.Late)))
 	}
@@ -448,7 +448,7 @@
 	view, _ := f.node.operator.Get()
 	s := &fleetplan.Snapshot{
 		NowMS: f.node.clock.Now().Wall, Machines: f.machines, Loads: f.loadReports.all(), Cordons: maps.Clone(f.cordons),
-		Standby: map[string]bool{}, Evacuated: view.EvacuatedDataCentres, Short: f.moves.Short(), Next: f.moves.Next(),
+		Standby: map[string]bool{}, Evacuated: view.EvacuatedDataCentres,
 	}
 	if view.Catalog != nil {
 		for name, p := range view.Catalog.Pools {
--- a/sched/fleetplan/fleetplan.go
+++ b/sched/fleetplan/fleetplan.go
@@ -72,8 +72,6 @@
 	Waves     []Wave
 	Standby   map[string]bool // standby pools, whose VMs are switched off
 	Evacuated map[string]bool // evacuated data centres, in which nothing may start
-	Short     map[string]bool // pools without a VM to spare for maintenance, by MovePlanner.Short
-	Next      map[string]bool // pools that are prepared for a demand peak, by MovePlanner.Next
 }
 
 // vmLoad returns the report of the pool's owner on the current incarnation of a
@@ -125,14 +123,8 @@
 	// fullPoolSlackFraction is the same for VMs of full pools. It is smaller, so that
 	// the maintenance of these VMs begins later than that of other pools' VMs.
 	fullPoolSlackFraction = 0.25
-	// idleSlackFraction is the same for idle VMs of pools that are not full. Their
-	// maintenance begins early, so that fewer VMs are left when pools are full.
-	idleSlackFraction = 0.75
 	// fullPoolUse is the poolUse above which a pool is full.
 	fullPoolUse = 0.9
-	// shortPoolCost is what the absence of a VM costs more in a pool that is to be spared:
-	// such VMs come last, but not later than the deadline allows.
-	shortPoolCost = 8
 	// longRunningEmptyTime is the usual time to empty a VM with long-running tasks.
 	// Their availability budgets let only a few tasks of a step move at a time, so the
 	// emptying of these VMs begins early.
@@ -213,13 +205,18 @@
 	for name := range w.InMaintenance {
 		pending[s.Machines[name].Pool]++
 	}
-	limits := waveLimitsOf(w, len(remaining), inProgress, s.NowMS, settings)
+	allowed := min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, waveSlackFraction, settings)) - inProgress
+	allowedIfFull := min(w.MaxInMaintenance, requiredParallel(w, len(remaining), s.NowMS, fullPoolSlackFraction, settings)) - inProgress
+	allowedIfStandby := w.MaxInMaintenance - inProgress // the absence of a standby VM costs nothing
 	sortForMaintenance(s, candidates, pending)
 	decisions := planLongRunning(s, w, longRunning, pending, remainingLongRunning, emptyingLongRunning, settings)
-	already := len(decisions)
+	allowed, allowedIfFull, allowedIfStandby = allowed+len(decisions), allowedIfFull+len(decisions), allowedIfStandby+len(decisions)
 	for _, m := range candidates {
 		standby := s.Standby[m.Pool]
-		if len(decisions)-already >= limits.limitFor(s, m) {
+		if len(decisions) >= allowedIfStandby || !standby && len(decisions) >= allowed {
+			continue
+		}
+		if !standby && len(decisions) >= allowedIfFull && poolUse(s.Loads[m.Pool]) > fullPoolUse {
 			continue
 		}
 		if !standby && pending[m.Pool] >= poolLimit(s, m.Pool, w, len(remaining), settings) {
@@ -231,35 +228,6 @@
 	return decisions
 }
 
-// waveLimits are the numbers of VMs without long-running tasks that a wave may take now, by
-// what the absence of a VM costs.
-type waveLimits struct{ standby, idle, busy, full int }
-
-func waveLimitsOf(w *Wave, remaining, inProgress int, nowMS int64, settings Settings) waveLimits {
-	parallel := func(slack float64, emptyTime time.Duration) int {
-		settings.EmptyTime = emptyTime
-		return min(w.MaxInMaintenance, requiredParallel(w, remaining, nowMS, slack, settings)) - inProgress
-	}
-	l := waveLimits{standby: w.MaxInMaintenance - inProgress, busy: parallel(waveSlackFraction, settings.EmptyTime), full: parallel(fullPoolSlackFraction, settings.EmptyTime)}
-	l.idle = max(l.busy, parallel(idleSlackFraction, 0))
-	return l
-}
-
-// limitFor returns the number of VMs up to which m may be taken: the absence of a standby VM
-// costs nothing, that of an idle one little unless its pool is prepared for a peak or lacks
-// VMs, and that of a full pool's VM most.
-func (l waveLimits) limitFor(s *Snapshot, m Machine) int {
-	switch {
-	case s.Standby[m.Pool]:
-		return l.standby
-	case poolUse(s.Loads[m.Pool]) > fullPoolUse:
-		return l.full
-	case s.idle(m) && !s.Next[m.Pool] && !s.Short[m.Pool]:
-		return l.idle
-	}
-	return l.busy
-}
-
 // planLongRunning returns the VMs with long-running tasks to empty next. Most of their
 // processors are in use anyway, and they are emptied slowly, so that they are not
 // counted with the others.
@@ -299,12 +267,6 @@
 	return max(1, (len(s.Loads[name].VMs)+3)/4, required/2)
 }
 
-// idle reports whether nothing runs on a VM.
-func (s *Snapshot) idle(m Machine) bool {
-	load, ok := s.vmLoad(m)
-	return ok && load.Tasks == 0
-}
-
 // inOpenWave returns the machines that an open wave still has to take.
 func (s *Snapshot) inOpenWave() map[string]bool {
 	machines := map[string]bool{}
@@ -342,11 +304,7 @@
 	if !ok || load.CapacityMilliCPU <= 0 {
 		return 1
 	}
-	cost := 1 + float64(load.UsedMilliCPU)/float64(load.CapacityMilliCPU) + 0.5*float64(load.LongRunning) + 4*poolUse(s.Loads[m.Pool])
-	if s.Short[m.Pool] {
-		cost += shortPoolCost
-	}
-	return cost
+	return 1 + float64(load.UsedMilliCPU)/float64(load.CapacityMilliCPU) + 0.5*float64(load.LongRunning) + 4*poolUse(s.Loads[m.Pool])
 }
 
 // poolUse returns the cores that a pool uses or waits for, as a fraction of its
--- a/sched/fleetplan/moves.go
+++ b/sched/fleetplan/moves.go
@@ -1,7 +1,6 @@
 package fleetplan
 
 import (
-	"maps"
 	"math"
 	"sort"
 
@@ -29,7 +28,6 @@
 	Demand         *Demand
 	surplusSinceMS map[string]int64 // start of a pool's surplus, Unix milliseconds
 	firstPlanMS    int64            // Unix milliseconds; 0 before the first plan
-	short, next    map[string]bool  // as returned by Short and Next
 }
 
 // NewMovePlanner returns a planner without observations.
@@ -63,7 +61,6 @@
 	if m.firstPlanMS == 0 {
 		m.firstPlanMS = s.NowMS
 	}
-	m.short, m.next = map[string]bool{}, map[string]bool{}
 	balances := m.balances(s)
 	if vmCores <= 0 || len(balances) == 0 {
 		return nil
@@ -75,38 +72,10 @@
 		}
 	}
 	maxMoves := int(maxMovingFraction*float64(len(s.Machines))) - moving
-	m.noteShort(s, balances, vmCores)
 	decisions := m.fillDeficits(s, balances, vmCores, maxMoves)
 	return append(decisions, m.switchOffSurplus(s, balances, vmCores, maxMoves-len(decisions))...)
 }
 
-// noteShort notes the pools that had no VM to spare and those that may have the next peak.
-func (m *MovePlanner) noteShort(s *Snapshot, balances map[string]*poolBalance, vmCores float64) {
-	for name, b := range balances {
-		if b.haveCores-b.needCores < vmCores {
-			m.short[name] = true
-		}
-		if m.Demand.PreparedCores(name, s.NowMS) > 0 {
-			m.next[name] = true
-		}
-	}
-	if len(m.short) == len(balances) {
-		clear(m.short) // VMs can be spared nowhere
-	}
-	for name := range balances {
-		if m.Demand.silenceMS(name, s.Loads[name], s.NowMS) > 0 {
-			m.short[name] = true
-		}
-	}
-}
-
-// Short returns the pools whose VMs waves should take last: at the last plan they had no VM
-// to spare, while others had, or their owner was silent.
-func (m *MovePlanner) Short() map[string]bool { return maps.Clone(m.short) }
-
-// Next returns the pools that were prepared for a demand peak at the last plan.
-func (m *MovePlanner) Next() map[string]bool { return maps.Clone(m.next) }
-
 // PoolSummary compares what one pool has with what it needs, for the log. Figures
 // are in cores unless a field says otherwise.
 type PoolSummary struct {
@@ -117,7 +86,6 @@
 	Rate, MeanRate float64 // of accepted work, in core-seconds per second
 	InPeak         bool    // the pool is in a demand peak
 	Silent         bool    // its owner's reports are overdue, and the demand is assumed to go on
-	Short          bool    // waves take its VMs last, by the last plan
 	Used           float64 // by runs
 	Backlog, Late  float64 // remaining work of jobs that can still meet their objective and of others, in core-seconds
 }
@@ -132,7 +100,7 @@
 			summary.Rate, summary.MeanRate, summary.InPeak = p.rate, p.meanRate, p.inPeak
 		}
 		load := s.Loads[name]
-		summary.Silent, summary.Short = m.Demand.silenceMS(name, load, s.NowMS) > 0, m.short[name]
+		summary.Silent = m.Demand.silenceMS(name, load, s.NowMS) > 0
 		summary.Backlog, summary.Late = load.BacklogCoreSeconds, load.LateCoreSeconds
 		for _, v := range load.VMs {
 			summary.Used += float64(v.UsedMilliCPU) / 1000
