A slow VM needs two slow runs, and moves a task once

Change: two slow runs make a VM slow; a task is moved once; room is counted on other VMs and for each task that is moved; at most 64 siblings are looked at.

Result: TestLongTaskAmongShortOnesEnds fails before (a run is stopped after 1.2 s) and passes now; the other tests of slow VMs pass.

--- a/sched/pool/slowvm.go
+++ b/sched/pool/slowvm.go
@@ -14,9 +14,14 @@
 	// minPacedSiblings is the number of tasks of the same step, on other VMs, to which a run is
 	// compared.
 	minPacedSiblings = 2
+	// maxPacedSiblings bounds the tasks of a step that are looked at for one run.
+	maxPacedSiblings = 64
 	// slowFactor is the ratio of a run's projected time to the mean of its siblings above which
-	// its VM is slow. The run times of one step lie within a factor of 2 of their mean.
+	// the run is slow.
 	slowFactor = 3.0
+	// minSlowRuns is the number of slow runs that make their VM a slow one. A single one may be
+	// slow by itself.
+	minSlowRuns = 2
 	// slowQuarantine is the time without new work on a slow VM. Each listing that shows a slow
 	// run starts it again.
 	slowQuarantine = 2 * time.Second
@@ -47,11 +52,13 @@
 	return !spec.LongRunning && !spec.Gang && !spec.BestEffort && !spec.SameRack && (spec.NearRack == "" || spec.NearRack == v.Rack)
 }
 
-// siblingRunTime returns the mean of the projected run times of the tasks of t's step on VMs
+// siblingRunTime returns the mean of the projected run times of tasks of t's step on VMs
 // other than v, or 0 if too few are known.
 func (t *task) siblingRunTime(v *vm) time.Duration {
+	step := t.occ.tasks[t.step]
 	n, sum := 0, time.Duration(0)
-	for _, sibling := range t.occ.tasks[t.step] {
+	for i := range min(len(step), maxPacedSiblings) {
+		sibling := step[(t.index+i)%len(step)]
 		if sibling == t || sibling.vm == v {
 			continue
 		}
@@ -66,9 +73,15 @@
 	return sum / time.Duration(n)
 }
 
-// observePace recognises from the runs that v has just listed whether it is slow. A slow VM
-// gets no new work, and its runs continue elsewhere if they end earlier there.
-func (p *Pool) observePace(v *vm) {
+// slowRun is a run that is much slower than its siblings on other VMs.
+type slowRun struct {
+	task             *task
+	projected, usual time.Duration
+}
+
+// slowRuns returns the slow runs on v.
+func (p *Pool) slowRuns(v *vm) []slowRun {
+	var slow []slowRun
 	for _, t := range v.sortedTasks() {
 		if !t.tellsPace(v) || t.occ.job.state.Final() {
 			continue
@@ -78,31 +91,49 @@
 			continue
 		}
 		usual := t.siblingRunTime(v)
-		if usual == 0 || float64(projected) < slowFactor*float64(usual) {
-			continue
-		}
-		if !v.health.quarantined(p.now.Steady) {
-			p.log.Warn("vm_slow", zap.String("vm", v.ID), zap.String("task", t.name), zap.Duration("after", t.loadAt-t.since),
-				zap.Int("progress", t.progressPercent), zap.Duration("projected", projected), zap.Duration("usual", usual), zap.Int("tasks", len(v.tasks)))
+		if usual > 0 && float64(projected) >= slowFactor*float64(usual) {
+			slow = append(slow, slowRun{t, projected, usual})
 		}
-		v.health.quarantinedUntil = max(v.health.quarantinedUntil, p.now.Steady+slowQuarantine)
-		p.rescue(t, projected, usual)
 	}
+	return slow
 }
 
-// rescue stops the run of t on a slow VM if it ends much earlier on another one.
-func (p *Pool) rescue(t *task, projected, usual time.Duration) {
-	if t.stopSentAt > 0 || t.late.calls > 1 && t.late.open(p.now.Steady) {
+// observePace recognises from the runs that v has just listed whether it is slow. A slow VM
+// gets no new work, and its runs continue elsewhere if they end earlier there.
+func (p *Pool) observePace(v *vm) {
+	slow := p.slowRuns(v)
+	if len(slow) < minSlowRuns {
 		return
 	}
-	remaining := projected - (p.now.Steady - t.since)
-	elsewhere := usual
+	if !v.health.quarantined(p.now.Steady) {
+		t := slow[0].task
+		p.log.Warn("vm_slow", zap.String("vm", v.ID), zap.Int("slow_runs", len(slow)), zap.String("task", t.name), zap.Duration("after", t.loadAt-t.since),
+			zap.Int("progress", t.progressPercent), zap.Duration("projected", slow[0].projected), zap.Duration("usual", slow[0].usual), zap.Int("tasks", len(v.tasks)))
+	}
+	v.health.quarantinedUntil = max(v.health.quarantinedUntil, p.now.Steady+slowQuarantine)
+	elsewhere := map[*vm]bool{v: true} // no place for the runs of v
+	rescued := 0
+	for _, run := range slow {
+		if p.endsEarlierElsewhere(run) && p.roomFor(run.task, rescued+1, elsewhere) {
+			run.task.rescued = true
+			rescued++
+			p.sendStop(run.task, "vm is slow")
+		}
+	}
+}
+
+// endsEarlierElsewhere reports whether a task on a slow VM would end much earlier on another
+// one. A task is moved once: one that is slow there too is slow by itself.
+func (p *Pool) endsEarlierElsewhere(run slowRun) bool {
+	t := run.task
+	if t.rescued || t.stopSentAt > 0 || t.late.calls > 1 && t.late.open(p.now.Steady) {
+		return false
+	}
+	remaining := run.projected - (p.now.Steady - t.since)
+	elsewhere := run.usual
 	if t.spec().Checkpoints {
-		elsewhere -= usual * time.Duration(t.progressPercent) / fullPercent
+		elsewhere -= run.usual * time.Duration(t.progressPercent) / fullPercent
 	}
 	elsewhere += p.settings.StopGrace + p.startTime
-	if float64(remaining) < minRescueGain*float64(elsewhere) || p.choose(t, nil) == nil {
-		return
-	}
-	p.sendStop(t, "vm is slow")
+	return float64(remaining) >= minRescueGain*float64(elsewhere)
 }
--- a/sched/pool/slowvm_test.go
+++ b/sched/pool/slowvm_test.go
@@ -105,3 +105,37 @@
 		}
 	}
 }
+
+// Guards against a task that takes longer than its siblings wherever it runs, and is stopped
+// again and again, or has its VMs held for slow ones.
+func TestLongTaskAmongShortOnesEnds(t *testing.T) {
+	h := newHarness(t)
+	workers := []*worker{h.addVM("a", 4000), h.addVM("b", 8000)}
+	h.settle()
+	spec := shortJob(8)
+	h.submit(spec)
+	h.settle()
+	const step = 400 * time.Millisecond
+	long := pool.TaskName(spec.ID, 0, 0, 3)
+	for elapsed := step; elapsed < 4*time.Second; elapsed += step {
+		h.advance(step)
+		for _, w := range workers {
+			h.progress(w, elapsed, 5*time.Second)
+			for name, r := range w.running {
+				if name != long {
+					r.ProgressPercent = min(99, int(100*elapsed/time.Second))
+					w.running[name] = r
+				}
+			}
+		}
+		h.renewAll()
+		if stops := h.stopsOfNextCycle(); len(stops) > 0 {
+			t.Fatalf("%d runs are stopped after %v", len(stops), elapsed)
+		}
+		for _, w := range workers {
+			if load, ok := h.scheduler.LoadReport().VM(w.vm.ID); !ok || !load.Usable {
+				t.Fatalf("VM %s gets no new work after %v", w.vm.ID, elapsed)
+			}
+		}
+	}
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -51,6 +51,7 @@
 	blame            blame         // for a restart of its VM under its id, if the run turns out to be lost
 	lostOn           string        // id of the VM on which the newest run was given up; empty if it was not. The VM may leave and come back
 	givenUpOn        []string      // ids of the VMs on which runs were given up by this owner
+	rescued          bool          // its run was stopped on a slow VM once
 	restored         bool          // earlier owners have placed runs
 
 	progressPercent int
