Bound expected run times and objectives; the tasks of a gang end together

Cause: found in the review: estimates of 30 days, 64 steps, the factor of the longest task and the stretch of a queue could exceed the range of a duration, with a result that differs by processor; a gang was expected to take as long as the longest of independent tasks.

Result: go test ./sched/pool -run 'Overload|Slow|Spread|Longest|Feasible|Objective|Learn|Gang' passes.

--- a/sched/pool/learn.go
+++ b/sched/pool/learn.go
@@ -132,13 +132,20 @@
 	return time.Duration(estimate * float64(time.Second))
 }
 
-// expectedLongest returns the expected run time of the longest of n tasks of a step.
+// maxExpected bounds an expected run time, so that sums over all steps of a job stay in range.
+const maxExpected = 365 * 24 * time.Hour
+
+// expectedLongest returns the expected run time of the longest of n tasks of a step. The tasks
+// of a gang end together.
 func (p *Pool) expectedLongest(queue string, s *job.Step, n int) time.Duration {
+	if s.Gang {
+		n = 1
+	}
 	spread := taskSpread{deviation: initialDeviation}
 	if m := p.runTimes[queue]; m != nil {
 		spread = m.spread
 	}
-	return time.Duration(float64(p.expectedRunTime(queue, s)) * spread.longestFactor(n))
+	return time.Duration(min(float64(maxExpected), float64(p.expectedRunTime(queue, s))*spread.longestFactor(n)))
 }
 
 // recordOutcome updates the run times of t's queue and the health of v from an
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -284,9 +284,12 @@
 	if q == nil {
 		return chain
 	}
-	return time.Duration(float64(chain)*max(1, q.Stretch)) + q.Target
+	return time.Duration(min(float64(maxObjective), float64(chain)*max(1, q.Stretch))) + min(maxObjective, q.Target)
 }
 
+// maxObjective bounds an objective, so that lateFactor times it stays in range.
+const maxObjective = 10 * 365 * 24 * time.Hour
+
 // objective returns the time in which one occurrence of a job should be completed, by
 // the expected run times of its tasks.
 func (p *Pool) objective(j *jobState) time.Duration {
