Place tasks with a look ahead: pack them, and reserve room for large ones

Cause: small tasks fill each gap as it opens.

The owner reserves the VM on which the room of a large task or gang is free first, lets others on it only if they do not delay it or could not wait, and places tasks on the VM with the least room that they fit on. Settings look-ahead-vms, look-ahead-age and look-ahead-pack of `amaranthd platform`.

--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -5,9 +5,12 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
+	"amaranthfork.example/cmd/internal/envflag"
 	"amaranthfork.example/cmd/internal/process"
 	"amaranthfork.example/platform"
 )
@@ -18,10 +21,23 @@
 // that the process has not read yet.
 const memoryLimitFraction = 0.6
 
+// Defaults of the options of placement.
+const (
+	defaultLookAheadVMs  = 8
+	defaultLookAheadAge  = 30 * time.Second
+	defaultLookAheadPack = true
+)
+
 // platformCommand returns the command that runs an entry on the users'
 // platform, configured by a settings file.
 func platformCommand() *cobra.Command {
 	path := ""
+	var o platform.Options
+	options := pflag.NewFlagSet("options", pflag.ContinueOnError)
+	options.IntVar(&o.LookAhead.MaxVMs, "look-ahead-vms", defaultLookAheadVMs, "VMs of each pool on which room may be reserved for large tasks that wait; 0 reserves none")
+	options.DurationVar(&o.LookAhead.Age, "look-ahead-age", defaultLookAheadAge, "time after which a large task that waits has room reserved before all others of its priority; 0 means never")
+	options.BoolVar(&o.LookAhead.Pack, "look-ahead-pack", defaultLookAheadPack, "place tasks on the VM with the least room that they fit on, so that whole VMs stay free")
+	envflag.Describe(options)
 	c := &cobra.Command{
 		Use:   "platform",
 		Short: "Entry process on the users' platform, from its settings file",
@@ -30,14 +46,18 @@
 			if path == "" {
 				return fmt.Errorf("settings: neither --settings nor %s is given", platform.SettingsVariable)
 			}
-			return runOnPlatform(path)
+			if err := envflag.Apply(options); err != nil {
+				return err
+			}
+			return runOnPlatform(path, o)
 		},
 	}
 	c.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "settings file; "+platform.SettingsVariable+" by default")
+	c.Flags().AddFlagSet(options)
 	return c
 }
 
-func runOnPlatform(path string) error {
+func runOnPlatform(path string, o platform.Options) error {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -48,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	e, err := platform.NewEntry(path, log)
+	e, err := platform.NewEntry(path, o, log)
 	if err != nil {
 		return err
 	}
--- a/sched/pool/cycle_bench_test.go
+++ b/sched/pool/cycle_bench_test.go
@@ -7,6 +7,7 @@
 
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/sched/job"
+	"amaranthfork.example/sched/pool"
 )
 
 // BenchmarkOverloadedCycle measures one cycle of a scheduler whose VMs are full while
@@ -69,3 +70,43 @@
 		})
 	}
 }
+
+// BenchmarkCycleWithLargeTasks measures one cycle of a scheduler whose VMs are full while three
+// jobs wait for each VM, one in eight of them large, with and without reservations of room. Each
+// tenth cycle comes a search interval later.
+func BenchmarkCycleWithLargeTasks(b *testing.B) {
+	for _, vms := range []int{350, 2300} {
+		for _, settings := range []pool.LookAhead{{}, {MaxVMs: 8, Pack: true}} {
+			b.Run(fmt.Sprintf("%d VMs, reservations on %d", vms, settings.MaxVMs), func(b *testing.B) {
+				h := newHarnessWith(b, settings)
+				for i := range vms {
+					h.addVM(fmt.Sprintf("vm%04d", i), 16_000)
+				}
+				for i := range 6 * vms {
+					spec := sized(4, int64(1500+100*(i%12)))
+					if i%8 == 0 {
+						spec = sized(2, 10_000)
+					}
+					spec.Steps[0].Estimate = time.Duration(5000+10*(i%80)) * time.Millisecond
+					h.submit(spec)
+				}
+				for range 12 {
+					h.renewAll()
+					h.cycle()
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					if i%10 == 0 {
+						b.StopTimer()
+						h.advance(250 * time.Millisecond)
+						h.renewAll()
+						b.StartTimer()
+					}
+					h.now = h.now.Add(time.Microsecond)
+					h.scheduler.Advance(h.now)
+					h.scheduler.Cycle()
+				}
+			})
+		}
+	}
+}
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -148,7 +148,8 @@
 	late               []lateOrder    // orders without an answer that may still be carried out
 	answers            []answer       // to orders, which have not arrived yet
 	log                []string
-	serviceClockOffset time.Duration            // of the next owner
+	serviceClockOffset time.Duration // of the next owner
+	lookAhead          pool.LookAhead
 	rowBytes           int                      // largest value of a row; 0 means the default
 	refuses            func(put store.Put) bool // whether the table service rejects a row; may be nil
 	refused            int                      // transactions that were rejected
@@ -159,8 +160,10 @@
 	onEnd   func(worker *worker, task string, cause pool.EndCause) // called for each end; may be nil
 }
 
-func newHarness(t testingT) *harness {
-	h := &harness{t: t, now: pool.Time{Wall: 1_700_000_000_000, Steady: time.Minute}, workers: map[string]*worker{},
+func newHarness(t testingT) *harness { return newHarnessWith(t, pool.LookAhead{}) }
+
+func newHarnessWith(t testingT, lookAhead pool.LookAhead) *harness {
+	h := &harness{t: t, lookAhead: lookAhead, now: pool.Time{Wall: 1_700_000_000_000, Steady: time.Minute}, workers: map[string]*worker{},
 		rows: map[store.Key][]byte{}, doneTasks: map[string]bool{}, failuresByTask: map[string]int{}, startsByTask: map[string]int{}, setbacks: map[string]int{}, cancelled: map[string]bool{}, throttles: map[string]int{}}
 	h.catalog = catalog.New(1, []*catalog.Queue{
 		{Name: "short", Pool: testPool, Stretch: 1.6, Target: 600 * time.Millisecond, MaxAttempts: 3},
@@ -173,7 +176,7 @@
 // takeover replaces the owner by a new one, which knows only the durable rows.
 func (h *harness) takeover() {
 	settings := testSettings()
-	settings.RowBytes = h.rowBytes
+	settings.RowBytes, settings.LookAhead = h.rowBytes, h.lookAhead
 	settings.InheritedLeaseBound = h.now.Steady + 11*time.Second
 	settings.InheritedConfirmedBound = settings.InheritedLeaseBound
 	settings.InheritedLateBound = h.now.Steady + orderDelay + leaseBound
--- a/sched/pool/learn.go
+++ b/sched/pool/learn.go
@@ -42,6 +42,12 @@
 	return math.Exp(m.meanY + slope*(x-m.meanX) + residual/2)
 }
 
+// deviation returns the standard deviation of the logarithms of the run times from their
+// predictions.
+func (m *runTimeModel) deviation() float64 {
+	return math.Sqrt(max(0, m.varY-m.cov*m.cov/m.varX))
+}
+
 // observe adds a run time to the model, given its estimate. Both are in seconds.
 func (m *runTimeModel) observe(estimate, runTime float64) {
 	x := math.Log(estimate)
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -119,15 +119,16 @@
 // which none of them has room. With many waiting tasks, most of them are turned away
 // by the latter.
 type candidates struct {
-	usable []*vm // in order of ids
-	noRoom []fleet.Resources
+	usable       []*vm // in order of ids
+	noRoom       []fleet.Resources
+	noUnreserved []fleet.Resources // needs for which no VM without a reservation has room
 }
 
 // findCandidates updates the candidates. It must be called when VMs may have become
 // usable or unusable.
 func (p *Pool) findCandidates() {
 	p.candidates.usable = p.candidates.usable[:0]
-	p.candidates.noRoom = p.candidates.noRoom[:0]
+	p.candidates.forgetLacks()
 	for _, v := range p.sortedVMs() {
 		if p.usable(v) {
 			p.candidates.usable = append(p.candidates.usable, v)
@@ -135,14 +136,23 @@
 	}
 }
 
+// forgetLacks drops what earlier searches have found, since room has become free.
+func (c *candidates) forgetLacks() {
+	c.noRoom, c.noUnreserved = c.noRoom[:0], c.noUnreserved[:0]
+}
+
 // lacksRoom reports whether no VM has room for need, as an earlier search has found.
-func (c *candidates) lacksRoom(need fleet.Resources) bool {
-	for _, known := range c.noRoom {
-		if known.Fits(need) {
-			return true
-		}
-	}
-	return false
+func (c *candidates) lacksRoom(need fleet.Resources) bool { return lacks(c.noRoom, need) }
+
+// lacksUnreserved reports whether no VM without a reservation has room for need, as an
+// earlier search has found.
+func (c *candidates) lacksUnreserved(need fleet.Resources) bool {
+	return lacks(c.noUnreserved, need)
+}
+
+// lacks reports whether one of the needs for which there is no room is part of need.
+func lacks(known []fleet.Resources, need fleet.Resources) bool {
+	return slices.ContainsFunc(known, func(k fleet.Resources) bool { return k.Fits(need) })
 }
 
 // room returns what is free on all candidates together.
@@ -162,16 +172,22 @@
 	if p.candidates.lacksRoom(need) {
 		return nil
 	}
+	search := p.candidates.usable
+	onlyReserved := p.candidates.lacksUnreserved(need)
+	if onlyReserved {
+		search = p.ahead.vms()
+	}
 	var best *vm
 	var bestScore float64
 	advice := p.adviceOf(t)
-	room := false
-	for _, v := range p.candidates.usable {
+	room, unreserved := false, false
+	for _, v := range search {
 		if !need.Fits(v.free()) {
 			continue
 		}
 		room = true
-		if reserved[v] || t.likelyCrashes > 1 && v.onProbation(t, p.now.Steady) || !p.allowed(t, v) {
+		unreserved = unreserved || p.ahead.byVM[v] == nil
+		if reserved[v] || t.likelyCrashes > 1 && v.onProbation(t, p.now.Steady) || !p.allowed(t, v) || !p.mayUse(t, v) {
 			continue
 		}
 		if _, ok := advice.ticketFor(v, p.now.Steady); !ok {
@@ -184,6 +200,9 @@
 	if !room {
 		p.candidates.noRoom = append(p.candidates.noRoom, need)
 	}
+	if !unreserved && !onlyReserved {
+		p.candidates.noUnreserved = append(p.candidates.noUnreserved, need)
+	}
 	return best
 }
 
@@ -222,7 +241,7 @@
 	weightNear    = 8.0  // the VM is in the rack of the task's data
 	weightRack    = 4.0  // the VM is in the rack of other tasks of a same-rack step
 	weightSpread  = 3.0  // penalty for latency-sensitive and best-effort tasks on the VM
-	weightBalance = 1.0  // fraction of its processors that is free
+	weightBalance = 1.0  // fraction of its processors that is free; a penalty with LookAhead.Pack
 	weightPack    = 2.0  // long-running tasks on the VM
 	weightHealth  = 6.0  // penalty for failed runs on the VM since its last success
 	weightFailed  = 10.0 // penalty for failed runs of the task on the VM
@@ -242,6 +261,9 @@
 func (p *Pool) score(t *task, v *vm) float64 {
 	spec := t.spec()
 	score := weightBalance * freeFraction(v)
+	if p.settings.LookAhead.Pack && spec.LatencyGoal == 0 {
+		score = -score
+	}
 	if spec.NearRack != "" && spec.NearRack == v.Rack {
 		score += weightNear
 	}
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -49,9 +49,12 @@
 	p.demand = p.workspaceDemand(p.ready.steps)
 	clear(p.capWaits)
 	reserved := map[*vm]bool{}
+	p.refreshReservations()
 	for _, i := range p.ready.sorted() {
+		p.ahead.placing = &p.ready.steps[i]
 		p.placeStep(&p.ready.steps[i], reserved)
 	}
+	p.ahead.placing = nil
 }
 
 // readySteps are the steps with tasks to place in one cycle. The memory is used again in
@@ -441,9 +444,11 @@
 			if r.longRunning && len(reserved) < maxReservedVMs {
 				p.reserve(t, reserved)
 			}
+			p.reserveAhead(r, len(r.tasks)-i, reserved)
 			return
 		}
 		p.place(t, v)
+		p.noteUse(t)
 	}
 }
 
@@ -493,10 +498,14 @@
 					p.unplace(member)
 				}
 			}
+			p.reserveAhead(r, len(r.tasks), reserved)
 			return
 		}
 		p.place(t, v)
 	}
+	for _, t := range r.tasks {
+		p.noteUse(t)
+	}
 }
 
 // unplace undoes place. The run number is used again.
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -39,6 +39,7 @@
 	vmsByID      []*vm // in order of ids; nil if vms has changed
 	vmsVersion   int64
 	candidates   candidates
+	ahead        reservations // for tasks that fit nowhere yet
 
 	deletableJobs []string    // ids of expired jobs whose requests are deleted
 	deletableRows []store.Key // parts of the progress of finished jobs
@@ -71,9 +72,12 @@
 
 // Stats are counters since the owner took over the pool: starts sent, ends of runs
 // listed, failed runs, runs lost without a listed end, starts refused by a VM, stops
-// sent, starts refused for lack of room, and runs under which a VM has crashed.
+// sent, starts refused for lack of room, and runs under which a VM has crashed; reservations of
+// room made, used and dropped unused, and tasks placed on reserved room that delay those it is kept for.
 type Stats struct {
 	Starts, Ends, Failed, Lost, Requeued, Stops, NoRoom, Crashed int64
+
+	Reservations, ReservationsUsed, ReservationsDropped, ReservationsOvertaken int64
 }
 
 // New returns a scheduler without jobs or VMs.
@@ -337,7 +341,7 @@
 		t.vm = nil
 		t.occ.job.active--
 	}
-	p.candidates.noRoom = p.candidates.noRoom[:0]
+	p.candidates.forgetLacks()
 	t.phase = next
 	t.since = p.now.Steady
 	t.lastRunEnd = p.now.Steady
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -114,6 +114,9 @@
 	remaining []int          // by step: number of tasks that are not done
 	openedAt  Time           // when it was due; its objective counts from here
 	advice    []*adviceState // by step; nil until the step first needs advice
+
+	noReservationUntil time.Duration // no room is reserved for its steps until then, unless they are old
+	nextPlanAt         time.Duration // no room is looked for ahead before
 }
 
 // ready reports whether all tasks of the steps before step are done.
@@ -324,6 +327,7 @@
 	StopGrace       time.Duration // longest time that a stop can take
 	StatusRetention time.Duration // how long finished jobs stay known
 	RowBytes        int           // largest value of a row; 0 means defaultRowBytes
+	LookAhead       LookAhead
 }
 
 // capShare is the part of a workspace's cap that this pool may use.
