Name the reasons for the end of a reservation; best-effort tasks stay spread

Cause: best-effort tasks occupy no processors of a VM and would be packed onto the fullest one. Change: they are spread as before; constants for the reasons; a test of packing; the settings say what Pack does. Measured: go test ./sched/pool ./sched/lookahead passes, staticcheck is clean.

--- a/sched/pool/lookahead.go
+++ b/sched/pool/lookahead.go
@@ -20,8 +20,10 @@
 	// none is. It is at most one in minVMsPerReservation of the usable VMs, but one at least.
 	MaxVMs int
 	// Age is the time that a step has been ready, without room, after which room is reserved
-	// for it also if its job will be late, and before all other steps; 0 means never.
-	Age  time.Duration
+	// for it also if its job will be late, and whether others can wait or not; 0 means never.
+	Age time.Duration
+	// Pack has tasks placed on the VM with the least room that they fit on, and not on the one
+	// with the most, so that whole VMs stay free.
 	Pack bool
 }
 
@@ -54,6 +56,20 @@
 	overdueFraction = 0.25
 )
 
+// Reasons for the end of a reservation.
+const (
+	reservationUsed      = "used" // its tasks were placed on its VM
+	reservationElsewhere = "placed elsewhere"
+	reservationUnusable  = "VM unusable"
+	reservationJobEnded  = "job ended"
+	reservationCap       = "cap"
+	reservationTooLong   = "too long"
+	reservationLate      = "late"      // the job cannot be on time any more
+	reservationOvertaken = "overtaken" // a task that could not wait took the room
+	reservationMoved     = "another VM is free earlier"
+	reservationNoRoom    = "room taken for good"
+)
+
 // reservation is room on a VM that is kept for the waiting tasks of a step.
 type reservation struct {
 	lookahead.Reservation
@@ -132,19 +148,19 @@
 	case p.ahead.byVM[r.vm] != r:
 		return "" // dropped with another one of its step
 	case r.occ.job.state.Final():
-		return "job ended"
+		return reservationJobEnded
 	case r.waiting == nil:
-		return "placed elsewhere"
+		return reservationElsewhere
 	case p.vms[r.vm.ID] != r.vm || !p.usable(r.vm) || !p.allowed(r.occ.tasks[r.step][0], r.vm):
-		return "VM unusable"
+		return reservationUnusable
 	case !p.withinCap(r.occ.job.spec.Workspace, r.Need.Times(r.Tasks)):
-		return "cap"
+		return reservationCap
 	}
 	s := r.waiting
 	r.aged = r.aged || p.old(s) && !p.hasAged()
 	switch {
 	case !r.aged && now-r.madeAt > maxReservationTime:
-		return "too long"
+		return reservationTooLong
 	case now <= r.At+reservationSlip:
 		return ""
 	}
@@ -152,22 +168,22 @@
 	v := p.forecast(r.vm)
 	at := v.FreeAt(r.Need.Times(r.Tasks), now)
 	if at == lookahead.Never {
-		return "room taken for good"
+		return reservationNoRoom
 	}
 	if !r.aged && !p.onTimeFrom(s, at) {
-		return "late"
+		return reservationLate
 	}
 	if !r.aged && now >= r.replanAt {
 		r.replanAt = now + replanInterval
 		if best := p.planFor(s, r.Tasks, r.vm); len(best) == r.Tasks && best[r.Tasks-1].At+reservationSlip < at {
-			return "another VM is free earlier"
+			return reservationMoved
 		}
 	}
 	r.At = at
 	return ""
 }
 
-// drop removes a reservation, and with it the others of a gang, which are of no use alone.
+// drop ends a reservation, and with it the others of a gang, which are of no use alone.
 func (p *Pool) drop(r *reservation, reason string) {
 	gang := r.occ.job.spec.Steps[r.step].Gang
 	used := reason == reservationUsed
@@ -183,7 +199,7 @@
 		} else {
 			p.stats.ReservationsDropped++
 		}
-		if reason == "too long" || reason == "late" {
+		if reason == reservationTooLong || reason == reservationLate {
 			other.occ.noReservationUntil = p.now.Steady + maxReservationTime
 		}
 		p.log.Info("reservation_ended", zap.String("step", stepName(other.occ.tasks[other.step][0])), zap.String("vm", other.vm.ID),
@@ -191,9 +207,6 @@
 	}
 }
 
-// reservationUsed is the reason for the end of a reservation whose tasks were placed on its VM.
-const reservationUsed = "used"
-
 // noteUse ends the reservation of t's step on its VM once all tasks of the reservation are
 // placed there.
 func (p *Pool) noteUse(t *task) {
@@ -205,7 +218,7 @@
 		if free := p.besideReservation(r); !(fleet.Resources{}).Fits(free) && (r.overdue || p.assumedEnd(t) > r.At) {
 			p.stats.ReservationsOvertaken++
 			p.ahead.pausedUntil = p.now.Steady + contentionPause
-			p.drop(r, "overtaken")
+			p.drop(r, reservationOvertaken)
 		}
 		return
 	}
--- a/sched/pool/lookahead_test.go
+++ b/sched/pool/lookahead_test.go
@@ -363,3 +363,38 @@
 		h.endFaults(t)
 	})
 }
+
+// Guards against whole VMs that small tasks take from large ones where they would fit beside
+// others, and against latency-sensitive and best-effort tasks that are put on a full VM for that.
+func TestTasksArePacked(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(s *job.Step)
+		want   int // VMs without tasks
+	}{
+		{"ordinary", func(*job.Step) {}, 3},
+		{"latency-sensitive", func(s *job.Step) { s.LongRunning, s.LatencyGoal = true, 20*time.Millisecond }, 0},
+		{"best-effort", func(s *job.Step) { s.BestEffort = true }, 0},
+	} {
+		h := newHarnessWith(t, pool.LookAhead{Pack: true})
+		for _, id := range []string{"a", "b", "c", "d"} {
+			h.addVM(id, 16_000)
+		}
+		h.settle()
+		for range 4 {
+			spec := sized(1, 4000)
+			test.change(&spec.Steps[0])
+			h.submit(spec)
+			h.settle()
+		}
+		free := 0
+		for _, worker := range h.workers {
+			if len(worker.running) == 0 {
+				free++
+			}
+		}
+		if free != test.want {
+			t.Errorf("%s: %d VMs without tasks, want %d", test.name, free, test.want)
+		}
+	}
+}
--- a/sched/pool/place.go
+++ b/sched/pool/place.go
@@ -261,7 +261,7 @@
 func (p *Pool) score(t *task, v *vm) float64 {
 	spec := t.spec()
 	score := weightBalance * freeFraction(v)
-	if p.settings.LookAhead.Pack && spec.LatencyGoal == 0 {
+	if p.settings.LookAhead.Pack && spec.LatencyGoal == 0 && !spec.BestEffort {
 		score = -score
 	}
 	if spec.NearRack != "" && spec.NearRack == v.Rack {
