Bound the searches for reserved rooms, and switch them on by settings only

Steps beyond the age were planned one by one in a cycle; an old reservation stayed on a VM whose run hangs; wide gangs never got one; the settings were on by default; negative ones were taken silently. A test of the age failed once searches without a result were made rarer: an old step found all VMs reserved for younger ones.

Change: one search a cycle, one more for an old step, with a pause that doubles after one without a result. An old step takes the VM of a younger one's reservation, and looks for another VM every 3 s once it is overdue. Defaults 0, 0 and false.

--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -5,7 +5,6 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
@@ -21,22 +20,15 @@
 // that the process has not read yet.
 const memoryLimitFraction = 0.6
 
-// Defaults of the options of placement.
-const (
-	defaultLookAheadVMs  = 8
-	defaultLookAheadAge  = 30 * time.Second
-	defaultLookAheadPack = true
-)
-
 // platformCommand returns the command that runs an entry on the users'
 // platform, configured by a settings file.
 func platformCommand() *cobra.Command {
 	path := ""
 	var o platform.Options
 	options := pflag.NewFlagSet("options", pflag.ContinueOnError)
-	options.IntVar(&o.LookAhead.MaxVMs, "look-ahead-vms", defaultLookAheadVMs, "VMs of each pool on which room may be reserved for large tasks that wait; 0 reserves none")
-	options.DurationVar(&o.LookAhead.Age, "look-ahead-age", defaultLookAheadAge, "time after which a large task that waits has room reserved before all others of its priority; 0 means never")
-	options.BoolVar(&o.LookAhead.Pack, "look-ahead-pack", defaultLookAheadPack, "place tasks on the VM with the least room that they fit on, so that whole VMs stay free")
+	options.IntVar(&o.LookAhead.MaxVMs, "look-ahead-vms", 0, "VMs of each pool on which room may be reserved for large tasks that wait; 0 reserves none")
+	options.DurationVar(&o.LookAhead.Age, "look-ahead-age", 0, "time after which a large task that waits has room reserved before all others of its priority; 0 means never")
+	options.BoolVar(&o.LookAhead.Pack, "look-ahead-pack", false, "place tasks on the VM with the least room that they fit on, so that whole VMs stay free")
 	envflag.Describe(options)
 	c := &cobra.Command{
 		Use:   "platform",
@@ -49,6 +41,9 @@
 			if err := envflag.Apply(options); err != nil {
 				return err
 			}
+			if o.LookAhead.MaxVMs < 0 || o.LookAhead.Age < 0 {
+				return fmt.Errorf("look-ahead-vms and look-ahead-age must not be negative: %d, %v", o.LookAhead.MaxVMs, o.LookAhead.Age)
+			}
 			return runOnPlatform(path, o)
 		},
 	}
--- a/sched/pool/lookahead.go
+++ b/sched/pool/lookahead.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -30,9 +29,6 @@
 const (
 	// minVMsPerReservation is the number of usable VMs for each on which room is reserved.
 	minVMsPerReservation = 4
-	// largeTaskFactor is how much larger than the mean task of the pool a task is that small
-	// ones leave no room for.
-	largeTaskFactor = 1.5
 	// reservationSlip is how late the room of a reservation may be before its time is
 	// estimated again.
 	reservationSlip = 50 * time.Millisecond
@@ -42,18 +38,15 @@
 	maxReservationTime = 3 * time.Second
 	// replanInterval is the least time between two searches for VMs for one step.
 	replanInterval = 250 * time.Millisecond
+	// minPlanDelay and maxPlanDelay bound the pause after a search for VMs without a result,
+	// which doubles.
+	minPlanDelay, maxPlanDelay = time.Second, 16 * time.Second
 	// contentionPause is the time after a task that could not wait has taken reserved room in
 	// which no room is reserved, but for steps that are older than LookAhead.Age.
 	contentionPause = 500 * time.Millisecond
 	// yieldSlack is the time by which a job can still start later and meet its objective
 	// below which a reservation no longer keeps it waiting. It covers some cycles.
 	yieldSlack = 300 * time.Millisecond
-	// minEstimateMargin is the least factor between the expected run time of a task and the
-	// one by which it is assumed to have ended.
-	minEstimateMargin = 1.2
-	// overdueFraction is the part of its present run time for which a run that should have
-	// ended is expected to go on.
-	overdueFraction = 0.25
 )
 
 // Reasons for the end of a reservation.
@@ -66,6 +59,7 @@
 	reservationTooLong   = "too long"
 	reservationLate      = "late"      // the job cannot be on time any more
 	reservationOvertaken = "overtaken" // a task that could not wait took the room
+	reservationOlder     = "for an older step"
 	reservationMoved     = "another VM is free earlier"
 	reservationNoRoom    = "room taken for good"
 )
@@ -96,7 +90,8 @@
 	slack       time.Duration
 	slackOf     *readyStep    // for which slack is known
 	pausedUntil time.Duration // no room is reserved before
-	planned     bool          // a plan has been made in this cycle
+	planned     bool          // VMs have been searched for in this cycle
+	plannedOld  bool          // the same, for a step that is older than LookAhead.Age
 
 	meanShare float64         // part of the pool that a task takes, on average; 0 if it is not known in this cycle
 	capacity  fleet.Resources // of the usable VMs, if meanShare is known
@@ -119,7 +114,8 @@
 
 // refreshReservations drops the reservations that are no longer of use.
 func (p *Pool) refreshReservations() {
-	p.ahead.meanShare, p.ahead.slackOf, p.ahead.planned = 0, nil, false
+	p.ahead.meanShare, p.ahead.slackOf = 0, nil
+	p.ahead.planned, p.ahead.plannedOld = false, false
 	if len(p.ahead.list) == 0 {
 		return
 	}
@@ -173,8 +169,11 @@
 	if !r.aged && !p.onTimeFrom(s, at) {
 		return reservationLate
 	}
-	if !r.aged && now >= r.replanAt {
+	if now >= r.replanAt {
 		r.replanAt = now + replanInterval
+		if r.aged {
+			r.replanAt = now + maxReservationTime
+		}
 		if best := p.planFor(s, r.Tasks, r.vm); len(best) == r.Tasks && best[r.Tasks-1].At+reservationSlip < at {
 			return reservationMoved
 		}
@@ -240,21 +239,25 @@
 	}
 	limit := p.maxReservedByLookAhead() - len(p.ahead.list)
 	aged := p.old(s) && !p.hasAged()
-	switch {
-	case aged:
+	planned := &p.ahead.planned
+	if aged {
+		planned = &p.ahead.plannedOld
 		limit = max(1, limit)
-	case !s.feasible || limit <= 0 || p.ahead.planned || now < s.occ.noReservationUntil || now < p.ahead.pausedUntil:
-		return
+		if spec.Gang { // it may need more VMs than others
+			limit = max(limit, min(n, len(p.candidates.usable)/minVMsPerReservation))
+		}
 	}
-	if !spec.Gang && !p.large(spec.Need) {
+	if *planned || limit <= 0 || !aged && (!s.feasible || now < s.occ.noReservationUntil || now < p.ahead.pausedUntil) || !spec.Gang && !p.large(spec.Need) {
 		return
 	}
-	p.ahead.planned = true
-	s.occ.nextPlanAt = now + replanInterval
-	plan := p.planStep(s, n, limit, nil, reserved)
-	if len(plan) == 0 || plan[len(plan)-1].At <= now {
-		return // it waits for something else than room
+	*planned = true
+	plan := p.planStep(s, n, limit, aged, nil, reserved)
+	if len(plan) == 0 || plan[len(plan)-1].At <= now { // it waits for something else than room
+		s.occ.planDelay = min(maxPlanDelay, max(minPlanDelay, 2*s.occ.planDelay))
+		s.occ.nextPlanAt = now + s.occ.planDelay
+		return
 	}
+	s.occ.planDelay, s.occ.nextPlanAt = 0, now+replanInterval
 	byVM := map[*vm]*reservation{}
 	var made []*reservation
 	for _, slot := range plan {
@@ -277,6 +280,9 @@
 		if p.ahead.byVM == nil {
 			p.ahead.byVM = map[*vm]*reservation{}
 		}
+		if other := p.ahead.byVM[r.vm]; other != nil {
+			p.drop(other, reservationOlder)
+		}
 		p.ahead.byVM[r.vm] = r
 		p.ahead.list = append(p.ahead.list, r)
 		p.stats.Reservations++
@@ -320,35 +326,6 @@
 	return slices.ContainsFunc(p.ahead.list, func(r *reservation) bool { return r.aged })
 }
 
-// large reports whether a task with a need is larger than the mean of the runs of the pool.
-func (p *Pool) large(need fleet.Resources) bool {
-	if p.ahead.meanShare == 0 {
-		var used fleet.Resources
-		p.ahead.capacity = fleet.Resources{}
-		tasks := 0
-		for _, v := range p.candidates.usable {
-			used, p.ahead.capacity = used.Add(v.used), p.ahead.capacity.Add(v.Capacity)
-			tasks += len(v.tasks)
-		}
-		p.ahead.meanShare = math.SmallestNonzeroFloat64
-		if tasks > 0 {
-			p.ahead.meanShare = share(used, p.ahead.capacity) / float64(tasks)
-		}
-	}
-	return share(need, p.ahead.capacity) >= largeTaskFactor*p.ahead.meanShare
-}
-
-// share returns the largest part of a capacity that a need takes of any resource.
-func share(need, capacity fleet.Resources) float64 {
-	part := 0.0
-	for _, amount := range [][2]int64{{need.MilliCPU, capacity.MilliCPU}, {need.MemoryMB, capacity.MemoryMB}, {need.Accelerators, capacity.Accelerators}} {
-		if amount[1] > 0 {
-			part = max(part, float64(amount[0])/float64(amount[1]))
-		}
-	}
-	return part
-}
-
 // onTimeFrom reports whether the job of a step can meet its objective if the step starts at a
 // time.
 func (p *Pool) onTimeFrom(s *readyStep, at time.Duration) bool {
@@ -370,12 +347,13 @@
 	if s.job.spec.Steps[s.step].Gang {
 		return nil // it would have to be planned as a whole
 	}
-	return p.planStep(s, n, 1, present, nil)
+	return p.planStep(s, n, 1, false, present, nil)
 }
 
 // planStep returns the VMs on which n tasks of a step are expected to find room first, at
-// most maxVMs of those without a reservation.
-func (p *Pool) planStep(s *readyStep, n, maxVMs int, except *vm, reserved map[*vm]bool) []plannedSlot {
+// most maxVMs of those without a reservation. An aged step also gets VMs with reservations of
+// steps that are not.
+func (p *Pool) planStep(s *readyStep, n, maxVMs int, aged bool, except *vm, reserved map[*vm]bool) []plannedSlot {
 	t := s.tasks[0]
 	spec, need := t.spec(), t.room()
 	advice := p.adviceOf(t)
@@ -386,7 +364,8 @@
 	var vms []lookahead.VM
 	var index []*vm
 	for _, v := range p.candidates.usable {
-		if v == except || reserved[v] || p.ahead.byVM[v] != nil || !need.Fits(v.Capacity.Sub(v.heldForGood())) || !p.allowed(t, v) || v.onProbation(t, p.now.Steady) {
+		other := p.ahead.byVM[v]
+		if v == except || reserved[v] || other != nil && (!aged || other.aged) || !need.Fits(v.Capacity.Sub(v.heldForGood())) || !p.allowed(t, v) || t.likelyCrashes > 1 && v.onProbation(t, p.now.Steady) {
 			continue
 		}
 		if _, ok := advice.ticketFor(v, p.now.Steady); !ok {
@@ -407,55 +386,6 @@
 	return slots
 }
 
-// forecast returns the state of v with the expected ends of its runs.
-func (p *Pool) forecast(v *vm) lookahead.VM {
-	f := lookahead.VM{Free: v.free(), Runs: make([]lookahead.Run, 0, len(v.tasks))}
-	for t := range v.tasks {
-		f.Runs = append(f.Runs, lookahead.Run{Room: t.room(), End: p.expectedEnd(t)})
-	}
-	return f
-}
-
-// expectedEnd returns when the newest run of t, which is active, is expected to end.
-func (p *Pool) expectedEnd(t *task) time.Duration {
-	now := p.now.Steady
-	switch {
-	case t.stopSentAt > 0:
-		return max(now, t.stopSentAt+p.settings.StopGrace)
-	case t.spec().LongRunning:
-		return lookahead.Never
-	}
-	start := t.since
-	if t.phase != running {
-		start += p.startTime
-	}
-	if end := start + p.expectedRunTime(t.occ.job.spec.Queue, t.spec()); end > now {
-		return end
-	}
-	return now + max(minRunTime, time.Duration(overdueFraction*float64(now-start)))
-}
-
-// assumedEnd returns the time by which a run of t that is placed now is assumed to have ended,
-// with a margin for the errors that the estimates of its queue have had.
-func (p *Pool) assumedEnd(t *task) time.Duration {
-	if t.spec().LongRunning {
-		return lookahead.Never
-	}
-	queue := t.occ.job.spec.Queue
-	return p.now.Steady + p.startTime + time.Duration(p.estimateMargin(queue)*float64(p.expectedRunTime(queue, t.spec())))
-}
-
-// estimateMargin returns the factor that is put on the run times of a queue's tasks where an
-// end that comes late would delay others.
-func (p *Pool) estimateMargin(queue string) float64 {
-	m := p.runTimes[queue]
-	if m == nil {
-		m = newRunTimeModel(0)
-		return max(minEstimateMargin, math.Exp(math.Sqrt(m.varY)))
-	}
-	return max(minEstimateMargin, math.Exp(m.deviation()))
-}
-
 // mayUse reports whether a task of the step that is being placed may take room on v beside
 // the reservation there.
 func (p *Pool) mayUse(t *task, v *vm) bool {
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -117,6 +117,7 @@
 
 	noReservationUntil time.Duration // no room is reserved for its steps until then, unless they are old
 	nextPlanAt         time.Duration // no room is looked for ahead before
+	planDelay          time.Duration // pause after the last search if it found none, else 0
 }
 
 // ready reports whether all tasks of the steps before step are done.
