--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -7,7 +7,9 @@
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
+	"amaranthfork.example/cmd/internal/envflag"
 	"amaranthfork.example/cmd/internal/process"
 	"amaranthfork.example/platform"
 )
@@ -22,6 +24,12 @@
 // platform, configured by a settings file.
 func platformCommand() *cobra.Command {
 	path := ""
+	var o platform.Options
+	options := pflag.NewFlagSet("options", pflag.ContinueOnError)
+	options.IntVar(&o.LookAhead.MaxVMs, "look-ahead-vms", 0, "VMs of each pool on which room may be reserved for large tasks that wait; 0 reserves none")
+	options.DurationVar(&o.LookAhead.Age, "look-ahead-age", 0, "time after which a large task that waits has room reserved before all others of its priority; 0 means never")
+	options.BoolVar(&o.LookAhead.Pack, "look-ahead-pack", false, "place tasks on the VM with the least room that they fit on, so that whole VMs stay free")
+	envflag.Describe(options)
 	c := &cobra.Command{
 		Use:   "platform",
 		Short: "Entry process on the users' platform, from its settings file",
@@ -30,14 +38,21 @@
 			if path == "" {
 				return fmt.Errorf("settings: neither --settings nor %s is given", platform.SettingsVariable)
 			}
-			return runOnPlatform(path)
+			if err := envflag.Apply(options); err != nil {
+				return err
+			}
+			if o.LookAhead.MaxVMs < 0 || o.LookAhead.Age < 0 {
+				return fmt.Errorf("look-ahead-vms and look-ahead-age must not be negative: %d, %v", o.LookAhead.MaxVMs, o.LookAhead.Age)
+			}
+			return runOnPlatform(path, o)
 		},
 	}
 	c.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "settings file; "+platform.SettingsVariable+" by default")
+	c.Flags().AddFlagSet(options)
 	return c
 }
 
-func runOnPlatform(path string) error {
+func runOnPlatform(path string, o platform.Options) error {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -48,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	e, err := platform.NewEntry(path, log)
+	e, err := platform.NewEntry(path, o, log)
 	if err != nil {
 		return err
 	}
