Send nothing on a lost path to the table service

In the cut one every new transaction went out on another idle connection and stayed without an answer: 504 after 1.4 s for what arrived up to 1.6 s after the cut; then 503s until the platform took the entries out, 3.5 to 4 s after the cut.

Change: storePath notes whether any call of the process is answered. Without an answer for 250 ms from the start of a failed call the path is lost: requests wait for one probe (0.4 s at most) and are refused, none joins a transaction of unknown outcome, the entry is not ready. A readiness check probes when nothing was heard for 0.6 s. A refusal of the service is an answer (store.ErrRefused).

--- a/node/api.go
+++ b/node/api.go
@@ -28,6 +28,9 @@
 	submitTimeout = 1400 * time.Millisecond
 	// statusTimeout bounds the reads for a status request.
 	statusTimeout = 1200 * time.Millisecond
+	// readyIdleLimit is the time without an answer of the table service after which a
+	// readiness check asks it.
+	readyIdleLimit = 600 * time.Millisecond
 	// refusalRetryAfter is the time after which a caller may try again if the
 	// table service has failed or the view is too old.
 	refusalRetryAfter = time.Second
@@ -372,12 +375,18 @@
 
 // getRow reads a row, and tries a second time after a failure.
 func (n *Node) getRow(ctx context.Context, key store.Key) (store.Row, bool, error) {
+	if !n.store.path.await(ctx) {
+		return store.Row{}, false, errPathLost()
+	}
 	tryCtx, cancel := context.WithTimeout(ctx, n.store.CommitTimeout(0))
 	row, ok, err := store.Get(tryCtx, n.store, key)
 	cancel()
 	if err == nil || ctx.Err() != nil {
 		return row, ok, err
 	}
+	if !n.store.path.await(ctx) {
+		return row, ok, err
+	}
 	return store.Get(ctx, n.store, key)
 }
 
@@ -421,7 +430,11 @@
 }
 
 // Ready reports whether this entry can take requests now.
+// It makes a call to the table service if none was answered for a while.
 func (n *Node) Ready() bool {
+	if n.store.path.idleFor() > readyIdleLimit && !n.store.path.isLost() {
+		_ = n.probeStore(context.Background()) // the path notes the outcome
+	}
 	view, _ := n.operator.Get()
-	return !n.stopping.Load() && view.Catalog != nil && n.clock.Now().Steady-view.CurrentAt < time.Duration(readyAgeFraction*float64(n.maxViewAge()))
+	return !n.stopping.Load() && !n.store.path.isLost() && view.Catalog != nil && n.clock.Now().Steady-view.CurrentAt < time.Duration(readyAgeFraction*float64(n.maxViewAge()))
 }
--- a/node/latency.go
+++ b/node/latency.go
@@ -30,10 +30,11 @@
 	clock           Clock
 	averageCommitNS atomic.Int64
 	loads           *tableLoads
+	path            *storePath
 }
 
 func newTimedStore(s store.Store, clock Clock) *timedStore {
-	return &timedStore{Store: s, clock: clock, loads: newTableLoads()}
+	return &timedStore{Store: s, clock: clock, loads: newTableLoads(), path: newStorePath(clock)}
 }
 
 // Commit implements store.Store. A try that is cut off counts with the time
@@ -43,6 +44,7 @@
 	t.loads.addCommit(txn)
 	receipt, err := t.Store.Commit(ctx, txn)
 	took := t.clock.Now().Steady - began
+	t.path.record(ctx, began, err)
 	average := time.Duration(t.averageCommitNS.Load())
 	t.averageCommitNS.Store(int64(average + time.Duration(latencyGain*float64(took-average))))
 	return receipt, err
@@ -50,14 +52,18 @@
 
 // Range implements store.Store.
 func (t *timedStore) Range(ctx context.Context, table, partition, from, to string) (store.Page, error) {
+	began := t.clock.Now().Steady
 	page, err := t.Store.Range(ctx, table, partition, from, to)
+	t.path.record(ctx, began, err)
 	t.loads.addRead(opRead, table, page.Rows)
 	return page, err
 }
 
 // Changes implements store.Store.
 func (t *timedStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
+	began := t.clock.Now().Steady
 	page, err := t.Store.Changes(ctx, table, after, wait)
+	t.path.record(ctx, began, err)
 	t.loads.addRead(opFeed, table, page.Rows)
 	return page, err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -90,7 +90,7 @@
 // New returns an entry. Run starts it.
 func New(o Options) *Node {
 	timed := newTimedStore(o.Store, o.Clock)
-	return &Node{
+	n := &Node{
 		settings: o.Settings, store: timed, workers: o.Workers, machines: o.Machines, rows: o.Rows,
 		advisor: o.Advisor, advisorSlot: make(chan struct{}, 1),
 		clock: o.Clock, log: o.Log, metrics: newMetrics(timed.loads),
@@ -99,6 +99,16 @@
 		owners:   newOwnerWatch(timed, o.Clock, o.Log),
 		owned:    map[string]bool{}, unownedSince: map[string]time.Duration{}, seenClaims: map[string]seenClaim{}, batchers: map[string]*writeBatcher{},
 	}
+	timed.path.log, timed.path.probe, timed.path.onLoss = o.Log, n.probeStore, func() { n.metrics.add("table_path_losses") }
+	return n
+}
+
+// probeStore reads this entry's own row, to learn whether the table service answers.
+func (n *Node) probeStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.store.CommitTimeout(0))
+	defer cancel()
+	_, _, err := store.Get(ctx, n.store, tables.MemberKey(n.settings.Self.Node))
+	return err
 }
 
 // Metrics returns the handler that serves the counters and histograms as JSON.
@@ -110,6 +120,7 @@
 	n.log.Info("started", zap.String("incarnation", n.settings.Self.Incarnation), zap.String("data_centre", n.settings.Self.DataCentre))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	n.store.path.start(background)
 	var wg sync.WaitGroup
 	for task, loop := range map[string]func(context.Context){
 		"operator rows": func(ctx context.Context) { n.operator.run(ctx, n.newFollower()) },
--- a/node/writes.go
+++ b/node/writes.go
@@ -60,6 +60,9 @@
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	w := &pendingWrite{txn: txn, done: make(chan error, 1), answerKnown: answerKnown}
+	if !b.store.path.await(ctx) {
+		return errPathLost()
+	}
 	b.mu.Lock()
 	b.pending = append(b.pending, w)
 	if !b.running {
@@ -75,6 +78,12 @@
 	}
 }
 
+// errPathLost returns the error of a request that is not sent because the table service does
+// not answer.
+func errPathLost() error {
+	return &NotRunError{"table service does not answer", refusalRetryAfter}
+}
+
 // abandon ends the wait for a request and returns what is known of its outcome.
 func (b *writeBatcher) abandon(w *pendingWrite) error {
 	b.mu.Lock()
@@ -111,9 +120,13 @@
 	defer b.mu.Unlock()
 	var batch, rest []*pendingWrite
 	bytes := 0
+	lost := b.store.path.isLost()
 	for _, w := range b.pending {
 		switch {
 		case w.abandoned:
+		case lost && !w.unconfirmed:
+			// It would have no known outcome either.
+			w.done <- errPathLost()
 		case len(batch) == 0 || len(batch) < maxWritesInBatch && bytes+w.size() <= maxWriteBytesInBatch && !w.alone && !batch[0].alone:
 			w.inFlight = true
 			batch = append(batch, w)
--- a/sched/store/store.go
+++ b/sched/store/store.go
@@ -27,6 +27,18 @@
 // exceeded. It wraps ErrUnavailable.
 var ErrBusy = fmt.Errorf("%w: rate limit exceeded", ErrUnavailable)
 
+// ErrRefused means that the service has answered that the call had no effect. It wraps
+// ErrUnavailable.
+var ErrRefused = fmt.Errorf("%w: call was refused", ErrUnavailable)
+
+// Answered reports whether the error of a call, or its absence, shows that the service has
+// answered it.
+func Answered(err error) bool {
+	var conflict *ConflictError
+	return err == nil || errors.Is(err, ErrRefused) || errors.Is(err, ErrBusy) || errors.Is(err, ErrInvalid) ||
+		errors.Is(err, ErrHistoryGone) || errors.As(err, &conflict)
+}
+
 // ConflictError means that a condition of a transaction did not hold and
 // nothing was written.
 type ConflictError struct {
