Notice a silent owner in 1.2 s, and give a restarted entry its pools back at once

Cause (traces in docs/design/takeover.md): of 2.1 s between a cut and the first start by the next owner some 0.15 s were proof; the rest was the silence of 1.7 s and six usual transactions. After all processes were killed no pool was claimed for 0.9 s and the fleet role for 1.8 s.

Change: memberTimeout 1.2 s for the rows of owners and candidates; a late answer of the feed (0.4 s more than pause and wait explain) starts all ages anew, in place of gaps of 1.7 and 2.2 s; startAgeLimit 1 s, so that an owner still starts nothing once it may be replaced, with StartDelayBound left at 1.5 s; late members come last in claimOrder, data centres with fewer pools first between equals; a restarted entry claims what its member row lists and its owner row still names. Grants and lease bounds are unchanged.

--- a/node/members.go
+++ b/node/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,14 @@
 // VMs (5 s), so that runs continue while their owner is replaced.
 const (
 	heartbeatInterval = 500 * time.Millisecond
-	memberTimeout     = 1700 * time.Millisecond // three heartbeats and a slow write
+	memberTimeout     = 1200 * time.Millisecond // two heartbeats, the pause of the feed and a slow write
+	// memberSilence is the time after which a member that has not renewed its row leaves
+	// the first places of claimOrder to others.
+	memberSilence = heartbeatInterval + memberPause + 100*time.Millisecond
+	// feedStallLimit is the delay of a feed's answer from which the ages of the rows prove
+	// nothing: this entry or the table service has stalled, and the writers of the rows may
+	// have waited as well.
+	feedStallLimit = 400 * time.Millisecond
 	// memberTimeoutLatencyFactor, times the usual time of a transaction, is
 	// added to memberTimeout.
 	memberTimeoutLatencyFactor = 6
@@ -58,6 +66,8 @@
 	Weight      float64  `cbor:"7,keyasint,omitempty"` // processor share; 0 if unknown
 	DataCentre  string   `cbor:"8,keyasint,omitempty"`
 	Bystander   bool     `cbor:"9,keyasint,omitempty"` // the row is renewed each bystanderInterval only
+
+	silent bool // the row is late, as this entry sees it; see memberSilence
 }
 
 type memberState struct {
@@ -77,6 +87,7 @@
 	feedAnsweredAt time.Duration           // when the feed last answered, steady clock; 0 if never
 	version        int64                   // of this entry's row, as last written or read
 	placed         bool                    // the own row has been read back
+	formerPools    []string                // pools that the last incarnation of this entry has listed
 	changed        chan struct{}           // closed at the next change of a row
 	renewNow       chan struct{}           // makes heartbeatLoop write the row at once
 }
@@ -203,8 +214,10 @@
 		if state.Bystander {
 			timeout = bystanderTimeout
 		}
-		if m.feedAnsweredAt-state.changedAt < timeout+margin {
-			live[name] = state.Member
+		if age := m.feedAnsweredAt - state.changedAt; age < timeout+margin {
+			member := state.Member
+			member.silent = !state.Bystander && age > memberSilence
+			live[name] = member
 		}
 	}
 	if _, ok := live[m.self.Node]; ok {
@@ -224,7 +237,7 @@
 	now := m.clock.Now().Steady
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.feedAnsweredAt > 0 && now-m.feedAnsweredAt > m.maxFeedAge() {
+	if m.feedAnsweredAt > 0 && (now-m.feedAnsweredAt > m.maxFeedAge() || feedStalled(now-m.feedAnsweredAt, m.pause(), u)) {
 		// Nothing was received from any member. Give all of them time to renew.
 		for _, state := range m.known {
 			state.changedAt = now
@@ -242,6 +255,15 @@
 	m.changed = make(chan struct{})
 }
 
+// feedStalled reports whether an update of a feed came later than the feed alone explains,
+// given the time since the last one and the pause between calls.
+func feedStalled(gap, pause time.Duration, u Update) bool {
+	if len(u.Rows) == 0 {
+		gap -= memberWait // the service had nothing to tell for so long
+	}
+	return gap > pause+feedStallLimit
+}
+
 func (m *members) applyRow(row store.Row, now time.Duration, whole bool) {
 	if row.Removed {
 		delete(m.known, row.Name)
@@ -254,6 +276,7 @@
 	}
 	if row.Name == m.self.Node {
 		m.version = max(m.version, row.Version)
+		m.noteFormerPools(member)
 	}
 	known := m.known[row.Name]
 	if known == nil {
@@ -341,6 +364,7 @@
 	if errors.As(err, &conflict) {
 		row, _ := conflict.Find(key)
 		written = row.Version
+		m.noteFormer(row)
 		err = errMemberChanged
 	}
 	if err == nil || errors.Is(err, errMemberChanged) {
@@ -351,4 +375,29 @@
 	return err
 }
 
+// noteFormer notes the pools of an earlier incarnation of this entry from its row.
+func (m *members) noteFormer(row store.Row) {
+	var member Member
+	if err := cbor.Unmarshal(row.Value, &member); err != nil {
+		return // logged when the row is followed
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteFormerPools(member)
+}
+
+// noteFormerPools is noteFormer for a decoded row. The caller holds mu.
+func (m *members) noteFormerPools(member Member) {
+	if member.Incarnation != m.self.Incarnation && len(member.Pools) > 0 {
+		m.formerPools = member.Pools
+	}
+}
+
+// wasOwner reports whether an earlier incarnation of this entry has listed a pool.
+func (m *members) wasOwner(pool string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.formerPools, pool)
+}
+
 var errMemberChanged = errors.New("own member row was changed by an earlier write or incarnation")
--- a/node/node.go
+++ b/node/node.go
@@ -96,16 +96,16 @@
 		clock: o.Clock, log: o.Log, metrics: newMetrics(timed.loads),
 		operator: newOperatorView(o.Rows, o.Log),
 		members:  newMembers(timed, o.Clock, o.Log, o.Settings.Self),
-		owners:   newOwnerWatch(timed, o.Clock, o.Log),
 		owned:    map[string]bool{}, unownedSince: map[string]time.Duration{}, seenClaims: map[string]seenClaim{}, batchers: map[string]*writeBatcher{},
 	}
+	n.owners = newOwnerWatch(timed, o.Clock, o.Log, n.members.feedPause)
 	timed.path.log, timed.path.probe, timed.path.onLoss = o.Log, n.probeStore, func() { n.metrics.add("table_path_losses") }
 	return n
 }
 
 // probeStore reads this entry's own row, to learn whether the table service answers.
 func (n *Node) probeStore(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, n.store.CommitTimeout(0))
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	_, _, err := store.Get(ctx, n.store, tables.MemberKey(n.settings.Self.Node))
 	return err
@@ -165,9 +165,9 @@
 
 // claimLoop claims pools that have no owner, until ctx ends.
 func (n *Node) claimLoop(ctx context.Context) {
-	sleep(ctx, firstClaimDelay)
+	startedAt := n.clock.Now().Steady
 	for ctx.Err() == nil {
-		n.claimUnowned(ctx)
+		n.claimUnowned(ctx, n.clock.Now().Steady-startedAt < firstClaimDelay)
 		timer := time.NewTimer(claimInterval)
 		select {
 		case <-timer.C:
@@ -179,9 +179,9 @@
 }
 
 // claimUnowned tries to claim each pool without a live owner that this entry
-// should claim now. It does nothing without a current view of the members, and in a
-// bystander, which does not follow the owners.
-func (n *Node) claimUnowned(ctx context.Context) {
+// should claim now, or only those that it owned before it was restarted. It does nothing
+// without a current view of the members, and in a bystander, which does not follow the owners.
+func (n *Node) claimUnowned(ctx context.Context, onlyFormer bool) {
 	view, _ := n.operator.Get()
 	live, current := n.members.Live()
 	if view.Catalog == nil || !current || !n.members.mayClaim() {
@@ -194,7 +194,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if n.shouldClaim(name, n.owners.hasLiveOwner(ctx, name, live), live) {
+		former := n.members.wasOwner(name) && !n.owns(name) && n.owners.hasFormerOwner(ctx, name, n.settings.Self)
+		if former || !onlyFormer && n.shouldClaim(name, n.owners.hasLiveOwner(ctx, name, live), live) {
 			n.tryClaim(ctx, name, live)
 		}
 	}
@@ -234,6 +235,13 @@
 	return order >= 0 && now-since >= time.Duration(order)*(claimStagger+claimLatencyFactor*n.store.AverageCommitTime())
 }
 
+// owns reports whether this entry owns a pool.
+func (n *Node) owns(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owned[name]
+}
+
 // withOwnPools sets the pools of this entry in live to those that it owns now,
 // since its row may not have been read back yet. The caller holds n.mu.
 func (n *Node) withOwnPools(live map[string]Member) map[string]Member {
--- a/node/owners.go
+++ b/node/owners.go
@@ -18,6 +18,7 @@
 	store *timedStore
 	clock Clock
 	log   *zap.Logger
+	pause func() time.Duration // between calls of the feed
 
 	mu             sync.Mutex
 	rows           map[string]watchedOwner // by pool
@@ -30,15 +31,15 @@
 	changedAt time.Duration // when the row was last seen to change, steady clock
 }
 
-func newOwnerWatch(s *timedStore, clock Clock, log *zap.Logger) *ownerWatch {
-	return &ownerWatch{store: s, clock: clock, log: log, rows: map[string]watchedOwner{}}
+func newOwnerWatch(s *timedStore, clock Clock, log *zap.Logger, pause func() time.Duration) *ownerWatch {
+	return &ownerWatch{store: s, clock: clock, log: log, pause: pause, rows: map[string]watchedOwner{}}
 }
 
 func (w *ownerWatch) update(u Update) {
 	now := w.clock.Now().Steady
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.feedAnsweredAt > 0 && now-w.feedAnsweredAt > memberTimeout {
+	if w.feedAnsweredAt > 0 && feedStalled(now-w.feedAnsweredAt, w.pause(), u) {
 		// Nothing was received from any owner. Give all of them time to write.
 		for pool, row := range w.rows {
 			row.changedAt = now
@@ -101,6 +102,19 @@
 	return w.feedAnsweredAt-w.rows[pool].changedAt < memberTimeout+memberTimeoutLatencyFactor*w.store.AverageCommitTime()
 }
 
+// hasFormerOwner reports whether the owner of a pool is an earlier incarnation of this entry,
+// which has ended. This entry then claims the pool before any other notices it. The row of a
+// pool that has not been seen yet is read.
+func (w *ownerWatch) hasFormerOwner(ctx context.Context, pool string, self Member) bool {
+	w.mu.Lock()
+	owner, known := w.rows[pool]
+	w.mu.Unlock()
+	if !known {
+		owner, known = w.read(ctx, pool)
+	}
+	return known && owner.Node == self.Node && owner.Incarnation != self.Incarnation
+}
+
 // read reads the row of a pool's owner. The result is false if the read failed; a
 // pool without a row has an empty one.
 func (w *ownerWatch) read(ctx context.Context, pool string) (watchedOwner, bool) {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -19,7 +19,8 @@
 // Claims of pools without an owner.
 const (
 	// firstClaimDelay is the time between the start of an entry and its first
-	// claim, so that entries that start together share the pools.
+	// claim of a pool that it did not own before, so that entries that start together
+	// share the pools.
 	firstClaimDelay = 900 * time.Millisecond
 	// claimStagger is the head start of each entry over the next one in
 	// claimOrder.
@@ -221,21 +222,26 @@
 // its share is unknown.
 const minWeight = 0.1
 
-// claimOrder returns the position of a node among the live members that may
-// claim a pool: bystanders come last, those with the fewest pools per processor
-// share first, and a hash decides between equals. It is -1 if the node may not
-// claim the pool.
+// claimOrder returns the position of a node among the live members that may claim a pool:
+// bystanders and members whose rows are late come last, those with the fewest pools per
+// processor share first, then those whose data centre has the fewest, and a hash decides
+// between equals. It is -1 if the node may not claim the pool.
 func claimOrder(pool, node string, live map[string]Member) int {
 	type candidate struct {
 		name      string
-		bystander bool
+		bystander bool    // or late
 		load      float64 // pools per processor share, including the new one
+		nearby    int     // pools owned in its data centre
 		hash      uint64
 	}
+	nearby := map[string]int{}
+	for _, m := range live {
+		nearby[m.DataCentre] += len(m.Pools)
+	}
 	var list []candidate
 	for name, m := range live {
 		if !m.Stopping {
-			list = append(list, candidate{name, m.Bystander, float64(len(m.Pools)+1) / max(m.Weight, minWeight), hash64(pool, name)})
+			list = append(list, candidate{name, m.Bystander || m.silent, float64(len(m.Pools)+1) / max(m.Weight, minWeight), nearby[m.DataCentre], hash64(pool, name)})
 		}
 	}
 	sort.Slice(list, func(i, k int) bool {
@@ -245,6 +251,9 @@
 		if list[i].load != list[k].load {
 			return list[i].load < list[k].load
 		}
+		if list[i].nearby != list[k].nearby {
+			return list[i].nearby < list[k].nearby
+		}
 		return list[i].hash < list[k].hash
 	})
 	for i, c := range list {
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -24,7 +24,9 @@
 	// startAgeLimit is the age of the last confirmed transaction from which an
 	// owner starts no runs. It is below the time after which the owner may be
 	// replaced.
-	startAgeLimit = 1500 * time.Millisecond
+	startAgeLimit = time.Second
+	// maxStartAge is the startAgeLimit that any build of an earlier owner has used.
+	maxStartAge = 1500 * time.Millisecond
 	// renewAgeLimit is the age of the last confirmed transaction from which an
 	// owner renews no leases, so that a later owner knows when the runs that it
 	// cannot reach have expired. Together with the lease, it lets runs survive
@@ -117,7 +119,7 @@
 		settings.InheritedLateBound = lastRenewal + maxOrderDelay + settings.MaxLeaseBound
 	}
 	settings.FormerClockBound = formerClockTime + settings.MaxLeaseBound
-	settings.StartDelayBound = startAgeLimit + orderTimeout
+	settings.StartDelayBound = maxStartAge + orderTimeout
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
 	r.movedQueues = newMovedQueues(n, o.pool, r.log)
