Judge a late feed by its call; probe a lost path beside each other

Beside one other owner that writes each 0.8 s or less often, each answer counted as late, all ages began anew and a dead owner was never noticed (12 of 12 candidates after 22 s). Also: the readiness check made one read for each request, and a service that has become slow (0.4 s) was taken for silent; the loss was forgotten at the end of the node's context.

Change: Update says when its call was sent; the feed has stalled if the call was sent late or answered later than its wait, with twice the usual time of a transaction more. An owner whose row, read before a claim, is newer than the feed told is not replaced. Checks share one call; probes of 1 s are sent each 0.2 s; a request waits 0.45 s. Starts end 1 s and the usual time of a transaction (1.5 s at most) after the last confirmed transaction was sent. A pool whose former incarnation made fewer than five transactions is left to the order of claims.

--- a/node/api.go
+++ b/node/api.go
@@ -432,9 +432,7 @@
 // Ready reports whether this entry can take requests now.
 // It makes a call to the table service if none was answered for a while.
 func (n *Node) Ready() bool {
-	if n.store.path.idleFor() > readyIdleLimit && !n.store.path.isLost() {
-		_ = n.probeStore(context.Background()) // the path notes the outcome
-	}
+	n.store.path.check(readyIdleLimit)
 	view, _ := n.operator.Get()
 	return !n.stopping.Load() && !n.store.path.isLost() && view.Catalog != nil && n.clock.Now().Steady-view.CurrentAt < time.Duration(readyAgeFraction*float64(n.maxViewAge()))
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -33,6 +33,8 @@
 type Update struct {
 	Rows  []store.Row // the changed rows, or all of them if Whole
 	Whole bool        // Rows has all rows of the partition
+	// SentAt is when the call was sent, steady clock; 0 if unknown.
+	SentAt time.Duration
 	// CurrentAt is a time on the steady clock: this update and the earlier ones hold
 	// all changes until then. It is 0 if more changes may be waiting.
 	CurrentAt time.Duration
@@ -116,7 +118,7 @@
 			return errStaleRead
 		}
 		f.version, f.incomplete = page.Version, false
-		f.deliver(Update{Rows: page.Rows, Whole: true, CurrentAt: sentAt})
+		f.deliver(Update{Rows: page.Rows, Whole: true, SentAt: sentAt, CurrentAt: sentAt})
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+readTimeout)
@@ -134,7 +136,7 @@
 		return errStaleRead
 	}
 	f.version, f.incomplete = page.Version, len(page.Rows) > 0
-	update := Update{Rows: page.Rows}
+	update := Update{Rows: page.Rows, SentAt: sentAt}
 	if !f.incomplete {
 		update.CurrentAt = sentAt
 	}
--- a/node/members.go
+++ b/node/members.go
@@ -28,6 +28,9 @@
 	// nothing: this entry or the table service has stalled, and the writers of the rows may
 	// have waited as well.
 	feedStallLimit = 400 * time.Millisecond
+	// feedStallLatencyFactor, times the usual time of a transaction, is added to it, so
+	// that lost owners are noticed while the table service is slow as well.
+	feedStallLatencyFactor = 2
 	// memberTimeoutLatencyFactor, times the usual time of a transaction, is
 	// added to memberTimeout.
 	memberTimeoutLatencyFactor = 6
@@ -67,7 +70,7 @@
 	DataCentre  string   `cbor:"8,keyasint,omitempty"`
 	Bystander   bool     `cbor:"9,keyasint,omitempty"` // the row is renewed each bystanderInterval only
 
-	silent bool // the row is late, as this entry sees it; see memberSilence
+	silent bool // not stored: the row is late, as this entry sees it; see memberSilence
 }
 
 type memberState struct {
@@ -237,7 +240,7 @@
 	now := m.clock.Now().Steady
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.feedAnsweredAt > 0 && (now-m.feedAnsweredAt > m.maxFeedAge() || feedStalled(now-m.feedAnsweredAt, m.pause(), u)) {
+	if m.feedAnsweredAt > 0 && (now-m.feedAnsweredAt > m.maxFeedAge() || feedStalled(u, m.feedAnsweredAt, now, m.pause(), m.store.AverageCommitTime())) {
 		// Nothing was received from any member. Give all of them time to renew.
 		for _, state := range m.known {
 			state.changedAt = now
@@ -255,13 +258,15 @@
 	m.changed = make(chan struct{})
 }
 
-// feedStalled reports whether an update of a feed came later than the feed alone explains,
-// given the time since the last one and the pause between calls.
-func feedStalled(gap, pause time.Duration, u Update) bool {
-	if len(u.Rows) == 0 {
-		gap -= memberWait // the service had nothing to tell for so long
+// feedStalled reports whether an update of a feed came later than the feed alone explains:
+// its call was sent later than pause after the last answer, or was answered later than
+// memberWait. usual is the usual time of a transaction.
+func feedStalled(u Update, lastAnswer, now, pause, usual time.Duration) bool {
+	if u.SentAt == 0 {
+		return false
 	}
-	return gap > pause+feedStallLimit
+	limit := feedStallLimit + feedStallLatencyFactor*usual
+	return u.SentAt-lastAnswer > pause+limit || now-u.SentAt > memberWait+limit
 }
 
 func (m *members) applyRow(row store.Row, now time.Duration, whole bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -105,8 +105,6 @@
 
 // probeStore reads this entry's own row, to learn whether the table service answers.
 func (n *Node) probeStore(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	_, _, err := store.Get(ctx, n.store, tables.MemberKey(n.settings.Self.Node))
 	return err
 }
@@ -293,7 +291,7 @@
 		n.log.Info("owner_not_read", zap.String("pool", name), zap.Error(err))
 		return
 	}
-	if n.claimedRecently(name, o.row, live) {
+	if o.row.Node != n.settings.Self.Node && n.owners.hasWritten(name, o.row, o.version) || n.claimedRecently(name, o.row, live) {
 		return
 	}
 	formerOwner, renewedUntil, sentAt := o.row.Node, o.renewedUntil(), n.clock.Now().Steady
--- a/node/owners.go
+++ b/node/owners.go
@@ -25,6 +25,10 @@
 	feedAnsweredAt time.Duration           // steady clock; 0 if never
 }
 
+// minFormerBatches is the number of transactions that an earlier incarnation must have made
+// for its pool to be claimed at once.
+const minFormerBatches = 5
+
 type watchedOwner struct {
 	ownerRow
 	version   int64
@@ -39,7 +43,7 @@
 	now := w.clock.Now().Steady
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.feedAnsweredAt > 0 && feedStalled(now-w.feedAnsweredAt, w.pause(), u) {
+	if w.feedAnsweredAt > 0 && feedStalled(u, w.feedAnsweredAt, now, w.pause(), w.store.AverageCommitTime()) {
 		// Nothing was received from any owner. Give all of them time to write.
 		for pool, row := range w.rows {
 			row.changedAt = now
@@ -103,8 +107,9 @@
 }
 
 // hasFormerOwner reports whether the owner of a pool is an earlier incarnation of this entry,
-// which has ended. This entry then claims the pool before any other notices it. The row of a
-// pool that has not been seen yet is read.
+// which has ended after some work. This entry then claims the pool before any other notices
+// it. A process that ended right after its claim may have ended by it, so others come first.
+// The row of a pool that has not been seen yet is read.
 func (w *ownerWatch) hasFormerOwner(ctx context.Context, pool string, self Member) bool {
 	w.mu.Lock()
 	owner, known := w.rows[pool]
@@ -112,7 +117,20 @@
 	if !known {
 		owner, known = w.read(ctx, pool)
 	}
-	return known && owner.Node == self.Node && owner.Incarnation != self.Incarnation
+	return known && owner.Node == self.Node && owner.Incarnation != self.Incarnation && owner.Batch >= minFormerBatches
+}
+
+// hasWritten reports whether the owner in a row that was just read has written since its row
+// was last seen to change. It then lives, although the feed has not told so yet.
+func (w *ownerWatch) hasWritten(pool string, owner ownerRow, version int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known, ok := w.rows[pool]
+	if !ok || version <= known.version || owner.Node == "" {
+		return false
+	}
+	w.observe(pool, owner, version, w.clock.Now().Steady)
+	return true
 }
 
 // read reads the row of a pool's owner. The result is false if the read failed; a
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -22,10 +22,10 @@
 	// owner.
 	ownerRenewInterval = 700 * time.Millisecond
 	// startAgeLimit is the age of the last confirmed transaction from which an
-	// owner starts no runs. It is below the time after which the owner may be
-	// replaced.
+	// owner starts no runs, without the usual time of a transaction. It is below the
+	// time after which the owner may be replaced.
 	startAgeLimit = time.Second
-	// maxStartAge is the startAgeLimit that any build of an earlier owner has used.
+	// maxStartAge bounds that age for owners of this and of earlier builds.
 	maxStartAge = 1500 * time.Millisecond
 	// renewAgeLimit is the age of the last confirmed transaction from which an
 	// owner renews no leases, so that a later owner knows when the runs that it
@@ -451,7 +451,8 @@
 // mayStart reports whether the last confirmed transaction is recent enough for starting
 // runs at a time on the steady clock.
 func (r *poolController) mayStart(at time.Duration) bool {
-	return at-time.Duration(r.confirmedAt.Load()) < startAgeLimit
+	limit := min(maxStartAge, startAgeLimit+r.node.store.AverageCommitTime())
+	return at-time.Duration(r.confirmedAt.Load()) < limit
 }
 
 // syncVMClients opens a client for each new VM and closes those of VMs that are
--- a/node/storepath.go
+++ b/node/storepath.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -12,14 +13,16 @@
 
 const (
 	// silenceLimit is the time without any answer of the table service, from the start of a
-	// call that stays without one, after which the path to the service counts as lost. The
-	// usual answer takes 10 ms.
+	// call that stays without one, after which the path to the service counts as lost.
 	silenceLimit = 250 * time.Millisecond
-	// probeTimeout bounds a probe. The service answers in 4 ms; when it is 60 times slower, in
-	// 240 ms.
-	probeTimeout = 400 * time.Millisecond
-	// probePause is the time between two probes of a lost path.
-	probePause = 100 * time.Millisecond
+	// probeInterval is the time between two probes of a lost path. A probe does not wait for
+	// the one before, so that an answer is noticed soon after the path is back.
+	probeInterval = 200 * time.Millisecond
+	// probeTimeout bounds a probe. A service that is slow for the first time is found to
+	// answer within it.
+	probeTimeout = time.Second
+	// pathWait is how long a request waits for a lost path to come back.
+	pathWait = 450 * time.Millisecond
 )
 
 // storePath tells whether the table service answers this entry at all. An answer that refuses
@@ -36,12 +39,13 @@
 	lost       bool
 	lostAt     time.Duration // start of the call that has shown the loss
 	probing    bool
-	probed     chan struct{} // closed at the end of the next probe, or by an answer
+	regained   chan struct{} // closed at the next end of a loss
+	checked    chan struct{} // closed at the end of the check under way; nil without one
 	onLoss     func()        // counts losses; may be nil
 }
 
 func newStorePath(clock Clock) *storePath {
-	return &storePath{clock: clock, log: zap.NewNop(), probed: make(chan struct{})}
+	return &storePath{clock: clock, log: zap.NewNop(), regained: make(chan struct{})}
 }
 
 // start begins to judge the path. Probes end with ctx.
@@ -60,7 +64,8 @@
 	if p.lost {
 		p.lost = false
 		p.log.Info("table_path_regained", zap.Duration("lost_for", now-p.lostAt))
-		p.wake()
+		close(p.regained)
+		p.regained = make(chan struct{})
 	}
 }
 
@@ -84,58 +89,83 @@
 	}
 }
 
-// wake tells those who wait in await that a probe has ended. The caller holds mu.
-func (p *storePath) wake() {
-	close(p.probed)
-	p.probed = make(chan struct{})
-}
-
+// probeUntilAnswered probes a lost path until it is regained or ctx ends.
 func (p *storePath) probeUntilAnswered(ctx context.Context) {
 	for {
-		err := p.probe(ctx)
+		go p.probeOnce(ctx)
+		sleep(ctx, probeInterval)
 		p.mu.Lock()
 		if !p.lost || ctx.Err() != nil {
-			p.probing, p.lost = false, false
-			p.wake()
+			p.probing = false
 			p.mu.Unlock()
 			return
 		}
-		p.wake()
 		p.mu.Unlock()
+	}
+}
+
+// probeOnce makes a call whose outcome the path notes.
+func (p *storePath) probeOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if err := p.probe(ctx); err != nil {
 		p.log.Debug("table_path_probed", zap.Error(err))
-		sleep(ctx, probePause)
 	}
 }
 
-// isLost reports whether the path is lost.
-func (p *storePath) isLost() bool {
+// check makes a call if no other was answered for the given time, and waits until its
+// outcome or a loss is known. Checks at the same time share the call.
+func (p *storePath) check(idle time.Duration) {
+	now := p.clock.Now().Steady
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lost
+	if p.lost || p.ctx == nil || now-p.answeredAt <= idle {
+		p.mu.Unlock()
+		return
+	}
+	done := p.checked
+	if done == nil {
+		done = make(chan struct{})
+		p.checked = done
+		go func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, pathWait)
+			defer cancel()
+			err := p.probe(ctx)
+			p.mu.Lock()
+			p.checked = nil
+			p.mu.Unlock()
+			close(done)
+			p.log.Debug("table_path_checked", zap.Error(err))
+		}(p.ctx)
+	}
+	p.mu.Unlock()
+	<-done
 }
 
-// idleFor returns the time since the latest answer.
-func (p *storePath) idleFor() time.Duration {
-	now := p.clock.Now().Steady
+// isLost reports whether the path is lost.
+func (p *storePath) isLost() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now - p.answeredAt
+	return p.lost
 }
 
-// await reports whether calls may be sent. On a lost path it waits for the end of a probe, so
-// that a short stall of this process refuses nothing.
+// await reports whether calls may be sent. On a lost path it waits for pathWait, so that a
+// short stall of this process or of the service refuses nothing.
 func (p *storePath) await(ctx context.Context) bool {
 	p.mu.Lock()
-	lost, probed := p.lost, p.probed
+	lost, regained, pathCtx := p.lost, p.regained, p.ctx
 	p.mu.Unlock()
 	if !lost {
 		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, pathWait)
+	defer cancel()
 	select {
-	case <-probed:
+	case <-regained:
+		return true
 	case <-ctx.Done():
+	case <-pathCtx.Done():
 	}
-	return !p.isLost()
+	return false
 }
 
 // record passes the outcome of a call to the path. A call that its caller has cancelled
@@ -144,7 +174,7 @@
 	switch {
 	case store.Answered(err):
 		p.answered()
-	case context.Cause(ctx) != context.Canceled:
+	case !errors.Is(context.Cause(ctx), context.Canceled):
 		p.unanswered(sentAt)
 	}
 }
--- a/node/storepath_test.go
+++ b/node/storepath_test.go
@@ -20,12 +20,19 @@
 type silentStore struct {
 	store.Store
 	silent atomic.Bool
+	delay  atomic.Int64 // ns
 	mu     sync.Mutex
 	sent   []store.Txn
 }
 
+// waits reports whether a call gets its answer, after the delay.
+func (s *silentStore) waits(ctx context.Context) bool {
+	sleep(ctx, time.Duration(s.delay.Load()))
+	return ctx.Err() == nil && !s.silent.Load()
+}
+
 func (s *silentStore) Commit(ctx context.Context, txn store.Txn) (store.Receipt, error) {
-	if !s.silent.Load() {
+	if s.waits(ctx) {
 		return s.Store.Commit(ctx, txn)
 	}
 	s.mu.Lock()
@@ -36,7 +43,7 @@
 }
 
 func (s *silentStore) Range(ctx context.Context, table, partition, from, to string) (store.Page, error) {
-	if !s.silent.Load() {
+	if s.waits(ctx) {
 		return s.Store.Range(ctx, table, partition, from, to)
 	}
 	<-ctx.Done()
@@ -83,7 +90,7 @@
 			switch name := jobTxn(i).Conditions[0].Key.Name; {
 			case sent[name] && !errors.Is(err, ErrUnconfirmed):
 				t.Errorf("job %d was sent and is answered %v, want an unconfirmed outcome", i, err)
-			case !sent[name] && (!errors.As(err, &notRun) || took[i] > probeTimeout+2*probePause):
+			case !sent[name] && (!errors.As(err, &notRun) || took[i] > pathWait+probeInterval):
 				t.Errorf("job %d was not sent and is answered %v after %s, want *NotRunError soon", i, err, took[i])
 			}
 		}
@@ -91,7 +98,7 @@
 			t.Errorf("%d jobs were sent without an answer, want the first only", len(sent))
 		}
 		s.silent.Store(false)
-		time.Sleep(probeTimeout + probePause)
+		time.Sleep(probeTimeout + probeInterval)
 		if err := n.storeRequest(t.Context(), jobTxn(99), nil); err != nil {
 			t.Errorf("after the table service answers again: %v", err)
 		}
@@ -112,7 +119,7 @@
 			t.Error("the path does not count as lost after a check on a silent table service")
 		}
 		s.silent.Store(false)
-		time.Sleep(probeTimeout + probePause)
+		time.Sleep(probeTimeout + probeInterval)
 		if n.store.path.isLost() {
 			t.Error("the path still counts as lost after an answer")
 		}
@@ -122,3 +129,31 @@
 		}
 	})
 }
+
+// Guards against a table service that is slow and taken for silent: after the first
+// transactions have shown how slow it is, all submissions are stored and the entry is ready.
+func TestSlowTableServiceIsNotALostPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := newSilentStoreNode(t)
+		for i := range 20 {
+			if err := n.storeRequest(t.Context(), jobTxn(i), nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.delay.Store(int64(400 * time.Millisecond))
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				if err := n.storeRequest(t.Context(), jobTxn(100+i), nil); err != nil && i >= 20 {
+					t.Errorf("job %d, 2 s or more after the service became slow: %v", i, err)
+				}
+			})
+			if n.store.path.check(readyIdleLimit); i >= 20 && n.store.path.isLost() {
+				t.Errorf("the path is lost at job %d", i)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		wg.Wait()
+		time.Sleep(maxCommitTimeout)
+	})
+}
--- a/node/takeover_test.go
+++ b/node/takeover_test.go
@@ -66,11 +66,11 @@
 
 // Guards against pools without an owner for 0.9 s after all processes were killed
 // (mare-escuta-grown trouble-3, 13 s): a restarted entry claims at once what it owned before,
-// and leaves other pools to the order of claims.
+// and leaves other pools to the order of claims, also one whose claim it did not outlive.
 func TestRestartedEntryClaimsItsFormerPoolsAtOnce(t *testing.T) {
 	mem := memstore.New()
 	first := newTimedStore(mem, NewBootClock())
-	for pool, owner := range map[string]Member{"mine": nodeA, "other": nodeB} {
+	for pool, owner := range map[string]Member{"mine": nodeA, "other": nodeB, "crashed": nodeA} {
 		o, err := readOwner(t.Context(), first, pool)
 		if err != nil {
 			t.Fatal(err)
@@ -78,22 +78,30 @@
 		if err := o.claim(t.Context(), owner); err != nil {
 			t.Fatal(err)
 		}
+		for range minFormerBatches {
+			if pool == "crashed" {
+				break
+			}
+			if err := o.commit(t.Context(), store.Txn{}); err != nil {
+				t.Fatal(err)
+			}
+		}
 	}
 	killed := newMembers(first, first.clock, testLog, nodeA)
-	killed.SetPools([]string{"mine"})
+	killed.SetPools([]string{"mine", "crashed"})
 	if err := killed.writeRow(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	second := Member{Node: nodeA.Node, Incarnation: "restarted"}
 	n := New(Options{Settings: Settings{Self: second}, Store: mem, Clock: NewBootClock(), Log: zap.NewNop()})
-	n.operator.view.Catalog = &catalog.Catalog{Pools: map[string]*catalog.Pool{"mine": {}, "other": {}}}
+	n.operator.view.Catalog = &catalog.Catalog{Pools: map[string]*catalog.Pool{"mine": {}, "other": {}, "crashed": {}}}
 	n.members.update(Update{Whole: true})
 	if err := n.members.writeRow(t.Context()); !errors.Is(err, errMemberChanged) {
 		t.Fatalf("first write of the row after the restart: %v", err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	n.claimUnowned(ctx, true)
-	for pool, want := range map[string]string{"mine": second.Incarnation, "other": nodeB.Incarnation} {
+	for pool, want := range map[string]string{"mine": second.Incarnation, "other": nodeB.Incarnation, "crashed": nodeA.Incarnation} {
 		row, _, err := store.Get(t.Context(), mem, tables.OwnerKey(pool))
 		if err != nil {
 			t.Fatal(err)
@@ -120,3 +128,79 @@
 		}
 	}
 }
+
+// Guards against an owner that is never replaced while the table service is slow, since each
+// answer of the feed comes late then.
+func TestSilentOwnerIsNoticedWhileTheTableServiceIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		clock := bubbleClock{time.Now()}
+		f := newMemberFleet(ctx, mem, clock, 30, 18)
+		ownerCtx, stopOwner := context.WithCancel(ctx)
+		f.followOwnerOf(ctx, ownerCtx, t, mem, clock, minCycleInterval)
+		mem.SetTxnTime(300 * time.Millisecond)
+		time.Sleep(10 * time.Second)
+		stopOwner()
+		time.Sleep(6 * time.Second)
+		if got := f.liveOwnerCount(ctx); got != 0 {
+			t.Errorf("%d candidates take the owner for live 6 s after its last transaction", got)
+		}
+		cancel()
+		f.wg.Wait()
+	})
+}
+
+// Guards against a lost owner that is never noticed since the only other owner is calm: the
+// feed's calls then wait for its next transaction and are answered with rows.
+func TestSilentOwnerIsNoticedBesideACalmOne(t *testing.T) {
+	for _, interval := range []time.Duration{700, 800, 950} {
+		synctest.Test(t, func(t *testing.T) {
+			mem := memstore.New()
+			mem.SetTxnTime(5 * time.Millisecond)
+			ctx, cancel := context.WithCancel(t.Context())
+			clock := bubbleClock{time.Now()}
+			f := newMemberFleet(ctx, mem, clock, 30, 18)
+			ownerCtx, stopOwner := context.WithCancel(ctx)
+			f.followOwnerOf(ctx, ownerCtx, t, mem, clock, minCycleInterval)
+			o, err := readOwner(ctx, newEntry("calm", mem, clock).store, "q")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := o.claim(ctx, Member{Node: "calm", Incarnation: "1"}); err != nil {
+				t.Fatal(err)
+			}
+			f.wg.Go(func() {
+				for ctx.Err() == nil {
+					_ = o.commit(ctx, store.Txn{})
+					sleep(ctx, interval*time.Millisecond)
+				}
+			})
+			time.Sleep(5 * time.Second)
+			stopOwner()
+			time.Sleep(3 * time.Second)
+			if got := f.liveOwnerCount(ctx); got != 0 {
+				t.Errorf("calm owner writes each %d ms: %d candidates take the silent one for live after 3 s", interval, got)
+			}
+			cancel()
+			f.wg.Wait()
+		})
+	}
+}
+
+// Guards against the claim of a pool whose owner has written while the feed was late: the row
+// that is read before the claim shows it.
+func TestOwnerThatHasWrittenIsNotReplaced(t *testing.T) {
+	mem := memstore.New()
+	s := newTimedStore(mem, NewBootClock())
+	o := mustClaim(t, s, nodeA)
+	n := New(Options{Settings: Settings{Self: nodeB}, Store: mem, Clock: NewBootClock(), Log: zap.NewNop()})
+	n.owners.read(t.Context(), "p")
+	if err := o.commit(t.Context(), store.Txn{}); err != nil {
+		t.Fatal(err)
+	}
+	n.tryClaim(t.Context(), "p", nil)
+	if err := o.commit(t.Context(), store.Txn{}); err != nil {
+		t.Errorf("the owner was replaced although it had just written: %v", err)
+	}
+}
