--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -22,9 +22,11 @@
 	// owner.
 	ownerRenewInterval = 700 * time.Millisecond
 	// startAgeLimit is the age of the last confirmed transaction from which an
-	// owner starts no runs. It is below the time after which the owner may be
-	// replaced.
-	startAgeLimit = 1500 * time.Millisecond
+	// owner starts no runs, without the usual time of a transaction. It is below the
+	// time after which the owner may be replaced.
+	startAgeLimit = time.Second
+	// maxStartAge bounds that age for owners of this and of earlier builds.
+	maxStartAge = 1500 * time.Millisecond
 	// renewAgeLimit is the age of the last confirmed transaction from which an
 	// owner renews no leases, so that a later owner knows when the runs that it
 	// cannot reach have expired. Together with the lease, it lets runs survive
@@ -117,7 +119,7 @@
 		settings.InheritedLateBound = lastRenewal + maxOrderDelay + settings.MaxLeaseBound
 	}
 	settings.FormerClockBound = formerClockTime + settings.MaxLeaseBound
-	settings.StartDelayBound = startAgeLimit + orderTimeout
+	settings.StartDelayBound = maxStartAge + orderTimeout
 	r.pool = pool.New(settings, r.log, n.clock.Now())
 	r.caps = newCapShares(n, o.pool, r.log)
 	r.movedQueues = newMovedQueues(n, o.pool, r.log)
@@ -449,7 +451,8 @@
 // mayStart reports whether the last confirmed transaction is recent enough for starting
 // runs at a time on the steady clock.
 func (r *poolController) mayStart(at time.Duration) bool {
-	return at-time.Duration(r.confirmedAt.Load()) < startAgeLimit
+	limit := min(maxStartAge, startAgeLimit+r.node.store.AverageCommitTime())
+	return at-time.Duration(r.confirmedAt.Load()) < limit
 }
 
 // syncVMClients opens a client for each new VM and closes those of VMs that are
