Bound what callers, the load balancer and tools can hold of an entry

Cause: connections, headers and bodies had no common bound, a body no time limit and io.ReadAll doubled its buffer; decoding a body could take hundreds of times its size; the readiness and internal ports kept idle connections for ever.

Change: package node/intake. Ledger decides, without I/O: one budget of bytes of requests under way, counted as they arrive on the connection (headers and framing too) and at four times the body from its end to the answer; a bound on connections of each port. When one is used up, connections go in order: longest idle, oldest incomplete request, an answer that nobody takes; none younger than the grace. Port applies this to an http.Server: listener with a small receive buffer, deadlines by progress and in all for bodies, also those that nobody reads, and for the client to take its answer; bodies in segments that grow with what has arrived, decoded one at a time; counters, gauges and at most one log line in 5 s.

Defaults from memory_mb and max_fds of the settings, all as flags and environment variables of `amaranthd platform`.

--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -7,8 +7,11 @@
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
+	"amaranthfork.example/cmd/internal/envflag"
 	"amaranthfork.example/cmd/internal/process"
+	"amaranthfork.example/node/intake"
 	"amaranthfork.example/platform"
 )
 
@@ -21,7 +24,8 @@
 // platformCommand returns the command that runs an entry on the users'
 // platform, configured by a settings file.
 func platformCommand() *cobra.Command {
-	path := ""
+	path, clients := "", intake.DefaultSettings()
+	limits := clientFlags(&clients)
 	c := &cobra.Command{
 		Use:   "platform",
 		Short: "Entry process on the users' platform, from its settings file",
@@ -30,14 +34,35 @@
 			if path == "" {
 				return fmt.Errorf("settings: neither --settings nor %s is given", platform.SettingsVariable)
 			}
-			return runOnPlatform(path)
+			if err := envflag.Apply(limits); err != nil {
+				return err
+			}
+			return runOnPlatform(path, clients)
 		},
 	}
 	c.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "settings file; "+platform.SettingsVariable+" by default")
+	c.Flags().AddFlagSet(limits)
 	return c
 }
 
-func runOnPlatform(path string) error {
+// clientFlags returns the flags of the limits on clients.
+func clientFlags(s *intake.Settings) *pflag.FlagSet {
+	f := pflag.NewFlagSet("clients", pflag.ContinueOnError)
+	f.IntVar(&s.Connections, "caller-connections", s.Connections, "connections of callers; 0 for half of max_fds less 200, or one for each 160 KB of memory_mb if that is fewer")
+	f.IntVar(&s.PortConnections, "port-connections", s.PortConnections, "connections of the readiness port, and as many of the internal port; 0 for a sixteenth of max_fds less 200, at most 64")
+	f.Int64Var(&s.RequestMemoryMB, "request-memory-mb", s.RequestMemoryMB, "memory for callers' requests that are received or answered, MB; 0 for a fifth of memory_mb")
+	f.IntVar(&s.HeaderBytes, "header-bytes", s.HeaderBytes, "largest header of a caller's request, bytes")
+	f.DurationVar(&s.HeaderTimeout, "header-timeout", s.HeaderTimeout, "time until a request's header is complete")
+	f.DurationVar(&s.StallTimeout, "body-stall-timeout", s.StallTimeout, "time without a byte of an incomplete body")
+	f.DurationVar(&s.BodyTimeout, "body-timeout", s.BodyTimeout, "time until a body is complete")
+	f.DurationVar(&s.AnswerTimeout, "answer-timeout", s.AnswerTimeout, "time until a client takes a part of its answer")
+	f.DurationVar(&s.IdleTimeout, "idle-timeout", s.IdleTimeout, "time that an unused connection is kept")
+	f.DurationVar(&s.Grace, "shortage-grace", s.Grace, "time after which an idle connection or an incomplete request may be closed for another one, when connections or memory are short")
+	envflag.Describe(f)
+	return f
+}
+
+func runOnPlatform(path string, clients intake.Settings) error {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -48,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	e, err := platform.NewEntry(path, log)
+	e, err := platform.NewEntry(path, clients, log)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/node/intake/body.go
@@ -0,0 +1,114 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// segmentBytes is the size of the buffers that hold a body while it arrives.
+const segmentBytes = 4 << 10
+
+// answerFactor is what a request takes until it is answered, in multiples of its body: the
+// body in one piece, what it is decoded to, and that encoded for the table service.
+const answerFactor = 4
+
+// ErrStalled means that a body made no progress for too long, or was not complete in time.
+var ErrStalled = errors.New("body did not arrive in time")
+
+// awaited is a body with time limits.
+type awaited struct {
+	io.ReadCloser
+	conn  *conn
+	until time.Time
+	whole bool
+}
+
+// Read implements io.Reader.
+func (a *awaited) Read(b []byte) (int, error) {
+	deadline := time.Now().Add(a.conn.port.settings.StallTimeout)
+	if deadline.After(a.until) {
+		deadline = a.until
+	}
+	if err := a.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	n, err := a.ReadCloser.Read(b)
+	if err == io.EOF {
+		a.whole = true
+		// The server watches the connection while the request is answered.
+		if failed := a.conn.SetReadDeadline(time.Time{}); failed != nil {
+			return n, failed
+		}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.conn.port.count(stalledRequests, 1)
+		return n, ErrStalled
+	}
+	return n, err
+}
+
+// Body is a whole body that has been received.
+type Body struct {
+	segments [][]byte
+	size     int
+	conn     *conn // nil if its connection is not counted
+}
+
+// ReadBody reads the body of a request of at most limit bytes. It takes memory for what has
+// arrived only. The error is *http.MaxBytesError, ErrNoMemory, ErrStalled, or that of the
+// connection. After an error the connection is closed with the answer.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	b := &Body{}
+	b.conn, _ = r.Context().Value(connKey{}).(*conn)
+	reader := http.MaxBytesReader(w, r.Body, limit)
+	size := segmentBytes
+	if r.ContentLength >= 0 && r.ContentLength < segmentBytes {
+		size = int(r.ContentLength) + 1 // the end is read with the last byte
+	}
+	segment := make([]byte, 0, size)
+	for {
+		n, err := reader.Read(segment[len(segment):cap(segment)])
+		segment = segment[:len(segment)+n]
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			return nil, err
+		}
+		if len(segment) == cap(segment) {
+			b.segments, b.size = append(b.segments, segment), b.size+len(segment)
+			segment = make([]byte, 0, segmentBytes)
+		}
+	}
+	b.segments, b.size = append(b.segments, segment), b.size+len(segment)
+	if b.conn != nil && !b.conn.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) {
+		return l.Answer(b.conn.entry, answerFactor*int64(b.size), now)
+	}) {
+		w.Header().Set("Connection", "close")
+		return nil, ErrNoMemory
+	}
+	return b, nil
+}
+
+// Decode calls f with the body, which is no longer kept afterwards. The bodies of a port are
+// decoded one at a time, so that only one takes the memory for it.
+func (b *Body) Decode(f func([]byte) error) error {
+	if b.conn != nil {
+		b.conn.port.decoding.Lock()
+		defer b.conn.port.decoding.Unlock()
+	}
+	defer func() { b.segments = nil }()
+	if len(b.segments) == 1 {
+		return f(b.segments[0])
+	}
+	whole := make([]byte, 0, b.size)
+	for _, s := range b.segments {
+		whole = append(whole, s...)
+	}
+	b.segments = nil
+	return f(whole)
+}
--- /dev/null
+++ b/node/intake/intake_test.go
@@ -0,0 +1,267 @@
+package intake
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"amaranthfork.example/fleet/fleettest"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(fleettest.RunSeeded(m, nil))
+}
+
+const second = time.Second
+
+// Guards against closing the wrong connection: an idle one goes first, the newest ones and
+// those whose request is being answered stay.
+func TestWhoGoesWhenConnectionsAreShort(t *testing.T) {
+	type connection struct {
+		phase phase
+		age   time.Duration
+	}
+	for name, c := range map[string]struct {
+		open   []connection
+		victim int // -1 if the new connection is refused
+	}{
+		"longest idle":                 {[]connection{{receiving, 9 * second}, {idle, 2 * second}, {idle, 3 * second}}, 2},
+		"oldest incomplete":            {[]connection{{answering, 9 * second}, {receiving, 3 * second}, {receiving, 2 * second}}, 1},
+		"none within the grace":        {[]connection{{idle, second / 2}, {receiving, second / 2}, {answering, 9 * second}}, -1},
+		"answer that nobody takes":     {[]connection{{answering, 9 * second}, {answering, 11 * second}, {receiving, 0}}, 1},
+		"incomplete before unanswered": {[]connection{{answering, 11 * second}, {receiving, second}, {idle, 0}}, 1},
+	} {
+		l := NewLedger(Limits{Connections: len(c.open), Bytes: 100, Grace: second})
+		var entries []*Entry
+		const now = 20 * second
+		for _, o := range c.open {
+			e, _ := l.Open(now - o.age)
+			if o.phase != idle {
+				l.Receive(e, 1, now-o.age)
+			}
+			if o.phase == answering {
+				l.Answer(e, 1, now-o.age)
+			}
+			entries = append(entries, e)
+		}
+		e, victim := l.Open(now)
+		switch {
+		case c.victim < 0 && (e != nil || victim != nil):
+			t.Errorf("%s: the new connection was not refused", name)
+		case c.victim >= 0 && (e == nil || victim != entries[c.victim]):
+			t.Errorf("%s: another victim than %d", name, c.victim)
+		}
+	}
+}
+
+// Guards against a fast request that is refused for the sake of slow ones: the oldest
+// incomplete request goes, also if it is the one that asks for more.
+func TestWhoGoesWhenMemoryIsShort(t *testing.T) {
+	l := NewLedger(Limits{Connections: 9, Bytes: 100, Grace: second})
+	slow, _ := l.Open(0)
+	l.Receive(slow, 60, 0)
+	fast, _ := l.Open(second)
+	if victims, ok := l.Receive(fast, 40, 2*second); !ok || len(victims) != 0 {
+		t.Fatal("refused within the limit")
+	}
+	if _, ok := l.Receive(slow, 1, 2*second); ok {
+		t.Error("the slowest request got more at the cost of others")
+	}
+	if victims, ok := l.Receive(fast, 1, 2*second); !ok || len(victims) != 1 || victims[0] != slow {
+		t.Error("the slowest request was not closed")
+	}
+	if _, ok := l.Answer(fast, 101, 2*second); ok {
+		t.Error("a request that is larger than the limit was taken")
+	}
+	l.Idle(fast, 2*second)
+	if l.Bytes() != 0 {
+		t.Errorf("%d bytes without a request", l.Bytes())
+	}
+}
+
+// Guards against bytes that stay charged, or are given back twice, after any mix of readers.
+func TestAnyMixOfReaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Connections: rapid.IntRange(1, 6).Draw(t, "connections"), Bytes: rapid.Int64Range(1, 200).Draw(t, "bytes"), Grace: second}
+		l := NewLedger(limits)
+		var all []*Entry
+		now, extra := time.Duration(0), int64(0) // extra: bytes that cannot be refused
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			if len(all) == 0 || rapid.Bool().Draw(t, "new") {
+				if e, _ := l.Open(now); e != nil {
+					all = append(all, e)
+				}
+				continue
+			}
+			e := rapid.SampledFrom(all).Draw(t, "connection")
+			n := rapid.IntRange(0, 90).Draw(t, "n")
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				if e.open && e.phase == answering {
+					extra += int64(n)
+				}
+				l.Receive(e, n, now)
+			case 1:
+				l.Answer(e, int64(n), now)
+			case 2:
+				l.Idle(e, now)
+			case 3:
+				l.Close(e)
+			}
+			var sum int64
+			for e := range l.entries {
+				sum += e.bytes
+			}
+			if sum != l.Bytes() || sum > limits.Bytes+extra || l.Connections() > limits.Connections {
+				t.Fatalf("%d bytes charged, %d counted, %d connections, limits %+v", sum, l.Bytes(), l.Connections(), limits)
+			}
+		}
+		for _, e := range all {
+			l.Close(e)
+		}
+		if l.Bytes() != 0 || l.Connections() != 0 {
+			t.Fatalf("%d bytes and %d connections are left", l.Bytes(), l.Connections())
+		}
+	})
+}
+
+// Guards against defaults that the smallest machine of the platform cannot bear, or that use
+// all descriptors.
+func TestDerivedLimits(t *testing.T) {
+	for _, vm := range []struct{ memoryMB, maxFDs int64 }{{184, 4100}, {184, 8192}, {284, 4100}, {536, 8192}, {96, 700}, {0, 0}} {
+		s := DefaultSettings().Derive(vm.memoryMB, vm.maxFDs)
+		memory, fds := vm.memoryMB, vm.maxFDs
+		if memory == 0 {
+			memory, fds = defaultMemoryMB, defaultMaxFDs
+		}
+		held := s.RequestMemoryMB<<20 + int64(s.Connections)*(connectionBytes+2*receiveBuffer)
+		if held > memory<<20*6/10 || int64(s.Connections+2*s.PortConnections) > (fds-fileDescriptors)*2/3 || s.Check() != nil {
+			t.Errorf("%+v: %+v, clients hold up to %d MB", vm, s, held>>20)
+		}
+	}
+}
+
+// pipes is a listener whose connections need no network.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (p pipes) Close() error   { close(p); return nil }
+func (p pipes) Addr() net.Addr { return nil }
+
+// serve answers requests on a port with the number of bytes of their body, or 503. It returns
+// what opens a connection.
+func serve(t *testing.T, p *Port) func() net.Conn {
+	listening := make(pipes)
+	server := p.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unread" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		body, err := ReadBody(w, r, 1<<20)
+		if errors.Is(err, ErrNoMemory) || errors.Is(err, ErrStalled) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if err == nil {
+			err = body.Decode(func(b []byte) error { _, err := fmt.Fprint(w, len(b)); return err })
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	}))
+	go func() { _ = server.Serve(&listener{listening, p}) }() // ends with the listener
+	t.Cleanup(func() { _ = server.Close() })
+	return func() net.Conn {
+		client, served := net.Pipe()
+		listening <- served
+		return client
+	}
+}
+
+// exchange sends a request and returns the answer.
+func exchange(t *testing.T, c net.Conn, request string) *http.Response {
+	t.Helper()
+	go func() { _, _ = io.WriteString(c, request) }() // fails if the server closes first
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer
+}
+
+func post(path string, announced, sent int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, announced, strings.Repeat("b", sent))
+}
+
+// Guards against bodies that hold their connection for ever, and against bytes that stay
+// charged after any of the ways in which a request can end.
+func TestBodiesOnAPort(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		bytes   int64 // limit
+		status  int
+	}{
+		"complete":              {post("/", 9000, 9000), 1 << 20, http.StatusOK},
+		"stalled":               {post("/", 9000, 8999), 1 << 20, http.StatusServiceUnavailable},
+		"over the memory":       {post("/", 9000, 9000), 6000, http.StatusServiceUnavailable},
+		"too large to decode":   {post("/", 9000, 9000), 20_000, http.StatusServiceUnavailable},
+		"refused, incomplete":   {post("/unread", 9000, 8999), 1 << 20, http.StatusUnauthorized},
+		"chunked with trailers": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nbb\r\n0\r\nT: v\r\n\r\n", 1 << 20, http.StatusOK},
+		"long chunk extension":  {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;x=" + strings.Repeat("y", 9000), 1 << 20, http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := NewPort("test", DefaultSettings(), Limits{Connections: 2, Bytes: c.bytes, Grace: second}, zap.NewNop())
+				client := serve(t, p)()
+				answer := exchange(t, client, c.request)
+				if answer.StatusCode != c.status {
+					t.Errorf("status %d, want %d", answer.StatusCode, c.status)
+				}
+				_ = client.Close() // the answer has been read
+				synctest.Wait()
+				time.Sleep(time.Minute)
+				if p.ledger.Bytes() != 0 || p.ledger.Connections() != 0 {
+					t.Errorf("%d bytes and %d connections are left", p.ledger.Bytes(), p.ledger.Connections())
+				}
+			})
+		})
+	}
+}
+
+// Guards against a body whose sender is closed for others while it is read.
+func TestSlowBodyMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPort("test", DefaultSettings(), Limits{Connections: 4, Bytes: 40_000, Grace: second}, zap.NewNop())
+		open := serve(t, p)
+		slow := open()
+		go func() { _, _ = io.WriteString(slow, post("/", 9000, 8999)) }() // it is closed meanwhile
+		time.Sleep(2 * second)
+		if answer := exchange(t, open(), post("/", 9000, 9000)); answer.StatusCode != http.StatusOK {
+			t.Errorf("status %d beside a slow body", answer.StatusCode)
+		}
+		if _, err := http.ReadResponse(bufio.NewReader(slow), nil); err == nil {
+			t.Error("the slow body was answered")
+		}
+		if n := p.counters[closedIncomplete].Value(); n != 1 {
+			t.Errorf("%d connections closed, want 1", n)
+		}
+	})
+}
--- /dev/null
+++ b/node/intake/port.go
@@ -0,0 +1,287 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// receiveBuffer bounds what a machine receives on a connection before the process reads
+	// it, in bytes. The system doubles it for its own use.
+	receiveBuffer = 16 << 10
+	// leftoverTime is how long the rest of a body is awaited whose request has been answered.
+	leftoverTime = time.Second
+	// logInterval is the minimum time between two lines about limited clients.
+	logInterval = 5 * time.Second
+)
+
+// Names of counters. They follow the name of the port.
+const (
+	closedIdle         = "_closed_idle"         // idle connections, closed for others
+	closedIncomplete   = "_closed_incomplete"   // connections with the oldest incomplete requests, closed for others
+	closedUnanswered   = "_closed_unanswered"   // connections whose client does not take its answer, closed for others
+	refusedConnections = "_refused_connections" // closed at once
+	refusedRequests    = "_refused_requests"    // for lack of memory
+	stalledRequests    = "_stalled_requests"    // whose body stopped or took too long
+)
+
+var counterNames = []string{closedIdle, closedIncomplete, closedUnanswered, refusedConnections, refusedRequests, stalledRequests}
+
+// ErrNoMemory means that the memory for requests is used up.
+var ErrNoMemory = errors.New("memory for requests is used up")
+
+// Port applies limits to the connections of an HTTP server.
+type Port struct {
+	name     string
+	settings Settings
+	log      *zap.Logger
+	began    time.Time
+	counters map[string]*expvar.Int
+	decoding sync.Mutex
+
+	mu       sync.Mutex
+	ledger   *Ledger
+	peak     int // of connections
+	loggedAt time.Duration
+	logged   bool
+}
+
+// NewPort returns a port with limits. The name begins the names of its counters.
+func NewPort(name string, s Settings, l Limits, log *zap.Logger) *Port {
+	p := &Port{name: name, settings: s, log: log, began: time.Now(), ledger: NewLedger(l), counters: map[string]*expvar.Int{}}
+	for _, c := range counterNames {
+		p.counters[c] = new(expvar.Int)
+	}
+	return p
+}
+
+func (p *Port) now() time.Duration { return time.Since(p.began) }
+
+// Publish hands the port's counters and gauges over.
+func (p *Port) Publish(publish func(name string, v expvar.Var)) {
+	for name, c := range p.counters {
+		publish(p.name+name, c)
+	}
+	gauge := func(name string, f func() any) {
+		publish(p.name+name, expvar.Func(func() any {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return f()
+		}))
+	}
+	gauge("_connections", func() any { return p.ledger.Connections() })
+	gauge("_connections_peak", func() any { return p.peak })
+	gauge("_request_bytes", func() any { return p.ledger.Bytes() })
+}
+
+// count counts an event, and writes a line unless there was one within logInterval.
+func (p *Port) count(name string, n int) {
+	if n == 0 {
+		return
+	}
+	p.counters[name].Add(int64(n))
+	now := p.now()
+	p.mu.Lock()
+	due := !p.logged || now-p.loggedAt >= logInterval
+	connections, bytes := p.ledger.Connections(), p.ledger.Bytes()
+	if due {
+		p.logged, p.loggedAt = true, now
+	}
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	fields := []zap.Field{zap.String("port", p.name), zap.String("last", p.name+name), zap.Int("connections", connections), zap.Int64("request_bytes", bytes)}
+	for _, c := range counterNames {
+		fields = append(fields, zap.Int64(p.name+c, p.counters[c].Value()))
+	}
+	p.log.Warn("clients_limited", fields...)
+}
+
+// Listen returns a listener whose connections are counted.
+func (p *Port) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		if err = errors.Join(err, failed); err != nil {
+			p.log.Warn("receive_buffer_not_set", zap.String("port", p.name), zap.Error(err))
+		}
+		return nil
+	}}
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{l, p}, nil
+}
+
+type listener struct {
+	net.Listener
+	port *Port
+}
+
+// Accept implements net.Listener. Connections beyond the limits are closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if counted := l.port.open(c); counted != nil {
+			return counted, nil
+		}
+		abort(c)
+	}
+}
+
+// abort closes a connection without waiting for data that the client has not taken.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close() // nothing is expected of it any more
+}
+
+func (p *Port) open(c net.Conn) net.Conn {
+	p.mu.Lock()
+	e, victim := p.ledger.Open(p.now())
+	if e == nil {
+		p.mu.Unlock()
+		p.count(refusedConnections, 1)
+		return nil
+	}
+	e.close = func() { abort(c) }
+	p.peak = max(p.peak, p.ledger.Connections())
+	p.mu.Unlock()
+	if victim != nil {
+		victim.close()
+		p.count(map[phase]string{idle: closedIdle, receiving: closedIncomplete, answering: closedUnanswered}[victim.phase], 1)
+	}
+	return &conn{Conn: c, port: p, entry: e}
+}
+
+// conn is a counted connection.
+type conn struct {
+	net.Conn
+	port  *Port
+	entry *Entry
+	ended bool // bytes were lost
+}
+
+// Read implements net.Conn. The error is ErrNoMemory if the bytes are beyond the limits; they
+// are lost, and all later reads fail.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.ended {
+		return 0, ErrNoMemory
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Receive(c.entry, n, now) }) {
+		c.ended = true
+		return 0, ErrNoMemory
+	}
+	return n, err
+}
+
+// charge carries a decision of the ledger out.
+func (c *conn) charge(decide func(*Ledger, time.Duration) ([]*Entry, bool)) bool {
+	p := c.port
+	p.mu.Lock()
+	victims, ok := decide(p.ledger, p.now())
+	evicted := !c.entry.open
+	p.mu.Unlock()
+	for _, v := range victims {
+		v.close()
+	}
+	p.count(closedIncomplete, len(victims))
+	if !ok && !evicted {
+		p.count(refusedRequests, 1)
+	}
+	return ok
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.port.settings.AnswerTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.port.mu.Lock()
+	c.port.ledger.Close(c.entry)
+	c.port.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending direction, if the connection allows that.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// limitLeftover bounds the time for the rest of a body that nobody reads.
+func (c *conn) limitLeftover() {
+	_ = c.SetReadDeadline(time.Now().Add(leftoverTime)) // fails only on a closed connection
+}
+
+type connKey struct{}
+
+// Server returns a server of the port, which serves connections of its listener.
+func (p *Port) Server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           p.handler(handler),
+		ReadHeaderTimeout: p.settings.HeaderTimeout,
+		IdleTimeout:       p.settings.IdleTimeout,
+		MaxHeaderBytes:    p.settings.HeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if counted, ok := c.(*conn); ok && state == http.StateIdle {
+				p.mu.Lock()
+				p.ledger.Idle(counted.entry, p.now())
+				p.mu.Unlock()
+			}
+		},
+	}
+}
+
+// handler bounds the time for bodies, also where next does not read them.
+func (p *Port) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if r.ContentLength == 0 {
+			// Without bytes of a body there is nothing to refuse.
+			c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Answer(c.entry, 0, now) })
+			next.ServeHTTP(w, r)
+			return
+		}
+		// The server reads what next leaves, to use the connection again.
+		body := &awaited{r.Body, c, time.Now().Add(p.settings.BodyTimeout), false}
+		c.limitLeftover()
+		request := *r // the server looks at the body of its own
+		request.Body = body
+		next.ServeHTTP(w, &request)
+		if !body.whole {
+			c.limitLeftover()
+		}
+	})
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -45,6 +45,9 @@
 
 func (m *metrics) add(name string) { m.counters.Add(name, 1) }
 
+// Publish adds a variable to the counters that Metrics serves.
+func (n *Node) Publish(name string, v expvar.Var) { n.metrics.counters.Set(name, v) }
+
 func (m *metrics) observe(name, label string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
