--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -45,16 +45,24 @@
 		l := NewLedger(Limits{Connections: len(c.open), Bytes: 100, Grace: second})
 		var entries []*Entry
 		const now = 20 * second
-		for _, o := range c.open {
-			e, _ := l.Open(now - o.age)
-			if o.phase != idle {
-				l.Receive(e, 1, now-o.age)
-			}
-			if o.phase == answering {
-				l.Answer(e, 1, now-o.age)
-			}
+		for range c.open {
+			e, _ := l.Open(0)
 			entries = append(entries, e)
 		}
+		for at := time.Duration(0); at <= now; at += second / 2 {
+			for i, o := range c.open {
+				if now-o.age != at {
+					continue
+				}
+				l.Idle(entries[i], at)
+				if o.phase != idle {
+					l.Receive(entries[i], 1, at)
+				}
+				if o.phase == answering {
+					l.Answer(entries[i], 1, at)
+				}
+			}
+		}
 		e, victim := l.Open(now)
 		switch {
 		case c.victim < 0 && (e != nil || victim != nil):
@@ -109,7 +117,7 @@
 			n := rapid.IntRange(0, 90).Draw(t, "n")
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
-				if e.open && e.phase == answering {
+				if e.place != nil && e.phase == answering {
 					extra += int64(n)
 				}
 				l.Receive(e, n, now)
@@ -121,7 +129,7 @@
 				l.Close(e)
 			}
 			var sum int64
-			for e := range l.entries {
+			for _, e := range all {
 				sum += e.bytes
 			}
 			if sum != l.Bytes() || sum > limits.Bytes+extra || l.Connections() > limits.Connections {
--- a/node/intake/ledger.go
+++ b/node/intake/ledger.go
@@ -2,7 +2,10 @@
 // and bytes of requests. Ledger makes the decisions, Port applies them to an HTTP server.
 package intake
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
 // Limits bound what the clients of one port hold together.
 type Limits struct {
@@ -23,6 +26,7 @@
 	idle phase = iota
 	receiving
 	answering
+	phases int = iota
 )
 
 // Entry is a connection in a Ledger.
@@ -30,24 +34,30 @@
 	phase phase
 	since time.Duration // when the phase began
 	bytes int64         // charged for its request
-	open  bool
+	place *list.Element // nil once the connection is closed
 
 	close func() // closes the connection; not used by Ledger
 }
 
 // Ledger counts the connections and the bytes of requests of a port, and decides who has to
-// go when a limit is reached. Times are on a steady clock. It is not safe for concurrent use.
+// go when a limit is reached. Times are on a steady clock and never go back. It is not safe for concurrent use.
 type Ledger struct {
 	limits  Limits
-	entries map[*Entry]struct{}
+	byPhase [phases]list.List // of *Entry, in the order in which they came to the phase
 	bytes   int64
 }
 
 // NewLedger returns a ledger without connections.
-func NewLedger(l Limits) *Ledger { return &Ledger{limits: l, entries: map[*Entry]struct{}{}} }
+func NewLedger(l Limits) *Ledger { return &Ledger{limits: l} }
 
 // Connections returns the number of open connections.
-func (l *Ledger) Connections() int { return len(l.entries) }
+func (l *Ledger) Connections() int {
+	n := 0
+	for i := range l.byPhase {
+		n += l.byPhase[i].Len()
+	}
+	return n
+}
 
 // Bytes returns the sum of what is charged.
 func (l *Ledger) Bytes() int64 { return l.bytes }
@@ -57,7 +67,7 @@
 // has been idle for longest; else the one whose request has been incomplete for longest; else
 // one that has been answered for very long.
 func (l *Ledger) Open(now time.Duration) (e, victim *Entry) {
-	if len(l.entries) >= l.limits.Connections {
+	if l.Connections() >= l.limits.Connections {
 		if victim = l.oldest(idle, now-l.limits.Grace); victim == nil {
 			victim = l.oldest(receiving, now-l.limits.Grace)
 		}
@@ -69,21 +79,29 @@
 		}
 		l.Close(victim)
 	}
-	e = &Entry{since: now, open: true}
-	l.entries[e] = struct{}{}
+	e = &Entry{since: now}
+	e.place = l.byPhase[idle].PushBack(e)
 	return e, victim
 }
 
+// enter puts an open connection into a phase.
+func (l *Ledger) enter(e *Entry, p phase, now time.Duration) {
+	l.byPhase[e.phase].Remove(e.place)
+	e.phase, e.since = p, now
+	e.place = l.byPhase[p].PushBack(e)
+}
+
 // oldest returns the entry that has been in a phase for longest, nil if none has been in it
 // since a time.
 func (l *Ledger) oldest(p phase, since time.Duration) *Entry {
-	var found *Entry
-	for e := range l.entries {
-		if e.phase == p && e.since <= since && (found == nil || e.since < found.since) {
-			found = e
-		}
+	first := l.byPhase[p].Front()
+	if first == nil {
+		return nil
+	}
+	if e := first.Value.(*Entry); e.since <= since {
+		return e
 	}
-	return found
+	return nil
 }
 
 // Receive charges received bytes to the request of a connection. It returns false if they
@@ -91,13 +109,16 @@
 // no longer in the ledger: those whose requests have been incomplete for longest. Bytes that
 // follow a whole request are few and are not refused.
 func (l *Ledger) Receive(e *Entry, n int, now time.Duration) (victims []*Entry, ok bool) {
-	if e.open && e.phase == answering {
+	if e.place == nil {
+		return nil, false
+	}
+	if e.phase == answering {
 		e.bytes += int64(n)
 		l.bytes += int64(n)
 		return nil, true
 	}
-	if e.open && e.phase == idle {
-		e.phase, e.since = receiving, now
+	if e.phase == idle {
+		l.enter(e, receiving, now)
 	}
 	return l.charge(e, int64(n), now)
 }
@@ -105,16 +126,16 @@
 // Answer notes that a whole request has been received, and sets what it takes until it is
 // answered, at least what it has been charged. The results are those of Receive.
 func (l *Ledger) Answer(e *Entry, bytes int64, now time.Duration) (victims []*Entry, ok bool) {
-	if e.open && e.phase != answering {
-		e.phase, e.since = answering, now
+	if e.place == nil {
+		return nil, false
+	}
+	if e.phase != answering {
+		l.enter(e, answering, now)
 	}
 	return l.charge(e, max(0, bytes-e.bytes), now)
 }
 
 func (l *Ledger) charge(e *Entry, n int64, now time.Duration) (victims []*Entry, ok bool) {
-	if !e.open {
-		return nil, false
-	}
 	for l.bytes+n > l.limits.Bytes && n > 0 {
 		victim := l.oldest(receiving, now-l.limits.Grace)
 		if victim == nil || victim == e {
@@ -130,19 +151,21 @@
 
 // Idle notes that the request of a connection has been answered.
 func (l *Ledger) Idle(e *Entry, now time.Duration) {
-	if !e.open {
+	if e.place == nil {
 		return
 	}
 	l.bytes -= e.bytes
-	e.phase, e.since, e.bytes = idle, now, 0
+	e.bytes = 0
+	l.enter(e, idle, now)
 }
 
 // Close removes a connection. A second call has no effect.
 func (l *Ledger) Close(e *Entry) {
-	if !e.open {
+	if e.place == nil {
 		return
 	}
 	l.bytes -= e.bytes
-	e.open, e.bytes = false, 0
-	delete(l.entries, e)
+	e.bytes = 0
+	l.byPhase[e.phase].Remove(e.place)
+	e.place = nil
 }
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -197,7 +197,7 @@
 	p := c.port
 	p.mu.Lock()
 	victims, ok := decide(p.ledger, p.now())
-	evicted := !c.entry.open
+	evicted := c.entry.place == nil
 	p.mu.Unlock()
 	for _, v := range victims {
 		v.close()
