A connection of a caller for each 256 KB of memory

Change: the default number of connections of callers counts 64 KB unread and 24 KB of state for each: 736 on the smallest VM (184 MB) in place of 1,177.

--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -15,7 +15,7 @@
 
 const (
 	// receiveBuffer bounds what a machine receives on a connection before the process reads
-	// it, in bytes. The system doubles it for its own use.
+	// it, in bytes. The system doubles it for its own use, and may exceed that by one segment.
 	receiveBuffer = 16 << 10
 	// leftoverTime is how long the rest of a body is awaited whose request has been answered.
 	leftoverTime = time.Second
--- a/node/intake/settings.go
+++ b/node/intake/settings.go
@@ -32,18 +32,20 @@
 
 // Parts of a VM that clients may hold.
 const (
-	requestMemory    = 0.2  // for callers' requests
-	connectionMemory = 0.15 // for the state of callers' connections
-	connectionBytes  = 24 << 10
-	callerSockets    = 0.5 // the others are for links to the table service and to VMs, and for the other ports
-	portSockets      = 1. / 16
-	minConnections   = 8
-	maxPort          = 64  // connections of the readiness port and the internal port
-	fileDescriptors  = 200 // of a process's descriptors, for files
-	defaultMemoryMB  = 184 // where the settings of the VM give none
-	defaultMaxFDs    = 4100
-	portBytes        = 1 << 20 // of requests on the readiness port and the internal port
-	portHeaderBytes  = 16 << 10
+	requestMemory = 0.2 // for callers' requests
+	// memoryPerConnection is the memory of the VM for each connection of a caller, in bytes. The
+	// connection takes connectionBytes of it at most: its state, and what is received and unread.
+	memoryPerConnection = 256 << 10
+	connectionBytes     = 24<<10 + 64<<10
+	callerSockets       = 0.5 // the others are for links to the table service and to VMs, and for the other ports
+	portSockets         = 1. / 16
+	minConnections      = 8
+	maxPort             = 64  // connections of the readiness port and the internal port
+	fileDescriptors     = 200 // of a process's descriptors, for files
+	defaultMemoryMB     = 184 // where the settings of the VM give none
+	defaultMaxFDs       = 4100
+	portBytes           = 1 << 20 // of requests on the readiness port and the internal port
+	portHeaderBytes     = 16 << 10
 )
 
 // Derive returns the settings with the defaults that depend on the memory of the VM in MB and
@@ -57,7 +59,7 @@
 	}
 	memory, sockets := float64(memoryMB<<20), float64(maxFDs-fileDescriptors)
 	if s.Connections == 0 {
-		s.Connections = max(minConnections, int(min(callerSockets*sockets, connectionMemory*memory/connectionBytes)))
+		s.Connections = max(minConnections, int(min(callerSockets*sockets, memory/memoryPerConnection)))
 	}
 	if s.PortConnections == 0 {
 		s.PortConnections = max(minConnections, min(maxPort, int(portSockets*sockets)))
