--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -11,7 +11,9 @@
 
 	"amaranthfork.example/cmd/internal/envflag"
 	"amaranthfork.example/cmd/internal/process"
+	"amaranthfork.example/node/intake"
 	"amaranthfork.example/platform"
+	"amaranthfork.example/sched/pool"
 )
 
 // memoryLimitFraction is the fraction of the VM's memory that is set as the
@@ -24,11 +26,10 @@
 // platform, configured by a settings file.
 func platformCommand() *cobra.Command {
 	path := ""
-	var o platform.Options
+	o := platform.Options{Clients: intake.DefaultSettings()}
 	options := pflag.NewFlagSet("options", pflag.ContinueOnError)
-	options.IntVar(&o.LookAhead.MaxVMs, "look-ahead-vms", 0, "VMs of each pool on which room may be reserved for large tasks that wait; 0 reserves none")
-	options.DurationVar(&o.LookAhead.Age, "look-ahead-age", 0, "time after which a large task that waits has room reserved before all others of its priority; 0 means never")
-	options.BoolVar(&o.LookAhead.Pack, "look-ahead-pack", false, "place tasks on the VM with the least room that they fit on, so that whole VMs stay free")
+	addClientFlags(options, &o.Clients)
+	addLookAheadFlags(options, &o.LookAhead)
 	envflag.Describe(options)
 	c := &cobra.Command{
 		Use:   "platform",
@@ -41,9 +42,6 @@
 			if err := envflag.Apply(options); err != nil {
 				return err
 			}
-			if o.LookAhead.MaxVMs < 0 || o.LookAhead.Age < 0 {
-				return fmt.Errorf("look-ahead-vms and look-ahead-age must not be negative: %d, %v", o.LookAhead.MaxVMs, o.LookAhead.Age)
-			}
 			return runOnPlatform(path, o)
 		},
 	}
@@ -52,6 +50,27 @@
 	return c
 }
 
+// addLookAheadFlags adds the flags of placement that looks ahead.
+func addLookAheadFlags(f *pflag.FlagSet, l *pool.LookAhead) {
+	f.IntVar(&l.MaxVMs, "look-ahead-vms", l.MaxVMs, "VMs of each pool on which room may be reserved for large tasks that wait; 0 reserves none")
+	f.DurationVar(&l.Age, "look-ahead-age", l.Age, "time after which a large task that waits has room reserved before all others of its priority; 0 means never")
+	f.BoolVar(&l.Pack, "look-ahead-pack", l.Pack, "place tasks on the VM with the least room that they fit on, so that whole VMs stay free")
+}
+
+// addClientFlags adds the flags of the limits on clients.
+func addClientFlags(f *pflag.FlagSet, s *intake.Settings) {
+	f.IntVar(&s.Connections, "caller-connections", s.Connections, "connections of callers; 0 for half of max_fds less 200, or one for each 256 KB of memory_mb if that is fewer")
+	f.IntVar(&s.PortConnections, "port-connections", s.PortConnections, "connections of the readiness port, and as many of the internal port; 0 for a sixteenth of max_fds less 200, at most 64")
+	f.Int64Var(&s.RequestMemoryMB, "request-memory-mb", s.RequestMemoryMB, "memory for callers' requests that are received or answered, MB; 0 for an eighth of memory_mb")
+	f.IntVar(&s.HeaderBytes, "header-bytes", s.HeaderBytes, "largest header of a caller's request, bytes")
+	f.DurationVar(&s.HeaderTimeout, "header-timeout", s.HeaderTimeout, "time until a request's header is complete")
+	f.DurationVar(&s.StallTimeout, "body-stall-timeout", s.StallTimeout, "time without a byte of an incomplete body")
+	f.DurationVar(&s.BodyTimeout, "body-timeout", s.BodyTimeout, "time until a body is complete")
+	f.DurationVar(&s.AnswerTimeout, "answer-timeout", s.AnswerTimeout, "time until a client takes a part of its answer")
+	f.DurationVar(&s.IdleTimeout, "idle-timeout", s.IdleTimeout, "time that an unused connection is kept")
+	f.DurationVar(&s.Grace, "shortage-grace", s.Grace, "time after which an idle connection or an incomplete request may be closed for another one, when connections or memory are short")
+}
+
 func runOnPlatform(path string, o platform.Options) error {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
--- a/sched/pool/lookahead.go
+++ b/sched/pool/lookahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -26,6 +27,14 @@
 	Pack bool
 }
 
+// Check returns an error if a setting is out of range.
+func (l LookAhead) Check() error {
+	if l.MaxVMs < 0 || l.Age < 0 {
+		return fmt.Errorf("look ahead: neither %d VMs nor an age of %v may be negative", l.MaxVMs, l.Age)
+	}
+	return nil
+}
+
 const (
 	// minVMsPerReservation is the number of usable VMs for each on which room is reserved.
 	minVMsPerReservation = 4
