Bound what long headers take, and the wait for the decoding of large bodies

TestHeadersOfManyFields, new, fails on the code before.

Result: go test -race ./node/intake ./platform passes, their tests unchanged but for an argument.

--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -59,7 +59,7 @@
 
 // addClientFlags adds the flags of the limits on clients.
 func addClientFlags(f *pflag.FlagSet, s *intake.Settings) {
-	f.IntVar(&s.Connections, "caller-connections", s.Connections, "connections of callers; 0 for half of max_fds less 200, or one for each 256 KB of memory_mb if that is fewer")
+	f.IntVar(&s.Connections, "caller-connections", s.Connections, "connections of callers; 0 for half of max_fds less 200, or one for each 512 KB of memory_mb if that is fewer")
 	f.IntVar(&s.PortConnections, "port-connections", s.PortConnections, "connections of the readiness port, and as many of the internal port; 0 for a sixteenth of max_fds less 200, at most 64")
 	f.Int64Var(&s.RequestMemoryMB, "request-memory-mb", s.RequestMemoryMB, "memory for callers' requests that are received or answered, MB; 0 for an eighth of memory_mb")
 	f.IntVar(&s.HeaderBytes, "header-bytes", s.HeaderBytes, "largest header of a caller's request, bytes")
--- a/emulator/crowd/crowd_test.go
+++ b/emulator/crowd/crowd_test.go
@@ -26,9 +26,11 @@
 	largeChunk  = 32 << 10
 	smallChunk  = 8
 	headerBytes = 512 << 10
-	holdTime    = 3 * time.Second // that the crowd stays open after it has sent its part
-	slowBytes   = 60              // of a body that is sent byte by byte, with slowPause between them
-	slowPause   = 100 * time.Millisecond
+	// shortHeaderLines take some 60 KB, below what net/http accepts by default.
+	shortHeaderLines = 8000
+	holdTime         = 3 * time.Second // that the crowd stays open after it has sent its part
+	slowBytes        = 60              // of a body that is sent byte by byte, with slowPause between them
+	slowPause        = 100 * time.Millisecond
 )
 
 // client sends its part of a request on a new connection. Whole requests have no missing end.
@@ -242,6 +244,28 @@
 	s.crowd(bodyCrowd, s.callers, s.sendLargeHeader)
 }
 
+// shortHeaders are many header fields of which each takes more memory than its line.
+var shortHeaders = sync.OnceValue(func() string {
+	var b strings.Builder
+	for i := range shortHeaderLines {
+		fmt.Fprintf(&b, "\r\nH%x:", i)
+	}
+	return b.String()
+})
+
+// sendShortHeaders is a client that sends many short header fields without the header's end.
+func (s *system) sendShortHeaders(conn net.Conn, _ bool) error {
+	head := strings.TrimSuffix(s.head(host, key, ofLength(len(body))), "\r\n\r\n")
+	_, err := io.WriteString(conn, head+shortHeaders())
+	return err
+}
+
+// Guards against headers that are small when received and large when decoded.
+func TestHeadersOfManyFields(t *testing.T) {
+	s := startSystem(t)
+	s.crowd(bodyCrowd, s.callers, s.sendShortHeaders)
+}
+
 // sendPartialHeader is a client that stops within its header.
 func (s *system) sendPartialHeader(conn net.Conn, _ bool) error {
 	return write(conn, []byte(s.head(host, key, ofLength(len(body)))), false)
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -94,17 +95,25 @@
 	return b, nil
 }
 
-// Decode calls f with the body, which is no longer kept afterwards. The bodies of a port are
-// decoded one at a time, so that only one takes the memory for it.
-func (b *Body) Decode(f func([]byte) error) error {
-	if b.conn != nil {
-		b.conn.port.decoding.Lock()
-		defer b.conn.port.decoding.Unlock()
-	}
+// ErrBusy means that a large body waited for others to be decoded until its request ended.
+var ErrBusy = errors.New("other large requests are being decoded")
+
+// Decode calls f with the body, which is no longer kept afterwards. The large bodies of a port
+// are decoded one at a time, so that only one takes the memory for it. The error is ErrBusy if
+// ctx ends before, or that of f.
+func (b *Body) Decode(ctx context.Context, f func([]byte) error) error {
 	defer func() { b.segments = nil }()
 	if len(b.segments) == 1 {
 		return f(b.segments[0])
 	}
+	if b.conn != nil {
+		select {
+		case b.conn.port.decoding <- struct{}{}:
+			defer func() { <-b.conn.port.decoding }()
+		case <-ctx.Done():
+			return ErrBusy
+		}
+	}
 	whole := make([]byte, 0, b.size)
 	for _, s := range b.segments {
 		whole = append(whole, s...)
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -189,7 +189,7 @@
 			return
 		}
 		if err == nil {
-			err = body.Decode(func(b []byte) error { _, err := fmt.Fprint(w, len(b)); return err })
+			err = body.Decode(r.Context(), func(b []byte) error { _, err := fmt.Fprint(w, len(b)); return err })
 		}
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,7 +48,7 @@
 	log      *zap.Logger
 	began    time.Time
 	counters map[string]*expvar.Int
-	decoding sync.Mutex
+	decoding chan struct{} // holds an element while a large body is decoded
 
 	mu       sync.Mutex
 	ledger   *Ledger
@@ -58,7 +59,7 @@
 
 // NewPort returns a port with limits. The name begins the names of its counters.
 func NewPort(name string, s Settings, l Limits, log *zap.Logger) *Port {
-	p := &Port{name: name, settings: s, log: log, began: time.Now(), ledger: NewLedger(l), counters: map[string]*expvar.Int{}}
+	p := &Port{name: name, settings: s, log: log, began: time.Now(), ledger: NewLedger(l), counters: map[string]*expvar.Int{}, decoding: make(chan struct{}, 1)}
 	for _, c := range counterNames {
 		p.counters[c] = new(expvar.Int)
 	}
@@ -190,12 +191,31 @@
 	return &conn{Conn: c, port: p, entry: e}
 }
 
+const (
+	// headerFactor is what a byte of a long header is charged as, in bytes: a header of many
+	// short fields takes more than 20 times its size once it is decoded.
+	headerFactor = 24
+	// shortHeader is the size of a header whose memory connectionBytes covers.
+	shortHeader = 4 << 10
+)
+
 // conn is a counted connection.
 type conn struct {
 	net.Conn
-	port  *Port
-	entry *Entry
-	ended bool // bytes were lost
+	port   *Port
+	entry  *Entry
+	ended  bool         // bytes were lost
+	headed atomic.Bool  // the header of the present request has been received
+	header atomic.Int64 // bytes received before that
+}
+
+// cost returns what n bytes that have just been received are charged as.
+func (c *conn) cost(n int) int {
+	if c.headed.Load() {
+		return n
+	}
+	long := c.header.Add(int64(n)) - shortHeader // of the header so far
+	return n + (headerFactor-1)*int(max(0, min(long, int64(n))))
 }
 
 // Read implements net.Conn. The error is ErrNoMemory if the bytes are beyond the limits; they
@@ -205,7 +225,7 @@
 		return 0, ErrNoMemory
 	}
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Receive(c.entry, n, now) }) {
+	if n > 0 && !c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Receive(c.entry, c.cost(n), now) }) {
 		c.ended = true
 		return 0, ErrNoMemory
 	}
@@ -272,6 +292,8 @@
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if counted, ok := c.(*conn); ok && state == http.StateIdle {
+				counted.headed.Store(false)
+				counted.header.Store(0)
 				p.mu.Lock()
 				p.ledger.Idle(counted.entry, p.now())
 				p.mu.Unlock()
@@ -288,6 +310,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		c.headed.Store(true)
 		if r.ContentLength == 0 {
 			// Without bytes of a body there is nothing to refuse.
 			c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Answer(c.entry, 0, now) })
--- a/node/intake/settings.go
+++ b/node/intake/settings.go
@@ -25,7 +25,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		HeaderBytes: 256 << 10, HeaderTimeout: 10 * time.Second, StallTimeout: 10 * time.Second, BodyTimeout: time.Minute,
+		HeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, StallTimeout: 10 * time.Second, BodyTimeout: time.Minute,
 		AnswerTimeout: 10 * time.Second, IdleTimeout: time.Minute, Grace: 500 * time.Millisecond,
 	}
 }
@@ -34,9 +34,10 @@
 const (
 	requestMemory = 1. / 8 // for callers' requests
 	// memoryPerConnection is the memory of the VM for each connection of a caller, in bytes. The
-	// connection takes connectionBytes of it at most: its state, and what is received and unread.
-	memoryPerConnection = 256 << 10
-	connectionBytes     = 24<<10 + 64<<10
+	// connection takes connectionBytes of it at most: its state, what is received and unread, and
+	// a short header once it is decoded.
+	memoryPerConnection = 512 << 10
+	connectionBytes     = 24<<10 + 64<<10 + 20*shortHeader
 	callerSockets       = 0.5 // the others are for links to the table service and to VMs, and for the other ports
 	portSockets         = 1. / 16
 	minConnections      = 8
