--- a/sched/pool/slowvm.go
+++ b/sched/pool/slowvm.go
@@ -79,11 +79,11 @@
 	projected, usual time.Duration
 }
 
-// slowRuns returns the slow runs on v.
+// slowRuns returns the slow runs on v. A task that was slow on another VM too is left out.
 func (p *Pool) slowRuns(v *vm) []slowRun {
 	var slow []slowRun
 	for _, t := range v.sortedTasks() {
-		if !t.tellsPace(v) || t.occ.job.state.Final() {
+		if t.rescued || !t.tellsPace(v) || t.occ.job.state.Final() {
 			continue
 		}
 		projected := t.projectedRunTime()
@@ -126,7 +126,7 @@
 // one. A task is moved once: one that is slow there too is slow by itself.
 func (p *Pool) endsEarlierElsewhere(run slowRun) bool {
 	t := run.task
-	if t.rescued || t.stopSentAt > 0 || t.late.calls > 1 && t.late.open(p.now.Steady) {
+	if t.stopSentAt > 0 || t.late.calls > 1 && t.late.open(p.now.Steady) {
 		return false
 	}
 	remaining := run.projected - (p.now.Steady - t.since)
