Orders of the fleet role stop at the same age as starts

Cause: found in the review: with transactions of more than a second, orders of moves and of maintenance paused at an age of 1 s, where 1.5 s were allowed before.

--- a/node/fleetorders.go
+++ b/node/fleetorders.go
@@ -142,7 +142,7 @@
 // old.
 func (f *fleetController) sendOrders(ctx context.Context) {
 	now := f.node.clock.Now().Steady
-	if f.confirmedAge() > startAgeLimit {
+	if f.confirmedAge() > f.node.orderAgeLimit() {
 		return
 	}
 	for name, c := range f.cordons {
@@ -181,7 +181,7 @@
 	holder, token := f.node.settings.Self.Node, f.owner.row.Epoch
 	var err error
 	switch age := f.confirmedAge(); {
-	case age > startAgeLimit:
+	case age > f.node.orderAgeLimit():
 		err = fmt.Errorf("%w: last transaction was confirmed %v ago", ErrRefused, age)
 	case c.Purpose.Wave != "":
 		err = f.node.machines.Maintain(ctx, c.Machine, c.Purpose.Wave, holder, token)
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -451,8 +451,13 @@
 // mayStart reports whether the last confirmed transaction is recent enough for starting
 // runs at a time on the steady clock.
 func (r *poolController) mayStart(at time.Duration) bool {
-	limit := min(maxStartAge, startAgeLimit+r.node.store.AverageCommitTime())
-	return at-time.Duration(r.confirmedAt.Load()) < limit
+	return at-time.Duration(r.confirmedAt.Load()) < r.node.orderAgeLimit()
+}
+
+// orderAgeLimit returns the age of the last confirmed transaction from which an owner, or the
+// holder of the fleet role, sends no orders.
+func (n *Node) orderAgeLimit() time.Duration {
+	return min(maxStartAge, startAgeLimit+n.store.AverageCommitTime())
 }
 
 // syncVMClients opens a client for each new VM and closes those of VMs that are
