An eighth of the memory for requests, and a bounded accept queue

Cause: a trial on a scratch copy with 184 MB and 4,100 descriptors, crowds of 2,000 bodies and 4,500 connections of four tries each, came to 185,666 KB of 188,416 (BodiesSlow), and 103,567 KB unread with 756 sockets: connections that wait to be accepted hold unread bytes too.

Change: an eighth of memory_mb for requests in place of a fifth; 256 connections wait to be accepted on a port.

--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -50,7 +50,7 @@
 	f := pflag.NewFlagSet("clients", pflag.ContinueOnError)
 	f.IntVar(&s.Connections, "caller-connections", s.Connections, "connections of callers; 0 for half of max_fds less 200, or one for each 256 KB of memory_mb if that is fewer")
 	f.IntVar(&s.PortConnections, "port-connections", s.PortConnections, "connections of the readiness port, and as many of the internal port; 0 for a sixteenth of max_fds less 200, at most 64")
-	f.Int64Var(&s.RequestMemoryMB, "request-memory-mb", s.RequestMemoryMB, "memory for callers' requests that are received or answered, MB; 0 for a fifth of memory_mb")
+	f.Int64Var(&s.RequestMemoryMB, "request-memory-mb", s.RequestMemoryMB, "memory for callers' requests that are received or answered, MB; 0 for an eighth of memory_mb")
 	f.IntVar(&s.HeaderBytes, "header-bytes", s.HeaderBytes, "largest header of a caller's request, bytes")
 	f.DurationVar(&s.HeaderTimeout, "header-timeout", s.HeaderTimeout, "time until a request's header is complete")
 	f.DurationVar(&s.StallTimeout, "body-stall-timeout", s.StallTimeout, "time without a byte of an incomplete body")
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -17,6 +17,8 @@
 	// receiveBuffer bounds what a machine receives on a connection before the process reads
 	// it, in bytes. The system doubles it for its own use, and may exceed that by one segment.
 	receiveBuffer = 16 << 10
+	// acceptQueue bounds the connections that wait to be accepted. They may hold unread bytes.
+	acceptQueue = 256
 	// leftoverTime is how long the rest of a body is awaited whose request has been answered.
 	leftoverTime = time.Second
 	// logInterval is the minimum time between two lines about limited clients.
@@ -122,9 +124,27 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := shortenQueue(l); err != nil {
+		p.log.Warn("accept_queue_not_set", zap.String("port", p.name), zap.Error(err))
+	}
 	return &listener{l, p}, nil
 }
 
+// shortenQueue sets the accept queue of a listener to acceptQueue.
+func shortenQueue(l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), acceptQueue) })
+	return errors.Join(err, failed)
+}
+
 type listener struct {
 	net.Listener
 	port *Port
--- a/node/intake/settings.go
+++ b/node/intake/settings.go
@@ -32,7 +32,7 @@
 
 // Parts of a VM that clients may hold.
 const (
-	requestMemory = 0.2 // for callers' requests
+	requestMemory = 1. / 8 // for callers' requests
 	// memoryPerConnection is the memory of the VM for each connection of a caller, in bytes. The
 	// connection takes connectionBytes of it at most: its state, and what is received and unread.
 	memoryPerConnection = 256 << 10
