--- a/sched/pool/learn.go
+++ b/sched/pool/learn.go
@@ -47,7 +47,7 @@
 // longestFactor returns the expected ratio of the longest run time of n tasks of one step to
 // their mean.
 func (s *taskSpread) longestFactor(n int) float64 {
-	return math.Exp(s.deviation * expectedMaximum(n))
+	return min(maxSampleRatio, math.Exp(s.deviation*expectedMaximum(n)))
 }
 
 // maxima holds expectedMaximum of the step sizes that occur most.
@@ -132,8 +132,12 @@
 	return time.Duration(estimate * float64(time.Second))
 }
 
-// expectedLongest returns the expected run time of the longest of n tasks of a step.
+// expectedLongest returns the expected run time of the longest of n tasks of a step. The members
+// of a gang end together.
 func (p *Pool) expectedLongest(queue string, s *job.Step, n int) time.Duration {
+	if s.Gang {
+		n = 1
+	}
 	spread := taskSpread{deviation: initialDeviation}
 	if m := p.runTimes[queue]; m != nil {
 		spread = m.spread
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -25,6 +25,8 @@
 	// lateFactor is the multiple of its objective up to which a job that is completed late is
 	// still of use to its caller.
 	lateFactor = 3
+	// maxObjective bounds objectives, so that lateFactor times one is a duration.
+	maxObjective = 10 * 365 * 24 * time.Hour
 )
 
 // readyStep is a step with tasks that are ready to be placed.
@@ -284,7 +286,7 @@
 	if q == nil {
 		return chain
 	}
-	return time.Duration(float64(chain)*max(1, q.Stretch)) + q.Target
+	return time.Duration(min(float64(maxObjective), float64(chain)*max(1, q.Stretch)+float64(q.Target)))
 }
 
 // objective returns the time in which one occurrence of a job should be completed, by
--- a/sched/pool/slowvm_test.go
+++ b/sched/pool/slowvm_test.go
@@ -105,3 +105,45 @@
 		}
 	}
 }
+
+// Guards against a task that is stopped again and again because it is longer than its siblings on
+// any VM, and never ends: one task of 12 takes 5 times as long as the others.
+func TestLongTaskIsNotStoppedAgainAndAgain(t *testing.T) {
+	h := newHarness(t)
+	workers := []*worker{h.addVM("a", 4000), h.addVM("b", 4000), h.addVM("c", 4000), h.addVM("d", 8000)}
+	h.settle()
+	spec := shortJob(12)
+	h.submit(spec)
+	h.settle()
+	long := pool.TaskName(spec.ID, 0, 0, 0)
+	const tick = 500 * time.Millisecond
+	for elapsed := tick; elapsed < 6*time.Second; elapsed += tick {
+		h.advance(tick)
+		for _, w := range workers {
+			for _, name := range sortedNames(w.running) {
+				runTime := time.Second
+				if name == long {
+					runTime *= 5
+				}
+				if r := w.running[name]; elapsed < runTime {
+					r.ProgressPercent = int(100 * elapsed / runTime)
+					w.running[name] = r
+				} else {
+					h.end(w, name, pool.EndDone)
+				}
+			}
+		}
+		h.renewAll()
+		if stops := h.stopsOfNextCycle(); len(stops) > 0 {
+			t.Fatalf("%s is stopped after %v", stops[0].Task, elapsed)
+		}
+		for _, w := range workers {
+			if load, _ := h.scheduler.LoadReport().VM(w.vm.ID); !load.Usable {
+				t.Fatalf("%s gets no new work after %v", w.vm.ID, elapsed)
+			}
+		}
+	}
+	if got := h.state(spec.ID); got != job.Succeeded {
+		t.Errorf("the job is %v, want succeeded", got)
+	}
+}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -59,6 +59,7 @@
 	load            int64         // as in RunState.Load
 	loadAt          time.Duration
 	lastRunEnd      time.Duration
+	rescued         bool          // a run was stopped because its VM was slow
 	ranFor          time.Duration // how long the run that is done took on its VM; 0 if it is not known
 
 	throttleSentAt    time.Duration // when the last throttle was issued
