--- a/sched/pool/availability_test.go
+++ b/sched/pool/availability_test.go
@@ -118,6 +118,7 @@
 // budget left, seen on workers.toml and two hunted days of lantern-sched: a wave
 // empties VMs while orders are late, VMs hang, a rack is dark and owners are replaced.
 func TestAvailabilityUnderAnyMixOfEvents(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(t)
 		s := &availabilitySession{harness: h, check: newAvailabilityCheck(h), cordons: map[string]pool.Cordon{}}
--- a/sched/pool/inventory_test.go
+++ b/sched/pool/inventory_test.go
@@ -377,6 +377,7 @@
 // show, in any mix with the faults of TestAnyMixOfEvents. The lists are up to 0.9 s old, and
 // leave out the VMs of machines that are down.
 func TestAnyMixOfEventsWithLists(t *testing.T) {
+	t.Parallel()
 	const maxListAge = 900 * time.Millisecond
 	ended := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/sched/pool/lookahead_test.go
+++ b/sched/pool/lookahead_test.go
@@ -143,6 +143,7 @@
 // busy but not overloaded, with estimates that are right, half and double the run times, and
 // against small jobs that miss their objective for room that is kept.
 func TestLargeTasksFindRoomAmongSmallOnes(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.6, 0.9} {
 		for _, factor := range []float64{1, 0.5, 2} {
 			before, after := playMixed(t, pool.LookAhead{}, load, factor, false), playMixed(t, testLookAhead, load, factor, false)
@@ -162,6 +163,7 @@
 
 // Guards against a gang that never finds room for all its tasks at a time.
 func TestGangsFindRoomAmongSmallTasks(t *testing.T) {
+	t.Parallel()
 	before, after := playMixed(t, pool.LookAhead{}, 0.8, 1, true), playMixed(t, testLookAhead, 0.8, 1, true)
 	t.Logf("small %v, before %v; gangs %v, before %v; %d of %d reservations used", after.small, before.small, after.large, before.large, after.stats.ReservationsUsed, after.stats.Reservations)
 	if after.small.inTime < before.small.inTime || after.large.inTime <= before.large.inTime || after.large.wait >= before.large.wait {
@@ -288,6 +290,7 @@
 // any run times and estimates that are wrong by a factor of up to 2, and against VMs whose runs
 // need more than they have.
 func TestLargeTaskRunsSoonAfterTheAge(t *testing.T) {
+	t.Parallel()
 	const (
 		age, longest = time.Second, time.Second
 		vmMilliCPU   = 16_000
@@ -346,6 +349,7 @@
 // Guards against events of any kind that break a rule of starts, or leave a job waiting, while room
 // is reserved.
 func TestAnyMixOfEventsWithReservations(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarnessWith(t, pool.LookAhead{MaxVMs: 2, Age: 2 * time.Second, Pack: rapid.Bool().Draw(t, "pack")})
 		for i := range 3 {
--- a/sched/pool/overload_test.go
+++ b/sched/pool/overload_test.go
@@ -175,6 +175,7 @@
 // time, because new jobs start before started ones are finished, and against one at
 // the expense of the largest jobs.
 func TestDemandPeakAbovePoolCapacity(t *testing.T) {
+	t.Parallel()
 	const (
 		// The pool has about a quarter of its VMs when the peak begins and the others
 		// two seconds later, as when VMs are moved to it.
--- a/sched/pool/property_test.go
+++ b/sched/pool/property_test.go
@@ -18,6 +18,7 @@
 // workers that do not answer or restart under their id, of which their rows or listings tell
 // in any order, orders that the next incarnation carries out, and takeovers at any moment.
 func TestAnyMixOfEvents(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(t)
 		for i := range 3 {
--- a/sched/pool/record_test.go
+++ b/sched/pool/record_test.go
@@ -39,6 +39,7 @@
 // size that the table service allows. The owner is replaced while parts of the progress
 // are recorded, while all tasks run, and while they end; an ordinary job runs beside it.
 func TestProgressOfTheLargestJobIsStored(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	for i := range 20 {
 		h.addVM(fmt.Sprintf("%s%03d", strings.Repeat("v", store.MaxNameBytes-3), i), 2000)
@@ -130,6 +131,7 @@
 // start and end in any order over takeovers, crashes and lost orders, and their rows pass
 // from one to parts at any moment.
 func TestLargeJobsUnderAnyMixOfEvents(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(t)
 		h.rowBytes = 2600
--- a/sched/pool/repeat_test.go
+++ b/sched/pool/repeat_test.go
@@ -22,6 +22,7 @@
 // 2^63-1 repetitions and a first run in the past passed the limit of tasks, because the
 // product overflowed, and all due occurrences were opened at once.
 func TestEndlessJobIsOpenedInParts(t *testing.T) {
+	t.Parallel()
 	h := newHarness(t)
 	worker := h.addVM("vm1", 3000)
 	h.settle()
