--- a/emulator/crowd/system_test.go
+++ b/emulator/crowd/system_test.go
@@ -294,6 +294,7 @@
 func (s *system) unread() int64 {
 	b, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
+		s.t.Errorf("bytes that are received and unread: %v", err)
 		return 0
 	}
 	ports := map[string]bool{}
@@ -345,6 +346,9 @@
 		s.t.Error("the process has ended")
 	default:
 	}
+	if s.peakKB == 0 || s.sockets == 0 {
+		s.t.Error("the use of the process could not be read")
+	}
 	if s.peakKB > memoryMB*bytesPerMB/bytesPerKB {
 		s.t.Errorf("memory: %d KB, the VM has %d", s.peakKB, memoryMB*bytesPerMB/bytesPerKB)
 	}
