Tests of heads and empty lines without end, other methods, stops and outages beside crowds

Cause: the tests of clients outside our control did not reach heads that never end or end over the limit, empty lines where a request begins, methods with bodies that they have no use for, announced bodies that are not sent, clients that come back at once, and a process that is stopped, ended or without its table service meanwhile.

Change: tests of these. The environment of an entry is apart from the entry, so that an entry can be restarted. Memory counts bytes of answers that clients have not taken, too; crowds and bounds of the existing tests are as they were.

--- a/emulator/crowd/crowd_test.go
+++ b/emulator/crowd/crowd_test.go
@@ -29,7 +29,10 @@
 	// shortHeaderLines take some 60 KB, below what net/http accepts by default.
 	shortHeaderLines = 8000
 	holdTime         = 3 * time.Second // that the crowd stays open after it has sent its part
-	slowBytes        = 60              // of a body that is sent byte by byte, with slowPause between them
+	returnCrowd      = 64
+	restarts         = 3
+	clientBuffer     = 4 << 10 // receive buffer of a client that takes no answers, in bytes
+	slowBytes        = 60      // of a body that is sent byte by byte, with slowPause between them
 	slowPause        = 100 * time.Millisecond
 )
 
@@ -83,9 +86,18 @@
 	defer conn.Close()
 	answers := make(chan struct{})
 	go func() {
-		_, _ = io.Copy(io.Discard, conn) // until either side closes
-		close(answers)
+		defer close(answers)
+		if s.takeFirst == 0 {
+			_, _ = io.Copy(io.Discard, conn) // until either side closes
+			return
+		}
+		if _, err := io.CopyN(io.Discard, conn, s.takeFirst); err == nil {
+			<-ctx.Done() // no more answers are taken
+		}
 	}()
+	if tcp, ok := conn.(*net.TCPConn); ok && s.takeFirst > 0 {
+		_ = tcp.SetReadBuffer(clientBuffer) // what the client's system holds does not count
+	}
 	if err := send(conn, whole); err == nil {
 		sent()
 		<-answers
--- /dev/null
+++ b/emulator/crowd/mixed_test.go
@@ -0,0 +1,146 @@
+package crowd
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against methods other than POST that come with large bodies, most without an end.
+func TestBodiesOfOtherMethods(t *testing.T) {
+	for method, framing := range map[string]string{"GET": ofLength(len(body)), "DELETE": chunked, "BREW": ofLength(len(body))} {
+		t.Run(method, func(t *testing.T) {
+			s := startSystem(t)
+			sent := body
+			if framing == chunked {
+				sent = inLargeChunks()
+			}
+			s.crowd(bodyCrowd, s.callers, func(conn net.Conn, whole bool) error {
+				head := strings.Replace(s.head(host, key, framing), "POST", method, 1)
+				if _, err := io.WriteString(conn, head); err != nil {
+					return err
+				}
+				return write(conn, sent, whole)
+			})
+		})
+	}
+}
+
+// Guards against clients that announce a body, are told to go on and do not.
+func TestExpectContinue(t *testing.T) {
+	s := startSystem(t)
+	s.crowd(connCrowd, s.callers, func(conn net.Conn, whole bool) error {
+		if _, err := io.WriteString(conn, s.head(host, key, ofLength(len(body))+"\r\nExpect: 100-continue")); err != nil || !whole {
+			return err
+		}
+		return write(conn, body, false)
+	})
+}
+
+// returning is a client that sends a request, takes the answer and comes back at once on a new
+// connection, until ctx ends.
+func (s *system) returning(ctx context.Context, request func() []byte) {
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp", s.callers, requestTime)
+		if err != nil {
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // no more is expected of it
+		if _, err := conn.Write(request()); err == nil {
+			_, _ = io.CopyN(io.Discard, conn, 1) // the beginning of an answer, or the end of the connection
+		}
+		stop()
+		_ = conn.Close() // the answer has been taken
+	}
+}
+
+// Guards against clients that come back at once after each refusal.
+func TestClientsThatReturnAtOnce(t *testing.T) {
+	for name, request := range map[string]func(s *system) []byte{
+		"without a key": func(s *system) []byte { return append([]byte(s.head(host, "no-key", ofLength(len(body)))), body...) },
+		"not valid": func(s *system) []byte {
+			return append([]byte(s.head(host, key, ofLength(len(body)))), bytes.Repeat([]byte(" "), len(body))...)
+		},
+		"head over the limit": func(s *system) []byte {
+			return []byte("GET /" + strings.Repeat("x", headerBytes) + " HTTP/1.1\r\n\r\n")
+		},
+		"incomplete": func(s *system) []byte { return []byte("\r\n\r\n\r\n\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSystem(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			for range returnCrowd {
+				s.sampled.Go(func() { s.returning(ctx, func() []byte { return request(s) }) })
+			}
+			time.Sleep(holdTime)
+			s.ordinary("beside the crowd")
+			cancel()
+			s.ordinary("after the crowd")
+			s.check()
+		})
+	}
+}
+
+// Guards against a stop that clients hold up: the process ends, and the next one serves,
+// whatever connections are kept open.
+func TestStopsBesideCrowd(t *testing.T) {
+	for name, sig := range map[string]syscall.Signal{"planned": syscall.SIGTERM, "killed": syscall.SIGKILL} {
+		t.Run(name, func(t *testing.T) {
+			s := startSystem(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			clients := []client{
+				s.sendBody(host, key, ofLength(len(body)), body), s.sendBody(host, key, chunked, inSmallChunks()), s.sendSlowly,
+				s.sendLargeHeader, sendEndless("", "\r\n"), s.sendAndStay("/" + queue + "/"), s.sendPartialHeader,
+			}
+			for i := range connCrowd {
+				s.sampled.Go(func() {
+					for ctx.Err() == nil {
+						s.play(ctx, s.callers, i%wholeOneIn == 0, clients[i%len(clients)], func() {})
+						time.Sleep(answerPause)
+					}
+				})
+			}
+			for range restarts {
+				s.ordinary("beside the crowd")
+				s.restart(sig)
+			}
+			s.ordinary("beside the crowd, after the last start")
+			cancel()
+			s.ordinary("after the crowd")
+			s.check()
+		})
+	}
+}
+
+// Guards against requests that pile up while the table service refuses all calls.
+func TestCrowdWithoutTableService(t *testing.T) {
+	s := startSystem(t)
+	small := s.sendBody(host, key, ofLength(len(smallJob)), []byte(smallJob))
+	large := s.sendBody(host, key, ofLength(len(body)), body)
+	s.await("outage", func() error { return postJSON(s.admin, "/faults", map[string]any{"down": true}) })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range bodyCrowd {
+		s.sampled.Go(func() {
+			for ctx.Err() == nil {
+				send := small
+				if i%2 == 0 {
+					send = large
+				}
+				s.play(ctx, s.callers, true, send, func() {})
+			}
+		})
+	}
+	time.Sleep(2 * holdTime)
+	s.await("end of the outage", func() error { return postJSON(s.admin, "/faults", map[string]any{}) })
+	s.ordinary("beside the crowd")
+	cancel()
+	s.ordinary("after the crowd")
+	s.check()
+}
--- a/emulator/crowd/system_test.go
+++ b/emulator/crowd/system_test.go
@@ -33,8 +33,10 @@
 	samplePause   = 10 * time.Millisecond
 	firstPort     = 20000 // below those that the kernel gives to outgoing connections
 	portCount     = 12000
-	procRxQueue   = 4 // field of a line of /proc/net/tcp: send and receive queue, hexadecimal
 	procLocal     = 1 // field of a line of /proc/net/tcp: local address
+	procState     = 3 // field of a line of /proc/net/tcp: state
+	procQueues    = 4 // field of a line of /proc/net/tcp: send and receive queue, hexadecimal
+	procListening = "0A"
 	bytesPerMB    = 1 << 20
 	bytesPerKB    = 1 << 10
 	answerTries   = 200
@@ -65,17 +67,30 @@
 	os.Exit(code)
 }
 
-// system is an entry beside an emulated table service and a worker.
+// environment is what entries run beside: an emulated table service and a worker.
+type environment struct {
+	t       *testing.T
+	dir     string // of logs and settings
+	service string // address of the table service
+	admin   string // address at which the test controls it
+	nextID  atomic.Int64
+}
+
+// system is an entry in an environment.
 type system struct {
-	t                            *testing.T
+	*environment
+	name                         string
 	callers, readiness, internal string // addresses of the entry
+	settings                     string // path of its settings file
 	entry                        *exec.Cmd
+	pid                          atomic.Int64
 	ended                        chan struct{} // closed when the entry's process has ended
 	done                         chan struct{} // closed when no more samples are taken
 	sampled                      sync.WaitGroup
+	takeFirst                    int64 // bytes of answers that each client of a crowd takes; 0 for all
 
-	peakKB, unreadKB, sockets, fds int64 // the largest of all samples: resident and unread, unread, ...
-	nextID                         atomic.Int64
+	// The largest of all samples: resident, unread and untaken; unread; untaken; ...
+	peakKB, unreadKB, untakenKB, sockets, fds int64
 }
 
 var nextPort atomic.Int64
@@ -98,7 +113,7 @@
 
 func startProcess(t *testing.T, cmd *exec.Cmd, log string) {
 	t.Helper()
-	out, err := os.Create(log)
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,73 +130,126 @@
 // startSystem starts the processes and waits until a job is accepted.
 func startSystem(t *testing.T) *system {
 	t.Helper()
-	dir := t.TempDir()
-	s := &system{t: t, callers: freeAddress(t), readiness: freeAddress(t), internal: freeAddress(t), ended: make(chan struct{}), done: make(chan struct{})}
-	service, admin, worker, control := freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	return startEnvironment(t).startEntry("entry-0")
+}
+
+// startEnvironment starts a table service and a worker.
+func startEnvironment(t *testing.T) *environment {
+	t.Helper()
+	e := &environment{t: t, dir: t.TempDir(), service: freeAddress(t), admin: freeAddress(t)}
+	worker, control := freeAddress(t), freeAddress(t)
 	soak := filepath.Join(programs, "amaranth-soak")
 	run := func(log string, args ...string) {
 		cmd := exec.Command(soak, args...)
-		startProcess(t, cmd, filepath.Join(dir, log))
+		startProcess(t, cmd, filepath.Join(e.dir, log))
 		t.Cleanup(func() {
 			_ = cmd.Process.Kill() // fails only if it has ended
 			_ = cmd.Wait()         // it was killed
 		})
 	}
-	run("service.log", "service", "--listen", service, "--admin", admin, "--seed", "1")
-	s.await("table service", func() error { return postJSON(admin, "/row", declarations()) })
+	run("service.log", "service", "--listen", e.service, "--admin", e.admin, "--seed", "1")
+	e.await("table service", func() error { return postJSON(e.admin, "/row", declarations(1)) })
 	run("worker.log", "worker", "--id", "w-00", "--pool", queue, "--zone", "dc-0", "--listen", worker, "--control", control,
-		"--advertise", worker, "--service", admin, "--max-lease", workerMaxLive, "--seed", "1")
+		"--advertise", worker, "--service", e.admin, "--max-lease", workerMaxLive, "--seed", "1")
+	return e
+}
+
+// startEntry starts an entry, waits until it accepts a job, and takes samples of its process.
+func (e *environment) startEntry(name string) *system {
+	e.t.Helper()
+	s := e.newEntry(name)
+	s.start()
+	s.ordinary("at the start")
+	s.sampled.Go(s.sample)
+	return s
+}
 
+// newEntry writes the settings of an entry.
+func (e *environment) newEntry(name string) *system {
+	e.t.Helper()
+	s := &system{environment: e, name: name, callers: freeAddress(e.t), readiness: freeAddress(e.t), internal: freeAddress(e.t), done: make(chan struct{})}
 	_, port, err := net.SplitHostPort(s.internal)
 	if err != nil {
-		t.Fatal(err)
+		e.t.Fatal(err)
 	}
 	internalPort, err := strconv.Atoi(port)
 	if err != nil {
-		t.Fatal(err)
+		e.t.Fatal(err)
 	}
 	settings, err := json.Marshal(map[string]any{
-		"node_name": "entry-0", "ip": "127.0.0.1", "zone": "dc-0",
+		"node_name": name, "ip": "127.0.0.1", "zone": "dc-0",
 		"listen":         map[string]string{"frontend": s.callers, "readiness": s.readiness},
 		"internal_ports": []int{internalPort, internalPort},
 		"limits":         map[string]any{"cpu_share": 0.4, "memory_mb": memoryMB, "max_fds": maxFDs},
 		"bounds": map[string]any{"hold_max_ms": leaseMS, "stop_grace_ms": 900, "grace_s": 6, "revoke_ms": 5000,
 			"status_s": 120, "migrate_s": 1.5, "maintenance_s": 2, "lease_ms": 3000},
-		"platform": map[string]any{"address": service},
-		"cloud":    map[string]any{"address": service, "duty_per_s": 64},
+		"platform": map[string]any{"address": e.service},
+		"cloud":    map[string]any{"address": e.service, "duty_per_s": 64},
 	})
 	if err != nil {
-		t.Fatal(err)
+		e.t.Fatal(err)
 	}
-	path := filepath.Join(dir, "entry.json")
-	if err := os.WriteFile(path, settings, 0o600); err != nil {
-		t.Fatal(err)
+	s.settings = filepath.Join(e.dir, name+".json")
+	if err := os.WriteFile(s.settings, settings, 0o600); err != nil {
+		e.t.Fatal(err)
 	}
-	s.entry = exec.Command(filepath.Join(programs, "amaranthd"), "platform")
-	s.entry.Env = append(os.Environ(), "AMARANTHFORK_SETTINGS="+path)
-	startProcess(t, s.entry, filepath.Join(dir, "entry.log"))
+	return s
+}
+
+// start starts the entry's process.
+func (s *system) start() {
+	s.t.Helper()
+	cmd := exec.Command(filepath.Join(programs, "amaranthd"), "platform")
+	cmd.Env = append(os.Environ(), "AMARANTHFORK_SETTINGS="+s.settings)
+	log := filepath.Join(s.dir, s.name+".log")
+	startProcess(s.t, cmd, log)
+	ended := make(chan struct{})
 	go func() {
-		_ = s.entry.Wait() // that it has ended is what counts
-		close(s.ended)
+		_ = cmd.Wait() // that it has ended is what counts
+		close(ended)
 	}()
-	t.Cleanup(func() {
-		_ = s.entry.Process.Signal(syscall.SIGKILL) // fails only if it has ended
-		<-s.ended
-		if t.Failed() {
-			if log, err := os.ReadFile(filepath.Join(dir, "entry.log")); err == nil {
-				t.Logf("last lines of the entry's log:\n%s", log[max(0, len(log)-4000):])
+	s.entry, s.ended = cmd, ended
+	s.pid.Store(int64(cmd.Process.Pid))
+	s.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGKILL) // fails only if it has ended
+		<-ended
+		if s.t.Failed() {
+			if log, err := os.ReadFile(log); err == nil {
+				s.t.Logf("last lines of the log of %s:\n%s", s.name, log[max(0, len(log)-4000):])
 			}
 		}
 	})
-	s.ordinary("at the start")
-	s.sampled.Go(s.sample)
-	return s
+}
+
+// restart ends the entry's process with a signal and starts the next one.
+func (s *system) restart(sig syscall.Signal) {
+	s.t.Helper()
+	s.stop(sig)
+	s.start()
+}
+
+// stop ends the entry's process with a signal.
+func (s *system) stop(sig syscall.Signal) {
+	s.t.Helper()
+	select {
+	case <-s.ended:
+		s.t.Fatal("the process has ended before it was told to")
+	default:
+	}
+	if err := s.entry.Process.Signal(sig); err != nil {
+		s.t.Fatal(err)
+	}
+	select {
+	case <-s.ended:
+	case <-time.After(patience):
+		s.t.Fatalf("the process has not ended %s after %s", patience, sig)
+	}
 }
 
 // declarations are the operators' declarations.
-func declarations() any {
+func declarations(version int) any {
 	return map[string]any{"name": "config", "value": map[string]any{
-		"version": 1,
+		"version": version,
 		"routes": []any{map[string]any{"name": "q-" + queue, "host": host, "prefix": "/" + queue + "/", "service": queue, "timeout_ms": 3000,
 			"max_attempts": 3, "stretch": 2, "completion_target_ms": 1000}},
 		"services": []any{map[string]any{"name": queue, "admission_check": true}},
@@ -208,8 +276,8 @@
 }
 
 // await repeats f until it returns nil.
-func (s *system) await(what string, f func() error) {
-	s.t.Helper()
+func (e *environment) await(what string, f func() error) {
+	e.t.Helper()
 	var err error
 	for range answerTries {
 		if err = f(); err == nil {
@@ -217,10 +285,10 @@
 		}
 		time.Sleep(answerPause)
 	}
-	s.t.Fatalf("%s: %v", what, err)
+	e.t.Fatalf("%s: %v", what, err)
 }
 
-func (s *system) path() string { return fmt.Sprintf("/%s/%016x", queue, s.nextID.Add(1)) }
+func (e *environment) path() string { return fmt.Sprintf("/%s/%016x", queue, e.nextID.Add(1)) }
 
 const smallJob = `{"task_spec":"{\"step_ms\":[100]}","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`
 
@@ -262,9 +330,10 @@
 // sample records what the entry's process uses until done is closed.
 func (s *system) sample() {
 	for {
-		resident, unread := s.status("VmRSS:"), s.unread()
-		s.peakKB = max(s.peakKB, resident+unread, s.status("VmHWM:"))
-		s.unreadKB = max(s.unreadKB, unread)
+		resident := s.status("VmRSS:")
+		unread, untaken := s.queued()
+		s.peakKB = max(s.peakKB, resident+unread+untaken, s.status("VmHWM:"))
+		s.unreadKB, s.untakenKB = max(s.unreadKB, unread), max(s.untakenKB, untaken)
 		sockets, fds := s.descriptors()
 		s.sockets, s.fds = max(s.sockets, sockets), max(s.fds, fds)
 		select {
@@ -277,7 +346,7 @@
 
 // status returns a line of the process's status, in KB; 0 if the process has ended.
 func (s *system) status(name string) int64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.entry.Process.Pid))
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.pid.Load()))
 	if err != nil {
 		return 0
 	}
@@ -289,13 +358,14 @@
 	return kb
 }
 
-// unread returns the bytes that the entry's machine has received and the process has not
-// read, in KB. They count toward the memory of the machine.
-func (s *system) unread() int64 {
+// queued returns the bytes that the entry's machine has received and the process has not
+// read, and those of answers that clients have not taken, in KB. Both count toward the memory
+// of the machine.
+func (s *system) queued() (unread, untaken int64) {
 	b, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		s.t.Errorf("bytes that are received and unread: %v", err)
-		return 0
+		return 0, 0
 	}
 	ports := map[string]bool{}
 	for _, address := range []string{s.callers, s.readiness, s.internal} {
@@ -303,25 +373,27 @@
 		n, _ := strconv.Atoi(port) // freeAddress has written it
 		ports[fmt.Sprintf("%04X", n)] = true
 	}
-	var total int64
 	for line := range strings.Lines(string(b)) {
 		fields := strings.Fields(line)
-		if len(fields) <= procRxQueue || fields[3] != "01" && fields[3] != "08" { // established, or closed by the peer
+		if len(fields) <= procQueues || fields[procState] == procListening {
 			continue
 		}
-		if _, port, _ := strings.Cut(fields[procLocal], ":"); ports[port] {
-			_, queued, _ := strings.Cut(fields[procRxQueue], ":")
-			n, err := strconv.ParseInt(queued, 16, 64)
-			if err == nil {
-				total += n
-			}
+		if _, port, _ := strings.Cut(fields[procLocal], ":"); !ports[port] {
+			continue
+		}
+		sent, received, _ := strings.Cut(fields[procQueues], ":")
+		if n, err := strconv.ParseInt(sent, 16, 64); err == nil {
+			untaken += n
+		}
+		if n, err := strconv.ParseInt(received, 16, 64); err == nil {
+			unread += n
 		}
 	}
-	return total / bytesPerKB
+	return unread / bytesPerKB, untaken / bytesPerKB
 }
 
 func (s *system) descriptors() (sockets, all int64) {
-	dir := fmt.Sprintf("/proc/%d/fd", s.entry.Process.Pid)
+	dir := fmt.Sprintf("/proc/%d/fd", s.pid.Load())
 	list, err := os.ReadDir(dir)
 	if err != nil {
 		return 0, 0
@@ -339,8 +411,8 @@
 	s.t.Helper()
 	close(s.done)
 	s.sampled.Wait()
-	s.t.Logf("peak of memory %d KB of %d, unread at most %d KB, %d sockets of %d, %d descriptors of %d",
-		s.peakKB, memoryMB*bytesPerMB/bytesPerKB, s.unreadKB, s.sockets, maxFDs-fileFDs, s.fds, maxFDs)
+	s.t.Logf("peak of memory %d KB of %d, unread at most %d KB, untaken %d KB, %d sockets of %d, %d descriptors of %d",
+		s.peakKB, memoryMB*bytesPerMB/bytesPerKB, s.unreadKB, s.untakenKB, s.sockets, maxFDs-fileFDs, s.fds, maxFDs)
 	select {
 	case <-s.ended:
 		s.t.Error("the process has ended")
