Bound the bytes of answers that a client has not taken

Callers saw: nothing before the process ended. Clients that send requests without taking the answers filled the memory of the entry's VM with them, with and without a key.

Cause: the send buffer of a connection is sized by the system, up to 4 MB for a client that takes much and then stops.

Change: listening sockets have a send buffer of 16 KB, which the system doubles; accepted connections inherit it and answers are written when there is room.

--- /dev/null
+++ b/emulator/crowd/answers_test.go
@@ -0,0 +1,54 @@
+package crowd
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+)
+
+const (
+	silentCrowd = 100
+	// takenAnswers are the bytes of answers that a client takes before it stops: the system
+	// lets more be under way to a client that has taken much.
+	takenAnswers = 1 << 20
+	// pipelined are the requests that a client sends whose answers it does not take.
+	pipelined = 20_000
+)
+
+// silent lets n clients send requests again and again without taking the answers after the
+// first ones, and checks as crowd does.
+func (s *system) silent(n int, address, request string) {
+	s.t.Helper()
+	block := []byte(strings.Repeat(request, 100))
+	s.crowd(n, address, func(conn net.Conn, _ bool) error {
+		for range pipelined / 100 {
+			if _, err := conn.Write(block); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// get returns a request without a body.
+func get(path string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Key: %s\r\n\r\n", path, host, key)
+}
+
+// Guards against answers that fill the memory of the VM because nobody takes them.
+func TestAnswersNotTaken(t *testing.T) {
+	for name, play := range map[string]func(*system){
+		"no queue":     func(s *system) { s.silent(bodyCrowd, s.callers, get("/unknown/")) },
+		"waiting jobs": func(s *system) { s.silent(silentCrowd, s.callers, get("/"+queue+"/")) },
+		"refused bodies": func(s *system) {
+			s.silent(silentCrowd, s.callers, fmt.Sprintf("POST /unknown/0000000000000001 HTTP/1.1\r\nHost: %s\r\nX-Key: %s\r\nContent-Length: 2\r\n\r\n{}", host, key))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSystem(t)
+			s.takeFirst = takenAnswers
+			play(s)
+		})
+	}
+}
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -18,6 +18,10 @@
 	// receiveBuffer bounds what a machine receives on a connection before the process reads
 	// it, in bytes. The system doubles it for its own use, and may exceed that by one segment.
 	receiveBuffer = 16 << 10
+	// sendBuffer bounds the bytes of answers on a connection that the client has not taken, in
+	// bytes; the system doubles it too. Without a bound it grows to megabytes for a client that
+	// takes much and then stops.
+	sendBuffer = 16 << 10
 	// acceptQueue bounds the connections that wait to be accepted. They may hold unread bytes.
 	acceptQueue = 256
 	// leftoverTime is how long the rest of a body is awaited whose request has been answered.
@@ -114,10 +118,12 @@
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var failed error
 		err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			failed = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer),
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer))
 		})
 		if err = errors.Join(err, failed); err != nil {
-			p.log.Warn("receive_buffer_not_set", zap.String("port", p.name), zap.Error(err))
+			p.log.Warn("buffers_not_set", zap.String("port", p.name), zap.Error(err))
 		}
 		return nil
 	}}
--- a/node/intake/settings.go
+++ b/node/intake/settings.go
@@ -34,10 +34,10 @@
 const (
 	requestMemory = 1. / 8 // for callers' requests
 	// memoryPerConnection is the memory of the VM for each connection of a caller, in bytes. The
-	// connection takes connectionBytes of it at most: its state, what is received and unread, and
-	// a short header once it is decoded.
+	// connection takes connectionBytes of it at most: its state, what is received and unread, what
+	// is answered and not taken, and a short header once it is decoded.
 	memoryPerConnection = 512 << 10
-	connectionBytes     = 24<<10 + 64<<10 + 20*shortHeader
+	connectionBytes     = 24<<10 + 64<<10 + 2*sendBuffer + 20*shortHeader
 	callerSockets       = 0.5 // the others are for links to the table service and to VMs, and for the other ports
 	portSockets         = 1. / 16
 	minConnections      = 8
