Give new connections their turn when all others are in use

Callers saw: connections that are closed at once, for as long as other clients use theirs without a pause, with or without a key, or keep them by not taking their answers.

Cause: a new connection was closed when none could be closed for it. A connection in use is never idle for the grace of 0.5 s, and one that takes no answers counted as answered for 5 s; whoever came back fastest got its place.

Change: a new connection waits for room, 0.5 s at most, and those behind it wait in the accept queue, so that connections come in turn. Meanwhile connections that have been open for 0.5 s are closed with their next answer, which loses nothing: one for the first that waits, twice as many for each after it, up to a quarter of all. If there is no room in that time, new connections are closed at once until one ends. A connection whose client takes nothing of its answer is closed for others after 0.5 s.

Why it works: whoever holds a connection has used it for half a second, and gets a new one in the same order as everyone. It keeps the connections in use at the limit, and it closes none while none waits.

--- a/cmd/amaranthd/platform.go
+++ b/cmd/amaranthd/platform.go
@@ -68,7 +68,7 @@
 	f.DurationVar(&s.BodyTimeout, "body-timeout", s.BodyTimeout, "time until a body is complete")
 	f.DurationVar(&s.AnswerTimeout, "answer-timeout", s.AnswerTimeout, "time until a client takes a part of its answer")
 	f.DurationVar(&s.IdleTimeout, "idle-timeout", s.IdleTimeout, "time that an unused connection is kept")
-	f.DurationVar(&s.Grace, "shortage-grace", s.Grace, "time after which an idle connection or an incomplete request may be closed for another one, when connections or memory are short")
+	f.DurationVar(&s.Grace, "shortage-grace", s.Grace, "time after which an idle connection, an incomplete request or an answer that is not taken may be closed for another one, when connections or memory are short; a new connection waits for room as long")
 }
 
 func runOnPlatform(path string, o platform.Options) error {
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -98,6 +99,103 @@
 	}
 }
 
+// Guards against new connections that wait for as long as others are always in use: they get
+// room from those that have been open for longer, more of them if they keep coming.
+func TestConnectionsInUseMakeRoom(t *testing.T) {
+	l := NewLedger(Limits{Connections: 8, Bytes: 100, Grace: second})
+	var open []*Entry
+	for range 8 {
+		e, _ := l.Open(0)
+		l.Answer(e, 1, 0)
+		open = append(open, e)
+	}
+	closed := func(now time.Duration) (n int) {
+		for _, e := range open {
+			if l.LastAnswer(e, now) {
+				n++
+			}
+		}
+		return n
+	}
+	now := second
+	if n := closed(now); n != 0 {
+		t.Errorf("%d closed although none waits", n)
+	}
+	for i, want := range []int{1, 2, 2} {
+		if e, _ := l.Open(now); e != nil {
+			t.Fatal("a connection was opened beyond the limit")
+		}
+		l.Wait(now)
+		if n := closed(now); n != want {
+			t.Errorf("wait %d: %d are closed, want %d", i+1, n, want)
+		}
+	}
+	now += 2 * second
+	l.Wait(now)
+	if n := closed(now - 2*second - 1); n != 0 {
+		t.Errorf("%d closed within the grace", n)
+	}
+	if n := closed(now); n != 1 {
+		t.Errorf("%d are closed for the first that waits, want 1", n)
+	}
+	l.Wait(now)
+	l.GiveUp()
+	if n := closed(now); n != 0 {
+		t.Errorf("%d closed for one that has given up", n)
+	}
+}
+
+// Guards against an answer that nobody takes and that keeps its connection, and against one
+// that is closed for having taken long before it could be sent.
+func TestAnswersThatAreNotTakenMakeRoom(t *testing.T) {
+	l := NewLedger(Limits{Connections: 2, Bytes: 100, Grace: second})
+	silent, _ := l.Open(0)
+	working, _ := l.Open(0)
+	for _, e := range []*Entry{silent, working} {
+		l.Answer(e, 1, 0)
+	}
+	l.Write(silent, 2*second)
+	l.Written(silent, 2*second)
+	l.Write(silent, 3*second)
+	if next := l.NextVictim(3 * second); next != second {
+		t.Errorf("room after %s, want %s", next, second)
+	}
+	if e, _ := l.Open(4*second - 1); e != nil {
+		t.Error("an answer was closed within the grace")
+	}
+	if _, victim := l.Open(4 * second); victim != silent {
+		t.Error("the answer that is not taken was not closed")
+	}
+}
+
+// Guards against a listener that cannot be closed while a connection waits for room, and
+// against one that waits for room although none has come for the grace.
+func TestWaitForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPort("test", DefaultSettings(), Limits{Connections: 1, Bytes: 100, Grace: second}, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		connection := func() net.Conn { c, _ := net.Pipe(); return c }
+		held := p.open(ctx, connection())
+		p.ledger.Answer(held.(*conn).entry, 1, p.now())
+		for _, want := range []time.Duration{second, 0} {
+			began := time.Now()
+			if p.open(ctx, connection()) != nil || time.Since(began) != want {
+				t.Errorf("waited %s, want %s and a refusal", time.Since(began), want)
+			}
+		}
+		_ = held.Close() // a pipe
+		if held = p.open(ctx, connection()); held == nil {
+			t.Fatal("refused although there is room")
+		}
+		p.ledger.Answer(held.(*conn).entry, 1, p.now())
+		time.AfterFunc(second/4, cancel)
+		began := time.Now()
+		if p.open(ctx, connection()) != nil || time.Since(began) != second/4 {
+			t.Errorf("waited %s beside a listener that was closed after %s", time.Since(began), second/4)
+		}
+	})
+}
+
 // Guards against bytes that stay charged, or are given back twice, after any mix of readers.
 func TestAnyMixOfReaders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -115,9 +213,9 @@
 			}
 			e := rapid.SampledFrom(all).Draw(t, "connection")
 			n := rapid.IntRange(0, 90).Draw(t, "n")
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0:
-				if e.place != nil && e.phase == answering {
+				if e.place != nil && e.phase >= answering {
 					extra += int64(n)
 				}
 				l.Receive(e, n, now)
@@ -127,6 +225,13 @@
 				l.Idle(e, now)
 			case 3:
 				l.Close(e)
+			case 4:
+				l.Write(e, now)
+			case 5:
+				l.Written(e, now)
+			case 6:
+				l.Wait(now)
+				l.LastAnswer(e, now)
 			}
 			var sum int64
 			for _, e := range all {
@@ -195,7 +300,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 		}
 	}))
-	go func() { _ = server.Serve(&listener{listening, p}) }() // ends with the listener
+	go func() { _ = server.Serve(newListener(listening, p)) }() // ends with the listener
 	t.Cleanup(func() { _ = server.Close() })
 	return func() net.Conn {
 		client, served := net.Pipe()
--- a/node/intake/ledger.go
+++ b/node/intake/ledger.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 )
 
@@ -17,24 +18,31 @@
 }
 
 // answerGraces is how long a request has been in hand, in multiples of the grace, before its
-// connection can be closed for another one: the client does not take the answer.
+// connection can be closed for another one.
 const answerGraces = 10
 
+// turnFraction limits the connections that are closed for those that wait, in one turn, to a
+// fraction of all.
+const turnFraction = 4
+
 type phase int
 
 const (
 	idle phase = iota
 	receiving
 	answering
-	phases int = iota
+	writing     // a part of the answer is being taken by the client
+	phases  int = iota
 )
 
 // Entry is a connection in a Ledger.
 type Entry struct {
-	phase phase
-	since time.Duration // when the phase began
-	bytes int64         // charged for its request
-	place *list.Element // nil once the connection is closed
+	phase  phase
+	since  time.Duration // when the phase began
+	opened time.Duration
+	bytes  int64         // charged for its request
+	before phase         // while it is writing: the phase before
+	place  *list.Element // nil once the connection is closed
 
 	close func() // closes the connection; not used by Ledger
 }
@@ -45,6 +53,11 @@
 	limits  Limits
 	byPhase [phases]list.List // of *Entry, in the order in which they came to the phase
 	bytes   int64
+
+	// While new connections wait for room.
+	wanted   int           // connections that are still to be closed with their answers
+	turn     int           // what wanted was at the beginning of the newest wait
+	waitedAt time.Duration // beginning of the newest wait
 }
 
 // NewLedger returns a ledger without connections.
@@ -62,28 +75,88 @@
 // Bytes returns the sum of what is charged.
 func (l *Ledger) Bytes() int64 { return l.bytes }
 
-// Open decides on a new connection. It returns nil if the connection is refused. The caller
+// closingOrder is the order in which connections are closed for a new one, each once it has
+// been in its phase for a number of graces.
+var closingOrder = [...]struct {
+	phase  phase
+	graces time.Duration
+}{{idle, 1}, {receiving, 1}, {writing, 1}, {answering, answerGraces}}
+
+// Open decides on a new connection. It returns nil if there is no room for it now. The caller
 // closes the victim, if there is one, which is no longer in the ledger: the connection that
 // has been idle for longest; else the one whose request has been incomplete for longest; else
-// one that has been answered for very long.
+// one whose client does not take its answer; else one that has been answered for very long.
 func (l *Ledger) Open(now time.Duration) (e, victim *Entry) {
 	if l.Connections() >= l.limits.Connections {
-		if victim = l.oldest(idle, now-l.limits.Grace); victim == nil {
-			victim = l.oldest(receiving, now-l.limits.Grace)
-		}
-		if victim == nil {
-			victim = l.oldest(answering, now-answerGraces*l.limits.Grace)
+		for _, o := range closingOrder {
+			if victim = l.oldest(o.phase, now-o.graces*l.limits.Grace); victim != nil {
+				break
+			}
 		}
 		if victim == nil {
 			return nil, nil
 		}
 		l.Close(victim)
 	}
-	e = &Entry{since: now}
+	l.wanted = 0
+	e = &Entry{since: now, opened: now}
 	e.place = l.byPhase[idle].PushBack(e)
 	return e, victim
 }
 
+// NextVictim returns how long it takes until a connection can be closed for a new one, unless
+// its phase changes before; a very long time if there is none.
+func (l *Ledger) NextVictim(now time.Duration) time.Duration {
+	next := time.Duration(math.MaxInt64)
+	for _, o := range closingOrder {
+		if first := l.byPhase[o.phase].Front(); first != nil {
+			next = min(next, max(0, first.Value.(*Entry).since+o.graces*l.limits.Grace-now))
+		}
+	}
+	return next
+}
+
+// Wait notes that a new connection for which there is no room begins to wait. Until it is
+// opened or gives up, other connections are closed with their answers: one if this is the first
+// to wait for the grace, else twice as many as for the one before, at most a part of all.
+func (l *Ledger) Wait(now time.Duration) {
+	if l.turn == 0 || now-l.waitedAt > l.limits.Grace {
+		l.turn = 1
+	} else {
+		l.turn = min(2*l.turn, max(1, l.limits.Connections/turnFraction))
+	}
+	l.wanted, l.waitedAt = l.turn, now
+}
+
+// GiveUp notes that the new connection for which there was no room does not wait any more.
+func (l *Ledger) GiveUp() { l.wanted = 0 }
+
+// LastAnswer reports whether a connection has to be closed after its present answer: a new one
+// waits for room, and this one has been open for the grace.
+func (l *Ledger) LastAnswer(e *Entry, now time.Duration) bool {
+	if l.wanted == 0 || now-e.opened < l.limits.Grace {
+		return false
+	}
+	l.wanted--
+	return true
+}
+
+// Write notes that a part of an answer is being sent, and Written that the client's machine
+// has taken it.
+func (l *Ledger) Write(e *Entry, now time.Duration) {
+	if e.place != nil && e.phase != writing {
+		e.before = e.phase
+		l.enter(e, writing, now)
+	}
+}
+
+// Written notes the end of Write.
+func (l *Ledger) Written(e *Entry, now time.Duration) {
+	if e.place != nil && e.phase == writing {
+		l.enter(e, e.before, now)
+	}
+}
+
 // enter puts an open connection into a phase.
 func (l *Ledger) enter(e *Entry, p phase, now time.Duration) {
 	l.byPhase[e.phase].Remove(e.place)
@@ -106,13 +179,14 @@
 
 // Receive charges received bytes to the request of a connection. It returns false if they
 // are beyond the limit: the request is then refused. The caller closes the victims, which are
-// no longer in the ledger: those whose requests have been incomplete for longest. Bytes that
+// no longer in the ledger: those whose requests have been incomplete for longest, and those
+// whose clients do not take their answers. Bytes that
 // follow a whole request are few and are not refused.
 func (l *Ledger) Receive(e *Entry, n int, now time.Duration) (victims []*Entry, ok bool) {
 	if e.place == nil {
 		return nil, false
 	}
-	if e.phase == answering {
+	if e.phase >= answering {
 		e.bytes += int64(n)
 		l.bytes += int64(n)
 		return nil, true
@@ -129,7 +203,7 @@
 	if e.place == nil {
 		return nil, false
 	}
-	if e.phase != answering {
+	if e.phase < answering {
 		l.enter(e, answering, now)
 	}
 	return l.charge(e, max(0, bytes-e.bytes), now)
@@ -138,6 +212,9 @@
 func (l *Ledger) charge(e *Entry, n int64, now time.Duration) (victims []*Entry, ok bool) {
 	for l.bytes+n > l.limits.Bytes && n > 0 {
 		victim := l.oldest(receiving, now-l.limits.Grace)
+		if victim == nil {
+			victim = l.oldest(writing, now-l.limits.Grace)
+		}
 		if victim == nil || victim == e {
 			return victims, false
 		}
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -34,13 +34,15 @@
 const (
 	closedIdle         = "_closed_idle"         // idle connections, closed for others
 	closedIncomplete   = "_closed_incomplete"   // connections with the oldest incomplete requests, closed for others
-	closedUnanswered   = "_closed_unanswered"   // connections whose client does not take its answer, closed for others
+	closedUntaken      = "_closed_untaken"      // connections whose client does not take its answer, closed for others
+	closedUnanswered   = "_closed_unanswered"   // connections whose request has been in hand for very long, closed for others
+	lastAnswers        = "_last_answers"        // connections that are closed with an answer, for others
 	refusedConnections = "_refused_connections" // closed at once
 	refusedRequests    = "_refused_requests"    // for lack of memory
 	stalledRequests    = "_stalled_requests"    // whose body stopped or took too long
 )
 
-var counterNames = []string{closedIdle, closedIncomplete, closedUnanswered, refusedConnections, refusedRequests, stalledRequests}
+var counterNames = []string{closedIdle, closedIncomplete, closedUntaken, closedUnanswered, lastAnswers, refusedConnections, refusedRequests, stalledRequests}
 
 // ErrNoMemory means that the memory for requests is used up.
 var ErrNoMemory = errors.New("memory for requests is used up")
@@ -56,14 +58,16 @@
 
 	mu       sync.Mutex
 	ledger   *Ledger
-	peak     int // of connections
+	peak     int           // of connections
+	full     bool          // the last new connection has waited for room in vain, and none has ended since
+	freed    chan struct{} // holds an element once a connection has ended
 	loggedAt time.Duration
 	logged   bool
 }
 
 // NewPort returns a port with limits. The name begins the names of its counters.
 func NewPort(name string, s Settings, l Limits, log *zap.Logger) *Port {
-	p := &Port{name: name, settings: s, log: log, began: time.Now(), ledger: NewLedger(l), counters: map[string]*expvar.Int{}, decoding: make(chan struct{}, 1)}
+	p := &Port{name: name, settings: s, log: log, began: time.Now(), ledger: NewLedger(l), counters: map[string]*expvar.Int{}, decoding: make(chan struct{}, 1), freed: make(chan struct{}, 1)}
 	for _, c := range counterNames {
 		p.counters[c] = new(expvar.Int)
 	}
@@ -134,7 +138,7 @@
 	if err := shortenQueue(l); err != nil {
 		p.log.Warn("accept_queue_not_set", zap.String("port", p.name), zap.Error(err))
 	}
-	return &listener{l, p}, nil
+	return newListener(l, p), nil
 }
 
 // shortenQueue sets the accept queue of a listener to acceptQueue.
@@ -154,23 +158,38 @@
 
 type listener struct {
 	net.Listener
-	port *Port
+	port   *Port
+	ctx    context.Context // ends with the listener
+	closed context.CancelFunc
+}
+
+func newListener(l net.Listener, p *Port) *listener {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &listener{l, p, ctx, cancel}
 }
 
-// Accept implements net.Listener. Connections beyond the limits are closed.
+// Accept implements net.Listener. It takes connections in turn. One for which there is no room
+// waits for it, with those behind it; if there is none within the grace, it is closed, and
+// others are closed at once until a connection ends.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if counted := l.port.open(c); counted != nil {
+		if counted := l.port.open(l.ctx, c); counted != nil {
 			return counted, nil
 		}
 		abort(c)
 	}
 }
 
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.closed()
+	return l.Listener.Close()
+}
+
 // abort closes a connection without waiting for data that the client has not taken.
 func abort(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -179,22 +198,57 @@
 	_ = c.Close() // nothing is expected of it any more
 }
 
-func (p *Port) open(c net.Conn) net.Conn {
-	p.mu.Lock()
-	e, victim := p.ledger.Open(p.now())
-	if e == nil {
+// open counts a new connection, once there is room. It returns nil if there is none within the
+// grace or until ctx ends.
+func (p *Port) open(ctx context.Context, c net.Conn) net.Conn {
+	until := p.now() + p.ledger.limits.Grace
+	for waiting := false; ; waiting = true {
+		p.mu.Lock()
+		now := p.now()
+		e, victim := p.ledger.Open(now)
+		if e != nil {
+			e.close = func() { abort(c) }
+			p.peak = max(p.peak, p.ledger.Connections())
+			p.full = false
+			p.mu.Unlock()
+			if victim != nil {
+				victim.close()
+				p.count(closedCounter[victim.phase], 1)
+			}
+			return &conn{Conn: c, port: p, entry: e}
+		}
+		wait := min(until-now, p.ledger.NextVictim(now))
+		if p.full || now >= until || ctx.Err() != nil {
+			p.full = true
+			p.ledger.GiveUp()
+			p.mu.Unlock()
+			p.count(refusedConnections, 1)
+			return nil
+		}
+		if !waiting {
+			p.ledger.Wait(now)
+		}
 		p.mu.Unlock()
-		p.count(refusedConnections, 1)
-		return nil
+		timer := time.NewTimer(wait)
+		select {
+		case <-p.freed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
-	e.close = func() { abort(c) }
-	p.peak = max(p.peak, p.ledger.Connections())
-	p.mu.Unlock()
-	if victim != nil {
-		victim.close()
-		p.count(map[phase]string{idle: closedIdle, receiving: closedIncomplete, answering: closedUnanswered}[victim.phase], 1)
+}
+
+// closedCounter is the counter of connections that were closed for others, by their phase.
+var closedCounter = map[phase]string{idle: closedIdle, receiving: closedIncomplete, writing: closedUntaken, answering: closedUnanswered}
+
+// ended notes that connections have ended. The caller holds p.mu.
+func (p *Port) ended() {
+	p.full = false
+	select {
+	case p.freed <- struct{}{}:
+	default: // noted before
 	}
-	return &conn{Conn: c, port: p, entry: e}
 }
 
 const (
@@ -244,6 +298,9 @@
 	p.mu.Lock()
 	victims, ok := decide(p.ledger, p.now())
 	evicted := c.entry.place == nil
+	if len(victims) > 0 {
+		p.ended()
+	}
 	p.mu.Unlock()
 	for _, v := range victims {
 		v.close()
@@ -260,17 +317,34 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.port.settings.AnswerTimeout)); err != nil {
 		return 0, err
 	}
+	c.note((*Ledger).Write)
+	defer c.note((*Ledger).Written)
 	return c.Conn.Write(b)
 }
 
+// note passes what happens to the connection to the ledger.
+func (c *conn) note(event func(*Ledger, *Entry, time.Duration)) {
+	c.port.mu.Lock()
+	defer c.port.mu.Unlock()
+	event(c.port.ledger, c.entry, c.port.now())
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.port.mu.Lock()
 	c.port.ledger.Close(c.entry)
+	c.port.ended()
 	c.port.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// lastAnswer reports whether the connection ends with the present answer.
+func (c *conn) lastAnswer() bool {
+	c.port.mu.Lock()
+	defer c.port.mu.Unlock()
+	return c.port.ledger.LastAnswer(c.entry, c.port.now())
+}
+
 // CloseWrite closes the sending direction, if the connection allows that.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -300,9 +374,7 @@
 			if counted, ok := c.(*conn); ok && state == http.StateIdle {
 				counted.headed.Store(false)
 				counted.header.Store(0)
-				p.mu.Lock()
-				p.ledger.Idle(counted.entry, p.now())
-				p.mu.Unlock()
+				counted.note((*Ledger).Idle)
 			}
 		},
 	}
@@ -317,6 +389,10 @@
 			return
 		}
 		c.headed.Store(true)
+		if c.lastAnswer() {
+			w.Header().Set("Connection", "close")
+			p.count(lastAnswers, 1)
+		}
 		if r.ContentLength == 0 {
 			// Without bytes of a body there is nothing to refuse.
 			c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Answer(c.entry, 0, now) })
