Refuse a body at once whose announced length is too large

Callers saw: 413 only after the declared limit of bytes had been received, and 503 after 10 s without a byte where nothing was sent; bodies that no state of the entry has the memory for were received before they were refused.

Cause: the announced length was not looked at.

Evidence: TestAnnouncedLengthIsRefusedAtOnce; before, the answer came after the stall timeout of 10 s, and as 503.

A client that waits for `100 Continue` sends nothing of it.

--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -59,11 +59,16 @@
 }
 
 // ReadBody reads the body of a request of at most limit bytes. It takes memory for what has
-// arrived only. The error is *http.MaxBytesError, ErrNoMemory, ErrStalled, or that of the
-// connection. After an error the connection is closed with the answer.
+// arrived only, and reads nothing of a body whose announced length is too large. The error is
+// *http.MaxBytesError, ErrNoMemory, ErrStalled, or that of the connection. After an error the
+// connection is closed with the answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
 	b := &Body{}
 	b.conn, _ = r.Context().Value(connKey{}).(*conn)
+	if err := b.expect(r.ContentLength, limit); err != nil {
+		w.Header().Set("Connection", "close")
+		return nil, err
+	}
 	reader := http.MaxBytesReader(w, r.Body, limit)
 	size := segmentBytes
 	if r.ContentLength >= 0 && r.ContentLength < segmentBytes {
@@ -95,6 +100,19 @@
 	return b, nil
 }
 
+// expect returns the error of a body of an announced length that can't be taken, whatever else
+// the port holds; nil if it can, or if the length is not known.
+func (b *Body) expect(length, limit int64) error {
+	if length > limit {
+		return &http.MaxBytesError{Limit: limit}
+	}
+	if b.conn != nil && answerFactor*length > b.conn.port.ledger.limits.Bytes {
+		b.conn.port.count(refusedRequests, 1)
+		return ErrNoMemory
+	}
+	return nil
+}
+
 // ErrBusy means that a large body waited for others to be decoded until its request ended.
 var ErrBusy = errors.New("other large requests are being decoded")
 
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -359,6 +359,32 @@
 	}
 }
 
+// Guards against bodies that are awaited although their announced length already tells that
+// they can't be taken.
+func TestAnnouncedLengthIsRefusedAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		announced, status int
+		bytes             int64 // limit
+	}{
+		"over the limit of a body":    {1<<20 + 1, http.StatusBadRequest, 8 << 20},
+		"over the memory of the port": {9000, http.StatusServiceUnavailable, 20_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := NewPort("test", DefaultSettings(), Limits{Connections: 2, Bytes: c.bytes, Grace: second}, zap.NewNop())
+				began := time.Now()
+				client := serve(t, p)()
+				answer := exchange(t, client, post("/", c.announced, 0))
+				if took := time.Since(began); answer.StatusCode != c.status || took > leftoverTime {
+					t.Errorf("status %d after %s, want %d at once", answer.StatusCode, took, c.status)
+				}
+				_ = client.Close() // the answer has been read
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // Guards against a body whose sender is closed for others while it is read.
 func TestSlowBodyMakesRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
