Set memory aside for a small request on each connection

Callers saw: small submissions refused with 503 while a few large requests that were being answered held all the memory for requests.

Cause: all requests shared one sum of bytes, and those that are being answered cannot be closed for others.

Evidence: TestSmallRequestsBesideLargeOnes, whose first check the former ledger cannot pass: it has no such memory, and refuses whatever is beyond the sum.

Change: each connection may be charged 16 KB that the sum does not hold, enough for a body of 4 KB from its first byte to the answer. The number of connections bounds it: it is a part of the 512 KB that each sets aside. An incomplete request within that memory is not closed for the sake of memory, since that gives none back.

--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -106,7 +106,7 @@
 	if length > limit {
 		return &http.MaxBytesError{Limit: limit}
 	}
-	if b.conn != nil && answerFactor*length > b.conn.port.ledger.limits.Bytes {
+	if b.conn != nil && b.conn.port.ledger.limits.beyond(answerFactor*length) > b.conn.port.ledger.limits.Bytes {
 		b.conn.port.count(refusedRequests, 1)
 		return ErrNoMemory
 	}
--- a/node/intake/ledger.go
+++ b/node/intake/ledger.go
@@ -11,7 +11,10 @@
 // Limits bound what the clients of one port hold together.
 type Limits struct {
 	Connections int
-	Bytes       int64 // of requests that are being received or answered
+	Bytes       int64 // of requests that are being received or answered, beyond Reserved of each
+	// Reserved are the bytes that each connection can always be charged, so that a small request
+	// is not refused for the sake of large ones.
+	Reserved int64
 	// Grace is how long a connection may be idle, or a request incomplete, before it can be
 	// closed for another one.
 	Grace time.Duration
@@ -72,9 +75,18 @@
 	return n
 }
 
-// Bytes returns the sum of what is charged.
+// Bytes returns the sum of what is charged beyond what is reserved.
 func (l *Ledger) Bytes() int64 { return l.bytes }
 
+// beyond returns the part of what is charged to a connection that counts toward Bytes.
+func (l *Limits) beyond(bytes int64) int64 { return max(0, bytes-l.Reserved) }
+
+// set sets what is charged to a connection.
+func (l *Ledger) set(e *Entry, bytes int64) {
+	l.bytes += l.limits.beyond(bytes) - l.limits.beyond(e.bytes)
+	e.bytes = bytes
+}
+
 // closingOrder is the order in which connections are closed for a new one, each once it has
 // been in its phase for a number of graces.
 var closingOrder = [...]struct {
@@ -177,6 +189,21 @@
 	return nil
 }
 
+// oldestBeyond returns the entry that has been in a phase for longest, of those that are
+// charged more than what is reserved; nil if none has been in it since a time.
+func (l *Ledger) oldestBeyond(p phase, since time.Duration) *Entry {
+	for place := l.byPhase[p].Front(); place != nil; place = place.Next() {
+		e := place.Value.(*Entry)
+		if e.since > since {
+			return nil
+		}
+		if l.limits.beyond(e.bytes) > 0 {
+			return e
+		}
+	}
+	return nil
+}
+
 // Receive charges received bytes to the request of a connection. It returns false if they
 // are beyond the limit: the request is then refused. The caller closes the victims, which are
 // no longer in the ledger: those whose requests have been incomplete for longest, and those
@@ -187,8 +214,7 @@
 		return nil, false
 	}
 	if e.phase >= answering {
-		e.bytes += int64(n)
-		l.bytes += int64(n)
+		l.set(e, e.bytes+int64(n))
 		return nil, true
 	}
 	if e.phase == idle {
@@ -210,10 +236,11 @@
 }
 
 func (l *Ledger) charge(e *Entry, n int64, now time.Duration) (victims []*Entry, ok bool) {
-	for l.bytes+n > l.limits.Bytes && n > 0 {
-		victim := l.oldest(receiving, now-l.limits.Grace)
+	more := l.limits.beyond(e.bytes+n) - l.limits.beyond(e.bytes)
+	for l.bytes+more > l.limits.Bytes && more > 0 {
+		victim := l.oldestBeyond(receiving, now-l.limits.Grace)
 		if victim == nil {
-			victim = l.oldest(writing, now-l.limits.Grace)
+			victim = l.oldestBeyond(writing, now-l.limits.Grace)
 		}
 		if victim == nil || victim == e {
 			return victims, false
@@ -221,8 +248,7 @@
 		l.Close(victim)
 		victims = append(victims, victim)
 	}
-	e.bytes += n
-	l.bytes += n
+	l.set(e, e.bytes+n)
 	return victims, true
 }
 
@@ -231,8 +257,7 @@
 	if e.place == nil {
 		return
 	}
-	l.bytes -= e.bytes
-	e.bytes = 0
+	l.set(e, 0)
 	l.enter(e, idle, now)
 }
 
@@ -241,8 +266,7 @@
 	if e.place == nil {
 		return
 	}
-	l.bytes -= e.bytes
-	e.bytes = 0
+	l.set(e, 0)
 	l.byPhase[e.phase].Remove(e.place)
 	e.place = nil
 }
--- a/node/intake/settings.go
+++ b/node/intake/settings.go
@@ -35,18 +35,20 @@
 	requestMemory = 1. / 8 // for callers' requests
 	// memoryPerConnection is the memory of the VM for each connection of a caller, in bytes. The
 	// connection takes connectionBytes of it at most: its state, what is received and unread, what
-	// is answered and not taken, and a short header once it is decoded.
+	// is answered and not taken, a short header once it is decoded, and a small request.
 	memoryPerConnection = 512 << 10
-	connectionBytes     = 24<<10 + 64<<10 + 2*sendBuffer + 20*shortHeader
-	callerSockets       = 0.5 // the others are for links to the table service and to VMs, and for the other ports
-	portSockets         = 1. / 16
-	minConnections      = 8
-	maxPort             = 64  // connections of the readiness port and the internal port
-	fileDescriptors     = 200 // of a process's descriptors, for files
-	defaultMemoryMB     = 184 // where the settings of the VM give none
-	defaultMaxFDs       = 4100
-	portBytes           = 1 << 20 // of requests on the readiness port and the internal port
-	portHeaderBytes     = 16 << 10
+	connectionBytes     = 24<<10 + 64<<10 + 2*sendBuffer + 20*shortHeader + smallRequest
+	// smallRequest is what a request with a body of one segment is charged, in bytes.
+	smallRequest    = answerFactor * segmentBytes
+	callerSockets   = 0.5 // the others are for links to the table service and to VMs, and for the other ports
+	portSockets     = 1. / 16
+	minConnections  = 8
+	maxPort         = 64  // connections of the readiness port and the internal port
+	fileDescriptors = 200 // of a process's descriptors, for files
+	defaultMemoryMB = 184 // where the settings of the VM give none
+	defaultMaxFDs   = 4100
+	portBytes       = 1 << 20 // of requests on the readiness port and the internal port
+	portHeaderBytes = 16 << 10
 )
 
 // Derive returns the settings with the defaults that depend on the memory of the VM in MB and
@@ -84,7 +86,7 @@
 
 // Callers returns the limits of the port of callers. The settings are derived.
 func (s Settings) Callers() Limits {
-	return Limits{Connections: s.Connections, Bytes: s.RequestMemoryMB << 20, Grace: s.Grace}
+	return Limits{Connections: s.Connections, Bytes: s.RequestMemoryMB << 20, Reserved: smallRequest, Grace: s.Grace}
 }
 
 // Port returns the settings and the limits of another port, whose requests have no bodies.
