--- a/sched/job/spec.go
+++ b/sched/job/spec.go
@@ -125,11 +125,14 @@
 	return strings.Trim(id, "0123456789abcdefABCDEF") == ""
 }
 
+// ErrInvalidID means that an id is not one that a job can have.
+var ErrInvalidID = fmt.Errorf("id: want %d hexadecimal digits", IDLength)
+
 // Check returns an error that names the first invalid field of the description, or
 // nil.
 func (s *Spec) Check() error {
 	if !ValidID(s.ID) {
-		return fmt.Errorf("id: want %d hexadecimal digits", IDLength)
+		return ErrInvalidID
 	}
 	if len(s.Payload) > MaxPayloadBytes {
 		return fmt.Errorf("payload: %d bytes, at most %d", len(s.Payload), MaxPayloadBytes)
