A repeated SIGTERM does not cut a planned stop short

Callers saw: broken connections in place of answers when an entry was told to stop twice.

Cause: any second signal other than SIGHUP ended the process at once, with the requests in progress. A supervisor may repeat SIGTERM; only a person at a terminal means more by the second.

Evidence: TestSignalsInSeries (SIGTERM three times, and between SIGHUPs); before, exit code 1, "second signal: stopped at once", without a drain.

Change: a further SIGTERM is logged and changes nothing; SIGINT during a planned stop still ends the process at once. The processes of the crowd's tests report errors in place of ending the test, for runs from several goroutines.

--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -49,11 +49,12 @@
 	Reload() error
 }
 
-// errSecondSignal is returned by Run when a second signal interrupts a planned stop.
-var errSecondSignal = errors.New("second signal: stopped at once")
+// errInterrupted is returned by Run when SIGINT interrupts a planned stop.
+var errInterrupted = errors.New("SIGINT during a planned stop: stopped at once")
 
 // Run runs a daemon and returns its error. The first SIGTERM or SIGINT begins
-// a planned stop by ending the daemon's context. At a second one, Run returns
+// a planned stop by ending the daemon's context. A further SIGTERM changes nothing:
+// supervisors repeat it, and requests are in progress. At a further SIGINT, Run returns
 // without waiting for the daemon. SIGHUP calls Reload; its error is only logged.
 func Run(d Daemon, log *zap.Logger) error {
 	signals := make(chan os.Signal, 4)
@@ -72,10 +73,10 @@
 				reload(d, log)
 				continue
 			}
-			if ctx.Err() != nil {
-				return errSecondSignal
+			if ctx.Err() != nil && sig == syscall.SIGINT {
+				return errInterrupted
 			}
-			log.Info("stop_requested", zap.String("signal", sig.String()))
+			log.Info("stop_requested", zap.String("signal", sig.String()), zap.Bool("repeated", ctx.Err() != nil))
 			cancel()
 		}
 	}
--- a/emulator/crowd/answers_test.go
+++ b/emulator/crowd/answers_test.go
@@ -25,15 +25,20 @@
 // first ones, and checks as crowd does.
 func (s *system) silent(n int, address, request string) {
 	s.t.Helper()
+	s.crowd(n, address, repeat(request))
+}
+
+// repeat returns a client that sends the same request again and again.
+func repeat(request string) client {
 	block := []byte(strings.Repeat(request, 100))
-	s.crowd(n, address, func(conn net.Conn, _ bool) error {
+	return func(conn net.Conn, _ bool) error {
 		for range pipelined / 100 {
 			if _, err := conn.Write(block); err != nil {
 				return err
 			}
 		}
 		return nil
-	})
+	}
 }
 
 // get returns a request without a body.
--- a/emulator/crowd/crowd_test.go
+++ b/emulator/crowd/crowd_test.go
@@ -77,6 +77,11 @@
 // play is one attempt of a client. It ends when the entry closes the connection or the
 // crowd ends.
 func (s *system) play(ctx context.Context, address string, whole bool, send client, sent func()) {
+	playTaking(ctx, address, whole, send, sent, s.takeFirst)
+}
+
+// playTaking is play for a client that takes so many bytes of answers; 0 for all.
+func playTaking(ctx context.Context, address string, whole bool, send client, sent func(), takeFirst int64) {
 	conn, err := net.DialTimeout("tcp", address, requestTime)
 	if err != nil {
 		return
@@ -87,15 +92,15 @@
 	answers := make(chan struct{})
 	go func() {
 		defer close(answers)
-		if s.takeFirst == 0 {
+		if takeFirst == 0 {
 			_, _ = io.Copy(io.Discard, conn) // until either side closes
 			return
 		}
-		if _, err := io.CopyN(io.Discard, conn, s.takeFirst); err == nil {
+		if _, err := io.CopyN(io.Discard, conn, takeFirst); err == nil {
 			<-ctx.Done() // no more answers are taken
 		}
 	}()
-	if tcp, ok := conn.(*net.TCPConn); ok && s.takeFirst > 0 {
+	if tcp, ok := conn.(*net.TCPConn); ok && takeFirst > 0 {
 		_ = tcp.SetReadBuffer(clientBuffer) // what the client's system holds does not count
 	}
 	if err := send(conn, whole); err == nil {
--- a/emulator/crowd/mixed_test.go
+++ b/emulator/crowd/mixed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -108,7 +109,9 @@
 			}
 			for range restarts {
 				s.ordinary("beside the crowd")
-				s.restart(sig)
+				if err := s.restart(sig); err != nil {
+					t.Fatal(err)
+				}
 			}
 			s.ordinary("beside the crowd, after the last start")
 			cancel()
@@ -118,6 +121,28 @@
 	}
 }
 
+// Guards against a planned stop that is cut short, with the requests in progress, by signals
+// that come in series.
+func TestSignalsInSeries(t *testing.T) {
+	s := startSystem(t)
+	for _, signals := range [][]os.Signal{
+		{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM},
+		{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		if err := s.stop(signals...); err != nil {
+			t.Fatal(err)
+		}
+		if code := s.entry.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("after %v: exit code %d, want that of a planned stop", signals, code)
+		}
+		if err := s.start(); err != nil {
+			t.Fatal(err)
+		}
+		s.ordinary("after the next start")
+	}
+	s.check()
+}
+
 // Guards against requests that pile up while the table service refuses all calls.
 func TestCrowdWithoutTableService(t *testing.T) {
 	s := startSystem(t)
--- a/emulator/crowd/system_test.go
+++ b/emulator/crowd/system_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -31,7 +32,8 @@
 	patience      = 60 * time.Second // for what must happen at any time
 	requestTime   = 5 * time.Second  // of one try of an ordinary request
 	samplePause   = 10 * time.Millisecond
-	firstPort     = 20000 // below those that the kernel gives to outgoing connections
+	signalPause   = 50 * time.Millisecond // between signals of a series
+	firstPort     = 20000                 // below those that the kernel gives to outgoing connections
 	portCount     = 12000
 	procLocal     = 1 // field of a line of /proc/net/tcp: local address
 	procState     = 3 // field of a line of /proc/net/tcp: state
@@ -111,20 +113,17 @@
 	return ""
 }
 
-func startProcess(t *testing.T, cmd *exec.Cmd, log string) {
-	t.Helper()
+func startProcess(cmd *exec.Cmd, log string) error {
 	out, err := os.OpenFile(log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
+	defer out.Close() // the process has its own descriptor
 	cmd.Stdout, cmd.Stderr = out, out
 	if _, err := cmd.StdinPipe(); err != nil { // the emulator's programs end with their input
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
+		return err
 	}
-	_ = out.Close() // the process has its own descriptor
+	return cmd.Start()
 }
 
 // startSystem starts the processes and waits until a job is accepted.
@@ -141,7 +140,9 @@
 	soak := filepath.Join(programs, "amaranth-soak")
 	run := func(log string, args ...string) {
 		cmd := exec.Command(soak, args...)
-		startProcess(t, cmd, filepath.Join(e.dir, log))
+		if err := startProcess(cmd, filepath.Join(e.dir, log)); err != nil {
+			t.Fatal(err)
+		}
 		t.Cleanup(func() {
 			_ = cmd.Process.Kill() // fails only if it has ended
 			_ = cmd.Wait()         // it was killed
@@ -158,7 +159,9 @@
 func (e *environment) startEntry(name string) *system {
 	e.t.Helper()
 	s := e.newEntry(name)
-	s.start()
+	if err := s.start(); err != nil {
+		e.t.Fatal(err)
+	}
 	s.ordinary("at the start")
 	s.sampled.Go(s.sample)
 	return s
@@ -197,12 +200,12 @@
 }
 
 // start starts the entry's process.
-func (s *system) start() {
-	s.t.Helper()
+func (s *system) start() error {
 	cmd := exec.Command(filepath.Join(programs, "amaranthd"), "platform")
 	cmd.Env = append(os.Environ(), "AMARANTHFORK_SETTINGS="+s.settings)
-	log := filepath.Join(s.dir, s.name+".log")
-	startProcess(s.t, cmd, log)
+	if err := startProcess(cmd, s.log()); err != nil {
+		return err
+	}
 	ended := make(chan struct{})
 	go func() {
 		_ = cmd.Wait() // that it has ended is what counts
@@ -214,46 +217,54 @@
 		_ = cmd.Process.Signal(syscall.SIGKILL) // fails only if it has ended
 		<-ended
 		if s.t.Failed() {
-			if log, err := os.ReadFile(log); err == nil {
+			if log, err := os.ReadFile(s.log()); err == nil {
 				s.t.Logf("last lines of the log of %s:\n%s", s.name, log[max(0, len(log)-4000):])
 			}
 		}
 	})
+	return nil
 }
 
-// restart ends the entry's process with a signal and starts the next one.
-func (s *system) restart(sig syscall.Signal) {
-	s.t.Helper()
-	s.stop(sig)
-	s.start()
+// log is the path of the log of all processes of the entry.
+func (s *system) log() string { return filepath.Join(s.dir, s.name+".log") }
+
+// restart ends the entry's process with signals and starts the next one.
+func (s *system) restart(signals ...os.Signal) error {
+	if err := s.stop(signals...); err != nil {
+		return err
+	}
+	return s.start()
 }
 
-// stop ends the entry's process with a signal.
-func (s *system) stop(sig syscall.Signal) {
-	s.t.Helper()
+// stop ends the entry's process with signals, one right after the other.
+func (s *system) stop(signals ...os.Signal) error {
 	select {
 	case <-s.ended:
-		s.t.Fatal("the process has ended before it was told to")
+		return fmt.Errorf("%s has ended before it was told to: %v", s.name, s.entry.ProcessState)
 	default:
 	}
-	if err := s.entry.Process.Signal(sig); err != nil {
-		s.t.Fatal(err)
+	for _, sig := range signals {
+		if err := s.entry.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			return err
+		}
+		time.Sleep(signalPause)
 	}
 	select {
 	case <-s.ended:
+		return nil
 	case <-time.After(patience):
-		s.t.Fatalf("the process has not ended %s after %s", patience, sig)
+		return fmt.Errorf("%s has not ended %s after %v", s.name, patience, signals)
 	}
 }
 
 // declarations are the operators' declarations.
-func declarations(version int) any {
+func declarations(version int, keys ...string) any {
 	return map[string]any{"name": "config", "value": map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{"name": "q-" + queue, "host": host, "prefix": "/" + queue + "/", "service": queue, "timeout_ms": 3000,
 			"max_attempts": 3, "stretch": 2, "completion_target_ms": 1000}},
 		"services": []any{map[string]any{"name": queue, "admission_check": true}},
-		"tenants":  []any{map[string]any{"name": "team", "api_keys": []string{key}, "weight": 50}},
+		"tenants":  []any{map[string]any{"name": "team", "api_keys": append([]string{key}, keys...), "weight": 50}},
 		"limits":   map[string]any{"max_body_bytes": maxBodyBytes},
 	}}
 }
