Bound what clients hold of the product's own interface too

Callers saw: nothing before the process ended. `amaranth dev`, the first command of the README, took a body of 1 MB from anyone, without a key and for a queue that does not exist, and held it as long as its client stayed; so did `amaranthd` without `platform`.

Cause: these servers bounded the header only, submissions read the body before they looked up queue and key, and requests to endpoints read whole bodies and up to 1 MB of each response into memory.

Change: the port of callers and operators is an intake.Port, one piece of code for both, also under TLS. Queue and key come before the body; a body that is not received for lack of memory or time is refused as not run, to be sent again after a second. Responses of endpoints are buffered only while there is memory.

--- a/emulator/crowd/system_test.go
+++ b/emulator/crowd/system_test.go
@@ -54,7 +54,7 @@
 	dir, err := os.MkdirTemp("", "crowd-")
 	if err == nil {
 		programs = dir
-		build := exec.Command("go", "build", "-o", dir, "amaranthfork.example/cmd/amaranthd", "amaranthfork.example/cmd/amaranth-soak")
+		build := exec.Command("go", "build", "-o", dir, "amaranthfork.example/cmd/amaranthd", "amaranthfork.example/cmd/amaranth-soak", "amaranthfork.example/cmd/amaranth")
 		var out []byte
 		if out, err = build.CombinedOutput(); err == nil {
 			code = m.Run()
--- a/entry/api/caller.go
+++ b/entry/api/caller.go
@@ -20,6 +20,7 @@
 	"amaranthfork.example/config"
 	"amaranthfork.example/control"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/node/intake"
 )
 
 const (
@@ -89,13 +90,7 @@
 	if err := s.accepting(); err != nil {
 		return err
 	}
-	var req JobRequest
-	if err := decodeStrict(c, &req); err != nil {
-		return err
-	}
-	if problems := req.problems(); len(problems) > 0 {
-		return invalid(strings.Join(problems, "; "))
-	}
+	// Nothing of a body is read that is refused by the header.
 	snapshot := s.View.Snapshot()
 	queue, ok := snapshot.Queues[fleet.QueueName(c.Param("queue"))]
 	if !ok {
@@ -106,6 +101,13 @@
 	if err != nil {
 		return err
 	}
+	var req JobRequest
+	if err := decodeStrict(c, &req); err != nil {
+		return err
+	}
+	if problems := req.problems(); len(problems) > 0 {
+		return invalid(strings.Join(problems, "; "))
+	}
 	job := req.job(s.JobID(team, req.scopedID(team)), team, queue.Name, s.Clock.Now())
 	if team != "" {
 		job.Key, _, _ = config.ParseKey(key) // authorizeQueue has parsed it without an error
@@ -274,14 +276,31 @@
 // decodeStrict decodes the body, which must be one JSON value of at most
 // MaxBodyBytes without unknown fields.
 func decodeStrict(c *echo.Context, into any) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes))
+	body, err := intake.ReadBody(c.Response(), c.Request(), MaxBodyBytes)
+	if err == nil {
+		err = body.Decode(c.Request().Context(), func(b []byte) error { return decodeJSON(b, into) })
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var refusal *fleet.Refusal
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &tooLarge):
 		return invalid(fmt.Sprintf("body: larger than %d bytes", MaxBodyBytes))
+	case intake.NotReceived(err):
+		return &fleet.Refusal{Reason: fleet.ReasonNoCapacity, Detail: err.Error(), RetryAfter: notReceivedRetryAfter}
 	}
-	if err != nil {
-		return invalid("body: " + err.Error())
-	}
+	return invalid("body: " + err.Error())
+}
+
+// notReceivedRetryAfter is the time after which a caller may send a request again that was not
+// received.
+const notReceivedRetryAfter = time.Second
+
+// decodeJSON decodes one JSON value without unknown fields.
+func decodeJSON(body []byte, into any) error {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
--- a/entry/direct/direct.go
+++ b/entry/direct/direct.go
@@ -10,7 +10,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -19,6 +18,7 @@
 	"time"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/node/intake"
 )
 
 // IdempotentHeader set to "true" marks a request that may be sent more than
@@ -38,6 +38,9 @@
 // a free connection.
 const noCapacityRetryAfter = 200 * time.Millisecond
 
+// notReceivedRetryAfter is the retry delay advised to callers whose request was not received.
+const notReceivedRetryAfter = time.Second
+
 // Options configures a Forwarder. Candidates is required; zero values of the other
 // fields select the defaults.
 type Options struct {
@@ -51,7 +54,7 @@
 	Observe          func(Observation) // called at the end of each request
 	StripHeaders     []string          // request headers that are not forwarded, such as keys
 	MaxRequestBytes  int64             // limit of a request's body
-	MaxBufferedBytes int64             // part of a response that is read before any of it is written to the caller
+	MaxBufferedBytes int64             // part of a response that is read before any of it is written to the caller, if there is memory for it
 	Timeout          time.Duration     // of a request with all its attempts
 	MaxAttempts      int
 	GrowDelay        time.Duration // before a larger quota of connections is used
@@ -255,15 +258,19 @@
 // readBody reads the request's body into memory, so that a retry can send it again.
 func (c *call) readBody(w http.ResponseWriter) error {
 	limit := c.forwarder.options.MaxRequestBytes
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, limit))
+	body, err := intake.ReadBody(w, c.request, limit)
+	if err == nil {
+		err = body.Decode(c.request.Context(), func(b []byte) error { c.body = b; return nil })
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case intake.NotReceived(err):
+		return &fleet.Refusal{Reason: fleet.ReasonNoCapacity, Detail: err.Error(), RetryAfter: notReceivedRetryAfter}
 	case errors.As(err, &tooLarge):
 		return &fleet.Refusal{Reason: fleet.ReasonInvalid, Detail: fmt.Sprintf("request body is over the limit of %d bytes", limit)}
 	case err != nil:
 		return &fleet.Refusal{Reason: fleet.ReasonInvalid, Detail: fmt.Sprintf("read request body: %v", err)}
 	}
-	c.body = body
 	return nil
 }
 
--- a/entry/direct/direct_test.go
+++ b/entry/direct/direct_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"log"
@@ -21,10 +22,12 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 
 	"amaranthfork.example/backing/httpapi"
 	"amaranthfork.example/fleet"
 	"amaranthfork.example/fleet/fleettest"
+	"amaranthfork.example/node/intake"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -328,6 +331,33 @@
 	}
 }
 
+// TestResponseWithoutMemoryForIt guards against a response that is held, refused or cut
+// because callers' requests use all the memory that they may: it is passed on as it arrives.
+func TestResponseWithoutMemoryForIt(t *testing.T) {
+	body := strings.Repeat("b", 100_000)
+	endpoint, _ := newRawEndpoint(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	e := newEntry(t, []Endpoint{endpoint}, nil)
+	port := intake.NewPort("callers", intake.DefaultSettings(), intake.Limits{Connections: 4, Bytes: 10_000, Grace: time.Second}, zap.NewNop())
+	listener, err := port.Listen(t.Context(), "127.0.0.1:0")
+	must(t, err)
+	server := port.Server(e)
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	t.Cleanup(func() { _ = server.Close() })   // no request is left
+	status, answer, err := do(t, "GET", "http://"+listener.Addr().String()+"/x", "")
+	if err != nil || status != http.StatusOK || answer != body {
+		t.Errorf("status %d, %d bytes, %v; want the whole response", status, len(answer), err)
+	}
+	var held string
+	port.Publish(func(name string, v expvar.Var) {
+		if name == "callers_refused_requests" {
+			held = v.String()
+		}
+	})
+	if held != "1" {
+		t.Errorf("%s refusals of memory, want one: the response is not accounted for", held)
+	}
+}
+
 // discard is a connection that accepts and drops all writes.
 type discard struct{ net.Conn }
 
--- a/entry/direct/response.go
+++ b/entry/direct/response.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strconv"
 	"strings"
+
+	"amaranthfork.example/node/intake"
 )
 
 var (
@@ -73,7 +75,20 @@
 	return req.WithContext(ctx)
 }
 
-// relayResponse reads the response completely, or up to MaxBufferedBytes, before it
+// bufferedBytes returns how much of a response is read before any of it is written: nothing
+// while callers' requests hold all the memory that they may.
+func (c *call) bufferedBytes(resp *http.Response) int64 {
+	limit := c.forwarder.options.MaxBufferedBytes
+	if resp.ContentLength >= 0 {
+		limit = min(limit, resp.ContentLength)
+	}
+	if err := intake.Hold(c.request, limit); err != nil {
+		return 0
+	}
+	return limit
+}
+
+// relayResponse reads the response completely, or up to bufferedBytes, before it
 // writes anything to the caller. Up to that point an error leaves w untouched.
 func (c *call) relayResponse(w http.ResponseWriter, resp *http.Response) error {
 	hasBody := c.request.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
@@ -83,7 +98,10 @@
 	if hasBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errNoLength
 	}
-	limit := c.forwarder.options.MaxBufferedBytes
+	limit := int64(0)
+	if hasBody {
+		limit = c.bufferedBytes(resp)
+	}
 	var start bytes.Buffer
 	if resp.ContentLength > 0 && resp.ContentLength <= limit {
 		start.Grow(int(resp.ContentLength) + bytes.MinRead)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,6 +21,7 @@
 	"amaranthfork.example/entry/metrics"
 	"amaranthfork.example/entry/peer"
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/node/intake"
 )
 
 // Platform holds the clients of the platform's services.
@@ -74,15 +77,21 @@
 	if err != nil {
 		return nil, err
 	}
-	e.peer, err = listen("peers", o.Settings.PeerAddress, http.HandlerFunc(e.servePeer), serverTLS)
+	e.peer, err = listenForPeers(o.Settings.PeerAddress, http.HandlerFunc(e.servePeer), serverTLS)
 	if err != nil {
 		return nil, err
 	}
-	e.api, err = listen("callers", o.Settings.APIAddress, http.HandlerFunc(e.serveAPI), serverTLS)
+	clients := o.Settings.Clients.Derive(o.Settings.MemoryMB, o.Settings.MaxFDs)
+	callers := intake.NewPort("callers", clients, clients.Callers(), o.Log)
+	e.api, err = listenForCallers(o.Settings.APIAddress, callers, http.HandlerFunc(e.serveAPI), serverTLS)
 	if err != nil {
 		return nil, errors.Join(err, e.peer.inner.Close())
 	}
+	o.Log.Info("client_limits", clients.Fields()...)
 	e.publish()
+	callers.Publish(func(name string, v expvar.Var) {
+		e.metrics.Publish(name, func() any { return json.RawMessage(v.String()) })
+	})
 	return e, nil
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -8,8 +8,11 @@
 	"net"
 	"net/http"
 	"time"
+
+	"amaranthfork.example/node/intake"
 )
 
+// Limits of the listener for other entries.
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
@@ -23,16 +26,13 @@
 	inner  net.Listener // a TLS listener if TLS is configured
 }
 
-// listen opens a listener, with TLS if config is not nil. name appears in errors.
-func listen(name, address string, handler http.Handler, config *tls.Config) (*listener, error) {
+// listenForPeers opens the listener for other entries, with TLS if config is not nil.
+func listenForPeers(address string, handler http.Handler, config *tls.Config) (*listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen for %s: %w", name, err)
-	}
-	if config != nil {
-		l = tls.NewListener(l, config)
+		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	return &listener{name: name, inner: l, server: &http.Server{
+	return &listener{name: "peers", inner: withTLS(l, config), server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -40,6 +40,23 @@
 	}}, nil
 }
 
+// listenForCallers opens the listener for callers and operators, with TLS if config is not
+// nil. The port bounds what they can hold.
+func listenForCallers(address string, port *intake.Port, handler http.Handler, config *tls.Config) (*listener, error) {
+	l, err := port.Listen(context.Background(), address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	return &listener{name: "callers", inner: withTLS(l, config), server: port.Server(handler)}, nil
+}
+
+func withTLS(l net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return l
+	}
+	return tls.NewListener(l, config)
+}
+
 // address returns the host:port at which the listener listens.
 func (l *listener) address() string { return l.inner.Addr().String() }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/node/intake"
 )
 
 // Settings are the process settings of an entry. Each can be set by a flag and by an
@@ -24,15 +25,21 @@
 	TLSCert               string // PEM file, as are TLSKey and TLSCA; all three empty means no TLS
 	TLSKey                string
 	TLSCA                 string
-	DrainDelay            time.Duration // from the failing readiness check to closed listeners, for the load balancer
-	StopTimeout           time.Duration // for running requests after the drain delay
-	Shards                int           // job shards of the fleet; must be the same on all entries
+	DrainDelay            time.Duration   // from the failing readiness check to closed listeners, for the load balancer
+	StopTimeout           time.Duration   // for running requests after the drain delay
+	Clients               intake.Settings // limits on callers and operators
+	MemoryMB              int64           // memory of this VM, for these limits; 0 if it is not known
+	MaxFDs                int64           // descriptors of this process, for these limits; 0 if it is not known
+	Shards                int             // job shards of the fleet; must be the same on all entries
 }
 
 // DefaultSettings returns the default settings. Those without a default are empty and
 // have to be set.
 func DefaultSettings() Settings {
+	clients := intake.DefaultSettings()
+	clients.IdleTimeout = idleTimeout
 	return Settings{
+		Clients:     clients,
 		APIAddress:  "127.0.0.1:7400",
 		PeerAddress: "127.0.0.1:7401",
 		DrainDelay:  5 * time.Second,
@@ -77,5 +84,6 @@
 	require(s.DrainDelay >= 0 && s.DrainDelay <= 10*time.Minute, "drain-delay: %s is not from 0s to 10m", s.DrainDelay)
 	require(s.StopTimeout > 0 && s.StopTimeout <= time.Hour, "stop-timeout: %s is not above 0s and up to 1h", s.StopTimeout)
 	require(s.Shards > 0 && s.Shards <= maxShards, "shards: %d is not from 1 to %d", s.Shards, maxShards)
-	return errors.Join(errs...)
+	require(s.MemoryMB >= 0 && s.MaxFDs >= 0, "memory-mb, max-fds: must not be negative")
+	return errors.Join(append(errs, s.Clients.Check())...)
 }
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -63,8 +63,7 @@
 // *http.MaxBytesError, ErrNoMemory, ErrStalled, or that of the connection. After an error the
 // connection is closed with the answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
-	b := &Body{}
-	b.conn, _ = r.Context().Value(connKey{}).(*conn)
+	b := &Body{conn: connOf(r)}
 	if err := b.expect(r.ContentLength, limit); err != nil {
 		w.Header().Set("Connection", "close")
 		return nil, err
@@ -100,6 +99,18 @@
 	return b, nil
 }
 
+// Hold charges bytes that a request takes beyond its body until it is answered, such as a
+// buffered answer. The error is ErrNoMemory, which does not end the request.
+func Hold(r *http.Request, bytes int64) error {
+	c := connOf(r)
+	if c == nil || c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) {
+		return l.Hold(c.entry, bytes, now)
+	}) {
+		return nil
+	}
+	return ErrNoMemory
+}
+
 // expect returns the error of a body of an announced length that can't be taken, whatever else
 // the port holds; nil if it can, or if the length is not known.
 func (b *Body) expect(length, limit int64) error {
@@ -116,6 +127,12 @@
 // ErrBusy means that a large body waited for others to be decoded until its request ended.
 var ErrBusy = errors.New("other large requests are being decoded")
 
+// NotReceived reports whether the error of a request means that its body was not received or
+// not decoded for lack of memory or time: nothing of it was carried out.
+func NotReceived(err error) bool {
+	return errors.Is(err, ErrNoMemory) || errors.Is(err, ErrStalled) || errors.Is(err, ErrBusy)
+}
+
 // Decode calls f with the body, which is no longer kept afterwards. The large bodies of a port
 // are decoded one at a time, so that only one takes the memory for it. The error is ErrBusy if
 // ctx ends before, or that of f.
--- a/node/intake/ledger.go
+++ b/node/intake/ledger.go
@@ -235,6 +235,15 @@
 	return l.charge(e, max(0, bytes-e.bytes), now)
 }
 
+// Hold charges more bytes to a request that has been received. The results are those of
+// Receive.
+func (l *Ledger) Hold(e *Entry, bytes int64, now time.Duration) (victims []*Entry, ok bool) {
+	if e.place == nil {
+		return nil, false
+	}
+	return l.charge(e, bytes, now)
+}
+
 func (l *Ledger) charge(e *Entry, n int64, now time.Duration) (victims []*Entry, ok bool) {
 	more := l.limits.beyond(e.bytes+n) - l.limits.beyond(e.bytes)
 	for l.bytes+more > l.limits.Bytes && more > 0 {
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -360,6 +360,22 @@
 
 type connKey struct{}
 
+// counted returns the counted connection under a connection of a server, which may be one of
+// TLS; nil if there is none.
+func counted(c net.Conn) *conn {
+	if over, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = over.NetConn()
+	}
+	under, _ := c.(*conn)
+	return under
+}
+
+// connOf returns the counted connection of a request, nil if it is not counted.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
 // Server returns a server of the port, which serves connections of its listener.
 func (p *Port) Server(handler http.Handler) *http.Server {
 	return &http.Server{
@@ -368,10 +384,10 @@
 		IdleTimeout:       p.settings.IdleTimeout,
 		MaxHeaderBytes:    p.settings.HeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(ctx, connKey{}, counted(c))
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
-			if counted, ok := c.(*conn); ok && state == http.StateIdle {
+			if counted := counted(c); counted != nil && state == http.StateIdle {
 				counted.headed.Store(false)
 				counted.header.Store(0)
 				counted.note((*Ledger).Idle)
@@ -383,8 +399,8 @@
 // handler bounds the time for bodies, also where next does not read them.
 func (p *Port) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*conn)
-		if !ok {
+		c := connOf(r)
+		if c == nil {
 			next.ServeHTTP(w, r)
 			return
 		}
