Close a connection for whose header there is no memory, without an answer

Callers saw: 400, "not valid, don't send it again", for a whole, valid request with a long header, when the memory for requests was used up.

Cause: to an error of the connection that it does not know, the HTTP server answers 400 if it comes within a header.

Evidence: TestNoMemoryForAHeader; before, "HTTP/1.1 400 Bad Request".

Change: the error is one of reading a connection, after which the server closes it. A broken connection promises nothing, so that the caller tries again.

--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -354,6 +354,22 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, announced, strings.Repeat("b", sent))
 }
 
+// Guards against a caller that is told that its request is not valid, and does not come back,
+// because there is no memory for its header: nothing is promised.
+func TestNoMemoryForAHeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPort("test", DefaultSettings(), Limits{Connections: 2, Bytes: 100_000, Grace: second}, zap.NewNop())
+		client := serve(t, p)()
+		go func() {
+			_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("a", 50_000)+"\r\n\r\n") // the server closes it
+		}()
+		if answer, _ := io.ReadAll(client); len(answer) > 0 {
+			t.Errorf("answered with %.40q", answer)
+		}
+		_ = client.Close() // a pipe
+	})
+}
+
 // Guards against bodies that hold their connection for ever, and against bytes that stay
 // charged after any of the ways in which a request can end.
 func TestBodiesOnAPort(t *testing.T) {
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -278,20 +278,24 @@
 	return n + (headerFactor-1)*int(max(0, min(long, int64(n))))
 }
 
-// Read implements net.Conn. The error is ErrNoMemory if the bytes are beyond the limits; they
+// Read implements net.Conn. The error wraps ErrNoMemory if the bytes are beyond the limits; they
 // are lost, and all later reads fail.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.ended {
-		return 0, ErrNoMemory
+		return 0, errRead
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 && !c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Receive(c.entry, c.cost(n), now) }) {
 		c.ended = true
-		return 0, ErrNoMemory
+		return 0, errRead
 	}
 	return n, err
 }
 
+// errRead is ErrNoMemory as a failure of the connection. To another error in a header, the
+// server answers that the request is not valid.
+var errRead error = &net.OpError{Op: "read", Net: "tcp", Err: ErrNoMemory}
+
 // charge carries a decision of the ledger out.
 func (c *conn) charge(decide func(*Ledger, time.Duration) ([]*Entry, bool)) bool {
 	p := c.port
