Follow the declared limits of headers and idle connections

Callers and operators saw: a header of four times the declared size was taken, an unfinished one was awaited for 10 s where 3 are declared, and a change of these limits had no effect at any time.

Cause: only the largest body of the declarations was looked at; the others were read, checked and compared, but not used.

Evidence: TestDeclaredHeaderLimit with real processes; before, 200 for a header of 16 KB and more after 16 KB were declared.

Change: the port of callers asks for the declared limits when they matter: a header over the limit is answered 431 and its connection closed, and the times for a header and for an unused connection end as declared. The settings still bound them. Before its first request a connection has 10 s, or the declared idle time if that is shorter.

--- a/emulator/crowd/mixed_test.go
+++ b/emulator/crowd/mixed_test.go
@@ -1,10 +1,13 @@
 package crowd
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -143,6 +146,44 @@
 	s.check()
 }
 
+// Guards against declared limits of headers that have no effect, or none before the next start.
+func TestDeclaredHeaderLimit(t *testing.T) {
+	s := startSystem(t)
+	const declared = 16 << 10
+	long := func() error {
+		conn, err := net.DialTimeout("tcp", s.callers, requestTime)
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		if err := conn.SetDeadline(time.Now().Add(requestTime)); err != nil {
+			return err
+		}
+		head := strings.TrimSuffix(get("/"+queue+"/"), "\r\n") + "X-Filler: " + strings.Repeat("f", declared) + "\r\n\r\n"
+		if _, err := io.WriteString(conn, head); err != nil {
+			return err
+		}
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return err
+		}
+		defer answer.Body.Close()
+		if answer.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			return fmt.Errorf("status %d", answer.StatusCode)
+		}
+		return nil
+	}
+	if err := long(); err == nil {
+		t.Error("a long header was refused before a limit was declared")
+	}
+	row := declarations(2)
+	row["value"].(map[string]any)["limits"] = map[string]any{"max_body_bytes": maxBodyBytes, "max_header_bytes": declared, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+	s.await("declared limit", func() error { return postJSON(s.admin, "/row", row) })
+	s.await("header over the declared limit", long)
+	s.ordinary("with the declared limit")
+	s.check()
+}
+
 // Guards against requests that pile up while the table service refuses all calls.
 func TestCrowdWithoutTableService(t *testing.T) {
 	s := startSystem(t)
--- a/emulator/crowd/system_test.go
+++ b/emulator/crowd/system_test.go
@@ -258,7 +258,7 @@
 }
 
 // declarations are the operators' declarations.
-func declarations(version int, keys ...string) any {
+func declarations(version int, keys ...string) map[string]any {
 	return map[string]any{"name": "config", "value": map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{"name": "q-" + queue, "host": host, "prefix": "/" + queue + "/", "service": queue, "timeout_ms": 3000,
--- a/node/api.go
+++ b/node/api.go
@@ -105,13 +105,17 @@
 	return defaultMaxViewAge
 }
 
-// BodyLimit returns the largest size of a request body, in bytes.
-func (n *Node) BodyLimit() int64 {
-	view, _ := n.operator.Get()
-	if view.Catalog == nil || view.Catalog.Limits.BodyBytes <= 0 {
-		return defaultBodyBytes
+// Limits returns the limits on requests that the operators declare. What they do not declare
+// is 0, but for the size of a body, for which there is a default.
+func (n *Node) Limits() catalog.Limits {
+	var limits catalog.Limits
+	if view, _ := n.operator.Get(); view.Catalog != nil {
+		limits = view.Catalog.Limits
+	}
+	if limits.BodyBytes <= 0 {
+		limits.BodyBytes = defaultBodyBytes
 	}
-	return view.Catalog.Limits.BodyBytes
+	return limits
 }
 
 // defaultBodyBytes is the limit while none is declared.
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -370,6 +370,78 @@
 	})
 }
 
+// Guards against declared limits that have no effect, or only that of the start.
+func TestDeclaredLimits(t *testing.T) {
+	declared := Declared{}
+	port := func(t *testing.T) (*Port, func() net.Conn) {
+		p := NewPort("test", DefaultSettings(), Limits{Connections: 9, Bytes: 8 << 20, Grace: second}, zap.NewNop())
+		p.Follow(func() Declared { return declared })
+		return p, serve(t, p)
+	}
+	// closedAfter is how long the server keeps a connection after the given bytes.
+	closedAfter := func(c net.Conn, pause time.Duration, parts ...string) time.Duration {
+		go func() {
+			for _, part := range parts {
+				if _, err := io.WriteString(c, part); err != nil {
+					return // the server has closed it
+				}
+				time.Sleep(pause)
+			}
+		}()
+		began := time.Now()
+		_, _ = io.Copy(io.Discard, c) // until the server closes it
+		_ = c.Close()                 // a pipe
+		return time.Since(began)
+	}
+	const begun, whole = "GET /unread HTTP/1.1\r\nHost: h\r\n", "GET /unread HTTP/1.1\r\nHost: h\r\n\r\n"
+	slow := []string{begun, "A: 1\r\n", "B: 2\r\n", "C: 3\r\n", "D: 4\r\n", "E: 5\r\n", "F: 6\r\n", "G: 7\r\n", "H: 8\r\n", "I: 9\r\n", "J: 0\r\n", "K: 1\r\n"}
+	for name, c := range map[string]struct {
+		declared Declared
+		parts    []string
+		want     time.Duration
+	}{
+		"silent, nothing declared":        {Declared{}, nil, 10 * second},
+		"slow header, nothing declared":   {Declared{}, slow, 10 * second},
+		"idle, nothing declared":          {Declared{}, []string{whole}, 60 * second},
+		"silent":                          {Declared{HeaderTimeout: 3 * second, IdleTimeout: 15 * second}, nil, 10 * second},
+		"slow header":                     {Declared{HeaderTimeout: 3 * second, IdleTimeout: 15 * second}, slow, 3 * second},
+		"idle":                            {Declared{HeaderTimeout: 3 * second, IdleTimeout: 15 * second}, []string{whole}, 15 * second},
+		"declared above the settings":     {Declared{HeaderTimeout: 30 * second, IdleTimeout: 90 * second}, slow, 10 * second},
+		"silent, short idle time":         {Declared{IdleTimeout: 5 * second}, nil, 5 * second},
+		"idle, then a slow second header": {Declared{HeaderTimeout: 3 * second, IdleTimeout: 15 * second}, append([]string{whole, "", "", ""}, slow...), 7 * second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				declared = c.declared
+				p, open := port(t)
+				if took := closedAfter(open(), second, c.parts...).Truncate(second); took != c.want {
+					t.Errorf("closed after %s, want %s", took, c.want)
+				}
+				time.Sleep(time.Minute)
+				if p.ledger.Bytes() != 0 || p.ledger.Connections() != 0 {
+					t.Errorf("%d bytes and %d connections are left", p.ledger.Bytes(), p.ledger.Connections())
+				}
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		_, open := port(t)
+		for _, c := range []struct{ limit, filler, status int }{
+			{0, 20_000, http.StatusUnauthorized}, {16 << 10, 20_000, http.StatusRequestHeaderFieldsTooLarge}, {16 << 10, 16_000, http.StatusUnauthorized},
+			{1 << 20, 60_000, http.StatusUnauthorized}, {30_000, 20_000, http.StatusUnauthorized},
+		} {
+			declared = Declared{HeaderBytes: c.limit}
+			client := open()
+			answer := exchange(t, client, begun+"A: "+strings.Repeat("a", c.filler)+"\r\n\r\n")
+			if answer.StatusCode != c.status {
+				t.Errorf("header of %d bytes, %d declared: status %d, want %d", c.filler, c.limit, answer.StatusCode, c.status)
+			}
+			_ = client.Close() // the answer has been read
+			time.Sleep(time.Minute)
+		}
+	})
+}
+
 // Guards against bodies that hold their connection for ever, and against bytes that stay
 // charged after any of the ways in which a request can end.
 func TestBodiesOnAPort(t *testing.T) {
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -38,11 +38,12 @@
 	closedUnanswered   = "_closed_unanswered"   // connections whose request has been in hand for very long, closed for others
 	lastAnswers        = "_last_answers"        // connections that are closed with an answer, for others
 	refusedConnections = "_refused_connections" // closed at once
+	refusedHeaders     = "_refused_headers"     // larger than declared
 	refusedRequests    = "_refused_requests"    // for lack of memory
 	stalledRequests    = "_stalled_requests"    // whose body stopped or took too long
 )
 
-var counterNames = []string{closedIdle, closedIncomplete, closedUntaken, closedUnanswered, lastAnswers, refusedConnections, refusedRequests, stalledRequests}
+var counterNames = []string{closedIdle, closedIncomplete, closedUntaken, closedUnanswered, lastAnswers, refusedConnections, refusedHeaders, refusedRequests, stalledRequests}
 
 // ErrNoMemory means that the memory for requests is used up.
 var ErrNoMemory = errors.New("memory for requests is used up")
@@ -54,7 +55,8 @@
 	log      *zap.Logger
 	began    time.Time
 	counters map[string]*expvar.Int
-	decoding chan struct{} // holds an element while a large body is decoded
+	decoding chan struct{}   // holds an element while a large body is decoded
+	declared func() Declared // what the operators declare; nil if they declare nothing
 
 	mu       sync.Mutex
 	ledger   *Ledger
@@ -74,6 +76,36 @@
 	return p
 }
 
+// Declared are limits that operators declare and may change at any time. They hold where they
+// are lower than the settings; 0 means that nothing is declared.
+type Declared struct {
+	HeaderBytes   int           // of a request's header
+	HeaderTimeout time.Duration // until a request's header is complete
+	IdleTimeout   time.Duration // of an unused connection
+}
+
+// Follow makes the port follow declared limits. Call it before the port is used.
+func (p *Port) Follow(declared func() Declared) { p.declared = declared }
+
+// limits returns the limits of headers and of unused connections in force.
+func (p *Port) limits() Declared {
+	l := Declared{p.settings.HeaderBytes, p.settings.HeaderTimeout, p.settings.IdleTimeout}
+	if p.declared == nil {
+		return l
+	}
+	d := p.declared()
+	if d.HeaderBytes > 0 {
+		l.HeaderBytes = min(l.HeaderBytes, d.HeaderBytes)
+	}
+	if d.HeaderTimeout > 0 {
+		l.HeaderTimeout = min(l.HeaderTimeout, d.HeaderTimeout)
+	}
+	if d.IdleTimeout > 0 {
+		l.IdleTimeout = min(l.IdleTimeout, d.IdleTimeout)
+	}
+	return l
+}
+
 func (p *Port) now() time.Duration { return time.Since(p.began) }
 
 // Publish hands the port's counters and gauges over.
@@ -215,7 +247,7 @@
 				victim.close()
 				p.count(closedCounter[victim.phase], 1)
 			}
-			return &conn{Conn: c, port: p, entry: e}
+			return &conn{Conn: c, port: p, entry: e, awaited: time.Now()}
 		}
 		wait := min(until-now, p.ledger.NextVictim(now))
 		if p.full || now >= until || ctx.Err() != nil {
@@ -262,11 +294,15 @@
 // conn is a counted connection.
 type conn struct {
 	net.Conn
-	port   *Port
-	entry  *Entry
-	ended  bool         // bytes were lost
-	headed atomic.Bool  // the header of the present request has been received
-	header atomic.Int64 // bytes received before that
+	port  *Port
+	entry *Entry
+	ended bool        // bytes were lost
+	used  atomic.Bool // a request was answered on it
+	// awaited is when the header of the present request began, before that when the connection
+	// became idle or was opened. Whoever reads the connection uses it.
+	awaited time.Time
+	headed  atomic.Bool  // the header of the present request has been received
+	header  atomic.Int64 // bytes received before that
 }
 
 // cost returns what n bytes that have just been received are charged as.
@@ -284,7 +320,13 @@
 	if c.ended {
 		return 0, errRead
 	}
+	if err := c.limitHeader(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(b)
+	if n > 0 && c.header.Load() == 0 {
+		c.awaited = time.Now()
+	}
 	if n > 0 && !c.charge(func(l *Ledger, now time.Duration) ([]*Entry, bool) { return l.Receive(c.entry, c.cost(n), now) }) {
 		c.ended = true
 		return 0, errRead
@@ -296,6 +338,24 @@
 // server answers that the request is not valid.
 var errRead error = &net.OpError{Op: "read", Net: "tcp", Err: ErrNoMemory}
 
+// limitHeader bounds the time for the header of a request, and until it begins. The server has
+// set a deadline by the settings, which the declared limits may shorten.
+func (c *conn) limitHeader() error {
+	if c.port.declared == nil || c.headed.Load() {
+		return nil
+	}
+	limits := c.port.limits()
+	timeout := limits.HeaderTimeout
+	switch {
+	case c.header.Load() > 0:
+	case c.used.Load():
+		timeout = limits.IdleTimeout
+	default:
+		timeout = min(limits.IdleTimeout, c.port.settings.HeaderTimeout)
+	}
+	return c.SetReadDeadline(c.awaited.Add(timeout))
+}
+
 // charge carries a decision of the ledger out.
 func (c *conn) charge(decide func(*Ledger, time.Duration) ([]*Entry, bool)) bool {
 	p := c.port
@@ -342,6 +402,14 @@
 	return c.Conn.Close()
 }
 
+// next prepares for the next request, after an answer.
+func (c *conn) next() {
+	c.awaited = time.Now()
+	c.used.Store(true)
+	c.header.Store(0)
+	c.headed.Store(false)
+}
+
 // lastAnswer reports whether the connection ends with the present answer.
 func (c *conn) lastAnswer() bool {
 	c.port.mu.Lock()
@@ -392,8 +460,7 @@
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if counted := counted(c); counted != nil && state == http.StateIdle {
-				counted.headed.Store(false)
-				counted.header.Store(0)
+				counted.next()
 				counted.note((*Ledger).Idle)
 			}
 		},
@@ -409,6 +476,13 @@
 			return
 		}
 		c.headed.Store(true)
+		if headerSize(r) > p.limits().HeaderBytes {
+			w.Header().Set("Connection", "close")
+			p.count(refusedHeaders, 1)
+			http.Error(w, "header is too large", http.StatusRequestHeaderFieldsTooLarge)
+			c.limitLeftover()
+			return
+		}
 		if c.lastAnswer() {
 			w.Header().Set("Connection", "close")
 			p.count(lastAnswers, 1)
@@ -430,3 +504,16 @@
 		}
 	})
 }
+
+// headerSize returns the size of a request's header as it was received, in bytes, without
+// what the fields have of spaces around their values.
+func headerSize(r *http.Request) int {
+	const requestLine, field = len("  \r\n"), len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + requestLine + len("Host") + len(r.Host) + field
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + field
+		}
+	}
+	return n
+}
