Test of a silent table service beside a crowd; names in intake

Callers and large bodies beside a table service that is stopped for 0.2 to 3 s and goes on with what it had received: at the end an accepted job has succeeded and a refused one does not exist. No change of the product but for two names.

--- a/emulator/crowd/dev_test.go
+++ b/emulator/crowd/dev_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	f := &devFleet{t: t}
-	f.entry.pid.Store(int64(cmd.Process.Pid))
+	f.entry.entryPID.Store(int64(cmd.Process.Pid))
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill() // fails only if it has ended
 		_ = cmd.Wait()         // it was killed
--- a/emulator/crowd/soak_test.go
+++ b/emulator/crowd/soak_test.go
@@ -109,6 +109,44 @@
 	}
 }
 
+// Guards against requests that pile up, and against refusals that are not true, while the table
+// service gives no answers: what was sent before is carried out when it goes on.
+func TestCrowdBesideSilentTableService(t *testing.T) {
+	s := startSystem(t)
+	r := &soakRun{environment: s.environment, entries: []*system{s}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var callers, clients sync.WaitGroup
+	for i := range soakCallers {
+		callers.Go(func() { r.call(ctx, rand.New(rand.NewSource(int64(i)))) })
+	}
+	large := s.sendBody(host, key, ofLength(len(body)), body)
+	for i := range bodyCrowd {
+		clients.Go(func() {
+			for ctx.Err() == nil {
+				s.play(ctx, s.callers, i%wholeOneIn == 0, large, func() {})
+			}
+		})
+	}
+	for _, silence := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, longestFault} {
+		time.Sleep(time.Second)
+		if err := syscall.Kill(r.environment.pid, syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(silence)
+		if err := syscall.Kill(r.environment.pid, syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.ordinary("beside the crowd")
+	cancel()
+	callers.Wait()
+	clients.Wait()
+	time.Sleep(lateCommit)
+	r.judge()
+	s.check()
+}
+
 // startClients starts clients of several kinds that play again and again until ctx ends.
 func (r *soakRun) startClients(ctx context.Context, wg *sync.WaitGroup) {
 	type kind struct {
@@ -197,7 +235,7 @@
 		{"stop that is cut short", end(syscall.SIGTERM, syscall.SIGKILL)},
 		{"kill", end(syscall.SIGKILL)},
 		{"freeze", func() error {
-			pid := int(r.entries[entry].pid.Load())
+			pid := int(r.entries[entry].entryPID.Load())
 			if err := syscall.Kill(pid, syscall.SIGSTOP); err != nil {
 				return ignoreEnded(err)
 			}
@@ -206,7 +244,7 @@
 		}},
 		{"reloads", func() error {
 			for range 5 {
-				if err := ignoreEnded(syscall.Kill(int(r.entries[entry].pid.Load()), syscall.SIGHUP)); err != nil {
+				if err := ignoreEnded(syscall.Kill(int(r.entries[entry].entryPID.Load()), syscall.SIGHUP)); err != nil {
 					return err
 				}
 				time.Sleep(signalPause)
--- a/emulator/crowd/system_test.go
+++ b/emulator/crowd/system_test.go
@@ -75,6 +75,7 @@
 	dir     string // of logs and settings
 	service string // address of the table service
 	admin   string // address at which the test controls it
+	pid     int    // of the table service
 	nextID  atomic.Int64
 }
 
@@ -85,7 +86,7 @@
 	callers, readiness, internal string // addresses of the entry
 	settings                     string // path of its settings file
 	entry                        *exec.Cmd
-	pid                          atomic.Int64
+	entryPID                     atomic.Int64
 	ended                        chan struct{} // closed when the entry's process has ended
 	done                         chan struct{} // closed when no more samples are taken
 	sampled                      sync.WaitGroup
@@ -138,7 +139,7 @@
 	e := &environment{t: t, dir: t.TempDir(), service: freeAddress(t), admin: freeAddress(t)}
 	worker, control := freeAddress(t), freeAddress(t)
 	soak := filepath.Join(programs, "amaranth-soak")
-	run := func(log string, args ...string) {
+	run := func(log string, args ...string) (pid int) {
 		cmd := exec.Command(soak, args...)
 		if err := startProcess(cmd, filepath.Join(e.dir, log)); err != nil {
 			t.Fatal(err)
@@ -147,8 +148,9 @@
 			_ = cmd.Process.Kill() // fails only if it has ended
 			_ = cmd.Wait()         // it was killed
 		})
+		return cmd.Process.Pid
 	}
-	run("service.log", "service", "--listen", e.service, "--admin", e.admin, "--seed", "1")
+	e.pid = run("service.log", "service", "--listen", e.service, "--admin", e.admin, "--seed", "1")
 	e.await("table service", func() error { return postJSON(e.admin, "/row", declarations(1)) })
 	run("worker.log", "worker", "--id", "w-00", "--pool", queue, "--zone", "dc-0", "--listen", worker, "--control", control,
 		"--advertise", worker, "--service", e.admin, "--max-lease", workerMaxLive, "--seed", "1")
@@ -212,7 +214,7 @@
 		close(ended)
 	}()
 	s.entry, s.ended = cmd, ended
-	s.pid.Store(int64(cmd.Process.Pid))
+	s.entryPID.Store(int64(cmd.Process.Pid))
 	s.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGKILL) // fails only if it has ended
 		<-ended
@@ -357,7 +359,7 @@
 
 // status returns a line of the process's status, in KB; 0 if the process has ended.
 func (s *system) status(name string) int64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.pid.Load()))
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.entryPID.Load()))
 	if err != nil {
 		return 0
 	}
@@ -404,7 +406,7 @@
 }
 
 func (s *system) descriptors() (sockets, all int64) {
-	dir := fmt.Sprintf("/proc/%d/fd", s.pid.Load())
+	dir := fmt.Sprintf("/proc/%d/fd", s.entryPID.Load())
 	list, err := os.ReadDir(dir)
 	if err != nil {
 		return 0, 0
--- a/node/intake/ledger.go
+++ b/node/intake/ledger.go
@@ -130,7 +130,7 @@
 
 // Wait notes that a new connection for which there is no room begins to wait. Until it is
 // opened or gives up, other connections are closed with their answers: one if this is the first
-// to wait for the grace, else twice as many as for the one before, at most a part of all.
+// to wait since the grace, else twice as many as for the one before, at most a part of all.
 func (l *Ledger) Wait(now time.Duration) {
 	if l.turn == 0 || now-l.waitedAt > l.limits.Grace {
 		l.turn = 1
@@ -207,8 +207,8 @@
 // Receive charges received bytes to the request of a connection. It returns false if they
 // are beyond the limit: the request is then refused. The caller closes the victims, which are
 // no longer in the ledger: those whose requests have been incomplete for longest, and those
-// whose clients do not take their answers. Bytes that
-// follow a whole request are few and are not refused.
+// whose clients do not take their answers. Bytes that follow a whole request are few and are
+// not refused.
 func (l *Ledger) Receive(e *Entry, n int, now time.Duration) (victims []*Entry, ok bool) {
 	if e.place == nil {
 		return nil, false
--- a/node/intake/port.go
+++ b/node/intake/port.go
@@ -274,8 +274,8 @@
 // closedCounter is the counter of connections that were closed for others, by their phase.
 var closedCounter = map[phase]string{idle: closedIdle, receiving: closedIncomplete, writing: closedUntaken, answering: closedUnanswered}
 
-// ended notes that connections have ended. The caller holds p.mu.
-func (p *Port) ended() {
+// signalRoom notes that connections have ended. The caller holds p.mu.
+func (p *Port) signalRoom() {
 	p.full = false
 	select {
 	case p.freed <- struct{}{}:
@@ -363,7 +363,7 @@
 	victims, ok := decide(p.ledger, p.now())
 	evicted := c.entry.place == nil
 	if len(victims) > 0 {
-		p.ended()
+		p.signalRoom()
 	}
 	p.mu.Unlock()
 	for _, v := range victims {
@@ -397,7 +397,7 @@
 func (c *conn) Close() error {
 	c.port.mu.Lock()
 	c.port.ledger.Close(c.entry)
-	c.port.ended()
+	c.port.signalRoom()
 	c.port.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -432,9 +432,9 @@
 
 type connKey struct{}
 
-// counted returns the counted connection under a connection of a server, which may be one of
+// countedConn returns the counted connection under a connection of a server, which may be one of
 // TLS; nil if there is none.
-func counted(c net.Conn) *conn {
+func countedConn(c net.Conn) *conn {
 	if over, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = over.NetConn()
 	}
@@ -456,10 +456,10 @@
 		IdleTimeout:       p.settings.IdleTimeout,
 		MaxHeaderBytes:    p.settings.HeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, counted(c))
+			return context.WithValue(ctx, connKey{}, countedConn(c))
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
-			if counted := counted(c); counted != nil && state == http.StateIdle {
+			if counted := countedConn(c); counted != nil && state == http.StateIdle {
 				counted.next()
 				counted.note((*Ledger).Idle)
 			}
