TestDeclaredLimits: a port of its own for each declaration

The test changed a variable that connections of the case before had read, which the race detector reports. The change at run time is checked by TestDeclaredHeaderLimit, with real processes.

--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -370,10 +370,9 @@
 	})
 }
 
-// Guards against declared limits that have no effect, or only that of the start.
+// Guards against declared limits that have no effect.
 func TestDeclaredLimits(t *testing.T) {
-	declared := Declared{}
-	port := func(t *testing.T) (*Port, func() net.Conn) {
+	port := func(t *testing.T, declared Declared) (*Port, func() net.Conn) {
 		p := NewPort("test", DefaultSettings(), Limits{Connections: 9, Bytes: 8 << 20, Grace: second}, zap.NewNop())
 		p.Follow(func() Declared { return declared })
 		return p, serve(t, p)
@@ -412,8 +411,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				declared = c.declared
-				p, open := port(t)
+				p, open := port(t, c.declared)
 				if took := closedAfter(open(), second, c.parts...).Truncate(second); took != c.want {
 					t.Errorf("closed after %s, want %s", took, c.want)
 				}
@@ -425,12 +423,11 @@
 		})
 	}
 	synctest.Test(t, func(t *testing.T) {
-		_, open := port(t)
 		for _, c := range []struct{ limit, filler, status int }{
 			{0, 20_000, http.StatusUnauthorized}, {16 << 10, 20_000, http.StatusRequestHeaderFieldsTooLarge}, {16 << 10, 16_000, http.StatusUnauthorized},
 			{1 << 20, 60_000, http.StatusUnauthorized}, {30_000, 20_000, http.StatusUnauthorized},
 		} {
-			declared = Declared{HeaderBytes: c.limit}
+			_, open := port(t, Declared{HeaderBytes: c.limit})
 			client := open()
 			answer := exchange(t, client, begun+"A: "+strings.Repeat("a", c.filler)+"\r\n\r\n")
 			if answer.StatusCode != c.status {
