Follow the declarations until the end of a planned stop

Callers saw: each planned stop refuses every request that comes on a connection from 2.9 s to its end at 3.5 s (503 "declarations were last confirmed 3023 ms ago"), and longer where keys must be withdrawn sooner (`revoke_ms`).

Cause: the declarations were followed until the node had handed its pools over, not until its servers had stopped; the view becomes too old after 0.6 of `revoke_ms`.

Evidence: TestPlannedStopServesKeptConnections; before, refused after 86 requests.

Change: declarations and the path to the table service are followed until the servers have stopped. A withdrawn key is noticed during a stop as at any time.

--- a/emulator/crowd/mixed_test.go
+++ b/emulator/crowd/mixed_test.go
@@ -146,6 +146,34 @@
 	s.check()
 }
 
+// Guards against requests on kept connections that are refused in the last part of a planned
+// stop, because the entry no longer knows that its declarations are current.
+func TestPlannedStopServesKeptConnections(t *testing.T) {
+	s := startSystem(t)
+	client := &http.Client{Timeout: requestTime}
+	defer client.CloseIdleConnections()
+	if err := s.entry.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	served := 0
+	for ended := false; !ended; {
+		select {
+		case <-s.ended:
+			ended = true
+		case <-time.After(answerPause / 4):
+		}
+		switch err := s.request(client, http.MethodPost, s.callers, s.path(), strings.NewReader(smallJob)); {
+		case err == nil:
+			served++
+		case strings.Contains(err.Error(), "declarations were last confirmed"):
+			t.Fatalf("after %d requests: %v", served, err)
+		}
+	}
+	if served == 0 {
+		t.Error("no request was served")
+	}
+}
+
 // Guards against declared limits of headers that have no effect, or none before the next start.
 func TestDeclaredHeaderLimit(t *testing.T) {
 	s := startSystem(t)
--- a/node/node.go
+++ b/node/node.go
@@ -115,17 +115,28 @@
 // Run serves until ctx ends, then hands its pools over and returns. The error
 // is always nil.
 func (n *Node) Run(ctx context.Context) error {
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	return n.RunUntil(ctx, serving)
+}
+
+// RunUntil is Run for a node that answers requests of callers until serving ends, after it has
+// handed its pools over: until then it knows whether its declarations are current, and
+// whether the table service answers.
+func (n *Node) RunUntil(ctx, serving context.Context) error {
 	n.log.Info("started", zap.String("incarnation", n.settings.Self.Incarnation), zap.String("data_centre", n.settings.Self.DataCentre))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	n.store.path.start(background)
+	n.store.path.start(serving)
 	var wg sync.WaitGroup
+	wg.Go(func() {
+		n.keepRunning(serving, "operator rows", func(ctx context.Context) { n.operator.run(ctx, n.newFollower()) })
+	})
 	for task, loop := range map[string]func(context.Context){
-		"operator rows": func(ctx context.Context) { n.operator.run(ctx, n.newFollower()) },
-		"heartbeats":    n.members.heartbeatLoop,
-		"members":       n.followMembers,
-		"owners":        n.followOwners,
-		"table load":    n.logTableLoads,
+		"heartbeats": n.members.heartbeatLoop,
+		"members":    n.followMembers,
+		"owners":     n.followOwners,
+		"table load": n.logTableLoads,
 	} {
 		wg.Go(func() { n.keepRunning(background, task, loop) })
 	}
