--- a/review/stand-3/quota.go
+++ b/review/stand-3/quota.go
@@ -16,7 +16,7 @@
 	w.store.put("op", "config", manifest(1,
 		[]map[string]any{route("r-cut", "/cut/", "cut", nil)}, []map[string]any{service("cut")}, []map[string]any{tenant("t-1", map[string]int64{"cpu": limit}, key)}))
 	for _, m := range []string{"m-1", "m-2", "m-3"} {
-		w.addMachine(m, "cut", 16000, 850)
+		w.addMachine(m, "cut", 16000, 880)
 	}
 	owner := w.newEntry("edge-1")
 	owner.awaitReady()
@@ -37,7 +37,7 @@
 	}
 	other.call("DELETE", "/cut/"+first, key, nil)
 	if trouble {
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 		owner.signal(syscall.SIGTERM)
 	}
 	w.within(15*time.Second, func() bool { return len(w.runningTasks(second)) == 8 })
