--- a/review/stand-3/platform.go
+++ b/review/stand-3/platform.go
@@ -534,3 +534,10 @@
 	return map[string]any{"version": version, "routes": routes, "services": services, "tenants": tenants,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 5000, "idle_timeout_ms": 30000}}
 }
+
+// stopWorker makes the worker of a machine fall silent, without a reset of its connections.
+func (w *world) stopWorker(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.machines[name].worker.Process.Signal(syscall.SIGSTOP)
+}
