Review cases 11, 13 and 14: disruptions inside the site file's shares

One worker of eight and one entry of three are disrupted, instead of one of three or four and one of two.

--- a/review/stand-3/cancel.go
+++ b/review/stand-3/cancel.go
@@ -20,8 +20,9 @@
 	owner.awaitReady()
 	one := job(plan{CPU: 1000, MS: 20000}, map[string]any{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 20000})
 	w.await(10*time.Second, "edge-1 schedules the pool", func() bool { return owner.logged("event=vm_fenced") })
-	other := w.newEntry("edge-2")
+	other, third := w.newEntry("edge-2"), w.newEntry("edge-3")
 	other.awaitReady()
+	third.awaitReady()
 	time.Sleep(4 * time.Second) // contact_ms and a second
 
 	if trouble {
--- a/review/stand-3/staleorder.go
+++ b/review/stand-3/staleorder.go
@@ -14,20 +14,21 @@
 	const key = "k-press"
 	w.store.put("op", "config", manifest(1,
 		[]map[string]any{route("r-press", "/press/", "press", nil)}, []map[string]any{service("press")}, []map[string]any{tenant("t-1", map[string]int64{}, key)}))
-	w.addMachine("m-2", "press", 16000, 100)
-	w.addMachine("m-3", "press", 16000, 100)
+	for _, m := range []string{"m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8"} {
+		w.addMachine(m, "press", 16000, 100)
+	}
 	e := w.newEntry("edge-1")
 	e.awaitReady()
-	lasting := func(id string, cpu int64, more map[string]any) {
+	lasting := func(id string, count int, cpu int64, more map[string]any) {
 		more["long_running"], more["may_miss"] = true, 1
-		if status, _ := e.call("POST", "/press/"+id, key, job(plan{CPU: cpu, UpMS: 700}, step(2, cpu, more))); status != 200 {
+		if status, _ := e.call("POST", "/press/"+id, key, job(plan{CPU: cpu, UpMS: 700}, step(count, cpu, more))); status != 200 {
 			w.note("job %s was not accepted", id)
 			w.end(2)
 		}
-		w.await(10*time.Second, "both tasks of "+id+" run", func() bool { return len(w.runningTasks(id)) == 2 })
+		w.await(10*time.Second, "all tasks of "+id+" run", func() bool { return len(w.runningTasks(id)) == count })
 	}
 	const filler, victim = "00000000000000f1", "00000000000000a1"
-	lasting(filler, 12000, map[string]any{"max_per_server": 1})
+	lasting(filler, 7, 12000, map[string]any{"max_per_server": 1})
 	w.addMachine("m-1", "press", 16000, 100)
 	w.await(15*time.Second, "m-1 has a worker that the entry knows", func() bool { return e.logged("event=vm_fenced", "vm="+w.workerOf("m-1")) })
 	time.Sleep(3 * time.Second) // the inventory is read every 2 s
@@ -49,7 +50,7 @@
 		w.await(15*time.Second, "m-1 has had its upkeep", func() bool { return strings.Contains(string(w.store.get("status", "wave/1")), "succeeded") })
 		w.await(10*time.Second, "the entry knows the new worker", func() bool { return e.logged("event=vm_fenced", "vm="+w.workerOf("m-1")) })
 	}
-	lasting(victim, 6000, map[string]any{})
+	lasting(victim, 2, 6000, map[string]any{})
 	time.Sleep(time.Second) // the tasks are at work: their start-up is over
 	if trouble {
 		time.Sleep(time.Until(began.Add(5 * time.Second)))
--- a/review/stand-3/takeover.go
+++ b/review/stand-3/takeover.go
@@ -10,12 +10,12 @@
 // takeoverOfUnansweredStart: a worker falls silent; a start is sent to it and has no answer. The
 // worker's entry leaves service discovery, as the worker is silent, and then the entry that
 // schedules the pool is stopped as planned. The worker's machine comes back as another worker.
-// Three other workers are idle all the while.
+// Seven other workers are idle all the while.
 func takeoverOfUnansweredStart(w *world, trouble bool) bool {
 	const key, id = "k-roster", "00000000000000c7"
 	w.store.put("op", "config", manifest(1,
 		[]map[string]any{route("r-roster", "/roster/", "roster", nil)}, []map[string]any{service("roster")}, []map[string]any{tenant("t-1", map[string]int64{}, key)}))
-	machines := []string{"m-1", "m-2", "m-3", "m-4"}
+	machines := []string{"m-1", "m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8"}
 	for _, m := range machines {
 		w.addMachine(m, "roster", 16000, 100)
 	}
@@ -28,8 +28,9 @@
 		}
 		return known
 	})
-	other := w.newEntry("edge-2")
+	other, third := w.newEntry("edge-2"), w.newEntry("edge-3")
 	other.awaitReady()
+	third.awaitReady()
 	time.Sleep(4 * time.Second)
 
 	silent := w.workerOf("m-1")
@@ -59,7 +60,7 @@
 	// finish_s is 14; nothing of the job may be missing for 3 s then.
 	held := w.within(time.Until(handedInAt.Add(17*time.Second)), began)
 	if !held {
-		w.note("%.1f s after it was handed in, and %.1f s after the last disruption, the job has nothing running; four workers are idle", time.Since(handedInAt).Seconds(), time.Since(calmFrom).Seconds())
+		w.note("%.1f s after it was handed in, and %.1f s after the last disruption, the job has nothing running; eight workers are idle", time.Since(handedInAt).Seconds(), time.Since(calmFrom).Seconds())
 		w.within(20*time.Second, began)
 	}
 	w.note("the job has begun: %v, %.1f s after it was handed in", began(), time.Since(handedInAt).Seconds())
