Keep a cancelled job from being stored by a late submission

Cause: a cancellation of a job that is not stored was acknowledged and left nothing behind, so that the condition of the submission under way, that the job's rows do not exist, still held.

Change: such a cancellation stores a tombstone, at a key that does not depend on the pool, on the condition that the job is not stored. Submissions have the condition that no tombstone holds for their workspace. A submission that arrives again is stored as a cancelled job. Tombstones are limited by workspace and entry, and the pool's owner deletes them after the retention of finished jobs. A new optional field of the stored description (golden file).

TestTombstoneHoldsForItsWorkspaceOnly and TestTombstonesAreBoundedAndDeleted guard what the change must not do.

--- a/node/api.go
+++ b/node/api.go
@@ -138,7 +138,13 @@
 		n.log.Info("submit", zap.String("job", spec.ID), zap.String("queue", c.Queue.Name), zap.String("outcome", ErrTooLarge.Error()), zap.Error(err))
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	}
-	err = n.storeRequest(ctx, txn, func(row store.Row) error { return n.answerKnown(c, spec.ID, row) })
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	answerKnown := func(row store.Row) error { return n.answerKnown(c, spec.ID, row) }
+	err = n.storeRequest(ctx, txn, answerKnown)
+	if errors.Is(err, errCancelledFirst) {
+		err = n.submitCancelled(ctx, c.Queue, spec, answerKnown)
+	}
 	took := n.clock.Now().Steady - began.Steady
 	n.metrics.observe(metricSubmit, c.Queue.Name, took)
 	n.log.Info("submit", zap.String("job", spec.ID), zap.String("queue", c.Queue.Name), zap.String("pool", c.Queue.Pool),
@@ -292,8 +298,9 @@
 }
 
 // submissionTxn returns the transaction that stores a job in the pool of its queue, on the
-// condition that no pool holds it, and that the pool holds no job of another queue with the
-// same id: workers know tasks by the id.
+// condition that no pool holds it, that the pool holds no job of another queue with the
+// same id, since workers know tasks by the id, and that the job was not cancelled first. A job
+// with Spec.Cancelled is stored with its cancellation.
 func submissionTxn(q *catalog.Queue, spec *job.Spec) (store.Txn, error) {
 	location, request := tables.LocationKey(q.Host, q.Prefix, spec.ID), tables.JobKey(q.Pool, spec.ID)
 	spec.Location = location.Name
@@ -305,15 +312,27 @@
 	if err != nil {
 		return store.Txn{}, err
 	}
-	return store.Txn{
+	txn := store.Txn{
 		Conditions: []store.Condition{{Key: location}, {Key: request}},
 		Puts:       []store.Put{{Key: location, Value: locationValue}, {Key: request, Value: value}},
-	}, nil
+	}
+	if spec.Cancelled {
+		// Owners of earlier builds do not know Spec.Cancelled.
+		txn.Puts = append(txn.Puts, store.Put{Key: tables.CancelKey(q.Pool, spec.ID), Value: []byte{1}})
+		return txn, nil
+	}
+	txn.Conditions = append(txn.Conditions, store.Condition{Key: tables.CommonTombstoneKey(q.Host, q.Prefix, spec.ID)},
+		store.Condition{Key: tables.TombstoneKey(q.Host, q.Prefix, spec.ID, spec.Workspace)})
+	return txn, nil
 }
 
 // answerKnown returns the answer to a submission whose id is stored, given the first of the
-// job's rows that exists: its location, or the request of a job that was submitted elsewhere.
+// job's rows that exists: its location, the request of a job that was submitted elsewhere, or
+// a tombstone, for which the error is errCancelledFirst.
 func (n *Node) answerKnown(c Caller, id string, row store.Row) error {
+	if tables.IsTombstone(row.Key) {
+		return errCancelledFirst
+	}
 	if row.Table != tables.Jobs {
 		spec, err := job.DecodeSpec(row.Value)
 		if err != nil {
@@ -394,25 +413,6 @@
 	return store.Get(ctx, n.store, key)
 }
 
-// Cancel ends a job. It returns nil once the cancellation is stored, ErrNoJob,
-// *NotRunError or ErrUnconfirmed.
-func (n *Node) Cancel(ctx context.Context, c Caller, id string) error {
-	err := n.cancel(ctx, c, id)
-	n.log.Info("cancel", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.String("outcome", outcomeOf(err)))
-	return err
-}
-
-func (n *Node) cancel(ctx context.Context, c Caller, id string) error {
-	pool, _, err := n.callerJob(ctx, c, id)
-	if err != nil {
-		return err
-	}
-	return n.storeRequest(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: tables.CancelKey(pool, id)}},
-		Puts:       []store.Put{{Key: tables.CancelKey(pool, id), Value: []byte{1}}},
-	}, nil)
-}
-
 // Waiting returns how many jobs of a queue have not started any task. The error
 // is *NotRunError if the number cannot be read now.
 func (n *Node) Waiting(ctx context.Context, c Caller) (int, error) {
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/pool"
@@ -75,6 +76,7 @@
 	owned        map[string]bool          // pools that this entry owns
 	unownedSince map[string]time.Duration // by pool: when it was first seen without a live owner, steady clock
 	batchers     map[string]*writeBatcher // callers' requests that are not stored yet, by partition
+	tombstones   map[string]*rate.Limiter // of cancellations that leave tombstones, by workspace
 	movedQueues  movedQueueCache
 	capHolders   map[string]bool      // undeclared pools that have shares of caps, as an owner of this process has read them
 	seenClaims   map[string]seenClaim // by pool: claims that the claimers' member rows may not show yet; for claimLoop only
@@ -97,6 +99,7 @@
 		operator: newOperatorView(o.Rows, o.Log),
 		members:  newMembers(timed, o.Clock, o.Log, o.Settings.Self),
 		owned:    map[string]bool{}, unownedSince: map[string]time.Duration{}, seenClaims: map[string]seenClaim{}, batchers: map[string]*writeBatcher{},
+		tombstones: map[string]*rate.Limiter{},
 	}
 	n.owners = newOwnerWatch(timed, o.Clock, o.Log, n.members.feedPause)
 	timed.path.log, timed.path.probe, timed.path.onLoss = o.Log, n.probeStore, func() { n.metrics.add("table_path_losses") }
--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -74,6 +74,7 @@
 	caps        *capShares
 	arrivals    *arrivals
 	expiry      requestExpiry
+	tombstones  tombstoneExpiry
 	movedQueues *movedQueues
 	inventory   inventoryReader
 
@@ -309,6 +310,7 @@
 	r.updateServiceClock()
 	r.inventory.request(ctx, r, now.Steady)
 	r.deleteExpiredRequests(ctx, now.Steady)
+	r.deleteTombstones(ctx, now.Steady)
 	r.passOnGrants()
 	r.suspendGrants()
 	batch := r.pool.Cycle()
--- a/node/poolfeeds.go
+++ b/node/poolfeeds.go
@@ -17,6 +17,9 @@
 // holds the jobs' progress at takeover; it is nil for requests that arrive
 // later.
 func (r *poolController) applyRequest(p *pool.Pool, row store.Row, stored map[string]*job.Progress) {
+	if r.applyTombstone(row) {
+		return
+	}
 	id, cancel, ok := tables.ParseRequest(r.name, row.Key)
 	if row.Removed || !ok {
 		return
--- a/node/writes.go
+++ b/node/writes.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// maxWritesInBatch bounds the requests in one transaction. Each has two conditions
-	// and two rows.
-	maxWritesInBatch = store.MaxTxnEntries / 4
 	// maxWriteBytesInBatch bounds the values in one transaction, so that it stays under
 	// store.MaxTxnBytes once it is encoded as text.
 	maxWriteBytesInBatch = 600 << 10
@@ -43,6 +40,9 @@
 	return n
 }
 
+// entries returns the number of entries that the request takes in a transaction.
+func (w *pendingWrite) entries() int { return len(w.txn.Conditions) + len(w.txn.Puts) }
+
 // writeBatcher stores callers' requests in one partition. Requests that arrive
 // while a transaction is under way share the next one, so that a slow table
 // service stores many requests with one transaction.
@@ -119,7 +119,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var batch, rest []*pendingWrite
-	bytes := 0
+	bytes, entries := 0, 0
 	lost := b.store.path.isLost()
 	for _, w := range b.pending {
 		switch {
@@ -127,10 +127,11 @@
 		case lost && !w.unconfirmed:
 			// It would have no known outcome either.
 			w.done <- errPathLost()
-		case len(batch) == 0 || len(batch) < maxWritesInBatch && bytes+w.size() <= maxWriteBytesInBatch && !w.alone && !batch[0].alone:
+		case len(batch) == 0 || entries+w.entries() <= store.MaxTxnEntries && bytes+w.size() <= maxWriteBytesInBatch && !w.alone && !batch[0].alone:
 			w.inFlight = true
 			batch = append(batch, w)
 			bytes += w.size()
+			entries += w.entries()
 		default:
 			rest = append(rest, w)
 		}
--- a/sched/job/spec.go
+++ b/sched/job/spec.go
@@ -56,6 +56,8 @@
 	Terms    *QueueTerms `cbor:"10,keyasint,omitempty"` // of the queue; nil if an earlier build has accepted the job
 	Location string      `cbor:"11,keyasint,omitempty"` // name of the row with the job's location; empty if an earlier build has accepted the job
 
+	Cancelled bool `cbor:"12,keyasint,omitempty"` // it was cancelled before it was stored, and never runs
+
 	Stored []store.Condition `cbor:"-"` // the rows that the description was read from
 }
 
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -179,6 +179,10 @@
 	}
 	j := p.add(spec)
 	j.dirty = true
+	if spec.Cancelled {
+		p.finish(j, job.Cancelled, "cancelled before it was stored")
+		return
+	}
 	j.overShare = !spec.LongRunning() && p.exceedsShare(spec.Workspace)
 	p.acceptedCoreSeconds += p.workOf(spec)
 	if p.acceptedCoreSeconds-p.publishedCoreSeconds > earlyReportCoreSeconds && p.now.Steady-p.loadPublishedAt > earlyReportInterval {
--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -402,6 +402,9 @@
 	j := p.add(spec)
 	if progress == nil {
 		j.dirty = true
+		if spec.Cancelled {
+			p.finish(j, job.Cancelled, "cancelled before it was stored")
+		}
 		return
 	}
 	j.state = progress.State
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -115,6 +115,54 @@
 	return store.Key{Table: Jobs, Partition: jobPartition(id), Name: Address(host, prefix) + "/" + id}
 }
 
+// tombstoneMark is in the name of each tombstone, and of no location.
+const tombstoneMark = "/cancelled/"
+
+// TombstoneKey returns the key of a job's tombstone: the row that keeps the job from being
+// stored, since it was cancelled first. It is in the partition of the job's location and, like
+// that, does not depend on the pool. It holds for submissions of one workspace, which is empty
+// for those without a key.
+func TombstoneKey(host, prefix, id, workspace string) store.Key {
+	key := LocationKey(host, prefix, id)
+	key.Name += tombstoneMark + hash64(workspace)
+	return key
+}
+
+// CommonTombstoneKey returns the key of the tombstone that holds for submissions of all
+// workspaces.
+func CommonTombstoneKey(host, prefix, id string) store.Key {
+	key := LocationKey(host, prefix, id)
+	key.Name += tombstoneMark + "all"
+	return key
+}
+
+// IsTombstone reports whether key is that of a tombstone.
+func IsTombstone(key store.Key) bool {
+	return key.Table == Jobs && strings.Contains(key.Name, tombstoneMark)
+}
+
+// tombstoneExpiryPrefix follows the prefix of a pool's requests in the names of the rows of
+// TombstoneExpiryKey.
+const tombstoneExpiryPrefix = "tombstone/"
+
+// TombstoneExpiryKey returns the key of the row by which the owner of a pool learns of a
+// tombstone that it is to delete. Its value is the name of the tombstone, in whose partition
+// it is.
+func TombstoneExpiryKey(pool string, tombstone store.Key) store.Key {
+	return store.Key{Table: Requests(pool), Partition: tombstone.Partition, Name: requestPrefix(pool) + tombstoneExpiryPrefix + hash64(tombstone.Name)}
+}
+
+// ParseTombstoneExpiry returns the key of the tombstone that a row of a pool's table of
+// requests names. ok is false for other rows.
+func ParseTombstoneExpiry(pool string, row store.Row) (tombstone store.Key, ok bool) {
+	name, ok := strings.CutPrefix(row.Name, requestPrefix(pool))
+	if !ok || !strings.HasPrefix(name, tombstoneExpiryPrefix) {
+		return store.Key{}, false
+	}
+	tombstone = store.Key{Table: Jobs, Partition: row.Partition, Name: string(row.Value)}
+	return tombstone, IsTombstone(tombstone)
+}
+
 // Address returns a hash of the host and the prefix at which jobs are submitted.
 func Address(host, prefix string) string { return hash64(strings.ToLower(host) + " " + prefix) }
 
