Repeat cancellations that had no answer

Cause: the entry drops a request once its caller stops waiting, also if its outcome is not known.

Change: a cancellation without a known outcome is repeated for up to 10 s after the answer, from the look-up of the job on.

Measured: TestUnansweredCancellationIsRepeated failed before in its three cases; 5 s after the table service answered again the job still ran.

--- a/node/cancel.go
+++ b/node/cancel.go
@@ -25,6 +25,14 @@
 	cancelTries = 3
 )
 
+// Cancellations without a known outcome are repeated after their callers were told so.
+const (
+	settleTimeout    = 10 * time.Second // longest time after the answer
+	settlePause      = 500 * time.Millisecond
+	maxUnsettled     = 256 // at the same time; further ones are not repeated
+	settleTryTimeout = 2 * time.Second
+)
+
 var (
 	// errCancelledFirst means that a job has a tombstone: it was cancelled before it was stored.
 	errCancelledFirst = errors.New("job was cancelled before it was stored")
@@ -34,10 +42,13 @@
 
 // Cancel ends a job. It returns nil once the cancellation is stored; ErrNoJob once it is
 // certain that the job does not exist and that no submission of the caller that was sent before
-// will run; *NotRunError or ErrUnconfirmed.
+// will run; *NotRunError or ErrUnconfirmed. One that is unconfirmed is repeated for a while.
 func (n *Node) Cancel(ctx context.Context, c Caller, id string) error {
 	err := n.cancel(ctx, c, id)
 	n.log.Info("cancel", zap.String("job", id), zap.String("queue", c.Queue.Name), zap.String("outcome", outcomeOf(err)))
+	if errors.Is(err, ErrUnconfirmed) {
+		n.settleCancel(c, id)
+	}
 	return err
 }
 
@@ -137,3 +148,29 @@
 	}
 	return n.storeRequest(ctx, txn, answerKnown)
 }
+
+// settleCancel repeats a cancellation without a known outcome until it has one, so that it
+// holds although its caller does not ask again.
+func (n *Node) settleCancel(c Caller, id string) {
+	select {
+	case n.unsettled <- struct{}{}:
+	default:
+		n.log.Info("cancel_not_repeated", zap.String("job", id), zap.Int("unsettled", maxUnsettled))
+		return
+	}
+	n.spawn("cancellation of "+id, func() {
+		defer func() { <-n.unsettled }()
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		for {
+			sleep(ctx, settlePause)
+			tryCtx, cancelTry := context.WithTimeout(ctx, settleTryTimeout)
+			err := n.cancel(tryCtx, c, id)
+			cancelTry()
+			if err == nil || errors.Is(err, ErrNoJob) || ctx.Err() != nil {
+				n.log.Info("cancel_settled", zap.String("job", id), zap.String("outcome", outcomeOf(err)))
+				return
+			}
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,7 @@
 	capHolders   map[string]bool      // undeclared pools that have shares of caps, as an owner of this process has read them
 	seenClaims   map[string]seenClaim // by pool: claims that the claimers' member rows may not show yet; for claimLoop only
 	controllers  sync.WaitGroup       // of the owned pools and the fleet role
+	unsettled    chan struct{}        // holds an element for each cancellation that is repeated
 }
 
 // seenClaim is a claim of another entry that was read from an owner's row.
@@ -99,7 +100,7 @@
 		operator: newOperatorView(o.Rows, o.Log),
 		members:  newMembers(timed, o.Clock, o.Log, o.Settings.Self),
 		owned:    map[string]bool{}, unownedSince: map[string]time.Duration{}, seenClaims: map[string]seenClaim{}, batchers: map[string]*writeBatcher{},
-		tombstones: map[string]*rate.Limiter{},
+		tombstones: map[string]*rate.Limiter{}, unsettled: make(chan struct{}, maxUnsettled),
 	}
 	n.owners = newOwnerWatch(timed, o.Clock, o.Log, n.members.feedPause)
 	timed.path.log, timed.path.probe, timed.path.onLoss = o.Log, n.probeStore, func() { n.metrics.add("table_path_losses") }
--- a/node/tombstones_test.go
+++ b/node/tombstones_test.go
@@ -217,6 +217,53 @@
 	}
 }
 
+// Guards against a cancellation without an answer that is lost with it (UNASKED): the table
+// service does not carry it out, or late, when the job has been stored meanwhile. The caller
+// does not ask again.
+func TestUnansweredCancellationIsRepeated(t *testing.T) {
+	for _, test := range []struct {
+		name              string
+		stored, delivered bool // the job is stored before; the cancellation is carried out late
+	}{
+		{name: "stored", stored: true},
+		{name: "stored meanwhile"},
+		{name: "stored meanwhile, delivered", delivered: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a := newAccessTest(t)
+			late := &lateStore{Store: a.mem}
+			if test.stored {
+				if err := a.submit(accessPath, "one"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			n, c := a.call(accessPath, "one")
+			entry := newEntry("late", late, a.clock)
+			entry.operator.view = n.operator.view
+			late.setSilent(true)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+			defer cancel()
+			if err := entry.Cancel(ctx, c, accessJob); !errors.Is(err, ErrUnconfirmed) {
+				t.Fatalf("cancellation without an answer: %v, want %v", err, ErrUnconfirmed)
+			}
+			if err := a.submit(accessPath, "one"); err != nil {
+				t.Fatal(err)
+			}
+			if test.delivered {
+				late.deliver(t)
+			}
+			late.setSilent(false)
+			deadline := time.Now().Add(5 * time.Second)
+			for len(a.running()) > 0 {
+				if time.Now().After(deadline) {
+					t.Fatal("the job still runs 5 s after the table service answers again")
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // Guards against tombstones that stay in the table service for ever, or not as long as a late
 // submission and a finished job do, and against a caller who fills it with them.
 func TestTombstonesAreBoundedAndDeleted(t *testing.T) {
