Prove by recent lists that a machine is gone

Cause: a machine that the last list did not name counted as gone after 3 s on the clock, however old the list was. The cordon of an ordered machine ended in the same way.

Change: gone is what two complete lists show, requested after the wave or the cordon began, the second at least 3 s after the first arrived. The scheduler proves the end of a VM by the same rule and shares the code, pool.ListProof.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -41,8 +41,8 @@
 	// moveDrainTimeout is the time after which the move of a VM that could not
 	// be drained is given up.
 	moveDrainTimeout = 3 * time.Second
-	// machineGoneAfter is the time after which a machine that the inventory no
-	// longer lists counts as gone.
+	// machineGoneAfter is the least time between two lists of the inventory that prove
+	// that a machine is gone.
 	machineGoneAfter = 3 * time.Second
 )
 
@@ -108,8 +108,8 @@
 	confirmedAt  atomic.Int64  // send time of the last confirmed transaction, steady clock in ns
 
 	machines     map[string]fleetplan.Machine // inventory as last listed, by name
-	missingSince map[string]time.Duration     // by machine: since when the inventory does not list it, steady clock
-	listedAt     time.Duration                // when the inventory last answered, steady clock; 0 if never
+	absences     map[machineUse]*absence      // machines in use that the last list does not name
+	listEndedAt  time.Duration                // when the last read of the inventory ended, with or without a list, steady clock; 0 if none has
 	listPending  bool                         // a read of the inventory is under way
 	listResults  chan listResult
 	orderResults chan orderResult
@@ -145,6 +145,7 @@
 
 type listResult struct {
 	machines []Machine
+	uses     []machineUse  // when the list was requested
 	sentAt   time.Duration // when the list was requested, steady clock
 	err      error
 }
@@ -153,7 +154,7 @@
 	f := &fleetController{
 		node: n, owner: o, log: n.log.With(zap.String("role", "fleet"), zap.Int64("epoch", o.row.Epoch)), heldSince: sentAt,
 		planSettings: fleetplan.Settings{MaintenanceTime: n.settings.Fleet.MaintenanceTime, EmptyTime: usualDrainTime, MoveTime: n.settings.Fleet.MoveTime},
-		machines:     map[string]fleetplan.Machine{}, missingSince: map[string]time.Duration{},
+		machines:     map[string]fleetplan.Machine{}, absences: map[machineUse]*absence{},
 		listResults: make(chan listResult, 1), orderResults: make(chan orderResult, 64),
 		callPending: map[string]bool{}, retryAt: map[string]time.Duration{}, confirmed: map[string]confirmation{},
 		unconfirmed: map[string]bool{}, refused: map[string]bool{}, unstoredConfirmations: map[string]bool{},
@@ -366,23 +367,24 @@
 	if len(f.cordons) > 0 || f.hasOpenWave() {
 		interval = listInterval
 	}
-	if f.listPending || f.listedAt > 0 && now-f.listedAt < interval {
+	if f.listPending || f.listEndedAt > 0 && now-f.listEndedAt < interval {
 		return
 	}
 	f.listPending = true
+	uses := f.machineUses()
 	f.node.spawn("inventory", func() {
 		var machines []Machine
 		err := f.node.protect("inventory", func() (err error) {
 			machines, err = f.node.machines.List(ctx)
 			return err
 		})
-		f.listResults <- listResult{machines, now, err}
+		f.listResults <- listResult{machines, uses, now, err}
 	})
 }
 
 func (f *fleetController) handleList(result listResult) {
 	f.listPending = false
-	f.listedAt = f.node.clock.Now().Steady
+	f.listEndedAt = f.node.clock.Now().Steady
 	if result.err != nil {
 		f.log.Warn("inventory_not_read", zap.Error(result.err))
 		return
@@ -390,8 +392,8 @@
 	f.machines = make(map[string]fleetplan.Machine, len(result.machines))
 	for _, m := range result.machines {
 		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Up: m.Up}
-		delete(f.missingSince, m.Name)
 	}
+	f.observeAbsences(result)
 	for name, c := range f.confirmed {
 		if !c.effectSeen && f.orderCompleted(name, c.at, result.sentAt) {
 			f.confirmed[name] = confirmation{effectSeen: true}
@@ -403,7 +405,7 @@
 // the inventory has been read.
 func (f *fleetController) decide() store.Txn {
 	var txn store.Txn
-	if f.listedAt == 0 || len(f.machines) == 0 {
+	if len(f.machines) == 0 {
 		return txn
 	}
 	s := f.snapshot()
@@ -466,7 +468,6 @@
 // endCordons removes the cordons whose order has taken effect, and those that
 // are no longer possible or needed.
 func (f *fleetController) endCordons(txn *store.Txn, s *fleetplan.Snapshot) {
-	now := f.node.clock.Now().Steady
 	for name, c := range f.cordons {
 		if txnEntries(txn) >= maxCordonsEnded {
 			return // the others are ended by a later transaction
@@ -476,10 +477,7 @@
 		case f.confirmed[name].effectSeen:
 			f.uncordon(txn, c, "order has taken effect")
 		case !exists:
-			if f.missingSince[name] == 0 {
-				f.missingSince[name] = now
-			}
-			if now-f.missingSince[name] > machineGoneAfter && !f.callPending[name] {
+			if f.isGone(machineUse{machine: name}) && !f.callPending[name] {
 				f.uncordon(txn, c, "machine is gone")
 			}
 		case !c.Ordered && c.Purpose.Target != "" && f.node.clock.Now().Wall-c.SinceMS > moveDrainTimeout.Milliseconds():
@@ -518,7 +516,7 @@
 	delete(f.unstoredConfirmations, c.Machine)
 	delete(f.unconfirmed, c.Machine)
 	delete(f.retryAt, c.Machine)
-	delete(f.missingSince, c.Machine)
+	delete(f.absences, machineUse{machine: c.Machine})
 }
 
 // addCordon records a decision as a cordon, and reports whether txn had room
--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -25,11 +25,15 @@
 	machines map[string]Machine
 	orders   []string // each with its machine, and its target or wave
 	answer   error    // given to orders instead of carrying them out; nil carries them out
+	listErr  error    // given to reads of the list; nil answers them
 }
 
 func (f *fakeMachines) List(context.Context) ([]Machine, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.listErr != nil {
+		return nil, f.listErr
+	}
 	var list []Machine
 	for _, m := range f.machines {
 		list = append(list, m)
@@ -117,6 +121,14 @@
 	store    *timedStore
 	machines *fakeMachines
 	accepted float64 // core-seconds of work that pool a has accepted
+	waves    []Wave  // as operators have declared them when a holder begins
+}
+
+// waveRows encodes the status of waves.
+type waveRows struct{ Rows }
+
+func (waveRows) WaveStatus(wave string, complete bool) (store.Put, error) {
+	return store.Put{Key: store.Key{Table: "status", Name: "wave/" + wave}, Value: fmt.Append(nil, complete)}, nil
 }
 
 func newFleetFixture(t *testing.T) *fleetFixture {
@@ -136,8 +148,8 @@
 	fx.t.Helper()
 	n := New(Options{Settings: Settings{Self: Member{Node: name, Incarnation: name},
 		Fleet: FleetSettings{HandoverTime: 3 * time.Second, MaintenanceTime: 2 * time.Second, MoveTime: 1500 * time.Millisecond}},
-		Store: fx.mem, Machines: fx.machines, Clock: fx.clock, Log: zap.NewNop()})
-	n.operator.view = View{Catalog: catalog.New(1, nil, []*catalog.Pool{{Name: "a"}, {Name: "spare", Standby: true}}, nil, catalog.Limits{})}
+		Store: fx.mem, Machines: fx.machines, Rows: waveRows{}, Clock: fx.clock, Log: zap.NewNop()})
+	n.operator.view = View{Waves: fx.waves, Catalog: catalog.New(1, nil, []*catalog.Pool{{Name: "a"}, {Name: "spare", Standby: true}}, nil, catalog.Limits{})}
 	o, err := readOwner(fx.t.Context(), fx.store, fleetPool)
 	if err != nil {
 		fx.t.Fatal(err)
--- a/node/fleetwaves.go
+++ b/node/fleetwaves.go
@@ -93,20 +93,14 @@
 }
 
 // missingMachinesGone reports whether all machines of a wave that the inventory
-// does not list have been missing for so long that they count as gone.
+// does not list are proved to be gone.
 func (f *fleetController) missingMachinesGone(w *fleetplan.Wave) bool {
-	now := f.node.clock.Now().Steady
-	all := true
 	for _, name := range w.Machines {
-		if _, exists := f.machines[name]; exists || w.Done[name] {
-			continue
-		}
-		if f.missingSince[name] == 0 {
-			f.missingSince[name] = now
+		if _, exists := f.machines[name]; !exists && !w.Done[name] && !f.isGone(machineUse{w.ID, name}) {
+			return false
 		}
-		all = all && now-f.missingSince[name] > machineGoneAfter
 	}
-	return all
+	return true
 }
 
 // maintenanceCount returns how many machines of a wave have been ordered into
--- a/sched/pool/inventory.go
+++ b/sched/pool/inventory.go
@@ -17,6 +17,26 @@
 	Worker string // id of the VM that is the machine's present life; empty if it has none now
 }
 
+// ListProof collects the complete lists of machines that show that something has ended. One list
+// proves nothing: it may be from before the fact, and lists may be missing while the inventory
+// does not answer. Two of them do, the second of which was requested a while after the first
+// arrived. The zero value holds no list.
+type ListProof struct {
+	shown       bool
+	requestedAt time.Duration // request of the first list, steady clock
+	arrivedAt   time.Duration // when it arrived
+}
+
+// Add takes a list that shows the end, and reports whether it is proved: the list was requested
+// at least gap after the arrival of the first one. Lists come in the order of their requests.
+func (p *ListProof) Add(requestedAt, arrivedAt, gap time.Duration) bool {
+	if !p.shown {
+		*p = ListProof{true, requestedAt, arrivedAt}
+		return false
+	}
+	return requestedAt-p.arrivedAt >= gap
+}
+
 // AwaitsInventory reports whether a silent VM may have runs, so that it matters whether it has
 // ended for good.
 func (p *Pool) AwaitsInventory() bool {
@@ -41,10 +61,12 @@
 		shown := inventory.showsEnded(v)
 		switch {
 		case shown == "":
-			v.endShownAt = 0
-		case v.endShownAt == 0 || v.answeredSince(v.endShownAt):
-			v.endShownAt, v.endShownBy = requestedAt, p.now.Steady
-		case requestedAt-v.endShownBy >= minListGap && v.silent() && p.mayHoldRuns(v):
+			v.end = ListProof{}
+			continue
+		case v.end.shown && v.answeredSince(v.end.requestedAt):
+			v.end = ListProof{}
+		}
+		if v.end.Add(requestedAt, p.now.Steady, minListGap) && v.silent() && p.mayHoldRuns(v) {
 			p.endForGood(v, shown)
 		}
 	}
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -180,8 +180,7 @@
 	listed             bool            // known to discovery
 	describedMS        int64           // start of the incarnation that the row in discovery describes, Unix milliseconds; 0 if unknown
 	replaced           bool            // it has ended for good: its machine has left, or has started again as another VM
-	endShownAt         time.Duration   // request of the first list of machines since its last answer that shows its end; 0 if none does
-	endShownBy         time.Duration   // when that list arrived
+	end                ListProof       // lists of machines since its last answer that show its end
 	fenced             bool            // this incarnation has answered under this owner's fencing token
 	leaseUntil         time.Duration   // time by which all leases of earlier owners and of closed clients on it have ended
 	contacted          bool            // it has answered this owner
