Decide orders for machines again before they are repeated

Cause: a recorded order was repeated until it was confirmed, without asking again whether the machine was empty, and the cordon held only the VM for which it was decided.

Change: a cordon holds each VM of its machine until the order is confirmed. Each order that is not confirmed is decided again in each cycle: same VM, empty, wave still declared. One that certainly had no effect is taken back when the VM is replaced or the wave withdrawn; one without an answer holds the machine back for a bounded time. 409 "fence" counts as no effect.

--- a/node/fleetctl.go
+++ b/node/fleetctl.go
@@ -52,6 +52,7 @@
 	MaintenanceTime time.Duration // duration of one machine's maintenance
 	MoveTime        time.Duration // duration of one machine's move
 	OrdersPerSecond float64       // orders that the platform accepts per second; 0 means no limit
+	FencedOrders    bool          // the platform checks the fencing tokens of orders, and may carry an order out late
 }
 
 // cordonRow asks a pool's owner to drain a VM. It also records that an order
@@ -109,12 +110,16 @@
 
 	machines     map[string]fleetplan.Machine // inventory as last listed, by name
 	absences     map[machineUse]*absence      // machines in use that the last list does not name
+	listSentAt   time.Duration                // when the list that machines holds was requested, steady clock
 	listEndedAt  time.Duration                // when the last read of the inventory ended, with or without a list, steady clock; 0 if none has
 	listPending  bool                         // a read of the inventory is under way
 	listResults  chan listResult
 	orderResults chan orderResult
 	callPending  map[string]bool          // machines with an order under way
 	retryAt      map[string]time.Duration // by machine: earliest time of the next try, steady clock
+	sentAt       map[string]time.Duration // by machine: when its order was last sent, steady clock
+	mayOrder     map[string]bool          // machines with a recorded order that may be sent by the last decision
+	knownVMs     map[string][]string      // by machine: the VMs that were reported on it when its cordon was decided
 	confirmed    map[string]confirmation  // by machine: orders that the platform has confirmed
 
 	unconfirmed           map[string]bool // machines with an order that may still take effect
@@ -156,7 +161,7 @@
 		planSettings: fleetplan.Settings{MaintenanceTime: n.settings.Fleet.MaintenanceTime, EmptyTime: usualDrainTime, MoveTime: n.settings.Fleet.MoveTime},
 		machines:     map[string]fleetplan.Machine{}, absences: map[machineUse]*absence{},
 		listResults: make(chan listResult, 1), orderResults: make(chan orderResult, 64),
-		callPending: map[string]bool{}, retryAt: map[string]time.Duration{}, confirmed: map[string]confirmation{},
+		callPending: map[string]bool{}, retryAt: map[string]time.Duration{}, sentAt: map[string]time.Duration{}, mayOrder: map[string]bool{}, knownVMs: map[string][]string{}, confirmed: map[string]confirmation{},
 		unconfirmed: map[string]bool{}, refused: map[string]bool{}, unstoredConfirmations: map[string]bool{},
 		cordons: map[string]fleetplan.Cordon{}, waves: map[string]*waveState{},
 		moves: fleetplan.NewMovePlanner(), recentOrders: recentOrdersRow{}, notBefore: map[string]time.Duration{},
@@ -389,6 +394,7 @@
 		f.log.Warn("inventory_not_read", zap.Error(result.err))
 		return
 	}
+	f.listSentAt = result.sentAt
 	f.machines = make(map[string]fleetplan.Machine, len(result.machines))
 	for _, m := range result.machines {
 		f.machines[m.Name] = fleetplan.Machine{Name: m.Name, Pool: m.Pool, VM: m.Worker, DataCentre: m.DataCentre, Up: m.Up}
@@ -399,6 +405,11 @@
 			f.confirmed[name] = confirmation{effectSeen: true}
 		}
 	}
+	for name, c := range f.cordons {
+		if m := f.machines[name]; c.Purpose.Target != "" && m.Pool == c.Purpose.Target && m.Up && f.unconfirmed[name] && !f.callPending[name] {
+			f.confirmed[name] = confirmation{effectSeen: true} // its answer was lost
+		}
+	}
 }
 
 // decide returns the changes of cordons and waves to store. There are none until
@@ -410,6 +421,7 @@
 	}
 	s := f.snapshot()
 	f.endCordons(&txn, s)
+	f.reviewOrders(&txn, s)
 	f.recordWaves(&txn, s)
 	for _, d := range fleetplan.PlanWaves(s, f.planSettings) {
 		if f.addCordon(&txn, s, d) {
@@ -482,12 +494,16 @@
 			}
 		case !c.Ordered && c.Purpose.Target != "" && f.node.clock.Now().Wall-c.SinceMS > moveDrainTimeout.Milliseconds():
 			f.uncordon(txn, c, "VM was not drained in time")
-		case !c.Ordered && s.Draining(m):
+		case !f.mayBeCarriedOut(c) && s.Draining(m):
 			f.uncordon(txn, c, "VM is being drained for another reason")
 		case f.refused[name]:
 			f.uncordon(txn, c, "machine was busy")
-		case !c.Ordered && m.VM != c.VM:
+		case !f.mayBeCarriedOut(c) && (m.VM != c.VM || f.hasNextVM(c, s)):
 			f.uncordon(txn, c, "VM has another incarnation")
+		case !f.mayBeCarriedOut(c) && !f.isWanted(c):
+			f.uncordon(txn, c, "wave is no longer declared")
+		case f.expired(c) && (f.hasNextVM(c, s) || !f.isWanted(c)):
+			f.uncordon(txn, c, "order can no longer be carried out")
 		}
 	}
 }
@@ -516,20 +532,33 @@
 	delete(f.unstoredConfirmations, c.Machine)
 	delete(f.unconfirmed, c.Machine)
 	delete(f.retryAt, c.Machine)
+	delete(f.sentAt, c.Machine)
+	delete(f.mayOrder, c.Machine)
+	delete(f.knownVMs, c.Machine)
 	delete(f.absences, machineUse{machine: c.Machine})
 }
 
-// addCordon records a decision as a cordon, and reports whether txn had room
-// for it. A machine on standby has nothing to drain, so its order is recorded
-// at once if it may be sent.
+// maxPlanListAge is the age of the list of machines above which no machine in use is cordoned:
+// the inventory would not take the order either, and the machine may have another VM. It is
+// above the time between two reads.
+const maxPlanListAge = 4 * time.Second
+
+// addCordon records a decision as a cordon, and reports whether it has: txn has room for it,
+// and the list of machines is recent. A machine on standby has nothing to drain, so its order
+// is recorded at once if it may be sent.
 func (f *fleetController) addCordon(txn *store.Txn, s *fleetplan.Snapshot, d fleetplan.Decision) bool {
 	if txnEntries(txn) >= maxTxnChanges {
 		return false
 	}
+	if !s.Standby[d.Machine.Pool] && f.node.clock.Now().Steady-f.listSentAt > maxPlanListAge {
+		return false
+	}
 	c := fleetplan.Cordon{Machine: d.Machine.Name, VM: d.Machine.VM, Pool: d.Machine.Pool, Purpose: d.Purpose, SinceMS: f.node.clock.Now().Wall}
 	f.log.Info("cordon", zap.String("machine", c.Machine), zap.String("vm", c.VM), zap.String("pool", c.Pool),
 		zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target), zap.String("reason", d.Reason))
 	c.Ordered = s.Standby[c.Pool] && f.mayOrderNow(c)
+	f.mayOrder[c.Machine] = c.Ordered
+	f.noteVMs(c.Machine, s)
 	f.putCordon(txn, c)
 	return true
 }
@@ -582,6 +611,7 @@
 			return
 		}
 		c.Ordered = true
+		f.mayOrder[c.Machine] = true
 		f.putCordon(txn, c)
 	}
 }
--- a/node/fleetorders.go
+++ b/node/fleetorders.go
@@ -37,6 +37,10 @@
 // used, so that no order is refused.
 const orderRateFraction = 0.8
 
+// maxListAge is above the age of what the inventory lists, and below the time that an order
+// takes.
+const maxListAge = time.Second
+
 // orderCompleted reports whether the inventory, as listed at listedAt, shows
 // that a machine is up again after what was ordered and confirmed at confirmedAt:
 // its VM has another incarnation, or the time that the order takes has passed.
@@ -51,6 +55,9 @@
 	if c.Purpose.Target != "" {
 		expectedTime = f.planSettings.MoveTime
 	}
+	if m.VM != "" && m.VM == c.VM && listedAt-confirmedAt > maxListAge {
+		return true // the VM goes on: an earlier try had been carried out before it began
+	}
 	return m.VM != c.VM || listedAt-confirmedAt > expectedTime
 }
 
@@ -72,7 +79,7 @@
 		f.confirmed[o.machine] = confirmation{effectSeen: true} // nothing to do for the machine
 	case errors.Is(o.err, ErrBusy) && !f.unconfirmed[o.machine]:
 		f.refused[o.machine] = true // another machine may take its place
-	case errors.Is(o.err, ErrBusy), errors.Is(o.err, ErrRefused):
+	case errors.Is(o.err, ErrBusy), errors.Is(o.err, ErrRefused), errors.Is(o.err, ErrFenced):
 		f.retryAt[o.machine] = now + orderRetryPause
 	default:
 		f.unconfirmed[o.machine] = true
@@ -80,6 +87,83 @@
 	}
 }
 
+// Times after the end of a call with an order that had no answer, for which the order may still
+// be carried out.
+const (
+	lateOrderTime       = 3 * time.Second
+	lateFencedOrderTime = 12 * time.Second // where the platform checks fencing tokens
+)
+
+// mayBeCarriedOut reports whether the order of a cordon has been carried out or still may be. An
+// order that was not sent, or of which each try was refused, has no effect and can be taken back.
+func (f *fleetController) mayBeCarriedOut(c fleetplan.Cordon) bool {
+	_, confirmed := f.confirmed[c.Machine]
+	return c.Ordered && (confirmed || f.unconfirmed[c.Machine] || f.callPending[c.Machine])
+}
+
+// expired reports whether the order of a cordon has had no answer and can no longer be carried
+// out.
+func (f *fleetController) expired(c fleetplan.Cordon) bool {
+	if _, confirmed := f.confirmed[c.Machine]; confirmed || !f.unconfirmed[c.Machine] || f.callPending[c.Machine] {
+		return false
+	}
+	late := lateOrderTime
+	if f.node.settings.Fleet.FencedOrders {
+		late = lateFencedOrderTime
+	}
+	lastSentAt := max(f.heldSince, f.sentAt[c.Machine]) // an earlier holder may have sent it until then
+	return f.node.clock.Now().Steady > lastSentAt+maxOrderTime+late
+}
+
+// noteVMs takes note of the VMs that are reported on a machine, when its cordon is decided.
+func (f *fleetController) noteVMs(machine string, s *fleetplan.Snapshot) {
+	var ids []string
+	for _, v := range s.VMsOn(machine) {
+		ids = append(ids, v.VM)
+	}
+	f.knownVMs[machine] = ids
+}
+
+// hasNextVM reports whether a VM is reported on the machine of a cordon that was not there when
+// the cordon was decided. The inventory may not list it yet, or not answer.
+func (f *fleetController) hasNextVM(c fleetplan.Cordon, s *fleetplan.Snapshot) bool {
+	for _, v := range s.VMsOn(c.Machine) {
+		if v.VM != c.VM && !slices.Contains(f.knownVMs[c.Machine], v.VM) {
+			return true
+		}
+	}
+	return false
+}
+
+// isWanted reports whether the order of a cordon is still asked for: its wave is declared.
+func (f *fleetController) isWanted(c fleetplan.Cordon) bool {
+	return c.Purpose.Wave == "" || f.maxInMaintenance(c.Purpose.Wave) > 0
+}
+
+// reviewOrders decides again on the orders that are recorded and not confirmed, which may be
+// sent at a later time than the one for which they were decided, or repeated: the machine has to
+// have the same VM, and to be empty. If it has another one by now, the cordon is put on that one.
+func (f *fleetController) reviewOrders(txn *store.Txn, s *fleetplan.Snapshot) {
+	for name, c := range f.cordons {
+		if _, confirmed := f.confirmed[name]; confirmed || !c.Ordered || c.Version == 0 || f.callPending[name] {
+			continue
+		}
+		m := f.machines[name]
+		if m.Up && m.VM != "" && m.VM != c.VM && txnEntries(txn) < maxTxnChanges {
+			f.log.Info("cordon_on_next_vm", zap.String("machine", name), zap.String("vm", m.VM), zap.String("vm_was", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target))
+			c.VM = m.VM
+			f.mayOrder[name] = false
+			f.noteVMs(name, s)
+			f.putCordon(txn, c)
+			continue
+		}
+		if may := f.isWanted(c) && !f.hasNextVM(c, s) && s.Empty(c); may != f.mayOrder[name] {
+			f.mayOrder[name] = may
+			f.log.Info("machine_order_reviewed", zap.String("machine", name), zap.String("vm", m.VM), zap.Bool("may_be_sent", may), zap.Int64("cordon", c.Version))
+		}
+	}
+}
+
 // handoverElapsed reports whether the orders of an earlier holder for a machine
 // are long enough ago.
 func (f *fleetController) handoverElapsed(machine string) bool {
@@ -138,21 +222,22 @@
 }
 
 // sendOrders sends the orders that are recorded, and repeats those without a
-// certain answer. It sends nothing if the last confirmed transaction is too
-// old.
+// certain answer, if the last decision allows it. It sends nothing if the last
+// confirmed transaction is too old.
 func (f *fleetController) sendOrders(ctx context.Context) {
 	now := f.node.clock.Now().Steady
 	if f.confirmedAge() > f.node.orderAgeLimit() {
 		return
 	}
 	for name, c := range f.cordons {
-		if _, confirmed := f.confirmed[name]; confirmed || !c.Ordered || c.Version == 0 || f.callPending[name] || now < f.retryAt[name] || !f.handoverElapsed(name) {
+		if _, confirmed := f.confirmed[name]; confirmed || !c.Ordered || !f.mayOrder[name] || c.Version == 0 || f.callPending[name] || now < f.retryAt[name] || !f.handoverElapsed(name) {
 			continue
 		}
 		if !f.takeOrderToken(now) {
 			return
 		}
 		f.callPending[name] = true
+		f.sentAt[name] = now
 		f.log.Info("machine_order", zap.String("machine", name), zap.String("vm", c.VM), zap.String("wave", c.Purpose.Wave), zap.String("target", c.Purpose.Target))
 		f.node.spawn("machine order", func() { f.sendOrder(ctx, c) })
 	}
--- a/node/poolfeeds.go
+++ b/node/poolfeeds.go
@@ -152,7 +152,7 @@
 		r.log.Error("cordon_row_unreadable", zap.String("machine", row.Name), zap.Error(err))
 		return
 	}
-	cordons[row.Name] = pool.Cordon{VM: c.VM, Version: row.Version}
+	cordons[row.Name] = pool.Cordon{VM: c.VM, Target: c.Target, Confirmed: c.ConfirmedAtMS != nil, Version: row.Version}
 	if c.Target == r.name && c.Ordered {
 		r.arrivals.expect(row.Name)
 	}
--- a/sched/fleetplan/fleetplan.go
+++ b/sched/fleetplan/fleetplan.go
@@ -72,6 +72,22 @@
 	Waves     []Wave
 	Standby   map[string]bool // standby pools, whose VMs are switched off
 	Evacuated map[string]bool // evacuated data centres, in which nothing may start
+
+	reported map[string][]pool.VMLoad // by machine: the VMs in the load reports; nil until it is needed
+}
+
+// VMsOn returns the VMs of a machine in the load reports of all pools. There may be several:
+// a VM stays in a report for a while after its end.
+func (s *Snapshot) VMsOn(machine string) []pool.VMLoad {
+	if s.reported == nil {
+		s.reported = map[string][]pool.VMLoad{}
+		for _, report := range s.Loads {
+			for _, v := range report.VMs {
+				s.reported[v.Machine] = append(s.reported[v.Machine], v)
+			}
+		}
+	}
+	return s.reported[machine]
 }
 
 // vmLoad returns the report of the pool's owner on the current incarnation of a
@@ -81,17 +97,25 @@
 	return load, ok && load.Machine == m.Name
 }
 
-// Empty reports whether it is certain that nothing runs on a cordoned VM.
+// Empty reports whether it is certain that nothing runs on a cordoned machine: on the VM that
+// the inventory names, nor on another one of the machine, which the inventory may not name yet.
 func (s *Snapshot) Empty(c Cordon) bool {
-	if s.Standby[c.Pool] {
+	m, ok := s.Machines[c.Machine]
+	if s.Standby[c.Pool] && (!ok || s.Standby[m.Pool]) {
 		return true
 	}
-	m, ok := s.Machines[c.Machine]
 	if !ok {
 		return false
 	}
-	load, ok := s.vmLoad(m)
-	return ok && load.Empty(c.Version)
+	if load, ok := s.vmLoad(m); !ok || !load.Empty(c.Version) {
+		return false
+	}
+	for _, load := range s.VMsOn(c.Machine) {
+		if !load.Empty(c.Version) {
+			return false
+		}
+	}
+	return true
 }
 
 // Draining reports whether the current incarnation of a machine is leaving its
--- a/sched/fleetplan/fleetplan_test.go
+++ b/sched/fleetplan/fleetplan_test.go
@@ -259,6 +259,20 @@
 	}
 }
 
+// Guards against an order that ends what runs on the next VM of a machine (AVAIL, review/11),
+// which the list of machines does not show yet.
+func TestEmptyAsksEachVMOfAMachine(t *testing.T) {
+	for tasks, want := range map[int]bool{0: true, 1: false} {
+		f := newFleet(map[string]int{"a": 1}, 0)
+		load := f.Loads["a"]
+		load.VMs = []pool.VMLoad{{VM: "i-m-a-00", Machine: "m-a-00", Cordon: 9}, {VM: "i-next", Machine: "m-a-00", Cordon: 9, Tasks: tasks}}
+		f.Loads["a"] = load
+		if got := f.Empty(fleetplan.Cordon{Machine: "m-a-00", VM: "i-m-a-00", Pool: "a", Version: 9}); got != want {
+			t.Errorf("%d tasks on the next VM: empty is %v, want %v", tasks, got, want)
+		}
+	}
+}
+
 // Guards against a wave that waits for a VM that is leaving its pool without an
 // order, or orders maintenance for it, which is refused. Seen in scenario scale-1
 // of lantern-sched.
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -147,10 +147,21 @@
 	return capshare.Work{Used: p.usage[workspace], Need: p.demand[workspace], Unit: p.capWaits[workspace]}
 }
 
-// Cordon asks for one incarnation of a machine to be emptied.
+// Cordon asks for a machine to be emptied, for an order that ends all that runs on it. The
+// machine may have another VM by the time of the order.
 type Cordon struct {
-	VM      string // id of the incarnation
-	Version int64  // of the cordon's row
+	VM        string // id of the VM for which the cordon was decided
+	Target    string // pool to which the order moves the machine; empty for maintenance
+	Confirmed bool   // the order has been carried out, and ends nothing more
+	Version   int64  // of the cordon's row
+}
+
+// holds reports whether the cordon keeps work from a VM of its machine, in a pool.
+func (c Cordon) holds(id, pool string) bool {
+	if c.Target != "" && c.Target == pool {
+		return false // it has moved, and the order does nothing more
+	}
+	return c.VM == id || !c.Confirmed
 }
 
 // SetCordons replaces the set of cordons, by machine.
@@ -168,7 +179,7 @@
 
 func (p *Pool) isCordoned(v VM) bool {
 	c, ok := p.cordons[v.Machine]
-	return ok && v.Machine != "" && c.VM == v.ID
+	return ok && v.Machine != "" && c.holds(v.ID, p.settings.Pool)
 }
 
 // Accept adds a job that is already durable. Of a known job, only the rows that hold it
