Record the machines of VMs for the next owner of a pool

Cause: the end of a VM is proved by what its machine is now. The rows name the VM only, so that a next owner could not use the proofs for a VM that discovery does not list, and waited for late calls and leases.

Change: the machine and the start of each VM that gets tasks are recorded with the first of them, in 16 rows beside the lease bounds. The next owner uses them for VMs that are not in discovery, for nothing else.

--- a/node/poolctl.go
+++ b/node/poolctl.go
@@ -210,10 +210,24 @@
 }
 
 // restoreLeases passes on the lease bounds that the earlier owner has recorded
-// for VMs that it could not reach, and for runs on them.
+// for VMs that it could not reach, and for runs on them, and which VMs it has used.
 func (r *poolController) restoreLeases(rows []store.Row) {
+	for _, row := range rows {
+		if !tables.IsVMKey(row.Key) {
+			continue
+		}
+		vms, err := pool.DecodeVMs(row.Value)
+		if err != nil {
+			r.log.Error("vm_identities_unreadable", zap.String("row", row.Name), zap.Error(err))
+			continue
+		}
+		r.pool.RestoreVMs(vms)
+	}
 	var runs map[string]pool.RunLeases
 	for _, row := range rows {
+		if tables.IsVMKey(row.Key) {
+			continue
+		}
 		if row.Key == tables.RunLeaseKey(r.name) {
 			var err error
 			if runs, err = pool.DecodeRunLeases(row.Value); err != nil {
--- a/sched/pool/batch.go
+++ b/sched/pool/batch.go
@@ -97,6 +97,7 @@
 	// The few rows that other processes wait for come first, so that many progress
 	// rows do not displace them.
 	p.addQueues(&b)
+	p.addVMs(&b)
 	p.addLeaseBounds(&b)
 	p.addLoadReport(&b)
 	p.addJobs(&b)
@@ -315,7 +316,7 @@
 func (p *Pool) inheritedVM(id string) *vm {
 	v := p.vms[id]
 	if v == nil {
-		v = &vm{VM: VM{ID: id}, tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady}
+		v = &vm{VM: VM{ID: id}, recorded: p.storedVMs[id], tasks: map[*task]struct{}{}, lastAnswer: p.now.Steady}
 		v.leaseUntil = p.settings.InheritedLeaseBound
 		p.vms[id] = v
 		p.vmsChanged()
--- a/sched/pool/crash.go
+++ b/sched/pool/crash.go
@@ -87,11 +87,12 @@
 		return
 	}
 	for _, other := range p.sortedVMs() {
+		identity := other.identity()
 		switch {
-		case other == v || other.Machine != v.Machine || other.StartedMS == 0:
-		case other.StartedMS < v.StartedMS && v.fenced:
+		case other == v || identity.Machine != v.Machine || identity.StartedMS == 0:
+		case identity.StartedMS < v.StartedMS && v.fenced:
 			p.endIncarnation(other, v)
-		case v.StartedMS < other.StartedMS && other.fenced:
+		case v.StartedMS < identity.StartedMS && other.fenced:
 			p.endIncarnation(v, other)
 		}
 	}
@@ -108,7 +109,7 @@
 	}
 	v.replaced = true
 	planned := v.Draining || v.cordoned
-	p.log.Info("vm_replaced", zap.String("vm", v.ID), zap.String("by", successor.ID), zap.String("machine", v.Machine),
+	p.log.Info("vm_replaced", zap.String("vm", v.ID), zap.String("by", successor.ID), zap.String("machine", successor.Machine),
 		zap.Bool("planned", planned), zap.Int("tasks", len(v.tasks)))
 	p.forgetOrphans(v)
 	suspects := v.suspects()
@@ -165,7 +166,8 @@
 // started at startedMS, for the runs that were given up on them.
 func (p *Pool) confirmCrashes(machine string, startedMS int64) {
 	p.takeLostRuns(func(l lostRun) bool {
-		return l.vm.Machine == machine && l.vm.StartedMS != 0 && l.vm.StartedMS < startedMS
+		identity := l.vm.identity()
+		return identity.Machine == machine && identity.StartedMS != 0 && identity.StartedMS < startedMS
 	}, p.countCrash)
 }
 
--- a/sched/pool/encodings_test.go
+++ b/sched/pool/encodings_test.go
@@ -13,8 +13,9 @@
 // message of peers, which an earlier build wrote or reads.
 func TestEncodings(t *testing.T) {
 	fleettest.CheckEncodings(t, "encodings", map[string]any{
-		"load":       new(LoadReport),
-		"run leases": new(RunLeases),
+		"load":        new(LoadReport),
+		"run leases":  new(RunLeases),
+		"vm identity": new(VMIdentity),
 	}, cbor.Marshal, cbor.Unmarshal)
 }
 
--- a/sched/pool/harness_test.go
+++ b/sched/pool/harness_test.go
@@ -184,6 +184,16 @@
 	h.scheduler = pool.New(settings, zap.NewNop(), h.now)
 	h.scheduler.SetServiceClockOffset(h.serviceClockOffset, 0)
 	h.scheduler.Configure(h.catalog)
+	for key, value := range h.rows {
+		if !tables.IsVMKey(key) {
+			continue
+		}
+		vms, err := pool.DecodeVMs(value)
+		if err != nil {
+			h.t.Fatalf("row of VMs: %v", err)
+		}
+		h.scheduler.RestoreVMs(vms)
+	}
 	if value, ok := h.rows[tables.LeaseKey(testPool)]; ok {
 		bounds, err := pool.DecodeLeases(value)
 		if err != nil {
--- a/sched/pool/inventory.go
+++ b/sched/pool/inventory.go
@@ -110,10 +110,11 @@
 // showsEnded returns what shows that v has ended for good, and "" if nothing does. A machine
 // without a VM, for example one that is down, may get the same VM again.
 func (i inventory) showsEnded(v *vm) string {
-	if v.Machine == "" || i.workers[v.ID] {
+	machine := v.identity().Machine
+	if machine == "" || i.workers[v.ID] {
 		return ""
 	}
-	namesVM, listed := i.machines[v.Machine]
+	namesVM, listed := i.machines[machine]
 	switch {
 	case !listed:
 		return "machine has left the inventory"
@@ -137,7 +138,7 @@
 		return // only a start that is being sent is left
 	}
 	planned := v.Draining || v.cordoned
-	p.log.Info("vm_ended", zap.String("vm", v.ID), zap.String("machine", v.Machine), zap.String("inventory", shown),
+	p.log.Info("vm_ended", zap.String("vm", v.ID), zap.String("machine", v.identity().Machine), zap.String("inventory", shown),
 		zap.Bool("planned", planned), zap.Int("tasks", len(v.tasks)), zap.Duration("answer_age", p.now.Steady-v.lastAnswer))
 	v.replaced = true
 	p.forgetOrphans(v)
--- a/sched/pool/inventory_test.go
+++ b/sched/pool/inventory_test.go
@@ -16,8 +16,9 @@
 // awaits it.
 type inventoryDay struct {
 	*harness
-	missing  map[string]bool   // machines that the inventory does not list
-	shows    map[string]string // by machine: id of the VM that the inventory shows, if it is another than the worker's
+	missing  map[string]bool      // machines that the inventory does not list
+	shows    map[string]string    // by machine: id of the VM that the inventory shows, if it is another than the worker's
+	others   []pool.ListedMachine // machines without a worker of the pool
 	nextList time.Duration
 	lists    int // that were read
 }
@@ -37,7 +38,7 @@
 
 // list returns the complete list of machines.
 func (d *inventoryDay) list() []pool.ListedMachine {
-	list := []pool.ListedMachine{{Name: "m-elsewhere", Worker: "elsewhere"}, {Name: "m-standby"}}
+	list := append([]pool.ListedMachine{{Name: "m-elsewhere", Worker: "elsewhere"}, {Name: "m-standby"}}, d.others...)
 	for _, w := range d.sortedWorkers() {
 		m := pool.ListedMachine{Name: w.vm.Machine, Worker: w.vm.ID}
 		if other, ok := d.shows[m.Name]; ok {
--- a/sched/pool/pool.go
+++ b/sched/pool/pool.go
@@ -57,6 +57,7 @@
 	loadPublishedAt      time.Duration              // when the last load report was published
 	leaseBoundsChanged   bool                       // the lease bounds must be recorded again
 	storedLeaseBounds    map[string]bool            // VMs for which the table service may hold a lease bound
+	storedVMs            map[string]VMIdentity      // by VM: identities that are recorded, or with the batch under way
 	serviceClockOffset   time.Duration              // table service's clock minus the steady clock, at most
 	serviceClockError    time.Duration              // the offset may be smaller by this time
 	loadReportDue        bool                       // a load report must be published without waiting for loadReportInterval
@@ -90,7 +91,7 @@
 		runTimes:         map[string]*runTimeModel{},
 		jobShares:        map[string]*tokenBucket{},
 		publishedWaiting: map[string]int{}, queuePublishedAt: map[string]time.Duration{},
-		demand: map[string]fleet.Resources{}, capWaits: map[string]fleet.Resources{}, storedLeaseBounds: map[string]bool{}, heldBack: map[item]bool{},
+		demand: map[string]fleet.Resources{}, capWaits: map[string]fleet.Resources{}, storedLeaseBounds: map[string]bool{}, storedVMs: map[string]VMIdentity{}, heldBack: map[item]bool{},
 	}
 }
 
--- a/sched/pool/refused.go
+++ b/sched/pool/refused.go
@@ -11,6 +11,7 @@
 	queueItem  item = "queues"
 	leaseItem  item = "leases"
 	loadItem   item = "load"
+	vmItem     item = "vms"
 	deleteItem item = "deletions"
 )
 
@@ -92,6 +93,8 @@
 			p.leaseBoundsChanged = true
 		case loadItem:
 			p.loadReportDue = true
+		case vmItem:
+			clear(p.storedVMs)
 		}
 	}
 	p.deletableRows = append(p.deletableRows, b.Deletes...)
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -177,6 +177,7 @@
 // vm is a VM with its leases, its runs and its health.
 type vm struct {
 	VM
+	recorded           VMIdentity      // as an earlier owner has recorded it; empty if none has
 	listed             bool            // known to discovery
 	describedMS        int64           // start of the incarnation that the row in discovery describes, Unix milliseconds; 0 if unknown
 	replaced           bool            // it has ended for good: its machine has left, or has started again as another VM
--- a/sched/tables/tables.go
+++ b/sched/tables/tables.go
@@ -308,6 +308,26 @@
 	return store.Key{Table: Leases, Partition: pool, Name: "runs"}
 }
 
+// vmRowCount is the number of rows that the identities of a pool's VMs are spread over, so that
+// a VM which gets its first task rewrites few others.
+const vmRowCount = 16
+
+// VMRowOf returns the number of the row that holds the identity of a VM.
+func VMRowOf(vm string) int { return int(hash32(vm) % vmRowCount) }
+
+const vmRowPrefix = "vms/"
+
+// VMKey returns the key of a row with identities of VMs that have had tasks. It is beside the
+// lease bounds, which a next owner reads as well.
+func VMKey(pool string, row int) store.Key {
+	return store.Key{Table: Leases, Partition: pool, Name: fmt.Sprintf("%s%02d", vmRowPrefix, row)}
+}
+
+// IsVMKey reports whether key is one of VMKey.
+func IsVMKey(key store.Key) bool {
+	return key.Table == Leases && strings.HasPrefix(key.Name, vmRowPrefix)
+}
+
 // CordonKey returns the key of a machine's cordon. Cordons are in the partition of
 // the role that orders maintenance and moves.
 func CordonKey(role, machine string) store.Key {
