Reserve no VM that the advisor forbids

Cause: the reservation did not ask about the advice, the placement did.

Change: one function, adviceState.forbids, for reservations and requests.

TestNoVMIsReservedThatTheAdvisorForbids failed before: 4 of 12 tasks ran, with room for all.

--- a/sched/pool/advice.go
+++ b/sched/pool/advice.go
@@ -72,6 +72,16 @@
 	return found.value, ok && found.startedMS == v.StartedMS && found.until-now > catalog.TicketMargin
 }
 
+// forbids reports whether the advisor has answered that the step may not run on v. A nil
+// adviceState stands for a step that needs no ticket.
+func (a *adviceState) forbids(v *vm) bool {
+	if a == nil {
+		return false
+	}
+	incarnation, known := a.forbidden[v.ID]
+	return known && incarnation == v.StartedMS
+}
+
 // requestAdvice asks the advisor about VMs that could run t's step now. waiting is
 // the number of its tasks that have found no VM.
 func (p *Pool) requestAdvice(t *task, waiting int) {
@@ -118,8 +128,7 @@
 func (p *Pool) adviceCandidates(t *task, a *adviceState, maxVMs int) []string {
 	var list []*vm
 	for _, v := range p.vms {
-		incarnation, known := a.forbidden[v.ID]
-		if known && incarnation == v.StartedMS || !p.usable(v) || !t.fits(v) || !p.allowed(t, v) {
+		if a.forbids(v) || !p.usable(v) || !t.fits(v) || !p.allowed(t, v) {
 			continue
 		}
 		if _, ok := a.ticketFor(v, p.now.Steady); ok {
--- a/sched/pool/plan.go
+++ b/sched/pool/plan.go
@@ -482,8 +482,9 @@
 // hold t once all runs on them have ended but the long-running ones.
 func (p *Pool) reserve(t *task, reserved map[*vm]bool) {
 	var best *vm
+	advice := p.adviceOf(t)
 	for _, v := range p.sortedVMs() {
-		if reserved[v] || !p.usable(v) || !p.allowed(t, v) || !t.room().Fits(v.Capacity.Sub(v.heldForGood())) {
+		if reserved[v] || !p.usable(v) || !p.allowed(t, v) || advice.forbids(v) || !t.room().Fits(v.Capacity.Sub(v.heldForGood())) {
 			continue
 		}
 		if best == nil || v.free().MilliCPU > best.free().MilliCPU {
--- a/sched/pool/reserve_test.go
+++ b/sched/pool/reserve_test.go
@@ -3,8 +3,10 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"amaranthfork.example/fleet"
+	"amaranthfork.example/sched/catalog"
 	"amaranthfork.example/sched/job"
 	"amaranthfork.example/sched/pool"
 )
@@ -59,3 +61,43 @@
 		}
 	}
 }
+
+// Guards against a job that never starts beside idle VMs (LOST): lasting jobs for which the
+// advisor allows no VM reserve them for ever. One VM has not been asked about, since it has no
+// room, and is forbidden once it has.
+func TestNoVMIsReservedThatTheAdvisorForbids(t *testing.T) {
+	h := newAdvisorHarness(t)
+	queues := []*catalog.Queue{h.catalog.Queues["short"], {Name: "service", Pool: testPool, Stretch: 2, Target: 2 * time.Second}}
+	h.catalog = catalog.New(4, queues, []*catalog.Pool{{Name: testPool}}, nil, catalog.Limits{})
+	h.scheduler.Configure(h.catalog)
+	for _, id := range []string{"a", "b", "c"} {
+		h.addVM(id, 4000)
+	}
+	h.settle()
+	for range 2 {
+		hopeless := longRunningJob(1, 0, 0)
+		hopeless.Queue = "short"
+		h.submit(hopeless)
+	}
+	for range 20 {
+		h.advance(200 * time.Millisecond)
+		h.renewAll()
+		for _, c := range h.commit() {
+			h.execute(c)
+		}
+		for _, c := range h.scheduler.Commands() {
+			if c.Kind == pool.Advise {
+				h.scheduler.Advised(c, nil, 3*time.Second, h.now.Steady, true)
+				continue
+			}
+			h.execute(c)
+		}
+	}
+	ordinary := shortJob(12)
+	ordinary.Queue = "service"
+	h.submit(ordinary)
+	h.settle()
+	if n := h.runningTasks(ordinary); n != 12 {
+		t.Errorf("%d of 12 tasks run, with room for all", n)
+	}
+}
