Count runs that are being stopped after a takeover

Cause: the row of a job that has ended held no tasks.

Change: it holds them, or its parts are kept, while runs are being stopped; a next owner restores and counts them. The row is written once more at the last end.

--- a/sched/pool/record.go
+++ b/sched/pool/record.go
@@ -81,11 +81,14 @@
 	if j.parts.used && !j.state.Final() {
 		return p.addParts(b, j)
 	}
+	if j.state.Final() {
+		return p.addFinalJob(b, j)
+	}
 	value, err := job.EncodeProgress(p.progress(j))
 	if err != nil {
 		return err
 	}
-	if len(value) > p.rowBytes() && !j.state.Final() {
+	if len(value) > p.rowBytes() {
 		p.useParts(j)
 		return p.addParts(b, j)
 	}
@@ -93,11 +96,6 @@
 	b.jobParts[j] = nil
 	j.dirty = false
 	j.parts.dirty = nil
-	if j.state.Final() { // the tasks are no longer needed
-		for number := range j.parts.stored {
-			b.obsolete = append(b.obsolete, obsoletePart{j, number})
-		}
-	}
 	if j.active == 0 {
 		return nil
 	}
@@ -109,6 +107,39 @@
 	return nil
 }
 
+// addFinalJob adds the row of a job that has ended. While runs of it are being stopped, a later
+// owner has to count them: the row holds the tasks, or the parts are kept. The row is written
+// once more when the last of them has ended.
+func (p *Pool) addFinalJob(b *Batch, j *jobState) error {
+	j.dirty = false
+	j.parts.dirty = nil
+	stopping := j.active > 0
+	if stopping && j.stoppingRecorded {
+		return nil
+	}
+	progress := p.progress(j)
+	value, err := job.EncodeProgress(progress)
+	if err == nil && len(value) > p.rowBytes() {
+		// Without the tasks, a later owner learns of their runs when VMs list them.
+		p.log.Info("runs_being_stopped_not_recorded", zap.String("job", j.spec.ID), zap.Int("runs", j.active), zap.Int("bytes", len(value)))
+		progress.Occurrences, progress.Placements, progress.Settled, progress.Ended = nil, nil, nil, nil
+		value, err = job.EncodeProgress(progress)
+	}
+	if err != nil {
+		return err
+	}
+	b.put(j.spec.ID, tables.ProgressKey(p.settings.Pool, j.spec.ID), value)
+	b.jobParts[j] = nil
+	j.stoppingRecorded = stopping
+	if stopping {
+		return nil
+	}
+	for number := range j.parts.stored {
+		b.obsolete = append(b.obsolete, obsoletePart{j, number})
+	}
+	return nil
+}
+
 // addStarts adds the starts of the tasks that have been placed.
 func (b *Batch) addStarts(tasks []*task) {
 	for _, t := range tasks {
@@ -277,7 +308,7 @@
 func (p *Pool) progress(j *jobState) *job.Progress {
 	r := &job.Progress{State: j.state, FirstOpen: j.firstOpen, FinishedMS: j.finishedAtMS, Workspace: j.spec.Workspace,
 		Address: tables.AddressOf(j.spec.Location)}
-	if j.state.Final() {
+	if j.state.Final() && (j.active == 0 || j.parts.used) {
 		return r
 	}
 	for _, o := range j.open {
@@ -414,15 +445,10 @@
 	j.finishedAtMS = progress.FinishedMS
 	if j.state.Final() {
 		p.finishedJobs = append(p.finishedJobs, j)
-		p.deleteParts(spec.ID, slices.Collect(maps.Keys(progress.Parts)))
+		p.restoreStopping(j, progress)
 		return
 	}
-	for _, stored := range mergeParts(spec, progress) {
-		o := p.newOccurrence(j, stored.Number, spec.Due(stored.Number))
-		j.open = append(j.open, o)
-		p.restoreTasks(o, stored)
-		j.nextOpen = stored.Number + 1
-	}
+	p.restoreOpen(j, progress)
 	if progress.NextOpen > 0 || len(progress.Parts) > 0 {
 		j.parts = progressParts{used: true, stored: map[int]bool{}}
 		for number := range progress.Parts {
@@ -435,6 +461,38 @@
 	p.closeCompleted(j) // the tasks may have been recorded before the row
 }
 
+// restoreOpen restores the open occurrences of a job with their tasks.
+func (p *Pool) restoreOpen(j *jobState, progress *job.Progress) {
+	for _, stored := range mergeParts(j.spec, progress) {
+		o := p.newOccurrence(j, stored.Number, j.spec.Due(stored.Number))
+		j.open = append(j.open, o)
+		p.restoreTasks(o, stored)
+		j.nextOpen = stored.Number + 1
+	}
+}
+
+// restoreStopping restores the runs of a job that has ended which may still be on their VMs, so
+// that what they hold counts until their ends are listed. The listings have them stopped.
+func (p *Pool) restoreStopping(j *jobState, progress *job.Progress) {
+	if len(progress.Occurrences)+len(progress.Parts) == 0 {
+		return
+	}
+	p.restoreOpen(j, progress)
+	if j.active == 0 {
+		j.open = nil
+		p.deleteParts(j.spec.ID, slices.Collect(maps.Keys(progress.Parts)))
+		return
+	}
+	j.stoppingRecorded = true
+	p.log.Info("runs_being_stopped", zap.String("job", j.spec.ID), zap.Stringer("state", j.state), zap.Int("runs", j.active))
+	if len(progress.Parts) > 0 {
+		j.parts = progressParts{used: true, stored: map[int]bool{}}
+		for number := range progress.Parts {
+			j.parts.stored[number] = true
+		}
+	}
+}
+
 // storedOccurrence is the stored progress of an occurrence.
 type storedOccurrence struct {
 	Number  int
--- a/sched/pool/refused.go
+++ b/sched/pool/refused.go
@@ -78,6 +78,7 @@
 func (p *Pool) undo(b Batch) {
 	for j, parts := range b.jobParts {
 		j.dirty = true
+		j.stoppingRecorded = false
 		j.parts.row = nil
 		for _, part := range parts {
 			j.parts.markDirty(part)
--- a/sched/pool/state.go
+++ b/sched/pool/state.go
@@ -154,10 +154,13 @@
 	active       int  // number of runs that may be on VMs
 	dirty        bool // its progress must be recorded again
 	parts        progressParts
-	formerQueue  *catalog.Queue  // the queue by the job's own terms; nil until it is needed
-	finishedAtMS int64           // Unix milliseconds
-	doneTasks    int             // tasks done since this owner took over
-	failedVMs    map[string]bool // VMs on which tasks of the job have failed
+	formerQueue  *catalog.Queue // the queue by the job's own terms; nil until it is needed
+	finishedAtMS int64          // Unix milliseconds
+
+	stoppingRecorded bool // the row of the job, which has ended, tells of runs that are being stopped
+
+	doneTasks int             // tasks done since this owner took over
+	failedVMs map[string]bool // VMs on which tasks of the job have failed
 
 	// resubmitted is a later job with the same id, which is accepted once the progress of
 	// this one, which is final, is deleted; nil if there is none.
