Do not wait for a repeated start that was answered

Cause: the repeated call counts as one without an answer while it is under way. An answer that refuses it took that back, one that accepts it did not.

Change: each answer settles the call that gave it.

Measured: TestAnsweredCallIsNotAwaited failed before.

--- a/sched/pool/latestart.go
+++ b/sched/pool/latestart.go
@@ -59,10 +59,10 @@
 	}
 }
 
-// takeCallBack records that the call which is under way was not sent, or was refused: it begins
-// nothing later.
-func (t *task) takeCallBack() {
-	if t.phase == starting {
+// settleCall records that a call that starts the newest run of t was answered, or was not sent: it
+// begins nothing later. An earlier call than the one under way changes nothing.
+func (t *task) settleCall(issuedAt time.Duration) {
+	if t.phase == starting && issuedAt == t.since {
 		t.late.until, t.late.leaseEnd = t.late.earlierUntil, t.late.earlierLeaseEnd
 	}
 }
--- a/sched/pool/latestart_test.go
+++ b/sched/pool/latestart_test.go
@@ -131,6 +131,30 @@
 	}
 }
 
+// Guards against a task that waits for a call that was answered (LOST, sabz-sched-grown scale-2):
+// the first call of its start had no answer, the second one came much later and was answered, and
+// the run has failed. Only the first call may be carried out late.
+func TestAnsweredCallIsNotAwaited(t *testing.T) {
+	r := newRepeated(t)
+	r.a.down = true
+	r.runUntil(r.now.Steady + 7*time.Second)
+	r.a.down = false
+	r.runUntil(r.now.Steady + time.Second)
+	if r.vmOf(r.task) != "a" {
+		t.Fatal("the start was not repeated")
+	}
+	r.addVM("b", 8000)
+	r.end(r.a, r.task, pool.EndFailed)
+	r.runUntil(r.first.lastMoment())
+	if on := r.vmOf(r.task); on != "" {
+		t.Errorf("the task runs on %s while its first call may be carried out", on)
+	}
+	r.runUntil(r.first.sentAt + orderDelay + 2*time.Second)
+	if r.vmOf(r.task) == "" {
+		t.Error("the task does not run 2 s after its first call can no longer be carried out")
+	}
+}
+
 // Guards against two runs of a task (TWICE): a late call begins the run on a later incarnation of
 // its VM, and a late renewal extends its lease there.
 func TestLateRenewalOfALateStartIsCounted(t *testing.T) {
--- a/sched/pool/listing.go
+++ b/sched/pool/listing.go
@@ -349,8 +349,8 @@
 	if t == nil || (t.phase != starting && t.phase != unconfirmed) {
 		return
 	}
-	if result != StartAccepted && result != StartUnconfirmed {
-		t.takeCallBack()
+	if result != StartUnconfirmed {
+		t.settleCall(c.IssuedAt)
 	}
 	if result != StartAccepted {
 		p.log.Info("start_not_accepted", zap.String("task", c.Task), zap.Int("run", c.Run), zap.String("vm", c.VM), zap.Stringer("result", result))
