Refuse a key that is not in force on open queues too

Cause: a queue that is open to all asked for no key, and took an unknown one for none. "A call with an unknown key receives a 401 response" has no exception; docs/platform.md has it as settled.

Change: such a call is answered 401. One without a key is served.

TestUnknownKeyIsRefusedOnAnOpenQueue failed before.

--- a/node/access_test.go
+++ b/node/access_test.go
@@ -170,6 +170,19 @@
 	}
 }
 
+// Guards against a key that was withdrawn, or never declared, with which calls on an open queue
+// are served (CONFIG, "revoke" of REPORT-3). A call there needs no key.
+func TestUnknownKeyIsRefusedOnAnOpenQueue(t *testing.T) {
+	a := newAccessTest(t)
+	a.open = true
+	n, _ := a.call(accessPath, "one")
+	for key, want := range map[string]error{"": nil, "key-one": nil, "withdrawn": ErrUnauthorized} {
+		if _, err := n.Admit(accessHost, accessPath+accessJob, key); !errors.Is(err, want) {
+			t.Errorf("call with the key %q: %v, want %v", key, err, want)
+		}
+	}
+}
+
 // Guards against an open queue that shows the jobs of another one, which is not open: a
 // job of the same id was accepted there, in the pool that both queues use.
 func TestOpenQueueShowsNoJobOfAnotherQueue(t *testing.T) {
--- a/node/api.go
+++ b/node/api.go
@@ -66,7 +66,7 @@
 // declarations by which it was judged.
 type Caller struct {
 	Queue          *catalog.Queue
-	Workspace      string        // empty on open queues if the key is missing or not in force
+	Workspace      string        // empty on open queues if the request has no key
 	PathSuffix     string        // path after the queue's prefix
 	CatalogVersion int64         // 0 if no declarations have been read yet
 	ViewAge        time.Duration // since the declarations were last proved to be current
@@ -91,7 +91,7 @@
 	}
 	if w := view.Catalog.Authorize(key); w != nil {
 		c.Workspace = w.Name
-	} else if !c.Queue.Open {
+	} else if !c.Queue.Open || key != "" { // a key that was withdrawn opens nothing
 		n.metrics.add("refused_key")
 		return c, ErrUnauthorized
 	}
