Send orders for machines at rates below 1.25 a second

Cause: at most as many orders as the rate of one second were saved up, which never made a whole one.

Change: at least one is.

Measured: TestOrdersAtALowRate failed before at 0.1 and 1 a second.

--- a/node/fleetctl_test.go
+++ b/node/fleetctl_test.go
@@ -243,6 +243,26 @@
 	}
 }
 
+// Guards against a platform that takes less than 1.25 orders a second and gets none: no whole
+// order was ever due. What does not make a whole one between two looks may be lost.
+func TestOrdersAtALowRate(t *testing.T) {
+	for _, perSecond := range []float64{0.1, 1, 1.25, 64} {
+		fx := newFleetFixture(t)
+		f := fx.newHolder("first")
+		f.node.settings.Fleet.OrdersPerSecond = perSecond
+		taken, span := 0, 100*time.Second
+		for range int(span / (100 * time.Millisecond)) {
+			fx.clock.advance(100 * time.Millisecond)
+			for f.takeOrderToken(fx.clock.Now().Steady) {
+				taken++
+			}
+		}
+		if limit := 1 + perSecond*(1+span.Seconds()); float64(taken) > limit || float64(taken) < perSecond*span.Seconds()/2-1 {
+			t.Errorf("%v orders a second: %d were due in %v", perSecond, taken, span)
+		}
+	}
+}
+
 // Guards against orders of two holders for one machine within the time that the
 // platform requires between them. An order that was not confirmed is repeated
 // after that time.
--- a/node/fleetorders.go
+++ b/node/fleetorders.go
@@ -250,7 +250,7 @@
 	if rate <= 0 {
 		return true
 	}
-	f.orderTokens = min(rate, f.orderTokens+rate*(now-f.orderTokensAt).Seconds())
+	f.orderTokens = min(max(1, rate), f.orderTokens+rate*(now-f.orderTokensAt).Seconds())
 	f.orderTokensAt = now
 	if f.orderTokens < 1 {
 		return false
