--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -368,7 +368,8 @@
 		<-ctx.Done()
 		return store.Receipt{}, store.ErrUnconfirmed
 	}
-	if !slices.ContainsFunc(txn.Puts, func(p store.Put) bool { return p.Key.Table == tables.Leases }) {
+	// Rows with the machines of VMs are beside those with leases.
+	if !slices.ContainsFunc(txn.Puts, func(p store.Put) bool { return p.Key.Table == tables.Leases && !tables.IsVMKey(p.Key) }) {
 		return s.Store.Commit(ctx, txn)
 	}
 	select {
