Test of repeated orders: no data race

Only the test's own fields were concerned.

Change: each step awaits the answers to the orders that it has sent, and takes the lock before it reads on. No check is changed.

--- a/node/staleorders_test.go
+++ b/node/staleorders_test.go
@@ -125,10 +125,6 @@
 func (d *orderDay) pass(total time.Duration) {
 	d.t.Helper()
 	for end := d.clock.Now().Steady + total; d.clock.Now().Steady < end; {
-		if d.up > 0 && d.clock.Now().Steady >= d.up {
-			d.up = 0
-			d.nextLife()
-		}
 		cordons := map[string]pool.Cordon{}
 		page, err := store.All(d.t.Context(), d.mem, tables.Cordons, store.Span{Partition: fleetPool})
 		if err != nil {
@@ -165,6 +161,22 @@
 		}
 		d.f.loadReports.update(Update{Rows: []store.Row{{Key: tables.LoadKey(busyIn, 0), Value: value, Version: d.clock.Now().Wall}}})
 		d.step(d.f)
+		d.awaitAnswers(d.f)
+		d.finishOrder()
+	}
+}
+
+// finishOrder starts the next VM of m once the order under way has ended. The lock makes what
+// answered orders have changed visible to the test.
+func (d *orderDay) finishOrder() {
+	d.machines.mu.Lock()
+	finished := d.up > 0 && d.clock.Now().Steady >= d.up
+	if finished {
+		d.up = 0
+	}
+	d.machines.mu.Unlock()
+	if finished {
+		d.nextLife()
 	}
 }
 
