Tests of repeated orders: one set-up for an order that was answered with an error

Three tests began with the same lines. They share newFailedOrder now, so that two more of them check that the first VM has work. No check is changed.

--- a/node/staleorders_test.go
+++ b/node/staleorders_test.go
@@ -49,6 +49,21 @@
 	return d
 }
 
+// newFailedOrder returns a day on which an order for m, in wave 1, was sent and answered with an
+// error, as are those that follow.
+func newFailedOrder(t *testing.T, answer error) *orderDay {
+	t.Helper()
+	d := newOrderDay(t)
+	d.setAnswer(answer)
+	d.pass(time.Second)
+	if !d.works() {
+		t.Fatal("the first VM got no work")
+	}
+	d.declare(d.f, "1", orderedFor)
+	d.passUntil("an order was sent", func() bool { return d.sent > 0 })
+	return d
+}
+
 // holder returns a new holder of the fleet role.
 func (d *orderDay) holder(name string) *fleetController {
 	f := d.newHolder(name)
@@ -199,14 +214,7 @@
 		for _, replaced := range []int{0, 1, 2} {
 			for _, holder := range []string{"same holder", "next holder"} {
 				t.Run(fmt.Sprintf("%s, replaced %d times, %s", name, replaced, holder), func(t *testing.T) {
-					d := newOrderDay(t)
-					d.setAnswer(answer)
-					d.pass(time.Second)
-					if !d.works() {
-						t.Fatal("the first VM got no work")
-					}
-					d.declare(d.f, "1", orderedFor)
-					d.passUntil("an order was sent", func() bool { return d.sent > 0 })
+					d := newFailedOrder(t, answer)
 					for range replaced {
 						d.nextLife()
 						d.pass(time.Second)
@@ -258,11 +266,7 @@
 func TestNextVMIsHeldBackForABoundedTime(t *testing.T) {
 	for name, answer := range map[string]error{"refused": ErrRefused, "no answer": ErrNoAnswer} {
 		t.Run(name, func(t *testing.T) {
-			d := newOrderDay(t)
-			d.setAnswer(answer)
-			d.pass(time.Second)
-			d.declare(d.f, "1", orderedFor)
-			d.passUntil("an order was sent", func() bool { return d.sent > 0 })
+			d := newFailedOrder(t, answer)
 			d.setListError(errInventoryDown)
 			d.nextLife()
 			held := 2 * fleetPlanInterval
@@ -289,11 +293,7 @@
 func TestOrderOfAWithdrawnWaveIsTakenBack(t *testing.T) {
 	for name, answer := range map[string]error{"refused": ErrRefused, "no answer": ErrNoAnswer} {
 		t.Run(name, func(t *testing.T) {
-			d := newOrderDay(t)
-			d.setAnswer(answer)
-			d.pass(time.Second)
-			d.declare(d.f, "1", orderedFor)
-			d.passUntil("an order was sent", func() bool { return d.sent > 0 })
+			d := newFailedOrder(t, answer)
 			d.f.node.operator.view.Waves, d.waves = nil, nil
 			d.pass(time.Second)
 			sent := d.sent
